--- /dev/null
+++ b/libs/core/core.h
@@ -0,0 +1,32 @@
+#ifndef MAGNOLIAREEL_CORE_CORE_H_
+#define MAGNOLIAREEL_CORE_CORE_H_
+
+/** @file
+    @brief Module core: the value types, errors, clocks and thread tools that
+    every other module is written in.
+
+    Depends on the standard library only.
+
+    Topics: ids/ (identifiers, terms, log positions), errors/ (error codes,
+    findings), outcomes/ (the four outcomes of a request), time/ (clock
+    concept), random/ (random source concept), concurrency/ (the control loop,
+    snapshots).
+*/
+#include "core/concurrency/control_loop.h"
+#include "core/concurrency/executor.h"
+#include "core/concurrency/manual_executor.h"
+#include "core/concurrency/snapshot.h"
+#include "core/errors/error.h"
+#include "core/errors/finding.h"
+#include "core/errors/findings.h"
+#include "core/ids/identifier.h"
+#include "core/ids/log_point.h"
+#include "core/ids/log_position.h"
+#include "core/ids/term.h"
+#include "core/outcomes/outcome.h"
+#include "core/random/random_source.h"
+#include "core/time/clock.h"
+#include "core/time/steady_clock.h"
+#include "core/time/virtual_clock.h"
+
+#endif  // MAGNOLIAREEL_CORE_CORE_H_
--- /dev/null
+++ b/libs/core/outcomes/outcome.cc
@@ -0,0 +1,26 @@
+#include "core/outcomes/outcome.h"
+
+#include <array>
+
+namespace magnoliareel {
+namespace {
+
+constexpr std::array<std::string_view, 4> kNames = {"done", "failed", "not_run",
+                                                    "unknown"};
+
+}  // namespace
+
+std::string_view OutcomeName(Outcome outcome) noexcept {
+  return kNames.at(static_cast<size_t>(outcome));
+}
+
+std::optional<Outcome> OutcomeFromName(std::string_view name) noexcept {
+  for (size_t n = 0; n < kNames.size(); ++n) {
+    if (kNames[n] == name) {
+      return static_cast<Outcome>(n);
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/libs/core/time/steady_clock.h
@@ -0,0 +1,22 @@
+#ifndef MAGNOLIAREEL_CORE_TIME_STEADY_CLOCK_H_
+#define MAGNOLIAREEL_CORE_TIME_STEADY_CLOCK_H_
+
+#include "core/time/clock.h"
+
+namespace magnoliareel {
+
+/** The VM's monotonic clock. @see Clock */
+class SteadyClock {
+ public:
+  /** @returns the present moment */
+  TimePoint Now() const {
+    return std::chrono::time_point_cast<Duration>(
+        std::chrono::steady_clock::now());
+  }
+};
+
+static_assert(Clock<SteadyClock>);
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_CORE_TIME_STEADY_CLOCK_H_
--- /dev/null
+++ b/libs/telemetry/events/event.h
@@ -0,0 +1,63 @@
+#ifndef MAGNOLIAREEL_TELEMETRY_EVENTS_EVENT_H_
+#define MAGNOLIAREEL_TELEMETRY_EVENTS_EVENT_H_
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace magnoliareel {
+
+/** Every log event; its number is stable across releases.
+
+    @see docs/EVENTS.md, LogEvent
+*/
+enum class Event : uint16_t {
+  kStarted = 1001,
+  kCannotListen = 1002,
+  kStopping = 1003,
+  kStopped = 1004,
+  kDocumentInForce = 2001,
+  kDocumentRefused = 2002,
+  kStoreUnreachable = 2003,
+  kVmListChanged = 2004,
+  kPrimaryLearned = 3001,
+  kEndpointUnreachable = 3002,
+  kEndpointReachable = 3003,
+  kEndpointLeaving = 3004,
+  kPromotionStarted = 3101,
+  kPromotionDone = 3102,
+  kPromotionFailed = 3103,
+  kGrantWritten = 3104,
+  kGrantMissing = 3105,
+  kTransactionRolledBack = 3201,
+  kAcknowledgementMissed = 3202,
+  kForgedTokenRefused = 4001,
+  kBadKeyRefused = 4002,
+};
+
+/** How much an event matters. */
+enum class EventLevel { kInfo, kWarning, kError };
+
+/** One row of the catalogue. */
+struct EventDescription {
+  /** The event. */
+  Event event;
+  /** How much it matters. */
+  EventLevel level;
+  /** Dotted name, stable across releases. */
+  std::string_view name;
+  /** What happened, and the fields that come with it. */
+  std::string_view meaning;
+};
+
+/** @returns the catalogue, ordered by number */
+std::span<const EventDescription> ListEvents() noexcept;
+
+/** @param event  any event
+    @returns       its row of the catalogue
+*/
+const EventDescription& DescribeEvent(Event event) noexcept;
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_TELEMETRY_EVENTS_EVENT_H_
--- /dev/null
+++ b/libs/telemetry/metrics/statement_metrics.cc
@@ -0,0 +1,76 @@
+#include "telemetry/metrics/statement_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/histogram.h>
+#include <prometheus/text_serializer.h>
+
+namespace magnoliareel {
+namespace {
+
+constexpr size_t kMaxLabelledCallers = 64;
+
+const prometheus::Histogram::BucketBoundaries& GetBoundaries() {
+  static const prometheus::Histogram::BucketBoundaries seconds = {
+      0.0002, 0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05,
+      0.1,    0.2,    0.5,   1,     2,     5,    10,   30};
+  return seconds;
+}
+
+double ToSeconds(Duration span) {
+  return std::chrono::duration<double>(span).count();
+}
+
+prometheus::Family<prometheus::Histogram>& AddFamily(
+    prometheus::Registry& registry,
+    const std::string& name,
+    const std::string& help) {
+  return prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
+}
+
+}  // namespace
+
+StatementMetrics::StatementMetrics(std::string_view program)
+    : registry_(std::make_shared<prometheus::Registry>()),
+      waited_(AddFamily(*registry_,
+                        std::string(program) + "_wait_seconds",
+                        "Time from arrival until the statement ran.")),
+      ran_(AddFamily(*registry_,
+                     std::string(program) + "_run_seconds",
+                     "Time the statement ran.")),
+      total_(AddFamily(*registry_,
+                       std::string(program) + "_total_seconds",
+                       "Time from arrival to answer.")),
+      outcomes_(prometheus::BuildCounter()
+                    .Name(std::string(program) + "_statements_total")
+                    .Help("Statements by outcome.")
+                    .Register(*registry_)) {}
+
+void StatementMetrics::Observe(const StatementSample& sample) {
+  const std::string caller = ChooseLabel(sample.caller);
+  const std::map<std::string, std::string> labels = {
+      {"caller", caller}, {"class", std::string(sample.work_class)}};
+  waited_.Add(labels, GetBoundaries()).Observe(ToSeconds(sample.waited));
+  ran_.Add(labels, GetBoundaries()).Observe(ToSeconds(sample.ran));
+  total_.Add(labels, GetBoundaries()).Observe(ToSeconds(sample.total));
+  outcomes_
+      .Add({{"caller", caller},
+            {"outcome", std::string(OutcomeName(sample.outcome))}})
+      .Increment();
+}
+
+std::string StatementMetrics::RenderText() const {
+  return prometheus::TextSerializer().Serialize(registry_->Collect());
+}
+
+std::string StatementMetrics::ChooseLabel(std::string_view caller) {
+  const std::lock_guard lock(mutex_);
+  if (labelled_callers_.contains(caller)) {
+    return std::string(caller);
+  }
+  if (labelled_callers_.size() >= kMaxLabelledCallers) {
+    return "other";
+  }
+  return *labelled_callers_.emplace(caller).first;
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/libs/telemetry/telemetry.h
@@ -0,0 +1,16 @@
+#ifndef MAGNOLIAREEL_TELEMETRY_TELEMETRY_H_
+#define MAGNOLIAREEL_TELEMETRY_TELEMETRY_H_
+
+/** @file
+    @brief Module telemetry: numbered log events and metrics.
+
+    Depends on core, easylogging++ and prometheus-cpp.
+
+    Topics: events/ (the catalogue and the log), metrics/ (histograms and
+    counters per caller and class).
+*/
+#include "telemetry/events/event.h"
+#include "telemetry/events/event_log.h"
+#include "telemetry/metrics/statement_metrics.h"
+
+#endif  // MAGNOLIAREEL_TELEMETRY_TELEMETRY_H_
