--- /dev/null
+++ b/libs/codec/caller/caller_codec.cc
@@ -0,0 +1,164 @@
+#include "codec/caller/caller_codec.h"
+
+#include <array>
+
+#include "codec/json/common_fields.h"
+#include "codec/json/json_text.h"
+#include "codec/json/object_reader.h"
+
+namespace magnoliareel {
+namespace {
+
+constexpr size_t kMaxTokenBytes = 16 * 1024;
+constexpr size_t kMaxRequestIdBytes = 128;
+
+struct PathEntry {
+  std::string_view path;
+  CallerVerb verb;
+};
+
+constexpr auto kPaths = std::to_array<PathEntry>({
+    {"/v1/session", CallerVerb::kOpenSession},
+    {"/v1/statement", CallerVerb::kRead},
+    {"/v1/begin", CallerVerb::kBegin},
+    {"/v1/commit", CallerVerb::kCommit},
+    {"/v1/rollback", CallerVerb::kRollback},
+    {"/v1/settle", CallerVerb::kSettle},
+});
+
+void ReadStatement(ObjectReader& reader, CallerRequest& request) {
+  reader.ReadChoice(
+      "kind", Presence::kRequired,
+      [&request](std::string_view word) {
+        request.verb = word == "write" ? CallerVerb::kWrite : CallerVerb::kRead;
+        return word == "write" || word == "read";
+      },
+      "read, write");
+  reader.ReadText("statement", Presence::kRequired, request.statement,
+                  kMaxStatementBytes);
+  reader.ReadText("record", Presence::kOptional, request.record_key);
+  reader.ReadFlag("idempotent", Presence::kOptional, request.is_idempotent);
+  ReadWorkClass(reader, Presence::kOptional, request.work_class);
+  ReadMaxAge(reader, request.max_age);
+  if (request.verb == CallerVerb::kWrite && request.max_age) {
+    reader.AddFinding("max_age_ms", Error::kUnknownField,
+                      "only a read accepts an age");
+  }
+  if (request.verb == CallerVerb::kRead && reader.Has("idempotent")) {
+    reader.AddFinding("idempotent", Error::kUnknownField,
+                      "a read is always idempotent");
+  }
+}
+
+Json::Value FormatError(const CallerAnswer& answer) {
+  Json::Value error(Json::objectValue);
+  error["code"] = std::string(ErrorName(answer.ec));
+  error["message"] = answer.ec.message();
+  for (const Finding& it : answer.findings.GetList()) {
+    Json::Value finding(Json::objectValue);
+    finding["place"] = it.place;
+    finding["code"] = std::string(ErrorName(it.code));
+    finding["message"] = it.message;
+    error["findings"].append(std::move(finding));
+  }
+  return error;
+}
+
+}  // namespace
+
+std::optional<CallerVerb> VerbOfPath(std::string_view path) {
+  for (const auto& [known, verb] : kPaths) {
+    if (known == path) {
+      return verb;
+    }
+  }
+  return std::nullopt;
+}
+
+CallerRequest ParseCallerRequest(CallerVerb verb,
+                                 std::string_view body,
+                                 Findings& findings) {
+  CallerRequest request;
+  request.verb = verb;
+  const Json::Value value = ParseJsonObject(body, findings);
+  if (!findings.IsEmpty()) {
+    return request;
+  }
+  ObjectReader reader(value, "", findings);
+  reader.ReadText("request_id", Presence::kRequired, request.request.value,
+                  kMaxRequestIdBytes);
+  reader.ReadMilliseconds("deadline_ms", Presence::kOptional, kMaxDeadline,
+                          request.deadline);
+  if (verb == CallerVerb::kOpenSession) {
+    reader.ReadText("service", Presence::kRequired, request.service.value);
+  } else {
+    reader.ReadText("token", Presence::kRequired, request.token,
+                    kMaxTokenBytes);
+  }
+  if (verb == CallerVerb::kRead) {
+    ReadStatement(reader, request);
+  }
+  if (verb == CallerVerb::kBegin || verb == CallerVerb::kSettle) {
+    reader.ReadText("record", Presence::kRequired, request.record_key);
+  }
+  reader.RejectUnknown();
+  return request;
+}
+
+std::string FormatCallerAnswer(const CallerAnswer& answer) {
+  Json::Value value(Json::objectValue);
+  value["request_id"] = answer.request.value;
+  value["outcome"] = std::string(OutcomeName(answer.outcome));
+  if (answer.outcome == Outcome::kDone) {
+    value["answer"] = answer.answer;
+  } else {
+    value["error"] = FormatError(answer);
+    if (!answer.answer.empty()) {
+      value["error"]["detail"] = answer.answer;
+    }
+  }
+  if (!answer.token.empty()) {
+    value["token"] = answer.token;
+  }
+  if (!answer.endpoint.IsEmpty()) {
+    value["endpoint"] = answer.endpoint.value;
+  }
+  return FormatJson(value);
+}
+
+int StatusOfAnswer(const CallerAnswer& answer) {
+  switch (answer.outcome) {
+    case Outcome::kDone:
+      return 200;
+    case Outcome::kFailed:
+      return 422;
+    case Outcome::kUnknown:
+      return 504;
+    case Outcome::kNotRun:
+      break;
+  }
+  if (answer.ec == Error::kBodyTooLarge) {
+    return 413;
+  }
+  if (answer.ec == Error::kUnknownPath || answer.ec == Error::kUnknownService) {
+    return 404;
+  }
+  if (answer.ec == Error::kUnknownMethod) {
+    return 405;
+  }
+  if (answer.ec == Error::kBadKey || answer.ec == Error::kUnknownCaller ||
+      answer.ec == Error::kForgedToken) {
+    return 401;
+  }
+  if (answer.ec == Error::kNotAllowed) {
+    return 403;
+  }
+  if (answer.ec == Error::kNoTransaction ||
+      answer.ec == Error::kTransactionOpen ||
+      answer.ec == Error::kTransactionLost) {
+    return 409;
+  }
+  return answer.findings.IsEmpty() ? 503 : 400;
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/libs/codec/caller/caller_codec.h
@@ -0,0 +1,38 @@
+#ifndef MAGNOLIAREEL_CODEC_CALLER_CALLER_CODEC_H_
+#define MAGNOLIAREEL_CODEC_CALLER_CALLER_CODEC_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "core/core.h"
+#include "messages/messages.h"
+
+namespace magnoliareel {
+
+/** @param path  path of a caller's request
+    @returns      what it asks; kRead stands for either kind of statement;
+                  nothing for an unknown path
+*/
+std::optional<CallerVerb> VerbOfPath(std::string_view path);
+
+/** Parses the body of a caller's request. Credentials are not part of it.
+
+    @param verb      from VerbOfPath()
+    @param body      JSON
+    @param findings  receives every fault
+    @returns         the request as far as it could be read
+*/
+CallerRequest ParseCallerRequest(CallerVerb verb,
+                                 std::string_view body,
+                                 Findings& findings);
+
+/** @param answer  any answer  @returns its JSON */
+std::string FormatCallerAnswer(const CallerAnswer& answer);
+
+/** @param answer  any answer  @returns the HTTP status that fits it */
+int StatusOfAnswer(const CallerAnswer& answer);
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_CODEC_CALLER_CALLER_CODEC_H_
--- /dev/null
+++ b/libs/codec/control/control_codec.cc
@@ -0,0 +1,175 @@
+#include "codec/control/control_codec.h"
+
+#include "codec/endpoint/report_codec.h"
+#include "codec/json/object_reader.h"
+
+namespace magnoliareel {
+namespace {
+
+constexpr size_t kMaxDocumentBytes = 16 * 1024 * 1024;
+constexpr size_t kMaxEntries = 65536;
+
+/** Decodes one object, reading its fields with a function. */
+template <class T, class Read>
+T Decode(const Json::Value& value, Findings& findings, Read read) {
+  T result;
+  ObjectReader reader(value, "", findings);
+  read(reader, result);
+  reader.RejectUnknown();
+  return result;
+}
+
+Json::Value EncodeEndpointStatus(const EndpointStatus& status) {
+  Json::Value value(Json::objectValue);
+  value["endpoint"] = status.endpoint.value;
+  value["reachable"] = status.is_reachable;
+  if (status.report) {
+    value["report"] = EncodeReport(*status.report);
+  }
+  return value;
+}
+
+void ReadEndpointStatus(ObjectReader& reader, EndpointStatus& status) {
+  reader.ReadText("endpoint", Presence::kRequired, status.endpoint.value);
+  reader.ReadFlag("reachable", Presence::kRequired, status.is_reachable);
+  reader.ReadObject("report", Presence::kOptional, [&status](ObjectReader& it) {
+    ReadReport(it, status.report.emplace());
+  });
+  reader.RejectUnknown();
+}
+
+Json::Value EncodeGroupStatus(const GroupStatus& status) {
+  Json::Value value(Json::objectValue);
+  value["group"] = status.group.value;
+  value["primary"] = status.primary.value;
+  value["term"] = Json::UInt64(status.term.value);
+  for (const EndpointStatus& it : status.endpoints) {
+    value["endpoints"].append(EncodeEndpointStatus(it));
+  }
+  return value;
+}
+
+void ReadGroupStatus(ObjectReader& reader, GroupStatus& status) {
+  reader.ReadText("group", Presence::kRequired, status.group.value);
+  reader.ReadText("primary", Presence::kOptional, status.primary.value);
+  reader.ReadCounter("term", Presence::kRequired, status.term.value);
+  reader.ReadObjects("endpoints", Presence::kOptional, kMaxEntries,
+                     [&status](ObjectReader& it) {
+                       ReadEndpointStatus(it, status.endpoints.emplace_back());
+                     });
+  reader.RejectUnknown();
+}
+
+void ReadRunnerStatus(ObjectReader& reader, RunnerStatus& status) {
+  reader.ReadText("endpoint", Presence::kRequired, status.endpoint.value);
+  reader.ReadCounter("waiting", Presence::kRequired, status.waiting);
+  reader.ReadCounter("connections", Presence::kRequired, status.connections);
+  reader.RejectUnknown();
+}
+
+}  // namespace
+
+Json::Value EncodeObserveRequest(const ObserveRequest& request) {
+  Json::Value value(Json::objectValue);
+  value["group"] = request.group.value;
+  value["endpoint"] = request.endpoint.value;
+  return value;
+}
+
+ObserveRequest DecodeObserveRequest(const Json::Value& value,
+                                    Findings& findings) {
+  return Decode<ObserveRequest>(
+      value, findings, [](ObjectReader& reader, ObserveRequest& out) {
+        reader.ReadText("group", Presence::kRequired, out.group.value);
+        reader.ReadText("endpoint", Presence::kRequired, out.endpoint.value);
+      });
+}
+
+Json::Value EncodeObserveAnswer(const ObserveAnswer& answer) {
+  Json::Value value(Json::objectValue);
+  value["watched"] = answer.is_watched;
+  value["reachable"] = answer.is_reachable;
+  return value;
+}
+
+ObserveAnswer DecodeObserveAnswer(const Json::Value& value,
+                                  Findings& findings) {
+  return Decode<ObserveAnswer>(
+      value, findings, [](ObjectReader& reader, ObserveAnswer& out) {
+        reader.ReadFlag("watched", Presence::kRequired, out.is_watched);
+        reader.ReadFlag("reachable", Presence::kRequired, out.is_reachable);
+      });
+}
+
+Json::Value EncodeDocumentOffer(const DocumentOffer& offer) {
+  Json::Value value(Json::objectValue);
+  value["version"] = Json::UInt64(offer.version);
+  value["text"] = offer.text;
+  return value;
+}
+
+DocumentOffer DecodeDocumentOffer(const Json::Value& value,
+                                  Findings& findings) {
+  return Decode<DocumentOffer>(
+      value, findings, [](ObjectReader& reader, DocumentOffer& out) {
+        reader.ReadCounter("version", Presence::kRequired, out.version);
+        reader.ReadText("text", Presence::kOptional, out.text,
+                        kMaxDocumentBytes);
+      });
+}
+
+Json::Value EncodePromoteRequest(const PromoteRequest& request) {
+  Json::Value value(Json::objectValue);
+  value["group"] = request.group.value;
+  return value;
+}
+
+PromoteRequest DecodePromoteRequest(const Json::Value& value,
+                                    Findings& findings) {
+  return Decode<PromoteRequest>(
+      value, findings, [](ObjectReader& reader, PromoteRequest& out) {
+        reader.ReadText("group", Presence::kRequired, out.group.value);
+      });
+}
+
+Json::Value EncodePoolerStatus(const PoolerStatus& status) {
+  Json::Value value(Json::objectValue);
+  value["vm"] = status.vm.value;
+  value["version"] = Json::UInt64(status.version);
+  value["hash"] = status.hash;
+  value["in_progress"] = Json::UInt64(status.in_progress);
+  value["transactions"] = Json::UInt64(status.transactions);
+  for (const GroupStatus& it : status.groups) {
+    value["groups"].append(EncodeGroupStatus(it));
+  }
+  for (const RunnerStatus& it : status.runners) {
+    Json::Value entry(Json::objectValue);
+    entry["endpoint"] = it.endpoint.value;
+    entry["waiting"] = Json::UInt64(it.waiting);
+    entry["connections"] = Json::UInt64(it.connections);
+    value["runners"].append(std::move(entry));
+  }
+  return value;
+}
+
+PoolerStatus DecodePoolerStatus(const Json::Value& value, Findings& findings) {
+  return Decode<PoolerStatus>(
+      value, findings, [](ObjectReader& reader, PoolerStatus& out) {
+        reader.ReadText("vm", Presence::kRequired, out.vm.value);
+        reader.ReadCounter("version", Presence::kRequired, out.version);
+        reader.ReadText("hash", Presence::kOptional, out.hash);
+        reader.ReadCounter("in_progress", Presence::kRequired, out.in_progress);
+        reader.ReadCounter("transactions", Presence::kRequired,
+                           out.transactions);
+        reader.ReadObjects("groups", Presence::kOptional, kMaxEntries,
+                           [&out](ObjectReader& it) {
+                             ReadGroupStatus(it, out.groups.emplace_back());
+                           });
+        reader.ReadObjects("runners", Presence::kOptional, kMaxEntries,
+                           [&out](ObjectReader& it) {
+                             ReadRunnerStatus(it, out.runners.emplace_back());
+                           });
+      });
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/libs/codec/endpoint/endpoint_codec.cc
@@ -0,0 +1,144 @@
+#include "codec/endpoint/endpoint_codec.h"
+
+#include <algorithm>
+#include <array>
+
+#include "codec/endpoint/report_codec.h"
+#include "codec/json/common_fields.h"
+#include "codec/json/json_text.h"
+#include "codec/json/object_reader.h"
+
+namespace magnoliareel {
+namespace {
+
+constexpr size_t kMaxRecords = 4096;
+constexpr size_t kMaxStatementsPerRecord = 4096;
+constexpr auto kMaxWait = std::chrono::minutes(1);
+
+constexpr auto kVerbNames = std::to_array<std::string_view>(
+    {"connect", "close", "read", "write", "begin", "commit", "rollback",
+     "settle", "watch", "adopt", "promote", "follow", "replicate"});
+
+bool ChooseVerb(std::string_view word, EndpointVerb& out) {
+  const auto it = std::find(kVerbNames.begin(), kVerbNames.end(), word);
+  if (it == kVerbNames.end()) {
+    return false;
+  }
+  out = static_cast<EndpointVerb>(it - kVerbNames.begin());
+  return true;
+}
+
+void SetText(Json::Value& value, const char* field, const std::string& text) {
+  if (!text.empty()) {
+    value[field] = text;
+  }
+}
+
+Json::Value FormatRecord(const LogRecord& record) {
+  Json::Value value(Json::objectValue);
+  value["term"] = Json::UInt64(record.term.value);
+  SetText(value, "request", record.request);
+  SetText(value, "answer", record.answer);
+  for (const std::string& it : record.statements) {
+    value["statements"].append(it);
+  }
+  return value;
+}
+
+void ReadRecord(ObjectReader& reader, LogRecord& record) {
+  reader.ReadCounter("term", Presence::kRequired, record.term.value);
+  reader.ReadText("request", Presence::kOptional, record.request);
+  reader.ReadText("answer", Presence::kOptional, record.answer,
+                  kMaxAnswerBytes);
+  reader.ReadTexts("statements", Presence::kOptional, kMaxStatementsPerRecord,
+                   [&record](const std::string& text) {
+                     record.statements.push_back(text);
+                   });
+  reader.RejectUnknown();
+}
+
+}  // namespace
+
+std::string FormatEndpointCall(const EndpointCall& call) {
+  Json::Value value(Json::objectValue);
+  value["verb"] = std::string(kVerbNames.at(static_cast<size_t>(call.verb)));
+  value["term"] = Json::UInt64(call.term.value);
+  SetText(value, "connection", call.connection.value);
+  SetText(value, "request", call.request);
+  SetText(value, "statement", call.statement);
+  SetText(value, "primary_address", call.primary_address);
+  if (call.is_recorded) {
+    value["recorded"] = true;
+  }
+  WriteLogPoint(value, "after_term", "after_position", call.after);
+  if (call.wait > Duration::zero()) {
+    value["wait_ms"] = ToMilliseconds(call.wait);
+  }
+  return FormatJson(value);
+}
+
+EndpointCall ParseEndpointCall(std::string_view body, Findings& findings) {
+  EndpointCall call;
+  const Json::Value value = ParseJsonObject(body, findings);
+  if (!findings.IsEmpty()) {
+    return call;
+  }
+  ObjectReader reader(value, "", findings);
+  reader.ReadChoice(
+      "verb", Presence::kRequired,
+      [&call](std::string_view word) { return ChooseVerb(word, call.verb); },
+      "the verbs of the endpoint protocol");
+  reader.ReadCounter("term", Presence::kRequired, call.term.value);
+  reader.ReadText("connection", Presence::kOptional, call.connection.value);
+  reader.ReadText("request", Presence::kOptional, call.request);
+  reader.ReadText("statement", Presence::kOptional, call.statement,
+                  kMaxStatementBytes);
+  reader.ReadText("primary_address", Presence::kOptional, call.primary_address);
+  reader.ReadFlag("recorded", Presence::kOptional, call.is_recorded);
+  ReadLogPoint(reader, "after_term", "after_position", call.after);
+  reader.ReadMilliseconds("wait_ms", Presence::kOptional, kMaxWait, call.wait);
+  reader.RejectUnknown();
+  return call;
+}
+
+std::string FormatEndpointAnswer(const EndpointAnswer& answer) {
+  Json::Value value(Json::objectValue);
+  if (answer.ec) {
+    value["error"] = std::string(ErrorName(answer.ec));
+  }
+  SetText(value, "request", answer.request);
+  SetText(value, "connection", answer.connection.value);
+  SetText(value, "answer", answer.answer);
+  WriteLogPoint(value, "point_term", "point_position", answer.point);
+  value["report"] = EncodeReport(answer.report);
+  for (const LogRecord& it : answer.records) {
+    value["records"].append(FormatRecord(it));
+  }
+  return FormatJson(value);
+}
+
+EndpointAnswer ParseEndpointAnswer(std::string_view body, Findings& findings) {
+  EndpointAnswer answer;
+  const Json::Value value = ParseJsonObject(body, findings);
+  if (!findings.IsEmpty()) {
+    return answer;
+  }
+  ObjectReader reader(value, "", findings);
+  ReadErrorName(reader, answer.ec);
+  reader.ReadText("request", Presence::kOptional, answer.request);
+  reader.ReadText("connection", Presence::kOptional, answer.connection.value);
+  reader.ReadText("answer", Presence::kOptional, answer.answer,
+                  kMaxAnswerBytes);
+  ReadLogPoint(reader, "point_term", "point_position", answer.point);
+  reader.ReadObject("report", Presence::kRequired, [&answer](ObjectReader& it) {
+    ReadReport(it, answer.report);
+  });
+  reader.ReadObjects("records", Presence::kOptional, kMaxRecords,
+                     [&answer](ObjectReader& it) {
+                       ReadRecord(it, answer.records.emplace_back());
+                     });
+  reader.RejectUnknown();
+  return answer;
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/libs/codec/endpoint/report_codec.cc
@@ -0,0 +1,52 @@
+#include "codec/endpoint/report_codec.h"
+
+#include "codec/json/common_fields.h"
+
+namespace magnoliareel {
+namespace {
+
+constexpr size_t kMaxLineage = 65536;
+
+}  // namespace
+
+Json::Value EncodeReport(const EndpointReport& report) {
+  Json::Value value(Json::objectValue);
+  value["role"] = report.role == EndpointRole::kPrimary ? "primary" : "replica";
+  value["term"] = Json::UInt64(report.term.value);
+  WriteLogPoint(value, "last_term", "last_position", report.last);
+  for (const auto& [term, start] : report.lineage) {
+    Json::Value entry(Json::objectValue);
+    entry["term"] = Json::UInt64(term.value);
+    entry["start"] = Json::UInt64(start.value);
+    value["lineage"].append(std::move(entry));
+  }
+  if (report.is_leaving) {
+    value["leaving"] = true;
+  }
+  return value;
+}
+
+void ReadReport(ObjectReader& reader, EndpointReport& report) {
+  reader.ReadChoice(
+      "role", Presence::kRequired,
+      [&report](std::string_view word) {
+        report.role =
+            word == "primary" ? EndpointRole::kPrimary : EndpointRole::kReplica;
+        return word == "primary" || word == "replica";
+      },
+      "primary, replica");
+  reader.ReadCounter("term", Presence::kRequired, report.term.value);
+  ReadLogPoint(reader, "last_term", "last_position", report.last);
+  reader.ReadObjects(
+      "lineage", Presence::kOptional, kMaxLineage, [&report](ObjectReader& it) {
+        TermStart entry;
+        it.ReadCounter("term", Presence::kRequired, entry.term.value);
+        it.ReadCounter("start", Presence::kRequired, entry.start.value);
+        it.RejectUnknown();
+        report.lineage.push_back(entry);
+      });
+  reader.ReadFlag("leaving", Presence::kOptional, report.is_leaving);
+  reader.RejectUnknown();
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/libs/codec/json/common_fields.cc
@@ -0,0 +1,55 @@
+#include "codec/json/common_fields.h"
+
+namespace magnoliareel {
+
+void ReadWorkClass(ObjectReader& reader, Presence presence, WorkClass& out) {
+  reader.ReadChoice(
+      "class", presence,
+      [&out](std::string_view word) {
+        out = word == "long" ? WorkClass::kLong : WorkClass::kShort;
+        return word == "long" || word == "short";
+      },
+      "short, long");
+}
+
+void ReadMaxAge(ObjectReader& reader, std::optional<Duration>& out) {
+  if (!reader.Has("max_age_ms")) {
+    return;
+  }
+  Duration age{0};
+  reader.ReadMilliseconds("max_age_ms", Presence::kOptional, kMaxAge, age);
+  out = age;
+}
+
+void ReadLogPoint(ObjectReader& reader,
+                  const char* term,
+                  const char* position,
+                  LogPoint& out) {
+  reader.ReadCounter(term, Presence::kOptional, out.term.value);
+  reader.ReadCounter(position, Presence::kOptional, out.position.value);
+}
+
+void WriteLogPoint(Json::Value& value,
+                   const char* term,
+                   const char* position,
+                   LogPoint point) {
+  if (point == LogPoint{}) {
+    return;
+  }
+  value[term] = Json::UInt64(point.term.value);
+  value[position] = Json::UInt64(point.position.value);
+}
+
+void ReadErrorName(ObjectReader& reader, std::error_code& out) {
+  std::string name;
+  reader.ReadText("error", Presence::kOptional, name);
+  if (!name.empty()) {
+    out = ErrorFromName(name);
+  }
+}
+
+Json::Int64 ToMilliseconds(Duration span) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/libs/codec/pooler/pooler_codec.cc
@@ -0,0 +1,140 @@
+#include "codec/pooler/pooler_codec.h"
+
+#include <array>
+
+#include "codec/json/common_fields.h"
+#include "codec/json/json_text.h"
+#include "codec/json/object_reader.h"
+
+namespace magnoliareel {
+namespace {
+
+constexpr size_t kMaxHolders = 64;
+
+constexpr std::array<std::string_view, 6> kVerbNames = {
+    "read", "write", "begin", "commit", "rollback", "settle"};
+
+bool ChooseVerb(std::string_view word, PoolerVerb& out) {
+  for (size_t n = 0; n < kVerbNames.size(); ++n) {
+    if (kVerbNames[n] == word) {
+      out = static_cast<PoolerVerb>(n);
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
+std::string FormatPoolerRequest(const PoolerRequest& request) {
+  Json::Value value(Json::objectValue);
+  value["verb"] = std::string(kVerbNames.at(static_cast<size_t>(request.verb)));
+  value["request"] = request.request.value;
+  value["caller"] = request.caller.value;
+  value["group"] = request.group.value;
+  value["endpoint"] = request.endpoint.value;
+  value["deadline_ms"] = ToMilliseconds(request.deadline);
+  value["class"] = std::string(WorkClassName(request.work_class));
+  if (!request.transaction.IsEmpty()) {
+    value["transaction"] = request.transaction.value;
+  }
+  if (!request.statement.empty()) {
+    value["statement"] = request.statement;
+  }
+  if (request.is_idempotent) {
+    value["idempotent"] = true;
+  }
+  WriteLogPoint(value, "required_term", "required_position", request.required);
+  if (request.max_age) {
+    value["max_age_ms"] = ToMilliseconds(*request.max_age);
+  }
+  return FormatJson(value);
+}
+
+PoolerRequest ParsePoolerRequest(std::string_view body, Findings& findings) {
+  PoolerRequest request;
+  const Json::Value value = ParseJsonObject(body, findings);
+  if (!findings.IsEmpty()) {
+    return request;
+  }
+  ObjectReader reader(value, "", findings);
+  reader.ReadChoice(
+      "verb", Presence::kRequired,
+      [&request](std::string_view word) {
+        return ChooseVerb(word, request.verb);
+      },
+      "read, write, begin, commit, rollback, settle");
+  reader.ReadText("request", Presence::kRequired, request.request.value);
+  reader.ReadText("caller", Presence::kRequired, request.caller.value);
+  reader.ReadText("group", Presence::kRequired, request.group.value);
+  reader.ReadText("endpoint", Presence::kRequired, request.endpoint.value);
+  reader.ReadMilliseconds("deadline_ms", Presence::kRequired, kMaxDeadline,
+                          request.deadline);
+  ReadWorkClass(reader, Presence::kRequired, request.work_class);
+  reader.ReadText("transaction", Presence::kOptional,
+                  request.transaction.value);
+  reader.ReadText("statement", Presence::kOptional, request.statement,
+                  kMaxStatementBytes);
+  reader.ReadFlag("idempotent", Presence::kOptional, request.is_idempotent);
+  ReadLogPoint(reader, "required_term", "required_position", request.required);
+  ReadMaxAge(reader, request.max_age);
+  reader.RejectUnknown();
+  return request;
+}
+
+std::string FormatPoolerAnswer(const PoolerAnswer& answer) {
+  Json::Value value(Json::objectValue);
+  value["request"] = answer.request.value;
+  value["outcome"] = std::string(OutcomeName(answer.outcome));
+  if (answer.ec) {
+    value["error"] = std::string(ErrorName(answer.ec));
+  }
+  if (!answer.answer.empty()) {
+    value["answer"] = answer.answer;
+  }
+  WriteLogPoint(value, "term", "position", answer.point);
+  if (!answer.transaction.IsEmpty()) {
+    value["transaction"] = answer.transaction.value;
+  }
+  if (!answer.primary.IsEmpty()) {
+    value["primary"] = answer.primary.value;
+    value["primary_term"] = Json::UInt64(answer.primary_term.value);
+  }
+  for (const EndpointId& it : answer.holders) {
+    value["holders"].append(it.value);
+  }
+  return FormatJson(value);
+}
+
+PoolerAnswer ParsePoolerAnswer(std::string_view body, Findings& findings) {
+  PoolerAnswer answer;
+  const Json::Value value = ParseJsonObject(body, findings);
+  if (!findings.IsEmpty()) {
+    return answer;
+  }
+  ObjectReader reader(value, "", findings);
+  reader.ReadText("request", Presence::kRequired, answer.request.value);
+  reader.ReadChoice(
+      "outcome", Presence::kRequired,
+      [&answer](std::string_view word) {
+        const auto outcome = OutcomeFromName(word);
+        answer.outcome = outcome.value_or(Outcome::kUnknown);
+        return outcome.has_value();
+      },
+      "done, failed, not_run, unknown");
+  ReadErrorName(reader, answer.ec);
+  reader.ReadText("answer", Presence::kOptional, answer.answer,
+                  kMaxAnswerBytes);
+  ReadLogPoint(reader, "term", "position", answer.point);
+  reader.ReadText("transaction", Presence::kOptional, answer.transaction.value);
+  reader.ReadText("primary", Presence::kOptional, answer.primary.value);
+  reader.ReadCounter("primary_term", Presence::kOptional,
+                     answer.primary_term.value);
+  reader.ReadTexts(
+      "holders", Presence::kOptional, kMaxHolders,
+      [&answer](const std::string& name) { answer.holders.push_back({name}); });
+  reader.RejectUnknown();
+  return answer;
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/libs/document/checks/check_document.cc
@@ -0,0 +1,115 @@
+#include "document/checks/check_document.h"
+
+#include <set>
+#include <string>
+
+namespace magnoliareel {
+namespace {
+
+constexpr size_t kHashHexDigits = 64;
+
+/** Reports names that occur twice among things of one kind. */
+class NameRegister {
+ public:
+  explicit NameRegister(Findings& findings) : findings_(findings) {}
+
+  void Add(const std::string& name, const std::string& place) {
+    if (!names_.insert(name).second) {
+      findings_.Add(place, Error::kDuplicateName,
+                    "'" + name + "' is already used; choose another name");
+    }
+  }
+
+ private:
+  Findings& findings_;
+  std::set<std::string> names_;
+};
+
+void CheckEndpoint(const EndpointShape& endpoint,
+                   const std::string& place,
+                   Findings& findings) {
+  if (endpoint.slots > endpoint.connections) {
+    findings.Add(place + "/slots", Error::kOutOfRange,
+                 "must not exceed connections (" +
+                     std::to_string(endpoint.connections) + ")");
+  }
+}
+
+void CheckGroups(const Document& document, Findings& findings) {
+  NameRegister groups(findings);
+  NameRegister endpoints(findings);
+  for (size_t s = 0; s < document.services.size(); ++s) {
+    const ServiceShape& service = document.services[s];
+    for (size_t g = 0; g < service.groups.size(); ++g) {
+      const GroupShape& group = service.groups[g];
+      const std::string place =
+          "/services/" + std::to_string(s) + "/groups/" + std::to_string(g);
+      groups.Add(group.group.value, place + "/name");
+      if (group.endpoints.size() < 3) {
+        findings.Add(place + "/endpoints", Error::kOutOfRange,
+                     "a group needs at least 3 endpoints to survive the loss "
+                     "of one; add " +
+                         std::to_string(3 - group.endpoints.size()));
+      }
+      for (size_t e = 0; e < group.endpoints.size(); ++e) {
+        const std::string endpoint_place =
+            place + "/endpoints/" + std::to_string(e);
+        endpoints.Add(group.endpoints[e].endpoint.value,
+                      endpoint_place + "/name");
+        CheckEndpoint(group.endpoints[e], endpoint_place, findings);
+      }
+    }
+  }
+}
+
+void CheckServices(const Document& document, Findings& findings) {
+  NameRegister services(findings);
+  for (size_t s = 0; s < document.services.size(); ++s) {
+    const ServiceShape& service = document.services[s];
+    const std::string place = "/services/" + std::to_string(s);
+    services.Add(service.service.value, place + "/name");
+    if (service.groups.empty()) {
+      findings.Add(place + "/groups", Error::kOutOfRange,
+                   "a service needs at least one group");
+    }
+    if (service.default_deadline > service.max_deadline) {
+      findings.Add(place + "/default_deadline_ms", Error::kOutOfRange,
+                   "must not exceed max_deadline_ms");
+    }
+  }
+}
+
+void CheckCallers(const Document& document, Findings& findings) {
+  NameRegister callers(findings);
+  for (size_t c = 0; c < document.callers.size(); ++c) {
+    const CallerShape& caller = document.callers[c];
+    const std::string place = "/callers/" + std::to_string(c);
+    callers.Add(caller.caller.value, place + "/name");
+    for (size_t n = 0; n < caller.key_hashes.size(); ++n) {
+      const std::string& hash = caller.key_hashes[n];
+      if (hash.size() != kHashHexDigits ||
+          hash.find_first_not_of("0123456789abcdef") != std::string::npos) {
+        findings.Add(
+            place + "/key_hashes/" + std::to_string(n), Error::kOutOfRange,
+            "must be 64 lower-case hex digits, the SHA-256 of the key");
+      }
+    }
+    for (size_t n = 0; n < caller.services.size(); ++n) {
+      if (document.FindService(caller.services[n]) == nullptr) {
+        findings.Add(place + "/services/" + std::to_string(n),
+                     Error::kUnknownName,
+                     "no service is named '" + caller.services[n].value + "'");
+      }
+    }
+  }
+}
+
+}  // namespace
+
+void CheckDocument(const Document& document, Findings& findings) {
+  CheckServices(document, findings);
+  CheckGroups(document, findings);
+  CheckCallers(document, findings);
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/libs/entry/flows/request_flow.h
@@ -0,0 +1,346 @@
+#ifndef MAGNOLIAREEL_ENTRY_FLOWS_REQUEST_FLOW_H_
+#define MAGNOLIAREEL_ENTRY_FLOWS_REQUEST_FLOW_H_
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <span>
+#include <utility>
+#include <vector>
+
+#include "core/core.h"
+#include "entry/flows/admit_request.h"
+#include "entry/flows/pooler_requests.h"
+#include "entry/pooler_link.h"
+#include "entry/state/entry_state.h"
+#include "outcome/outcome.h"
+#include "routing/routing.h"
+
+namespace magnoliareel {
+
+/** Receives the answer to a caller's request, on any thread. */
+using CallerCompletion = std::function<void(CallerAnswer)>;
+
+/** What the flows of one entry share. */
+template <Executor E, PoolerLink L, ReadPolicy P>
+struct FlowContext {
+  /** The control thread, for pauses. */
+  E& executor;
+  /** The way to poolers. */
+  L& link;
+  /** Deployment and hints. */
+  EntryState<E>& state;
+  /** Seals the new token. */
+  const TokenSealer& sealer;
+  /** Site of the entry. */
+  SiteId site;
+  /** Order in which endpoints are tried for reads. */
+  P read_policy;
+  /** Share of traffic that may be retries. */
+  RetryBudget budget;
+  /** Guards `random`. */
+  std::mutex random_mutex;
+  /** Source of jitter and of the choice among equal endpoints. */
+  ProcessRandom random;
+};
+
+/** One admitted request: attempts at poolers until one succeeds, the outcome is
+    final, or the deadline passes.
+
+    Its steps run one after another, on the thread that ended the step before.
+
+    @tparam E  the control thread
+    @tparam L  the way to poolers
+    @tparam P  order in which endpoints are tried for reads
+*/
+template <Executor E, PoolerLink L, ReadPolicy P>
+class RequestFlow : public std::enable_shared_from_this<RequestFlow<E, L, P>> {
+ public:
+  /** Longest pause after the first fruitless round. */
+  static constexpr Duration kFirstPause = std::chrono::milliseconds(20);
+  /** Longest pause ever. */
+  static constexpr Duration kGreatestPause = std::chrono::milliseconds(200);
+  /** Time that a pooler's answer may arrive after the deadline. */
+  static constexpr Duration kAnswerGrace = std::chrono::milliseconds(100);
+
+  /** @param context     of the entry; outlives this
+      @param deployment  what was in force when the request was admitted
+      @param admitted    the request
+      @param done        called once
+  */
+  RequestFlow(FlowContext<E, L, P>& context,
+              std::shared_ptr<const Deployment> deployment,
+              AdmittedRequest admitted,
+              CallerCompletion done)
+      : context_(context),
+        deployment_(std::move(deployment)),
+        admitted_(std::move(admitted)),
+        done_(std::move(done)),
+        deadline_(context_.executor.Now() + admitted_.request.deadline),
+        verb_(ToPoolerVerb(admitted_.request.verb)) {}
+
+  /** Makes the first attempt. */
+  void Start() {
+    context_.budget.NoteRequest();
+    Attempt();
+  }
+
+ private:
+  bool IsBoundToTransaction() const {
+    return admitted_.token.transaction && verb_ != PoolerVerb::kBegin &&
+           verb_ != PoolerVerb::kSettle;
+  }
+
+  Repeatability GetRepeatability() const {
+    const bool is_safe =
+        verb_ == PoolerVerb::kRead || verb_ == PoolerVerb::kSettle ||
+        verb_ == PoolerVerb::kBegin || admitted_.request.is_idempotent;
+    return is_safe && !IsBoundToTransaction() ? Repeatability::kSafe
+                                              : Repeatability::kUnsafe;
+  }
+
+  void Attempt() {
+    const Duration left = deadline_ - context_.executor.Now();
+    if (left <= Duration::zero()) {
+      Finish(last_);
+      return;
+    }
+    if (IsBoundToTransaction()) {
+      const TransactionHandle& handle = *admitted_.token.transaction;
+      Send(handle.endpoint, handle.vm, left);
+      return;
+    }
+    if (next_endpoint_ >= endpoints_.size()) {
+      RankEndpoints();
+    }
+    const EndpointId& endpoint = endpoints_[next_endpoint_];
+    const auto owners = deployment_->ownership.GetOwners(endpoint);
+    if (next_owner_ >= owners.size()) {
+      PauseThenAttempt();
+      return;
+    }
+    Send(endpoint, owners[next_owner_], left);
+  }
+
+  void RankEndpoints() {
+    const auto hints = context_.state.GetHints();
+    deployment_ = context_.state.GetDeployment();
+    next_endpoint_ = 0;
+    next_owner_ = 0;
+    if (verb_ == PoolerVerb::kRead) {
+      const ReadNeeds needs{admitted_.token.GetMark(admitted_.group->group),
+                            admitted_.request.max_age, context_.site};
+      const std::lock_guard lock(context_.random_mutex);
+      endpoints_ = context_.read_policy.Rank(*admitted_.group, *hints, needs,
+                                             context_.random);
+      return;
+    }
+    const auto primary = hints->GetPrimary(admitted_.group->group);
+    endpoints_ = {primary ? primary->endpoint
+                          : admitted_.group->endpoints.front().endpoint};
+  }
+
+  void Send(const EndpointId& endpoint, const VmId& vm, Duration left) {
+    const VmEntry* entry = deployment_->FindVm(vm);
+    if (entry == nullptr) {
+      NoteReply(endpoint, {Error::kUnreachable, {}});
+      return;
+    }
+    last_vm_ = vm;
+    const PoolerRequest request =
+        MakePoolerRequest(admitted_.request, admitted_.token,
+                          admitted_.group->group, endpoint, verb_, left);
+    context_.link.Call(
+        entry->pooler_address, request, left + kAnswerGrace,
+        [self = this->shared_from_this(), endpoint](PoolerReply reply) {
+          self->NoteReply(endpoint, std::move(reply));
+        });
+  }
+
+  void NoteReply(const EndpointId& endpoint, PoolerReply reply) {
+    if (reply.ec) {
+      reply.answer.outcome = ClassifyCall({reply.ec, {}});
+      reply.answer.ec = reply.ec;
+    }
+    const PoolerAnswer& answer = reply.answer;
+    if (!answer.primary.IsEmpty()) {
+      context_.state.LearnPrimary(admitted_.group->group,
+                                  {answer.primary, answer.primary_term});
+    }
+    if (answer.outcome == Outcome::kDone) {
+      Succeed(endpoint, answer);
+      return;
+    }
+    if (IsBoundToTransaction()) {
+      FailInTransaction(reply);
+      return;
+    }
+    RememberFailure(answer);
+    switch (ChooseNextStep(answer.outcome, answer.ec, GetRepeatability())) {
+      case NextStep::kAnswer:
+        Finish(answer);
+        return;
+      case NextStep::kTryNext:
+        TryNext(reply);
+        return;
+      case NextStep::kRetryLater:
+        RetryLater(answer);
+        return;
+      case NextStep::kSettle:
+        Settle();
+        return;
+    }
+  }
+
+  void RememberFailure(const PoolerAnswer& answer) {
+    may_have_run_ |= answer.outcome == Outcome::kUnknown;
+    last_ = answer;
+  }
+
+  void TryNext(const PoolerReply& reply) {
+    const PoolerAnswer& answer = reply.answer;
+    const bool is_pooler_gone = reply.ec || answer.ec == Error::kShuttingDown ||
+                                answer.ec == Error::kUnknownEndpoint;
+    if (is_pooler_gone) {
+      ++next_owner_;
+      Attempt();
+      return;
+    }
+    if (verb_ != PoolerVerb::kRead && !answer.primary.IsEmpty() &&
+        answer.primary != endpoints_[next_endpoint_]) {
+      endpoints_ = {answer.primary};
+      next_endpoint_ = 0;
+      next_owner_ = 0;
+      Attempt();
+      return;
+    }
+    ++next_endpoint_;
+    next_owner_ = 0;
+    if (next_endpoint_ < endpoints_.size()) {
+      Attempt();
+    } else {
+      PauseThenAttempt();
+    }
+  }
+
+  void RetryLater(const PoolerAnswer& answer) {
+    if (answer.outcome == Outcome::kUnknown && !context_.budget.TryRetry()) {
+      Finish(answer);
+      return;
+    }
+    PauseThenAttempt();
+  }
+
+  void PauseThenAttempt() {
+    endpoints_.clear();
+    next_endpoint_ = 0;
+    ++rounds_;
+    Duration pause{0};
+    {
+      const std::lock_guard lock(context_.random_mutex);
+      pause =
+          ChooseBackoff(rounds_, kFirstPause, kGreatestPause, context_.random);
+    }
+    const Duration left = deadline_ - context_.executor.Now();
+    context_.executor.After(
+        std::max(Duration::zero(), std::min(pause, left)),
+        [self = this->shared_from_this()] { self->Attempt(); });
+  }
+
+  /** The request may have run: asks for its recorded outcome instead of
+      repeating it. */
+  void Settle() {
+    verb_ = PoolerVerb::kSettle;
+    may_have_run_ = true;
+    PauseThenAttempt();
+  }
+
+  void FailInTransaction(const PoolerReply& reply) {
+    const PoolerAnswer& answer = reply.answer;
+    const bool is_pooler_lost = reply.ec == Error::kUnreachable;
+    if (verb_ == PoolerVerb::kCommit &&
+        (is_pooler_lost || answer.outcome == Outcome::kUnknown)) {
+      // Even if nothing was sent now, an earlier request may have sent it.
+      last_ = answer;
+      Settle();
+      return;
+    }
+    PoolerAnswer final = answer;
+    if (is_pooler_lost) {
+      final.outcome = Outcome::kFailed;
+      final.ec = Error::kTransactionLost;
+    }
+    if (final.ec == Error::kTransactionLost ||
+        (verb_ == PoolerVerb::kCommit && final.outcome == Outcome::kFailed)) {
+      admitted_.token.transaction.reset();
+    }
+    Finish(final);
+  }
+
+  void Succeed(const EndpointId& endpoint, const PoolerAnswer& answer) {
+    SessionToken& token = admitted_.token;
+    const GroupId& group = admitted_.group->group;
+    if (answer.point != LogPoint{}) {
+      token.RaiseMark(group, answer.point);
+      context_.state.LearnHolders(answer.holders, answer.point);
+    }
+    if (verb_ == PoolerVerb::kBegin) {
+      token.transaction =
+          TransactionHandle{answer.transaction, last_vm_, group, endpoint};
+    } else if (IsEndOfTransaction()) {
+      token.transaction.reset();
+    }
+    served_by_ = endpoint;
+    Finish(answer);
+  }
+
+  bool IsEndOfTransaction() const {
+    return admitted_.request.verb == CallerVerb::kCommit ||
+           admitted_.request.verb == CallerVerb::kRollback;
+  }
+
+  void Finish(const PoolerAnswer& answer) {
+    CallerAnswer result;
+    result.request = admitted_.request.request;
+    result.outcome = answer.outcome;
+    // A refusal of the last attempt, or of the lookup, says nothing about an
+    // earlier attempt that may have run.
+    const bool is_in_doubt = may_have_run_ || verb_ == PoolerVerb::kSettle;
+    if (is_in_doubt && answer.outcome == Outcome::kNotRun &&
+        answer.ec != Error::kRequestVoid) {
+      result.outcome = Outcome::kUnknown;
+    }
+    result.ec = answer.ec;
+    if (answer.outcome == Outcome::kNotRun && !answer.ec) {
+      result.ec = Error::kDeadlineExceeded;
+    }
+    result.answer = answer.answer;
+    result.endpoint = served_by_;
+    if (answer.ec == Error::kRequestVoid && IsEndOfTransaction()) {
+      result.ec = Error::kTransactionLost;
+      admitted_.token.transaction.reset();
+    }
+    result.token = context_.sealer.Seal(admitted_.token);
+    done_(std::move(result));
+  }
+
+  FlowContext<E, L, P>& context_;
+  std::shared_ptr<const Deployment> deployment_;
+  AdmittedRequest admitted_;
+  const CallerCompletion done_;
+  const TimePoint deadline_;
+  PoolerVerb verb_;
+  std::vector<EndpointId> endpoints_;
+  size_t next_endpoint_ = 0;
+  size_t next_owner_ = 0;
+  int rounds_ = 0;
+  PoolerAnswer last_;
+  VmId last_vm_;
+  bool may_have_run_ = false;
+  EndpointId served_by_;
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_ENTRY_FLOWS_REQUEST_FLOW_H_
--- /dev/null
+++ b/libs/failover/driver/group_driver.cc
@@ -0,0 +1,97 @@
+#include "failover/driver/group_driver.h"
+
+#include <algorithm>
+
+namespace magnoliareel {
+namespace {
+
+bool IsMajorityReachable(const GroupState& state) {
+  const auto members = state.GetMembers();
+  const auto n =
+      std::count_if(members.begin(), members.end(),
+                    [](const MemberState& it) { return it.is_reachable; });
+  return static_cast<size_t>(n) >= state.GetMajority();
+}
+
+bool CanSucceed(const MemberState& member, const MemberState& primary) {
+  return member.endpoint != primary.endpoint && member.is_reachable &&
+         !member.report->is_leaving;
+}
+
+bool IsSwitchDue(const GroupState& state,
+                 const MemberState& primary,
+                 bool is_catch_up_over) {
+  const auto members = state.GetMembers();
+  return std::any_of(
+      members.begin(), members.end(), [&](const MemberState& it) {
+        return CanSucceed(it, primary) &&
+               (is_catch_up_over || it.report->last >= primary.report->last);
+      });
+}
+
+void UpdateSince(std::optional<TimePoint>& since,
+                 bool is_present,
+                 TimePoint now) {
+  if (!is_present) {
+    since.reset();
+  } else if (!since) {
+    since = now;
+  }
+}
+
+}  // namespace
+
+std::string_view PromotionReasonName(PromotionReason reason) {
+  switch (reason) {
+    case PromotionReason::kNoPrimary:
+      return "no_primary";
+    case PromotionReason::kPrimaryLost:
+      return "primary_lost";
+    case PromotionReason::kPrimaryLeaving:
+      return "primary_leaving";
+    case PromotionReason::kOrdered:
+      return "ordered";
+  }
+  return "";
+}
+
+void GroupConcerns::Update(const GroupState& state, TimePoint now) {
+  const auto primary = state.GetPrimary();
+  UpdateSince(no_primary_since, !primary, now);
+  UpdateSince(leaving_since,
+              primary && state.Find(primary->endpoint)->report->is_leaving,
+              now);
+}
+
+std::optional<PromotionReason> FindPromotionReason(
+    const GroupState& state,
+    const GroupConcerns& concerns,
+    const DriverTiming& timing,
+    size_t rank,
+    TimePoint now) {
+  if (!IsMajorityReachable(state)) {
+    return std::nullopt;
+  }
+  const Duration courtesy = timing.rank_delay * static_cast<int64_t>(rank);
+  const auto is_due = [&](std::optional<TimePoint> since, Duration delay) {
+    return since && now - *since >= delay + courtesy;
+  };
+  const auto primary = state.GetPrimary();
+  if (!primary) {
+    return is_due(concerns.no_primary_since, timing.no_primary_after)
+               ? std::optional(PromotionReason::kNoPrimary)
+               : std::nullopt;
+  }
+  const MemberState& member = *state.Find(primary->endpoint);
+  if (!member.is_reachable && is_due(member.heard, timing.suspect_after)) {
+    return PromotionReason::kPrimaryLost;
+  }
+  if (member.is_reachable && is_due(concerns.leaving_since, Duration::zero()) &&
+      IsSwitchDue(state, member,
+                  is_due(concerns.leaving_since, timing.catch_up))) {
+    return PromotionReason::kPrimaryLeaving;
+  }
+  return std::nullopt;
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/libs/failover/groups/group_state.cc
@@ -0,0 +1,170 @@
+#include "failover/groups/group_state.h"
+
+#include <algorithm>
+#include <cassert>
+#include <functional>
+#include <tuple>
+
+namespace magnoliareel {
+namespace {
+
+constexpr size_t kMaxObservations = 256;
+constexpr Duration kObservationSpacing = std::chrono::milliseconds(20);
+
+/** A log is aligned with a term if that term's primary has extended it. */
+bool HoldsAligned(const EndpointReport& report, LogPoint point) {
+  return !report.lineage.empty() && report.lineage.back().term == point.term &&
+         report.last.position >= point.position;
+}
+
+}  // namespace
+
+GroupState::GroupState(std::span<const EndpointId> endpoints) {
+  for (const EndpointId& it : endpoints) {
+    members_.push_back(MemberState{it, std::nullopt, {}, {}, false});
+  }
+}
+
+void GroupState::NoteReport(const EndpointId& endpoint,
+                            const EndpointReport& report,
+                            TimePoint asked,
+                            TimePoint heard) {
+  const auto it = std::find_if(
+      members_.begin(), members_.end(),
+      [&](const MemberState& m) { return m.endpoint == endpoint; });
+  assert(it != members_.end());
+  it->is_reachable = true;
+  it->heard = heard;
+  // Answers to calls that overlap may arrive out of order.
+  if (it->report && asked < it->asked &&
+      std::tie(report.term, report.last) <
+          std::tie(it->report->term, it->report->last)) {
+    return;
+  }
+  it->report = report;
+  it->asked = asked;
+  ObservePrimary();
+}
+
+void GroupState::NoteMiss(const EndpointId& endpoint) {
+  const auto it = std::find_if(
+      members_.begin(), members_.end(),
+      [&](const MemberState& m) { return m.endpoint == endpoint; });
+  assert(it != members_.end());
+  it->is_reachable = false;
+}
+
+std::optional<PrimaryView> GroupState::GetPrimary() const {
+  const Term highest = GetHighestTerm();
+  for (const MemberState& it : members_) {
+    if (it.report && it.report->role == EndpointRole::kPrimary &&
+        it.report->term == highest) {
+      return PrimaryView{it.endpoint, highest};
+    }
+  }
+  return std::nullopt;
+}
+
+Term GroupState::GetHighestTerm() const {
+  Term highest;
+  for (const MemberState& it : members_) {
+    if (it.report) {
+      highest = std::max(highest, it.report->term);
+    }
+  }
+  return highest;
+}
+
+bool GroupState::IsHeldByMajority(LogPoint point) const {
+  point = FindDecidingPoint(point);
+  const auto n = std::count_if(
+      members_.begin(), members_.end(), [point](const MemberState& it) {
+        return it.report && HoldsAligned(*it.report, point);
+      });
+  return static_cast<size_t>(n) >= GetMajority();
+}
+
+LogPoint GroupState::FindDecidingPoint(LogPoint point) const {
+  const auto primary = GetPrimary();
+  if (!primary || primary->term <= point.term) {
+    return point;
+  }
+  const Lineage& lineage = Find(primary->endpoint)->report->lineage;
+  return lineage.empty()
+             ? point
+             : LogPoint{primary->term, {lineage.back().start.value + 1}};
+}
+
+std::vector<EndpointId> GroupState::ListHolders(LogPoint point) const {
+  std::vector<EndpointId> holders;
+  for (const MemberState& it : members_) {
+    if (it.report &&
+        ContainsPoint(it.report->lineage, it.report->last.position, point)) {
+      holders.push_back(it.endpoint);
+    }
+  }
+  return holders;
+}
+
+std::optional<Duration> GroupState::BoundAge(const EndpointId& endpoint,
+                                             TimePoint now) const {
+  const auto primary = GetPrimary();
+  const MemberState* member = Find(endpoint);
+  if (!primary || member == nullptr || !member->report) {
+    return std::nullopt;
+  }
+  const EndpointReport& report = *member->report;
+  const bool is_aligned =
+      !report.lineage.empty() && report.lineage.back().term == primary->term;
+  if (!is_aligned || observed_term_ != primary->term) {
+    return std::nullopt;
+  }
+  return magnoliareel::BoundAge(
+      std::vector(observations_.begin(), observations_.end()),
+      report.last.position, now);
+}
+
+const MemberState* GroupState::Find(const EndpointId& endpoint) const {
+  const auto it = std::find_if(
+      members_.begin(), members_.end(),
+      [&](const MemberState& m) { return m.endpoint == endpoint; });
+  return it == members_.end() ? nullptr : &*it;
+}
+
+void GroupState::ObservePrimary() {
+  const auto primary = GetPrimary();
+  if (!primary) {
+    return;
+  }
+  if (observed_term_ != primary->term) {
+    observations_.clear();
+    observed_term_ = primary->term;
+  }
+  // The primary was in office at a moment only if a majority had adopted no
+  // higher term by then: take the oldest question among the latest majority.
+  std::vector<TimePoint> asked;
+  for (const MemberState& it : members_) {
+    if (it.report && it.report->term <= primary->term) {
+      asked.push_back(it.asked);
+    }
+  }
+  if (asked.size() < GetMajority()) {
+    return;
+  }
+  std::sort(asked.begin(), asked.end(), std::greater<>());
+  const MemberState& member = *Find(primary->endpoint);
+  const TimePoint sent = std::min(member.asked, asked[GetMajority() - 1]);
+  const PrimaryObservation fresh{sent, member.report->last.position};
+  if (observations_.size() > 1 &&
+      fresh.sent - observations_[observations_.size() - 2].sent <
+          kObservationSpacing) {
+    observations_.back() = fresh;
+    return;
+  }
+  observations_.push_back(fresh);
+  if (observations_.size() > kMaxObservations) {
+    observations_.pop_front();
+  }
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/libs/failover/promotion/choose_successor.cc
@@ -0,0 +1,36 @@
+#include "failover/promotion/choose_successor.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+#include <vector>
+
+namespace magnoliareel {
+
+std::optional<EndpointId> ChooseSuccessor(std::span<const Adopter> adopters,
+                                          size_t group_size) {
+  const size_t majority = group_size / 2 + 1;
+  if (adopters.size() < majority) {
+    return std::nullopt;
+  }
+  std::vector<LogPoint> points;
+  for (const Adopter& it : adopters) {
+    points.push_back(it.report.last);
+  }
+  std::sort(points.begin(), points.end(), std::greater<>());
+  const LogPoint needed =
+      adopters.size() == group_size ? points[majority - 1] : points.front();
+  const Adopter* best = nullptr;
+  const auto rank = [](const Adopter& it) {
+    return std::pair(!it.report.is_leaving, it.report.last);
+  };
+  for (const Adopter& it : adopters) {
+    if (it.report.last >= needed &&
+        (best == nullptr || rank(it) > rank(*best))) {
+      best = &it;
+    }
+  }
+  return best->endpoint;
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/libs/http/client/http_client.cc
@@ -0,0 +1,212 @@
+#include "http/client/http_client.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <cstring>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace magnoliareel {
+namespace {
+
+constexpr long kMaxKeptConnections = 1024;
+constexpr int kPollMilliseconds = 1000;
+constexpr auto kConnectTimeout = std::chrono::milliseconds(1000);
+
+struct CallInProgress {
+  HttpCall call;
+  HttpClient::Completion done;
+  std::string answer;
+  size_t sent_bytes = 0;
+  bool is_too_large = false;
+};
+
+size_t ReadBody(char* out, size_t size, size_t count, void* context) {
+  auto& progress = *static_cast<CallInProgress*>(context);
+  const size_t n =
+      std::min(size * count, progress.call.body.size() - progress.sent_bytes);
+  std::memcpy(out, progress.call.body.data() + progress.sent_bytes, n);
+  progress.sent_bytes += n;
+  return n;
+}
+
+size_t WriteAnswer(char* data, size_t size, size_t count, void* context) {
+  auto& progress = *static_cast<CallInProgress*>(context);
+  const size_t n = size * count;
+  if (progress.answer.size() + n > progress.call.max_answer_bytes) {
+    progress.is_too_large = true;
+    return 0;
+  }
+  progress.answer.append(data, n);
+  return n;
+}
+
+long ToMilliseconds(Duration span) {
+  return std::max<long>(
+      1, std::chrono::ceil<std::chrono::milliseconds>(span).count());
+}
+
+HttpReply MakeReply(CURL* easy, CURLcode code, CallInProgress& progress) {
+  HttpReply reply;
+  if (progress.is_too_large) {
+    reply.ec = Error::kAnswerTooLarge;
+    return reply;
+  }
+  if (code != CURLE_OK) {
+    reply.ec =
+        progress.sent_bytes > 0 ? Error::kAnswerLost : Error::kUnreachable;
+    return reply;
+  }
+  long status = 0;
+  curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+  reply.status = static_cast<int>(status);
+  reply.body = std::move(progress.answer);
+  return reply;
+}
+
+}  // namespace
+
+class HttpClient::Impl {
+ public:
+  Impl() {
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    multi_ = curl_multi_init();
+    curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, kMaxKeptConnections);
+    headers_ = curl_slist_append(headers_, "Content-Type: application/json");
+    headers_ = curl_slist_append(headers_, "Expect:");
+    thread_ = std::thread([this] { Run(); });
+  }
+
+  ~Impl() {
+    {
+      const std::lock_guard lock(mutex_);
+      is_stopped_ = true;
+    }
+    curl_multi_wakeup(multi_);
+    thread_.join();
+    for (CURL* easy : free_handles_) {
+      curl_easy_cleanup(easy);
+    }
+    curl_multi_cleanup(multi_);
+    curl_slist_free_all(headers_);
+  }
+
+  void Send(HttpCall call, Completion done) {
+    auto progress = std::make_unique<CallInProgress>();
+    progress->call = std::move(call);
+    progress->done = std::move(done);
+    {
+      const std::lock_guard lock(mutex_);
+      new_calls_.push_back(std::move(progress));
+    }
+    curl_multi_wakeup(multi_);
+  }
+
+ private:
+  void Run() {
+    while (true) {
+      if (!TakeNewCalls()) {
+        break;
+      }
+      int running = 0;
+      curl_multi_perform(multi_, &running);
+      FinishCalls();
+      curl_multi_poll(multi_, nullptr, 0, kPollMilliseconds, nullptr);
+    }
+    for (auto& [easy, progress] : calls_) {
+      curl_multi_remove_handle(multi_, easy);
+      curl_easy_cleanup(easy);
+      progress->done(HttpReply{Error::kAnswerLost, 0, {}});
+    }
+  }
+
+  bool TakeNewCalls() {
+    std::vector<std::unique_ptr<CallInProgress>> fresh;
+    {
+      const std::lock_guard lock(mutex_);
+      if (is_stopped_) {
+        return false;
+      }
+      fresh.swap(new_calls_);
+    }
+    for (auto& progress : fresh) {
+      StartCall(std::move(progress));
+    }
+    return true;
+  }
+
+  void StartCall(std::unique_ptr<CallInProgress> progress) {
+    CURL* easy = TakeHandle();
+    const HttpCall& call = progress->call;
+    const std::string url = "http://" + call.address.Format() + call.path;
+    curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers_);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, ToMilliseconds(call.timeout));
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     ToMilliseconds(kConnectTimeout));
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &WriteAnswer);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, progress.get());
+    if (!call.body.empty()) {
+      // A read callback without a seek callback stops libcurl from repeating
+      // a body that it has sent on a connection that then broke.
+      curl_easy_setopt(easy, CURLOPT_POST, 1L);
+      curl_easy_setopt(easy, CURLOPT_READFUNCTION, &ReadBody);
+      curl_easy_setopt(easy, CURLOPT_READDATA, progress.get());
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                       static_cast<curl_off_t>(call.body.size()));
+    }
+    curl_multi_add_handle(multi_, easy);
+    calls_.emplace(easy, std::move(progress));
+  }
+
+  void FinishCalls() {
+    int left = 0;
+    while (CURLMsg* message = curl_multi_info_read(multi_, &left)) {
+      if (message->msg != CURLMSG_DONE) {
+        continue;
+      }
+      CURL* easy = message->easy_handle;
+      const CURLcode code = message->data.result;
+      auto node = calls_.extract(easy);
+      HttpReply reply = MakeReply(easy, code, *node.mapped());
+      curl_multi_remove_handle(multi_, easy);
+      curl_easy_reset(easy);
+      free_handles_.push_back(easy);
+      node.mapped()->done(std::move(reply));
+    }
+  }
+
+  CURL* TakeHandle() {
+    if (free_handles_.empty()) {
+      return curl_easy_init();
+    }
+    CURL* easy = free_handles_.back();
+    free_handles_.pop_back();
+    return easy;
+  }
+
+  CURLM* multi_ = nullptr;
+  curl_slist* headers_ = nullptr;
+  std::unordered_map<CURL*, std::unique_ptr<CallInProgress>> calls_;
+  std::vector<CURL*> free_handles_;
+  std::mutex mutex_;
+  std::vector<std::unique_ptr<CallInProgress>> new_calls_;
+  bool is_stopped_ = false;
+  std::thread thread_;
+};
+
+HttpClient::HttpClient() : impl_(std::make_unique<Impl>()) {}
+
+HttpClient::~HttpClient() = default;
+
+void HttpClient::Send(HttpCall call, Completion done) {
+  impl_->Send(std::move(call), std::move(done));
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/libs/http/http.h
@@ -0,0 +1,16 @@
+#ifndef MAGNOLIAREEL_HTTP_HTTP_H_
+#define MAGNOLIAREEL_HTTP_HTTP_H_
+
+/** @file
+    @brief Module http: an asynchronous HTTP/1.1 server and client.
+
+    Depends on core, settings, libmicrohttpd and libcurl.
+
+    Topics: server/ (listening side), client/ (calling side). Neither knows
+    what the bodies mean.
+*/
+#include "http/client/http_client.h"
+#include "http/server/http_responder.h"
+#include "http/server/http_server.h"
+
+#endif  // MAGNOLIAREEL_HTTP_HTTP_H_
--- /dev/null
+++ b/libs/links/links.h
@@ -0,0 +1,17 @@
+#ifndef MAGNOLIAREEL_LINKS_LINKS_H_
+#define MAGNOLIAREEL_LINKS_LINKS_H_
+
+/** @file
+    @brief Module links: the ways between processes, as HTTP calls with JSON
+    bodies behind the link concepts of the decision modules.
+
+    Depends on core, codec, entry, failover, http, messages, rpc and settings.
+*/
+#include "links/endpoint_directory.h"
+#include "links/http_endpoint_link.h"
+#include "links/http_pooler_link.h"
+#include "links/peer_documents.h"
+#include "links/peer_list.h"
+#include "links/rpc_link.h"
+
+#endif  // MAGNOLIAREEL_LINKS_LINKS_H_
--- /dev/null
+++ b/libs/membership/ownership/rank_owners.h
@@ -0,0 +1,32 @@
+#ifndef MAGNOLIAREEL_MEMBERSHIP_OWNERSHIP_RANK_OWNERS_H_
+#define MAGNOLIAREEL_MEMBERSHIP_OWNERSHIP_RANK_OWNERS_H_
+
+#include <span>
+#include <string_view>
+#include <vector>
+
+#include "core/core.h"
+#include "messages/messages.h"
+
+namespace magnoliareel {
+
+/** Ranks VMs for one endpoint or group by rendezvous hashing: VMs of its site
+    first, then the others; leaving VMs never.
+
+    Every VM with the same list computes the same ranks, and a VM that comes or
+    goes moves only its own share.
+
+    @param vms    the VMs in use
+    @param site   site of the endpoint; empty if no site is preferred
+    @param name   name of the endpoint or group
+    @param count  how many ranks are wanted
+    @returns      up to `count` VMs, the owner first
+*/
+std::vector<VmId> RankOwners(std::span<const VmEntry> vms,
+                             const SiteId& site,
+                             std::string_view name,
+                             size_t count);
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_MEMBERSHIP_OWNERSHIP_RANK_OWNERS_H_
--- /dev/null
+++ b/libs/platform/client/platform_client.h
@@ -0,0 +1,202 @@
+#ifndef MAGNOLIAREEL_PLATFORM_CLIENT_PLATFORM_CLIENT_H_
+#define MAGNOLIAREEL_PLATFORM_CLIENT_PLATFORM_CLIENT_H_
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "codec/codec.h"
+#include "core/core.h"
+#include "failover/failover.h"
+#include "http/http.h"
+#include "messages/messages.h"
+#include "platform/client/platform_keys.h"
+
+namespace magnoliareel {
+
+/** Result of a call to the platform's table. */
+struct RowReply {
+  /** kStoreUnavailable: a write may have taken effect; kVersionConflict: `row`
+      is the row that is there; empty on success. */
+  std::error_code ec;
+  /** The row after the call. */
+  TableRow row;
+};
+
+/** Result of a call for an object or a list. */
+template <class T>
+struct PlatformReply {
+  /** kStoreUnavailable, kNotFound or kMalformedMessage; empty on success. */
+  std::error_code ec;
+  /** The result. */
+  T value;
+};
+
+/** Calls the platform's table, object store and list of VMs.
+
+    Every completion runs on the control thread, exactly once.
+
+    @tparam E  the control thread
+*/
+template <Executor E>
+class PlatformClient {
+ public:
+  /** Longest time for the platform to answer. */
+  static constexpr Duration kTimeout = std::chrono::milliseconds(1000);
+
+  /** @param executor  the control thread
+      @param client    makes the calls
+      @param address   of the platform
+      @param keys      names of the environment's rows
+  */
+  PlatformClient(E& executor,
+                 HttpClient& client,
+                 SocketAddress address,
+                 PlatformKeys keys)
+      : executor_(executor),
+        client_(client),
+        address_(std::move(address)),
+        keys_(std::move(keys)) {}
+
+  /** @returns names of the environment's rows */
+  const PlatformKeys& GetKeys() const { return keys_; }
+
+  /** Reads a row. @param key  its name  @param done  receives it */
+  void GetRow(const std::string& key, std::function<void(RowReply)> done) {
+    Send("/table/" + key, {}, [done = std::move(done)](const HttpReply& reply) {
+      done(ParseRow(reply));
+    });
+  }
+
+  /** Writes a row if it has the expected version.
+
+      @param write  the write
+      @param done   receives the row
+  */
+  void CompareAndSet(const TableWrite& write,
+                     std::function<void(RowReply)> done) {
+    Send("/table", FormatTableWrite(write),
+         [done = std::move(done)](const HttpReply& reply) {
+           done(ParseRow(reply));
+         });
+  }
+
+  /** Reads an object. @param hash  its name  @param done  receives its bytes */
+  void GetObject(const std::string& hash,
+                 std::function<void(PlatformReply<std::string>)> done) {
+    Send("/objects/" + hash, {}, [done = std::move(done)](HttpReply reply) {
+      done({CheckStatus(reply), std::move(reply.body)});
+    });
+  }
+
+  /** Keeps an object. @param hash  its name  @param bytes  its bytes
+      @param done  receives the error, if any */
+  void PutObject(const std::string& hash,
+                 std::string bytes,
+                 std::function<void(std::error_code)> done) {
+    Send("/objects/" + hash, std::move(bytes),
+         [done = std::move(done)](const HttpReply& reply) {
+           done(CheckStatus(reply));
+         });
+  }
+
+  /** Lists the VMs. @param done  receives the list */
+  void ListVms(std::function<void(PlatformReply<std::vector<VmEntry>>)> done) {
+    Send("/vms", {}, [done = std::move(done)](const HttpReply& reply) {
+      PlatformReply<std::vector<VmEntry>> result{CheckStatus(reply), {}};
+      Findings findings;
+      if (!result.ec) {
+        result.value = ParseVmList(reply.body, findings);
+        result.ec =
+            findings.IsEmpty() ? std::error_code() : Error::kMalformedMessage;
+      }
+      done(std::move(result));
+    });
+  }
+
+  /** @see GrantStore */
+  void ReadGrants(const GroupId& group, GrantCompletion done) {
+    GetRow(keys_.GetGrants(group),
+           [done = std::move(done)](const RowReply& reply) {
+             done(ParseGrants(reply));
+           });
+  }
+
+  /** @see GrantStore */
+  void WriteGrants(const GroupId& group,
+                   uint64_t expected_version,
+                   const GrantRow& row,
+                   GrantCompletion done) {
+    CompareAndSet(
+        {keys_.GetGrants(group), expected_version, FormatGrantRow(row)},
+        [done = std::move(done)](const RowReply& reply) {
+          done(ParseGrants(reply));
+        });
+  }
+
+ private:
+  static std::error_code CheckStatus(const HttpReply& reply) {
+    if (!reply.ec && reply.status == 200) {
+      return {};
+    }
+    if (!reply.ec && reply.status == 404) {
+      return Error::kNotFound;
+    }
+    if (!reply.ec && reply.status == 409) {
+      return Error::kVersionConflict;
+    }
+    return Error::kStoreUnavailable;
+  }
+
+  static RowReply ParseRow(const HttpReply& reply) {
+    RowReply result{CheckStatus(reply), {}};
+    if (result.ec == Error::kNotFound) {
+      result.ec = {};
+      return result;
+    }
+    if (!result.ec || result.ec == Error::kVersionConflict) {
+      Findings findings;
+      result.row = ParseTableRow(reply.body, findings);
+      if (!findings.IsEmpty()) {
+        result.ec = Error::kStoreUnavailable;
+      }
+    }
+    return result;
+  }
+
+  static GrantReply ParseGrants(const RowReply& reply) {
+    GrantReply result{reply.ec, {}, reply.row.version};
+    if (!reply.row.value.empty()) {
+      Findings findings;
+      result.row = ParseGrantRow(reply.row.value, findings);
+      if (!findings.IsEmpty()) {
+        result.ec = Error::kMalformedMessage;
+      }
+    }
+    return result;
+  }
+
+  void Send(std::string path,
+            std::string body,
+            std::function<void(HttpReply)> done) {
+    HttpCall call;
+    call.address = address_;
+    call.path = std::move(path);
+    call.body = std::move(body);
+    call.timeout = kTimeout;
+    client_.Send(
+        std::move(call), [this, done = std::move(done)](HttpReply reply) {
+          executor_.Post([done, reply = std::move(reply)] { done(reply); });
+        });
+  }
+
+  E& executor_;
+  HttpClient& client_;
+  const SocketAddress address_;
+  const PlatformKeys keys_;
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_PLATFORM_CLIENT_PLATFORM_CLIENT_H_
--- /dev/null
+++ b/libs/platform/deployment/deployment_watcher.h
@@ -0,0 +1,158 @@
+#ifndef MAGNOLIAREEL_PLATFORM_DEPLOYMENT_DEPLOYMENT_WATCHER_H_
+#define MAGNOLIAREEL_PLATFORM_DEPLOYMENT_DEPLOYMENT_WATCHER_H_
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "codec/codec.h"
+#include "core/core.h"
+#include "membership/membership.h"
+#include "platform/client/platform_client.h"
+#include "seal/seal.h"
+
+namespace magnoliareel {
+
+/** What a watcher tells its process about; every member is set. */
+struct DeploymentEvents {
+  /** A document or a list of VMs took effect. */
+  std::function<void(std::shared_ptr<const Deployment>)> on_change;
+  /** A document has findings and is not used. */
+  std::function<void(uint64_t version, const Findings&)> on_refused;
+  /** The platform began or ceased to answer. */
+  std::function<void(std::error_code)> on_store;
+};
+
+/** Follows the document and the list of VMs that are in force.
+
+    Only a document of a higher version is ever taken over. What was learned is
+    kept while the platform does not answer. The spacing of the questions grows
+    with the number of VMs, so the platform's load is bounded.
+
+    @tparam E  the control thread
+*/
+template <Executor E>
+class DeploymentWatcher {
+ public:
+  /** Least time between two questions. */
+  static constexpr Duration kLeastSpacing = std::chrono::milliseconds(500);
+  /** Greatest time between two questions. */
+  static constexpr Duration kGreatestSpacing = std::chrono::milliseconds(5000);
+  /** Spacing for each VM in use. */
+  static constexpr Duration kSpacingPerVm = std::chrono::microseconds(3300);
+
+  /** @param executor  the control thread
+      @param platform  the platform
+      @param events    what to report
+  */
+  DeploymentWatcher(E& executor,
+                    PlatformClient<E>& platform,
+                    DeploymentEvents events)
+      : executor_(executor), platform_(platform), events_(std::move(events)) {}
+
+  /** Begins to watch; called on the control thread. */
+  void Start() { AskVms(); }
+
+  /** Takes over a document that a peer holds.
+
+      @param version  its version
+      @param text     its bytes
+  */
+  void Offer(uint64_t version, const std::string& text) {
+    if (version <= deployment_.version) {
+      return;
+    }
+    Findings findings;
+    Document document = ParseDocument(text, findings);
+    if (!findings.IsEmpty()) {
+      events_.on_refused(version, findings);
+      return;
+    }
+    deployment_.version = version;
+    deployment_.hash = HashSha256(text);
+    deployment_.document = std::move(document);
+    text_ = text;
+    Publish();
+  }
+
+  /** @returns bytes of the document in force */
+  const std::string& GetText() const { return text_; }
+  /** @returns version of the document in force */
+  uint64_t GetVersion() const { return deployment_.version; }
+
+ private:
+  void AskVms() {
+    platform_.ListVms([this](PlatformReply<std::vector<VmEntry>> reply) {
+      NoteStore(reply.ec);
+      if (!reply.ec && reply.value != deployment_.vms) {
+        deployment_.vms = std::move(reply.value);
+        Publish();
+      }
+      AskHead();
+    });
+  }
+
+  void AskHead() {
+    platform_.GetRow(
+        platform_.GetKeys().GetHead(), [this](const RowReply& reply) {
+          NoteStore(reply.ec);
+          Findings findings;
+          const DocumentHead head =
+              reply.ec || reply.row.value.empty()
+                  ? DocumentHead{}
+                  : ParseDocumentHead(reply.row.value, findings);
+          if (findings.IsEmpty() && head.version > deployment_.version &&
+              head.version != refused_version_) {
+            AskDocument(head);
+          } else {
+            AskAgain();
+          }
+        });
+  }
+
+  void AskDocument(const DocumentHead& head) {
+    platform_.GetObject(
+        head.hash, [this, head](const PlatformReply<std::string>& reply) {
+          NoteStore(reply.ec);
+          if (!reply.ec && HashSha256(reply.value) == head.hash) {
+            Offer(head.version, reply.value);
+            refused_version_ = head.version;
+          }
+          AskAgain();
+        });
+  }
+
+  void AskAgain() {
+    const Duration spacing =
+        kSpacingPerVm * static_cast<int64_t>(deployment_.vms.size());
+    executor_.After(std::clamp(spacing, kLeastSpacing, kGreatestSpacing),
+                    [this] { AskVms(); });
+  }
+
+  void NoteStore(std::error_code ec) {
+    if (ec != last_ec_) {
+      last_ec_ = ec;
+      events_.on_store(ec);
+    }
+  }
+
+  void Publish() {
+    deployment_.ownership = Ownership(deployment_.document, deployment_.vms);
+    events_.on_change(std::make_shared<const Deployment>(deployment_));
+  }
+
+  E& executor_;
+  PlatformClient<E>& platform_;
+  const DeploymentEvents events_;
+  Deployment deployment_;
+  std::string text_;
+  uint64_t refused_version_ = 0;
+  std::error_code last_ec_;
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_PLATFORM_DEPLOYMENT_DEPLOYMENT_WATCHER_H_
--- /dev/null
+++ b/libs/pool/estimates/run_time_estimates.h
@@ -0,0 +1,58 @@
+#ifndef MAGNOLIAREEL_POOL_ESTIMATES_RUN_TIME_ESTIMATES_H_
+#define MAGNOLIAREEL_POOL_ESTIMATES_RUN_TIME_ESTIMATES_H_
+
+#include <cstdint>
+#include <list>
+#include <string_view>
+#include <unordered_map>
+
+#include "core/core.h"
+#include "messages/messages.h"
+
+namespace magnoliareel {
+
+/** Learns how long statements of each shape run, and tells long work from
+    short by it.
+
+    Statements have one shape if they differ in numbers only. The table is
+    bounded; the shape unused for longest is forgotten first.
+*/
+class RunTimeEstimates {
+ public:
+  /** Shapes kept. */
+  static constexpr size_t kMaxShapes = 1024;
+  /** Average run time from which a statement counts as long. */
+  static constexpr Duration kLongRun = std::chrono::milliseconds(100);
+
+  /** Classifies a statement.
+
+      @param statement  its text
+      @param declared   class declared by the caller
+      @returns          kLong if declared or learned to be long
+  */
+  WorkClass Classify(std::string_view statement, WorkClass declared);
+
+  /** Learns from a run.
+
+      @param statement  its text
+      @param ran        how long it ran
+  */
+  void Learn(std::string_view statement, Duration ran);
+
+ private:
+  struct Estimate {
+    uint64_t shape = 0;
+    Duration average{0};
+  };
+
+  std::list<Estimate> recent_;
+  std::unordered_map<uint64_t, std::list<Estimate>::iterator> estimates_;
+};
+
+/** @param statement  text of a statement
+    @returns          a hash that leaves out digits */
+uint64_t HashShape(std::string_view statement);
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_POOL_ESTIMATES_RUN_TIME_ESTIMATES_H_
--- /dev/null
+++ b/libs/pool/pool.h
@@ -0,0 +1,20 @@
+#ifndef MAGNOLIAREEL_POOL_POOL_H_
+#define MAGNOLIAREEL_POOL_POOL_H_
+
+/** @file
+    @brief Module pool: which statement runs next on an endpoint's slots, and
+    which connection it uses.
+
+    Depends on core, messages and xxhash.
+
+    Topics: scheduling/ (queues and slots), connections/ (open connections),
+    estimates/ (learned run times).
+*/
+#include "pool/connections/connection_book.h"
+#include "pool/estimates/run_time_estimates.h"
+#include "pool/scheduling/fair_queue.h"
+#include "pool/scheduling/fifo_queue.h"
+#include "pool/scheduling/queued_work.h"
+#include "pool/scheduling/slot_scheduler.h"
+
+#endif  // MAGNOLIAREEL_POOL_POOL_H_
--- /dev/null
+++ b/libs/pooler/core/pooler_core.h
@@ -0,0 +1,523 @@
+#ifndef MAGNOLIAREEL_POOLER_CORE_POOLER_CORE_H_
+#define MAGNOLIAREEL_POOLER_CORE_POOLER_CORE_H_
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "core/core.h"
+#include "membership/membership.h"
+#include "outcome/outcome.h"
+#include "pooler/core/endpoint_calls.h"
+#include "pooler/core/job.h"
+#include "pooler/endpoints/endpoint_runner.h"
+#include "pooler/groups/group_desk.h"
+#include "pooler/transactions/transaction_table.h"
+
+namespace magnoliareel {
+
+/** The control state of a pooler: takes requests for endpoints and answers
+    each with its outcome.
+
+    Runs on the control thread.
+
+    @tparam E  the control thread
+    @tparam L  calls the endpoints
+    @tparam S  the platform's table
+    @tparam Q  order in which statements start
+    @tparam G  when terms are granted
+*/
+template <Executor E,
+          EndpointLink L,
+          GrantStore S,
+          WorkQueue Q = FairQueue,
+          GrantPolicy G = GrantsAhead>
+class PoolerCore {
+ public:
+  /** Longest time that a read waits for its replica to catch up. */
+  static constexpr Duration kFreshnessWait = std::chrono::milliseconds(60);
+  /** Age of a primary's data is bounded by the spacing of its reports. */
+  static constexpr Duration kPrimaryAge = std::chrono::milliseconds(1000);
+
+  /** @param executor  the control thread
+      @param link      calls the endpoints
+      @param store     the platform's table
+      @param options   settings and surroundings
+  */
+  PoolerCore(E& executor, L& link, S& store, PoolerOptions options)
+      : executor_(executor),
+        link_(link),
+        store_(store),
+        options_(std::move(options)),
+        transactions_(options_.vm.value + "-" + options_.incarnation) {
+    Tick();
+  }
+
+  /** Takes over a changed document or list of VMs.
+
+      @param deployment  what is in force now
+  */
+  void Apply(std::shared_ptr<const Deployment> deployment) {
+    deployment_ = std::move(deployment);
+    for (const ServiceShape& service : deployment_->document.services) {
+      for (const GroupShape& group : service.groups) {
+        ApplyGroup(group);
+      }
+    }
+    for (auto& [name, desk] : groups_) {
+      if (deployment_->document.FindGroup(name) == nullptr) {
+        desk->SetRank({}, std::nullopt);
+      }
+    }
+  }
+
+  /** Takes a request.
+
+      @param request  what is asked
+      @param done     called once with the answer
+  */
+  void Submit(PoolerRequest request, PoolerCompletion done) {
+    ++in_progress_;
+    auto job = std::make_shared<Job<Desk, Runner>>();
+    job->arrived = executor_.Now();
+    job->deadline = job->arrived + request.deadline;
+    job->request = std::move(request);
+    job->done = std::move(done);
+    Start(job);
+  }
+
+  /** Refuses new work from now on; open transactions may still end. */
+  void BeginDrain() { is_draining_ = true; }
+
+  /** Rolls back the open transactions that have no statement in progress.
+
+      @param reason  for the log
+  */
+  void RollBackOpen(std::string_view reason) {
+    for (const OpenTransaction& it : transactions_.TakeAllIdle()) {
+      Abort(it, reason);
+    }
+  }
+
+  /** Orders a change of primary. @param group  the group  @returns false if it
+      is not watched here */
+  bool OrderPromotion(const GroupId& group) {
+    const auto it = groups_.find(group);
+    if (it == groups_.end()) {
+      return false;
+    }
+    it->second->OrderPromotion();
+    return true;
+  }
+
+  /** @returns requests not answered yet */
+  size_t CountInProgress() const { return in_progress_; }
+  /** @returns open transactions */
+  size_t CountTransactions() const { return transactions_.GetSize(); }
+  /** @param group  a name  @returns what is known of it, or nullptr */
+  const GroupState* FindState(const GroupId& group) const {
+    const auto it = groups_.find(group);
+    return it == groups_.end() ? nullptr : &it->second->GetState();
+  }
+  /** @param visit  takes the name and state of each watched group */
+  void VisitGroups(const std::function<void(const GroupId&, const GroupState&)>&
+                       visit) const {
+    for (const auto& [name, desk] : groups_) {
+      visit(name, desk->GetState());
+    }
+  }
+  /** @param visit  takes the name, waiting statements and open connections of
+      each endpoint in use */
+  void VisitEndpoints(
+      const std::function<void(const EndpointId&, size_t, int64_t)>& visit)
+      const {
+    for (const auto& [name, runner] : runners_) {
+      visit(name, runner->CountWaiting(), runner->CountConnections());
+    }
+  }
+
+ private:
+  using Desk = GroupDesk<E, L, S, G>;
+  using Runner = EndpointRunner<E, L, Q>;
+  using JobRef = std::shared_ptr<Job<Desk, Runner>>;
+
+  void Tick() {
+    for (auto& [name, desk] : groups_) {
+      desk->Tick();
+    }
+    for (const OpenTransaction& it : transactions_.TakeIdle(executor_.Now())) {
+      Abort(it, "idle_limit");
+    }
+    executor_.After(Desk::kTickSpacing, [this] { Tick(); });
+  }
+
+  void ApplyGroup(const GroupShape& group) {
+    const auto drivers = deployment_->ownership.GetDrivers(group.group);
+    const auto rank = FindRank(drivers);
+    bool is_wanted = rank.has_value();
+    for (const EndpointShape& it : group.endpoints) {
+      const bool is_owner =
+          FindRank(deployment_->ownership.GetOwners(it.endpoint)) == 0;
+      is_wanted |= is_owner;
+      if (const auto known = runners_.find(it.endpoint);
+          known != runners_.end()) {
+        known->second->Reshape(it);
+      } else if (is_owner) {
+        GetRunner(it).Warm();
+      }
+    }
+    if (is_wanted || groups_.contains(group.group)) {
+      GetDesk(group).SetRank(drivers, rank);
+    }
+  }
+
+  std::optional<size_t> FindRank(std::span<const VmId> vms) const {
+    const auto it = std::find(vms.begin(), vms.end(), options_.vm);
+    return it == vms.end()
+               ? std::nullopt
+               : std::optional(static_cast<size_t>(it - vms.begin()));
+  }
+
+  Desk& GetDesk(const GroupShape& group) {
+    auto& desk = groups_[group.group];
+    if (!desk) {
+      desk = std::make_unique<Desk>(executor_, link_, store_, group, options_);
+    }
+    return *desk;
+  }
+
+  Runner& GetRunner(const EndpointShape& shape) {
+    auto& runner = runners_[shape.endpoint];
+    if (!runner) {
+      runner = std::make_unique<Runner>(executor_, link_, shape);
+    }
+    return *runner;
+  }
+
+  void Start(const JobRef& job) {
+    if (!deployment_ || deployment_->version == 0) {
+      Refuse(job, Error::kNoDocument);
+      return;
+    }
+    const PoolerRequest& request = job->request;
+    const GroupShape* group = deployment_->document.FindGroup(request.group);
+    const EndpointShape* endpoint =
+        group == nullptr ? nullptr : FindEndpoint(*group, request);
+    if (endpoint == nullptr) {
+      Refuse(job, Error::kUnknownEndpoint);
+      return;
+    }
+    job->desk = &GetDesk(*group);
+    job->runner = &GetRunner(*endpoint);
+    if (!request.transaction.IsEmpty()) {
+      Continue(job);
+    } else if (is_draining_) {
+      Refuse(job, Error::kShuttingDown);
+    } else if (request.verb == PoolerVerb::kRead) {
+      StartRead(job);
+    } else if (request.verb == PoolerVerb::kCommit ||
+               request.verb == PoolerVerb::kRollback) {
+      Refuse(job, Error::kNoTransaction);
+    } else {
+      StartWrite(job);
+    }
+  }
+
+  static const EndpointShape* FindEndpoint(const GroupShape& group,
+                                           const PoolerRequest& request) {
+    const auto it = std::find_if(
+        group.endpoints.begin(), group.endpoints.end(),
+        [&](const EndpointShape& e) { return e.endpoint == request.endpoint; });
+    return it == group.endpoints.end() ? nullptr : &*it;
+  }
+
+  // Reads.
+
+  void StartRead(const JobRef& job) {
+    const MemberState* member = GetState(job).Find(job->request.endpoint);
+    if (member->report && !member->is_reachable) {
+      Refuse(job, Error::kUnreachable);
+      return;
+    }
+    if (member->report && member->report->is_leaving) {
+      Refuse(job, Error::kEndpointLeaving);
+      return;
+    }
+    if (IsFresh(job)) {
+      RunRead(job);
+      return;
+    }
+    job->desk->AwaitCondition(
+        [this, job] { return IsFresh(job); },
+        std::min(job->deadline, job->arrived + kFreshnessWait),
+        [this, job](bool is_met) {
+          if (is_met) {
+            RunRead(job);
+          } else {
+            Refuse(job, Error::kReplicaBehind);
+          }
+        });
+  }
+
+  bool IsFresh(const JobRef& job) const {
+    const GroupState& state = GetState(job);
+    const PoolerRequest& request = job->request;
+    const MemberState* member = state.Find(request.endpoint);
+    if (!member->report) {
+      return false;
+    }
+    const EndpointReport& report = *member->report;
+    if (!ContainsPoint(report.lineage, report.last.position,
+                       request.required)) {
+      return false;
+    }
+    if (!request.max_age) {
+      return true;
+    }
+    const bool is_primary = report.role == EndpointRole::kPrimary;
+    const Duration limit =
+        is_primary ? std::max(*request.max_age, kPrimaryAge) : *request.max_age;
+    const auto age = state.BoundAge(request.endpoint, executor_.Now());
+    return age && *age <= limit;
+  }
+
+  void RunRead(const JobRef& job) {
+    const MemberState* member = GetState(job).Find(job->request.endpoint);
+    Run(job,
+        MakeRunnerWork(job->request, job->deadline, member->report->term, {}),
+        [this, job](const RunnerEnd& end) {
+          PoolerAnswer answer;
+          answer.outcome = end.outcome;
+          answer.ec = end.ec;
+          answer.answer = end.answer.answer;
+          Answer(job, std::move(answer));
+        });
+  }
+
+  // Writes, openings of transactions, and lookups of recorded outcomes.
+
+  void StartWrite(const JobRef& job) {
+    if (!IsPrimaryReady(GetState(job))) {
+      job->desk->AwaitCondition(
+          [this, job] { return IsPrimaryReady(GetState(job)); }, job->deadline,
+          [this, job](bool is_met) {
+            if (is_met) {
+              StartWrite(job);
+            } else {
+              Refuse(job, Error::kNoPrimary);
+            }
+          });
+      return;
+    }
+    const PrimaryView primary = *GetState(job).GetPrimary();
+    if (primary.endpoint != job->request.endpoint) {
+      Refuse(job, Error::kNotPrimary);
+      return;
+    }
+    if (job->desk->GetAckDelay() > job->deadline - executor_.Now()) {
+      Refuse(job, Error::kReplicationBehind);
+      return;
+    }
+    Run(job, MakeRunnerWork(job->request, job->deadline, primary.term, {}),
+        [this, job, term = primary.term](const RunnerEnd& end) {
+          FinishWrite(job, term, end);
+        });
+  }
+
+  static bool IsPrimaryReady(const GroupState& state) {
+    const auto primary = state.GetPrimary();
+    if (!primary) {
+      return false;
+    }
+    const MemberState* member = state.Find(primary->endpoint);
+    return member->is_reachable && !member->report->is_leaving;
+  }
+
+  void FinishWrite(const JobRef& job, Term term, const RunnerEnd& end) {
+    PoolerAnswer answer;
+    answer.outcome = end.outcome;
+    answer.ec = end.ec;
+    answer.answer = end.answer.answer;
+    if (end.outcome == Outcome::kDone &&
+        job->request.verb == PoolerVerb::kBegin) {
+      answer.transaction = OpenTransactionFor(job, term, end.connection);
+      Answer(job, std::move(answer));
+      return;
+    }
+    const bool is_settled_void = job->request.verb == PoolerVerb::kSettle &&
+                                 end.ec == Error::kRequestVoid;
+    if (end.outcome != Outcome::kDone && !is_settled_void) {
+      Answer(job, std::move(answer));
+      return;
+    }
+    AwaitAcknowledgement(job, term, end.answer.point, std::move(answer));
+  }
+
+  void AwaitAcknowledgement(const JobRef& job,
+                            Term term,
+                            LogPoint point,
+                            PoolerAnswer answer) {
+    job->desk->AwaitAcknowledgement(
+        point, term, job->deadline,
+        [this, job, point,
+         answer = std::move(answer)](bool is_acknowledged) mutable {
+          if (is_acknowledged) {
+            answer.point = point;
+            answer.holders = GetState(job).ListHolders(point);
+          } else {
+            answer.outcome = Outcome::kUnknown;
+            answer.ec = Error::kDeadlineExceeded;
+            answer.answer.clear();
+          }
+          Answer(job, std::move(answer));
+        });
+  }
+
+  // Transactions.
+
+  TransactionId OpenTransactionFor(const JobRef& job,
+                                   Term term,
+                                   const ConnectionId& connection) {
+    const ServiceShape* service =
+        deployment_->document.FindServiceOfGroup(job->request.group);
+    OpenTransaction open;
+    open.caller = job->request.caller;
+    open.group = job->request.group;
+    open.endpoint = job->request.endpoint;
+    open.connection = connection;
+    open.term = term;
+    open.last_used = executor_.Now();
+    open.idle_limit = service->transaction_idle_limit;
+    return transactions_.Add(std::move(open));
+  }
+
+  void Continue(const JobRef& job) {
+    const PoolerRequest& request = job->request;
+    OpenTransaction* open =
+        transactions_.Find(request.transaction, request.caller);
+    if (open == nullptr) {
+      ContinueUnknown(job);
+      return;
+    }
+    if (open->is_busy) {
+      Refuse(job, Error::kTransactionBusy);
+      return;
+    }
+    open->is_busy = true;
+    Run(job,
+        MakeRunnerWork(job->request, job->deadline, open->term,
+                       open->connection),
+        [this, job, term = open->term](const RunnerEnd& end) {
+          FinishStep(job, term, end);
+        });
+  }
+
+  /** The transaction is not held here. A commit may have been sent by an
+      earlier attempt, so its recorded outcome decides. */
+  void ContinueUnknown(const JobRef& job) {
+    if (job->request.verb != PoolerVerb::kCommit) {
+      Refuse(job, Error::kTransactionLost);
+      return;
+    }
+    job->request.verb = PoolerVerb::kSettle;
+    job->request.transaction = {};
+    StartWrite(job);
+  }
+
+  void FinishStep(const JobRef& job, Term term, const RunnerEnd& end) {
+    const PoolerRequest& request = job->request;
+    const bool is_end = request.verb == PoolerVerb::kCommit ||
+                        request.verb == PoolerVerb::kRollback;
+    const bool is_still_open =
+        end.outcome == Outcome::kNotRun && !end.is_transaction_lost;
+    if (end.is_transaction_lost || (is_end && !is_still_open)) {
+      transactions_.Remove(request.transaction);
+    } else if (OpenTransaction* open =
+                   transactions_.Find(request.transaction, request.caller)) {
+      open->is_busy = false;
+      open->last_used = executor_.Now();
+    }
+    PoolerAnswer answer;
+    answer.outcome = end.outcome;
+    answer.ec = end.ec;
+    answer.answer = end.answer.answer;
+    if (end.is_transaction_lost && request.verb != PoolerVerb::kCommit) {
+      // Nothing of it can be committed any more, whether or not it ran.
+      answer.outcome = Outcome::kFailed;
+      answer.ec = Error::kTransactionLost;
+    } else if (end.is_transaction_lost && end.outcome == Outcome::kNotRun) {
+      answer.ec = Error::kTransactionLost;
+    }
+    if (request.verb == PoolerVerb::kCommit && end.outcome == Outcome::kDone) {
+      AwaitAcknowledgement(job, term, end.answer.point, std::move(answer));
+      return;
+    }
+    Answer(job, std::move(answer));
+  }
+
+  void Abort(const OpenTransaction& open, std::string_view reason) {
+    options_.events.on_rollback(open.transaction, reason);
+    if (const auto it = runners_.find(open.endpoint); it != runners_.end()) {
+      it->second->CloseConnection(open.connection);
+    }
+  }
+
+  // Common steps.
+
+  void Run(const JobRef& job,
+           RunnerWork work,
+           typename Runner::Completion done) {
+    job->runner->Run(
+        std::move(work), [this, job, done = std::move(done)](RunnerEnd end) {
+          job->waited = end.waited;
+          job->ran = end.ran;
+          if (end.answer.report.term != Term{}) {
+            job->desk->NoteReport(job->request.endpoint, end.answer.report,
+                                  executor_.Now() - end.ran);
+          }
+          done(std::move(end));
+        });
+  }
+
+  const GroupState& GetState(const JobRef& job) const {
+    return job->desk->GetState();
+  }
+
+  void Refuse(const JobRef& job, Error error) {
+    PoolerAnswer answer;
+    answer.ec = error;
+    Answer(job, std::move(answer));
+  }
+
+  void Answer(const JobRef& job, PoolerAnswer answer) {
+    answer.request = job->request.request;
+    if (job->desk != nullptr) {
+      if (const auto primary = GetState(job).GetPrimary()) {
+        answer.primary = primary->endpoint;
+        answer.primary_term = primary->term;
+      }
+    }
+    --in_progress_;
+    job->done(std::move(answer), PoolerTimes{job->waited, job->ran});
+  }
+
+  E& executor_;
+  L& link_;
+  S& store_;
+  const PoolerOptions options_;
+  std::shared_ptr<const Deployment> deployment_;
+  std::unordered_map<GroupId, std::unique_ptr<Desk>> groups_;
+  std::unordered_map<EndpointId, std::unique_ptr<Runner>> runners_;
+  TransactionTable transactions_;
+  size_t in_progress_ = 0;
+  bool is_draining_ = false;
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_POOLER_CORE_POOLER_CORE_H_
--- /dev/null
+++ b/libs/pooler/groups/condition_list.h
@@ -0,0 +1,63 @@
+#ifndef MAGNOLIAREEL_POOLER_GROUPS_CONDITION_LIST_H_
+#define MAGNOLIAREEL_POOLER_GROUPS_CONDITION_LIST_H_
+
+#include <functional>
+#include <list>
+#include <utility>
+#include <vector>
+
+#include "core/core.h"
+
+namespace magnoliareel {
+
+/** Requests that wait for a condition until a deadline. */
+class ConditionList {
+ public:
+  /** Whether the request may go on. */
+  using Condition = std::function<bool()>;
+  /** Receives true if the condition was met, false at the deadline. */
+  using Completion = std::function<void(bool)>;
+
+  /** Adds a request.
+
+      @param condition  evaluated at each Check()
+      @param deadline   when to give up
+      @param done       called once
+  */
+  void Add(Condition condition, TimePoint deadline, Completion done) {
+    waiting_.push_back({std::move(condition), deadline, std::move(done)});
+  }
+
+  /** Lets go what may go on or has expired. @param now  the present */
+  void Check(TimePoint now) {
+    std::vector<std::pair<Completion, bool>> finished;
+    for (auto it = waiting_.begin(); it != waiting_.end();) {
+      const bool is_met = it->condition();
+      if (is_met || it->deadline <= now) {
+        finished.emplace_back(std::move(it->done), is_met);
+        it = waiting_.erase(it);
+      } else {
+        ++it;
+      }
+    }
+    for (const auto& [done, is_met] : finished) {
+      done(is_met);
+    }
+  }
+
+  /** @returns requests that wait */
+  size_t GetSize() const { return waiting_.size(); }
+
+ private:
+  struct Waiting {
+    Condition condition;
+    TimePoint deadline;
+    Completion done;
+  };
+
+  std::list<Waiting> waiting_;
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_POOLER_GROUPS_CONDITION_LIST_H_
--- /dev/null
+++ b/libs/pooler/groups/group_desk.h
@@ -0,0 +1,199 @@
+#ifndef MAGNOLIAREEL_POOLER_GROUPS_GROUP_DESK_H_
+#define MAGNOLIAREEL_POOLER_GROUPS_GROUP_DESK_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/core.h"
+#include "document/document.h"
+#include "failover/failover.h"
+#include "pooler/core/pooler_events.h"
+#include "pooler/groups/condition_list.h"
+#include "pooler/groups/group_watch.h"
+
+namespace magnoliareel {
+
+/** What a pooler needs besides its executor, link and store. */
+struct PoolerOptions {
+  /** This VM. */
+  VmId vm;
+  /** Differs for every start of the process. */
+  std::string incarnation;
+  /** When to promote. */
+  DriverTiming timing;
+  /** Seed of all jitter. */
+  uint64_t seed = 0;
+  /** Address at which endpoints reach an endpoint. */
+  std::function<std::string(const EndpointId&)> address_of;
+  /** Asks other VMs whether they too miss an endpoint. */
+  std::function<
+      void(const GroupId&, const EndpointId&, std::function<void(bool)>)>
+      confirm_lost;
+  /** What to report. */
+  PoolerEvents events = PoolerEvents::Ignore();
+};
+
+/** One group at a pooler: its watch, the writes and reads that wait on it, and
+    its driver.
+
+    @tparam E  the control thread
+    @tparam L  calls the endpoints
+    @tparam S  the platform's table
+    @tparam G  when terms are granted
+*/
+template <Executor E, EndpointLink L, GrantStore S, GrantPolicy G>
+class GroupDesk {
+ public:
+  /** Least time between two looks at timers and the driver. */
+  static constexpr Duration kTickSpacing = std::chrono::milliseconds(20);
+
+  /** @param executor  the control thread
+      @param link      calls the endpoints
+      @param store     the platform's table
+      @param shape     the group
+      @param options   of the pooler; outlives this
+  */
+  GroupDesk(E& executor,
+            L& link,
+            S& store,
+            const GroupShape& shape,
+            const PoolerOptions& options)
+      : executor_(executor),
+        options_(options),
+        group_(shape.group),
+        watch_(executor,
+               link,
+               ListEndpoints(shape),
+               [this](const EndpointId& endpoint, bool is_reachable) {
+                 Observe(endpoint, is_reachable);
+               }),
+        driver_(
+            executor,
+            link,
+            store,
+            DriverScope{shape.group, ListEndpoints(shape), options.address_of},
+            GrantHolder{options.vm, options.incarnation},
+            options.timing,
+            [this](const EndpointId& endpoint, std::function<void(bool)> done) {
+              options_.confirm_lost(group_, endpoint, std::move(done));
+            },
+            MakeDriverEvents(),
+            options.seed) {
+    watch_.Start();
+  }
+
+  /** Sets this VM's rank. @see GroupDriver::SetRank */
+  void SetRank(std::span<const VmId> drivers, std::optional<size_t> rank) {
+    driver_.SetRank(drivers, rank);
+  }
+
+  /** Orders a change of primary. */
+  void OrderPromotion() { driver_.OrderPromotion(); }
+
+  /** Looks at timers and the driver. */
+  void Tick() {
+    Advance();
+    driver_.Tick(GetState());
+  }
+
+  /** Notes the report that came with a statement's answer. */
+  void NoteReport(const EndpointId& endpoint,
+                  const EndpointReport& report,
+                  TimePoint asked) {
+    watch_.NoteReport(endpoint, report, asked);
+  }
+
+  /** Waits until a majority holds a write.
+
+      @param point     its point
+      @param ran_in    term in which it ran
+      @param deadline  when to give up
+      @param done      receives whether it is acknowledged
+  */
+  void AwaitAcknowledgement(LogPoint point,
+                            Term ran_in,
+                            TimePoint deadline,
+                            AckTracker::Completion done) {
+    acks_.Add(point, ran_in, executor_.Now(), deadline,
+              [this, point, done = std::move(done)](bool is_acknowledged) {
+                if (!is_acknowledged) {
+                  options_.events.on_ack_missed(group_, point);
+                }
+                done(is_acknowledged);
+              });
+    Advance();
+  }
+
+  /** Waits until a condition on the group holds. @see ConditionList */
+  void AwaitCondition(ConditionList::Condition condition,
+                      TimePoint deadline,
+                      ConditionList::Completion done) {
+    conditions_.Add(std::move(condition), deadline, std::move(done));
+  }
+
+  /** @returns how long the oldest unacknowledged write has waited */
+  Duration GetAckDelay() const { return acks_.GetOldestAge(executor_.Now()); }
+
+  /** @returns what is known of the group */
+  const GroupState& GetState() const { return watch_.GetState(); }
+
+ private:
+  static std::vector<EndpointId> ListEndpoints(const GroupShape& shape) {
+    std::vector<EndpointId> endpoints;
+    for (const EndpointShape& it : shape.endpoints) {
+      endpoints.push_back(it.endpoint);
+    }
+    return endpoints;
+  }
+
+  DriverEvents MakeDriverEvents() {
+    return {
+        [this](Term term, PromotionReason reason) {
+          options_.events.on_promotion_started(group_, term, reason);
+        },
+        [this](const PromotionEnd& end, Duration took) {
+          options_.events.on_promotion_ended(group_, end, took);
+        },
+        [this](std::error_code ec) { options_.events.on_grant(group_, ec); }};
+  }
+
+  void Observe(const EndpointId& endpoint, bool is_reachable) {
+    auto& was_reachable = reachability_[endpoint];
+    if (was_reachable != is_reachable) {
+      was_reachable = is_reachable;
+      options_.events.on_reachability(endpoint, is_reachable);
+    }
+    const auto primary = GetState().GetPrimary();
+    if (primary && primary->term > primary_term_) {
+      primary_term_ = primary->term;
+      options_.events.on_primary(group_, *primary);
+    }
+    Advance();
+  }
+
+  void Advance() {
+    acks_.Update(GetState());
+    acks_.GiveUpBefore(GetState().GetHighestTerm());
+    acks_.Expire(executor_.Now());
+    conditions_.Check(executor_.Now());
+  }
+
+  E& executor_;
+  const PoolerOptions& options_;
+  const GroupId group_;
+  AckTracker acks_;
+  ConditionList conditions_;
+  std::unordered_map<EndpointId, std::optional<bool>> reachability_;
+  Term primary_term_;
+  GroupWatch<E, L> watch_;
+  GroupDriver<E, L, S, G> driver_;
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_POOLER_GROUPS_GROUP_DESK_H_
--- /dev/null
+++ b/libs/pooler/groups/group_watch.h
@@ -0,0 +1,120 @@
+#ifndef MAGNOLIAREEL_POOLER_GROUPS_GROUP_WATCH_H_
+#define MAGNOLIAREEL_POOLER_GROUPS_GROUP_WATCH_H_
+
+#include <functional>
+#include <span>
+#include <utility>
+#include <vector>
+
+#include "core/core.h"
+#include "failover/failover.h"
+
+namespace magnoliareel {
+
+/** Asks the endpoints of a group for their state, each with one call at a time
+    that the endpoint holds until something changes.
+
+    The load follows the changes: an idle endpoint answers twice a second.
+
+    @tparam E  the control thread
+    @tparam L  calls the endpoints
+*/
+template <Executor E, EndpointLink L>
+class GroupWatch {
+ public:
+  /** Time for which an endpoint may hold the call. */
+  static constexpr Duration kHold = std::chrono::milliseconds(500);
+  /** Time beyond kHold after which the call counts as missed. */
+  static constexpr Duration kGrace = std::chrono::milliseconds(200);
+  /** Pause after a missed call. */
+  static constexpr Duration kMissPause = std::chrono::milliseconds(100);
+
+  /** Runs after each report or miss; says whether the endpoint answered. */
+  using Observer = std::function<void(const EndpointId&, bool)>;
+
+  /** @param executor   the control thread
+      @param link       calls the endpoints
+      @param endpoints  the group's endpoints
+      @param observer   runs after each report or miss
+  */
+  GroupWatch(E& executor,
+             L& link,
+             std::span<const EndpointId> endpoints,
+             Observer observer)
+      : executor_(executor),
+        link_(link),
+        state_(endpoints),
+        observer_(std::move(observer)) {}
+
+  /** Begins to watch, or goes on after Stop(). */
+  void Start() {
+    if (std::exchange(is_watching_, true)) {
+      return;
+    }
+    ++generation_;
+    for (const MemberState& it : state_.GetMembers()) {
+      Ask(it.endpoint, generation_);
+    }
+  }
+
+  /** Asks no more. */
+  void Stop() { is_watching_ = false; }
+
+  /** Notes a report that came with another answer. */
+  void NoteReport(const EndpointId& endpoint,
+                  const EndpointReport& report,
+                  TimePoint asked) {
+    state_.NoteReport(endpoint, report, asked, executor_.Now());
+    observer_(endpoint, true);
+  }
+
+  /** @returns what is known of the group */
+  const GroupState& GetState() const { return state_; }
+
+ private:
+  void Ask(const EndpointId& endpoint, uint64_t generation) {
+    if (!is_watching_ || generation != generation_) {
+      return;
+    }
+    const MemberState* member = state_.Find(endpoint);
+    EndpointCall call;
+    call.verb = EndpointVerb::kWatch;
+    if (member->report && member->is_reachable) {
+      call.after = member->report->last;
+      call.term = member->report->term;
+      call.wait = kHold;
+    }
+    link_.Call(endpoint, std::move(call), kHold + kGrace,
+               [this, endpoint, generation,
+                asked = executor_.Now()](const EndpointReply& reply) {
+                 NoteReply(endpoint, generation, asked, reply);
+               });
+  }
+
+  void NoteReply(const EndpointId& endpoint,
+                 uint64_t generation,
+                 TimePoint asked,
+                 const EndpointReply& reply) {
+    if (reply.ec) {
+      state_.NoteMiss(endpoint);
+      observer_(endpoint, false);
+      executor_.After(kMissPause, [this, endpoint, generation] {
+        Ask(endpoint, generation);
+      });
+      return;
+    }
+    NoteReport(endpoint, reply.answer.report, asked);
+    Ask(endpoint, generation);
+  }
+
+  E& executor_;
+  L& link_;
+  GroupState state_;
+  const Observer observer_;
+  bool is_watching_ = false;
+  uint64_t generation_ = 0;
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_POOLER_GROUPS_GROUP_WATCH_H_
--- /dev/null
+++ b/libs/process/report_settings.cc
@@ -0,0 +1,18 @@
+#include "process/report_settings.h"
+
+#include <cassert>
+#include <cstdio>
+
+namespace magnoliareel {
+
+int ReportSettings(FlagResult result, const Findings& findings) {
+  assert(result != FlagResult::kRun);
+  if (result == FlagResult::kPrinted) {
+    return kExitOk;
+  }
+  std::fputs(findings.FormatLines().c_str(), stderr);
+  std::fputs("Run with --help for the list of flags.\n", stderr);
+  return kExitBadSettings;
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/libs/routing/groups/choose_group.cc
@@ -0,0 +1,16 @@
+#include "routing/groups/choose_group.h"
+
+#include <xxhash.h>
+
+#include <cassert>
+
+namespace magnoliareel {
+
+const GroupShape& ChooseGroup(const ServiceShape& service,
+                              std::string_view record_key) {
+  assert(!service.groups.empty());
+  return service.groups[XXH3_64bits(record_key.data(), record_key.size()) %
+                        service.groups.size()];
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/libs/routing/reads/rank_read_endpoints.cc
@@ -0,0 +1,63 @@
+#include "routing/reads/rank_read_endpoints.h"
+
+#include <tuple>
+
+namespace magnoliareel {
+namespace {
+
+struct RankedEndpoint {
+  bool is_primary = false;
+  bool is_unproven = false;
+  bool is_remote = false;
+  uint64_t tie_breaker = 0;
+  const EndpointShape* shape = nullptr;
+
+  auto AsKey() const {
+    return std::tie(is_primary, is_unproven, is_remote, tie_breaker);
+  }
+};
+
+}  // namespace
+
+std::vector<EndpointId> ReplicasFirst::Rank(const GroupShape& group,
+                                            const RouteHints& hints,
+                                            const ReadNeeds& needs,
+                                            ProcessRandom& random) const {
+  const auto primary = hints.GetPrimary(group.group);
+  std::vector<RankedEndpoint> ranked;
+  ranked.reserve(group.endpoints.size());
+  for (const EndpointShape& it : group.endpoints) {
+    ranked.push_back({primary && primary->endpoint == it.endpoint,
+                      hints.GetPoint(it.endpoint) < needs.required,
+                      it.site != needs.site, random(), &it});
+  }
+  // An age of zero is met by the primary alone.
+  const bool is_primary_first =
+      needs.max_age && *needs.max_age == Duration::zero();
+  std::sort(ranked.begin(), ranked.end(),
+            [is_primary_first](const RankedEndpoint& left,
+                               const RankedEndpoint& right) {
+              if (is_primary_first && left.is_primary != right.is_primary) {
+                return left.is_primary;
+              }
+              return left.AsKey() < right.AsKey();
+            });
+  std::vector<EndpointId> order;
+  order.reserve(ranked.size());
+  for (const RankedEndpoint& it : ranked) {
+    order.push_back(it.shape->endpoint);
+  }
+  return order;
+}
+
+std::vector<EndpointId> PrimaryOnly::Rank(const GroupShape& group,
+                                          const RouteHints& hints,
+                                          const ReadNeeds& /*needs*/,
+                                          ProcessRandom& /*random*/) const {
+  if (const auto primary = hints.GetPrimary(group.group)) {
+    return {primary->endpoint};
+  }
+  return {group.endpoints.front().endpoint};
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/libs/routing/reads/route_hints.cc
@@ -0,0 +1,37 @@
+#include "routing/reads/route_hints.h"
+
+namespace magnoliareel {
+
+std::optional<PrimaryHint> RouteHints::GetPrimary(const GroupId& group) const {
+  const auto it = primaries_.find(group);
+  return it == primaries_.end() ? std::nullopt : std::optional(it->second);
+}
+
+LogPoint RouteHints::GetPoint(const EndpointId& endpoint) const {
+  const auto it = points_.find(endpoint);
+  return it == points_.end() ? LogPoint{} : it->second;
+}
+
+bool RouteHints::NotePrimary(const GroupId& group, const PrimaryHint& hint) {
+  PrimaryHint& known = primaries_[group];
+  if (hint.term < known.term || hint == known) {
+    return false;
+  }
+  known = hint;
+  return true;
+}
+
+bool RouteHints::NoteHolders(std::span<const EndpointId> endpoints,
+                             LogPoint point) {
+  bool is_changed = false;
+  for (const EndpointId& it : endpoints) {
+    LogPoint& known = points_[it];
+    if (known < point) {
+      known = point;
+      is_changed = true;
+    }
+  }
+  return is_changed;
+}
+
+}  // namespace magnoliareel
