--- /dev/null
+++ b/apps/entry/entry_process.cc
@@ -0,0 +1,189 @@
+#include "apps/entry/entry_process.h"
+
+#include <random>
+#include <utility>
+#include <vector>
+
+#include "codec/codec.h"
+
+namespace magnoliareel {
+namespace {
+
+constexpr size_t kLoopCapacity = 20000;
+
+HttpServerOptions MakeServerOptions(const EntrySettings& settings) {
+  HttpServerOptions options;
+  options.listen = settings.listen;
+  options.max_body_bytes = static_cast<size_t>(settings.max_body_bytes);
+  options.max_connections = static_cast<unsigned>(settings.max_connections);
+  options.threads = static_cast<unsigned>(settings.threads);
+  return options;
+}
+
+void SendAnswer(const CallerAnswer& answer, const HttpResponder& responder) {
+  responder.Send({StatusOfAnswer(answer), FormatCallerAnswer(answer)});
+}
+
+void SendRefusal(Error error, const HttpResponder& responder) {
+  CallerAnswer answer;
+  answer.ec = error;
+  SendAnswer(answer, responder);
+}
+
+}  // namespace
+
+EntryProcess::EntryProcess(EntrySettings settings)
+    : settings_(std::move(settings)),
+      sealer_(settings_.token_keys),
+      metrics_("magnoliareel_entry"),
+      loop_(kLoopCapacity),
+      link_(client_),
+      platform_(loop_,
+                client_,
+                settings_.platform,
+                PlatformKeys{settings_.environment}),
+      rpc_(loop_, client_),
+      state_(loop_),
+      service_(loop_,
+               link_,
+               state_,
+               sealer_,
+               {{settings_.site}, std::random_device{}()}),
+      watcher_(loop_, platform_, MakeDeploymentEvents()),
+      peers_(loop_,
+             rpc_,
+             std::random_device{}(),
+             [this](const DocumentOffer& offer) {
+               watcher_.Offer(offer.version, offer.text);
+             }),
+      server_(MakeServerOptions(settings_),
+              [this](HttpRequest request, const HttpResponder& responder) {
+                Accept(std::move(request), responder);
+              }) {
+  peers_.SetPeers(settings_.peers);
+}
+
+std::error_code EntryProcess::Start() {
+  loop_.Post([this] {
+    watcher_.Start();
+    peers_.Start();
+  });
+  if (const auto ec = server_.Start()) {
+    LogEvent(Event::kCannotListen, {{"listen", settings_.listen.Format()}});
+    loop_.Stop();
+    return ec;
+  }
+  LogEvent(Event::kStarted, {{"program", "magnoliareel-entry"},
+                             {"vm", settings_.vm},
+                             {"listen", settings_.listen.Format()},
+                             {"version", MAGNOLIAREEL_VERSION}});
+  return {};
+}
+
+void EntryProcess::Stop() {
+  LogEvent(Event::kStopping,
+           {{"in_progress", std::to_string(server_.CountInProgress())}});
+  is_draining_ = true;
+  server_.Drain(std::chrono::milliseconds(settings_.drain_ms));
+  loop_.Stop();
+  LogEvent(Event::kStopped, {{"program", "magnoliareel-entry"}});
+}
+
+DeploymentEvents EntryProcess::MakeDeploymentEvents() {
+  DeploymentEvents events;
+  events.on_change = [this](std::shared_ptr<const Deployment> deployment) {
+    ApplyDeployment(std::move(deployment));
+  };
+  events.on_refused = [](uint64_t version, const Findings& findings) {
+    LogEvent(Event::kDocumentRefused, {{"version", std::to_string(version)},
+                                       {"findings", findings.FormatLines()}});
+  };
+  events.on_store = [this](std::error_code ec) {
+    peers_.SetWanted(bool(ec));
+    if (ec) {
+      LogEvent(Event::kStoreUnreachable,
+               {{"error", std::string(ErrorName(ec))}});
+    }
+  };
+  return events;
+}
+
+void EntryProcess::ApplyDeployment(
+    std::shared_ptr<const Deployment> deployment) {
+  if (deployment->version != version_) {
+    version_ = deployment->version;
+    LogEvent(Event::kDocumentInForce, {{"version", std::to_string(version_)},
+                                       {"hash", deployment->hash}});
+  }
+  std::vector<std::string> peers = settings_.peers;
+  for (const VmEntry& it : deployment->vms) {
+    peers.push_back(it.pooler_address);
+  }
+  peers_.SetPeers(std::move(peers));
+  state_.Apply(std::move(deployment));
+}
+
+void EntryProcess::Accept(HttpRequest request, const HttpResponder& responder) {
+  if (request.path == "/metrics") {
+    responder.Send({200, metrics_.RenderText(), "text/plain"});
+  } else if (!VerbOfPath(request.path)) {
+    SendRefusal(Error::kUnknownPath, responder);
+  } else if (request.method != "POST") {
+    SendRefusal(Error::kUnknownMethod, responder);
+  } else if (request.is_too_large) {
+    SendRefusal(Error::kBodyTooLarge, responder);
+  } else if (is_draining_) {
+    SendRefusal(Error::kShuttingDown, responder);
+  } else {
+    AcceptRequest(std::move(request), responder);
+  }
+}
+
+void EntryProcess::AcceptRequest(HttpRequest request,
+                                 const HttpResponder& responder) {
+  CallerAnswer refusal;
+  CallerRequest parsed = ParseCallerRequest(*VerbOfPath(request.path),
+                                            request.body, refusal.findings);
+  parsed.caller.value = std::move(request.caller);
+  parsed.key = std::move(request.key);
+  if (refusal.findings.IsEmpty()) {
+    Serve(std::move(parsed), responder);
+    return;
+  }
+  refusal.request = parsed.request;
+  refusal.ec = refusal.findings.GetList().front().code;
+  SendAnswer(refusal, responder);
+}
+
+void EntryProcess::Serve(CallerRequest request,
+                         const HttpResponder& responder) {
+  const TimePoint arrived = loop_.Now();
+  CallerRequest kept;
+  kept.caller = request.caller;
+  kept.work_class = request.work_class;
+  service_.Serve(std::move(request), [this, kept = std::move(kept), arrived,
+                                      responder](const CallerAnswer& answer) {
+    Finish(kept, arrived, answer, responder);
+  });
+}
+
+void EntryProcess::Finish(const CallerRequest& request,
+                          TimePoint arrived,
+                          const CallerAnswer& answer,
+                          const HttpResponder& responder) {
+  const Duration total = loop_.Now() - arrived;
+  // Callers that are not known must not create labels.
+  const bool is_known =
+      answer.ec != Error::kUnknownCaller && answer.ec != Error::kBadKey;
+  metrics_.Observe({is_known ? request.caller.value : "unknown",
+                    WorkClassName(request.work_class), answer.outcome,
+                    Duration::zero(), total, total});
+  if (answer.ec == Error::kBadKey) {
+    LogEvent(Event::kBadKeyRefused, {{"caller", request.caller.value}});
+  } else if (answer.ec == Error::kForgedToken) {
+    LogEvent(Event::kForgedTokenRefused, {{"caller", request.caller.value}});
+  }
+  SendAnswer(answer, responder);
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/apps/pooler/pooler_process.cc
@@ -0,0 +1,355 @@
+#include "apps/pooler/pooler_process.h"
+
+#include <future>
+#include <random>
+#include <utility>
+
+#include "codec/codec.h"
+#include "seal/seal.h"
+
+namespace magnoliareel {
+namespace {
+
+constexpr size_t kLoopCapacity = 20000;
+constexpr Duration kObserveTimeout = std::chrono::milliseconds(150);
+constexpr Duration kTransactionPoll = std::chrono::milliseconds(20);
+
+HttpServerOptions MakeServerOptions(const SocketAddress& listen) {
+  HttpServerOptions options;
+  options.listen = listen;
+  return options;
+}
+
+std::string FormatMilliseconds(Duration span) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+}
+
+/** Runs a function on the control thread and returns its result. */
+template <class F>
+auto Ask(ControlLoop& loop, F function) {
+  std::promise<decltype(function())> promise;
+  auto result = promise.get_future();
+  loop.Post([&] { promise.set_value(function()); });
+  return result.get();
+}
+
+}  // namespace
+
+PoolerProcess::PoolerProcess(PoolerSettings settings)
+    : settings_(std::move(settings)),
+      incarnation_(MakeRandomName()),
+      metrics_("magnoliareel_pooler"),
+      deployment_(std::make_shared<const Deployment>()),
+      loop_(kLoopCapacity),
+      link_(loop_, client_, settings_.endpoints),
+      platform_(loop_,
+                client_,
+                settings_.platform,
+                PlatformKeys{settings_.environment}),
+      rpc_(loop_, client_),
+      watcher_(loop_, platform_, MakeDeploymentEvents()),
+      peers_(loop_,
+             rpc_,
+             std::random_device{}(),
+             [this](const DocumentOffer& offer) {
+               watcher_.Offer(offer.version, offer.text);
+             }),
+      server_(MakeServerOptions(settings_.listen),
+              [this](HttpRequest request, const HttpResponder& responder) {
+                Accept(std::move(request), responder);
+              }) {
+  peers_.SetPeers(settings_.peers);
+  AddMethods();
+}
+
+std::error_code PoolerProcess::Start() {
+  Ask(loop_, [this] {
+    core_ = std::make_unique<Core>(loop_, link_, platform_, MakeOptions());
+    watcher_.Start();
+    peers_.Start();
+    return true;
+  });
+  if (const auto ec = server_.Start()) {
+    LogEvent(Event::kCannotListen, {{"listen", settings_.listen.Format()}});
+    loop_.Stop();
+    return ec;
+  }
+  LogEvent(Event::kStarted, {{"program", "magnoliareel-pooler"},
+                             {"vm", settings_.vm},
+                             {"listen", settings_.listen.Format()},
+                             {"version", MAGNOLIAREEL_VERSION}});
+  return {};
+}
+
+void PoolerProcess::Stop() {
+  LogEvent(Event::kStopping,
+           {{"in_progress", std::to_string(server_.CountInProgress())}});
+  Ask(loop_, [this] {
+    core_->BeginDrain();
+    return true;
+  });
+  AwaitTransactions();
+  server_.Drain(std::chrono::milliseconds(settings_.drain_ms));
+  loop_.Stop();
+  LogEvent(Event::kStopped, {{"program", "magnoliareel-pooler"}});
+}
+
+void PoolerProcess::AwaitTransactions() {
+  const TimePoint limit =
+      loop_.Now() + std::chrono::milliseconds(settings_.transaction_grace_ms);
+  const auto count = [this] { return core_->CountTransactions(); };
+  while (Ask(loop_, count) > 0 && loop_.Now() < limit) {
+    std::this_thread::sleep_for(kTransactionPoll);
+  }
+  Ask(loop_, [this] {
+    core_->RollBackOpen("shutdown");
+    return true;
+  });
+}
+
+PoolerOptions PoolerProcess::MakeOptions() {
+  PoolerOptions options;
+  options.vm.value = settings_.vm;
+  options.incarnation = incarnation_;
+  options.timing.suspect_after =
+      std::chrono::milliseconds(settings_.suspect_ms);
+  options.seed = std::random_device{}();
+  options.address_of = [this](const EndpointId& endpoint) {
+    const SocketAddress* address = settings_.endpoints.Find(endpoint);
+    return address == nullptr ? std::string() : address->Format();
+  };
+  options.confirm_lost = [this](const GroupId& group,
+                                const EndpointId& endpoint,
+                                const std::function<void(bool)>& done) {
+    ConfirmLost(group, endpoint, done);
+  };
+  options.events = MakeEvents();
+  return options;
+}
+
+PoolerEvents PoolerProcess::MakeEvents() {
+  PoolerEvents events;
+  events.on_primary = [](const GroupId& group, const PrimaryView& primary) {
+    LogEvent(Event::kPrimaryLearned,
+             {{"group", group.value},
+              {"primary", primary.endpoint.value},
+              {"term", std::to_string(primary.term.value)}});
+  };
+  events.on_reachability = [](const EndpointId& endpoint, bool is_reachable) {
+    LogEvent(
+        is_reachable ? Event::kEndpointReachable : Event::kEndpointUnreachable,
+        {{"endpoint", endpoint.value}});
+  };
+  events.on_promotion_started = [](const GroupId& group, Term term,
+                                   PromotionReason reason) {
+    LogEvent(Event::kPromotionStarted,
+             {{"group", group.value},
+              {"term", std::to_string(term.value)},
+              {"reason", std::string(PromotionReasonName(reason))}});
+  };
+  events.on_promotion_ended = [](const GroupId& group, const PromotionEnd& end,
+                                 Duration took) {
+    if (end.ec) {
+      LogEvent(Event::kPromotionFailed,
+               {{"group", group.value},
+                {"term", std::to_string(end.term.value)},
+                {"error", std::string(ErrorName(end.ec))}});
+      return;
+    }
+    LogEvent(Event::kPromotionDone, {{"group", group.value},
+                                     {"primary", end.primary.value},
+                                     {"term", std::to_string(end.term.value)},
+                                     {"took_ms", FormatMilliseconds(took)}});
+  };
+  events.on_grant = [](const GroupId& group, std::error_code ec) {
+    LogEvent(ec ? Event::kGrantMissing : Event::kGrantWritten,
+             {{"group", group.value},
+              {"error", ec ? std::string(ErrorName(ec)) : "none"}});
+  };
+  events.on_rollback = [](const TransactionId& transaction,
+                          std::string_view reason) {
+    LogEvent(Event::kTransactionRolledBack, {{"transaction", transaction.value},
+                                             {"reason", std::string(reason)}});
+  };
+  events.on_ack_missed = [](const GroupId& group, LogPoint point) {
+    LogEvent(Event::kAcknowledgementMissed,
+             {{"group", group.value},
+              {"position", std::to_string(point.position.value)}});
+  };
+  return events;
+}
+
+DeploymentEvents PoolerProcess::MakeDeploymentEvents() {
+  DeploymentEvents events;
+  events.on_change = [this](std::shared_ptr<const Deployment> deployment) {
+    ApplyDeployment(std::move(deployment));
+  };
+  events.on_refused = [](uint64_t version, const Findings& findings) {
+    LogEvent(Event::kDocumentRefused, {{"version", std::to_string(version)},
+                                       {"findings", findings.FormatLines()}});
+  };
+  events.on_store = [this](std::error_code ec) {
+    peers_.SetWanted(bool(ec));
+    if (ec) {
+      LogEvent(Event::kStoreUnreachable,
+               {{"error", std::string(ErrorName(ec))}});
+    }
+  };
+  return events;
+}
+
+void PoolerProcess::ApplyDeployment(
+    std::shared_ptr<const Deployment> deployment) {
+  if (deployment->version != deployment_->version) {
+    LogEvent(Event::kDocumentInForce,
+             {{"version", std::to_string(deployment->version)},
+              {"hash", deployment->hash}});
+  }
+  if (deployment->vms != deployment_->vms) {
+    LogEvent(Event::kVmListChanged,
+             {{"count", std::to_string(deployment->vms.size())}});
+    std::vector<std::string> peers = settings_.peers;
+    for (const VmEntry& it : deployment->vms) {
+      if (it.vm.value != settings_.vm) {
+        peers.push_back(it.pooler_address);
+      }
+    }
+    peers_.SetPeers(std::move(peers));
+  }
+  deployment_ = deployment;
+  core_->Apply(std::move(deployment));
+}
+
+void PoolerProcess::AddMethods() {
+  dispatcher_.Add("observe", [this](const Json::Value& parameters) {
+    Findings findings;
+    const ObserveRequest request = DecodeObserveRequest(parameters, findings);
+    ObserveAnswer answer;
+    if (const GroupState* state = core_->FindState(request.group)) {
+      const MemberState* member = state->Find(request.endpoint);
+      answer.is_watched = member != nullptr;
+      answer.is_reachable = member != nullptr && member->is_reachable;
+    }
+    return EncodeObserveAnswer(answer);
+  });
+  dispatcher_.Add("document", [this](const Json::Value&) {
+    return EncodeDocumentOffer({watcher_.GetVersion(), watcher_.GetText()});
+  });
+  dispatcher_.Add("promote", [this](const Json::Value& parameters) {
+    Findings findings;
+    const PromoteRequest request = DecodePromoteRequest(parameters, findings);
+    Json::Value result(Json::objectValue);
+    result["accepted"] =
+        findings.IsEmpty() && core_->OrderPromotion(request.group);
+    return result;
+  });
+  dispatcher_.Add("status", [this](const Json::Value&) {
+    return EncodePoolerStatus(GetStatus());
+  });
+}
+
+PoolerStatus PoolerProcess::GetStatus() const {
+  PoolerStatus status;
+  status.vm.value = settings_.vm;
+  status.version = deployment_->version;
+  status.hash = deployment_->hash;
+  status.in_progress = core_->CountInProgress();
+  status.transactions = core_->CountTransactions();
+  core_->VisitGroups([&status](const GroupId& group, const GroupState& state) {
+    GroupStatus& it = status.groups.emplace_back();
+    it.group = group;
+    if (const auto primary = state.GetPrimary()) {
+      it.primary = primary->endpoint;
+      it.term = primary->term;
+    }
+    for (const MemberState& member : state.GetMembers()) {
+      it.endpoints.push_back(
+          {member.endpoint, member.is_reachable, member.report});
+    }
+  });
+  core_->VisitEndpoints([&status](const EndpointId& endpoint, size_t waiting,
+                                  int64_t open) {
+    status.runners.push_back({endpoint, waiting, static_cast<uint64_t>(open)});
+  });
+  return status;
+}
+
+void PoolerProcess::Accept(HttpRequest request,
+                           const HttpResponder& responder) {
+  if (request.is_too_large) {
+    responder.Send({413, "{}"});
+  } else if (request.path == "/v1/run") {
+    AcceptRun(request.body, responder);
+  } else if (request.path == "/rpc") {
+    AcceptRpc(std::move(request.body), responder);
+  } else if (request.path == "/metrics") {
+    responder.Send({200, metrics_.RenderText(), "text/plain"});
+  } else {
+    responder.Send({404, "{}"});
+  }
+}
+
+void PoolerProcess::AcceptRun(const std::string& body,
+                              const HttpResponder& responder) {
+  Findings findings;
+  PoolerRequest request = ParsePoolerRequest(body, findings);
+  if (!findings.IsEmpty()) {
+    responder.Send({400, findings.FormatLines(), "text/plain"});
+    return;
+  }
+  PoolerAnswer refusal;
+  refusal.request = request.request;
+  refusal.ec = Error::kOverloaded;
+  const bool is_taken =
+      loop_.TryPost([this, request = std::move(request), responder] {
+        core_->Submit(
+            request,
+            [this, caller = request.caller, work_class = request.work_class,
+             arrived = loop_.Now(),
+             responder](const PoolerAnswer& answer, const PoolerTimes& times) {
+              metrics_.Observe({caller.value, WorkClassName(work_class),
+                                answer.outcome, times.waited, times.ran,
+                                loop_.Now() - arrived});
+              responder.Send({200, FormatPoolerAnswer(answer)});
+            });
+      });
+  if (!is_taken) {
+    responder.Send({200, FormatPoolerAnswer(refusal)});
+  }
+}
+
+void PoolerProcess::AcceptRpc(std::string body,
+                              const HttpResponder& responder) {
+  const bool is_taken =
+      loop_.TryPost([this, body = std::move(body), responder] {
+        responder.Send({200, dispatcher_.Handle(body)});
+      });
+  if (!is_taken) {
+    responder.Send({503, "{}"});
+  }
+}
+
+void PoolerProcess::ConfirmLost(const GroupId& group,
+                                const EndpointId& endpoint,
+                                const std::function<void(bool)>& done) {
+  for (const VmId& it : deployment_->ownership.GetDrivers(group)) {
+    const VmEntry* vm = deployment_->FindVm(it);
+    if (vm == nullptr || vm->vm.value == settings_.vm) {
+      continue;
+    }
+    rpc_.Call(vm->pooler_address, "observe",
+              EncodeObserveRequest({group, endpoint}), kObserveTimeout,
+              [done](const RpcReply& reply) {
+                Findings findings;
+                const ObserveAnswer answer =
+                    reply.ec ? ObserveAnswer{}
+                             : DecodeObserveAnswer(reply.result, findings);
+                done(!(answer.is_watched && answer.is_reachable));
+              });
+    return;
+  }
+  loop_.Post([done] { done(true); });
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/apps/pooler/pooler_settings.cc
@@ -0,0 +1,34 @@
+#include "apps/pooler/pooler_settings.h"
+
+namespace magnoliareel {
+
+FlagResult ParsePoolerSettings(std::span<char* const> args,
+                               PoolerSettings& out,
+                               Findings& findings) {
+  FlagTable table(
+      "magnoliareel-pooler",
+      "Owns endpoints' connections and slots, and drives failover of groups.");
+  table.AddAddress("listen", "address to listen on", true, out.listen);
+  table.AddAddress("platform", "address of the platform's service", true,
+                   out.platform);
+  table.AddText("environment", "environment whose rows are used", true,
+                out.environment);
+  table.AddText("vm", "name of this VM in the platform's list", true, out.vm);
+  table.AddParsed(
+      "endpoints", "addresses of endpoints: NAME=HOST:PORT,...",
+      [&out](std::string_view text) { return out.endpoints.Parse(text); });
+  table.AddParsed(
+      "peers", "poolers to ask for the document: HOST:PORT,...",
+      [&out](std::string_view text) { return ParsePeerList(text, out.peers); });
+  table.AddNumber("suspect-ms",
+                  "silence after which a primary counts as lost, ms", 50, 60000,
+                  out.suspect_ms);
+  table.AddNumber("drain-ms", "longest time for requests to end at a stop, ms",
+                  0, 3600000, out.drain_ms);
+  table.AddNumber("transaction-grace-ms",
+                  "time for open transactions at a stop, ms", 0, 3600000,
+                  out.transaction_grace_ms);
+  return table.Parse(args, findings);
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/standins/endpoint/database.cc
@@ -0,0 +1,389 @@
+#include "standins/endpoint/database.h"
+
+#include <algorithm>
+
+#include "standins/endpoint/statement.h"
+
+namespace magnoliareel::standin {
+namespace {
+
+EndpointAnswer Refuse(Error error) {
+  EndpointAnswer answer;
+  answer.ec = error;
+  return answer;
+}
+
+EndpointAnswer Fail(std::string reason) {
+  EndpointAnswer answer;
+  answer.ec = Error::kStatementFailed;
+  answer.answer = std::move(reason);
+  return answer;
+}
+
+void ApplyStatement(const std::string& text,
+                    std::map<std::string, std::string, std::less<>>& to) {
+  const auto statement = ParseStatement(text);
+  if (!statement) {
+    return;
+  }
+  std::string& value = to[statement->key];
+  if (statement->action == StatementAction::kPut) {
+    value = statement->value;
+  } else if (statement->action == StatementAction::kAppend) {
+    value += value.empty() ? statement->value : "," + statement->value;
+  }
+}
+
+bool IsWrite(const Statement& statement) {
+  return statement.action == StatementAction::kPut ||
+         statement.action == StatementAction::kAppend;
+}
+
+/** A statement that has to run in the term in which it was sent. */
+bool IsFenced(EndpointVerb verb) {
+  switch (verb) {
+    case EndpointVerb::kRead:
+    case EndpointVerb::kWrite:
+    case EndpointVerb::kBegin:
+    case EndpointVerb::kCommit:
+    case EndpointVerb::kRollback:
+    case EndpointVerb::kSettle:
+    case EndpointVerb::kReplicate:
+      return true;
+    default:
+      return false;
+  }
+}
+
+bool NeedsPrimary(EndpointVerb verb) {
+  return IsFenced(verb) && verb != EndpointVerb::kRead &&
+         verb != EndpointVerb::kRollback;
+}
+
+}  // namespace
+
+EndpointAnswer Database::Handle(const EndpointCall& call) {
+  EndpointAnswer answer = Dispatch(call);
+  answer.request = call.request;
+  answer.report = GetReport();
+  return answer;
+}
+
+EndpointReport Database::GetReport() const {
+  return {role_, term_, GetLast(), lineage_, is_leaving_};
+}
+
+EndpointAnswer Database::Dispatch(const EndpointCall& call) {
+  if (IsFenced(call.verb) && call.term != term_) {
+    return Refuse(Error::kStaleTerm);
+  }
+  if (NeedsPrimary(call.verb) && role_ != EndpointRole::kPrimary) {
+    return Refuse(Error::kNotPrimary);
+  }
+  switch (call.verb) {
+    case EndpointVerb::kConnect:
+      return Connect();
+    case EndpointVerb::kClose:
+      connections_.erase(call.connection);
+      return {};
+    case EndpointVerb::kRead:
+    case EndpointVerb::kWrite:
+    case EndpointVerb::kBegin:
+    case EndpointVerb::kCommit:
+    case EndpointVerb::kRollback:
+      return RunStatement(call);
+    case EndpointVerb::kSettle:
+      return Settle(call);
+    case EndpointVerb::kWatch:
+      return {};
+    case EndpointVerb::kAdopt:
+      return Adopt(call);
+    case EndpointVerb::kPromote:
+      return Promote(call);
+    case EndpointVerb::kFollow:
+      return Follow(call);
+    case EndpointVerb::kReplicate:
+      return ServeReplica(call);
+  }
+  return Refuse(Error::kMalformedMessage);
+}
+
+EndpointAnswer Database::Connect() {
+  if (connections_.size() >= max_connections_) {
+    return Refuse(Error::kTooManyConnections);
+  }
+  EndpointAnswer answer;
+  answer.connection.value = "c" + std::to_string(next_connection_++);
+  connections_.emplace(answer.connection, Connection{});
+  return answer;
+}
+
+EndpointAnswer Database::RunStatement(const EndpointCall& call) {
+  const auto it = connections_.find(call.connection);
+  if (it == connections_.end()) {
+    return Refuse(Error::kConnectionLost);
+  }
+  Connection& connection = it->second;
+  switch (call.verb) {
+    case EndpointVerb::kRead:
+      return RunRead(call, connection);
+    case EndpointVerb::kWrite:
+      return RunWrite(call, connection);
+    case EndpointVerb::kBegin:
+      return Begin(call, connection);
+    case EndpointVerb::kCommit:
+      return Commit(call, connection);
+    default:
+      return Rollback(connection);
+  }
+}
+
+EndpointAnswer Database::RunRead(const EndpointCall& call,
+                                 const Connection& connection) {
+  const auto statement = ParseStatement(call.statement);
+  if (!statement || statement->action != StatementAction::kGet) {
+    return Fail("not a reading statement");
+  }
+  Overlay overlay;
+  overlay[statement->key] = Read(statement->key);
+  for (const std::string& it : connection.statements) {
+    ApplyStatement(it, overlay);
+  }
+  EndpointAnswer answer;
+  answer.answer = overlay[statement->key];
+  return answer;
+}
+
+EndpointAnswer Database::RunWrite(const EndpointCall& call,
+                                  Connection& connection) {
+  const auto statement = ParseStatement(call.statement);
+  if (!statement || !IsWrite(*statement)) {
+    return Fail("not a writing statement");
+  }
+  if (connection.is_in_transaction) {
+    connection.statements.push_back(call.statement);
+    return {};
+  }
+  const std::vector<std::string> statements = {call.statement};
+  if (auto recorded = FindRecorded(call, statements)) {
+    return *recorded;
+  }
+  return Append(call, statements, "ok");
+}
+
+EndpointAnswer Database::Begin(const EndpointCall& /*call*/,
+                               Connection& connection) {
+  if (connection.is_in_transaction) {
+    return Refuse(Error::kTransactionOpen);
+  }
+  connection.is_in_transaction = true;
+  return {};
+}
+
+EndpointAnswer Database::Commit(const EndpointCall& call,
+                                Connection& connection) {
+  if (!connection.is_in_transaction) {
+    return Refuse(Error::kNoTransaction);
+  }
+  if (auto recorded = FindRecorded(call, connection.statements)) {
+    connection = {};
+    return *recorded;
+  }
+  std::vector<std::string> statements = std::move(connection.statements);
+  connection = {};
+  return Append(call, std::move(statements), "committed");
+}
+
+EndpointAnswer Database::Rollback(Connection& connection) {
+  if (!connection.is_in_transaction) {
+    return Refuse(Error::kNoTransaction);
+  }
+  connection = {};
+  return {};
+}
+
+EndpointAnswer Database::Settle(const EndpointCall& call) {
+  const auto it = recorded_.find(call.request);
+  if (it == recorded_.end()) {
+    EndpointCall record = call;
+    record.is_recorded = true;
+    EndpointAnswer answer = Append(record, {}, {});
+    answer.ec = Error::kRequestVoid;
+    return answer;
+  }
+  EndpointAnswer answer;
+  answer.point = it->second.point;
+  answer.answer = it->second.answer;
+  if (it->second.IsVoid()) {
+    answer.ec = Error::kRequestVoid;
+  }
+  return answer;
+}
+
+EndpointAnswer Database::Adopt(const EndpointCall& call) {
+  if (call.term < term_) {
+    return Refuse(Error::kStaleTerm);
+  }
+  AdoptTerm(call.term);
+  return {};
+}
+
+EndpointAnswer Database::Promote(const EndpointCall& call) {
+  if (call.term != term_) {
+    return Refuse(Error::kStaleTerm);
+  }
+  if (role_ == EndpointRole::kPrimary) {
+    return {};
+  }
+  role_ = EndpointRole::kPrimary;
+  primary_address_.clear();
+  lineage_.push_back({term_, GetLast().position});
+  log_.push_back({term_, {}, {}, {}});
+  return {};
+}
+
+EndpointAnswer Database::Follow(const EndpointCall& call) {
+  if (call.term < term_ ||
+      (call.term == term_ && role_ == EndpointRole::kPrimary)) {
+    return Refuse(Error::kStaleTerm);
+  }
+  AdoptTerm(call.term);
+  primary_address_ = call.primary_address;
+  return {};
+}
+
+EndpointAnswer Database::ServeReplica(const EndpointCall& call) const {
+  LogPosition common = std::min(call.after.position, GetLast().position);
+  while (common.value > 0 && GetTermAt(common) > call.after.term) {
+    --common.value;
+  }
+  EndpointAnswer answer;
+  if (common != call.after.position || GetTermAt(common) != call.after.term) {
+    if (common == call.after.position) {
+      --common.value;
+    }
+    answer.ec = Error::kDiverged;
+    answer.point = {GetTermAt(common), common};
+    return answer;
+  }
+  const auto first = log_.begin() + static_cast<std::ptrdiff_t>(common.value);
+  const auto n = std::min<std::ptrdiff_t>(kMaxBatch, log_.end() - first);
+  answer.records.assign(first, first + n);
+  return answer;
+}
+
+std::optional<EndpointCall> Database::MakeReplicateCall() const {
+  if (role_ == EndpointRole::kPrimary || primary_address_.empty()) {
+    return std::nullopt;
+  }
+  EndpointCall call;
+  call.verb = EndpointVerb::kReplicate;
+  call.term = term_;
+  call.after = GetLast();
+  return call;
+}
+
+void Database::Replicate(const EndpointCall& call,
+                         const EndpointAnswer& answer) {
+  const bool is_current = role_ == EndpointRole::kReplica &&
+                          call.term == term_ && call.after == GetLast();
+  if (!is_current) {
+    return;
+  }
+  if (answer.ec == Error::kDiverged) {
+    Truncate(answer.point.position);
+    return;
+  }
+  if (answer.ec) {
+    return;
+  }
+  lineage_ = answer.report.lineage;
+  for (const LogRecord& it : answer.records) {
+    log_.push_back(it);
+    ApplyRecord(it, GetLast().position);
+  }
+}
+
+std::string Database::Read(std::string_view key) const {
+  const auto it = records_.find(key);
+  return it == records_.end() ? std::string() : it->second;
+}
+
+std::optional<EndpointAnswer> Database::FindRecorded(
+    const EndpointCall& call,
+    std::span<const std::string> statements) const {
+  const auto it = recorded_.find(call.request);
+  if (!call.is_recorded || it == recorded_.end()) {
+    return std::nullopt;
+  }
+  const Recorded& recorded = it->second;
+  if (recorded.IsVoid()) {
+    return Refuse(Error::kRequestVoid);
+  }
+  if (!std::equal(statements.begin(), statements.end(),
+                  recorded.statements.begin(), recorded.statements.end())) {
+    return Refuse(Error::kRequestIdReused);
+  }
+  EndpointAnswer answer;
+  answer.answer = recorded.answer;
+  answer.point = recorded.point;
+  return answer;
+}
+
+void Database::AdoptTerm(Term term) {
+  if (term <= term_) {
+    return;
+  }
+  term_ = term;
+  role_ = EndpointRole::kReplica;
+  primary_address_.clear();
+  for (auto& [id, connection] : connections_) {
+    connection = {};
+  }
+}
+
+EndpointAnswer Database::Append(const EndpointCall& call,
+                                std::vector<std::string> statements,
+                                std::string answer_text) {
+  LogRecord record{term_, call.is_recorded ? call.request : std::string(),
+                   std::move(statements), std::move(answer_text)};
+  log_.push_back(record);
+  ApplyRecord(record, GetLast().position);
+  EndpointAnswer answer;
+  answer.answer = record.answer;
+  answer.point = GetLast();
+  return answer;
+}
+
+void Database::ApplyRecord(const LogRecord& record, LogPosition position) {
+  for (const std::string& it : record.statements) {
+    ApplyStatement(it, records_);
+  }
+  if (!record.request.empty()) {
+    recorded_[record.request] =
+        Recorded{record.answer, {record.term, position}, record.statements};
+  }
+}
+
+void Database::Truncate(LogPosition position) {
+  log_.resize(position.value);
+  std::erase_if(lineage_, [position](const TermStart& it) {
+    return it.start >= position;
+  });
+  records_.clear();
+  recorded_.clear();
+  for (size_t n = 0; n < log_.size(); ++n) {
+    ApplyRecord(log_[n], LogPosition{n + 1});
+  }
+}
+
+Term Database::GetTermAt(LogPosition position) const {
+  return position.value == 0 ? Term{} : log_[position.value - 1].term;
+}
+
+LogPoint Database::GetLast() const {
+  const LogPosition position{log_.size()};
+  return {GetTermAt(position), position};
+}
+
+}  // namespace magnoliareel::standin
--- /dev/null
+++ b/standins/endpoint/database.h
@@ -0,0 +1,122 @@
+#ifndef MAGNOLIAREEL_STANDINS_ENDPOINT_DATABASE_H_
+#define MAGNOLIAREEL_STANDINS_ENDPOINT_DATABASE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "core/core.h"
+#include "messages/messages.h"
+
+namespace magnoliareel::standin {
+
+/** One endpoint database without time or transport: terms, a log, records,
+    connections, transactions, and a table of request names.
+
+    The server around it adds slots, run times, delays and faults; tests use it
+    directly.
+*/
+class Database {
+ public:
+  /** Most records in one answer to kReplicate. */
+  static constexpr size_t kMaxBatch = 500;
+
+  /** @param max_connections  connections accepted at a time */
+  explicit Database(size_t max_connections)
+      : max_connections_(max_connections) {}
+
+  /** Carries out a call at once; kWatch is answered without holding it.
+
+      @param call  any call
+      @returns     its answer, with the state after the call
+  */
+  EndpointAnswer Handle(const EndpointCall& call);
+
+  /** @returns the state at present */
+  EndpointReport GetReport() const;
+
+  /** Sets whether it is leaving. */
+  void SetLeaving(bool is_leaving) { is_leaving_ = is_leaving; }
+
+  /** @returns the call that fetches the next records from the primary; nothing
+      if it does not follow one */
+  std::optional<EndpointCall> MakeReplicateCall() const;
+  /** @returns address of the primary that it follows */
+  const std::string& GetPrimaryAddress() const { return primary_address_; }
+
+  /** Takes over the answer to MakeReplicateCall().
+
+      @param call    the call
+      @param answer  its answer
+  */
+  void Replicate(const EndpointCall& call, const EndpointAnswer& answer);
+
+  /** @returns the whole log, for checks */
+  std::span<const LogRecord> GetLog() const { return log_; }
+  /** @param key  a record  @returns its text; empty if there is none */
+  std::string Read(std::string_view key) const;
+
+ private:
+  struct Connection {
+    bool is_in_transaction = false;
+    std::vector<std::string> statements;
+  };
+  struct Recorded {
+    std::string answer;
+    LogPoint point;
+    std::vector<std::string> statements;
+
+    bool IsVoid() const { return answer.empty(); }
+  };
+  using Overlay = std::map<std::string, std::string, std::less<>>;
+
+  EndpointAnswer Dispatch(const EndpointCall& call);
+  EndpointAnswer Connect();
+  EndpointAnswer RunStatement(const EndpointCall& call);
+  EndpointAnswer RunRead(const EndpointCall& call,
+                         const Connection& connection);
+  EndpointAnswer RunWrite(const EndpointCall& call, Connection& connection);
+  EndpointAnswer Begin(const EndpointCall& call, Connection& connection);
+  EndpointAnswer Commit(const EndpointCall& call, Connection& connection);
+  EndpointAnswer Rollback(Connection& connection);
+  EndpointAnswer Settle(const EndpointCall& call);
+  EndpointAnswer Adopt(const EndpointCall& call);
+  EndpointAnswer Promote(const EndpointCall& call);
+  EndpointAnswer Follow(const EndpointCall& call);
+  EndpointAnswer ServeReplica(const EndpointCall& call) const;
+
+  std::optional<EndpointAnswer> FindRecorded(
+      const EndpointCall& call,
+      std::span<const std::string> statements) const;
+  void AdoptTerm(Term term);
+  EndpointAnswer Append(const EndpointCall& call,
+                        std::vector<std::string> statements,
+                        std::string answer);
+  void ApplyRecord(const LogRecord& record, LogPosition position);
+  void Truncate(LogPosition position);
+  Term GetTermAt(LogPosition position) const;
+  LogPoint GetLast() const;
+
+  const size_t max_connections_;
+  Term term_;
+  EndpointRole role_ = EndpointRole::kReplica;
+  bool is_leaving_ = false;
+  Lineage lineage_;
+  std::vector<LogRecord> log_;
+  std::map<std::string, std::string, std::less<>> records_;
+  std::unordered_map<std::string, Recorded> recorded_;
+  std::unordered_map<ConnectionId, Connection> connections_;
+  uint64_t next_connection_ = 1;
+  std::string primary_address_;
+};
+
+}  // namespace magnoliareel::standin
+
+#endif  // MAGNOLIAREEL_STANDINS_ENDPOINT_DATABASE_H_
--- /dev/null
+++ b/standins/endpoint/statement.cc
@@ -0,0 +1,52 @@
+#include "standins/endpoint/statement.h"
+
+#include <charconv>
+
+namespace magnoliareel::standin {
+namespace {
+
+std::string_view TakeWord(std::string_view& text) {
+  const size_t end = text.find(' ');
+  const std::string_view word = text.substr(0, end);
+  text =
+      end == std::string_view::npos ? std::string_view() : text.substr(end + 1);
+  return word;
+}
+
+}  // namespace
+
+std::optional<Statement> ParseStatement(std::string_view text) {
+  Statement statement;
+  std::string_view word = TakeWord(text);
+  if (word == "work") {
+    const std::string_view number = TakeWord(text);
+    int n = 0;
+    const auto [end, ec] =
+        std::from_chars(number.data(), number.data() + number.size(), n);
+    if (ec != std::errc() || n < 0) {
+      return std::nullopt;
+    }
+    statement.work = std::chrono::milliseconds(n);
+    word = TakeWord(text);
+  }
+  if (word == "fail") {
+    return statement;
+  }
+  statement.key = TakeWord(text);
+  statement.value = text;
+  if (statement.key.empty()) {
+    return std::nullopt;
+  }
+  if (word == "put") {
+    statement.action = StatementAction::kPut;
+  } else if (word == "append") {
+    statement.action = StatementAction::kAppend;
+  } else if (word == "get") {
+    statement.action = StatementAction::kGet;
+  } else {
+    return std::nullopt;
+  }
+  return statement;
+}
+
+}  // namespace magnoliareel::standin
