--- /dev/null
+++ b/libs/core/tests/core_test.cc
@@ -0,0 +1,109 @@
+#include <atomic>
+#include <set>
+#include <string>
+#include <thread>
+
+#include "core/core.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace magnoliareel {
+
+TEST_GROUP(Errors){};
+
+TEST(Errors, EveryErrorHasANameThatLeadsBack) {
+  std::set<std::string_view> names;
+  for (const Error it : ListErrors()) {
+    const std::string_view name = ErrorName(it);
+    CHECK(name != "system_error");
+    CHECK(names.insert(name).second);
+    CHECK(ErrorFromName(name) == it);
+  }
+}
+
+TEST(Errors, FindingsAreReportedTogetherWithTheirPlaces) {
+  Findings findings;
+  findings.Add("/a", Error::kMissingField, "must be given");
+  findings.Add("", Error::kMalformedMessage, "no JSON");
+  STRCMP_EQUAL(
+      "/a: missing_field: must be given\n/: malformed_message: no JSON\n",
+      findings.FormatLines().c_str());
+}
+
+TEST_GROUP(Outcomes){};
+
+TEST(Outcomes, NamesLeadBack) {
+  for (const Outcome it : {Outcome::kDone, Outcome::kFailed, Outcome::kNotRun,
+                           Outcome::kUnknown}) {
+    CHECK(OutcomeFromName(OutcomeName(it)) == it);
+  }
+  CHECK(!OutcomeFromName("perhaps"));
+}
+
+TEST_GROUP(Loop){};
+
+TEST(Loop, RunsTasksInOrderOnOneThread) {
+  ControlLoop loop(100);
+  std::string order;
+  std::set<std::thread::id> threads;
+  std::atomic<bool> is_finished = false;
+  for (const char c : {'a', 'b', 'c'}) {
+    loop.Post([&, c] {
+      order += c;
+      threads.insert(std::this_thread::get_id());
+    });
+  }
+  loop.After(std::chrono::milliseconds(1), [&] {
+    is_finished = true;
+    is_finished.notify_one();
+  });
+  is_finished.wait(false);
+  loop.Stop();
+  STRCMP_EQUAL("abc", order.c_str());
+  LONGS_EQUAL(1, threads.size());
+}
+
+TEST(Loop, RefusesNewWorkBeyondItsCapacityAndKeepsTheRest) {
+  ControlLoop loop(2);
+  std::atomic<bool> is_released = false;
+  std::atomic<bool> is_running = false;
+  loop.Post([&] {
+    is_running = true;
+    is_running.notify_one();
+    is_released.wait(false);
+  });
+  is_running.wait(false);
+  std::atomic<int> ran = 0;
+  CHECK(loop.TryPost([&] { ++ran; }));
+  CHECK(loop.TryPost([&] { ++ran; }));
+  CHECK_FALSE(loop.TryPost([&] { ++ran; }));
+  std::atomic<bool> is_finished = false;
+  loop.Post([&] {
+    is_finished = true;
+    is_finished.notify_one();
+  });
+  is_released = true;
+  is_released.notify_one();
+  is_finished.wait(false);
+  LONGS_EQUAL(2, ran.load());
+}
+
+TEST_GROUP(Manual){};
+
+TEST(Manual, RunsTimersAtTheirMoments) {
+  ManualExecutor executor;
+  std::string order;
+  const TimePoint start = executor.Now();
+  executor.After(std::chrono::milliseconds(20), [&] { order += 'b'; });
+  executor.After(std::chrono::milliseconds(10), [&] {
+    order += 'a';
+    executor.After(std::chrono::milliseconds(20), [&] { order += 'c'; });
+  });
+  executor.Advance(std::chrono::milliseconds(25));
+  STRCMP_EQUAL("ab", order.c_str());
+  executor.Advance(std::chrono::milliseconds(10));
+  STRCMP_EQUAL("abc", order.c_str());
+  CHECK(executor.Now() - start == std::chrono::milliseconds(35));
+}
+
+}  // namespace magnoliareel
--- a/libs/http/server/http_server.cc
+++ b/libs/http/server/http_server.cc
@@ -34,8 +34,7 @@
   /** One request from its first byte to its answer. */
   class Exchange final : public HttpResponder::Target {
    public:
-    Exchange(Impl& server, MHD_Connection* connection)
-        : server_(server), connection_(connection) {}
+    explicit Exchange(MHD_Connection* connection) : connection_(connection) {}
 
     void Respond(HttpResponse response) override {
       const std::lock_guard lock(mutex_);
@@ -75,7 +74,6 @@
       }
     }
 
-    Impl& server_;
     MHD_Connection* const connection_;
     std::mutex mutex_;
     std::optional<HttpResponse> response_;
@@ -168,7 +166,7 @@
                     size_t* upload_size,
                     void** context) {
     if (*context == nullptr) {
-      auto exchange = std::make_shared<Exchange>(*this, connection);
+      auto exchange = std::make_shared<Exchange>(connection);
       exchange->request.method = method;
       exchange->request.path = url;
       exchange->request.is_too_large =
--- /dev/null
+++ b/libs/session/tests/session_test.cc
@@ -0,0 +1,69 @@
+#include <vector>
+
+#include "session/session.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace magnoliareel {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr LogPoint MakePoint(uint64_t term, uint64_t position) {
+  return {{term}, {position}};
+}
+
+}  // namespace
+
+TEST_GROUP(Freshness) {
+  const Lineage lineage = {{{1}, {0}}, {{3}, {10}}, {{4}, {25}}};
+};
+
+TEST(Freshness, TheBeginningIsContainedInEveryLog) {
+  CHECK(ContainsPoint({}, {0}, LogPoint{}));
+}
+
+TEST(Freshness, APointOfTheLastTermNeedsItsPosition) {
+  CHECK(ContainsPoint(lineage, {30}, MakePoint(4, 30)));
+  CHECK_FALSE(ContainsPoint(lineage, {29}, MakePoint(4, 30)));
+}
+
+TEST(Freshness, AnOlderTermEndsWhereTheNextBegan) {
+  CHECK(ContainsPoint(lineage, {26}, MakePoint(1, 9)));
+  CHECK(ContainsPoint(lineage, {10}, MakePoint(1, 12)));
+  CHECK_FALSE(ContainsPoint(lineage, {8}, MakePoint(1, 9)));
+}
+
+TEST(Freshness, ATermThatTheLogHasNotPassedThroughIsNotContained) {
+  CHECK_FALSE(ContainsPoint(lineage, {100}, MakePoint(2, 1)));
+  CHECK_FALSE(ContainsPoint(lineage, {100}, MakePoint(5, 1)));
+}
+
+TEST(Freshness, AgeIsBoundedByTheNewestObservationThatTheReplicaHolds) {
+  const TimePoint start{};
+  const std::vector<PrimaryObservation> observations = {
+      {start, {5}},
+      {start + milliseconds(100), {8}},
+      {start + milliseconds(200), {12}}};
+  const TimePoint now = start + milliseconds(250);
+  CHECK(BoundAge(observations, {12}, now) == milliseconds(50));
+  CHECK(BoundAge(observations, {11}, now) == milliseconds(150));
+  CHECK(BoundAge(observations, {5}, now) == milliseconds(250));
+  CHECK(!BoundAge(observations, {4}, now));
+}
+
+TEST_GROUP(Token){};
+
+TEST(Token, MarksOnlyRise) {
+  SessionToken token;
+  token.RaiseMark({"b"}, MakePoint(2, 5));
+  token.RaiseMark({"a"}, MakePoint(1, 7));
+  token.RaiseMark({"b"}, MakePoint(1, 90));
+  CHECK(token.GetMark({"b"}) == MakePoint(2, 5));
+  CHECK(token.GetMark({"a"}) == MakePoint(1, 7));
+  CHECK(token.GetMark({"c"}) == LogPoint{});
+  token.RaiseMark({"b"}, MakePoint(3, 6));
+  CHECK(token.GetMark({"b"}) == MakePoint(3, 6));
+}
+
+}  // namespace magnoliareel
--- a/standins/endpoint/database.cc
+++ b/standins/endpoint/database.cc
@@ -73,6 +73,13 @@
   return {role_, term_, GetLast(), lineage_, is_leaving_};
 }
 
+void Database::Restart() {
+  role_ = EndpointRole::kReplica;
+  is_leaving_ = false;
+  primary_address_.clear();
+  connections_.clear();
+}
+
 EndpointAnswer Database::Dispatch(const EndpointCall& call) {
   if (IsFenced(call.verb) && call.term != term_) {
     return Refuse(Error::kStaleTerm);
--- a/standins/endpoint/database.h
+++ b/standins/endpoint/database.h
@@ -45,6 +45,9 @@
   /** Sets whether it is leaving. */
   void SetLeaving(bool is_leaving) { is_leaving_ = is_leaving; }
 
+  /** Loses connections and office, and keeps the log and the term. */
+  void Restart();
+
   /** @returns the call that fetches the next records from the primary; nothing
       if it does not follow one */
   std::optional<EndpointCall> MakeReplicateCall() const;
--- /dev/null
+++ b/standins/endpoint/endpoint_model.h
@@ -0,0 +1,276 @@
+#ifndef MAGNOLIAREEL_STANDINS_ENDPOINT_ENDPOINT_MODEL_H_
+#define MAGNOLIAREEL_STANDINS_ENDPOINT_ENDPOINT_MODEL_H_
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <list>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/core.h"
+#include "messages/messages.h"
+#include "standins/endpoint/database.h"
+#include "standins/endpoint/endpoint_faults.h"
+#include "standins/endpoint/endpoint_settings.h"
+#include "standins/endpoint/statement.h"
+
+namespace magnoliareel::standin {
+
+/** Where the answer to a call goes; one of both is used, once. */
+struct EndpointResponder {
+  /** Sends the answer. */
+  std::function<void(EndpointAnswer)> send;
+  /** Breaks the connection that the call came on. */
+  std::function<void()> drop;
+};
+
+/** @param verb  any verb  @returns whether the call occupies a slot */
+bool TakesSlot(EndpointVerb verb);
+
+/** A Database with time: slots behind a first-in-first-out queue, run times,
+    the cost of connections, held watches, asynchronous replication, and faults.
+
+    @tparam E  runs its steps, one at a time
+*/
+template <Executor E>
+class EndpointModel {
+ public:
+  /** Receives what a primary answered; nothing if no answer came. */
+  using FetchCompletion = std::function<void(std::optional<EndpointAnswer>)>;
+  /** Calls another endpoint by its address. */
+  using Fetch = std::function<
+      void(const std::string&, const EndpointCall&, FetchCompletion)>;
+
+  /** Time for which a primary holds a replica's call. */
+  static constexpr Duration kReplicaHold = std::chrono::milliseconds(500);
+  /** Pause after a call to the primary that failed. */
+  static constexpr Duration kRetryPause = std::chrono::milliseconds(20);
+
+  /** @param executor  runs its steps
+      @param settings  its settings
+      @param fetch     calls other endpoints; its completion runs as a step
+  */
+  EndpointModel(E& executor, EndpointSettings settings, Fetch fetch)
+      : executor_(executor),
+        settings_(std::move(settings)),
+        fetch_(std::move(fetch)),
+        database_(static_cast<size_t>(settings_.connections)) {
+    faults_.lag = std::chrono::milliseconds(settings_.lag_ms);
+  }
+
+  /** Takes a call. @param call  what is asked  @param responder  its answer */
+  void Accept(EndpointCall call, EndpointResponder responder) {
+    if (faults_.is_cut) {
+      unheard_.push_back(std::move(responder));
+    } else if (TakesSlot(call.verb)) {
+      queue_.push_back({std::move(call), std::move(responder)});
+      StartReady();
+    } else if (call.verb == EndpointVerb::kConnect) {
+      executor_.After(std::chrono::milliseconds(settings_.connect_ms),
+                      [this, call, responder] {
+                        Answer(call, database_.Handle(call), responder);
+                      });
+    } else if (call.verb == EndpointVerb::kWatch) {
+      HoldWatch(std::move(call), std::move(responder));
+    } else if (call.verb == EndpointVerb::kReplicate) {
+      ServeReplica(std::move(call), std::move(responder));
+    } else {
+      Answer(call, database_.Handle(call), responder);
+      NoteChange();
+    }
+  }
+
+  /** @returns its faults at present */
+  const EndpointFaults& GetFaults() const { return faults_; }
+
+  /** Changes its faults. @param faults  from now on */
+  void SetFaults(const EndpointFaults& faults) {
+    faults_ = faults;
+    database_.SetLeaving(faults_.is_leaving);
+    if (!faults_.is_cut) {
+      for (const EndpointResponder& it : std::exchange(unheard_, {})) {
+        it.drop();
+      }
+    }
+    NoteChange();
+  }
+
+  /** Loses everything but the log and the term, as a restart does. */
+  void Restart() {
+    database_.Restart();
+    for (const Pending& it : std::exchange(queue_, {})) {
+      it.responder.drop();
+    }
+    NoteChange();
+  }
+
+  /** @returns the database, for checks */
+  const Database& GetDatabase() const { return database_; }
+
+ private:
+  struct Pending {
+    EndpointCall call;
+    EndpointResponder responder;
+  };
+  struct Watcher {
+    EndpointCall call;
+    EndpointResponder responder;
+    uint64_t id = 0;
+  };
+
+  void StartReady() {
+    while (running_ < settings_.slots && !queue_.empty()) {
+      Pending next = std::move(queue_.front());
+      queue_.pop_front();
+      ++running_;
+      const Duration run_time = GetRunTime(next.call);
+      executor_.After(run_time,
+                      [this, next = std::move(next)] { FinishRunning(next); });
+    }
+  }
+
+  void FinishRunning(const Pending& running) {
+    --running_;
+    Answer(running.call, database_.Handle(running.call), running.responder);
+    StartReady();
+    NoteChange();
+  }
+
+  void HoldWatch(EndpointCall call, EndpointResponder responder) {
+    const EndpointReport report = database_.GetReport();
+    const bool is_news = report.last != call.after || report.term != call.term;
+    if (is_news || call.wait == Duration::zero()) {
+      Answer(call, database_.Handle(call), responder);
+      return;
+    }
+    const uint64_t id = next_watcher_++;
+    const Duration wait = call.wait;
+    watchers_.push_back({std::move(call), std::move(responder), id});
+    executor_.After(wait, [this, id] {
+      const auto it =
+          std::find_if(watchers_.begin(), watchers_.end(),
+                       [id](const Watcher& w) { return w.id == id; });
+      if (it != watchers_.end()) {
+        const Watcher watcher = std::move(*it);
+        watchers_.erase(it);
+        Answer(watcher.call, database_.Handle(watcher.call), watcher.responder);
+      }
+    });
+  }
+
+  void ServeReplica(EndpointCall call, EndpointResponder responder) {
+    if (faults_.is_replication_cut) {
+      unheard_.push_back(std::move(responder));
+      return;
+    }
+    EndpointAnswer answer = database_.Handle(call);
+    if (answer.ec || !answer.records.empty()) {
+      Answer(call, std::move(answer), responder);
+      return;
+    }
+    call.wait = kReplicaHold;
+    HoldWatch(std::move(call), std::move(responder));
+  }
+
+  void NoteChange() {
+    if (!std::exchange(is_answering_watchers_, true)) {
+      executor_.Post([this] {
+        is_answering_watchers_ = false;
+        for (const Watcher& it : std::exchange(watchers_, {})) {
+          Answer(it.call, database_.Handle(it.call), it.responder);
+        }
+      });
+    }
+    FollowPrimary();
+  }
+
+  void Answer(const EndpointCall& call,
+              EndpointAnswer answer,
+              const EndpointResponder& responder) {
+    if (faults_.is_cut) {
+      unheard_.push_back(responder);
+      return;
+    }
+    const bool has_effect =
+        call.verb == EndpointVerb::kWrite || call.verb == EndpointVerb::kCommit;
+    if (has_effect && !answer.ec && faults_.answers_to_lose > 0) {
+      --faults_.answers_to_lose;
+      responder.drop();
+      return;
+    }
+    Duration delay = faults_.latency;
+    if (TakesSlot(call.verb) && faults_.answers_to_delay > 0) {
+      --faults_.answers_to_delay;
+      delay += faults_.answer_delay;
+    }
+    if (delay == Duration::zero()) {
+      responder.send(std::move(answer));
+      return;
+    }
+    executor_.After(delay, [responder, answer = std::move(answer)] {
+      responder.send(answer);
+    });
+  }
+
+  void FollowPrimary() {
+    const auto call = database_.MakeReplicateCall();
+    if (is_fetching_ || !call) {
+      return;
+    }
+    is_fetching_ = true;
+    if (faults_.is_cut || faults_.is_replication_cut) {
+      NoteReplicated(*call, std::nullopt);
+      return;
+    }
+    fetch_(database_.GetPrimaryAddress(), *call,
+           [this, call = *call](const std::optional<EndpointAnswer>& answer) {
+             executor_.After(faults_.lag, [this, call, answer] {
+               NoteReplicated(call, answer);
+             });
+           });
+  }
+
+  void NoteReplicated(const EndpointCall& call,
+                      const std::optional<EndpointAnswer>& answer) {
+    const bool is_heard =
+        answer && !faults_.is_cut && !faults_.is_replication_cut;
+    if (!is_heard || (answer->ec && answer->ec != Error::kDiverged)) {
+      executor_.After(kRetryPause, [this] {
+        is_fetching_ = false;
+        FollowPrimary();
+      });
+      return;
+    }
+    is_fetching_ = false;
+    database_.Replicate(call, *answer);
+    NoteChange();
+  }
+
+  Duration GetRunTime(const EndpointCall& call) const {
+    const auto statement = ParseStatement(call.statement);
+    if (statement && statement->work) {
+      return *statement->work;
+    }
+    return std::chrono::microseconds(settings_.run_us);
+  }
+
+  E& executor_;
+  const EndpointSettings settings_;
+  const Fetch fetch_;
+  Database database_;
+  EndpointFaults faults_;
+  std::deque<Pending> queue_;
+  int64_t running_ = 0;
+  std::list<Watcher> watchers_;
+  std::vector<EndpointResponder> unheard_;
+  uint64_t next_watcher_ = 1;
+  bool is_fetching_ = false;
+  bool is_answering_watchers_ = false;
+};
+
+}  // namespace magnoliareel::standin
+
+#endif  // MAGNOLIAREEL_STANDINS_ENDPOINT_ENDPOINT_MODEL_H_
