Check every invariant under seeded random faults in virtual time

Adds the history rules, each with a bad history that it rejects, and a simulation of two groups, three poolers, three entries and six callers with kills, freezes, cuts, lag, lost answers, store outages and leaving endpoints, up to three at a time. What it found, and what was changed:

- a read showed a write that a later primary discarded and that was then settled as not run: reads are held until a majority holds what they saw;
- a restarted replica was aligned but did not know whom to follow: the driver repeats the order to a replica that is behind and does not advance;
- a connection whose opening answer was lost stayed open for good: names are chosen by the caller, closing is repeated, silent clients are dropped;
- a rollback that was refused left the session in its transaction: this was the test caller's mistake, which now opens a new session.

--- a/libs/codec/endpoint/endpoint_codec.cc
+++ b/libs/codec/endpoint/endpoint_codec.cc
@@ -63,6 +63,7 @@
   Json::Value value(Json::objectValue);
   value["verb"] = std::string(kVerbNames.at(static_cast<size_t>(call.verb)));
   value["term"] = Json::UInt64(call.term.value);
+  SetText(value, "client", call.client);
   SetText(value, "connection", call.connection.value);
   SetText(value, "request", call.request);
   SetText(value, "statement", call.statement);
@@ -89,6 +90,7 @@
       [&call](std::string_view word) { return ChooseVerb(word, call.verb); },
       "the verbs of the endpoint protocol");
   reader.ReadCounter("term", Presence::kRequired, call.term.value);
+  reader.ReadText("client", Presence::kOptional, call.client);
   reader.ReadText("connection", Presence::kOptional, call.connection.value);
   reader.ReadText("request", Presence::kOptional, call.request);
   reader.ReadText("statement", Presence::kOptional, call.statement,
@@ -107,7 +109,7 @@
     value["error"] = std::string(ErrorName(answer.ec));
   }
   SetText(value, "request", answer.request);
-  SetText(value, "connection", answer.connection.value);
+
   SetText(value, "answer", answer.answer);
   WriteLogPoint(value, "point_term", "point_position", answer.point);
   value["report"] = EncodeReport(answer.report);
@@ -126,7 +128,7 @@
   ObjectReader reader(value, "", findings);
   ReadErrorName(reader, answer.ec);
   reader.ReadText("request", Presence::kOptional, answer.request);
-  reader.ReadText("connection", Presence::kOptional, answer.connection.value);
+
   reader.ReadText("answer", Presence::kOptional, answer.answer,
                   kMaxAnswerBytes);
   ReadLogPoint(reader, "point_term", "point_position", answer.point);
--- a/libs/core/ids/identifier.h
+++ b/libs/core/ids/identifier.h
@@ -41,7 +41,7 @@
 using RequestId = Identifier<struct RequestTag>;
 /** An open transaction, named by the pooler that holds it. */
 using TransactionId = Identifier<struct TransactionTag>;
-/** A database connection, named by the endpoint that accepted it. */
+/** A database connection, named by the process that opened it. */
 using ConnectionId = Identifier<struct ConnectionTag>;
 
 }  // namespace magnoliareel
--- a/libs/failover/driver/group_driver.cc
+++ b/libs/failover/driver/group_driver.cc
@@ -41,6 +41,20 @@
 
 }  // namespace
 
+bool IsFollowing(const MemberState& replica,
+                 const MemberState& primary,
+                 TimePoint now) {
+  const EndpointReport& report = *replica.report;
+  const Term term = primary.report->term;
+  const bool is_aligned = report.role == EndpointRole::kReplica &&
+                          report.term == term && !report.lineage.empty() &&
+                          report.lineage.back().term == term;
+  // A restarted replica is aligned and does not know whom to follow.
+  const bool is_stalled = report.last != primary.report->last &&
+                          now - replica.advanced >= kStalledAfter;
+  return is_aligned && !is_stalled;
+}
+
 std::string_view PromotionReasonName(PromotionReason reason) {
   switch (reason) {
     case PromotionReason::kNoPrimary:
--- a/libs/failover/driver/group_driver.h
+++ b/libs/failover/driver/group_driver.h
@@ -74,6 +74,19 @@
     size_t rank,
     TimePoint now);
 
+/** Time without progress after which a replica that is behind is told again
+    whom to follow. */
+inline constexpr Duration kStalledAfter = std::chrono::milliseconds(600);
+
+/** @param replica  state of a replica
+    @param primary  state of its group's primary
+    @param now      the present
+    @returns        whether the replica evidently replicates from the primary
+*/
+bool IsFollowing(const MemberState& replica,
+                 const MemberState& primary,
+                 TimePoint now);
+
 /** Where a granted term comes from. @see GrantsAhead, GrantsOnPath */
 template <class T>
 concept GrantPolicy = requires {
@@ -275,12 +288,7 @@
       if (it.endpoint == primary->endpoint || !it.report || !it.is_reachable) {
         continue;
       }
-      const Lineage& lineage = it.report->lineage;
-      const bool is_following = it.report->role == EndpointRole::kReplica &&
-                                it.report->term == primary->term &&
-                                !lineage.empty() &&
-                                lineage.back().term == primary->term;
-      if (!is_following) {
+      if (!IsFollowing(it, *state.Find(primary->endpoint), now)) {
         SendFollow(it.endpoint, *primary);
       }
     }
--- a/libs/failover/groups/group_state.cc
+++ b/libs/failover/groups/group_state.cc
@@ -17,11 +17,23 @@
          report.last.position >= point.position;
 }
 
+/** Whether a log that has passed through the lineage contains the record that
+    stands at a point: logs agree up to the end of each term they share. */
+bool IsOnLineage(const Lineage& lineage, LogPoint point) {
+  const auto it = std::find_if(
+      lineage.begin(), lineage.end(),
+      [point](const TermStart& entry) { return entry.term == point.term; });
+  if (it == lineage.end()) {
+    return point == LogPoint{};
+  }
+  return it + 1 == lineage.end() || point.position <= (it + 1)->start;
+}
+
 }  // namespace
 
 GroupState::GroupState(std::span<const EndpointId> endpoints) {
   for (const EndpointId& it : endpoints) {
-    members_.push_back(MemberState{it, std::nullopt, {}, {}, false});
+    members_.push_back(MemberState{it, std::nullopt, {}, {}, {}, false});
   }
 }
 
@@ -41,6 +53,9 @@
           std::tie(it->report->term, it->report->last)) {
     return;
   }
+  if (!it->report || it->report->last != report.last) {
+    it->advanced = heard;
+  }
   it->report = report;
   it->asked = asked;
   ObservePrimary();
@@ -76,7 +91,14 @@
 }
 
 bool GroupState::IsHeldByMajority(LogPoint point) const {
-  point = FindDecidingPoint(point);
+  const auto primary = GetPrimary();
+  if (primary && primary->term > point.term) {
+    const Lineage& lineage = Find(primary->endpoint)->report->lineage;
+    if (!IsOnLineage(lineage, point)) {
+      return false;
+    }
+    point = {primary->term, {lineage.back().start.value + 1}};
+  }
   const auto n = std::count_if(
       members_.begin(), members_.end(), [point](const MemberState& it) {
         return it.report && HoldsAligned(*it.report, point);
@@ -84,17 +106,6 @@
   return static_cast<size_t>(n) >= GetMajority();
 }
 
-LogPoint GroupState::FindDecidingPoint(LogPoint point) const {
-  const auto primary = GetPrimary();
-  if (!primary || primary->term <= point.term) {
-    return point;
-  }
-  const Lineage& lineage = Find(primary->endpoint)->report->lineage;
-  return lineage.empty()
-             ? point
-             : LogPoint{primary->term, {lineage.back().start.value + 1}};
-}
-
 std::vector<EndpointId> GroupState::ListHolders(LogPoint point) const {
   std::vector<EndpointId> holders;
   for (const MemberState& it : members_) {
--- a/libs/failover/groups/group_state.h
+++ b/libs/failover/groups/group_state.h
@@ -20,6 +20,8 @@
   std::optional<EndpointReport> report;
   /** When the question was sent that the report answers. */
   TimePoint asked;
+  /** When its position last changed. */
+  TimePoint advanced;
   /** When the last report arrived. */
   TimePoint heard;
   /** Whether its last call was answered. */
@@ -69,10 +71,11 @@
   /** @returns the highest term that any endpoint has adopted */
   Term GetHighestTerm() const;
 
-  /** @param point  point of a record that the primary's log contains
+  /** @param point  point of a record in some endpoint's log
       @returns      true if a majority holds it for good: in a log aligned with
-                    its term or, if its term has ended, together with the first
-                    record of the present term
+                    its term or, if its term has ended and the primary's log
+                    contains it, together with the first record of the present
+                    term
   */
   bool IsHeldByMajority(LogPoint point) const;
 
@@ -97,7 +100,6 @@
 
  private:
   void ObservePrimary();
-  LogPoint FindDecidingPoint(LogPoint point) const;
 
   std::vector<MemberState> members_;
   std::deque<PrimaryObservation> observations_;
--- a/libs/links/http_endpoint_link.h
+++ b/libs/links/http_endpoint_link.h
@@ -1,6 +1,7 @@
 #ifndef MAGNOLIAREEL_LINKS_HTTP_ENDPOINT_LINK_H_
 #define MAGNOLIAREEL_LINKS_HTTP_ENDPOINT_LINK_H_
 
+#include <string>
 #include <utility>
 
 #include "codec/codec.h"
@@ -26,15 +27,20 @@
   /** @param executor   the control thread
       @param client     makes the calls
       @param directory  addresses; outlives this
+      @param name       names this process to endpoints
   */
   HttpEndpointLink(E& executor,
                    HttpClient& client,
-                   const EndpointDirectory& directory)
-      : executor_(executor), client_(client), directory_(directory) {}
+                   const EndpointDirectory& directory,
+                   std::string name)
+      : executor_(executor),
+        client_(client),
+        directory_(directory),
+        name_(std::move(name)) {}
 
   /** @see EndpointLink */
   void Call(const EndpointId& endpoint,
-            const EndpointCall& call,
+            EndpointCall call,
             Duration timeout,
             EndpointCompletion done) {
     const SocketAddress* address = directory_.Find(endpoint);
@@ -44,6 +50,7 @@
       });
       return;
     }
+    call.client = name_;
     HttpCall http;
     http.address = *address;
     http.path = "/call";
@@ -61,6 +68,7 @@
   E& executor_;
   HttpClient& client_;
   const EndpointDirectory& directory_;
+  const std::string name_;
 };
 
 static_assert(EndpointLink<HttpEndpointLink<ControlLoop>>);
--- a/libs/messages/endpoint/endpoint_answer.h
+++ b/libs/messages/endpoint/endpoint_answer.h
@@ -30,8 +30,7 @@
   std::error_code ec;
   /** The request that this answers. */
   std::string request;
-  /** The connection opened by kConnect. */
-  ConnectionId connection;
+
   /** The statement's answer, or the reason of a failure. */
   std::string answer;
   /** Point of the record that holds the write's effect. */
--- a/libs/messages/endpoint/endpoint_call.h
+++ b/libs/messages/endpoint/endpoint_call.h
@@ -9,7 +9,8 @@
 
 /** What is asked of an endpoint database. */
 enum class EndpointVerb {
-  /** Opens a connection. */
+  /** Opens a connection under a name that the caller chose, so that one whose
+      answer was lost can still be closed. */
   kConnect,
   /** Closes a connection and rolls back its transaction. */
   kClose,
@@ -44,6 +45,9 @@
 struct EndpointCall {
   /** What is asked. */
   EndpointVerb verb = EndpointVerb::kWatch;
+  /** Names the process that calls; an endpoint closes the connections of a
+      process that has been silent for long. */
+  std::string client;
   /** Term in which it is asked; refused if the endpoint has adopted a higher
       one. */
   Term term;
--- a/libs/pooler/core/pooler_core.h
+++ b/libs/pooler/core/pooler_core.h
@@ -194,7 +194,9 @@
   Runner& GetRunner(const EndpointShape& shape) {
     auto& runner = runners_[shape.endpoint];
     if (!runner) {
-      runner = std::make_unique<Runner>(executor_, link_, shape);
+      runner = std::make_unique<Runner>(
+          executor_, link_, shape,
+          options_.vm.value + "-" + options_.incarnation);
     }
     return *runner;
   }
@@ -295,7 +297,14 @@
           answer.outcome = end.outcome;
           answer.ec = end.ec;
           answer.answer = end.answer.answer;
-          Answer(job, std::move(answer));
+          if (end.outcome != Outcome::kDone) {
+            Answer(job, std::move(answer));
+            return;
+          }
+          // What a later primary may discard must not be seen.
+          const EndpointReport& report = end.answer.report;
+          AwaitAcknowledgement(job, report.term, report.last,
+                               std::move(answer));
         });
   }
 
@@ -366,10 +375,10 @@
         point, term, job->deadline,
         [this, job, point,
          answer = std::move(answer)](bool is_acknowledged) mutable {
-          if (is_acknowledged) {
+          if (is_acknowledged && job->request.verb != PoolerVerb::kRead) {
             answer.point = point;
             answer.holders = GetState(job).ListHolders(point);
-          } else {
+          } else if (!is_acknowledged) {
             answer.outcome = Outcome::kUnknown;
             answer.ec = Error::kDeadlineExceeded;
             answer.answer.clear();
--- a/libs/pooler/endpoints/endpoint_runner.h
+++ b/libs/pooler/endpoints/endpoint_runner.h
@@ -73,17 +73,26 @@
   static constexpr Duration kConnectTimeout = std::chrono::milliseconds(1000);
   /** Pause after a connection could not be opened. */
   static constexpr Duration kConnectPause = std::chrono::milliseconds(50);
+  /** Attempts to close a connection that is given up. */
+  static constexpr int kCloseAttempts = 20;
+  /** Pause between these attempts. */
+  static constexpr Duration kClosePause = std::chrono::milliseconds(500);
   /** Time that an answer may arrive after the statement's deadline. */
   static constexpr Duration kAnswerGrace = std::chrono::milliseconds(50);
 
   /** @param executor  the control thread
       @param link      calls the endpoint
       @param shape     the endpoint
+      @param name      prefix of connections' names, unique to the process
   */
-  EndpointRunner(E& executor, L& link, const EndpointShape& shape)
+  EndpointRunner(E& executor,
+                 L& link,
+                 const EndpointShape& shape,
+                 std::string name)
       : executor_(executor),
         link_(link),
         endpoint_(shape.endpoint),
+        name_(std::move(name)),
         scheduler_(shape.slots),
         connections_(LimitConnections(shape)) {}
 
@@ -124,7 +133,7 @@
    */
   void CloseConnection(const ConnectionId& connection) {
     connections_.NoteClosed();
-    SendClose(connection);
+    SendClose(connection, kCloseAttempts);
     StartReady();
   }
 
@@ -260,7 +269,7 @@
     if (reply.ec || end.ec == Error::kConnectionLost) {
       end.is_transaction_lost = is_in_transaction;
       connections_.NoteClosed();
-      SendClose(connection);
+      SendClose(connection, kCloseAttempts);
       // The other idle connections are gone too if the endpoint restarted.
       connections_.TakeAllIdle();
       return;
@@ -295,42 +304,55 @@
     }
     EndpointCall call;
     call.verb = EndpointVerb::kConnect;
+    call.connection.value = name_ + "-" + std::to_string(next_connection_++);
+    const ConnectionId connection = call.connection;
     link_.Call(endpoint_, std::move(call), kConnectTimeout,
-               [this](const EndpointReply& reply) {
-                 if (reply.ec || reply.answer.ec) {
-                   NoteConnectFailed();
-                   return;
-                 }
-                 connections_.NoteOpened();
-                 connections_.PutIdle(reply.answer.connection);
-                 StartReady();
+               [this, connection](const EndpointReply& reply) {
+                 NoteConnect(connection, reply);
                });
     return true;
   }
 
-  void NoteConnectFailed() {
+  void NoteConnect(const ConnectionId& connection, const EndpointReply& reply) {
+    if (!reply.ec && !reply.answer.ec) {
+      connections_.NoteOpened();
+      connections_.PutIdle(connection);
+      StartReady();
+      return;
+    }
+    if (reply.ec) {
+      SendClose(connection, kCloseAttempts);
+    }
     connections_.NoteOpenFailed();
     no_connect_until_ = executor_.Now() + kConnectPause;
     executor_.After(kConnectPause, [this] { StartReady(); });
   }
 
-  void SendClose(const ConnectionId& connection) {
+  void SendClose(const ConnectionId& connection, int attempts) {
     EndpointCall call;
     call.verb = EndpointVerb::kClose;
     call.connection = connection;
     link_.Call(endpoint_, std::move(call), kConnectTimeout,
-               [](const EndpointReply&) {});
+               [this, connection, attempts](const EndpointReply& reply) {
+                 if (reply.ec && attempts > 1) {
+                   executor_.After(kClosePause, [this, connection, attempts] {
+                     SendClose(connection, attempts - 1);
+                   });
+                 }
+               });
   }
 
   E& executor_;
   L& link_;
   const EndpointId endpoint_;
+  const std::string name_;
   SlotScheduler<Q> scheduler_;
   ConnectionBook connections_;
   RunTimeEstimates estimates_;
   std::unordered_map<uint64_t, Waiting> waiting_;
   std::unordered_map<uint64_t, Running> running_;
   uint64_t next_id_ = 1;
+  uint64_t next_connection_ = 1;
   TimePoint no_connect_until_;
 };
 
--- a/standins/endpoint/database.cc
+++ b/standins/endpoint/database.cc
@@ -80,6 +80,17 @@
   connections_.clear();
 }
 
+void Database::DropClient(std::string_view client) {
+  std::erase_if(connections_, [client](const auto& it) {
+    return it.second.client == client;
+  });
+}
+
+void Database::EndTransaction(Connection& connection) {
+  connection.is_in_transaction = false;
+  connection.statements.clear();
+}
+
 EndpointAnswer Database::Dispatch(const EndpointCall& call) {
   if (IsFenced(call.verb) && call.term != term_) {
     return Refuse(Error::kStaleTerm);
@@ -89,10 +100,9 @@
   }
   switch (call.verb) {
     case EndpointVerb::kConnect:
-      return Connect();
+      return Connect(call);
     case EndpointVerb::kClose:
-      connections_.erase(call.connection);
-      return {};
+      return Close(call.connection);
     case EndpointVerb::kRead:
     case EndpointVerb::kWrite:
     case EndpointVerb::kBegin:
@@ -115,14 +125,22 @@
   return Refuse(Error::kMalformedMessage);
 }
 
-EndpointAnswer Database::Connect() {
+EndpointAnswer Database::Connect(const EndpointCall& call) {
+  if (closed_early_.erase(call.connection) > 0) {
+    return Refuse(Error::kConnectionLost);
+  }
   if (connections_.size() >= max_connections_) {
     return Refuse(Error::kTooManyConnections);
   }
-  EndpointAnswer answer;
-  answer.connection.value = "c" + std::to_string(next_connection_++);
-  connections_.emplace(answer.connection, Connection{});
-  return answer;
+  connections_.emplace(call.connection, Connection{call.client, false, {}});
+  return {};
+}
+
+EndpointAnswer Database::Close(const ConnectionId& connection) {
+  if (connections_.erase(connection) == 0) {
+    closed_early_.insert(connection);
+  }
+  return {};
 }
 
 EndpointAnswer Database::RunStatement(const EndpointCall& call) {
@@ -193,11 +211,11 @@
     return Refuse(Error::kNoTransaction);
   }
   if (auto recorded = FindRecorded(call, connection.statements)) {
-    connection = {};
+    EndTransaction(connection);
     return *recorded;
   }
   std::vector<std::string> statements = std::move(connection.statements);
-  connection = {};
+  EndTransaction(connection);
   return Append(call, std::move(statements), "committed");
 }
 
@@ -205,7 +223,7 @@
   if (!connection.is_in_transaction) {
     return Refuse(Error::kNoTransaction);
   }
-  connection = {};
+  EndTransaction(connection);
   return {};
 }
 
@@ -345,7 +363,7 @@
   role_ = EndpointRole::kReplica;
   primary_address_.clear();
   for (auto& [id, connection] : connections_) {
-    connection = {};
+    EndTransaction(connection);
   }
 }
 
--- a/standins/endpoint/database.h
+++ b/standins/endpoint/database.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -45,6 +46,9 @@
   /** Sets whether it is leaving. */
   void SetLeaving(bool is_leaving) { is_leaving_ = is_leaving; }
 
+  /** Closes the connections of a client. @param client  its name */
+  void DropClient(std::string_view client);
+
   /** Loses connections and office, and keeps the log and the term. */
   void Restart();
 
@@ -68,6 +72,7 @@
 
  private:
   struct Connection {
+    std::string client;
     bool is_in_transaction = false;
     std::vector<std::string> statements;
   };
@@ -81,7 +86,9 @@
   using Overlay = std::map<std::string, std::string, std::less<>>;
 
   EndpointAnswer Dispatch(const EndpointCall& call);
-  EndpointAnswer Connect();
+  EndpointAnswer Connect(const EndpointCall& call);
+  EndpointAnswer Close(const ConnectionId& connection);
+  static void EndTransaction(Connection& connection);
   EndpointAnswer RunStatement(const EndpointCall& call);
   EndpointAnswer RunRead(const EndpointCall& call,
                          const Connection& connection);
@@ -107,7 +114,7 @@
   Term GetTermAt(LogPosition position) const;
   LogPoint GetLast() const;
 
-  const size_t max_connections_;
+  size_t max_connections_;
   Term term_;
   EndpointRole role_ = EndpointRole::kReplica;
   bool is_leaving_ = false;
@@ -116,7 +123,7 @@
   std::map<std::string, std::string, std::less<>> records_;
   std::unordered_map<std::string, Recorded> recorded_;
   std::unordered_map<ConnectionId, Connection> connections_;
-  uint64_t next_connection_ = 1;
+  std::unordered_set<ConnectionId> closed_early_;
   std::string primary_address_;
 };
 
--- a/standins/endpoint/endpoint_model.h
+++ b/standins/endpoint/endpoint_model.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <functional>
 #include <list>
+#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -46,6 +47,8 @@
 
   /** Time for which a primary holds a replica's call. */
   static constexpr Duration kReplicaHold = std::chrono::milliseconds(500);
+  /** Silence after which a client's connections are closed. */
+  static constexpr Duration kClientSilence = std::chrono::seconds(3);
   /** Pause after a call to the primary that failed. */
   static constexpr Duration kRetryPause = std::chrono::milliseconds(20);
 
@@ -59,13 +62,17 @@
         fetch_(std::move(fetch)),
         database_(static_cast<size_t>(settings_.connections)) {
     faults_.lag = std::chrono::milliseconds(settings_.lag_ms);
+    DropSilentClients();
   }
 
   /** Takes a call. @param call  what is asked  @param responder  its answer */
   void Accept(EndpointCall call, EndpointResponder responder) {
     if (faults_.is_cut) {
       unheard_.push_back(std::move(responder));
-    } else if (TakesSlot(call.verb)) {
+      return;
+    }
+    heard_[call.client] = executor_.Now();
+    if (TakesSlot(call.verb)) {
       queue_.push_back({std::move(call), std::move(responder)});
       StartReady();
     } else if (call.verb == EndpointVerb::kConnect) {
@@ -98,13 +105,13 @@
     NoteChange();
   }
 
-  /** Loses everything but the log and the term, as a restart does. */
-  void Restart() {
+  /** Takes over what another process of this endpoint has kept.
+
+      @param kept  its database; connections and office are lost
+  */
+  void Restore(const Database& kept) {
+    database_ = kept;
     database_.Restart();
-    for (const Pending& it : std::exchange(queue_, {})) {
-      it.responder.drop();
-    }
-    NoteChange();
   }
 
   /** @returns the database, for checks */
@@ -121,6 +128,18 @@
     uint64_t id = 0;
   };
 
+  void DropSilentClients() {
+    for (auto it = heard_.begin(); it != heard_.end();) {
+      if (executor_.Now() - it->second >= kClientSilence) {
+        database_.DropClient(it->first);
+        it = heard_.erase(it);
+      } else {
+        ++it;
+      }
+    }
+    executor_.After(kClientSilence / 3, [this] { DropSilentClients(); });
+  }
+
   void StartReady() {
     while (running_ < settings_.slots && !queue_.empty()) {
       Pending next = std::move(queue_.front());
@@ -262,6 +281,7 @@
   const Fetch fetch_;
   Database database_;
   EndpointFaults faults_;
+  std::map<std::string, TimePoint> heard_;
   std::deque<Pending> queue_;
   int64_t running_ = 0;
   std::list<Watcher> watchers_;
--- /dev/null
+++ b/tests/simulation/sim_cluster.cc
@@ -0,0 +1,322 @@
+#include "tests/simulation/sim_cluster.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <utility>
+
+namespace magnoliareel::sim {
+namespace {
+
+constexpr int kVms = 3;
+constexpr int kGroups = 2;
+constexpr int kEndpointsPerGroup = 3;
+constexpr Duration kStoreTimeout = std::chrono::milliseconds(1000);
+
+SiteId MakeSite(int n) {
+  return {"site-" + std::to_string(n)};
+}
+
+std::shared_ptr<const Deployment> MakeDeployment() {
+  auto deployment = std::make_shared<Deployment>();
+  deployment->version = 1;
+  ServiceShape service;
+  service.service.value = "logs";
+  service.default_deadline = std::chrono::seconds(3);
+  service.max_deadline = std::chrono::seconds(60);
+  service.transaction_idle_limit = std::chrono::seconds(3);
+  for (int g = 0; g < kGroups; ++g) {
+    GroupShape& group = service.groups.emplace_back();
+    group.group.value = "group-" + std::to_string(g);
+    for (int e = 0; e < kEndpointsPerGroup; ++e) {
+      group.endpoints.push_back(
+          {{group.group.value + "-" + std::to_string(e)}, MakeSite(e), 3, 16});
+    }
+  }
+  deployment->document.services.push_back(service);
+  deployment->document.callers.push_back(
+      {{"crew"}, {HashSha256("key")}, {{"logs"}}});
+  for (int n = 0; n < kVms; ++n) {
+    const std::string vm = "vm-" + std::to_string(n);
+    deployment->vms.push_back({{vm}, MakeSite(n), vm, vm, false});
+  }
+  deployment->ownership = Ownership(deployment->document, deployment->vms);
+  return deployment;
+}
+
+SealingKey MakeKey() {
+  SealingKey key{};
+  key.fill(7);
+  return key;
+}
+
+standin::EndpointSettings MakeEndpointSettings() {
+  standin::EndpointSettings settings;
+  settings.slots = 3;
+  settings.connections = 16;
+  settings.connect_ms = 3;
+  return settings;
+}
+
+void Trace(SimCluster& cluster,
+           const std::string& vm,
+           const std::string& text) {
+  std::printf("%8ld us %s %s\n", cluster.Now().time_since_epoch().count(),
+              vm.c_str(), text.c_str());
+}
+
+/** Prints what a pooler reports, for looking into one seed by hand. */
+PoolerEvents MakeTrace(SimCluster& cluster, const std::string& vm) {
+  PoolerEvents events = PoolerEvents::Ignore();
+  events.on_primary = [&cluster, vm](const GroupId& group,
+                                     const PrimaryView& primary) {
+    Trace(cluster, vm,
+          group.value + " primary " + primary.endpoint.value + " term " +
+              std::to_string(primary.term.value));
+  };
+  events.on_promotion_started = [&cluster, vm](const GroupId& group, Term term,
+                                               PromotionReason reason) {
+    Trace(cluster, vm,
+          group.value + " promotes, term " + std::to_string(term.value) + ", " +
+              std::string(PromotionReasonName(reason)));
+  };
+  events.on_promotion_ended = [&cluster, vm](const GroupId& group,
+                                             const PromotionEnd& end,
+                                             Duration) {
+    Trace(cluster, vm,
+          group.value + " promotion of term " + std::to_string(end.term.value) +
+              " ended: " + end.primary.value + " " + end.ec.message());
+  };
+  events.on_ack_missed = [&cluster, vm](const GroupId& group, LogPoint point) {
+    Trace(cluster, vm,
+          group.value +
+              " not acknowledged: " + std::to_string(point.term.value) + "/" +
+              std::to_string(point.position.value));
+  };
+  return events;
+}
+
+}  // namespace
+
+void SimEndpointLink::Call(const EndpointId& endpoint,
+                           EndpointCall call,
+                           Duration timeout,
+                           EndpointCompletion done) {
+  SimEndpoint& target = cluster_.GetEndpoint(endpoint);
+  call.client = client_;
+  cluster_.GetNetwork().Call<EndpointAnswer>(
+      node_, target.node,
+      [&target, call = std::move(call)](
+          const std::function<void(EndpointAnswer)>& answer) {
+        target.model.Accept(call, {answer, [] {}});
+      },
+      timeout,
+      [done = std::move(done)](std::error_code ec, EndpointAnswer answer) {
+        done({ec, std::move(answer)});
+      });
+}
+
+void SimGrantStore::ReadGrants(const GroupId& group, GrantCompletion done) {
+  const auto& [row, version] = cluster_.GetTable().rows[group];
+  Answer({{}, row, version}, std::move(done), false);
+}
+
+void SimGrantStore::WriteGrants(const GroupId& group,
+                                uint64_t expected_version,
+                                const GrantRow& row,
+                                GrantCompletion done) {
+  SimTable& table = cluster_.GetTable();
+  auto& [known, version] = table.rows[group];
+  GrantReply reply;
+  if (table.is_out) {
+    reply.ec = Error::kStoreUnavailable;
+  } else if (version != expected_version) {
+    reply = {Error::kVersionConflict, known, version};
+  } else {
+    known = row;
+    reply = {{}, row, ++version};
+  }
+  Answer(std::move(reply), std::move(done), true);
+}
+
+void SimGrantStore::Answer(GrantReply reply,
+                           GrantCompletion done,
+                           bool is_write) {
+  SimTable& table = cluster_.GetTable();
+  Duration delay = std::chrono::milliseconds(2);
+  const bool is_lost = is_write && table.answers_to_lose > 0;
+  if (is_lost) {
+    --table.answers_to_lose;
+  }
+  if (table.is_out || is_lost) {
+    delay = kStoreTimeout;
+    reply = {Error::kStoreUnavailable, {}, 0};
+  }
+  node_.After(delay, [done = std::move(done), reply = std::move(reply)] {
+    done(reply);
+  });
+}
+
+void SimPoolerLink::Call(const std::string& address,
+                         const PoolerRequest& request,
+                         Duration timeout,
+                         PoolerReplyCompletion done) {
+  SimPooler& target = cluster_.GetPooler({address});
+  PoolerRequest sent = request;
+  if (!cluster_.GetSwitches().has_session_marks) {
+    sent.required = {};
+  }
+  cluster_.GetNetwork().Call<PoolerAnswer>(
+      node_, target.node,
+      [&target, sent](const std::function<void(PoolerAnswer)>& answer) {
+        target.core.Submit(sent, [answer](PoolerAnswer result, PoolerTimes) {
+          answer(std::move(result));
+        });
+      },
+      timeout,
+      [done = std::move(done)](std::error_code ec, PoolerAnswer answer) {
+        done({ec, std::move(answer)});
+      });
+}
+
+SimEndpoint::SimEndpoint(SimCluster& cluster, const std::string& name)
+    : node(std::make_shared<SimNode>(cluster.GetWorld(), name)),
+      model(*node,
+            MakeEndpointSettings(),
+            [this, &cluster](
+                const std::string& address,
+                const EndpointCall& call,
+                const standin::EndpointModel<SimNode>::FetchCompletion& done) {
+              SimEndpoint& primary = cluster.GetEndpoint({address});
+              cluster.GetNetwork().Call<EndpointAnswer>(
+                  *node, primary.node,
+                  [&primary,
+                   call](const std::function<void(EndpointAnswer)>& answer) {
+                    primary.model.Accept(call, {answer, [] {}});
+                  },
+                  std::chrono::seconds(1),
+                  [done](std::error_code ec, EndpointAnswer answer) {
+                    done(ec ? std::nullopt : std::optional(std::move(answer)));
+                  });
+            }) {}
+
+SimPooler::SimPooler(SimCluster& cluster,
+                     const std::string& vm,
+                     const std::string& incarnation)
+    : node(std::make_shared<SimNode>(cluster.GetWorld(), "pooler-" + vm)),
+      link(cluster, *node, vm + "-" + incarnation),
+      store(cluster, *node),
+      core(*node, link, store, [&] {
+        PoolerOptions options;
+        options.vm.value = vm;
+        options.incarnation = incarnation;
+        options.seed = cluster.GetRandom()();
+        options.address_of = [](const EndpointId& endpoint) {
+          return endpoint.value;
+        };
+        if (std::getenv("MAGNOLIAREEL_SIM_TRACE") != nullptr) {
+          options.events = MakeTrace(cluster, vm);
+        }
+        options.confirm_lost = [this](const GroupId&, const EndpointId&,
+                                      const std::function<void(bool)>& done) {
+          node->Post([done] { done(true); });
+        };
+        return options;
+      }()) {
+  core.Apply(cluster.GetDeployment());
+}
+
+SimEntry::SimEntry(SimCluster& cluster, const std::string& vm)
+    : node(std::make_shared<SimNode>(cluster.GetWorld(), "entry-" + vm)),
+      link(cluster, *node),
+      state(*node),
+      service(*node,
+              link,
+              state,
+              cluster.GetSealer(),
+              {cluster.GetDeployment()->FindVm({vm})->site,
+               cluster.GetRandom()()}) {
+  state.Apply(cluster.GetDeployment());
+}
+
+SimCluster::SimCluster(uint64_t seed, SimSwitches switches)
+    : random_(seed),
+      network_(world_, random_),
+      switches_(switches),
+      sealer_({MakeKey()}),
+      deployment_(MakeDeployment()) {
+  for (const GroupShape& group :
+       deployment_->document.services.front().groups) {
+    for (const EndpointShape& it : group.endpoints) {
+      endpoints_[it.endpoint] =
+          std::make_unique<SimEndpoint>(*this, it.endpoint.value);
+    }
+  }
+  for (const VmEntry& it : deployment_->vms) {
+    StartPooler(it.vm);
+    StartEntry(it.vm);
+  }
+}
+
+std::vector<EndpointId> SimCluster::ListEndpoints() const {
+  std::vector<EndpointId> names;
+  for (const auto& [name, endpoint] : endpoints_) {
+    names.push_back(name);
+  }
+  return names;
+}
+
+std::vector<VmId> SimCluster::ListVms() const {
+  std::vector<VmId> names;
+  for (const VmEntry& it : deployment_->vms) {
+    names.push_back(it.vm);
+  }
+  return names;
+}
+
+void SimCluster::StartPooler(const VmId& vm) {
+  auto& pooler = poolers_[vm];
+  if (pooler) {
+    dead_poolers_.push_back(std::move(pooler));
+  }
+  pooler = std::make_unique<SimPooler>(*this, vm.value,
+                                       "start-" + std::to_string(++starts_));
+}
+
+void SimCluster::StartEntry(const VmId& vm) {
+  auto& entry = entries_[vm];
+  if (entry) {
+    dead_entries_.push_back(std::move(entry));
+  }
+  entry = std::make_unique<SimEntry>(*this, vm.value);
+}
+
+void SimCluster::KillEndpoint(const EndpointId& endpoint) {
+  endpoints_.at(endpoint)->node->Kill();
+}
+
+void SimCluster::StartEndpoint(const EndpointId& endpoint) {
+  auto& it = endpoints_.at(endpoint);
+  auto fresh = std::make_unique<SimEndpoint>(*this, endpoint.value);
+  fresh->model.Restore(it->model.GetDatabase());
+  dead_endpoints_.push_back(std::move(it));
+  it = std::move(fresh);
+}
+
+const standin::Database* SimCluster::FindPrimary(const GroupId& group) {
+  const standin::Database* primary = nullptr;
+  for (const EndpointShape& it :
+       deployment_->document.FindGroup(group)->endpoints) {
+    const standin::Database& database =
+        endpoints_.at(it.endpoint)->model.GetDatabase();
+    const EndpointReport report = database.GetReport();
+    const bool is_newer =
+        primary == nullptr || primary->GetReport().term < report.term;
+    if (report.role == EndpointRole::kPrimary && is_newer) {
+      primary = &database;
+    }
+  }
+  return primary;
+}
+
+}  // namespace magnoliareel::sim
--- /dev/null
+++ b/tests/simulation/simulation_test.cc
@@ -0,0 +1,139 @@
+#include <cstdio>
+#include <cstdlib>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "history/history.h"
+#include "routing/routing.h"
+#include "tests/simulation/sim_caller.h"
+#include "tests/simulation/sim_cluster.h"
+#include "tests/simulation/sim_faults.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace magnoliareel::sim {
+namespace {
+
+constexpr int kCallers = 6;
+constexpr Duration kFaultTime = std::chrono::seconds(8);
+constexpr Duration kStep = std::chrono::milliseconds(100);
+constexpr Duration kRecoveryLimit = std::chrono::seconds(20);
+
+/** Reads a number from the environment, for longer runs by hand. */
+uint64_t ReadNumber(const char* variable, uint64_t fallback) {
+  const char* text = std::getenv(variable);
+  return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
+struct RunResult {
+  std::vector<Operation> history;
+  bool has_recovered = false;
+};
+
+/** Reads every record from its group's primary. */
+void AddFinalReads(SimCluster& cluster, std::vector<Operation>& history) {
+  const ServiceShape& service =
+      cluster.GetDeployment()->document.services.front();
+  for (const std::string& record : ListRecords()) {
+    Operation read;
+    read.request = "final-" + record;
+    read.session = "final";
+    read.kind = OperationKind::kFinalRead;
+    read.additions = {{record, ""}};
+    read.outcome = Outcome::kDone;
+    read.began = read.ended = cluster.Now().time_since_epoch().count();
+    const std::string text =
+        cluster.FindPrimary(ChooseGroup(service, record).group)->Read(record);
+    size_t begin = 0;
+    while (begin < text.size()) {
+      const size_t end = std::min(text.find(',', begin), text.size());
+      read.seen.push_back(text.substr(begin, end - begin));
+      begin = end + 1;
+    }
+    history.push_back(std::move(read));
+  }
+}
+
+bool HasPrimaries(SimCluster& cluster) {
+  const auto& groups =
+      cluster.GetDeployment()->document.services.front().groups;
+  return std::all_of(groups.begin(), groups.end(),
+                     [&cluster](const GroupShape& it) {
+                       return cluster.FindPrimary(it.group) != nullptr;
+                     });
+}
+
+RunResult Simulate(uint64_t seed, SimSwitches switches) {
+  SimCluster cluster(seed, switches);
+  RunResult result;
+  std::vector<std::unique_ptr<SimCaller>> callers;
+  for (int n = 0; n < kCallers; ++n) {
+    callers.push_back(std::make_unique<SimCaller>(cluster, n, result.history));
+    callers.back()->Start();
+  }
+  cluster.Advance(std::chrono::seconds(1));
+  SimFaults(cluster).Run(kFaultTime);
+  for (auto& it : callers) {
+    it->Stop();
+  }
+  const auto is_idle = [](const auto& it) { return it->IsIdle(); };
+  const TimePoint limit = cluster.Now() + kRecoveryLimit;
+  while (!result.has_recovered && cluster.Now() < limit) {
+    cluster.Advance(kStep);
+    result.has_recovered =
+        std::all_of(callers.begin(), callers.end(), is_idle) &&
+        HasPrimaries(cluster);
+  }
+  if (result.has_recovered) {
+    AddFinalReads(cluster, result.history);
+  } else {
+    result.history.clear();
+  }
+  return result;
+}
+
+}  // namespace
+
+TEST_GROUP(Simulation){};
+
+TEST(Simulation, EveryInvariantHoldsUnderRandomFaults) {
+  const uint64_t first = ReadNumber("MAGNOLIAREEL_SIM_FIRST_SEED", 1);
+  const uint64_t seeds = ReadNumber("MAGNOLIAREEL_SIM_SEEDS", 150);
+  size_t operations = 0;
+  size_t failures = 0;
+  for (uint64_t seed = first; seed < first + seeds; ++seed) {
+    const RunResult result = Simulate(seed, {});
+    operations += result.history.size();
+    if (!result.has_recovered) {
+      std::printf("seed %lu: callers are not idle after all faults ended\n",
+                  seed);
+      ++failures;
+    }
+    const auto violations = CheckHistory(result.history);
+    failures += violations.empty() ? 0 : 1;
+    for (const Violation& it : violations) {
+      std::printf("seed %lu: %s: %s: %s\n", seed,
+                  std::string(HistoryRuleName(it.rule)).c_str(),
+                  it.request.c_str(), it.detail.c_str());
+    }
+  }
+  std::printf(
+      "simulation: %lu seeds, %zu operations, %zu seeds with violations\n",
+      seeds, operations, failures);
+  LONGS_EQUAL(0, failures);
+}
+
+TEST(Simulation, NoticesReadsWithoutTheSessionsMark) {
+  SimSwitches switches;
+  switches.has_session_marks = false;
+  size_t violations = 0;
+  for (uint64_t seed = 1; seed <= 3; ++seed) {
+    for (const Violation& it : CheckHistory(Simulate(seed, switches).history)) {
+      violations += it.rule == HistoryRule::kReadYourWrites ? 1 : 0;
+    }
+  }
+  CHECK(violations > 0);
+}
+
+}  // namespace magnoliareel::sim
