--- a/libs/entry/flows/request_flow.h
+++ b/libs/entry/flows/request_flow.h
@@ -125,20 +125,31 @@
 
   void RankEndpoints() {
     const auto hints = context_.state.GetHints();
+    const EndpointId primary = FindPrimary(*hints);
     deployment_ = context_.state.GetDeployment();
     next_endpoint_ = 0;
     next_owner_ = 0;
     if (verb_ == PoolerVerb::kRead) {
       const ReadNeeds needs{admitted_.token.GetMark(admitted_.group->group),
-                            admitted_.request.max_age, context_.site};
+                            admitted_.request.max_age, context_.site, primary};
       const std::lock_guard lock(context_.random_mutex);
       endpoints_ = context_.read_policy.Rank(*admitted_.group, *hints, needs,
                                              context_.random);
       return;
     }
-    const auto primary = hints->GetPrimary(admitted_.group->group);
-    endpoints_ = {primary ? primary->endpoint
-                          : admitted_.group->endpoints.front().endpoint};
+    endpoints_ = {primary.IsEmpty()
+                      ? admitted_.group->endpoints.front().endpoint
+                      : primary};
+  }
+
+  /** What this entry heard goes before what the session remembers, unless the
+      session's is of a later term. */
+  EndpointId FindPrimary(const RouteHints& hints) const {
+    const GroupId& group = admitted_.group->group;
+    const auto hint = hints.GetPrimary(group);
+    const bool is_hint_older =
+        !hint || hint->term < admitted_.token.GetMark(group).term;
+    return is_hint_older ? admitted_.token.GetPrimary(group) : hint->endpoint;
   }
 
   void Send(const EndpointId& endpoint, const VmId& vm, Duration left) {
@@ -209,7 +220,7 @@
     }
     if (verb_ != PoolerVerb::kRead && !answer.primary.IsEmpty() &&
         answer.primary != endpoints_[next_endpoint_]) {
-      endpoints_ = {answer.primary};
+      endpoints_.assign(1, answer.primary);
       next_endpoint_ = 0;
       next_owner_ = 0;
       Attempt();
@@ -282,7 +293,7 @@
     SessionToken& token = admitted_.token;
     const GroupId& group = admitted_.group->group;
     if (answer.point != LogPoint{}) {
-      token.RaiseMark(group, answer.point);
+      token.RaiseMark(group, answer.point, endpoint);
       context_.state.LearnHolders(answer.holders, answer.point);
     }
     if (verb_ == PoolerVerb::kBegin) {
--- a/libs/routing/reads/rank_read_endpoints.cc
+++ b/libs/routing/reads/rank_read_endpoints.cc
@@ -23,11 +23,10 @@
                                             const RouteHints& hints,
                                             const ReadNeeds& needs,
                                             ProcessRandom& random) const {
-  const auto primary = hints.GetPrimary(group.group);
   std::vector<RankedEndpoint> ranked;
   ranked.reserve(group.endpoints.size());
   for (const EndpointShape& it : group.endpoints) {
-    ranked.push_back({primary && primary->endpoint == it.endpoint,
+    ranked.push_back({it.endpoint == needs.primary,
                       hints.GetPoint(it.endpoint) < needs.required,
                       it.site != needs.site, random(), &it});
   }
@@ -51,13 +50,11 @@
 }
 
 std::vector<EndpointId> PrimaryOnly::Rank(const GroupShape& group,
-                                          const RouteHints& hints,
-                                          const ReadNeeds& /*needs*/,
+                                          const RouteHints& /*hints*/,
+                                          const ReadNeeds& needs,
                                           ProcessRandom& /*random*/) const {
-  if (const auto primary = hints.GetPrimary(group.group)) {
-    return {primary->endpoint};
-  }
-  return {group.endpoints.front().endpoint};
+  return {needs.primary.IsEmpty() ? group.endpoints.front().endpoint
+                                  : needs.primary};
 }
 
 }  // namespace magnoliareel
--- a/libs/routing/reads/rank_read_endpoints.h
+++ b/libs/routing/reads/rank_read_endpoints.h
@@ -19,6 +19,8 @@
   std::optional<Duration> max_age;
   /** Site of the process that routes. */
   SiteId site;
+  /** The group's primary, if known. */
+  EndpointId primary;
 };
 
 /** Orders the endpoints of a group for a read with a policy.
--- a/libs/seal/tokens/token_sealer.cc
+++ b/libs/seal/tokens/token_sealer.cc
@@ -90,10 +90,11 @@
   writer.WriteText(token.caller.value);
   writer.WriteText(token.service.value);
   writer.WriteShort(static_cast<uint16_t>(token.marks.size()));
-  for (const auto& [group, point] : token.marks) {
+  for (const auto& [group, point, primary] : token.marks) {
     writer.WriteText(group.value);
     writer.WriteNumber(point.term.value);
     writer.WriteNumber(point.position.value);
+    writer.WriteText(primary.value);
   }
   writer.WriteByte(token.transaction ? 1 : 0);
   if (token.transaction) {
@@ -120,6 +121,7 @@
     mark.group.value = reader.ReadText();
     mark.point.term.value = reader.ReadNumber();
     mark.point.position.value = reader.ReadNumber();
+    mark.primary.value = reader.ReadText();
   }
   if (reader.ReadByte() != 0) {
     TransactionHandle& handle = token.transaction.emplace();
--- a/libs/session/tokens/session_token.cc
+++ b/libs/session/tokens/session_token.cc
@@ -20,12 +20,20 @@
   return it == marks.end() || it->group != group ? LogPoint{} : it->point;
 }
 
-void SessionToken::RaiseMark(const GroupId& group, LogPoint point) {
+EndpointId SessionToken::GetPrimary(const GroupId& group) const {
+  const auto it = FindMark(marks, group);
+  return it == marks.end() || it->group != group ? EndpointId{} : it->primary;
+}
+
+void SessionToken::RaiseMark(const GroupId& group,
+                             LogPoint point,
+                             const EndpointId& primary) {
   const auto it = FindMark(marks, group);
   if (it == marks.end() || it->group != group) {
-    marks.insert(it, GroupMark{group, point});
-  } else {
-    it->point = std::max(it->point, point);
+    marks.insert(it, GroupMark{group, point, primary});
+  } else if (it->point < point) {
+    it->point = point;
+    it->primary = primary;
   }
 }
 
--- a/libs/session/tokens/session_token.h
+++ b/libs/session/tokens/session_token.h
@@ -14,6 +14,8 @@
   GroupId group;
   /** Point of the write; held by a majority of the group. */
   LogPoint point;
+  /** The primary that ran it; tells a fresh entry where not to read. */
+  EndpointId primary;
 
   auto operator<=>(const GroupMark&) const = default;
 };
@@ -57,12 +59,21 @@
   */
   LogPoint GetMark(const GroupId& group) const;
 
+  /** @param group  a group of the service
+      @returns      the primary that ran the last acknowledged write there;
+                    empty if there was none
+  */
+  EndpointId GetPrimary(const GroupId& group) const;
+
   /** Notes an acknowledged write; an older point changes nothing.
 
       @param group  where it was written
       @param point  its point
+      @param primary  the endpoint that ran it
   */
-  void RaiseMark(const GroupId& group, LogPoint point);
+  void RaiseMark(const GroupId& group,
+                 LogPoint point,
+                 const EndpointId& primary);
 };
 
 }  // namespace magnoliareel
