--- a/libs/codec/caller/caller_codec.cc
+++ b/libs/codec/caller/caller_codec.cc
@@ -1,5 +1,6 @@
 #include "codec/caller/caller_codec.h"
 
+#include <algorithm>
 #include <array>
 
 #include "codec/json/common_fields.h"
@@ -105,6 +106,66 @@
   return request;
 }
 
+std::string_view PathOfVerb(CallerVerb verb) {
+  const CallerVerb asked =
+      verb == CallerVerb::kWrite ? CallerVerb::kRead : verb;
+  const auto it = std::find_if(
+      kPaths.begin(), kPaths.end(),
+      [asked](const PathEntry& entry) { return entry.verb == asked; });
+  return it->path;
+}
+
+std::string FormatCallerRequest(const CallerRequest& request) {
+  Json::Value value(Json::objectValue);
+  value["request_id"] = request.request.value;
+  if (request.deadline > Duration::zero()) {
+    value["deadline_ms"] = ToMilliseconds(request.deadline);
+  }
+  if (request.verb == CallerVerb::kOpenSession) {
+    value["service"] = request.service.value;
+  } else {
+    value["token"] = request.token;
+  }
+  const bool is_statement =
+      request.verb == CallerVerb::kRead || request.verb == CallerVerb::kWrite;
+  if (is_statement) {
+    value["kind"] = request.verb == CallerVerb::kWrite ? "write" : "read";
+    value["statement"] = request.statement;
+    value["class"] = std::string(WorkClassName(request.work_class));
+  }
+  if (!request.record_key.empty()) {
+    value["record"] = request.record_key;
+  }
+  if (request.verb == CallerVerb::kWrite) {
+    value["idempotent"] = request.is_idempotent;
+  }
+  if (request.max_age) {
+    value["max_age_ms"] = ToMilliseconds(*request.max_age);
+  }
+  return FormatJson(value);
+}
+
+CallerAnswer ParseCallerAnswer(std::string_view body, Findings& findings) {
+  CallerAnswer answer;
+  const Json::Value value = ParseJsonObject(body, findings);
+  if (!findings.IsEmpty()) {
+    return answer;
+  }
+  ObjectReader reader(value, "", findings);
+  reader.ReadText("request_id", Presence::kOptional, answer.request.value);
+  ReadOutcome(reader, answer.outcome);
+  reader.ReadText("answer", Presence::kOptional, answer.answer,
+                  kMaxAnswerBytes);
+  reader.ReadText("token", Presence::kOptional, answer.token, kMaxTokenBytes);
+  reader.ReadText("endpoint", Presence::kOptional, answer.endpoint.value);
+  reader.ReadObject("error", Presence::kOptional, [&answer](ObjectReader& it) {
+    std::string name;
+    it.ReadText("code", Presence::kRequired, name);
+    answer.ec = ErrorFromName(name);
+  });
+  return answer;
+}
+
 std::string FormatCallerAnswer(const CallerAnswer& answer) {
   Json::Value value(Json::objectValue);
   value["request_id"] = answer.request.value;
--- a/libs/codec/caller/caller_codec.h
+++ b/libs/codec/caller/caller_codec.h
@@ -27,6 +27,21 @@
                                  std::string_view body,
                                  Findings& findings);
 
+/** @param verb  any verb  @returns the path at which it is asked */
+std::string_view PathOfVerb(CallerVerb verb);
+
+/** @param request  any request  @returns its body as JSON, without credentials
+ */
+std::string FormatCallerRequest(const CallerRequest& request);
+
+/** Parses an answer, as callers written with this library do.
+
+    @param body      JSON
+    @param findings  receives every fault of the text itself
+    @returns         the answer as far as it could be read
+*/
+CallerAnswer ParseCallerAnswer(std::string_view body, Findings& findings);
+
 /** @param answer  any answer  @returns its JSON */
 std::string FormatCallerAnswer(const CallerAnswer& answer);
 
--- a/libs/codec/codec.h
+++ b/libs/codec/codec.h
@@ -5,7 +5,7 @@
     @brief Module codec: the JSON encoding of messages, rows and the operators'
     document. No decisions are made here.
 
-    Depends on core, messages, document and jsoncpp.
+    Depends on core, messages, document, history and jsoncpp.
 
     Topics: json/ (checked reading of objects), and one folder for each family
     of messages.
@@ -14,6 +14,7 @@
 #include "codec/control/control_codec.h"
 #include "codec/document/document_codec.h"
 #include "codec/endpoint/endpoint_codec.h"
+#include "codec/history/history_codec.h"
 #include "codec/json/json_text.h"
 #include "codec/json/object_reader.h"
 #include "codec/platform/platform_codec.h"
--- a/libs/codec/json/common_fields.cc
+++ b/libs/codec/json/common_fields.cc
@@ -40,6 +40,17 @@
   value[position] = Json::UInt64(point.position.value);
 }
 
+void ReadOutcome(ObjectReader& reader, Outcome& out) {
+  reader.ReadChoice(
+      "outcome", Presence::kRequired,
+      [&out](std::string_view word) {
+        const auto outcome = OutcomeFromName(word);
+        out = outcome.value_or(Outcome::kUnknown);
+        return outcome.has_value();
+      },
+      "done, failed, not_run, unknown");
+}
+
 void ReadErrorName(ObjectReader& reader, std::error_code& out) {
   std::string name;
   reader.ReadText("error", Presence::kOptional, name);
--- a/libs/codec/json/common_fields.h
+++ b/libs/codec/json/common_fields.h
@@ -44,6 +44,10 @@
                    const char* position,
                    LogPoint point);
 
+/** Reads the field "outcome". @param reader  the object  @param out  receives
+    the outcome */
+void ReadOutcome(ObjectReader& reader, Outcome& out);
+
 /** Reads the optional field "error". @param reader  the object  @param out
     receives the error; unchanged if there is none */
 void ReadErrorName(ObjectReader& reader, std::error_code& out);
--- a/libs/codec/pooler/pooler_codec.cc
+++ b/libs/codec/pooler/pooler_codec.cc
@@ -114,14 +114,7 @@
   }
   ObjectReader reader(value, "", findings);
   reader.ReadText("request", Presence::kRequired, answer.request.value);
-  reader.ReadChoice(
-      "outcome", Presence::kRequired,
-      [&answer](std::string_view word) {
-        const auto outcome = OutcomeFromName(word);
-        answer.outcome = outcome.value_or(Outcome::kUnknown);
-        return outcome.has_value();
-      },
-      "done, failed, not_run, unknown");
+  ReadOutcome(reader, answer.outcome);
   ReadErrorName(reader, answer.ec);
   reader.ReadText("answer", Presence::kOptional, answer.answer,
                   kMaxAnswerBytes);
--- /dev/null
+++ b/libs/codec/tests/codec_test.cc
@@ -0,0 +1,308 @@
+#include <random>
+#include <string>
+#include <vector>
+
+#include "codec/codec.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace magnoliareel {
+namespace {
+
+constexpr int kFuzzRounds = 10000;
+
+/** Changes a text in a few random places. */
+std::string Mutate(std::string text, std::mt19937_64& random) {
+  static const std::vector<std::string> pieces = {
+      "{",       "}",    "[",       "]",
+      "\"",      ",",    ":",       "null",
+      "true",    "-1",   "1e999",   "99999999999999999999",
+      "\\u0000", "\xff", "{\"a\":", "\"token\":",
+      "0"};
+  const size_t changes = 1 + random() % 4;
+  for (size_t n = 0; n < changes; ++n) {
+    const size_t place = text.empty() ? 0 : random() % text.size();
+    switch (random() % 4) {
+      case 0:
+        text.insert(place, pieces[random() % pieces.size()]);
+        break;
+      case 1:
+        text.erase(place, 1 + random() % 8);
+        break;
+      case 2:
+        if (!text.empty()) {
+          text[place] = static_cast<char>(random() % 256);
+        }
+        break;
+      default:
+        text.insert(place, text.substr(place, random() % 16));
+    }
+  }
+  return text;
+}
+
+/** Parses mutated texts: each must give a value or findings with places, and
+    never anything else. */
+template <class Parse>
+void Fuzz(const std::string& valid, uint64_t seed, Parse parse) {
+  std::mt19937_64 random(seed);
+  int refused = 0;
+  for (int n = 0; n < kFuzzRounds; ++n) {
+    Findings findings;
+    parse(Mutate(valid, random), findings);
+    refused += findings.IsEmpty() ? 0 : 1;
+    for (const Finding& it : findings.GetList()) {
+      CHECK(it.code && !it.message.empty());
+    }
+  }
+  CHECK(refused > kFuzzRounds / 4);
+}
+
+std::string MakeDocumentText() {
+  return R"({"services":[{"name":"logs","groups":[{"name":"a","endpoints":[
+    {"name":"a1","site":"x","slots":5,"connections":32},
+    {"name":"a2","site":"y","slots":5,"connections":32},
+    {"name":"a3","site":"z","slots":5,"connections":32}]}]}],
+    "callers":[{"name":"crew","key_hashes":[")" +
+         std::string(64, 'a') + R"("],"services":["logs"]}]})";
+}
+
+PoolerRequest MakePoolerRequest() {
+  PoolerRequest request;
+  request.verb = PoolerVerb::kRead;
+  request.request.value = "r-1";
+  request.caller.value = "crew";
+  request.group.value = "a";
+  request.endpoint.value = "a1";
+  request.statement = "get \"x\"\n";
+  request.required = {{3}, {44}};
+  request.max_age = std::chrono::milliseconds(1500);
+  request.deadline = std::chrono::milliseconds(250);
+  request.work_class = WorkClass::kLong;
+  return request;
+}
+
+EndpointAnswer MakeEndpointAnswer() {
+  EndpointAnswer answer;
+  answer.request = "crew/r-1";
+  answer.answer = "ok";
+  answer.point = {{2}, {9}};
+  answer.report = {
+      EndpointRole::kPrimary, {2}, {{2}, {9}}, {{{1}, {0}}, {{2}, {5}}}, true};
+  answer.records = {{{2}, "crew/r-0", {"put a b", "append c d"}, "committed"}};
+  return answer;
+}
+
+}  // namespace
+
+TEST_GROUP(CallerCodec) {
+  Findings findings;
+};
+
+TEST(CallerCodec, ReadsAStatement) {
+  const CallerRequest request = ParseCallerRequest(
+      CallerVerb::kRead,
+      R"({"request_id":"r","token":"t","kind":"write","record":"k","statement":"put k v",
+          "idempotent":true,"class":"long","deadline_ms":70})",
+      findings);
+  LONGS_EQUAL(0, findings.GetList().size());
+  CHECK(request.verb == CallerVerb::kWrite);
+  CHECK(request.is_idempotent);
+  CHECK(request.work_class == WorkClass::kLong);
+  CHECK(request.deadline == std::chrono::milliseconds(70));
+}
+
+TEST(CallerCodec, ReportsEveryFaultWithItsPlace) {
+  ParseCallerRequest(
+      CallerVerb::kRead,
+      R"({"request_id":7,"kind":"delete","statement":"","colour":"red",
+                         "max_age_ms":-1})",
+      findings);
+  STRCMP_EQUAL(
+      "/request_id: wrong_type: expected a text\n"
+      "/token: missing_field: must be given\n"
+      "/kind: out_of_range: must be one of read, write\n"
+      "/statement: out_of_range: must not be empty\n"
+      "/max_age_ms: out_of_range: must be between 0 and 86400000\n"
+      "/colour: unknown_field: no field of this name is known here\n",
+      findings.FormatLines().c_str());
+}
+
+TEST(CallerCodec, RefusesTextThatIsNoObject) {
+  for (const std::string text :
+       {"", "[]", "7", "{\"a\":1}{", "{\"a\":1,\"a\":2}", "nul"}) {
+    Findings of_text;
+    ParseCallerRequest(CallerVerb::kCommit, text, of_text);
+    CHECK(!of_text.IsEmpty());
+  }
+  Findings of_deep;
+  ParseCallerRequest(CallerVerb::kCommit, std::string(100000, '['), of_deep);
+  CHECK(!of_deep.IsEmpty());
+}
+
+TEST(CallerCodec, RequestsAndAnswersLeadBack) {
+  CallerRequest request;
+  request.verb = CallerVerb::kRead;
+  request.request.value = "r";
+  request.token = "t";
+  request.record_key = "k";
+  request.statement = "get k";
+  request.max_age = std::chrono::milliseconds(5);
+  const CallerRequest read =
+      ParseCallerRequest(*VerbOfPath(PathOfVerb(request.verb)),
+                         FormatCallerRequest(request), findings);
+  CHECK(findings.IsEmpty());
+  CHECK(read.max_age == request.max_age);
+  STRCMP_EQUAL("get k", read.statement.c_str());
+  CallerAnswer answer;
+  answer.request.value = "r";
+  answer.outcome = Outcome::kUnknown;
+  answer.ec = Error::kAnswerLost;
+  answer.token = "t2";
+  const CallerAnswer back =
+      ParseCallerAnswer(FormatCallerAnswer(answer), findings);
+  CHECK(findings.IsEmpty());
+  CHECK(back.outcome == Outcome::kUnknown);
+  CHECK(back.ec == Error::kAnswerLost);
+  STRCMP_EQUAL("t2", back.token.c_str());
+}
+
+TEST_GROUP(MessageCodecs) {
+  Findings findings;
+};
+
+TEST(MessageCodecs, PoolerMessagesLeadBack) {
+  const PoolerRequest request = MakePoolerRequest();
+  const PoolerRequest back =
+      ParsePoolerRequest(FormatPoolerRequest(request), findings);
+  CHECK(findings.IsEmpty());
+  STRCMP_EQUAL(FormatPoolerRequest(request).c_str(),
+               FormatPoolerRequest(back).c_str());
+  PoolerAnswer answer;
+  answer.request.value = "r-1";
+  answer.outcome = Outcome::kDone;
+  answer.point = {{3}, {45}};
+  answer.primary.value = "a1";
+  answer.primary_term.value = 3;
+  answer.holders = {{"a1"}, {"a2"}};
+  const PoolerAnswer answer_back =
+      ParsePoolerAnswer(FormatPoolerAnswer(answer), findings);
+  CHECK(findings.IsEmpty());
+  STRCMP_EQUAL(FormatPoolerAnswer(answer).c_str(),
+               FormatPoolerAnswer(answer_back).c_str());
+}
+
+TEST(MessageCodecs, EndpointMessagesLeadBack) {
+  const EndpointAnswer answer = MakeEndpointAnswer();
+  const EndpointAnswer back =
+      ParseEndpointAnswer(FormatEndpointAnswer(answer), findings);
+  CHECK(findings.IsEmpty());
+  STRCMP_EQUAL(FormatEndpointAnswer(answer).c_str(),
+               FormatEndpointAnswer(back).c_str());
+  EndpointCall call;
+  call.verb = EndpointVerb::kFollow;
+  call.term.value = 8;
+  call.client = "vm-1";
+  call.primary_address = "127.0.0.1:5";
+  call.wait = std::chrono::milliseconds(500);
+  const EndpointCall call_back =
+      ParseEndpointCall(FormatEndpointCall(call), findings);
+  CHECK(findings.IsEmpty());
+  STRCMP_EQUAL(FormatEndpointCall(call).c_str(),
+               FormatEndpointCall(call_back).c_str());
+}
+
+TEST(MessageCodecs, PlatformRowsLeadBack) {
+  const GrantRow row = {{{{"vm-1"}, "i-1", {4}}, {{"vm-2"}, "i-2", {5}}}, {5}};
+  CHECK(ParseGrantRow(FormatGrantRow(row), findings) == row);
+  const DocumentHead head = {7, "abc", "ana", "op-1"};
+  CHECK(ParseDocumentHead(FormatDocumentHead(head), findings) == head);
+  const std::vector<VmEntry> vms = {
+      {{"vm-1"}, {"x"}, "127.0.0.1:1", "127.0.0.1:2", true}};
+  CHECK(ParseVmList(FormatVmList(vms), findings) == vms);
+  CHECK(findings.IsEmpty());
+}
+
+TEST(MessageCodecs, HistoriesLeadBackAndNameTheLineOfAFault) {
+  const Operation operation = {"r",
+                               "s",
+                               OperationKind::kTransaction,
+                               {{"k", "v"}},
+                               Outcome::kDone,
+                               {"a", "b"},
+                               5,
+                               9,
+                               8};
+  const std::string line = FormatOperation(operation);
+  const auto back = ParseHistory(line + "\n", findings);
+  CHECK(findings.IsEmpty());
+  STRCMP_EQUAL(line.c_str(), FormatOperation(back.at(0)).c_str());
+  ParseHistory(line + "\n{}\n", findings);
+  CHECK(findings.GetList().front().place == "line 2/request");
+}
+
+TEST_GROUP(DocumentCodec) {
+  Findings findings;
+};
+
+TEST(DocumentCodec, AcceptsAGoodDocument) {
+  const Document document = ParseDocument(MakeDocumentText(), findings);
+  STRCMP_EQUAL("", findings.FormatLines().c_str());
+  LONGS_EQUAL(3, document.FindGroup({"a"})->endpoints.size());
+}
+
+TEST(DocumentCodec, ReportsAllFindingsOfTheWholeDocument) {
+  ParseDocument(
+      R"({"services":[{"name":"logs","groups":[{"name":"a","endpoints":[
+      {"name":"a1","site":"x","slots":9,"connections":3},
+      {"name":"a1","site":"y","slots":1,"connections":3}]}]}],
+      "callers":[{"name":"crew","key_hashes":["zz"],"services":["other"]}]})",
+      findings);
+  STRCMP_EQUAL(
+      "/services/0/groups/0/endpoints: out_of_range: a group needs at least 3 "
+      "endpoints to survive "
+      "the loss of one; add 1\n"
+      "/services/0/groups/0/endpoints/0/slots: out_of_range: must not exceed "
+      "connections (3)\n"
+      "/services/0/groups/0/endpoints/1/name: duplicate_name: 'a1' is already "
+      "used; choose another "
+      "name\n"
+      "/callers/0/key_hashes/0: out_of_range: must be 64 lower-case hex "
+      "digits, the SHA-256 of the "
+      "key\n"
+      "/callers/0/services/0: unknown_name: no service is named 'other'\n",
+      findings.FormatLines().c_str());
+}
+
+TEST_GROUP(Fuzzing){};
+
+TEST(Fuzzing, CallerRequests) {
+  Fuzz(
+      R"({"request_id":"r","token":"t","kind":"read","record":"k","statement":"get k",
+           "max_age_ms":10,"class":"long","deadline_ms":70})",
+      11, [](const std::string& text, Findings& findings) {
+        ParseCallerRequest(CallerVerb::kRead, text, findings);
+      });
+}
+
+TEST(Fuzzing, PoolerRequests) {
+  Fuzz(FormatPoolerRequest(MakePoolerRequest()), 12,
+       [](const std::string& text, Findings& findings) {
+         ParsePoolerRequest(text, findings);
+       });
+}
+
+TEST(Fuzzing, EndpointAnswers) {
+  Fuzz(FormatEndpointAnswer(MakeEndpointAnswer()), 13,
+       [](const std::string& text, Findings& findings) {
+         ParseEndpointAnswer(text, findings);
+       });
+}
+
+TEST(Fuzzing, Documents) {
+  Fuzz(MakeDocumentText(), 14, [](const std::string& text, Findings& findings) {
+    ParseDocument(text, findings);
+  });
+}
+
+}  // namespace magnoliareel
