Add magnoliareel-load, and let a token name the holders of its last write

The load sends seeded open-loop arrivals, records a history and prints a report. It showed reads with a p99 of 169 ms: an entry that had not served the write tried replicas that were behind, 60 ms each. The token now names the endpoints that held the write at its acknowledgement.

--- /dev/null
+++ b/apps/load/load_report.cc
@@ -0,0 +1,129 @@
+#include "apps/load/load_report.h"
+
+#include <algorithm>
+#include <cstdio>
+
+#include "codec/codec.h"
+
+namespace magnoliareel {
+namespace {
+
+constexpr double kMicrosPerMilli = 1000;
+
+double GetPercentile(std::vector<int64_t> micros, double share) {
+  if (micros.empty()) {
+    return 0;
+  }
+  std::sort(micros.begin(), micros.end());
+  const auto n =
+      static_cast<size_t>(share * static_cast<double>(micros.size() - 1));
+  return static_cast<double>(micros[n]) / kMicrosPerMilli;
+}
+
+uint64_t Get(const std::map<Outcome, uint64_t>& outcomes, Outcome outcome) {
+  const auto it = outcomes.find(outcome);
+  return it == outcomes.end() ? 0 : it->second;
+}
+
+}  // namespace
+
+void LoadReport::Add(const LoadSample& sample) {
+  ++finished_;
+  Row& row = rows_[sample.kind];
+  ++row.outcomes[sample.outcome];
+  if (sample.outcome != Outcome::kDone) {
+    ++errors_[std::string(ErrorName(sample.ec))];
+    return;
+  }
+  ++done_;
+  row.done_micros.push_back(sample.took.count());
+  if (sample.kind.kind == "read") {
+    ++reads_by_endpoint_[sample.endpoint];
+  } else {
+    ++writes_by_endpoint_[sample.endpoint];
+    write_moments_.push_back(sample.at.count());
+  }
+}
+
+double LoadReport::GetReplicaShare() const {
+  uint64_t replica = 0;
+  uint64_t all = 0;
+  for (const auto& [endpoint, n] : reads_by_endpoint_) {
+    all += n;
+    replica += writes_by_endpoint_.contains(endpoint) ? 0 : n;
+  }
+  return all == 0 ? 0 : static_cast<double>(replica) / static_cast<double>(all);
+}
+
+int64_t LoadReport::GetWriteGapMicros() const {
+  std::vector<int64_t> moments = write_moments_;
+  std::sort(moments.begin(), moments.end());
+  int64_t gap = 0;
+  for (size_t n = 1; n < moments.size(); ++n) {
+    gap = std::max(gap, moments[n] - moments[n - 1]);
+  }
+  return gap;
+}
+
+std::string LoadReport::FormatTable() const {
+  std::string text =
+      "caller           class kind        done   failed  not_run unknown   p50 "
+      "ms   p99 ms   max "
+      "ms\n";
+  for (const auto& [kind, row] : rows_) {
+    char buf[256];
+    std::snprintf(buf, sizeof(buf),
+                  "%-16s %-5s %-10s %6lu %8lu %8lu %7lu %8.2f %8.2f %8.2f\n",
+                  kind.caller.c_str(), kind.work_class.c_str(),
+                  kind.kind.c_str(), Get(row.outcomes, Outcome::kDone),
+                  Get(row.outcomes, Outcome::kFailed),
+                  Get(row.outcomes, Outcome::kNotRun),
+                  Get(row.outcomes, Outcome::kUnknown),
+                  GetPercentile(row.done_micros, 0.5),
+                  GetPercentile(row.done_micros, 0.99),
+                  GetPercentile(row.done_micros, 1));
+    text += buf;
+  }
+  for (const auto& [name, n] : errors_) {
+    text += "error " + name + ": " + std::to_string(n) + "\n";
+  }
+  char buf[128];
+  std::snprintf(buf, sizeof(buf),
+                "reads from replicas: %.1f%%; longest gap of writes: %.0f ms\n",
+                GetReplicaShare() * 100,
+                static_cast<double>(GetWriteGapMicros()) / kMicrosPerMilli);
+  return text + buf;
+}
+
+std::string LoadReport::FormatJsonText() const {
+  Json::Value value(Json::objectValue);
+  value["finished"] = Json::UInt64(finished_);
+  value["done"] = Json::UInt64(done_);
+  value["replica_share"] = GetReplicaShare();
+  value["write_gap_ms"] =
+      static_cast<double>(GetWriteGapMicros()) / kMicrosPerMilli;
+  value["rows"] = Json::Value(Json::arrayValue);
+  for (const auto& [kind, row] : rows_) {
+    Json::Value entry(Json::objectValue);
+    entry["caller"] = kind.caller;
+    entry["class"] = kind.work_class;
+    entry["kind"] = kind.kind;
+    for (const Outcome it : {Outcome::kDone, Outcome::kFailed, Outcome::kNotRun,
+                             Outcome::kUnknown}) {
+      entry[std::string(OutcomeName(it))] = Json::UInt64(Get(row.outcomes, it));
+    }
+    entry["p50_ms"] = GetPercentile(row.done_micros, 0.5);
+    entry["p99_ms"] = GetPercentile(row.done_micros, 0.99);
+    entry["max_ms"] = GetPercentile(row.done_micros, 1);
+    value["rows"].append(std::move(entry));
+  }
+  for (const auto& [name, n] : errors_) {
+    value["errors"][name] = Json::UInt64(n);
+  }
+  for (const auto& [name, n] : reads_by_endpoint_) {
+    value["reads_by_endpoint"][name] = Json::UInt64(n);
+  }
+  return FormatJson(value);
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/apps/load/load_run.cc
@@ -0,0 +1,442 @@
+#include "apps/load/load_run.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <random>
+#include <utility>
+
+#include "codec/codec.h"
+
+namespace magnoliareel {
+namespace {
+
+constexpr Duration kAnswerGrace = std::chrono::milliseconds(1000);
+constexpr Duration kRetryPause = std::chrono::milliseconds(100);
+constexpr Duration kProgressSpacing = std::chrono::seconds(1);
+constexpr double kMicrosPerSecond = 1e6;
+
+std::vector<std::string> SplitValues(const std::string& text) {
+  std::vector<std::string> values;
+  for (size_t begin = 0; begin < text.size();) {
+    const size_t end = std::min(text.find(',', begin), text.size());
+    values.push_back(text.substr(begin, end - begin));
+    begin = end + 1;
+  }
+  return values;
+}
+
+CallerAnswer ParseReply(const HttpReply& reply) {
+  CallerAnswer answer;
+  answer.outcome = Outcome::kUnknown;
+  answer.ec = reply.ec;
+  if (reply.ec) {
+    answer.outcome =
+        reply.ec == Error::kUnreachable ? Outcome::kNotRun : Outcome::kUnknown;
+    return answer;
+  }
+  Findings findings;
+  CallerAnswer parsed = ParseCallerAnswer(reply.body, findings);
+  if (!findings.IsEmpty()) {
+    answer.ec = Error::kMalformedMessage;
+    return answer;
+  }
+  return parsed;
+}
+
+}  // namespace
+
+LoadRun::LoadRun(LoadSettings settings, ControlLoop& loop)
+    : settings_(std::move(settings)),
+      loop_(loop),
+      random_(static_cast<uint64_t>(settings_.seed)) {}
+
+void LoadRun::Start(std::function<void()> done) {
+  done_ = std::move(done);
+  began_ = loop_.Now();
+  ScheduleArrival();
+  loop_.After(kProgressSpacing, [this] { ReportProgress(); });
+}
+
+void LoadRun::ScheduleArrival() {
+  const double rate = static_cast<double>(settings_.rate) * GetFactor();
+  std::exponential_distribution<double> spacing(rate / kMicrosPerSecond);
+  // Measured from the planned moment, so that delays of this process do not
+  // thin out the arrivals.
+  const auto wait = Duration(static_cast<int64_t>(spacing(random_)));
+  loop_.After(wait, [this] {
+    if (loop_.Now() - began_ >=
+        std::chrono::milliseconds(settings_.duration_ms)) {
+      is_ending_ = true;
+      EndIfIdle();
+      return;
+    }
+    Arrive();
+    ScheduleArrival();
+  });
+}
+
+double LoadRun::GetFactor() const {
+  const auto at = loop_.Now() - began_;
+  const auto begin = std::chrono::milliseconds(settings_.crest_at_ms);
+  const bool is_crest = at >= begin && at < begin + std::chrono::milliseconds(
+                                                        settings_.crest_for_ms);
+  return is_crest ? static_cast<double>(settings_.crest_factor) : 1;
+}
+
+void LoadRun::ReportProgress() {
+  std::printf(
+      "%3ld s: %lu arrived, %zu finished, %zu done, %zu in progress, %lu "
+      "sessions\n",
+      std::chrono::duration_cast<std::chrono::seconds>(loop_.Now() - began_)
+          .count(),
+      arrivals_, report_.CountFinished(), report_.CountDone(), in_progress_,
+      sessions_);
+  std::fflush(stdout);
+  if (!is_ending_) {
+    loop_.After(kProgressSpacing, [this] { ReportProgress(); });
+  }
+}
+
+const LoadCaller& LoadRun::ChooseCaller() {
+  int64_t total = 0;
+  for (const LoadCaller& it : settings_.callers) {
+    total += it.weight;
+  }
+  int64_t n = static_cast<int64_t>(random_() % static_cast<uint64_t>(total));
+  for (const LoadCaller& it : settings_.callers) {
+    n -= it.weight;
+    if (n < 0) {
+      return it;
+    }
+  }
+  return settings_.callers.back();
+}
+
+LoadRun::ArrivalRef LoadRun::MakeArrival() {
+  auto arrival = std::make_shared<Arrival>();
+  arrival->arrived = loop_.Now();
+  const auto choice = static_cast<int64_t>(random_() % 1000);
+  const std::string record =
+      "record-" +
+      std::to_string(random_() % static_cast<uint64_t>(settings_.records));
+  const std::string value = "v" + std::to_string(arrivals_);
+  if (choice < settings_.transactions_permille) {
+    arrival->is_transaction = true;
+    arrival->verb = CallerVerb::kBegin;
+    arrival->additions = {{record, value + "x"}, {record, value + "y"}};
+    return arrival;
+  }
+  const bool is_write =
+      choice < settings_.transactions_permille + settings_.writes_permille;
+  arrival->verb = is_write ? CallerVerb::kWrite : CallerVerb::kRead;
+  arrival->additions = {{record, value}};
+  if (static_cast<int64_t>(random_() % 1000) < settings_.long_permille) {
+    arrival->work_class = WorkClass::kLong;
+  }
+  return arrival;
+}
+
+void LoadRun::Arrive() {
+  ++arrivals_;
+  ++in_progress_;
+  const LoadCaller& caller = ChooseCaller();
+  const ArrivalRef arrival = MakeArrival();
+  WithSession(caller, [this, arrival](const SessionRef& session) {
+    if (arrival->is_transaction) {
+      RunTransaction(session, arrival);
+    } else {
+      RunStatement(session, arrival);
+    }
+  });
+}
+
+void LoadRun::WithSession(const LoadCaller& caller,
+                          const std::function<void(SessionRef)>& use) {
+  auto& idle = idle_[caller.name];
+  if (idle.empty()) {
+    OpenSession(caller, use);
+    return;
+  }
+  const SessionRef session = idle.back();
+  idle.pop_back();
+  use(session);
+}
+
+void LoadRun::OpenSession(const LoadCaller& caller,
+                          const std::function<void(SessionRef)>& use) {
+  auto session = std::make_shared<Session>();
+  session->caller = &caller;
+  session->name = caller.name + "-" + std::to_string(++sessions_);
+  CallerRequest request = MakeRequest(CallerVerb::kOpenSession, session->name);
+  request.service.value = settings_.service;
+  Ask(session, std::move(request),
+      [this, session, use](const CallerAnswer& answer) {
+        if (answer.outcome == Outcome::kDone) {
+          use(session);
+          return;
+        }
+        loop_.After(kRetryPause, [this, session, use] {
+          OpenSession(*session->caller, use);
+        });
+      });
+}
+
+std::string LoadRun::MakeStatement(const Arrival& arrival,
+                                   const Addition& addition) const {
+  std::string text;
+  const int64_t work = arrival.work_class == WorkClass::kLong
+                           ? settings_.long_ms
+                           : settings_.short_ms;
+  if (work > 0) {
+    text = "work " + std::to_string(work) + " ";
+  }
+  if (arrival.verb == CallerVerb::kRead) {
+    return text + "get " + addition.record;
+  }
+  // A history needs every value; without one, records stay small.
+  const char* verb = settings_.history.empty() ? "put " : "append ";
+  return text + verb + addition.record + " " + addition.value;
+}
+
+void LoadRun::RunStatement(const SessionRef& session,
+                           const ArrivalRef& arrival) {
+  const bool is_write = arrival->verb == CallerVerb::kWrite;
+  BeginOperation(session, *arrival,
+                 is_write ? OperationKind::kWrite : OperationKind::kRead);
+  CallerRequest request =
+      MakeRequest(arrival->verb, history_[arrival->operation].request);
+  request.record_key = arrival->additions.front().record;
+  request.statement = MakeStatement(*arrival, arrival->additions.front());
+  if (settings_.long_declared != 0) {
+    request.work_class = arrival->work_class;
+  }
+  request.is_idempotent = is_write && static_cast<int64_t>(random_() % 1000) <
+                                          settings_.idempotent_permille;
+  if (!is_write && settings_.max_age_ms >= 0) {
+    request.max_age = std::chrono::milliseconds(settings_.max_age_ms);
+  }
+  Ask(session, std::move(request),
+      [this, session, arrival](const CallerAnswer& answer) {
+        Finish(session, arrival, answer);
+      });
+}
+
+void LoadRun::RunTransaction(const SessionRef& session,
+                             const ArrivalRef& arrival) {
+  BeginOperation(session, *arrival, OperationKind::kTransaction);
+  CallerRequest request = MakeRequest(
+      CallerVerb::kBegin, history_[arrival->operation].request + "-begin");
+  request.record_key = arrival->additions.front().record;
+  Ask(session, std::move(request),
+      [this, session, arrival](const CallerAnswer& answer) {
+        if (answer.outcome == Outcome::kDone) {
+          AddInTransaction(session, arrival, 0);
+        } else {
+          GiveUpTransaction(session, arrival, answer);
+        }
+      });
+}
+
+void LoadRun::AddInTransaction(const SessionRef& session,
+                               const ArrivalRef& arrival,
+                               size_t number) {
+  const std::string& name = history_[arrival->operation].request;
+  if (number == arrival->additions.size()) {
+    history_[arrival->operation].commit_began = GetMicros();
+    Ask(session, MakeRequest(CallerVerb::kCommit, name),
+        [this, session, arrival](const CallerAnswer& answer) {
+          Finish(session, arrival, answer);
+        });
+    return;
+  }
+  CallerRequest request =
+      MakeRequest(CallerVerb::kWrite, name + "-" + std::to_string(number));
+  request.statement = MakeStatement(*arrival, arrival->additions[number]);
+  Ask(session, std::move(request),
+      [this, session, arrival, number](const CallerAnswer& answer) {
+        if (answer.outcome == Outcome::kDone) {
+          AddInTransaction(session, arrival, number + 1);
+        } else {
+          GiveUpTransaction(session, arrival, answer);
+        }
+      });
+}
+
+/** No commit was sent, so nothing of it may ever be seen; the session, whose
+    transaction may still be open, is not used again. */
+void LoadRun::GiveUpTransaction(const SessionRef& session,
+                                const ArrivalRef& arrival,
+                                const CallerAnswer& answer) {
+  CallerAnswer result = answer;
+  result.outcome = Outcome::kNotRun;
+  Ask(session, MakeRequest(CallerVerb::kRollback, session->name + "-rollback"),
+      [](const CallerAnswer&) {});
+  NoteOutcome(*arrival, result);
+}
+
+void LoadRun::Finish(const SessionRef& session,
+                     const ArrivalRef& arrival,
+                     const CallerAnswer& answer) {
+  if (arrival->verb == CallerVerb::kRead) {
+    history_[arrival->operation].seen = SplitValues(answer.answer);
+  }
+  // After a commit in doubt the token may still name the transaction.
+  if (!arrival->is_transaction || answer.outcome == Outcome::kDone) {
+    idle_[session->caller->name].push_back(session);
+  }
+  if (answer.outcome == Outcome::kUnknown) {
+    caller_of_operation_[history_[arrival->operation].request] =
+        *session->caller;
+  }
+  NoteOutcome(*arrival, answer);
+}
+
+void LoadRun::NoteOutcome(const Arrival& arrival, const CallerAnswer& answer) {
+  Operation& operation = history_[arrival.operation];
+  operation.outcome = answer.outcome;
+  operation.ended = GetMicros();
+  const char* kind = arrival.is_transaction               ? "transaction"
+                     : arrival.verb == CallerVerb::kWrite ? "write"
+                                                          : "read";
+  const std::string caller =
+      operation.session.substr(0, operation.session.rfind('-'));
+  report_.Add({{caller, std::string(WorkClassName(arrival.work_class)), kind},
+               answer.outcome,
+               answer.ec,
+               loop_.Now() - began_,
+               loop_.Now() - arrival.arrived,
+               answer.endpoint.value});
+  if (settings_.history.empty()) {
+    operation.seen.clear();
+  }
+  --in_progress_;
+  EndIfIdle();
+}
+
+void LoadRun::BeginOperation(const SessionRef& session,
+                             Arrival& arrival,
+                             OperationKind kind) {
+  Operation operation;
+  operation.request = "s" + std::to_string(settings_.seed) + "-" +
+                      std::to_string(history_.size());
+  operation.session = session->name;
+  operation.kind = kind;
+  operation.additions = arrival.additions;
+  if (kind == OperationKind::kRead) {
+    operation.additions.front().value.clear();
+  }
+  operation.began = GetMicros();
+  arrival.operation = history_.size();
+  history_.push_back(std::move(operation));
+}
+
+void LoadRun::Ask(const SessionRef& session, CallerRequest request, Next next) {
+  HttpCall call;
+  const std::string& entry =
+      settings_.entries[random_() % settings_.entries.size()];
+  ParseSocketAddress(entry, call.address);
+  call.path = PathOfVerb(request.verb);
+  request.token = session->token;
+  call.body = FormatCallerRequest(request);
+  call.headers = {"X-Magnoliareel-Caller: " + session->caller->name,
+                  "X-Magnoliareel-Key: " + session->caller->key};
+  call.timeout = request.deadline + kAnswerGrace;
+  client_.Send(std::move(call),
+               [this, session, next = std::move(next)](const HttpReply& reply) {
+                 loop_.Post([session, next, answer = ParseReply(reply)] {
+                   if (!answer.token.empty()) {
+                     session->token = answer.token;
+                   }
+                   next(answer);
+                 });
+               });
+}
+
+CallerRequest LoadRun::MakeRequest(CallerVerb verb, std::string name) const {
+  CallerRequest request;
+  request.verb = verb;
+  request.request.value = std::move(name);
+  request.deadline = std::chrono::milliseconds(settings_.deadline_ms);
+  return request;
+}
+
+void LoadRun::EndIfIdle() {
+  if (!is_ending_ || in_progress_ > 0) {
+    return;
+  }
+  if (settings_.history.empty()) {
+    done_();
+    return;
+  }
+  SettleNext();
+}
+
+/** Settles every operation in doubt, one after another. */
+void LoadRun::SettleNext() {
+  while (next_settled_ < history_.size() &&
+         !(history_[next_settled_].outcome == Outcome::kUnknown &&
+           history_[next_settled_].kind != OperationKind::kRead)) {
+    ++next_settled_;
+  }
+  if (next_settled_ == history_.size()) {
+    ReadFinal(0);
+    return;
+  }
+  Operation& operation = history_[next_settled_];
+  OpenSession(caller_of_operation_.at(operation.request),
+              [this, &operation](const SessionRef& session) {
+                CallerRequest request =
+                    MakeRequest(CallerVerb::kSettle, operation.request);
+                request.record_key = operation.additions.front().record;
+                Ask(session, std::move(request),
+                    [this, &operation](const CallerAnswer& answer) {
+                      operation.outcome = answer.outcome;
+                      operation.ended = GetMicros();
+                      loop_.After(answer.outcome == Outcome::kUnknown
+                                      ? kRetryPause
+                                      : Duration(0),
+                                  [this] { SettleNext(); });
+                    });
+              });
+}
+
+/** Reads each record from its primary. */
+void LoadRun::ReadFinal(size_t record) {
+  if (record == static_cast<size_t>(settings_.records)) {
+    done_();
+    return;
+  }
+  WithSession(
+      settings_.callers.front(), [this, record](const SessionRef& session) {
+        const std::string name = "record-" + std::to_string(record);
+        CallerRequest request = MakeRequest(CallerVerb::kRead, "final-" + name);
+        request.record_key = name;
+        request.statement = "get " + name;
+        request.max_age = Duration::zero();
+        const int64_t began = GetMicros();
+        Ask(session, std::move(request),
+            [this, session, record, name, began](const CallerAnswer& answer) {
+              idle_[session->caller->name].push_back(session);
+              if (answer.outcome != Outcome::kDone) {
+                loop_.After(kRetryPause, [this, record] { ReadFinal(record); });
+                return;
+              }
+              history_.push_back({"final-" + name,
+                                  "final",
+                                  OperationKind::kFinalRead,
+                                  {{name, ""}},
+                                  Outcome::kDone,
+                                  SplitValues(answer.answer),
+                                  began,
+                                  GetMicros(),
+                                  0});
+              ReadFinal(record + 1);
+            });
+      });
+}
+
+int64_t LoadRun::GetMicros() const {
+  return (loop_.Now() - began_).count();
+}
+
+}  // namespace magnoliareel
--- a/libs/entry/flows/request_flow.h
+++ b/libs/entry/flows/request_flow.h
@@ -130,8 +130,9 @@
     next_endpoint_ = 0;
     next_owner_ = 0;
     if (verb_ == PoolerVerb::kRead) {
-      const ReadNeeds needs{admitted_.token.GetMark(admitted_.group->group),
-                            admitted_.request.max_age, context_.site, primary};
+      GroupMark mark = admitted_.token.GetMark(admitted_.group->group);
+      const ReadNeeds needs{mark.point, admitted_.request.max_age,
+                            context_.site, primary, std::move(mark.holders)};
       const std::lock_guard lock(context_.random_mutex);
       endpoints_ = context_.read_policy.Rank(*admitted_.group, *hints, needs,
                                              context_.random);
@@ -147,9 +148,9 @@
   EndpointId FindPrimary(const RouteHints& hints) const {
     const GroupId& group = admitted_.group->group;
     const auto hint = hints.GetPrimary(group);
-    const bool is_hint_older =
-        !hint || hint->term < admitted_.token.GetMark(group).term;
-    return is_hint_older ? admitted_.token.GetPrimary(group) : hint->endpoint;
+    const GroupMark mark = admitted_.token.GetMark(group);
+    return !hint || hint->term < mark.point.term ? mark.primary
+                                                 : hint->endpoint;
   }
 
   void Send(const EndpointId& endpoint, const VmId& vm, Duration left) {
@@ -293,7 +294,7 @@
     SessionToken& token = admitted_.token;
     const GroupId& group = admitted_.group->group;
     if (answer.point != LogPoint{}) {
-      token.RaiseMark(group, answer.point, endpoint);
+      token.RaiseMark({group, answer.point, endpoint, answer.holders});
       context_.state.LearnHolders(answer.holders, answer.point);
     }
     if (verb_ == PoolerVerb::kBegin) {
--- a/libs/failover/groups/group_state.cc
+++ b/libs/failover/groups/group_state.cc
@@ -91,6 +91,9 @@
 }
 
 bool GroupState::IsHeldByMajority(LogPoint point) const {
+  if (point == LogPoint{}) {
+    return true;
+  }
   const auto primary = GetPrimary();
   if (primary && primary->term > point.term) {
     const Lineage& lineage = Find(primary->endpoint)->report->lineage;
--- a/libs/http/client/http_client.cc
+++ b/libs/http/client/http_client.cc
@@ -18,11 +18,17 @@
 constexpr auto kConnectTimeout = std::chrono::milliseconds(1000);
 
 struct CallInProgress {
+  CallInProgress() = default;
+  ~CallInProgress() { curl_slist_free_all(headers); }
+  CallInProgress(const CallInProgress&) = delete;
+  CallInProgress& operator=(const CallInProgress&) = delete;
+
   HttpCall call;
   HttpClient::Completion done;
   std::string answer;
   size_t sent_bytes = 0;
   bool is_too_large = false;
+  curl_slist* headers = nullptr;
 };
 
 size_t ReadBody(char* out, size_t size, size_t count, void* context) {
@@ -146,7 +152,7 @@
     curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
-    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers_);
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, MakeHeaders(*progress));
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, ToMilliseconds(call.timeout));
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                      ToMilliseconds(kConnectTimeout));
@@ -165,6 +171,19 @@
     calls_.emplace(easy, std::move(progress));
   }
 
+  curl_slist* MakeHeaders(CallInProgress& progress) const {
+    if (progress.call.headers.empty()) {
+      return headers_;
+    }
+    for (const curl_slist* it = headers_; it != nullptr; it = it->next) {
+      progress.headers = curl_slist_append(progress.headers, it->data);
+    }
+    for (const std::string& it : progress.call.headers) {
+      progress.headers = curl_slist_append(progress.headers, it.c_str());
+    }
+    return progress.headers;
+  }
+
   void FinishCalls() {
     int left = 0;
     while (CURLMsg* message = curl_multi_info_read(multi_, &left)) {
--- a/libs/http/client/http_client.h
+++ b/libs/http/client/http_client.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <system_error>
+#include <vector>
 
 #include "core/core.h"
 #include "settings/settings.h"
@@ -19,6 +20,8 @@
   std::string path;
   /** Body of the POST; an empty body makes a GET. */
   std::string body;
+  /** Further header lines, "Name: value". */
+  std::vector<std::string> headers;
   /** Longest time until the whole answer has arrived. */
   Duration timeout{0};
   /** Longest answer accepted, in bytes. */
--- a/libs/pooler/core/pooler_core.h
+++ b/libs/pooler/core/pooler_core.h
@@ -382,11 +382,18 @@
             answer.outcome = Outcome::kUnknown;
             answer.ec = Error::kDeadlineExceeded;
             answer.answer.clear();
+            NoteMissed(job, point);
           }
           Answer(job, std::move(answer));
         });
   }
 
+  void NoteMissed(const JobRef& job, LogPoint point) const {
+    if (job->request.verb != PoolerVerb::kRead) {
+      options_.events.on_ack_missed(job->request.group, point);
+    }
+  }
+
   // Transactions.
 
   TransactionId OpenTransactionFor(const JobRef& job,
--- a/libs/pooler/groups/group_desk.h
+++ b/libs/pooler/groups/group_desk.h
@@ -119,13 +119,7 @@
                             Term ran_in,
                             TimePoint deadline,
                             AckTracker::Completion done) {
-    acks_.Add(point, ran_in, executor_.Now(), deadline,
-              [this, point, done = std::move(done)](bool is_acknowledged) {
-                if (!is_acknowledged) {
-                  options_.events.on_ack_missed(group_, point);
-                }
-                done(is_acknowledged);
-              });
+    acks_.Add(point, ran_in, executor_.Now(), deadline, std::move(done));
     Advance();
   }
 
--- a/libs/routing/reads/rank_read_endpoints.cc
+++ b/libs/routing/reads/rank_read_endpoints.cc
@@ -1,5 +1,6 @@
 #include "routing/reads/rank_read_endpoints.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace magnoliareel {
@@ -17,6 +18,14 @@
   }
 };
 
+bool IsKnownToHold(const EndpointId& endpoint,
+                   const RouteHints& hints,
+                   const ReadNeeds& needs) {
+  const auto& holders = needs.holders;
+  return hints.GetPoint(endpoint) >= needs.required ||
+         std::find(holders.begin(), holders.end(), endpoint) != holders.end();
+}
+
 }  // namespace
 
 std::vector<EndpointId> ReplicasFirst::Rank(const GroupShape& group,
@@ -27,7 +36,7 @@
   ranked.reserve(group.endpoints.size());
   for (const EndpointShape& it : group.endpoints) {
     ranked.push_back({it.endpoint == needs.primary,
-                      hints.GetPoint(it.endpoint) < needs.required,
+                      !IsKnownToHold(it.endpoint, hints, needs),
                       it.site != needs.site, random(), &it});
   }
   // An age of zero is met by the primary alone.
--- a/libs/routing/reads/rank_read_endpoints.h
+++ b/libs/routing/reads/rank_read_endpoints.h
@@ -21,6 +21,8 @@
   SiteId site;
   /** The group's primary, if known. */
   EndpointId primary;
+  /** Endpoints known to hold the point. */
+  std::vector<EndpointId> holders;
 };
 
 /** Orders the endpoints of a group for a read with a policy.
--- a/libs/seal/tokens/token_sealer.cc
+++ b/libs/seal/tokens/token_sealer.cc
@@ -90,11 +90,15 @@
   writer.WriteText(token.caller.value);
   writer.WriteText(token.service.value);
   writer.WriteShort(static_cast<uint16_t>(token.marks.size()));
-  for (const auto& [group, point, primary] : token.marks) {
+  for (const auto& [group, point, primary, holders] : token.marks) {
     writer.WriteText(group.value);
     writer.WriteNumber(point.term.value);
     writer.WriteNumber(point.position.value);
     writer.WriteText(primary.value);
+    writer.WriteByte(static_cast<unsigned char>(holders.size()));
+    for (const EndpointId& it : holders) {
+      writer.WriteText(it.value);
+    }
   }
   writer.WriteByte(token.transaction ? 1 : 0);
   if (token.transaction) {
@@ -122,6 +126,10 @@
     mark.point.term.value = reader.ReadNumber();
     mark.point.position.value = reader.ReadNumber();
     mark.primary.value = reader.ReadText();
+    const unsigned char holders = reader.ReadByte();
+    for (unsigned char k = 0; k < holders && reader.IsValid(); ++k) {
+      mark.holders.push_back({reader.ReadText()});
+    }
   }
   if (reader.ReadByte() != 0) {
     TransactionHandle& handle = token.transaction.emplace();
--- a/libs/session/tokens/session_token.cc
+++ b/libs/session/tokens/session_token.cc
@@ -1,6 +1,7 @@
 #include "session/tokens/session_token.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace magnoliareel {
 namespace {
@@ -15,25 +16,18 @@
 
 }  // namespace
 
-LogPoint SessionToken::GetMark(const GroupId& group) const {
+GroupMark SessionToken::GetMark(const GroupId& group) const {
   const auto it = FindMark(marks, group);
-  return it == marks.end() || it->group != group ? LogPoint{} : it->point;
+  return it == marks.end() || it->group != group ? GroupMark{group, {}, {}, {}}
+                                                 : *it;
 }
 
-EndpointId SessionToken::GetPrimary(const GroupId& group) const {
-  const auto it = FindMark(marks, group);
-  return it == marks.end() || it->group != group ? EndpointId{} : it->primary;
-}
-
-void SessionToken::RaiseMark(const GroupId& group,
-                             LogPoint point,
-                             const EndpointId& primary) {
-  const auto it = FindMark(marks, group);
-  if (it == marks.end() || it->group != group) {
-    marks.insert(it, GroupMark{group, point, primary});
-  } else if (it->point < point) {
-    it->point = point;
-    it->primary = primary;
+void SessionToken::RaiseMark(GroupMark mark) {
+  const auto it = FindMark(marks, mark.group);
+  if (it == marks.end() || it->group != mark.group) {
+    marks.insert(it, std::move(mark));
+  } else if (it->point < mark.point) {
+    *it = std::move(mark);
   }
 }
 
--- a/libs/session/tokens/session_token.h
+++ b/libs/session/tokens/session_token.h
@@ -16,6 +16,8 @@
   LogPoint point;
   /** The primary that ran it; tells a fresh entry where not to read. */
   EndpointId primary;
+  /** Endpoints known to hold it; tells a fresh entry where to read. */
+  std::vector<EndpointId> holders;
 
   auto operator<=>(const GroupMark&) const = default;
 };
@@ -54,26 +56,17 @@
   auto operator<=>(const SessionToken&) const = default;
 
   /** @param group  a group of the service
-      @returns      the last acknowledged write there; the log's beginning if
-                    there was none
+      @returns      the last acknowledged write there; a mark at the log's
+                    beginning if there was none
   */
-  LogPoint GetMark(const GroupId& group) const;
+  GroupMark GetMark(const GroupId& group) const;
 
-  /** @param group  a group of the service
-      @returns      the primary that ran the last acknowledged write there;
-                    empty if there was none
-  */
-  EndpointId GetPrimary(const GroupId& group) const;
-
-  /** Notes an acknowledged write; an older point changes nothing.
+  /** Notes an acknowledged write; one that is older than the group's mark
+      changes nothing.
 
-      @param group  where it was written
-      @param point  its point
-      @param primary  the endpoint that ran it
+      @param mark  where it is and who holds it
   */
-  void RaiseMark(const GroupId& group,
-                 LogPoint point,
-                 const EndpointId& primary);
+  void RaiseMark(GroupMark mark);
 };
 
 }  // namespace magnoliareel
--- a/scripts/demo-cluster.sh
+++ b/scripts/demo-cluster.sh
@@ -90,3 +90,9 @@
   done
   pids=()
 }
+
+# has_primary: whether pooler 1 knows a primary.
+has_primary() {
+  curl -sf -d '{"jsonrpc":"2.0","id":1,"method":"status","params":{}}' \
+    http://127.0.0.1:7301/rpc | jq -e '.result.groups[0].primary != ""'
+}
