--- a/scripts/demo-cluster.sh
+++ b/scripts/demo-cluster.sh
@@ -10,12 +10,15 @@
 endpoints=(groyne-a-1 groyne-a-2 groyne-a-3)
 endpoint_flag=groyne-a-1=127.0.0.1:7201,groyne-a-2=127.0.0.1:7202,groyne-a-3=127.0.0.1:7203
 pids=()
+declare -A pid_of=()
+endpoint_options=()
 
 start() {
   local name=$1
   shift
   "$@" >"$log_dir/$name.log" 2>&1 &
   pids+=("$!")
+  pid_of[$name]=$!
 }
 
 start_platform() {
@@ -31,7 +34,7 @@
 start_endpoints() {
   for n in 1 2 3; do
     start "endpoint-$n" "$bin_dir/standins/endpoint/standin-endpoint" \
-      --listen "127.0.0.1:$((7200 + n))" --lag-ms 30
+      --listen "127.0.0.1:$((7200 + n))" --lag-ms 30 "${endpoint_options[@]}"
   done
 }
 
