--- a/apps/entry/entry_process.cc
+++ b/apps/entry/entry_process.cc
@@ -32,7 +32,8 @@
 
 }  // namespace
 
-EntryProcess::EntryProcess(EntrySettings settings)
+template <EntryPolicy P>
+EntryProcess<P>::EntryProcess(EntrySettings settings)
     : settings_(std::move(settings)),
       sealer_(settings_.token_keys),
       metrics_("magnoliareel_entry"),
@@ -63,7 +64,8 @@
   peers_.SetPeers(settings_.peers);
 }
 
-std::error_code EntryProcess::Start() {
+template <EntryPolicy P>
+std::error_code EntryProcess<P>::Start() {
   loop_.Post([this] {
     watcher_.Start();
     peers_.Start();
@@ -80,7 +82,8 @@
   return {};
 }
 
-void EntryProcess::Stop() {
+template <EntryPolicy P>
+void EntryProcess<P>::Stop() {
   LogEvent(Event::kStopping,
            {{"in_progress", std::to_string(server_.CountInProgress())}});
   is_draining_ = true;
@@ -89,7 +92,8 @@
   LogEvent(Event::kStopped, {{"program", "magnoliareel-entry"}});
 }
 
-DeploymentEvents EntryProcess::MakeDeploymentEvents() {
+template <EntryPolicy P>
+DeploymentEvents EntryProcess<P>::MakeDeploymentEvents() {
   DeploymentEvents events;
   events.on_change = [this](std::shared_ptr<const Deployment> deployment) {
     ApplyDeployment(std::move(deployment));
@@ -108,7 +112,8 @@
   return events;
 }
 
-void EntryProcess::ApplyDeployment(
+template <EntryPolicy P>
+void EntryProcess<P>::ApplyDeployment(
     std::shared_ptr<const Deployment> deployment) {
   if (deployment->version != version_) {
     version_ = deployment->version;
@@ -123,7 +128,9 @@
   state_.Apply(std::move(deployment));
 }
 
-void EntryProcess::Accept(HttpRequest request, const HttpResponder& responder) {
+template <EntryPolicy P>
+void EntryProcess<P>::Accept(HttpRequest request,
+                             const HttpResponder& responder) {
   if (request.path == "/metrics") {
     responder.Send({200, metrics_.RenderText(), "text/plain"});
   } else if (!VerbOfPath(request.path)) {
@@ -139,8 +146,9 @@
   }
 }
 
-void EntryProcess::AcceptRequest(HttpRequest request,
-                                 const HttpResponder& responder) {
+template <EntryPolicy P>
+void EntryProcess<P>::AcceptRequest(HttpRequest request,
+                                    const HttpResponder& responder) {
   CallerAnswer refusal;
   CallerRequest parsed = ParseCallerRequest(*VerbOfPath(request.path),
                                             request.body, refusal.findings);
@@ -155,8 +163,9 @@
   SendAnswer(refusal, responder);
 }
 
-void EntryProcess::Serve(CallerRequest request,
-                         const HttpResponder& responder) {
+template <EntryPolicy P>
+void EntryProcess<P>::Serve(CallerRequest request,
+                            const HttpResponder& responder) {
   const TimePoint arrived = loop_.Now();
   CallerRequest kept;
   kept.caller = request.caller;
@@ -167,10 +176,11 @@
   });
 }
 
-void EntryProcess::Finish(const CallerRequest& request,
-                          TimePoint arrived,
-                          const CallerAnswer& answer,
-                          const HttpResponder& responder) {
+template <EntryPolicy P>
+void EntryProcess<P>::Finish(const CallerRequest& request,
+                             TimePoint arrived,
+                             const CallerAnswer& answer,
+                             const HttpResponder& responder) {
   const Duration total = loop_.Now() - arrived;
   // Callers that are not known must not create labels.
   const bool is_known =
@@ -186,4 +196,9 @@
   SendAnswer(answer, responder);
 }
 
+template class EntryProcess<StandardEntryPolicy>;
+template class EntryProcess<PrimaryReadsPolicy>;
+template class EntryProcess<UnmarkedReadsPolicy>;
+template class EntryProcess<NoDoubtPolicy>;
+
 }  // namespace magnoliareel
--- a/apps/entry/entry_process.h
+++ b/apps/entry/entry_process.h
@@ -20,7 +20,11 @@
 
     The control thread is `loop_`; the threads of `server_` and `client_` carry
     traffic and read what it publishes.
+
+    @tparam P  the product's behaviour or a baseline; instantiated for each in
+               the .cc file
 */
+template <EntryPolicy P>
 class EntryProcess {
  public:
   /** @param settings  its settings */
@@ -54,7 +58,7 @@
   PlatformClient<ControlLoop> platform_;
   RpcLink<ControlLoop> rpc_;
   EntryState<ControlLoop> state_;
-  EntryService<ControlLoop, HttpPoolerLink> service_;
+  EntryService<ControlLoop, HttpPoolerLink, P> service_;
   DeploymentWatcher<ControlLoop> watcher_;
   PeerDocuments<ControlLoop> peers_;
   HttpServer server_;
--- a/apps/entry/entry_settings.cc
+++ b/apps/entry/entry_settings.cc
@@ -43,6 +43,8 @@
       [&out](std::string_view text) {
         return ParseTokenKeys(text, out.token_keys);
       });
+  table.AddText("policy", "standard, or a baseline for experiments", true,
+                out.policy);
   table.AddNumber("max-connections", "most caller connections", 1, 1000000,
                   out.max_connections);
   table.AddNumber("max-body-bytes", "largest request body, bytes", 1024,
--- a/apps/entry/entry_settings.h
+++ b/apps/entry/entry_settings.h
@@ -28,6 +28,8 @@
   std::vector<std::string> peers;
   /** Keys that authenticate session tokens, the sealing one first. */
   std::vector<SealingKey> token_keys;
+  /** The product's behaviour, or a baseline for experiments. */
+  std::string policy = "standard";
   /** Most caller connections. */
   int64_t max_connections = 20000;
   /** Largest request body, in bytes. */
--- a/apps/entry/main.cc
+++ b/apps/entry/main.cc
@@ -1,4 +1,8 @@
+#include <algorithm>
+#include <array>
 #include <span>
+#include <string_view>
+#include <utility>
 
 #include "apps/entry/entry_process.h"
 #include "apps/entry/entry_settings.h"
@@ -9,16 +13,9 @@
 namespace magnoliareel {
 namespace {
 
-int Run(std::span<char* const> args) {
-  BlockStopSignals();
-  EntrySettings settings;
-  Findings findings;
-  if (const auto result = ParseEntrySettings(args, settings, findings);
-      result != FlagResult::kRun) {
-    return ReportSettings(result, findings);
-  }
-  StartLog();
-  EntryProcess process(std::move(settings));
+template <EntryPolicy P>
+int Serve(EntrySettings settings) {
+  EntryProcess<P> process(std::move(settings));
   if (process.Start()) {
     return kExitCannotListen;
   }
@@ -27,6 +24,40 @@
   return kExitOk;
 }
 
+/** A behaviour that can be chosen by name. */
+struct NamedPolicy {
+  std::string_view name;
+  int (*serve)(EntrySettings);
+};
+
+constexpr auto kPolicies = std::to_array<NamedPolicy>({
+    {"standard", &Serve<StandardEntryPolicy>},
+    {"primary-reads", &Serve<PrimaryReadsPolicy>},
+    {"unmarked-reads", &Serve<UnmarkedReadsPolicy>},
+    {"no-doubt", &Serve<NoDoubtPolicy>},
+});
+
+int Run(std::span<char* const> args) {
+  BlockStopSignals();
+  EntrySettings settings;
+  Findings findings;
+  const FlagResult result = ParseEntrySettings(args, settings, findings);
+  const auto policy = std::find_if(kPolicies.begin(), kPolicies.end(),
+                                   [&settings](const NamedPolicy& it) {
+                                     return it.name == settings.policy;
+                                   });
+  if (policy == kPolicies.end()) {
+    findings.Add("--policy", Error::kBadSetting,
+                 "no policy of this name is known");
+  }
+  if (result != FlagResult::kRun || !findings.IsEmpty()) {
+    return ReportSettings(
+        result == FlagResult::kRun ? FlagResult::kFaulty : result, findings);
+  }
+  StartLog();
+  return policy->serve(std::move(settings));
+}
+
 }  // namespace
 }  // namespace magnoliareel
 
--- a/apps/pooler/pooler_process.cc
+++ b/apps/pooler/pooler_process.cc
@@ -36,7 +36,8 @@
 
 }  // namespace
 
-PoolerProcess::PoolerProcess(PoolerSettings settings)
+template <PoolerPolicy P>
+PoolerProcess<P>::PoolerProcess(PoolerSettings settings)
     : settings_(std::move(settings)),
       incarnation_(MakeRandomName()),
       metrics_("magnoliareel_pooler"),
@@ -66,7 +67,8 @@
   AddMethods();
 }
 
-std::error_code PoolerProcess::Start() {
+template <PoolerPolicy P>
+std::error_code PoolerProcess<P>::Start() {
   Ask(loop_, [this] {
     core_ = std::make_unique<Core>(loop_, link_, platform_, MakeOptions());
     watcher_.Start();
@@ -85,7 +87,8 @@
   return {};
 }
 
-void PoolerProcess::Stop() {
+template <PoolerPolicy P>
+void PoolerProcess<P>::Stop() {
   LogEvent(Event::kStopping,
            {{"in_progress", std::to_string(server_.CountInProgress())}});
   Ask(loop_, [this] {
@@ -98,7 +101,8 @@
   LogEvent(Event::kStopped, {{"program", "magnoliareel-pooler"}});
 }
 
-void PoolerProcess::AwaitTransactions() {
+template <PoolerPolicy P>
+void PoolerProcess<P>::AwaitTransactions() {
   const TimePoint limit =
       loop_.Now() + std::chrono::milliseconds(settings_.transaction_grace_ms);
   const auto count = [this] { return core_->CountTransactions(); };
@@ -111,7 +115,8 @@
   });
 }
 
-PoolerOptions PoolerProcess::MakeOptions() {
+template <PoolerPolicy P>
+PoolerOptions PoolerProcess<P>::MakeOptions() {
   PoolerOptions options;
   options.vm.value = settings_.vm;
   options.incarnation = incarnation_;
@@ -131,7 +136,8 @@
   return options;
 }
 
-PoolerEvents PoolerProcess::MakeEvents() {
+template <PoolerPolicy P>
+PoolerEvents PoolerProcess<P>::MakeEvents() {
   PoolerEvents events;
   events.on_primary = [](const GroupId& group, const PrimaryView& primary) {
     LogEvent(Event::kPrimaryLearned,
@@ -183,7 +189,8 @@
   return events;
 }
 
-DeploymentEvents PoolerProcess::MakeDeploymentEvents() {
+template <PoolerPolicy P>
+DeploymentEvents PoolerProcess<P>::MakeDeploymentEvents() {
   DeploymentEvents events;
   events.on_change = [this](std::shared_ptr<const Deployment> deployment) {
     ApplyDeployment(std::move(deployment));
@@ -202,7 +209,8 @@
   return events;
 }
 
-void PoolerProcess::ApplyDeployment(
+template <PoolerPolicy P>
+void PoolerProcess<P>::ApplyDeployment(
     std::shared_ptr<const Deployment> deployment) {
   if (deployment->version != deployment_->version) {
     LogEvent(Event::kDocumentInForce,
@@ -224,7 +232,8 @@
   core_->Apply(std::move(deployment));
 }
 
-void PoolerProcess::AddMethods() {
+template <PoolerPolicy P>
+void PoolerProcess<P>::AddMethods() {
   dispatcher_.Add("observe", [this](const Json::Value& parameters) {
     Findings findings;
     const ObserveRequest request = DecodeObserveRequest(parameters, findings);
@@ -252,7 +261,8 @@
   });
 }
 
-PoolerStatus PoolerProcess::GetStatus() const {
+template <PoolerPolicy P>
+PoolerStatus PoolerProcess<P>::GetStatus() const {
   PoolerStatus status;
   status.vm.value = settings_.vm;
   status.version = deployment_->version;
@@ -278,8 +288,9 @@
   return status;
 }
 
-void PoolerProcess::Accept(HttpRequest request,
-                           const HttpResponder& responder) {
+template <PoolerPolicy P>
+void PoolerProcess<P>::Accept(HttpRequest request,
+                              const HttpResponder& responder) {
   if (request.is_too_large) {
     responder.Send({413, "{}"});
   } else if (request.path == "/v1/run") {
@@ -293,8 +304,9 @@
   }
 }
 
-void PoolerProcess::AcceptRun(const std::string& body,
-                              const HttpResponder& responder) {
+template <PoolerPolicy P>
+void PoolerProcess<P>::AcceptRun(const std::string& body,
+                                 const HttpResponder& responder) {
   Findings findings;
   PoolerRequest request = ParsePoolerRequest(body, findings);
   if (!findings.IsEmpty()) {
@@ -322,8 +334,9 @@
   }
 }
 
-void PoolerProcess::AcceptRpc(std::string body,
-                              const HttpResponder& responder) {
+template <PoolerPolicy P>
+void PoolerProcess<P>::AcceptRpc(std::string body,
+                                 const HttpResponder& responder) {
   const bool is_taken =
       loop_.TryPost([this, body = std::move(body), responder] {
         responder.Send({200, dispatcher_.Handle(body)});
@@ -333,9 +346,10 @@
   }
 }
 
-void PoolerProcess::ConfirmLost(const GroupId& group,
-                                const EndpointId& endpoint,
-                                const std::function<void(bool)>& done) {
+template <PoolerPolicy P>
+void PoolerProcess<P>::ConfirmLost(const GroupId& group,
+                                   const EndpointId& endpoint,
+                                   const std::function<void(bool)>& done) {
   for (const VmId& it : deployment_->ownership.GetDrivers(group)) {
     const VmEntry* vm = deployment_->FindVm(it);
     if (vm == nullptr || vm->vm.value == settings_.vm) {
@@ -355,4 +369,13 @@
   loop_.Post([done] { done(true); });
 }
 
+template class PoolerProcess<StandardPolicy>;
+template class PoolerProcess<FifoPolicy>;
+template class PoolerProcess<GrantsOnPathPolicy>;
+template class PoolerProcess<PrimaryAcksPolicy>;
+template class PoolerProcess<UnrecordedPolicy>;
+template class PoolerProcess<UnpinnedPolicy>;
+template class PoolerProcess<UnmatchedPolicy>;
+template class PoolerProcess<LeavingIgnoredPolicy>;
+
 }  // namespace magnoliareel
--- a/apps/pooler/pooler_process.h
+++ b/apps/pooler/pooler_process.h
@@ -23,7 +23,11 @@
 
     The control thread is `loop_`; the threads of `server_` and `client_` carry
     traffic and hand it tasks.
+
+    @tparam P  the product's behaviour or a baseline; instantiated for each in
+               the .cc file
 */
+template <PoolerPolicy P>
 class PoolerProcess {
  public:
   /** @param settings  its settings */
@@ -38,7 +42,7 @@
  private:
   using Link = HttpEndpointLink<ControlLoop>;
   using Store = PlatformClient<ControlLoop>;
-  using Core = PoolerCore<ControlLoop, Link, Store>;
+  using Core = PoolerCore<ControlLoop, Link, Store, P>;
 
   PoolerOptions MakeOptions();
   PoolerEvents MakeEvents();
--- a/apps/pooler/pooler_settings.cc
+++ b/apps/pooler/pooler_settings.cc
@@ -20,6 +20,8 @@
   table.AddParsed(
       "peers", "poolers to ask for the document: HOST:PORT,...",
       [&out](std::string_view text) { return ParsePeerList(text, out.peers); });
+  table.AddText("policy", "standard, or a baseline for experiments", true,
+                out.policy);
   table.AddNumber("suspect-ms",
                   "silence after which a primary counts as lost, ms", 50, 60000,
                   out.suspect_ms);
--- a/apps/pooler/pooler_settings.h
+++ b/apps/pooler/pooler_settings.h
@@ -26,6 +26,8 @@
   EndpointDirectory endpoints;
   /** Poolers to ask for the document before the list of VMs is known. */
   std::vector<std::string> peers;
+  /** The product's behaviour, or a baseline for experiments. */
+  std::string policy = "standard";
   /** Silence after which a primary counts as lost, in milliseconds. */
   int64_t suspect_ms = 700;
   /** Longest time for requests in progress to end at a stop, in milliseconds.
--- a/libs/entry/entry.h
+++ b/libs/entry/entry.h
@@ -10,12 +10,14 @@
     and seal. Knows no encoding of requests and no transport.
 
     Topics: state/ (what the control thread publishes), flows/ (one request from
-    arrival to answer), pooler_link.h (the abilities required of the way to
+    arrival to answer), policies/ (the product's behaviour and its baselines),
+    pooler_link.h (the abilities required of the way to
     poolers).
 */
 #include "entry/entry_service.h"
 #include "entry/flows/admit_request.h"
 #include "entry/flows/request_flow.h"
+#include "entry/policies/entry_policy.h"
 #include "entry/pooler_link.h"
 #include "entry/state/entry_state.h"
 
--- a/libs/entry/entry_service.h
+++ b/libs/entry/entry_service.h
@@ -24,10 +24,10 @@
 
     @tparam E  the control thread
     @tparam L  the way to poolers
-    @tparam P  order in which endpoints are tried for reads
+    @tparam P  the product's behaviour or a baseline
     @see RequestFlow
 */
-template <Executor E, PoolerLink L, ReadPolicy P = ReplicasFirst>
+template <Executor E, PoolerLink L, EntryPolicy P = StandardEntryPolicy>
 class EntryService {
  public:
   /** @param executor  the control thread
--- a/libs/entry/flows/request_flow.h
+++ b/libs/entry/flows/request_flow.h
@@ -12,6 +12,7 @@
 #include "core/core.h"
 #include "entry/flows/admit_request.h"
 #include "entry/flows/pooler_requests.h"
+#include "entry/policies/entry_policy.h"
 #include "entry/pooler_link.h"
 #include "entry/state/entry_state.h"
 #include "outcome/outcome.h"
@@ -23,7 +24,7 @@
 using CallerCompletion = std::function<void(CallerAnswer)>;
 
 /** What the flows of one entry share. */
-template <Executor E, PoolerLink L, ReadPolicy P>
+template <Executor E, PoolerLink L, EntryPolicy P>
 struct FlowContext {
   /** The control thread, for pauses. */
   E& executor;
@@ -36,7 +37,7 @@
   /** Site of the entry. */
   SiteId site;
   /** Order in which endpoints are tried for reads. */
-  P read_policy;
+  typename P::Reads read_policy;
   /** Share of traffic that may be retries. */
   RetryBudget budget;
   /** Guards `random`. */
@@ -52,9 +53,9 @@
 
     @tparam E  the control thread
     @tparam L  the way to poolers
-    @tparam P  order in which endpoints are tried for reads
+    @tparam P  the product's behaviour or a baseline
 */
-template <Executor E, PoolerLink L, ReadPolicy P>
+template <Executor E, PoolerLink L, EntryPolicy P>
 class RequestFlow : public std::enable_shared_from_this<RequestFlow<E, L, P>> {
  public:
   /** Longest pause after the first fruitless round. */
@@ -160,9 +161,12 @@
       return;
     }
     last_vm_ = vm;
-    const PoolerRequest request =
+    PoolerRequest request =
         MakePoolerRequest(admitted_.request, admitted_.token,
                           admitted_.group->group, endpoint, verb_, left);
+    if constexpr (!P::kSendsMarks) {
+      request.required = {};
+    }
     context_.link.Call(
         entry->pooler_address, request, left + kAnswerGrace,
         [self = this->shared_from_this(), endpoint](PoolerReply reply) {
@@ -175,6 +179,9 @@
       reply.answer.outcome = ClassifyCall({reply.ec, {}});
       reply.answer.ec = reply.ec;
     }
+    if (!P::kKeepsDoubt && reply.answer.outcome == Outcome::kUnknown) {
+      reply.answer.outcome = Outcome::kNotRun;
+    }
     const PoolerAnswer& answer = reply.answer;
     if (!answer.primary.IsEmpty()) {
       context_.state.LearnPrimary(admitted_.group->group,
--- /dev/null
+++ b/libs/entry/policies/entry_policy.h
@@ -0,0 +1,49 @@
+#ifndef MAGNOLIAREEL_ENTRY_POLICIES_ENTRY_POLICY_H_
+#define MAGNOLIAREEL_ENTRY_POLICIES_ENTRY_POLICY_H_
+
+#include <concepts>
+
+#include "routing/routing.h"
+
+namespace magnoliareel {
+
+/** What an entry's behaviour is put together from. The product runs
+    StandardEntryPolicy; the others are baselines for experiments.
+*/
+template <class T>
+concept EntryPolicy = ReadPolicy<typename T::Reads> && requires {
+  { T::kSendsMarks } -> std::convertible_to<bool>;
+  { T::kKeepsDoubt } -> std::convertible_to<bool>;
+};
+
+/** The product's behaviour. */
+struct StandardEntryPolicy {
+  /** Order in which endpoints are tried for reads. */
+  using Reads = ReplicasFirst;
+  /** Whether a read asks for the session's last write. */
+  static constexpr bool kSendsMarks = true;
+  /** Whether a request whose answer was lost may have run. */
+  static constexpr bool kKeepsDoubt = true;
+};
+
+/** Baseline: all reads go to the primary. */
+struct PrimaryReadsPolicy : StandardEntryPolicy {
+  /** @see StandardEntryPolicy::Reads */
+  using Reads = PrimaryOnly;
+};
+
+/** Baseline: reads do not ask for the session's writes. */
+struct UnmarkedReadsPolicy : StandardEntryPolicy {
+  /** @see StandardEntryPolicy::kSendsMarks */
+  static constexpr bool kSendsMarks = false;
+};
+
+/** Baseline: a lost answer is taken for a refusal. */
+struct NoDoubtPolicy : StandardEntryPolicy {
+  /** @see StandardEntryPolicy::kKeepsDoubt */
+  static constexpr bool kKeepsDoubt = false;
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_ENTRY_POLICIES_ENTRY_POLICY_H_
--- a/libs/pooler/core/pooler_core.h
+++ b/libs/pooler/core/pooler_core.h
@@ -17,6 +17,7 @@
 #include "pooler/core/job.h"
 #include "pooler/endpoints/endpoint_runner.h"
 #include "pooler/groups/group_desk.h"
+#include "pooler/policies/pooler_policy.h"
 #include "pooler/transactions/transaction_table.h"
 
 namespace magnoliareel {
@@ -29,14 +30,12 @@
     @tparam E  the control thread
     @tparam L  calls the endpoints
     @tparam S  the platform's table
-    @tparam Q  order in which statements start
-    @tparam G  when terms are granted
+    @tparam P  the product's behaviour or a baseline
 */
 template <Executor E,
           EndpointLink L,
           GrantStore S,
-          WorkQueue Q = FairQueue,
-          GrantPolicy G = GrantsAhead>
+          PoolerPolicy P = StandardPolicy>
 class PoolerCore {
  public:
   /** Longest time that a read waits for its replica to catch up. */
@@ -142,8 +141,8 @@
   }
 
  private:
-  using Desk = GroupDesk<E, L, S, G>;
-  using Runner = EndpointRunner<E, L, Q>;
+  using Desk = GroupDesk<E, L, S, P>;
+  using Runner = EndpointRunner<E, L, P>;
   using JobRef = std::shared_ptr<Job<Desk, Runner>>;
 
   void Tick() {
@@ -246,7 +245,7 @@
       Refuse(job, Error::kUnreachable);
       return;
     }
-    if (member->report && member->report->is_leaving) {
+    if (P::kAvoidsLeaving && member->report && member->report->is_leaving) {
       Refuse(job, Error::kEndpointLeaving);
       return;
     }
@@ -344,7 +343,8 @@
       return false;
     }
     const MemberState* member = state.Find(primary->endpoint);
-    return member->is_reachable && !member->report->is_leaving;
+    return member->is_reachable &&
+           !(P::kAvoidsLeaving && member->report->is_leaving);
   }
 
   void FinishWrite(const JobRef& job, Term term, const RunnerEnd& end) {
--- a/libs/pooler/endpoints/endpoint_runner.h
+++ b/libs/pooler/endpoints/endpoint_runner.h
@@ -14,6 +14,7 @@
 #include "failover/failover.h"
 #include "outcome/outcome.h"
 #include "pool/pool.h"
+#include "pooler/policies/pooler_policy.h"
 
 namespace magnoliareel {
 
@@ -59,9 +60,9 @@
 
     @tparam E  the control thread
     @tparam L  calls the endpoint
-    @tparam Q  order in which statements start
+    @tparam P  the product's behaviour or a baseline
 */
-template <Executor E, EndpointLink L, WorkQueue Q>
+template <Executor E, EndpointLink L, PoolerPolicy P>
 class EndpointRunner {
  public:
   /** Receives the end of a statement. */
@@ -228,6 +229,9 @@
     } else {
       running.work.call.connection = running.work.connection;
     }
+    if constexpr (!P::kRecordsRequests) {
+      running.work.call.is_recorded = false;
+    }
     EndpointCall call = running.work.call;
     const Duration timeout =
         std::max(running.work.deadline - now, Duration::zero()) + kAnswerGrace;
@@ -242,7 +246,8 @@
     assert(!node.empty());
     Running& running = node.mapped();
     const RunnerWork& work = running.work;
-    if (!reply.ec && reply.answer.request != work.call.request) {
+    if (P::kMatchesAnswers && !reply.ec &&
+        reply.answer.request != work.call.request) {
       reply.ec = Error::kAnswerLost;
     }
     RunnerEnd end;
@@ -277,8 +282,9 @@
     end.is_transaction_lost =
         is_in_transaction && end.outcome == Outcome::kNotRun;
     const bool is_kept =
-        (is_in_transaction && !work.is_end && !end.is_transaction_lost) ||
-        (work.is_begin && end.outcome == Outcome::kDone);
+        P::kPinsConnections &&
+        ((is_in_transaction && !work.is_end && !end.is_transaction_lost) ||
+         (work.is_begin && end.outcome == Outcome::kDone));
     if (is_kept) {
       end.connection = connection;
     } else {
@@ -346,7 +352,7 @@
   L& link_;
   const EndpointId endpoint_;
   const std::string name_;
-  SlotScheduler<Q> scheduler_;
+  SlotScheduler<typename P::Queue> scheduler_;
   ConnectionBook connections_;
   RunTimeEstimates estimates_;
   std::unordered_map<uint64_t, Waiting> waiting_;
--- a/libs/pooler/groups/group_desk.h
+++ b/libs/pooler/groups/group_desk.h
@@ -15,6 +15,7 @@
 #include "pooler/core/pooler_events.h"
 #include "pooler/groups/condition_list.h"
 #include "pooler/groups/group_watch.h"
+#include "pooler/policies/pooler_policy.h"
 
 namespace magnoliareel {
 
@@ -44,9 +45,9 @@
     @tparam E  the control thread
     @tparam L  calls the endpoints
     @tparam S  the platform's table
-    @tparam G  when terms are granted
+    @tparam P  the product's behaviour or a baseline
 */
-template <Executor E, EndpointLink L, GrantStore S, GrantPolicy G>
+template <Executor E, EndpointLink L, GrantStore S, PoolerPolicy P>
 class GroupDesk {
  public:
   /** Least time between two looks at timers and the driver. */
@@ -119,6 +120,10 @@
                             Term ran_in,
                             TimePoint deadline,
                             AckTracker::Completion done) {
+    if constexpr (!P::kMajorityAcks) {
+      done(true);
+      return;
+    }
     acks_.Add(point, ran_in, executor_.Now(), deadline, std::move(done));
     Advance();
   }
@@ -185,7 +190,7 @@
   std::unordered_map<EndpointId, std::optional<bool>> reachability_;
   Term primary_term_;
   GroupWatch<E, L> watch_;
-  GroupDriver<E, L, S, G> driver_;
+  GroupDriver<E, L, S, typename P::Grants> driver_;
 };
 
 }  // namespace magnoliareel
--- a/libs/pooler/pooler.h
+++ b/libs/pooler/pooler.h
@@ -10,12 +10,13 @@
     failover. Knows no encoding and no transport.
 
     Topics: endpoints/ (one endpoint's slots and connections), groups/ (watching
-    a group), transactions/ (open transactions), core/ (requests from arrival
-    to answer).
+    a group), transactions/ (open transactions), policies/ (the product's
+   behaviour and its baselines), core/ (requests from arrival to answer).
 */
 #include "pooler/core/pooler_core.h"
 #include "pooler/endpoints/endpoint_runner.h"
 #include "pooler/groups/group_watch.h"
+#include "pooler/policies/pooler_policy.h"
 #include "pooler/transactions/transaction_table.h"
 
 #endif  // MAGNOLIAREEL_POOLER_POOLER_H_
