--- a/standins/endpoint/endpoint_faults.cc
+++ b/standins/endpoint/endpoint_faults.cc
@@ -21,6 +21,8 @@
   reader.ReadFlag("leaving", Presence::kOptional, changed.is_leaving);
   reader.ReadNumber("lose_answers", Presence::kOptional, 0, kMaxCount,
                     changed.answers_to_lose);
+  reader.ReadNumber("swap_answers", Presence::kOptional, 0, kMaxCount,
+                    changed.answers_to_swap);
   reader.ReadNumber("delay_answers", Presence::kOptional, 0, kMaxCount,
                     changed.answers_to_delay);
   reader.ReadMilliseconds("delay_ms", Presence::kOptional, kMaxDelay,
--- a/standins/endpoint/endpoint_faults.h
+++ b/standins/endpoint/endpoint_faults.h
@@ -21,6 +21,8 @@
   int64_t answers_to_lose = 0;
   /** Number of coming answers to be sent late. */
   int64_t answers_to_delay = 0;
+  /** Number of coming answers to statements to be exchanged in pairs. */
+  int64_t answers_to_swap = 0;
   /** How late these are. */
   Duration answer_delay{0};
   /** Time by which replication lags. */
@@ -32,7 +34,7 @@
 /** Changes the faults named in a message.
 
     @param body      JSON: cut, replication_cut, leaving, lose_answers,
-                     delay_answers, delay_ms, lag_ms, latency_ms
+                     swap_answers, delay_answers, delay_ms, lag_ms, latency_ms
     @param faults    receives the changes
     @param findings  receives the message's faults; nothing is changed then
 */
--- a/standins/endpoint/endpoint_model.h
+++ b/standins/endpoint/endpoint_model.h
@@ -73,6 +73,7 @@
     }
     heard_[call.client] = executor_.Now();
     if (TakesSlot(call.verb)) {
+      ++statements_;
       queue_.push_back({std::move(call), std::move(responder)});
       StartReady();
     } else if (call.verb == EndpointVerb::kConnect) {
@@ -114,6 +115,9 @@
     database_.Restart();
   }
 
+  /** @returns statements that arrived */
+  uint64_t CountStatements() const { return statements_; }
+
   /** @returns the database, for checks */
   const Database& GetDatabase() const { return database_; }
 
@@ -220,6 +224,11 @@
       responder.drop();
       return;
     }
+    if (TakesSlot(call.verb) && faults_.answers_to_swap > 0) {
+      --faults_.answers_to_swap;
+      Swap(std::move(answer), responder);
+      return;
+    }
     Duration delay = faults_.latency;
     if (TakesSlot(call.verb) && faults_.answers_to_delay > 0) {
       --faults_.answers_to_delay;
@@ -234,6 +243,18 @@
     });
   }
 
+  /** Keeps an answer until the next one comes, and exchanges both. */
+  void Swap(EndpointAnswer answer, const EndpointResponder& responder) {
+    if (!swapped_) {
+      swapped_.emplace(std::move(answer), responder);
+      return;
+    }
+    const auto [other_answer, other_responder] =
+        *std::exchange(swapped_, std::nullopt);
+    responder.send(other_answer);
+    other_responder.send(std::move(answer));
+  }
+
   void FollowPrimary() {
     const auto call = database_.MakeReplicateCall();
     if (is_fetching_ || !call) {
@@ -286,6 +307,8 @@
   int64_t running_ = 0;
   std::list<Watcher> watchers_;
   std::vector<EndpointResponder> unheard_;
+  std::optional<std::pair<EndpointAnswer, EndpointResponder>> swapped_;
+  uint64_t statements_ = 0;
   uint64_t next_watcher_ = 1;
   bool is_fetching_ = false;
   bool is_answering_watchers_ = false;
--- a/standins/endpoint/endpoint_server.cc
+++ b/standins/endpoint/endpoint_server.cc
@@ -56,6 +56,12 @@
     AcceptFault(request.body, responder);
     return;
   }
+  if (request.path == "/counts") {
+    Json::Value value(Json::objectValue);
+    value["statements"] = Json::UInt64(model_.CountStatements());
+    responder.Send({200, FormatJson(value)});
+    return;
+  }
   Findings findings;
   EndpointCall call = ParseEndpointCall(request.body, findings);
   if (!findings.IsEmpty()) {
--- a/standins/endpoint/endpoint_server.h
+++ b/standins/endpoint/endpoint_server.h
@@ -10,7 +10,8 @@
 
 namespace magnoliareel::standin {
 
-/** Serves an EndpointModel over HTTP: /call takes calls, /fault changes faults.
+/** Serves an EndpointModel over HTTP: /call takes calls, /fault changes faults,
+    /counts tells how many statements arrived.
 
     Everything but reading and writing sockets happens on one loop.
 */
--- a/tests/measure/measure_path.cc
+++ b/tests/measure/measure_path.cc
@@ -40,14 +40,16 @@
 HttpReply Ask(HttpClient& client, HttpCall call) {
   std::promise<HttpReply> promise;
   auto reply = promise.get_future();
-  client.Send(std::move(call), [&promise](HttpReply it) { promise.set_value(std::move(it)); });
+  client.Send(std::move(call),
+              [&promise](HttpReply it) { promise.set_value(std::move(it)); });
   return reply.get();
 }
 
 /** Measures one deployment. */
 class PathMeasurement {
  public:
-  explicit PathMeasurement(MeasureSettings settings) : settings_(std::move(settings)) {}
+  explicit PathMeasurement(MeasureSettings settings)
+      : settings_(std::move(settings)) {}
 
   bool Run() {
     if (!OpenSession() || !OpenConnection()) {
@@ -61,7 +63,9 @@
   }
 
  private:
-  HttpCall MakeCall(const SocketAddress& address, std::string path, std::string body) const {
+  HttpCall MakeCall(const SocketAddress& address,
+                    std::string path,
+                    std::string body) const {
     HttpCall call;
     call.address = address;
     call.path = std::move(path);
@@ -78,8 +82,9 @@
     request.request.value = "open";
     request.service.value = settings_.service;
     Findings findings;
-    const HttpReply reply = Ask(client_, MakeCall(settings_.entry, "/v1/session",
-                                                  FormatCallerRequest(request)));
+    const HttpReply reply = Ask(
+        client_,
+        MakeCall(settings_.entry, "/v1/session", FormatCallerRequest(request)));
     token_ = ParseCallerAnswer(reply.body, findings).token;
     return !token_.empty();
   }
@@ -90,8 +95,8 @@
     call.client = "measure-path";
     call.connection.value = "measure-path-1";
     Findings findings;
-    const HttpReply reply =
-        Ask(client_, MakeCall(settings_.endpoint, "/call", FormatEndpointCall(call)));
+    const HttpReply reply = Ask(client_, MakeCall(settings_.endpoint, "/call",
+                                                  FormatEndpointCall(call)));
     const EndpointAnswer answer = ParseEndpointAnswer(reply.body, findings);
     term_ = answer.report.term;
     return !reply.ec && !answer.ec && findings.IsEmpty();
@@ -104,7 +109,8 @@
     request.token = token_;
     request.record_key = settings_.record;
     request.statement = "get " + settings_.record;
-    return MakeCall(settings_.entry, "/v1/statement", FormatCallerRequest(request));
+    return MakeCall(settings_.entry, "/v1/statement",
+                    FormatCallerRequest(request));
   }
 
   HttpCall MakeDirectRead() {
@@ -135,11 +141,14 @@
     std::sort(direct.begin(), direct.end());
     std::sort(proxied.begin(), proxied.end());
     const auto at = [](const std::vector<int64_t>& list, double share) {
-      return list[static_cast<size_t>(share * static_cast<double>(list.size() - 1))];
+      return list[static_cast<size_t>(share *
+                                      static_cast<double>(list.size() - 1))];
     };
     for (const double share : {0.5, 0.99}) {
-      std::printf("p%.0f: direct %ld us, through the proxy %ld us, added %ld us\n", share * 100,
-                  at(direct, share), at(proxied, share), at(proxied, share) - at(direct, share));
+      std::printf(
+          "p%.0f: direct %ld us, through the proxy %ld us, added %ld us\n",
+          share * 100, at(direct, share), at(proxied, share),
+          at(proxied, share) - at(direct, share));
     }
     std::printf("failures: %ld of %ld\n", failures_, 2 * settings_.rounds);
   }
@@ -166,13 +175,15 @@
       client_.Send(MakeRead(), [&](const HttpReply&) { go_on(); });
     }
     finished.get_future().wait();
-    std::printf("throughput: %ld reads/s with %ld in progress\n",
-                done / std::chrono::duration_cast<std::chrono::seconds>(kSpan).count(),
-                settings_.concurrency);
+    std::printf(
+        "throughput: %ld reads/s with %ld in progress\n",
+        done / std::chrono::duration_cast<std::chrono::seconds>(kSpan).count(),
+        settings_.concurrency);
   }
 
   int64_t ReadEntryMemoryKb() const {
-    std::ifstream file("/proc/" + std::to_string(settings_.entry_pid) + "/status");
+    std::ifstream file("/proc/" + std::to_string(settings_.entry_pid) +
+                       "/status");
     std::string word;
     while (file >> word) {
       if (word == "VmRSS:") {
@@ -195,8 +206,10 @@
     for (int64_t n = 0; n < settings_.connections; ++n) {
       const int fd = socket(AF_INET, SOCK_STREAM, 0);
       char buf[1024];
-      if (connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0 ||
-          write(fd, request.data(), request.size()) < 0 || read(fd, buf, sizeof(buf)) <= 0) {
+      if (connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) !=
+              0 ||
+          write(fd, request.data(), request.size()) < 0 ||
+          read(fd, buf, sizeof(buf)) <= 0) {
         close(fd);
         break;
       }
@@ -205,7 +218,8 @@
     const int64_t after = ReadEntryMemoryKb();
     if (!sockets.empty()) {
       std::printf("idle connections: %zu, %.1f KiB each\n", sockets.size(),
-                  static_cast<double>(after - before) / static_cast<double>(sockets.size()));
+                  static_cast<double>(after - before) /
+                      static_cast<double>(sockets.size()));
     }
     for (const int it : sockets) {
       close(it);
@@ -226,15 +240,20 @@
   Findings findings;
   FlagTable table("measure-path", "Measures the way through entry and pooler.");
   table.AddAddress("entry", "address of an entry", true, settings.entry);
-  table.AddAddress("endpoint", "address of an endpoint", true, settings.endpoint);
+  table.AddAddress("endpoint", "address of an endpoint", true,
+                   settings.endpoint);
   table.AddText("caller", "name of the caller", true, settings.caller);
   table.AddText("key", "key of the caller", true, settings.key);
   table.AddText("service", "service to use", true, settings.service);
   table.AddNumber("rounds", "reads each way", 10, 1000000, settings.rounds);
-  table.AddNumber("concurrency", "reads in progress", 1, 10000, settings.concurrency);
-  table.AddNumber("connections", "idle connections", 1, 10000, settings.connections);
-  table.AddNumber("entry-pid", "process whose memory is read", 0, INT64_MAX, settings.entry_pid);
-  if (const auto result = table.Parse(args, findings); result != FlagResult::kRun) {
+  table.AddNumber("concurrency", "reads in progress", 1, 10000,
+                  settings.concurrency);
+  table.AddNumber("connections", "idle connections", 1, 10000,
+                  settings.connections);
+  table.AddNumber("entry-pid", "process whose memory is read", 0, INT64_MAX,
+                  settings.entry_pid);
+  if (const auto result = table.Parse(args, findings);
+      result != FlagResult::kRun) {
     return ReportSettings(result, findings);
   }
   return PathMeasurement(settings).Run() ? kExitOk : kExitFailed;
--- /dev/null
+++ b/tests/scenarios/leaving_endpoint.lua
@@ -0,0 +1,24 @@
+-- A leaving replica gets no new work after 3 s; a leaving primary is switched
+-- over and then gets none either, with no write lost.
+local cluster = require("cluster")
+
+cluster.start({ vms = 2 })
+cluster.start_load({ "--rate", "150", "--duration-ms", "11000", "--writes-permille", "400",
+  "--records", "40", "--deadline-ms", "4000" })
+sleep_ms(1000)
+local before = cluster.group(1)
+local replica = before.number % 3 + 1
+local function check_no_work(n, what)
+  sleep_ms(3000)
+  local count = cluster.count_statements(n)
+  sleep_ms(1000)
+  check(cluster.count_statements(n) == count, what .. " gets no new work")
+end
+cluster.fault(replica, { leaving = true })
+check_no_work(replica, "the leaving replica")
+cluster.fault(replica, { leaving = false })
+cluster.fault(before.number, { leaving = true })
+check_no_work(before.number, "the leaving primary")
+check(cluster.group(1).number ~= before.number, "another endpoint leads")
+local report = cluster.finish_load(120)
+print("  longest gap of writes: " .. report.write_gap_ms .. " ms")
--- /dev/null
+++ b/tests/scenarios/runner/processes.h
@@ -0,0 +1,38 @@
+#ifndef MAGNOLIAREEL_TESTS_SCENARIOS_RUNNER_PROCESSES_H_
+#define MAGNOLIAREEL_TESTS_SCENARIOS_RUNNER_PROCESSES_H_
+
+#include <sys/types.h>
+
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+
+namespace magnoliareel::scenario {
+
+/** The processes that a scenario started, by name. They are ended by their id
+    when the scenario is over. */
+class Processes {
+ public:
+  /** @param log_dir  each process writes NAME.log there */
+  explicit Processes(std::string log_dir) : log_dir_(std::move(log_dir)) {}
+  ~Processes();
+  Processes(const Processes&) = delete;
+  Processes& operator=(const Processes&) = delete;
+
+  /** Starts a program. @returns false if it cannot be started */
+  bool Start(const std::string& name, std::span<const std::string> words);
+  /** Sends a signal. @returns false if no such process runs */
+  bool Signal(const std::string& name, int signal);
+  /** Waits until a process has ended. @returns its exit code, 128 + signal if
+      it was killed, or nothing at the limit */
+  std::optional<int> WaitExit(const std::string& name, double seconds);
+
+ private:
+  const std::string log_dir_;
+  std::map<std::string, pid_t> running_;
+};
+
+}  // namespace magnoliareel::scenario
+
+#endif  // MAGNOLIAREEL_TESTS_SCENARIOS_RUNNER_PROCESSES_H_
