--- /dev/null
+++ b/apps/ctl/main.cc
@@ -0,0 +1,64 @@
+#include <cstdio>
+#include <span>
+#include <string>
+
+#include "apps/ctl/ctl_settings.h"
+#include "apps/ctl/document_commands.h"
+#include "apps/ctl/fleet_commands.h"
+#include "apps/ctl/platform_access.h"
+#include "process/process.h"
+
+namespace magnoliareel {
+namespace {
+
+int ReportUsage(const std::string& command) {
+  std::fprintf(stderr,
+               "COMMAND: unknown_name: '%s' with these arguments; see --help\n",
+               command.c_str());
+  return kExitBadSettings;
+}
+
+int RunCommand(const CtlSettings& settings) {
+  const std::string& command = settings.words.front();
+  const bool has_argument = settings.words.size() == 2;
+  if (command == "check" && has_argument) {
+    return DocumentCommands::Check(settings.words[1]);
+  }
+  if (settings.platform.host.empty()) {
+    std::fputs("--platform: missing_field: must be given for this command\n",
+               stderr);
+    return kExitBadSettings;
+  }
+  PlatformAccess access(settings.platform);
+  DocumentCommands documents(settings, access);
+  FleetCommands fleet(settings, access);
+  if (has_argument) {
+    const std::string& argument = settings.words[1];
+    return command == "diff"       ? documents.Diff(argument)
+           : command == "apply"    ? documents.Apply(argument)
+           : command == "failover" ? fleet.Failover(argument)
+                                   : ReportUsage(command);
+  }
+  const bool is_alone = settings.words.size() == 1;
+  return is_alone && command == "promote"   ? documents.Promote()
+         : is_alone && command == "history" ? documents.ShowHistory()
+         : is_alone && command == "status"  ? fleet.ShowStatus()
+                                            : ReportUsage(command);
+}
+
+int Run(std::span<char* const> args) {
+  CtlSettings settings;
+  Findings findings;
+  if (const auto result = ParseCtlSettings(args, settings, findings);
+      result != FlagResult::kRun) {
+    return ReportSettings(result, findings);
+  }
+  return RunCommand(settings);
+}
+
+}  // namespace
+}  // namespace magnoliareel
+
+int main(int argc, char** argv) {
+  return magnoliareel::Run({argv, static_cast<size_t>(argc)});
+}
--- a/libs/failover/driver/group_driver.h
+++ b/libs/failover/driver/group_driver.h
@@ -191,8 +191,14 @@
     rank_ = rank;
   }
 
-  /** Orders a change of primary at the next Tick(). */
-  void OrderPromotion() { is_ordered_ = true; }
+  /** Orders a change of primary at the next Tick().
+
+      @returns  false if this VM does not drive the group
+  */
+  bool OrderPromotion() {
+    is_ordered_ = rank_.has_value();
+    return is_ordered_;
+  }
 
   /** Acts on the group's present state; called several times a second.
 
@@ -267,7 +273,7 @@
     is_ordered_ = false;
     events_.on_started(*term, reason);
     std::make_shared<Promotion<E, L>>(
-        executor_, link_, scope_.endpoints, *term,
+        executor_, link_, scope_.endpoints, FindReplaced(state, reason), *term,
         [this, started = executor_.Now()](const PromotionEnd& end) {
           is_busy_ = false;
           if (end.ec) {
@@ -278,6 +284,13 @@
         ->Start();
   }
 
+  static EndpointId FindReplaced(const GroupState& state,
+                                 PromotionReason reason) {
+    const auto primary = state.GetPrimary();
+    const bool is_replaced = primary && reason != PromotionReason::kNoPrimary;
+    return is_replaced ? primary->endpoint : EndpointId{};
+  }
+
   void SendFollowers(const GroupState& state, TimePoint now) {
     const auto primary = state.GetPrimary();
     if (!primary || now < next_follow_) {
--- a/libs/failover/promotion/choose_successor.cc
+++ b/libs/failover/promotion/choose_successor.cc
@@ -8,7 +8,8 @@
 namespace magnoliareel {
 
 std::optional<EndpointId> ChooseSuccessor(std::span<const Adopter> adopters,
-                                          size_t group_size) {
+                                          size_t group_size,
+                                          const EndpointId& avoid) {
   const size_t majority = group_size / 2 + 1;
   if (adopters.size() < majority) {
     return std::nullopt;
@@ -21,8 +22,9 @@
   const LogPoint needed =
       adopters.size() == group_size ? points[majority - 1] : points.front();
   const Adopter* best = nullptr;
-  const auto rank = [](const Adopter& it) {
-    return std::pair(!it.report.is_leaving, it.report.last);
+  const auto rank = [&avoid](const Adopter& it) {
+    return std::pair(!it.report.is_leaving && it.endpoint != avoid,
+                     it.report.last);
   };
   for (const Adopter& it : adopters) {
     if (it.report.last >= needed &&
--- a/libs/failover/promotion/choose_successor.h
+++ b/libs/failover/promotion/choose_successor.h
@@ -22,14 +22,16 @@
     Every acknowledged write is held by a majority, so it is held by the most
     advanced endpoint of any majority. If all endpoints have adopted the term,
     any endpoint at or past the majority's point holds it too, and one that is
-    not leaving is preferred.
+    neither leaving nor to be replaced is preferred.
 
     @param adopters    endpoints that adopted the term
     @param group_size  number of endpoints of the group
+    @param avoid       endpoint to be replaced, if another one will do
     @returns           the successor; nothing without a majority
 */
 std::optional<EndpointId> ChooseSuccessor(std::span<const Adopter> adopters,
-                                          size_t group_size);
+                                          size_t group_size,
+                                          const EndpointId& avoid);
 
 }  // namespace magnoliareel
 
--- a/libs/failover/promotion/promotion.h
+++ b/libs/failover/promotion/promotion.h
@@ -45,17 +45,20 @@
   /** @param executor   the control thread
       @param link       calls the endpoints
       @param endpoints  all endpoints of the group
+      @param avoid      endpoint to be replaced; empty if it makes no difference
       @param term       a term granted to this process and not used before
       @param done       called once
   */
   Promotion(E& executor,
             L& link,
             std::span<const EndpointId> endpoints,
+            EndpointId avoid,
             Term term,
             Completion done)
       : executor_(executor),
         link_(link),
         endpoints_(endpoints.begin(), endpoints.end()),
+        avoid_(std::move(avoid)),
         term_(term),
         done_(std::move(done)) {}
 
@@ -97,7 +100,8 @@
     if (std::exchange(is_chosen_, true)) {
       return;
     }
-    const auto successor = ChooseSuccessor(adopters_, endpoints_.size());
+    const auto successor =
+        ChooseSuccessor(adopters_, endpoints_.size(), avoid_);
     if (!successor) {
       done_(
           {is_superseded_ ? Error::kStaleTerm : Error::kNoMajority, {}, term_});
@@ -118,6 +122,7 @@
   E& executor_;
   L& link_;
   const std::vector<EndpointId> endpoints_;
+  const EndpointId avoid_;
   const Term term_;
   const Completion done_;
   std::vector<Adopter> adopters_;
--- a/libs/pooler/core/pooler_core.h
+++ b/libs/pooler/core/pooler_core.h
@@ -104,14 +104,10 @@
   }
 
   /** Orders a change of primary. @param group  the group  @returns false if it
-      is not watched here */
+      is not driven here */
   bool OrderPromotion(const GroupId& group) {
     const auto it = groups_.find(group);
-    if (it == groups_.end()) {
-      return false;
-    }
-    it->second->OrderPromotion();
-    return true;
+    return it != groups_.end() && it->second->OrderPromotion();
   }
 
   /** @returns requests not answered yet */
--- a/libs/pooler/groups/group_desk.h
+++ b/libs/pooler/groups/group_desk.h
@@ -93,8 +93,8 @@
     driver_.SetRank(drivers, rank);
   }
 
-  /** Orders a change of primary. */
-  void OrderPromotion() { driver_.OrderPromotion(); }
+  /** Orders a change of primary. @returns false if this VM does not drive it */
+  bool OrderPromotion() { return driver_.OrderPromotion(); }
 
   /** Looks at timers and the driver. */
   void Tick() {
