Leave short work the slots that it needs; learn long shapes by majority of runs

Cause: with long work allowed on all slots but one, short work that needs 1.5 slots queued behind it; and a single straggler made its whole shape long. Ruled out: connections (all warm), the scheduler's order (short work was first in the queue).

--- a/apps/load/load_run.cc
+++ b/apps/load/load_run.cc
@@ -132,6 +132,8 @@
   arrival->additions = {{record, value}};
   if (static_cast<int64_t>(random_() % 1000) < settings_.long_permille) {
     arrival->work_class = WorkClass::kLong;
+    // Long work has a shape of its own, as a report has.
+    arrival->additions.front().record = "report-1";
   }
   return arrival;
 }
--- a/libs/pool/estimates/run_time_estimates.cc
+++ b/libs/pool/estimates/run_time_estimates.cc
@@ -37,19 +37,20 @@
   }
   const auto it = estimates_.find(HashShape(statement));
   const bool is_long =
-      it != estimates_.end() && it->second->average >= kLongRun;
+      it != estimates_.end() && it->second->long_share > kLongShare;
   return is_long ? WorkClass::kLong : WorkClass::kShort;
 }
 
 void RunTimeEstimates::Learn(std::string_view statement, Duration ran) {
   const uint64_t shape = HashShape(statement);
+  const double is_long = ran >= kLongRun ? 1 : 0;
   if (const auto it = estimates_.find(shape); it != estimates_.end()) {
-    // Exponential average with a weight of 1/4 for the newest run.
-    it->second->average += (ran - it->second->average) / 4;
+    it->second->long_share +=
+        (is_long - it->second->long_share) * kNewestWeight;
     recent_.splice(recent_.begin(), recent_, it->second);
     return;
   }
-  recent_.push_front({shape, ran});
+  recent_.push_front({shape, is_long * kNewestWeight});
   estimates_.emplace(shape, recent_.begin());
   if (recent_.size() > kMaxShapes) {
     estimates_.erase(recent_.back().shape);
--- a/libs/pool/estimates/run_time_estimates.h
+++ b/libs/pool/estimates/run_time_estimates.h
@@ -21,8 +21,13 @@
  public:
   /** Shapes kept. */
   static constexpr size_t kMaxShapes = 1024;
-  /** Average run time from which a statement counts as long. */
+  /** Run time from which a run counts as long. */
   static constexpr Duration kLongRun = std::chrono::milliseconds(100);
+  /** Share of long runs among the recent ones from which a shape is long. One
+      straggler alone does not make its whole shape long. */
+  static constexpr double kLongShare = 0.5;
+  /** Weight of the newest run in that share. */
+  static constexpr double kNewestWeight = 0.25;
 
   /** Classifies a statement.
 
@@ -42,7 +47,7 @@
  private:
   struct Estimate {
     uint64_t shape = 0;
-    Duration average{0};
+    double long_share = 0;
   };
 
   std::list<Estimate> recent_;
--- a/libs/pool/scheduling/slot_scheduler.h
+++ b/libs/pool/scheduling/slot_scheduler.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
@@ -14,8 +15,9 @@
 
 /** Shares the slots of one endpoint among waiting statements.
 
-    Long work holds at most all slots but one, so short work never waits for a
-    long statement to end. Work that cannot start before its deadline, judged
+    Long work leaves as many slots as short work has lately kept busy, with a
+    margin, and at least one, so short work does not wait for a long statement
+    to end. Work that cannot start before its deadline, judged
     by the run times seen so far, is refused at once.
 
     @tparam Q  order in which waiting work is started
@@ -26,6 +28,11 @@
   /** Most statements that may wait. */
   static constexpr size_t kMaxWaiting = 10000;
 
+  /** Time over which the load by short work is measured. */
+  static constexpr Duration kLoadWindow = std::chrono::milliseconds(500);
+  /** Share of the slots left to short work that it may keep busy. */
+  static constexpr double kShortUse = 0.8;
+
   /** @param slots  statements that the endpoint runs at a time */
   explicit SlotScheduler(int64_t slots) : slots_(slots) { assert(slots_ > 0); }
 
@@ -66,14 +73,16 @@
 
       @param id   a statement returned by StartNext()
       @param ran  how long it held the slot
+      @param now  the present
   */
-  void Finish(uint64_t id, Duration ran) {
+  void Finish(uint64_t id, Duration ran, TimePoint now) {
     const auto it = running_.find(id);
     assert(it != running_.end());
     running_long_ -= it->second == WorkClass::kLong ? 1 : 0;
     if (it->second == WorkClass::kShort) {
       // Exponential average with a weight of 1/8 for the newest run.
       average_run_ += (ran - average_run_) / 8;
+      NoteShortRun(ran, now);
     }
     running_.erase(it);
   }
@@ -95,7 +104,25 @@
   int64_t GetSlots() const { return slots_; }
 
  private:
-  int64_t GetLongLimit() const { return std::max<int64_t>(1, slots_ - 1); }
+  int64_t GetLongLimit() const {
+    const auto wanted =
+        static_cast<int64_t>(std::ceil(short_load_ / kShortUse));
+    return std::max<int64_t>(1, slots_ - std::max<int64_t>(1, wanted));
+  }
+
+  /** Measures how many slots short work keeps busy. */
+  void NoteShortRun(Duration ran, TimePoint now) {
+    short_busy_ += ran;
+    const Duration span = now - window_began_;
+    if (span < kLoadWindow) {
+      return;
+    }
+    const double load = static_cast<double>(short_busy_.count()) /
+                        static_cast<double>(span.count());
+    short_load_ += (load - short_load_) / 2;
+    short_busy_ = Duration::zero();
+    window_began_ = now;
+  }
 
   Duration EstimateWait() const {
     return average_run_ * static_cast<int64_t>(queue_.GetSize()) / slots_;
@@ -106,6 +133,9 @@
   std::unordered_map<uint64_t, WorkClass> running_;
   int64_t running_long_ = 0;
   Duration average_run_{0};
+  Duration short_busy_{0};
+  double short_load_ = 0;
+  TimePoint window_began_;
 };
 
 }  // namespace magnoliareel
--- a/libs/pool/tests/pool_test.cc
+++ b/libs/pool/tests/pool_test.cc
@@ -86,11 +86,26 @@
   LONGS_EQUAL(9, scheduler.StartNext(true)->id);
 }
 
+TEST(Scheduler, LeavesLongWorkFewerSlotsWhileShortWorkNeedsThem) {
+  // Two slots of three are kept busy by short work for a while.
+  for (uint64_t id = 1; id <= 200; ++id) {
+    CHECK(!scheduler.Admit(MakeWork(id, "a", WorkClass::kShort), now));
+    CHECK(scheduler.StartNext(true).has_value());
+    scheduler.Finish(id, milliseconds(20),
+                     now + milliseconds(10 * static_cast<int64_t>(id)));
+  }
+  for (uint64_t id = 301; id <= 303; ++id) {
+    CHECK(!scheduler.Admit(MakeWork(id, "a", WorkClass::kLong), now));
+  }
+  CHECK(scheduler.StartNext(true).has_value());
+  CHECK_FALSE(scheduler.StartNext(true).has_value());
+}
+
 TEST(Scheduler, RefusesWhatCannotStartInTime) {
   for (uint64_t id = 1; id <= 30; ++id) {
     CHECK(!scheduler.Admit(MakeWork(id, "a", WorkClass::kShort), now));
     if (scheduler.StartNext(true)) {
-      scheduler.Finish(id, milliseconds(100));
+      scheduler.Finish(id, milliseconds(100), now);
     }
   }
   for (uint64_t id = 31; id <= 60; ++id) {
@@ -131,4 +146,13 @@
   CHECK(estimates.Classify("get 99", WorkClass::kLong) == WorkClass::kLong);
 }
 
+TEST(Estimates, OneStragglerDoesNotMakeItsShapeLong) {
+  RunTimeEstimates estimates;
+  for (int n = 0; n < 8; ++n) {
+    estimates.Learn("get 1", milliseconds(5));
+  }
+  estimates.Learn("get 1", std::chrono::seconds(60));
+  CHECK(estimates.Classify("get 2", WorkClass::kShort) == WorkClass::kShort);
+}
+
 }  // namespace magnoliareel
--- a/libs/pooler/endpoints/endpoint_runner.h
+++ b/libs/pooler/endpoints/endpoint_runner.h
@@ -277,7 +277,7 @@
     if (end.outcome == Outcome::kDone) {
       estimates_.Learn(work.call.statement, end.ran);
     }
-    scheduler_.Finish(id, end.ran);
+    scheduler_.Finish(id, end.ran, executor_.Now());
     SettleConnection(work, reply, end);
     end.answer = std::move(reply.answer);
     running.done(std::move(end));
--- a/tests/experiments/stragglers.lua
+++ b/tests/experiments/stragglers.lua
@@ -1,5 +1,7 @@
 -- Waiting of short writes beside long ones: the same load without and with
--- stragglers. settings.baseline "pooler:fifo" shows first in, first out.
+-- stragglers, one or two statements in a hundred that run a hundred
+-- times longer.
+-- settings.baseline "pooler:fifo" shows first in, first out.
 local cluster = require("cluster")
 
 cluster.start({ vms = 2, lag_ms = 5 })
@@ -20,6 +22,9 @@
 end
 run(20) -- learns the run times
 local without, lost_without = run(0)
-local with, lost_with = run(20)
-print(string.format("  p99 of short writes: %.1f ms without, %.1f ms with stragglers, factor %.2f; not done %d and %d",
-  without, with, with / without, lost_without, lost_with))
+print(string.format("  no stragglers: p99 of short writes %.1f ms, not done %d", without, lost_without))
+for _, permille in ipairs({ 10, 20 }) do
+  local with, lost = run(permille)
+  print(string.format("  %d in 1000: p99 of short writes %.1f ms, factor %.2f, not done %d", permille,
+    with, with / without, lost))
+end
--- a/tests/scenarios/lib/cluster.lua
+++ b/tests/scenarios/lib/cluster.lua
@@ -169,7 +169,7 @@
 end
 
 function cluster.await_entry(n)
-  eventually(20, "entry " .. n .. " serves", function() return cluster.open("crew-1", n) end)
+  eventually(20, "entry " .. n .. " serves", function() return cluster.open(cluster.callers[1], n) end)
 end
 
 function cluster.rpc(pooler, method, parameters)
@@ -255,7 +255,7 @@
 -- The record's text at the primary.
 function cluster.read_primary(record)
   return eventually(20, "the primary is read", function()
-    local session = cluster.open("crew-1", cluster.live_entry or 1)
+    local session = cluster.open(cluster.callers[1], cluster.live_entry or 1)
     local answer = session and cluster.read(session, cluster.live_entry or 1, record, { max_age_ms = 0 })
     return answer and answer.outcome == "done" and answer
   end).answer
@@ -264,12 +264,14 @@
 -- Load in the background, with a history.
 
 function cluster.start_load(arguments)
+  -- Each load has a seed of its own, which also names its requests.
+  cluster.loads = (cluster.loads or 0) + 1
   local entries, callers = {}, {}
   for n = 1, cluster.vms do entries[n] = cluster.entry(n) end
   for n, name in ipairs(cluster.callers) do callers[n] = name .. "=key-" .. name end
   local words = { settings.bin_dir .. "/apps/load/magnoliareel-load",
     "--entries", table.concat(entries, ","), "--callers", table.concat(callers, ","),
-    "--service", "groyne-logs", "--seed", tostring(settings.seed),
+    "--service", "groyne-logs", "--seed", tostring(settings.seed * 100 + cluster.loads),
     "--history", settings.log_dir .. "/history.jsonl", "--report", settings.log_dir .. "/report.json" }
   for _, word in ipairs(arguments) do table.insert(words, word) end
   start("load", words)
