--- a/apps/ctl/document_commands.cc
+++ b/apps/ctl/document_commands.cc
@@ -203,14 +203,14 @@
       settings_.expected_version >= 0 &&
       static_cast<uint64_t>(settings_.expected_version) != read->head.version;
   if (is_unexpected) {
-    return ReportLoss(read->head, next);
+    return ReportLoss(read->head, text);
   }
   if (const auto ec = KeepDocument(next.hash, text)) {
     std::fprintf(stderr, "the document cannot be kept: %s\n",
                  ec.message().c_str());
     return kExitUnreachable;
   }
-  return WriteHead(*read, next);
+  return WriteHead(*read, next, text);
 }
 
 /** An object is named by its hash, so keeping it twice changes nothing. */
@@ -226,7 +226,9 @@
   return ec;
 }
 
-int DocumentCommands::WriteHead(const HeadRow& read, const DocumentHead& next) {
+int DocumentCommands::WriteHead(const HeadRow& read,
+                                const DocumentHead& next,
+                                const std::string& text) {
   const TableWrite write{PlatformKeys{settings_.environment}.GetHead(),
                          read.row_version, FormatDocumentHead(next)};
   for (int n = 0; n < kWriteAttempts; ++n) {
@@ -244,7 +246,7 @@
                   settings_.environment.c_str(), next.hash.c_str());
       return kExitOk;
     }
-    return ReportLoss(present, next);
+    return ReportLoss(present, text);
   }
   std::fputs(
       "the store does not answer; run history to see whether the change took "
@@ -254,14 +256,16 @@
 }
 
 int DocumentCommands::ReportLoss(const DocumentHead& winner,
-                                 const DocumentHead& own) {
+                                 const std::string& own_text) {
   std::printf("not applied: version %lu by %s came first\n", winner.version,
               winner.changed_by.c_str());
   const auto theirs = access_.GetObject(winner.hash);
-  const auto ours = access_.GetObject(own.hash);
-  if (!theirs.ec && !ours.ec) {
+  if (theirs.ec) {
+    std::fprintf(stderr, "document %s: %s\n", winner.hash.c_str(),
+                 theirs.ec.message().c_str());
+  } else {
     std::puts("what differs between it and yours:");
-    PrintDifference(theirs.value, ours.value);
+    PrintDifference(theirs.value, own_text);
   }
   return kExitConflict;
 }
--- a/apps/ctl/document_commands.h
+++ b/apps/ctl/document_commands.h
@@ -40,8 +40,10 @@
   int PutInForce(const std::string& text);
   std::error_code KeepDocument(const std::string& hash,
                                const std::string& text);
-  int WriteHead(const HeadRow& read, const DocumentHead& next);
-  int ReportLoss(const DocumentHead& winner, const DocumentHead& own);
+  int WriteHead(const HeadRow& read,
+                const DocumentHead& next,
+                const std::string& text);
+  int ReportLoss(const DocumentHead& winner, const std::string& own_text);
   void KeepHistory(const DocumentHead& head);
 
   const CtlSettings& settings_;
--- a/apps/entry/entry_process.cc
+++ b/apps/entry/entry_process.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "apps/support/deployment_log.h"
 #include "codec/codec.h"
 
 namespace magnoliareel {
@@ -75,10 +76,7 @@
     loop_.Stop();
     return ec;
   }
-  LogEvent(Event::kStarted, {{"program", "magnoliareel-entry"},
-                             {"vm", settings_.vm},
-                             {"listen", settings_.listen.Format()},
-                             {"version", MAGNOLIAREEL_VERSION}});
+  LogStarted("magnoliareel-entry", settings_.vm, settings_.listen);
   return {};
 }
 
@@ -94,32 +92,16 @@
 
 template <EntryPolicy P>
 DeploymentEvents EntryProcess<P>::MakeDeploymentEvents() {
-  DeploymentEvents events;
-  events.on_change = [this](std::shared_ptr<const Deployment> deployment) {
-    ApplyDeployment(std::move(deployment));
-  };
-  events.on_refused = [](uint64_t version, const Findings& findings) {
-    LogEvent(Event::kDocumentRefused, {{"version", std::to_string(version)},
-                                       {"findings", findings.FormatLines()}});
-  };
-  events.on_store = [this](std::error_code ec) {
-    peers_.SetWanted(bool(ec));
-    if (ec) {
-      LogEvent(Event::kStoreUnreachable,
-               {{"error", std::string(ErrorName(ec))}});
-    }
-  };
-  return events;
+  return MakeLoggedEvents(
+      [this](std::shared_ptr<const Deployment> deployment) {
+        ApplyDeployment(std::move(deployment));
+      },
+      [this](std::error_code ec) { peers_.SetWanted(bool(ec)); });
 }
 
 template <EntryPolicy P>
 void EntryProcess<P>::ApplyDeployment(
     std::shared_ptr<const Deployment> deployment) {
-  if (deployment->version != version_) {
-    version_ = deployment->version;
-    LogEvent(Event::kDocumentInForce, {{"version", std::to_string(version_)},
-                                       {"hash", deployment->hash}});
-  }
   std::vector<std::string> peers = settings_.peers;
   for (const VmEntry& it : deployment->vms) {
     peers.push_back(it.pooler_address);
--- a/apps/entry/entry_process.h
+++ b/apps/entry/entry_process.h
@@ -51,7 +51,6 @@
   const TokenSealer sealer_;
   StatementMetrics metrics_;
   std::atomic<bool> is_draining_ = false;
-  uint64_t version_ = 0;
   ControlLoop loop_;
   HttpClient client_;
   HttpPoolerLink link_;
--- a/apps/load/load_run.cc
+++ b/apps/load/load_run.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cstdio>
-#include <random>
 #include <utility>
 
 #include "codec/codec.h"
@@ -13,17 +12,6 @@
 constexpr Duration kAnswerGrace = std::chrono::milliseconds(1000);
 constexpr Duration kRetryPause = std::chrono::milliseconds(100);
 constexpr Duration kProgressSpacing = std::chrono::seconds(1);
-constexpr double kMicrosPerSecond = 1e6;
-
-std::vector<std::string> SplitValues(const std::string& text) {
-  std::vector<std::string> values;
-  for (size_t begin = 0; begin < text.size();) {
-    const size_t end = std::min(text.find(',', begin), text.size());
-    values.push_back(text.substr(begin, end - begin));
-    begin = end + 1;
-  }
-  return values;
-}
 
 CallerAnswer ParseReply(const HttpReply& reply) {
   CallerAnswer answer;
@@ -48,21 +36,22 @@
 LoadRun::LoadRun(LoadSettings settings, ControlLoop& loop)
     : settings_(std::move(settings)),
       loop_(loop),
+      plan_(settings_),
       random_(static_cast<uint64_t>(settings_.seed)) {}
 
 void LoadRun::Start(std::function<void()> done) {
   done_ = std::move(done);
   began_ = loop_.Now();
+  next_arrival_ = began_;
   ScheduleArrival();
   loop_.After(kProgressSpacing, [this] { ReportProgress(); });
 }
 
 void LoadRun::ScheduleArrival() {
-  const double rate = static_cast<double>(settings_.rate) * GetFactor();
-  std::exponential_distribution<double> spacing(rate / kMicrosPerSecond);
-  // Measured from the planned moment, so that delays of this process do not
-  // thin out the arrivals.
-  const auto wait = Duration(static_cast<int64_t>(spacing(random_)));
+  // Counted from the planned moment, so that delays of this process do not thin
+  // out the arrivals.
+  next_arrival_ += plan_.ChooseSpacing(loop_.Now() - began_);
+  const Duration wait = std::max(Duration::zero(), next_arrival_ - loop_.Now());
   loop_.After(wait, [this] {
     if (loop_.Now() - began_ >=
         std::chrono::milliseconds(settings_.duration_ms)) {
@@ -75,14 +64,6 @@
   });
 }
 
-double LoadRun::GetFactor() const {
-  const auto at = loop_.Now() - began_;
-  const auto begin = std::chrono::milliseconds(settings_.crest_at_ms);
-  const bool is_crest = at >= begin && at < begin + std::chrono::milliseconds(
-                                                        settings_.crest_for_ms);
-  return is_crest ? static_cast<double>(settings_.crest_factor) : 1;
-}
-
 void LoadRun::ReportProgress() {
   std::printf(
       "%3ld s: %lu arrived, %zu finished, %zu done, %zu in progress, %lu "
@@ -97,52 +78,12 @@
   }
 }
 
-const LoadCaller& LoadRun::ChooseCaller() {
-  int64_t total = 0;
-  for (const LoadCaller& it : settings_.callers) {
-    total += it.weight;
-  }
-  int64_t n = static_cast<int64_t>(random_() % static_cast<uint64_t>(total));
-  for (const LoadCaller& it : settings_.callers) {
-    n -= it.weight;
-    if (n < 0) {
-      return it;
-    }
-  }
-  return settings_.callers.back();
-}
-
-LoadRun::ArrivalRef LoadRun::MakeArrival() {
-  auto arrival = std::make_shared<Arrival>();
-  arrival->arrived = loop_.Now();
-  const auto choice = static_cast<int64_t>(random_() % 1000);
-  const std::string record =
-      "record-" +
-      std::to_string(random_() % static_cast<uint64_t>(settings_.records));
-  const std::string value = "v" + std::to_string(arrivals_);
-  if (choice < settings_.transactions_permille) {
-    arrival->is_transaction = true;
-    arrival->verb = CallerVerb::kBegin;
-    arrival->additions = {{record, value + "x"}, {record, value + "y"}};
-    return arrival;
-  }
-  const bool is_write =
-      choice < settings_.transactions_permille + settings_.writes_permille;
-  arrival->verb = is_write ? CallerVerb::kWrite : CallerVerb::kRead;
-  arrival->additions = {{record, value}};
-  if (static_cast<int64_t>(random_() % 1000) < settings_.long_permille) {
-    arrival->work_class = WorkClass::kLong;
-    // Long work has a shape of its own, as a report has.
-    arrival->additions.front().record = "report-1";
-  }
-  return arrival;
-}
-
 void LoadRun::Arrive() {
   ++arrivals_;
   ++in_progress_;
-  const LoadCaller& caller = ChooseCaller();
-  const ArrivalRef arrival = MakeArrival();
+  const LoadCaller& caller = plan_.ChooseCaller();
+  const auto arrival = std::make_shared<LoadArrival>(plan_.MakeArrival());
+  arrival->arrived = loop_.Now();
   WithSession(caller, [this, arrival](const SessionRef& session) {
     if (arrival->is_transaction) {
       RunTransaction(session, arrival);
@@ -183,23 +124,6 @@
       });
 }
 
-std::string LoadRun::MakeStatement(const Arrival& arrival,
-                                   const Addition& addition) const {
-  std::string text;
-  const int64_t work = arrival.work_class == WorkClass::kLong
-                           ? settings_.long_ms
-                           : settings_.short_ms;
-  if (work > 0) {
-    text = "work " + std::to_string(work) + " ";
-  }
-  if (arrival.verb == CallerVerb::kRead) {
-    return text + "get " + addition.record;
-  }
-  // A history needs every value; without one, records stay small.
-  const char* verb = settings_.history.empty() ? "put " : "append ";
-  return text + verb + addition.record + " " + addition.value;
-}
-
 void LoadRun::RunStatement(const SessionRef& session,
                            const ArrivalRef& arrival) {
   const bool is_write = arrival->verb == CallerVerb::kWrite;
@@ -208,7 +132,7 @@
   CallerRequest request =
       MakeRequest(arrival->verb, history_[arrival->operation].request);
   request.record_key = arrival->additions.front().record;
-  request.statement = MakeStatement(*arrival, arrival->additions.front());
+  request.statement = plan_.MakeStatement(*arrival, arrival->additions.front());
   if (settings_.long_declared != 0) {
     request.work_class = arrival->work_class;
   }
@@ -253,7 +177,7 @@
   }
   CallerRequest request =
       MakeRequest(CallerVerb::kWrite, name + "-" + std::to_string(number));
-  request.statement = MakeStatement(*arrival, arrival->additions[number]);
+  request.statement = plan_.MakeStatement(*arrival, arrival->additions[number]);
   Ask(session, std::move(request),
       [this, session, arrival, number](const CallerAnswer& answer) {
         if (answer.outcome == Outcome::kDone) {
@@ -293,7 +217,8 @@
   NoteOutcome(*arrival, answer);
 }
 
-void LoadRun::NoteOutcome(const Arrival& arrival, const CallerAnswer& answer) {
+void LoadRun::NoteOutcome(const LoadArrival& arrival,
+                          const CallerAnswer& answer) {
   Operation& operation = history_[arrival.operation];
   operation.outcome = answer.outcome;
   operation.ended = GetMicros();
@@ -316,7 +241,7 @@
 }
 
 void LoadRun::BeginOperation(const SessionRef& session,
-                             Arrival& arrival,
+                             LoadArrival& arrival,
                              OperationKind kind) {
   Operation operation;
   operation.request = "s" + std::to_string(settings_.seed) + "-" +
--- a/apps/load/load_run.h
+++ b/apps/load/load_run.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "apps/load/load_plan.h"
 #include "apps/load/load_report.h"
 #include "apps/load/load_settings.h"
 #include "core/core.h"
@@ -44,22 +45,11 @@
   using SessionRef = std::shared_ptr<Session>;
   using Next = std::function<void(const CallerAnswer&)>;
 
-  /** A request of the plan, from its arrival. */
-  struct Arrival {
-    CallerVerb verb = CallerVerb::kRead;
-    bool is_transaction = false;
-    WorkClass work_class = WorkClass::kShort;
-    std::vector<Addition> additions;
-    TimePoint arrived;
-    size_t operation = 0;
-  };
-  using ArrivalRef = std::shared_ptr<Arrival>;
+  using ArrivalRef = std::shared_ptr<LoadArrival>;
 
   void ScheduleArrival();
   void Arrive();
   void ReportProgress();
-  const LoadCaller& ChooseCaller();
-  ArrivalRef MakeArrival();
   void WithSession(const LoadCaller& caller,
                    const std::function<void(SessionRef)>& use);
   void OpenSession(const LoadCaller& caller,
@@ -75,30 +65,29 @@
   void Finish(const SessionRef& session,
               const ArrivalRef& arrival,
               const CallerAnswer& answer);
-  void NoteOutcome(const Arrival& arrival, const CallerAnswer& answer);
+  void NoteOutcome(const LoadArrival& arrival, const CallerAnswer& answer);
   void BeginOperation(const SessionRef& session,
-                      Arrival& arrival,
+                      LoadArrival& arrival,
                       OperationKind kind);
   void Ask(const SessionRef& session, CallerRequest request, Next next);
   CallerRequest MakeRequest(CallerVerb verb, std::string name) const;
-  std::string MakeStatement(const Arrival& arrival,
-                            const Addition& addition) const;
 
   void EndIfIdle();
   void SettleNext();
   void ReadFinal(size_t record);
 
   int64_t GetMicros() const;
-  double GetFactor() const;
 
   const LoadSettings settings_;
   ControlLoop& loop_;
   HttpClient client_;
+  LoadPlan plan_;
   ProcessRandom random_;
   LoadReport report_;
   std::vector<Operation> history_;
   std::function<void()> done_;
   TimePoint began_;
+  TimePoint next_arrival_;
   std::map<std::string, std::vector<SessionRef>> idle_;
   std::map<std::string, LoadCaller> caller_of_operation_;
   size_t in_progress_ = 0;
--- a/apps/pooler/pooler_process.cc
+++ b/apps/pooler/pooler_process.cc
@@ -4,6 +4,7 @@
 #include <random>
 #include <utility>
 
+#include "apps/support/deployment_log.h"
 #include "codec/codec.h"
 #include "seal/seal.h"
 
@@ -82,10 +83,7 @@
     loop_.Stop();
     return ec;
   }
-  LogEvent(Event::kStarted, {{"program", "magnoliareel-pooler"},
-                             {"vm", settings_.vm},
-                             {"listen", settings_.listen.Format()},
-                             {"version", MAGNOLIAREEL_VERSION}});
+  LogStarted("magnoliareel-pooler", settings_.vm, settings_.listen);
   return {};
 }
 
@@ -193,32 +191,16 @@
 
 template <PoolerPolicy P>
 DeploymentEvents PoolerProcess<P>::MakeDeploymentEvents() {
-  DeploymentEvents events;
-  events.on_change = [this](std::shared_ptr<const Deployment> deployment) {
-    ApplyDeployment(std::move(deployment));
-  };
-  events.on_refused = [](uint64_t version, const Findings& findings) {
-    LogEvent(Event::kDocumentRefused, {{"version", std::to_string(version)},
-                                       {"findings", findings.FormatLines()}});
-  };
-  events.on_store = [this](std::error_code ec) {
-    peers_.SetWanted(bool(ec));
-    if (ec) {
-      LogEvent(Event::kStoreUnreachable,
-               {{"error", std::string(ErrorName(ec))}});
-    }
-  };
-  return events;
+  return MakeLoggedEvents(
+      [this](std::shared_ptr<const Deployment> deployment) {
+        ApplyDeployment(std::move(deployment));
+      },
+      [this](std::error_code ec) { peers_.SetWanted(bool(ec)); });
 }
 
 template <PoolerPolicy P>
 void PoolerProcess<P>::ApplyDeployment(
     std::shared_ptr<const Deployment> deployment) {
-  if (deployment->version != deployment_->version) {
-    LogEvent(Event::kDocumentInForce,
-             {{"version", std::to_string(deployment->version)},
-              {"hash", deployment->hash}});
-  }
   if (deployment->vms != deployment_->vms) {
     LogEvent(Event::kVmListChanged,
              {{"count", std::to_string(deployment->vms.size())}});
@@ -240,7 +222,7 @@
     Findings findings;
     const ObserveRequest request = DecodeObserveRequest(parameters, findings);
     ObserveAnswer answer;
-    if (const GroupState* state = core_->FindState(request.group)) {
+    if (const GroupState* state = core_->GetTable().FindState(request.group)) {
       const MemberState* member = state->Find(request.endpoint);
       answer.is_watched = member != nullptr;
       answer.is_reachable = member != nullptr && member->is_reachable;
@@ -271,20 +253,21 @@
   status.hash = deployment_->hash;
   status.in_progress = core_->CountInProgress();
   status.transactions = core_->CountTransactions();
-  core_->VisitGroups([&status](const GroupId& group, const GroupState& state) {
-    GroupStatus& it = status.groups.emplace_back();
-    it.group = group;
-    if (const auto primary = state.GetPrimary()) {
-      it.primary = primary->endpoint;
-      it.term = primary->term;
-    }
-    for (const MemberState& member : state.GetMembers()) {
-      it.endpoints.push_back(
-          {member.endpoint, member.is_reachable, member.report});
-    }
-  });
-  core_->VisitEndpoints([&status](const EndpointId& endpoint, size_t waiting,
-                                  int64_t open) {
+  core_->GetTable().VisitGroups(
+      [&status](const GroupId& group, const GroupState& state) {
+        GroupStatus& it = status.groups.emplace_back();
+        it.group = group;
+        if (const auto primary = state.GetPrimary()) {
+          it.primary = primary->endpoint;
+          it.term = primary->term;
+        }
+        for (const MemberState& member : state.GetMembers()) {
+          it.endpoints.push_back(
+              {member.endpoint, member.is_reachable, member.report});
+        }
+      });
+  core_->GetTable().VisitEndpoints([&status](const EndpointId& endpoint,
+                                             size_t waiting, int64_t open) {
     status.runners.push_back({endpoint, waiting, static_cast<uint64_t>(open)});
   });
   return status;
--- a/libs/history/history.h
+++ b/libs/history/history.h
@@ -10,6 +10,7 @@
     Topics: operations/ (the recorded operations), rules/ (the check).
 */
 #include "history/operations/operation.h"
+#include "history/operations/split_values.h"
 #include "history/rules/check_history.h"
 
 #endif  // MAGNOLIAREEL_HISTORY_HISTORY_H_
--- /dev/null
+++ b/libs/history/operations/split_values.h
@@ -0,0 +1,16 @@
+#ifndef MAGNOLIAREEL_HISTORY_OPERATIONS_SPLIT_VALUES_H_
+#define MAGNOLIAREEL_HISTORY_OPERATIONS_SPLIT_VALUES_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace magnoliareel {
+
+/** @param text  a record's text, its values separated by commas
+    @returns      the values */
+std::vector<std::string> SplitValues(std::string_view text);
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_HISTORY_OPERATIONS_SPLIT_VALUES_H_
--- a/libs/pooler/core/pooler_core.h
+++ b/libs/pooler/core/pooler_core.h
@@ -14,6 +14,7 @@
 #include "membership/membership.h"
 #include "outcome/outcome.h"
 #include "pooler/core/endpoint_calls.h"
+#include "pooler/core/group_table.h"
 #include "pooler/core/job.h"
 #include "pooler/endpoints/endpoint_runner.h"
 #include "pooler/groups/group_desk.h"
@@ -50,9 +51,8 @@
   */
   PoolerCore(E& executor, L& link, S& store, PoolerOptions options)
       : executor_(executor),
-        link_(link),
-        store_(store),
         options_(std::move(options)),
+        table_(executor, link, store, options_),
         transactions_(options_.vm.value + "-" + options_.incarnation) {
     Tick();
   }
@@ -63,16 +63,7 @@
   */
   void Apply(std::shared_ptr<const Deployment> deployment) {
     deployment_ = std::move(deployment);
-    for (const ServiceShape& service : deployment_->document.services) {
-      for (const GroupShape& group : service.groups) {
-        ApplyGroup(group);
-      }
-    }
-    for (auto& [name, desk] : groups_) {
-      if (deployment_->document.FindGroup(name) == nullptr) {
-        desk->SetRank({}, std::nullopt);
-      }
-    }
+    table_.Apply(*deployment_);
   }
 
   /** Takes a request.
@@ -106,125 +97,30 @@
   /** Orders a change of primary. @param group  the group  @returns false if it
       is not driven here */
   bool OrderPromotion(const GroupId& group) {
-    const auto it = groups_.find(group);
-    return it != groups_.end() && it->second->OrderPromotion();
+    Desk* desk = table_.FindDesk(group);
+    return desk != nullptr && desk->OrderPromotion();
   }
 
   /** @returns requests not answered yet */
   size_t CountInProgress() const { return in_progress_; }
   /** @returns open transactions */
   size_t CountTransactions() const { return transactions_.GetSize(); }
-  /** @param group  a name  @returns what is known of it, or nullptr */
-  const GroupState* FindState(const GroupId& group) const {
-    const auto it = groups_.find(group);
-    return it == groups_.end() ? nullptr : &it->second->GetState();
-  }
-  /** @param visit  takes the name and state of each watched group */
-  void VisitGroups(const std::function<void(const GroupId&, const GroupState&)>&
-                       visit) const {
-    for (const auto& [name, desk] : groups_) {
-      visit(name, desk->GetState());
-    }
-  }
-  /** @param visit  takes the name, waiting statements and open connections of
-      each endpoint in use */
-  void VisitEndpoints(
-      const std::function<void(const EndpointId&, size_t, int64_t)>& visit)
-      const {
-    for (const auto& [name, runner] : runners_) {
-      visit(name, runner->CountWaiting(), runner->CountConnections());
-    }
-  }
+  /** @returns the groups and endpoints in use */
+  const GroupTable<E, L, S, P>& GetTable() const { return table_; }
 
  private:
-  using Desk = GroupDesk<E, L, S, P>;
-  using Runner = EndpointRunner<E, L, P>;
+  using Desk = typename GroupTable<E, L, S, P>::Desk;
+  using Runner = typename GroupTable<E, L, S, P>::Runner;
   using JobRef = std::shared_ptr<Job<Desk, Runner>>;
 
   void Tick() {
-    for (auto& [name, desk] : groups_) {
-      desk->Tick();
-    }
+    table_.Tick();
     for (const OpenTransaction& it : transactions_.TakeIdle(executor_.Now())) {
       Abort(it, "idle_limit");
     }
     executor_.After(Desk::kTickSpacing, [this] { Tick(); });
   }
 
-  void ApplyGroup(const GroupShape& group) {
-    const auto drivers = deployment_->ownership.GetDrivers(group.group);
-    const auto rank = FindRank(drivers);
-    bool is_wanted = rank.has_value();
-    for (const EndpointShape& it : group.endpoints) {
-      const bool is_owner =
-          FindRank(deployment_->ownership.GetOwners(it.endpoint)) == 0;
-      is_wanted |= is_owner;
-      if (const auto known = runners_.find(it.endpoint);
-          known != runners_.end()) {
-        known->second->Reshape(it);
-      } else if (is_owner) {
-        GetRunner(it).Warm();
-      }
-    }
-    if (is_wanted || groups_.contains(group.group)) {
-      GetDesk(group).SetRank(drivers, rank);
-    }
-  }
-
-  std::optional<size_t> FindRank(std::span<const VmId> vms) const {
-    const auto it = std::find(vms.begin(), vms.end(), options_.vm);
-    return it == vms.end()
-               ? std::nullopt
-               : std::optional(static_cast<size_t>(it - vms.begin()));
-  }
-
-  Desk& GetDesk(const GroupShape& group) {
-    auto& desk = groups_[group.group];
-    if (!desk) {
-      desk = std::make_unique<Desk>(executor_, link_, store_, group, options_,
-                                    MakeListener(group));
-    }
-    return *desk;
-  }
-
-  /** A replaced primary, or an endpoint that is silent, would hold statements
-      until their deadline. */
-  GroupListener MakeListener(const GroupShape& group) {
-    GroupListener listener;
-    listener.on_primary = [this, group](const PrimaryView& primary) {
-      for (const EndpointShape& it : group.endpoints) {
-        if (it.endpoint != primary.endpoint) {
-          Abandon(it.endpoint, [&primary](const EndpointCall& call) {
-            return call.term < primary.term;
-          });
-        }
-      }
-    };
-    listener.on_unreachable = [this](const EndpointId& endpoint) {
-      Abandon(endpoint, [](const EndpointCall& call) {
-        return call.verb == EndpointVerb::kRead;
-      });
-    };
-    return listener;
-  }
-
-  void Abandon(const EndpointId& endpoint,
-               const std::function<bool(const EndpointCall&)>& is_hopeless) {
-    if (const auto it = runners_.find(endpoint); it != runners_.end()) {
-      it->second->Abandon(is_hopeless);
-    }
-  }
-
-  Runner& GetRunner(const EndpointShape& shape) {
-    auto& runner = runners_[shape.endpoint];
-    if (!runner) {
-      runner = std::make_unique<Runner>(
-          executor_, link_, shape,
-          options_.vm.value + "-" + options_.incarnation);
-    }
-    return *runner;
-  }
-
   void Start(const JobRef& job) {
     if (!deployment_ || deployment_->version == 0) {
       Refuse(job, Error::kNoDocument);
@@ -238,8 +134,8 @@
       Refuse(job, Error::kUnknownEndpoint);
       return;
     }
-    job->desk = &GetDesk(*group);
-    job->runner = &GetRunner(*endpoint);
+    job->desk = &table_.GetDesk(*group);
+    job->runner = &table_.GetRunner(*endpoint);
     if (!request.transaction.IsEmpty()) {
       Continue(job);
     } else if (is_draining_) {
@@ -503,8 +399,8 @@
 
   void Abort(const OpenTransaction& open, std::string_view reason) {
     options_.events.on_rollback(open.transaction, reason);
-    if (const auto it = runners_.find(open.endpoint); it != runners_.end()) {
-      it->second->CloseConnection(open.connection);
+    if (Runner* runner = table_.FindRunner(open.endpoint)) {
+      runner->CloseConnection(open.connection);
     }
   }
 
@@ -548,12 +444,9 @@
   }
 
   E& executor_;
-  L& link_;
-  S& store_;
   const PoolerOptions options_;
   std::shared_ptr<const Deployment> deployment_;
-  std::unordered_map<GroupId, std::unique_ptr<Desk>> groups_;
-  std::unordered_map<EndpointId, std::unique_ptr<Runner>> runners_;
+  GroupTable<E, L, S, P> table_;
   TransactionTable transactions_;
   size_t in_progress_ = 0;
   bool is_draining_ = false;
--- a/libs/pooler/pooler.h
+++ b/libs/pooler/pooler.h
@@ -13,6 +13,7 @@
     a group), transactions/ (open transactions), policies/ (the product's
    behaviour and its baselines), core/ (requests from arrival to answer).
 */
+#include "pooler/core/group_table.h"
 #include "pooler/core/pooler_core.h"
 #include "pooler/endpoints/endpoint_runner.h"
 #include "pooler/groups/group_watch.h"
--- /dev/null
+++ b/libs/telemetry/tests/telemetry_test.cc
@@ -0,0 +1,62 @@
+#include <fstream>
+#include <iterator>
+#include <set>
+#include <string>
+
+#include "telemetry/telemetry.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace magnoliareel {
+namespace {
+
+std::string LevelName(EventLevel level) {
+  return level == EventLevel::kInfo      ? "info"
+         : level == EventLevel::kWarning ? "warning"
+                                         : "error";
+}
+
+}  // namespace
+
+TEST_GROUP(Catalogue){};
+
+TEST(Catalogue, ThePageListsEveryEventAndNoOther) {
+  std::ifstream file(MAGNOLIAREEL_SOURCE_DIR "/docs/EVENTS.md");
+  const std::string page((std::istreambuf_iterator<char>(file)),
+                         std::istreambuf_iterator<char>());
+  size_t rows = 0;
+  for (size_t at = page.find("\n| E"); at != std::string::npos;
+       at = page.find("\n| E", at + 1)) {
+    ++rows;
+  }
+  LONGS_EQUAL(ListEvents().size(), rows);
+  std::set<int> numbers;
+  for (const EventDescription& it : ListEvents()) {
+    const int number = static_cast<int>(it.event);
+    CHECK(numbers.insert(number).second);
+    const std::string row = "| E" + std::to_string(number) + " | " +
+                            LevelName(it.level) + " | " + std::string(it.name) +
+                            " | " + std::string(it.meaning) + " |\n";
+    CHECK_TEXT(page.find(row) != std::string::npos, row.c_str());
+  }
+}
+
+TEST_GROUP(Metrics){};
+
+TEST(Metrics, CountPerCallerAndClassWithinABound) {
+  StatementMetrics metrics("test");
+  for (int n = 0; n < 200; ++n) {
+    metrics.Observe({"caller-" + std::to_string(n), "short", Outcome::kDone,
+                     Duration(10), Duration(20), Duration(30)});
+  }
+  const std::string text = metrics.RenderText();
+  CHECK(text.find(
+            "test_wait_seconds_count{caller=\"caller-0\",class=\"short\"} 1") !=
+        std::string::npos);
+  CHECK(text.find("caller=\"caller-150\"") == std::string::npos);
+  CHECK(text.find(
+            "test_statements_total{caller=\"other\",outcome=\"done\"} 136") !=
+        std::string::npos);
+}
+
+}  // namespace magnoliareel
--- a/standins/endpoint/database.cc
+++ b/standins/endpoint/database.cc
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "standins/endpoint/statement.h"
-
 namespace magnoliareel::standin {
 namespace {
 
@@ -20,25 +18,6 @@
   return answer;
 }
 
-void ApplyStatement(const std::string& text,
-                    std::map<std::string, std::string, std::less<>>& to) {
-  const auto statement = ParseStatement(text);
-  if (!statement) {
-    return;
-  }
-  std::string& value = to[statement->key];
-  if (statement->action == StatementAction::kPut) {
-    value = statement->value;
-  } else if (statement->action == StatementAction::kAppend) {
-    value += value.empty() ? statement->value : "," + statement->value;
-  }
-}
-
-bool IsWrite(const Statement& statement) {
-  return statement.action == StatementAction::kPut ||
-         statement.action == StatementAction::kAppend;
-}
-
 /** A statement that has to run in the term in which it was sent. */
 bool IsFenced(EndpointVerb verb) {
   switch (verb) {
@@ -169,7 +148,7 @@
   if (!statement || statement->action != StatementAction::kGet) {
     return Fail("not a reading statement");
   }
-  Overlay overlay;
+  Records overlay;
   overlay[statement->key] = Read(statement->key);
   for (const std::string& it : connection.statements) {
     ApplyStatement(it, overlay);
--- a/standins/endpoint/database.h
+++ b/standins/endpoint/database.h
@@ -15,6 +15,7 @@
 
 #include "core/core.h"
 #include "messages/messages.h"
+#include "standins/endpoint/statement.h"
 
 namespace magnoliareel::standin {
 
@@ -83,7 +84,6 @@
 
     bool IsVoid() const { return answer.empty(); }
   };
-  using Overlay = std::map<std::string, std::string, std::less<>>;
 
   EndpointAnswer Dispatch(const EndpointCall& call);
   EndpointAnswer Connect(const EndpointCall& call);
@@ -120,7 +120,7 @@
   bool is_leaving_ = false;
   Lineage lineage_;
   std::vector<LogRecord> log_;
-  std::map<std::string, std::string, std::less<>> records_;
+  Records records_;
   std::unordered_map<std::string, Recorded> recorded_;
   std::unordered_map<ConnectionId, Connection> connections_;
   std::unordered_set<ConnectionId> closed_early_;
--- a/standins/endpoint/main.cc
+++ b/standins/endpoint/main.cc
@@ -1,9 +1,8 @@
-#include <cstdio>
 #include <span>
 
-#include "process/process.h"
 #include "settings/settings.h"
 #include "standins/endpoint/endpoint_server.h"
+#include "standins/support/run_server.h"
 
 namespace magnoliareel::standin {
 namespace {
@@ -25,27 +24,11 @@
   return table.Parse(args, findings);
 }
 
-int Run(std::span<char* const> args) {
-  BlockStopSignals();
-  EndpointSettings settings;
-  Findings findings;
-  if (const auto result = ParseSettings(args, settings, findings);
-      result != FlagResult::kRun) {
-    return ReportSettings(result, findings);
-  }
-  EndpointServer server(settings);
-  if (const auto ec = server.Start()) {
-    std::fprintf(stderr, "%s: %s\n", settings.listen.Format().c_str(),
-                 ec.message().c_str());
-    return kExitCannotListen;
-  }
-  WaitForStopSignal();
-  return kExitOk;
-}
-
 }  // namespace
 }  // namespace magnoliareel::standin
 
 int main(int argc, char** argv) {
-  return magnoliareel::standin::Run({argv, static_cast<size_t>(argc)});
+  using namespace magnoliareel::standin;
+  return RunServer<EndpointServer>({argv, static_cast<size_t>(argc)},
+                                   &ParseSettings);
 }
--- a/standins/endpoint/statement.cc
+++ b/standins/endpoint/statement.cc
@@ -49,4 +49,22 @@
   return statement;
 }
 
+void ApplyStatement(const std::string& text, Records& to) {
+  const auto statement = ParseStatement(text);
+  if (!statement) {
+    return;
+  }
+  std::string& value = to[statement->key];
+  if (statement->action == StatementAction::kPut) {
+    value = statement->value;
+  } else if (statement->action == StatementAction::kAppend) {
+    value += value.empty() ? statement->value : "," + statement->value;
+  }
+}
+
+bool IsWrite(const Statement& statement) {
+  return statement.action == StatementAction::kPut ||
+         statement.action == StatementAction::kAppend;
+}
+
 }  // namespace magnoliareel::standin
--- a/standins/endpoint/statement.h
+++ b/standins/endpoint/statement.h
@@ -2,6 +2,8 @@
 #define MAGNOLIAREEL_STANDINS_ENDPOINT_STATEMENT_H_
 
 #include <chrono>
+#include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -27,6 +29,19 @@
 /** @param text  a statement  @returns it, or nothing if it is malformed */
 std::optional<Statement> ParseStatement(std::string_view text);
 
+/** Records by key. */
+using Records = std::map<std::string, std::string, std::less<>>;
+
+/** Applies a writing statement; any other changes nothing.
+
+    @param text  the statement
+    @param to    the records
+*/
+void ApplyStatement(const std::string& text, Records& to);
+
+/** @param statement  any statement  @returns whether it writes */
+bool IsWrite(const Statement& statement);
+
 }  // namespace magnoliareel::standin
 
 #endif  // MAGNOLIAREEL_STANDINS_ENDPOINT_STATEMENT_H_
--- a/tests/simulation/sim_caller.cc
+++ b/tests/simulation/sim_caller.cc
@@ -14,17 +14,6 @@
 constexpr Duration kPause = std::chrono::milliseconds(20);
 constexpr Duration kSettlePause = std::chrono::milliseconds(200);
 
-std::vector<std::string> SplitValues(const std::string& text) {
-  std::vector<std::string> values;
-  size_t begin = 0;
-  while (begin < text.size()) {
-    const size_t end = std::min(text.find(',', begin), text.size());
-    values.push_back(text.substr(begin, end - begin));
-    begin = end + 1;
-  }
-  return values;
-}
-
 std::string MakeAppend(const Addition& addition) {
   return "append " + addition.record + " " + addition.value;
 }
--- a/tests/simulation/simulation_test.cc
+++ b/tests/simulation/simulation_test.cc
@@ -43,14 +43,8 @@
     read.additions = {{record, ""}};
     read.outcome = Outcome::kDone;
     read.began = read.ended = cluster.Now().time_since_epoch().count();
-    const std::string text =
-        cluster.FindPrimary(ChooseGroup(service, record).group)->Read(record);
-    size_t begin = 0;
-    while (begin < text.size()) {
-      const size_t end = std::min(text.find(',', begin), text.size());
-      read.seen.push_back(text.substr(begin, end - begin));
-      begin = end + 1;
-    }
+    read.seen = SplitValues(
+        cluster.FindPrimary(ChooseGroup(service, record).group)->Read(record));
     history.push_back(std::move(read));
   }
 }
