Refuse a listen address that is taken; add tests of bad input and of the transport

Found by the new tests: two processes could listen on one address, since the server asked for shared addresses.

--- a/libs/http/server/http_server.cc
+++ b/libs/http/server/http_server.cc
@@ -107,8 +107,7 @@
         kConnectionMemoryBytes, MHD_OPTION_CONNECTION_TIMEOUT,
         options_.idle_seconds, MHD_OPTION_NOTIFY_COMPLETED, &Impl::OnCompleted,
         this, MHD_OPTION_THREAD_POOL_SIZE,
-        options_.threads > 1 ? options_.threads : 0U,
-        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+        options_.threads > 1 ? options_.threads : 0U, MHD_OPTION_END);
     return daemon_ == nullptr ? make_error_code(Error::kListenFailed)
                               : std::error_code();
   }
--- /dev/null
+++ b/libs/http/tests/http_test.cc
@@ -0,0 +1,126 @@
+#include <atomic>
+#include <future>
+#include <string>
+#include <thread>
+
+#include "http/http.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace magnoliareel {
+namespace {
+
+constexpr Duration kLimit = std::chrono::seconds(5);
+
+HttpServerOptions MakeOptions() {
+  HttpServerOptions options;
+  options.listen = {"127.0.0.1", 0};
+  options.max_body_bytes = 1000;
+  return options;
+}
+
+HttpReply Ask(HttpClient& client, uint16_t port, const std::string& body) {
+  HttpCall call;
+  call.address = {"127.0.0.1", port};
+  call.path = "/path";
+  call.body = body;
+  call.timeout = kLimit;
+  call.max_answer_bytes = 5000;
+  std::promise<HttpReply> promise;
+  auto reply = promise.get_future();
+  client.Send(std::move(call),
+              [&promise](HttpReply it) { promise.set_value(std::move(it)); });
+  return reply.get();
+}
+
+}  // namespace
+
+TEST_GROUP(Http) {
+  HttpClient client;
+};
+
+TEST(Http, CarriesRequestsAndAnswers) {
+  HttpServer server(
+      MakeOptions(), [](HttpRequest request, const HttpResponder& responder) {
+        responder.Send(
+            {201, request.method + " " + request.path + " " + request.body});
+      });
+  CHECK(!server.Start());
+  const HttpReply reply = Ask(client, server.GetPort(), "text");
+  CHECK(!reply.ec);
+  LONGS_EQUAL(201, reply.status);
+  STRCMP_EQUAL("POST /path text", reply.body.c_str());
+}
+
+TEST(Http, NeverRepeatsARequestByItself) {
+  std::atomic<int> received = 0;
+  HttpServer server(MakeOptions(), [&received](const HttpRequest&,
+                                               const HttpResponder& responder) {
+    if (++received == 1) {
+      responder.Send({200, "first"});
+    } else {
+      responder.Drop();
+    }
+  });
+  CHECK(!server.Start());
+  CHECK(!Ask(client, server.GetPort(), "one").ec);
+  CHECK(Ask(client, server.GetPort(), "two").ec == Error::kAnswerLost);
+  LONGS_EQUAL(2, received.load());
+}
+
+TEST(Http, TellsApartWhatWasNotSent) {
+  uint16_t port = 0;
+  {
+    HttpServer server(MakeOptions(),
+                      [](const HttpRequest&, const HttpResponder&) {});
+    CHECK(!server.Start());
+    port = server.GetPort();
+  }
+  CHECK(Ask(client, port, "x").ec == Error::kUnreachable);
+}
+
+TEST(Http, BoundsBodiesAndAnswers) {
+  HttpServer server(MakeOptions(), [](const HttpRequest& request,
+                                      const HttpResponder& responder) {
+    responder.Send({request.is_too_large ? 413 : 200, std::string(9000, 'x')});
+  });
+  CHECK(!server.Start());
+  CHECK(Ask(client, server.GetPort(), "x").ec == Error::kAnswerTooLarge);
+  HttpServer small(MakeOptions(), [](const HttpRequest& request,
+                                     const HttpResponder& responder) {
+    responder.Send({request.is_too_large ? 413 : 200, "{}"});
+  });
+  CHECK(!small.Start());
+  LONGS_EQUAL(413, Ask(client, small.GetPort(), std::string(5000, 'x')).status);
+  LONGS_EQUAL(200, Ask(client, small.GetPort(), std::string(500, 'x')).status);
+}
+
+TEST(Http, DrainWaitsForRequestsInProgress) {
+  std::promise<HttpResponder> arrived;
+  HttpServer server(MakeOptions(), [&arrived](const HttpRequest&,
+                                              const HttpResponder& responder) {
+    arrived.set_value(responder);
+  });
+  CHECK(!server.Start());
+  auto asked = std::async(std::launch::async, [this, &server] {
+    return Ask(client, server.GetPort(), "slow");
+  });
+  const HttpResponder responder = arrived.get_future().get();
+  LONGS_EQUAL(1, server.CountInProgress());
+  CHECK_FALSE(server.Drain(std::chrono::milliseconds(10)));
+  responder.Send({200, "done"});
+  STRCMP_EQUAL("done", asked.get().body.c_str());
+  CHECK(server.Drain(kLimit));
+}
+
+TEST(Http, AnAddressInUseCannotBeListenedOn) {
+  HttpServer first(MakeOptions(),
+                   [](const HttpRequest&, const HttpResponder&) {});
+  CHECK(!first.Start());
+  HttpServerOptions options = MakeOptions();
+  options.listen.port = first.GetPort();
+  HttpServer second(options, [](const HttpRequest&, const HttpResponder&) {});
+  CHECK(second.Start() == Error::kListenFailed);
+}
+
+}  // namespace magnoliareel
