Go on through the next owner when a pooler freezes

Cause: an entry waited for a frozen pooler until the request's deadline, since no connection broke. Ruled out: shorter timeouts, which would cut long statements. An entry now pings a pooler that has answered nobody for 500 ms and gives the attempt up if the ping fails.

--- a/apps/entry/entry_process.cc
+++ b/apps/entry/entry_process.cc
@@ -182,5 +182,6 @@
 template class EntryProcess<PrimaryReadsPolicy>;
 template class EntryProcess<UnmarkedReadsPolicy>;
 template class EntryProcess<NoDoubtPolicy>;
+template class EntryProcess<NoProbesPolicy>;
 
 }  // namespace magnoliareel
--- a/apps/entry/main.cc
+++ b/apps/entry/main.cc
@@ -20,6 +20,7 @@
     {"primary-reads", &Serve<PrimaryReadsPolicy>},
     {"unmarked-reads", &Serve<UnmarkedReadsPolicy>},
     {"no-doubt", &Serve<NoDoubtPolicy>},
+    {"no-probes", &Serve<NoProbesPolicy>},
 });
 
 int Run(std::span<char* const> args) {
--- a/apps/pooler/pooler_process.cc
+++ b/apps/pooler/pooler_process.cc
@@ -282,6 +282,10 @@
     AcceptRun(request.body, responder);
   } else if (request.path == "/rpc") {
     AcceptRpc(std::move(request.body), responder);
+  } else if (request.path == "/health") {
+    // Answered by the control thread: a pooler whose control stands still is
+    // not healthy.
+    loop_.Post([responder] { responder.Send({200, "{}"}); });
   } else if (request.path == "/metrics") {
     responder.Send({200, metrics_.RenderText(), "text/plain"});
   } else {
--- a/libs/entry/entry_service.h
+++ b/libs/entry/entry_service.h
@@ -41,15 +41,8 @@
                EntryState<E>& state,
                const TokenSealer& sealer,
                EntryOptions options)
-      : context_{executor,
-                 link,
-                 state,
-                 sealer,
-                 std::move(options.site),
-                 {},
-                 {},
-                 {},
-                 ProcessRandom(options.seed)} {}
+      : context_{executor, link, state, sealer, std::move(options.site),
+                 {},       {},   {},    {},     ProcessRandom(options.seed)} {}
 
   /** Serves a request.
 
--- a/libs/entry/flows/request_flow.h
+++ b/libs/entry/flows/request_flow.h
@@ -2,6 +2,7 @@
 #define MAGNOLIAREEL_ENTRY_FLOWS_REQUEST_FLOW_H_
 
 #include <algorithm>
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -11,10 +12,12 @@
 
 #include "core/core.h"
 #include "entry/flows/admit_request.h"
+#include "entry/flows/attempt_probe.h"
 #include "entry/flows/pooler_requests.h"
 #include "entry/policies/entry_policy.h"
 #include "entry/pooler_link.h"
 #include "entry/state/entry_state.h"
+#include "entry/state/pooler_contacts.h"
 #include "outcome/outcome.h"
 #include "routing/routing.h"
 
@@ -38,6 +41,8 @@
   SiteId site;
   /** Order in which endpoints are tried for reads. */
   typename P::Reads read_policy;
+  /** When poolers were heard from. */
+  PoolerContacts contacts;
   /** Share of traffic that may be retries. */
   RetryBudget budget;
   /** Guards `random`. */
@@ -117,6 +122,7 @@
     }
     const EndpointId& endpoint = endpoints_[next_endpoint_];
     const auto owners = deployment_->ownership.GetOwners(endpoint);
+    SkipSuspected(owners);
     if (next_owner_ >= owners.size()) {
       PauseThenAttempt();
       return;
@@ -124,6 +130,24 @@
     Send(endpoint, owners[next_owner_], left);
   }
 
+  /** Passes over owners that are suspected, unless no other is left. */
+  void SkipSuspected(std::span<const VmId> owners) {
+    size_t n = next_owner_;
+    while (n < owners.size() && IsSuspected(owners[n])) {
+      ++n;
+    }
+    if (n < owners.size()) {
+      next_owner_ = n;
+    }
+  }
+
+  bool IsSuspected(const VmId& vm) const {
+    const VmEntry* entry = deployment_->FindVm(vm);
+    return entry != nullptr &&
+           context_.contacts.IsSuspected(entry->pooler_address,
+                                         context_.executor.Now());
+  }
+
   void RankEndpoints() {
     const auto hints = context_.state.GetHints();
     const EndpointId primary = FindPrimary(*hints);
@@ -169,11 +193,43 @@
     if constexpr (!P::kSendsMarks) {
       request.required = {};
     }
-    context_.link.Call(
-        entry->pooler_address, request, left + kAnswerGrace,
-        [self = this->shared_from_this(), endpoint](PoolerReply reply) {
-          self->NoteReply(endpoint, std::move(reply));
-        });
+    const uint64_t attempt = ++attempt_;
+    const std::string address = entry->pooler_address;
+    context_.link.Call(address, request, left + kAnswerGrace,
+                       [self = this->shared_from_this(), endpoint, address,
+                        attempt](PoolerReply reply) {
+                         if (!reply.ec) {
+                           self->context_.contacts.NoteAnswer(
+                               address, self->context_.executor.Now());
+                         }
+                         self->EndAttempt(attempt, endpoint, std::move(reply));
+                       });
+    if constexpr (P::kProbesPoolers) {
+      Probe(address, attempt, endpoint);
+    }
+  }
+
+  /** An attempt ends once: by its answer, or by being given up. */
+  void EndAttempt(uint64_t attempt,
+                  const EndpointId& endpoint,
+                  PoolerReply reply) {
+    uint64_t expected = attempt;
+    if (attempt_.compare_exchange_strong(expected, attempt + 1)) {
+      NoteReply(endpoint, std::move(reply));
+    }
+  }
+
+  void Probe(const std::string& address,
+             uint64_t attempt,
+             const EndpointId& endpoint) {
+    const auto self = this->shared_from_this();
+    std::make_shared<AttemptProbe<E, L>>(
+        context_.executor, context_.link, context_.contacts, address,
+        [self, attempt, endpoint] {
+          self->EndAttempt(attempt, endpoint, {Error::kAnswerLost, {}});
+        },
+        [self, attempt] { return self->attempt_ != attempt; })
+        ->Start();
   }
 
   void NoteReply(const EndpointId& endpoint, PoolerReply reply) {
@@ -359,6 +415,7 @@
   PoolerAnswer last_;
   VmId last_vm_;
   bool may_have_run_ = false;
+  std::atomic<uint64_t> attempt_ = 0;
   EndpointId served_by_;
 };
 
--- a/libs/entry/policies/entry_policy.h
+++ b/libs/entry/policies/entry_policy.h
@@ -14,6 +14,7 @@
 concept EntryPolicy = ReadPolicy<typename T::Reads> && requires {
   { T::kSendsMarks } -> std::convertible_to<bool>;
   { T::kKeepsDoubt } -> std::convertible_to<bool>;
+  { T::kProbesPoolers } -> std::convertible_to<bool>;
 };
 
 /** The product's behaviour. */
@@ -24,6 +25,8 @@
   static constexpr bool kSendsMarks = true;
   /** Whether a request whose answer was lost may have run. */
   static constexpr bool kKeepsDoubt = true;
+  /** Whether a silent pooler is pinged and given up. */
+  static constexpr bool kProbesPoolers = true;
 };
 
 /** Baseline: all reads go to the primary. */
@@ -38,6 +41,12 @@
   static constexpr bool kSendsMarks = false;
 };
 
+/** Baseline: a silent pooler is waited for until the deadline. */
+struct NoProbesPolicy : StandardEntryPolicy {
+  /** @see StandardEntryPolicy::kProbesPoolers */
+  static constexpr bool kProbesPoolers = false;
+};
+
 /** Baseline: a lost answer is taken for a refusal. */
 struct NoDoubtPolicy : StandardEntryPolicy {
   /** @see StandardEntryPolicy::kKeepsDoubt */
--- a/libs/entry/pooler_link.h
+++ b/libs/entry/pooler_link.h
@@ -22,14 +22,19 @@
 /** Receives the end of a call, on any thread. */
 using PoolerReplyCompletion = std::function<void(PoolerReply)>;
 
+/** Receives the end of a ping, on any thread. */
+using PingCompletion = std::function<void(std::error_code)>;
+
 /** Calls poolers by their address. Calls back exactly once. */
 template <class T>
 concept PoolerLink = requires(T& link,
                               const std::string& address,
                               const PoolerRequest& request,
                               Duration timeout,
-                              PoolerReplyCompletion done) {
+                              PoolerReplyCompletion done,
+                              PingCompletion pinged) {
   link.Call(address, request, timeout, std::move(done));
+  link.Ping(address, timeout, std::move(pinged));
 };
 
 }  // namespace magnoliareel
--- a/libs/links/http_pooler_link.cc
+++ b/libs/links/http_pooler_link.cc
@@ -24,6 +24,22 @@
 
 }  // namespace
 
+void HttpPoolerLink::Ping(const std::string& address,
+                          Duration timeout,
+                          const PingCompletion& done) {
+  HttpCall call;
+  if (!ParseSocketAddress(address, call.address)) {
+    done(Error::kUnreachable);
+    return;
+  }
+  call.path = "/health";
+  call.timeout = timeout;
+  client_.Send(std::move(call), [done](const HttpReply& reply) {
+    done(!reply.ec && reply.status != 200 ? make_error_code(Error::kAnswerLost)
+                                          : reply.ec);
+  });
+}
+
 void HttpPoolerLink::Call(const std::string& address,
                           const PoolerRequest& request,
                           Duration timeout,
--- a/libs/links/http_pooler_link.h
+++ b/libs/links/http_pooler_link.h
@@ -24,6 +24,11 @@
             Duration timeout,
             PoolerReplyCompletion done);
 
+  /** @see PoolerLink */
+  void Ping(const std::string& address,
+            Duration timeout,
+            const PingCompletion& done);
+
  private:
   HttpClient& client_;
 };
--- a/tests/simulation/sim_cluster.cc
+++ b/tests/simulation/sim_cluster.cc
@@ -179,6 +179,15 @@
       });
 }
 
+void SimPoolerLink::Ping(const std::string& address,
+                         Duration timeout,
+                         const PingCompletion& done) {
+  cluster_.GetNetwork().Call<bool>(
+      node_, cluster_.GetPooler({address}).node,
+      [](const std::function<void(bool)>& answer) { answer(true); }, timeout,
+      [done](std::error_code ec, bool) { done(ec); });
+}
+
 SimEndpoint::SimEndpoint(SimCluster& cluster, const std::string& name)
     : node(std::make_shared<SimNode>(cluster.GetWorld(), name)),
       model(*node,
--- a/tests/simulation/sim_cluster.h
+++ b/tests/simulation/sim_cluster.h
@@ -74,6 +74,9 @@
             const PoolerRequest& request,
             Duration timeout,
             PoolerReplyCompletion done);
+  void Ping(const std::string& address,
+            Duration timeout,
+            const PingCompletion& done);
 
  private:
   SimCluster& cluster_;
