Keep the deployment that a request was admitted in

Found by reading: a request points into the deployment it was admitted in, and let go of it when it moved to a newer one. A group that left the document while a transaction opened would have been looked up in vain; its idle limit is now taken at admission.

--- a/libs/entry/flows/request_flow.h
+++ b/libs/entry/flows/request_flow.h
@@ -13,6 +13,7 @@
 #include "core/core.h"
 #include "entry/flows/admit_request.h"
 #include "entry/flows/attempt_probe.h"
+#include "entry/flows/flow_context.h"
 #include "entry/flows/pooler_requests.h"
 #include "entry/policies/entry_policy.h"
 #include "entry/pooler_link.h"
@@ -23,34 +24,6 @@
 
 namespace magnoliareel {
 
-/** Receives the answer to a caller's request, on any thread. */
-using CallerCompletion = std::function<void(CallerAnswer)>;
-
-/** What the flows of one entry share. */
-template <Executor E, PoolerLink L, EntryPolicy P>
-struct FlowContext {
-  /** The control thread, for pauses. */
-  E& executor;
-  /** The way to poolers. */
-  L& link;
-  /** Deployment and hints. */
-  EntryState<E>& state;
-  /** Seals the new token. */
-  const TokenSealer& sealer;
-  /** Site of the entry. */
-  SiteId site;
-  /** Order in which endpoints are tried for reads. */
-  typename P::Reads read_policy;
-  /** When poolers were heard from. */
-  PoolerContacts contacts;
-  /** Share of traffic that may be retries. */
-  RetryBudget budget;
-  /** Guards `random`. */
-  std::mutex random_mutex;
-  /** Source of jitter and of the choice among equal endpoints. */
-  ProcessRandom random;
-};
-
 /** One admitted request: attempts at poolers until one succeeds, the outcome is
     final, or the deadline passes.
 
@@ -80,7 +53,8 @@
               AdmittedRequest admitted,
               CallerCompletion done)
       : context_(context),
-        deployment_(std::move(deployment)),
+        admitted_in_(std::move(deployment)),
+        deployment_(admitted_in_),
         admitted_(std::move(admitted)),
         done_(std::move(done)),
         deadline_(context_.executor.Now() + admitted_.request.deadline),
@@ -403,6 +377,8 @@
   }
 
   FlowContext<E, L, P>& context_;
+  // Holds what `admitted_` points into while `deployment_` moves on.
+  const std::shared_ptr<const Deployment> admitted_in_;
   std::shared_ptr<const Deployment> deployment_;
   AdmittedRequest admitted_;
   const CallerCompletion done_;
--- a/libs/pooler/core/endpoint_calls.cc
+++ b/libs/pooler/core/endpoint_calls.cc
@@ -50,4 +50,12 @@
   return work;
 }
 
+PoolerAnswer MakePoolerAnswer(const RunnerEnd& end) {
+  PoolerAnswer answer;
+  answer.outcome = end.outcome;
+  answer.ec = end.ec;
+  answer.answer = end.answer.answer;
+  return answer;
+}
+
 }  // namespace magnoliareel
--- a/libs/pooler/core/endpoint_calls.h
+++ b/libs/pooler/core/endpoint_calls.h
@@ -25,6 +25,10 @@
                           Term term,
                           const ConnectionId& connection);
 
+/** @param end  how a statement ended
+    @returns    the answer, without its point and the group's primary */
+PoolerAnswer MakePoolerAnswer(const RunnerEnd& end);
+
 }  // namespace magnoliareel
 
 #endif  // MAGNOLIAREEL_POOLER_CORE_ENDPOINT_CALLS_H_
--- a/libs/pooler/core/job.h
+++ b/libs/pooler/core/job.h
@@ -38,6 +38,8 @@
   Duration waited{0};
   /** Time on the slot. */
   Duration ran{0};
+  /** Longest time without a statement, for a transaction that it opens. */
+  Duration transaction_idle_limit{0};
   /** Desk of its group; nullptr until the group is known. */
   Desk* desk = nullptr;
   /** Runner of its endpoint; nullptr until the endpoint is known. */
--- a/libs/pooler/core/pooler_core.h
+++ b/libs/pooler/core/pooler_core.h
@@ -16,6 +16,7 @@
 #include "pooler/core/endpoint_calls.h"
 #include "pooler/core/group_table.h"
 #include "pooler/core/job.h"
+#include "pooler/core/readiness.h"
 #include "pooler/endpoints/endpoint_runner.h"
 #include "pooler/groups/group_desk.h"
 #include "pooler/policies/pooler_policy.h"
@@ -41,9 +42,6 @@
  public:
   /** Longest time that a read waits for its replica to catch up. */
   static constexpr Duration kFreshnessWait = std::chrono::milliseconds(60);
-  /** Age of a primary's data is bounded by the spacing of its reports. */
-  static constexpr Duration kPrimaryAge = std::chrono::milliseconds(1000);
-
   /** @param executor  the control thread
       @param link      calls the endpoints
       @param store     the platform's table
@@ -134,6 +132,9 @@
       Refuse(job, Error::kUnknownEndpoint);
       return;
     }
+    job->transaction_idle_limit =
+        deployment_->document.FindServiceOfGroup(request.group)
+            ->transaction_idle_limit;
     job->desk = &table_.GetDesk(*group);
     job->runner = &table_.GetRunner(*endpoint);
     if (!request.transaction.IsEmpty()) {
@@ -187,25 +188,7 @@
   }
 
   bool IsFresh(const JobRef& job) const {
-    const GroupState& state = GetState(job);
-    const PoolerRequest& request = job->request;
-    const MemberState* member = state.Find(request.endpoint);
-    if (!member->report) {
-      return false;
-    }
-    const EndpointReport& report = *member->report;
-    if (!ContainsPoint(report.lineage, report.last.position,
-                       request.required)) {
-      return false;
-    }
-    if (!request.max_age) {
-      return true;
-    }
-    const bool is_primary = report.role == EndpointRole::kPrimary;
-    const Duration limit =
-        is_primary ? std::max(*request.max_age, kPrimaryAge) : *request.max_age;
-    const auto age = state.BoundAge(request.endpoint, executor_.Now());
-    return age && *age <= limit;
+    return IsFreshEnough(GetState(job), job->request, executor_.Now());
   }
 
   void RunRead(const JobRef& job) {
@@ -213,10 +196,7 @@
     Run(job,
         MakeRunnerWork(job->request, job->deadline, member->report->term, {}),
         [this, job](const RunnerEnd& end) {
-          PoolerAnswer answer;
-          answer.outcome = end.outcome;
-          answer.ec = end.ec;
-          answer.answer = end.answer.answer;
+          PoolerAnswer answer = MakePoolerAnswer(end);
           if (end.outcome != Outcome::kDone) {
             Answer(job, std::move(answer));
             return;
@@ -231,9 +211,12 @@
   // Writes, openings of transactions, and lookups of recorded outcomes.
 
   void StartWrite(const JobRef& job) {
-    if (!IsPrimaryReady(GetState(job))) {
+    if (!IsPrimaryReady(GetState(job), P::kAvoidsLeaving)) {
       job->desk->AwaitCondition(
-          [this, job] { return IsPrimaryReady(GetState(job)); }, job->deadline,
+          [this, job] {
+            return IsPrimaryReady(GetState(job), P::kAvoidsLeaving);
+          },
+          job->deadline,
           [this, job](bool is_met) {
             if (is_met) {
               StartWrite(job);
@@ -258,21 +241,8 @@
         });
   }
 
-  static bool IsPrimaryReady(const GroupState& state) {
-    const auto primary = state.GetPrimary();
-    if (!primary) {
-      return false;
-    }
-    const MemberState* member = state.Find(primary->endpoint);
-    return member->is_reachable &&
-           !(P::kAvoidsLeaving && member->report->is_leaving);
-  }
-
   void FinishWrite(const JobRef& job, Term term, const RunnerEnd& end) {
-    PoolerAnswer answer;
-    answer.outcome = end.outcome;
-    answer.ec = end.ec;
-    answer.answer = end.answer.answer;
+    PoolerAnswer answer = MakePoolerAnswer(end);
     if (end.outcome == Outcome::kDone &&
         job->request.verb == PoolerVerb::kBegin) {
       answer.transaction = OpenTransactionFor(job, term, end.connection);
@@ -320,8 +290,6 @@
   TransactionId OpenTransactionFor(const JobRef& job,
                                    Term term,
                                    const ConnectionId& connection) {
-    const ServiceShape* service =
-        deployment_->document.FindServiceOfGroup(job->request.group);
     OpenTransaction open;
     open.caller = job->request.caller;
     open.group = job->request.group;
@@ -329,7 +297,7 @@
     open.connection = connection;
     open.term = term;
     open.last_used = executor_.Now();
-    open.idle_limit = service->transaction_idle_limit;
+    open.idle_limit = job->transaction_idle_limit;
     return transactions_.Add(std::move(open));
   }
 
@@ -379,10 +347,7 @@
       open->is_busy = false;
       open->last_used = executor_.Now();
     }
-    PoolerAnswer answer;
-    answer.outcome = end.outcome;
-    answer.ec = end.ec;
-    answer.answer = end.answer.answer;
+    PoolerAnswer answer = MakePoolerAnswer(end);
     if (end.is_transaction_lost && request.verb != PoolerVerb::kCommit) {
       // Nothing of it can be committed any more, whether or not it ran.
       answer.outcome = Outcome::kFailed;
