--- a/apps/pooler/pooler_process.cc
+++ b/apps/pooler/pooler_process.cc
@@ -1,5 +1,6 @@
 #include "apps/pooler/pooler_process.h"
 
+#include <algorithm>
 #include <future>
 #include <random>
 #include <utility>
@@ -150,6 +151,9 @@
         is_reachable ? Event::kEndpointReachable : Event::kEndpointUnreachable,
         {{"endpoint", endpoint.value}});
   };
+  events.on_leaving = [](const EndpointId& endpoint) {
+    LogEvent(Event::kEndpointLeaving, {{"endpoint", endpoint.value}});
+  };
   events.on_promotion_started = [](const GroupId& group, Term term,
                                    PromotionReason reason) {
     LogEvent(Event::kPromotionStarted,
@@ -172,9 +176,12 @@
                                      {"took_ms", FormatMilliseconds(took)}});
   };
   events.on_grant = [](const GroupId& group, std::error_code ec) {
-    LogEvent(ec ? Event::kGrantMissing : Event::kGrantWritten,
-             {{"group", group.value},
-              {"error", ec ? std::string(ErrorName(ec)) : "none"}});
+    if (ec) {
+      LogEvent(Event::kGrantMissing,
+               {{"group", group.value}, {"error", std::string(ErrorName(ec))}});
+    } else {
+      LogEvent(Event::kGrantWritten, {{"group", group.value}});
+    }
   };
   events.on_rollback = [](const TransactionId& transaction,
                           std::string_view reason) {
@@ -202,8 +209,13 @@
 void PoolerProcess<P>::ApplyDeployment(
     std::shared_ptr<const Deployment> deployment) {
   if (deployment->vms != deployment_->vms) {
+    const auto& vms = deployment->vms;
+    const auto leaving =
+        std::count_if(vms.begin(), vms.end(),
+                      [](const VmEntry& it) { return it.is_leaving; });
     LogEvent(Event::kVmListChanged,
-             {{"count", std::to_string(deployment->vms.size())}});
+             {{"live", std::to_string(std::ssize(vms) - leaving)},
+              {"leaving", std::to_string(leaving)}});
     std::vector<std::string> peers = settings_.peers;
     for (const VmEntry& it : deployment->vms) {
       if (it.vm.value != settings_.vm) {
--- a/libs/pooler/core/pooler_events.h
+++ b/libs/pooler/core/pooler_events.h
@@ -16,6 +16,8 @@
   std::function<void(const GroupId&, const PrimaryView&)> on_primary;
   /** An endpoint began or ceased to answer. */
   std::function<void(const EndpointId&, bool is_reachable)> on_reachability;
+  /** An endpoint reports that it leaves. */
+  std::function<void(const EndpointId&)> on_leaving;
   /** A promotion begins. */
   std::function<void(const GroupId&, Term, PromotionReason)>
       on_promotion_started;
@@ -34,6 +36,7 @@
   static PoolerEvents Ignore() {
     return {[](const auto&, const auto&) {},
             [](const auto&, bool) {},
+            [](const auto&) {},
             [](const auto&, Term, PromotionReason) {},
             [](const auto&, const auto&, Duration) {},
             [](const auto&, std::error_code) {},
--- a/libs/pooler/groups/group_desk.h
+++ b/libs/pooler/groups/group_desk.h
@@ -6,6 +6,8 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -182,6 +184,7 @@
         listener_.on_unreachable(endpoint);
       }
     }
+    NoteLeaving(endpoint);
     const auto primary = GetState().GetPrimary();
     if (primary && primary->term > primary_term_) {
       primary_term_ = primary->term;
@@ -191,6 +194,16 @@
     Advance();
   }
 
+  void NoteLeaving(const EndpointId& endpoint) {
+    const MemberState* member = GetState().Find(endpoint);
+    const bool is_leaving = member->report && member->report->is_leaving;
+    if (!is_leaving) {
+      leaving_.erase(endpoint);
+    } else if (leaving_.insert(endpoint).second) {
+      options_.events.on_leaving(endpoint);
+    }
+  }
+
   void Advance() {
     acks_.Update(GetState());
     acks_.GiveUpBefore(GetState().GetHighestTerm());
@@ -205,6 +218,7 @@
   AckTracker acks_;
   ConditionList conditions_;
   std::unordered_map<EndpointId, std::optional<bool>> reachability_;
+  std::unordered_set<EndpointId> leaving_;
   Term primary_term_;
   GroupWatch<E, L> watch_;
   GroupDriver<E, L, S, typename P::Grants> driver_;
--- a/libs/telemetry/events/event.cc
+++ b/libs/telemetry/events/event.cc
@@ -41,7 +41,7 @@
     {kPromotionFailed, kWarning, "promotion.failed",
      "A promotion was given up and will be tried again. group, term, error"},
     {kGrantWritten, kInfo, "grant.written",
-     "A term for a coming promotion is granted to this VM. group, term"},
+     "A term for a coming promotion is granted to this VM. group"},
     {kGrantMissing, kWarning, "grant.missing",
      "No term could be granted; a promotion has to wait for the store. group, "
      "error"},
