End a server that has requests in progress without a crash

libmicrohttpd aborts when it is stopped while connections are suspended, so a process whose drain limit passed ended with an abort. What is in progress is broken off first. The entry's client ends before the flows that its completions use.

--- a/apps/entry/entry_process.h
+++ b/apps/entry/entry_process.h
@@ -52,7 +52,6 @@
   StatementMetrics metrics_;
   std::atomic<bool> is_draining_ = false;
   ControlLoop loop_;
-  HttpClient client_;
   HttpPoolerLink link_;
   PlatformClient<ControlLoop> platform_;
   RpcLink<ControlLoop> rpc_;
@@ -60,6 +59,8 @@
   EntryService<ControlLoop, HttpPoolerLink, P> service_;
   DeploymentWatcher<ControlLoop, PlatformClient<ControlLoop>> watcher_;
   PeerDocuments<ControlLoop> peers_;
+  // Ends before what its completions use.
+  HttpClient client_;
   HttpServer server_;
 };
 
--- a/libs/http/server/http_server.cc
+++ b/libs/http/server/http_server.cc
@@ -8,6 +8,7 @@
 #include <cstring>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <utility>
 
 namespace magnoliareel {
@@ -38,6 +39,9 @@
 
     void Respond(HttpResponse response) override {
       const std::lock_guard lock(mutex_);
+      if (is_abandoned_) {
+        return;
+      }
       assert(!response_);
       response_ = std::move(response);
       Wake();
@@ -85,6 +89,10 @@
       : options_(std::move(options)), handler_(std::move(handler)) {}
 
   ~Impl() {
+    // The library cannot stop while connections are suspended.
+    for (const auto& it : GetInProgress()) {
+      it->Abandon();
+    }
     if (daemon_ != nullptr) {
       MHD_stop_daemon(daemon_);
     }
@@ -118,15 +126,12 @@
     return info == nullptr ? 0 : info->port;
   }
 
-  size_t CountInProgress() {
-    const std::lock_guard lock(mutex_);
-    return in_progress_;
-  }
+  size_t CountInProgress() { return GetInProgress().size(); }
 
   bool Drain(Duration limit) {
     MHD_quiesce_daemon(daemon_);
     std::unique_lock lock(mutex_);
-    return idle_.wait_for(lock, limit, [this] { return in_progress_ == 0; });
+    return idle_.wait_for(lock, limit, [this] { return in_progress_.empty(); });
   }
 
  private:
@@ -152,7 +157,7 @@
     }
     (*holder)->MarkClosed();
     if ((*holder)->is_dispatched) {
-      static_cast<Impl*>(self)->CountFinished();
+      static_cast<Impl*>(self)->NoteFinished(*holder);
     }
     delete holder;
     *context = nullptr;
@@ -210,7 +215,7 @@
     exchange->is_dispatched = true;
     {
       const std::lock_guard lock(mutex_);
-      ++in_progress_;
+      in_progress_.insert(exchange);
     }
     MHD_suspend_connection(connection);
     handler_(std::move(exchange->request), HttpResponder(exchange));
@@ -229,10 +234,15 @@
     return result;
   }
 
-  void CountFinished() {
+  std::set<std::shared_ptr<Exchange>> GetInProgress() {
+    const std::lock_guard lock(mutex_);
+    return in_progress_;
+  }
+
+  void NoteFinished(const std::shared_ptr<Exchange>& exchange) {
     {
       const std::lock_guard lock(mutex_);
-      --in_progress_;
+      in_progress_.erase(exchange);
     }
     idle_.notify_all();
   }
@@ -242,7 +252,7 @@
   MHD_Daemon* daemon_ = nullptr;
   std::mutex mutex_;
   std::condition_variable idle_;
-  size_t in_progress_ = 0;
+  std::set<std::shared_ptr<Exchange>> in_progress_;
 };
 
 HttpServer::HttpServer(HttpServerOptions options, Handler handler)
--- a/libs/http/tests/http_test.cc
+++ b/libs/http/tests/http_test.cc
@@ -1,5 +1,6 @@
 #include <atomic>
 #include <future>
+#include <memory>
 #include <string>
 #include <thread>
 
@@ -113,6 +114,23 @@
   CHECK(server.Drain(kLimit));
 }
 
+TEST(Http, AServerThatEndsBreaksOffWhatIsInProgress) {
+  std::promise<HttpResponder> arrived;
+  auto server = std::make_unique<HttpServer>(
+      MakeOptions(),
+      [&arrived](const HttpRequest&, const HttpResponder& responder) {
+        arrived.set_value(responder);
+      });
+  CHECK(!server->Start());
+  const uint16_t port = server->GetPort();
+  auto asked = std::async(std::launch::async,
+                          [this, port] { return Ask(client, port, "slow"); });
+  const HttpResponder responder = arrived.get_future().get();
+  server.reset();
+  CHECK(asked.get().ec == Error::kAnswerLost);
+  responder.Send({200, "too late"});
+}
+
 TEST(Http, AnAddressInUseCannotBeListenedOn) {
   HttpServer first(MakeOptions(),
                    [](const HttpRequest&, const HttpResponder&) {});
