--- a/libs/codec/tests/codec_test.cc
+++ b/libs/codec/tests/codec_test.cc
@@ -1,3 +1,5 @@
+#include <fstream>
+#include <iterator>
 #include <random>
 #include <string>
 #include <vector>
@@ -251,6 +253,18 @@
   LONGS_EQUAL(3, document.FindGroup({"a"})->endpoints.size());
 }
 
+TEST(DocumentCodec, AcceptsEveryExample) {
+  for (const char* name : {"demo", "krajnc", "wspolna"}) {
+    std::ifstream file(std::string(MAGNOLIAREEL_SOURCE_DIR "/examples/") +
+                       name + ".json");
+    const std::string text((std::istreambuf_iterator<char>(file)),
+                           std::istreambuf_iterator<char>());
+    CHECK(!text.empty());
+    ParseDocument(text, findings);
+    STRCMP_EQUAL("", findings.FormatLines().c_str());
+  }
+}
+
 TEST(DocumentCodec, ReportsAllFindingsOfTheWholeDocument) {
   ParseDocument(
       R"({"services":[{"name":"logs","groups":[{"name":"a","endpoints":[
