--- a/libs/codec/control/control_codec.cc
+++ b/libs/codec/control/control_codec.cc
@@ -2,6 +2,7 @@
 
 #include "codec/endpoint/report_codec.h"
 #include "codec/json/object_reader.h"
+#include "codec/json/parse_object.h"
 
 namespace magnoliareel {
 namespace {
@@ -9,16 +10,6 @@
 constexpr size_t kMaxDocumentBytes = 16 * 1024 * 1024;
 constexpr size_t kMaxEntries = 65536;
 
-/** Decodes one object, reading its fields with a function. */
-template <class T, class Read>
-T Decode(const Json::Value& value, Findings& findings, Read read) {
-  T result;
-  ObjectReader reader(value, "", findings);
-  read(reader, result);
-  reader.RejectUnknown();
-  return result;
-}
-
 Json::Value EncodeEndpointStatus(const EndpointStatus& status) {
   Json::Value value(Json::objectValue);
   value["endpoint"] = status.endpoint.value;
@@ -78,7 +69,7 @@
 
 ObserveRequest DecodeObserveRequest(const Json::Value& value,
                                     Findings& findings) {
-  return Decode<ObserveRequest>(
+  return DecodeObject<ObserveRequest>(
       value, findings, [](ObjectReader& reader, ObserveRequest& out) {
         reader.ReadText("group", Presence::kRequired, out.group.value);
         reader.ReadText("endpoint", Presence::kRequired, out.endpoint.value);
@@ -94,7 +85,7 @@
 
 ObserveAnswer DecodeObserveAnswer(const Json::Value& value,
                                   Findings& findings) {
-  return Decode<ObserveAnswer>(
+  return DecodeObject<ObserveAnswer>(
       value, findings, [](ObjectReader& reader, ObserveAnswer& out) {
         reader.ReadFlag("watched", Presence::kRequired, out.is_watched);
         reader.ReadFlag("reachable", Presence::kRequired, out.is_reachable);
@@ -110,7 +101,7 @@
 
 DocumentOffer DecodeDocumentOffer(const Json::Value& value,
                                   Findings& findings) {
-  return Decode<DocumentOffer>(
+  return DecodeObject<DocumentOffer>(
       value, findings, [](ObjectReader& reader, DocumentOffer& out) {
         reader.ReadCounter("version", Presence::kRequired, out.version);
         reader.ReadText("text", Presence::kOptional, out.text,
@@ -126,7 +117,7 @@
 
 PromoteRequest DecodePromoteRequest(const Json::Value& value,
                                     Findings& findings) {
-  return Decode<PromoteRequest>(
+  return DecodeObject<PromoteRequest>(
       value, findings, [](ObjectReader& reader, PromoteRequest& out) {
         reader.ReadText("group", Presence::kRequired, out.group.value);
       });
@@ -153,7 +144,7 @@
 }
 
 PoolerStatus DecodePoolerStatus(const Json::Value& value, Findings& findings) {
-  return Decode<PoolerStatus>(
+  return DecodeObject<PoolerStatus>(
       value, findings, [](ObjectReader& reader, PoolerStatus& out) {
         reader.ReadText("vm", Presence::kRequired, out.vm.value);
         reader.ReadCounter("version", Presence::kRequired, out.version);
--- a/libs/codec/endpoint/endpoint_codec.cc
+++ b/libs/codec/endpoint/endpoint_codec.cc
@@ -7,6 +7,7 @@
 #include "codec/json/common_fields.h"
 #include "codec/json/json_text.h"
 #include "codec/json/object_reader.h"
+#include "codec/json/parse_object.h"
 
 namespace magnoliareel {
 namespace {
@@ -79,28 +80,28 @@
 }
 
 EndpointCall ParseEndpointCall(std::string_view body, Findings& findings) {
-  EndpointCall call;
-  const Json::Value value = ParseJsonObject(body, findings);
-  if (!findings.IsEmpty()) {
-    return call;
-  }
-  ObjectReader reader(value, "", findings);
-  reader.ReadChoice(
-      "verb", Presence::kRequired,
-      [&call](std::string_view word) { return ChooseVerb(word, call.verb); },
-      "the verbs of the endpoint protocol");
-  reader.ReadCounter("term", Presence::kRequired, call.term.value);
-  reader.ReadText("client", Presence::kOptional, call.client);
-  reader.ReadText("connection", Presence::kOptional, call.connection.value);
-  reader.ReadText("request", Presence::kOptional, call.request);
-  reader.ReadText("statement", Presence::kOptional, call.statement,
-                  kMaxStatementBytes);
-  reader.ReadText("primary_address", Presence::kOptional, call.primary_address);
-  reader.ReadFlag("recorded", Presence::kOptional, call.is_recorded);
-  ReadLogPoint(reader, "after_term", "after_position", call.after);
-  reader.ReadMilliseconds("wait_ms", Presence::kOptional, kMaxWait, call.wait);
-  reader.RejectUnknown();
-  return call;
+  return ParseObject<EndpointCall>(
+      body, findings, [](ObjectReader& reader, EndpointCall& call) {
+        reader.ReadChoice(
+            "verb", Presence::kRequired,
+            [&call](std::string_view word) {
+              return ChooseVerb(word, call.verb);
+            },
+            "the verbs of the endpoint protocol");
+        reader.ReadCounter("term", Presence::kRequired, call.term.value);
+        reader.ReadText("client", Presence::kOptional, call.client);
+        reader.ReadText("connection", Presence::kOptional,
+                        call.connection.value);
+        reader.ReadText("request", Presence::kOptional, call.request);
+        reader.ReadText("statement", Presence::kOptional, call.statement,
+                        kMaxStatementBytes);
+        reader.ReadText("primary_address", Presence::kOptional,
+                        call.primary_address);
+        reader.ReadFlag("recorded", Presence::kOptional, call.is_recorded);
+        ReadLogPoint(reader, "after_term", "after_position", call.after);
+        reader.ReadMilliseconds("wait_ms", Presence::kOptional, kMaxWait,
+                                call.wait);
+      });
 }
 
 std::string FormatEndpointAnswer(const EndpointAnswer& answer) {
@@ -120,27 +121,22 @@
 }
 
 EndpointAnswer ParseEndpointAnswer(std::string_view body, Findings& findings) {
-  EndpointAnswer answer;
-  const Json::Value value = ParseJsonObject(body, findings);
-  if (!findings.IsEmpty()) {
-    return answer;
-  }
-  ObjectReader reader(value, "", findings);
-  ReadErrorName(reader, answer.ec);
-  reader.ReadText("request", Presence::kOptional, answer.request);
-
-  reader.ReadText("answer", Presence::kOptional, answer.answer,
-                  kMaxAnswerBytes);
-  ReadLogPoint(reader, "point_term", "point_position", answer.point);
-  reader.ReadObject("report", Presence::kRequired, [&answer](ObjectReader& it) {
-    ReadReport(it, answer.report);
-  });
-  reader.ReadObjects("records", Presence::kOptional, kMaxRecords,
-                     [&answer](ObjectReader& it) {
-                       ReadRecord(it, answer.records.emplace_back());
-                     });
-  reader.RejectUnknown();
-  return answer;
+  return ParseObject<EndpointAnswer>(
+      body, findings, [](ObjectReader& reader, EndpointAnswer& answer) {
+        ReadErrorName(reader, answer.ec);
+        reader.ReadText("request", Presence::kOptional, answer.request);
+
+        reader.ReadText("answer", Presence::kOptional, answer.answer,
+                        kMaxAnswerBytes);
+        ReadLogPoint(reader, "point_term", "point_position", answer.point);
+        reader.ReadObject(
+            "report", Presence::kRequired,
+            [&answer](ObjectReader& it) { ReadReport(it, answer.report); });
+        reader.ReadObjects("records", Presence::kOptional, kMaxRecords,
+                           [&answer](ObjectReader& it) {
+                             ReadRecord(it, answer.records.emplace_back());
+                           });
+      });
 }
 
 }  // namespace magnoliareel
--- a/libs/codec/platform/platform_codec.cc
+++ b/libs/codec/platform/platform_codec.cc
@@ -3,6 +3,7 @@
 #include "codec/json/common_fields.h"
 #include "codec/json/json_text.h"
 #include "codec/json/object_reader.h"
+#include "codec/json/parse_object.h"
 
 namespace magnoliareel {
 namespace {
@@ -11,20 +12,6 @@
 constexpr size_t kMaxGrants = 16;
 constexpr size_t kMaxValueBytes = 64 * 1024;
 
-/** Parses one object, reading its fields with a function. */
-template <class T, class Read>
-T ParseObject(std::string_view body, Findings& findings, Read read) {
-  T result;
-  const Json::Value value = ParseJsonObject(body, findings);
-  if (!findings.IsEmpty()) {
-    return result;
-  }
-  ObjectReader reader(value, "", findings);
-  read(reader, result);
-  reader.RejectUnknown();
-  return result;
-}
-
 }  // namespace
 
 std::string FormatTableRow(const TableRow& row) {
--- a/libs/codec/pooler/pooler_codec.cc
+++ b/libs/codec/pooler/pooler_codec.cc
@@ -5,6 +5,7 @@
 #include "codec/json/common_fields.h"
 #include "codec/json/json_text.h"
 #include "codec/json/object_reader.h"
+#include "codec/json/parse_object.h"
 
 namespace magnoliareel {
 namespace {
@@ -52,34 +53,32 @@
 }
 
 PoolerRequest ParsePoolerRequest(std::string_view body, Findings& findings) {
-  PoolerRequest request;
-  const Json::Value value = ParseJsonObject(body, findings);
-  if (!findings.IsEmpty()) {
-    return request;
-  }
-  ObjectReader reader(value, "", findings);
-  reader.ReadChoice(
-      "verb", Presence::kRequired,
-      [&request](std::string_view word) {
-        return ChooseVerb(word, request.verb);
-      },
-      "read, write, begin, commit, rollback, settle");
-  reader.ReadText("request", Presence::kRequired, request.request.value);
-  reader.ReadText("caller", Presence::kRequired, request.caller.value);
-  reader.ReadText("group", Presence::kRequired, request.group.value);
-  reader.ReadText("endpoint", Presence::kRequired, request.endpoint.value);
-  reader.ReadMilliseconds("deadline_ms", Presence::kRequired, kMaxDeadline,
-                          request.deadline);
-  ReadWorkClass(reader, Presence::kRequired, request.work_class);
-  reader.ReadText("transaction", Presence::kOptional,
-                  request.transaction.value);
-  reader.ReadText("statement", Presence::kOptional, request.statement,
-                  kMaxStatementBytes);
-  reader.ReadFlag("idempotent", Presence::kOptional, request.is_idempotent);
-  ReadLogPoint(reader, "required_term", "required_position", request.required);
-  ReadMaxAge(reader, request.max_age);
-  reader.RejectUnknown();
-  return request;
+  return ParseObject<PoolerRequest>(
+      body, findings, [](ObjectReader& reader, PoolerRequest& request) {
+        reader.ReadChoice(
+            "verb", Presence::kRequired,
+            [&request](std::string_view word) {
+              return ChooseVerb(word, request.verb);
+            },
+            "read, write, begin, commit, rollback, settle");
+        reader.ReadText("request", Presence::kRequired, request.request.value);
+        reader.ReadText("caller", Presence::kRequired, request.caller.value);
+        reader.ReadText("group", Presence::kRequired, request.group.value);
+        reader.ReadText("endpoint", Presence::kRequired,
+                        request.endpoint.value);
+        reader.ReadMilliseconds("deadline_ms", Presence::kRequired,
+                                kMaxDeadline, request.deadline);
+        ReadWorkClass(reader, Presence::kRequired, request.work_class);
+        reader.ReadText("transaction", Presence::kOptional,
+                        request.transaction.value);
+        reader.ReadText("statement", Presence::kOptional, request.statement,
+                        kMaxStatementBytes);
+        reader.ReadFlag("idempotent", Presence::kOptional,
+                        request.is_idempotent);
+        ReadLogPoint(reader, "required_term", "required_position",
+                     request.required);
+        ReadMaxAge(reader, request.max_age);
+      });
 }
 
 std::string FormatPoolerAnswer(const PoolerAnswer& answer) {
@@ -107,27 +106,24 @@
 }
 
 PoolerAnswer ParsePoolerAnswer(std::string_view body, Findings& findings) {
-  PoolerAnswer answer;
-  const Json::Value value = ParseJsonObject(body, findings);
-  if (!findings.IsEmpty()) {
-    return answer;
-  }
-  ObjectReader reader(value, "", findings);
-  reader.ReadText("request", Presence::kRequired, answer.request.value);
-  ReadOutcome(reader, answer.outcome);
-  ReadErrorName(reader, answer.ec);
-  reader.ReadText("answer", Presence::kOptional, answer.answer,
-                  kMaxAnswerBytes);
-  ReadLogPoint(reader, "term", "position", answer.point);
-  reader.ReadText("transaction", Presence::kOptional, answer.transaction.value);
-  reader.ReadText("primary", Presence::kOptional, answer.primary.value);
-  reader.ReadCounter("primary_term", Presence::kOptional,
-                     answer.primary_term.value);
-  reader.ReadTexts(
-      "holders", Presence::kOptional, kMaxHolders,
-      [&answer](const std::string& name) { answer.holders.push_back({name}); });
-  reader.RejectUnknown();
-  return answer;
+  return ParseObject<PoolerAnswer>(
+      body, findings, [](ObjectReader& reader, PoolerAnswer& answer) {
+        reader.ReadText("request", Presence::kRequired, answer.request.value);
+        ReadOutcome(reader, answer.outcome);
+        ReadErrorName(reader, answer.ec);
+        reader.ReadText("answer", Presence::kOptional, answer.answer,
+                        kMaxAnswerBytes);
+        ReadLogPoint(reader, "term", "position", answer.point);
+        reader.ReadText("transaction", Presence::kOptional,
+                        answer.transaction.value);
+        reader.ReadText("primary", Presence::kOptional, answer.primary.value);
+        reader.ReadCounter("primary_term", Presence::kOptional,
+                           answer.primary_term.value);
+        reader.ReadTexts("holders", Presence::kOptional, kMaxHolders,
+                         [&answer](const std::string& name) {
+                           answer.holders.push_back({name});
+                         });
+      });
 }
 
 }  // namespace magnoliareel
--- a/libs/failover/groups/group_state.cc
+++ b/libs/failover/groups/group_state.cc
@@ -4,6 +4,7 @@
 #include <cassert>
 #include <functional>
 #include <tuple>
+#include <utility>
 
 namespace magnoliareel {
 namespace {
@@ -41,10 +42,8 @@
                             const EndpointReport& report,
                             TimePoint asked,
                             TimePoint heard) {
-  const auto it = std::find_if(
-      members_.begin(), members_.end(),
-      [&](const MemberState& m) { return m.endpoint == endpoint; });
-  assert(it != members_.end());
+  MemberState* it = FindMember(endpoint);
+  assert(it != nullptr);
   it->is_reachable = true;
   it->heard = heard;
   // Answers to calls that overlap may arrive out of order.
@@ -62,10 +61,8 @@
 }
 
 void GroupState::NoteMiss(const EndpointId& endpoint) {
-  const auto it = std::find_if(
-      members_.begin(), members_.end(),
-      [&](const MemberState& m) { return m.endpoint == endpoint; });
-  assert(it != members_.end());
+  MemberState* it = FindMember(endpoint);
+  assert(it != nullptr);
   it->is_reachable = false;
 }
 
@@ -145,6 +142,10 @@
   return it == members_.end() ? nullptr : &*it;
 }
 
+MemberState* GroupState::FindMember(const EndpointId& endpoint) {
+  return const_cast<MemberState*>(std::as_const(*this).Find(endpoint));
+}
+
 void GroupState::ObservePrimary() {
   const auto primary = GetPrimary();
   if (!primary) {
--- a/libs/failover/groups/group_state.h
+++ b/libs/failover/groups/group_state.h
@@ -99,6 +99,7 @@
   size_t GetMajority() const { return members_.size() / 2 + 1; }
 
  private:
+  MemberState* FindMember(const EndpointId& endpoint);
   void ObservePrimary();
 
   std::vector<MemberState> members_;
--- a/libs/pooler/groups/group_watch.h
+++ b/libs/pooler/groups/group_watch.h
@@ -46,20 +46,13 @@
         state_(endpoints),
         observer_(std::move(observer)) {}
 
-  /** Begins to watch, or goes on after Stop(). */
+  /** Begins to watch; called once. */
   void Start() {
-    if (std::exchange(is_watching_, true)) {
-      return;
-    }
-    ++generation_;
     for (const MemberState& it : state_.GetMembers()) {
-      Ask(it.endpoint, generation_);
+      Ask(it.endpoint);
     }
   }
 
-  /** Asks no more. */
-  void Stop() { is_watching_ = false; }
-
   /** Notes a report that came with another answer. */
   void NoteReport(const EndpointId& endpoint,
                   const EndpointReport& report,
@@ -72,10 +65,7 @@
   const GroupState& GetState() const { return state_; }
 
  private:
-  void Ask(const EndpointId& endpoint, uint64_t generation) {
-    if (!is_watching_ || generation != generation_) {
-      return;
-    }
+  void Ask(const EndpointId& endpoint) {
     const MemberState* member = state_.Find(endpoint);
     EndpointCall call;
     call.verb = EndpointVerb::kWatch;
@@ -84,35 +74,30 @@
       call.term = member->report->term;
       call.wait = kHold;
     }
-    link_.Call(endpoint, std::move(call), kHold + kGrace,
-               [this, endpoint, generation,
-                asked = executor_.Now()](const EndpointReply& reply) {
-                 NoteReply(endpoint, generation, asked, reply);
-               });
+    link_.Call(
+        endpoint, std::move(call), kHold + kGrace,
+        [this, endpoint, asked = executor_.Now()](const EndpointReply& reply) {
+          NoteReply(endpoint, asked, reply);
+        });
   }
 
   void NoteReply(const EndpointId& endpoint,
-                 uint64_t generation,
                  TimePoint asked,
                  const EndpointReply& reply) {
     if (reply.ec) {
       state_.NoteMiss(endpoint);
       observer_(endpoint, false);
-      executor_.After(kMissPause, [this, endpoint, generation] {
-        Ask(endpoint, generation);
-      });
+      executor_.After(kMissPause, [this, endpoint] { Ask(endpoint); });
       return;
     }
     NoteReport(endpoint, reply.answer.report, asked);
-    Ask(endpoint, generation);
+    Ask(endpoint);
   }
 
   E& executor_;
   L& link_;
   GroupState state_;
   const Observer observer_;
-  bool is_watching_ = false;
-  uint64_t generation_ = 0;
 };
 
 }  // namespace magnoliareel
