--- a/apps/ctl/platform_access.h
+++ b/apps/ctl/platform_access.h
@@ -9,7 +9,7 @@
 #include "core/core.h"
 #include "http/http.h"
 #include "links/links.h"
-#include "platform/platform.h"
+#include "store/store.h"
 
 namespace magnoliareel {
 
--- a/apps/entry/entry_process.h
+++ b/apps/entry/entry_process.h
@@ -10,8 +10,8 @@
 #include "entry/entry.h"
 #include "http/http.h"
 #include "links/links.h"
-#include "platform/platform.h"
 #include "seal/seal.h"
+#include "store/store.h"
 #include "telemetry/telemetry.h"
 
 namespace magnoliareel {
--- a/apps/pooler/pooler_process.h
+++ b/apps/pooler/pooler_process.h
@@ -11,9 +11,9 @@
 #include "core/core.h"
 #include "http/http.h"
 #include "links/links.h"
-#include "platform/platform.h"
 #include "pooler/pooler.h"
 #include "rpc/rpc.h"
+#include "store/store.h"
 #include "telemetry/telemetry.h"
 
 namespace magnoliareel {
--- a/apps/support/deployment_log.h
+++ b/apps/support/deployment_log.h
@@ -6,7 +6,7 @@
 #include <system_error>
 
 #include "core/core.h"
-#include "platform/platform.h"
+#include "store/store.h"
 
 namespace magnoliareel {
 
