Add net: event loop, streams, datagrams and a small HTTP on libuv

The session protocol needs many long, mostly idle connections in one thread; libmicrohttpd and libcurl serve requests, and their libraries cost memory that the platform prices.

--- a/libs/core/core.h
+++ b/libs/core/core.h
@@ -25,6 +25,7 @@
 #include "core/ids/term.h"
 #include "core/outcomes/outcome.h"
 #include "core/random/random_source.h"
+#include "core/time/boot_clock.h"
 #include "core/time/clock.h"
 #include "core/time/steady_clock.h"
 #include "core/time/virtual_clock.h"
--- a/libs/core/errors/error.h
+++ b/libs/core/errors/error.h
@@ -59,6 +59,8 @@
   kRequestVoid,
   kDiverged,
   kListenFailed,
+  kHistoryLost,
+  kSuperseded,
 };
 
 /** @returns the category that all values of Error belong to */
--- /dev/null
+++ b/libs/net/streams/stream.cc
@@ -0,0 +1,221 @@
+#include "net/streams/stream.h"
+
+#include <netinet/tcp.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <cassert>
+#include <utility>
+
+#include "net/streams/stream_state.h"
+
+namespace magnoliareel {
+namespace {
+
+// One read at a time is handled to its end, so a thread needs one buffer.
+constexpr size_t kReadBuffer = 64 * 1024;
+// Probes of an idle connection: first after 1 s, then every second, lost after
+// two without an answer. Together near kSilentPeerTimeout.
+constexpr int kKeepAliveIdleSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+
+struct PendingWrite {
+  uv_write_t request{};
+  std::string bytes;
+};
+
+void SetOption(int fd, int level, int option, int value) {
+  // An option that cannot be set leaves the kernel's default, which is slower
+  // to notice a lost peer but not wrong.
+  setsockopt(fd, level, option, &value, sizeof value);
+}
+
+std::error_code ToErrorCode(int uv_error) {
+  return {-uv_error, std::system_category()};
+}
+
+}  // namespace
+
+void Stream::State::Release() {
+  owner = nullptr;
+  handle.data = this;
+  uv_close(reinterpret_cast<uv_handle_t*>(&handle), [](uv_handle_t* closed) {
+    delete static_cast<State*>(closed->data);
+  });
+}
+
+void Stream::State::Fail(int uv_error) {
+  if (owner == nullptr) {
+    return;
+  }
+  owner->state_ = nullptr;
+  owner->out_.clear();
+  const Events told = events;
+  Release();
+  told.closed(told.target, ToErrorCode(uv_error));
+}
+
+void Stream::State::ApplyOptions() {
+  uv_tcp_nodelay(&handle, 1);
+  uv_os_fd_t fd = -1;
+  if (uv_fileno(reinterpret_cast<uv_handle_t*>(&handle), &fd) != 0) {
+    return;
+  }
+  SetOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIdleSeconds);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+  SetOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(kSilentPeerTimeout.count() / 1000));
+}
+
+void Stream::State::StartReading() {
+  uv_read_start(
+      reinterpret_cast<uv_stream_t*>(&handle),
+      [](uv_handle_t*, size_t, uv_buf_t* buf) {
+        thread_local std::array<char, kReadBuffer> buffer;
+        *buf = uv_buf_init(buffer.data(), buffer.size());
+      },
+      [](uv_stream_t* stream, ssize_t n, const uv_buf_t* buf) {
+        auto* it = static_cast<State*>(stream->data);
+        if (it->owner == nullptr) {
+          return;
+        }
+        if (n < 0) {
+          it->Fail(static_cast<int>(n));
+        } else if (n > 0) {
+          it->events.received(it->events.target,
+                              {buf->base, static_cast<size_t>(n)});
+        }
+      });
+}
+
+Stream::Stream(Stream&& other) noexcept
+    : state_(std::exchange(other.state_, nullptr)),
+      out_(std::move(other.out_)) {
+  if (state_ != nullptr) {
+    state_->owner = this;
+  }
+}
+
+Stream& Stream::operator=(Stream&& other) noexcept {
+  Close();
+  state_ = std::exchange(other.state_, nullptr);
+  out_ = std::move(other.out_);
+  if (state_ != nullptr) {
+    state_->owner = this;
+  }
+  return *this;
+}
+
+void Stream::StartConnect(EventLoop& loop,
+                          const SocketAddress& address,
+                          Events events) {
+  Close();
+  state_ = new State;
+  state_->owner = this;
+  state_->events = events;
+  uv_tcp_init(loop.GetHandle(), &state_->handle);
+  state_->handle.data = state_;
+  state_->connect.data = state_;
+  sockaddr_in peer{};
+  int rc = uv_ip4_addr(address.host.c_str(), address.port, &peer);
+  if (rc == 0) {
+    rc = uv_tcp_connect(&state_->connect, &state_->handle,
+                        reinterpret_cast<const sockaddr*>(&peer),
+                        [](uv_connect_t* request, int status) {
+                          auto* it = static_cast<State*>(request->data);
+                          if (it->owner == nullptr) {
+                            return;
+                          }
+                          if (status != 0) {
+                            it->Fail(status);
+                            return;
+                          }
+                          it->ApplyOptions();
+                          it->StartReading();
+                          it->events.opened(it->events.target);
+                        });
+  }
+  if (rc != 0) {
+    // Reported from the loop: the caller has not stored the stream yet.
+    loop.Defer([state = state_, rc] { state->Fail(rc); });
+  }
+}
+
+void Stream::StartServe(Events events) {
+  assert(state_ != nullptr);
+  state_->events = events;
+  state_->ApplyOptions();
+  state_->StartReading();
+}
+
+void Stream::Flush() {
+  if (state_ == nullptr || out_.empty()) {
+    return;
+  }
+  size_t sent = 0;
+  auto* stream = reinterpret_cast<uv_stream_t*>(&state_->handle);
+  if (state_->queued == 0) {
+    const uv_buf_t buf =
+        uv_buf_init(out_.data(), static_cast<unsigned>(out_.size()));
+    if (const int n = uv_try_write(stream, &buf, 1); n > 0) {
+      sent = static_cast<size_t>(n);
+    }
+  }
+  if (sent == out_.size()) {
+    out_.clear();
+    return;
+  }
+  auto* write = new PendingWrite;
+  write->bytes = out_.substr(sent);
+  write->request.data = state_;
+  out_.clear();
+  state_->queued += write->bytes.size();
+  const uv_buf_t buf = uv_buf_init(write->bytes.data(),
+                                   static_cast<unsigned>(write->bytes.size()));
+  const int rc = uv_write(&write->request, stream, &buf, 1,
+                          [](uv_write_t* req, int status) {
+                            auto* it = reinterpret_cast<PendingWrite*>(req);
+                            auto* state = static_cast<State*>(req->data);
+                            state->queued -= it->bytes.size();
+                            delete it;
+                            if (status != 0) {
+                              state->Fail(status);
+                            }
+                          });
+  if (rc != 0) {
+    state_->queued -= write->bytes.size();
+    delete write;
+    // The reading side reports the end of a connection that takes no bytes.
+  }
+}
+
+size_t Stream::GetUnsent() const {
+  return out_.size() + (state_ == nullptr ? 0 : state_->queued);
+}
+
+bool Stream::HasUnread() const {
+  uv_os_fd_t fd = -1;
+  if (state_ == nullptr ||
+      uv_fileno(reinterpret_cast<const uv_handle_t*>(&state_->handle), &fd) !=
+          0) {
+    return false;
+  }
+  int n = 0;
+  return ioctl(fd, FIONREAD, &n) == 0 && n > 0;
+}
+
+void Stream::Close() {
+  if (state_ == nullptr) {
+    return;
+  }
+  Flush();
+  if (state_ != nullptr) {
+    std::exchange(state_, nullptr)->Release();
+  }
+  out_.clear();
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/libs/net/streams/stream_listener.h
@@ -0,0 +1,46 @@
+#ifndef MAGNOLIAREEL_NET_STREAMS_STREAM_LISTENER_H_
+#define MAGNOLIAREEL_NET_STREAMS_STREAM_LISTENER_H_
+
+#include <functional>
+#include <system_error>
+
+#include "net/streams/stream.h"
+
+namespace magnoliareel {
+
+/** Accepts TCP connections. @see Stream */
+class StreamListener {
+ public:
+  /** @param loop    serves the listener; outlives it
+      @param accept  takes each new connection; calls Stream::Serve() on it
+  */
+  StreamListener(EventLoop& loop, std::function<void(Stream)> accept);
+  ~StreamListener() { Stop(); }
+  StreamListener(const StreamListener&) = delete;
+  StreamListener& operator=(const StreamListener&) = delete;
+
+  /** Starts to accept.
+
+      @param address  where to listen
+      @returns        the system's error if the address cannot be used
+  */
+  std::error_code Listen(const SocketAddress& address);
+  /** Accepts nothing further. */
+  void Stop();
+
+ private:
+  struct State {
+    uv_tcp_t handle{};
+    StreamListener* owner = nullptr;
+  };
+
+  void AcceptOne();
+
+  EventLoop& loop_;
+  std::function<void(Stream)> accept_;
+  State* state_ = nullptr;
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_NET_STREAMS_STREAM_LISTENER_H_
