--- a/libs/telemetry/events/event_log.cc
+++ b/libs/telemetry/events/event_log.cc
@@ -2,15 +2,47 @@
 
 #include <easylogging++.h>
 
+#include <chrono>
+#include <string>
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace magnoliareel {
 namespace {
 
+// Set before the second thread starts, read by all.
+LogRing* buffered_log = nullptr;
+std::string buffered_vm;
+
+std::string_view LevelName(EventLevel level) {
+  switch (level) {
+    case EventLevel::kInfo:
+      return "info";
+    case EventLevel::kWarning:
+      return "warning";
+    case EventLevel::kError:
+      return "error";
+  }
+  return "error";
+}
+
 std::string FormatLine(const EventDescription& description,
                        std::initializer_list<EventField> fields) {
-  std::string buf =
-      "E" + std::to_string(static_cast<int>(description.event)) + " ";
+  std::string buf;
+  buf.reserve(256);
+  if (buffered_log != nullptr) {
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    buf += std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+    buf += ' ';
+    buf += buffered_vm;
+    buf += ' ';
+    buf += LevelName(description.level);
+    buf += ' ';
+  }
+  buf += 'E';
+  buf += std::to_string(static_cast<int>(description.event));
+  buf += ' ';
   buf += description.name;
   for (const auto& [name, value] : fields) {
     buf += ' ';
@@ -47,9 +79,18 @@
   el::Loggers::reconfigureAllLoggers(configuration);
 }
 
+void StartBufferedLog(LogRing& ring, std::string_view vm) {
+  buffered_log = &ring;
+  buffered_vm = vm;
+}
+
 void LogEvent(Event event, std::initializer_list<EventField> fields) {
   const EventDescription& description = DescribeEvent(event);
   const std::string line = FormatLine(description, fields);
+  if (buffered_log != nullptr) {
+    buffered_log->Push(line);
+    return;
+  }
   switch (description.level) {
     case EventLevel::kInfo:
       LOG(INFO) << line;
--- a/libs/telemetry/events/event_log.h
+++ b/libs/telemetry/events/event_log.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "telemetry/events/event.h"
+#include "telemetry/events/log_ring.h"
 
 namespace magnoliareel {
 
@@ -23,6 +24,14 @@
 */
 void StartLog();
 
+/** Writes events into a ring from now on, instead of straight to standard
+    output; called once, before other threads start.
+
+    @param ring  outlives every call of LogEvent()
+    @param vm    the VM's name, at the head of each line
+*/
+void StartBufferedLog(LogRing& ring, std::string_view vm);
+
 /** Writes one event.
 
     @param event   the event
