--- /dev/null
+++ b/libs/control/control.h
@@ -0,0 +1,17 @@
+#ifndef MAGNOLIAREEL_CONTROL_CONTROL_H_
+#define MAGNOLIAREEL_CONTROL_CONTROL_H_
+
+/** @file
+    @brief Module control: the decisions of a node's control thread.
+
+    Depends on coordination, core, directory, settings and telemetry. It knows
+   no encoding and no sockets: both are template parameters.
+
+    Topics: settings/ (what a node is told at its start), fleet/ (routes and
+    endpoints in force, readiness), peers/ (other nodes), failover/ (replacing a
+    primary).
+*/
+#include "control/fleet/fleet_control.h"
+#include "control/settings/node_settings.h"
+
+#endif  // MAGNOLIAREEL_CONTROL_CONTROL_H_
--- /dev/null
+++ b/libs/control/fleet/fleet_control.h
@@ -0,0 +1,304 @@
+#ifndef MAGNOLIAREEL_CONTROL_FLEET_FLEET_CONTROL_H_
+#define MAGNOLIAREEL_CONTROL_FLEET_FLEET_CONTROL_H_
+
+#include <concepts>
+#include <functional>
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "coordination/coordination.h"
+#include "core/core.h"
+#include "directory/directory.h"
+#include "telemetry/telemetry.h"
+
+namespace magnoliareel {
+
+/** Names the tables of configuration and directory and decodes their rows. */
+template <class C>
+concept FleetRowCodec = requires(std::string_view text,
+                                 RouteTable& routes,
+                                 EndpointEntry& entry,
+                                 Findings& findings) {
+  { C::GetConfigTable() } -> std::convertible_to<std::string_view>;
+  { C::GetConfigKey() } -> std::convertible_to<std::string_view>;
+  { C::GetEndpointTable() } -> std::convertible_to<std::string_view>;
+  C::ParseRoutes(text, routes, findings);
+  C::ParseEndpoint(text, text, entry, findings);
+};
+
+/** What the fleet's state is handed to. */
+template <class O>
+concept FleetOutlet = requires(O& outlet,
+                               std::shared_ptr<const FleetView> view,
+                               Duration pause,
+                               std::function<void()> task) {
+  { outlet.Now() } -> std::same_as<TimePoint>;
+  /** Calls a function once, later, on the control thread. */
+  outlet.After(pause, task);
+  /** Hands a new view to the traffic. */
+  outlet.Publish(view);
+};
+
+/** Follows configuration and directory and publishes what is in force.
+
+    @tparam S  @see RowStore
+    @tparam C  @see FleetRowCodec
+    @tparam O  @see FleetOutlet
+*/
+template <RowStore S, FleetRowCodec C, class O>
+class FleetControl {
+ public:
+  /** @param store   outlives the control
+      @param outlet  outlives the control
+  */
+  FleetControl(S& store, O& outlet)
+      : outlet_(outlet),
+        config_watch_(store, *this, C::GetConfigTable()),
+        endpoint_watch_(store, *this, C::GetEndpointTable()) {
+    // Checked here as O is not complete where it declares its control.
+    static_assert(FleetOutlet<O>);
+  }
+
+  /** Begins to follow both tables. */
+  void Start() {
+    config_watch_.Start();
+    endpoint_watch_.Start();
+  }
+
+  /** @returns true once there is something to serve */
+  bool IsUsable() const {
+    return routes_.Get()->version > 0 && !endpoints_.List().empty();
+  }
+  /** @returns true while the store answers */
+  bool IsStoreConnected() const {
+    return config_watch_.IsConnected() && endpoint_watch_.IsConnected();
+  }
+  /** @returns the configuration in force; never null */
+  const std::shared_ptr<const RouteTable>& GetRoutes() const {
+    return routes_.Get();
+  }
+  /** @returns the endpoints in use */
+  const EndpointRegister& GetEndpoints() const { return endpoints_; }
+  /** @returns the row of the configuration in force, to hand to peers */
+  const StoredRow& GetConfigRow() const { return config_row_; }
+  /** @returns the rows of the directory, to hand to peers */
+  const std::map<std::string, StoredRow>& GetEndpointRows() const {
+    return endpoint_rows_;
+  }
+  /** @returns the directory's version */
+  uint64_t GetEndpointsVersion() const { return endpoints_version_; }
+
+  /** Takes the number of live VMs into the view.
+
+      @param live  this VM included
+  */
+  void SetLiveVms(uint32_t live) {
+    if (live != live_vms_) {
+      live_vms_ = live;
+      Publish();
+    }
+  }
+
+  /** Takes up rows that a peer has handed over.
+
+      @param config     the peer's configuration row, or null
+      @param endpoints  the peer's directory rows
+      @param version    the peer's version of the directory
+  */
+  void TakeFromPeer(const StoredRow* config,
+                    std::span<const StoredRow> endpoints,
+                    uint64_t version) {
+    if (config != nullptr) {
+      TakeConfig(*config, "peer");
+    }
+    if (version > endpoints_version_) {
+      HandleEndpointListing(endpoints, version, "peer");
+    }
+  }
+
+  /** @see TableObserver */
+  void HandleListing(std::string_view table,
+                     std::span<const StoredRow> rows,
+                     uint64_t version) {
+    if (table == C::GetConfigTable()) {
+      HandleChanges(table, rows, version);
+      return;
+    }
+    HandleEndpointListing(rows, version, "store");
+  }
+
+  /** @see TableObserver */
+  void HandleChanges(std::string_view table,
+                     std::span<const StoredRow> rows,
+                     uint64_t version) {
+    if (table == C::GetConfigTable()) {
+      for (const StoredRow& it : rows) {
+        if (it.key == C::GetConfigKey() && !it.removed) {
+          TakeConfig(it, "store");
+        }
+      }
+      return;
+    }
+    bool changed = false;
+    for (const StoredRow& it : rows) {
+      changed = TakeEndpointRow(it, "store") || changed;
+    }
+    endpoints_version_ = std::max(endpoints_version_, version);
+    if (changed) {
+      Publish();
+    }
+  }
+
+  /** @see TableObserver */
+  void HandleStoreLost(std::string_view table, std::error_code ec) {
+    if (!std::exchange(store_lost_, true)) {
+      lost_at_ = outlet_.Now();
+      LogEvent(Event::kStoreLost,
+               {{"call", std::string(table)}, {"error", ec.message()}});
+    }
+  }
+
+  /** @see TableObserver */
+  void HandleStoreRegained(std::string_view) {
+    if (!IsStoreConnected() || !std::exchange(store_lost_, false)) {
+      return;
+    }
+    const TimePoint now = outlet_.Now();
+    endpoints_.HoldVanished(now);
+    PlanSweep();
+    LogEvent(Event::kStoreRegained,
+             {{"away_ms", std::to_string((now - lost_at_).count() / 1000)}});
+  }
+
+  /** @see TableObserver */
+  void After(Duration pause, std::function<void()> task) {
+    outlet_.After(pause, std::move(task));
+  }
+
+ private:
+  void TakeConfig(const StoredRow& row, std::string_view source) {
+    RouteTable table;
+    Findings findings;
+    C::ParseRoutes(row.value, table, findings);
+    if (!findings.IsEmpty()) {
+      LogEvent(Event::kConfigRejected, {{"findings", findings.FormatLines()}});
+      return;
+    }
+    const size_t n = table.routes.size();
+    const uint64_t version = table.version;
+    if (!routes_.Offer(std::move(table))) {
+      return;
+    }
+    config_row_ = row;
+    LogEvent(Event::kConfigInForce, {{"version", std::to_string(version)},
+                                     {"routes", std::to_string(n)},
+                                     {"source", std::string(source)}});
+    Publish();
+  }
+
+  bool TakeEndpointRow(const StoredRow& row, std::string_view source) {
+    const EndpointId id{row.key};
+    if (row.removed) {
+      const EndpointEntry* entry = endpoints_.Find(id);
+      if (entry == nullptr) {
+        return false;
+      }
+      LogEvent(Event::kDirectoryChanged, {{"endpoint", row.key},
+                                          {"service", entry->service.value},
+                                          {"state", "vanished"},
+                                          {"role", ""},
+                                          {"source", std::string(source)}});
+      endpoints_.Vanish(id, row.version, outlet_.Now());
+      PlanSweep();
+      endpoint_rows_.erase(row.key);
+      return false;
+    }
+    VersionedEntry versioned;
+    versioned.row_version = row.version;
+    Findings findings;
+    C::ParseEndpoint(row.key, row.value, versioned.entry, findings);
+    if (!findings.IsEmpty()) {
+      LogEvent(Event::kDirectoryEntryRejected,
+               {{"entry", row.key}, {"findings", findings.FormatLines()}});
+      return false;
+    }
+    endpoint_rows_[row.key] = row;
+    if (!endpoints_.Put(versioned)) {
+      return false;
+    }
+    const EndpointEntry& entry = versioned.entry;
+    LogEvent(Event::kDirectoryChanged,
+             {{"endpoint", entry.id.value},
+              {"service", entry.service.value},
+              {"state", entry.draining ? "draining" : "ready"},
+              {"role", entry.claims_primary ? "primary" : "replica"},
+              {"source", std::string(source)}});
+    return true;
+  }
+
+  void HandleEndpointListing(std::span<const StoredRow> rows,
+                             uint64_t version,
+                             std::string_view source) {
+    std::map<std::string, StoredRow> known = endpoint_rows_;
+    bool changed = false;
+    for (const StoredRow& it : rows) {
+      changed = TakeEndpointRow(it, source) || changed;
+      known.erase(it.key);
+    }
+    for (auto& [key, row] : known) {
+      row.removed = true;
+      row.version = version;
+      TakeEndpointRow(row, source);
+    }
+    endpoints_version_ = std::max(endpoints_version_, version);
+    if (changed) {
+      Publish();
+    }
+  }
+
+  void PlanSweep() {
+    outlet_.After(EndpointRegister::kLapseGrace, [this] { Sweep(); });
+    Sweep();
+  }
+
+  void Sweep() {
+    const TimePoint now = outlet_.Now();
+    if (store_lost_) {
+      // Entries lapse while the store is away; whether they return is known
+      // only after it does.
+      endpoints_.HoldVanished(now);
+    }
+    if (!endpoints_.Sweep(now).empty()) {
+      Publish();
+    }
+  }
+
+  void Publish() {
+    auto view = std::make_shared<FleetView>();
+    view->routes = routes_.Get();
+    view->endpoints = endpoints_.List();
+    view->live_vms = live_vms_;
+    outlet_.Publish(std::move(view));
+  }
+
+  O& outlet_;
+  RouteRegister routes_;
+  EndpointRegister endpoints_;
+  StoredRow config_row_;
+  std::map<std::string, StoredRow> endpoint_rows_;
+  uint64_t endpoints_version_ = 0;
+  uint32_t live_vms_ = 1;
+  bool store_lost_ = false;
+  TimePoint lost_at_;
+  TableWatch<S, FleetControl> config_watch_;
+  TableWatch<S, FleetControl> endpoint_watch_;
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_CONTROL_FLEET_FLEET_CONTROL_H_
--- /dev/null
+++ b/libs/coordination/watches/table_watch.h
@@ -0,0 +1,154 @@
+#ifndef MAGNOLIAREEL_COORDINATION_WATCHES_TABLE_WATCH_H_
+#define MAGNOLIAREEL_COORDINATION_WATCHES_TABLE_WATCH_H_
+
+#include <algorithm>
+#include <concepts>
+#include <span>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "coordination/rows/row_store.h"
+#include "telemetry/telemetry.h"
+
+namespace magnoliareel {
+
+/** Longest wait of one question for changes; most questions of a quiet table
+    end with it, so a long one keeps the store's calls few. */
+inline constexpr Duration kFollowWait = std::chrono::seconds(25);
+/** Pause after an answer with changes: several often come together, and each
+    answer is a priced call. Small beside the bounds, which count in seconds. */
+inline constexpr Duration kFollowPause = std::chrono::milliseconds(120);
+/** Pause after a failed call: first, and at most. The store recovers within
+    seconds, and each call is priced. */
+inline constexpr Duration kFirstStorePause = std::chrono::milliseconds(150);
+inline constexpr Duration kLongestStorePause = std::chrono::milliseconds(1200);
+
+/** What a table watch needs around it: a way to wait, and somebody to tell. */
+template <class O>
+concept TableObserver = requires(O& observer,
+                                 std::string_view table,
+                                 std::span<const StoredRow> rows,
+                                 uint64_t version,
+                                 std::error_code ec,
+                                 Duration pause,
+                                 std::function<void()> task) {
+  /** All rows of the table, as of a version. */
+  observer.HandleListing(table, rows, version);
+  /** Rows that changed, in order. */
+  observer.HandleChanges(table, rows, version);
+  /** The store stopped answering. */
+  observer.HandleStoreLost(table, ec);
+  /** It answers again. */
+  observer.HandleStoreRegained(table);
+  /** Calls a function once, later. */
+  observer.After(pause, task);
+};
+
+/** Follows one table: reads it once, then asks for changes; reads it again when
+    the store has dropped the history in between.
+
+    @tparam S  @see RowStore
+    @tparam O  @see TableObserver
+*/
+template <RowStore S, class O>
+class TableWatch {
+ public:
+  /** @param store     outlives the watch
+      @param observer  outlives the watch
+      @param table     the table's name
+  */
+  TableWatch(S& store, O& observer, std::string_view table)
+      : store_(store), observer_(observer), table_(table) {
+    // Checked here as O is not complete where it declares its watch.
+    static_assert(TableObserver<O>);
+  }
+
+  /** Begins to follow. */
+  void Start() { List(); }
+  /** @returns true while the store answers */
+  bool IsConnected() const { return connected_; }
+
+ private:
+  void List() {
+    listing_.clear();
+    ListAfter("");
+  }
+
+  void ListAfter(std::string_view key) {
+    store_.List(table_, key, [this](std::error_code ec, StoredRows answer) {
+      if (ec) {
+        Fail(ec, [this] { List(); });
+        return;
+      }
+      std::move(answer.rows.begin(), answer.rows.end(),
+                std::back_inserter(listing_));
+      if (answer.has_more && !answer.rows.empty()) {
+        // Pages are of different moments; the changes since the first page
+        // follow from its version.
+        first_version_ = first_version_ == 0 ? answer.version : first_version_;
+        ListAfter(listing_.back().key);
+        return;
+      }
+      Succeed();
+      version_ = first_version_ == 0 ? answer.version : first_version_;
+      first_version_ = 0;
+      observer_.HandleListing(table_, listing_, version_);
+      listing_.clear();
+      Follow();
+    });
+  }
+
+  void Follow() {
+    store_.Follow(table_, version_, kFollowWait,
+                  [this](std::error_code ec, StoredRows answer) {
+                    if (ec == Error::kHistoryLost) {
+                      Succeed();
+                      List();
+                      return;
+                    }
+                    if (ec) {
+                      Fail(ec, [this] { Follow(); });
+                      return;
+                    }
+                    Succeed();
+                    version_ = std::max(version_, answer.version);
+                    if (answer.rows.empty()) {
+                      Follow();
+                      return;
+                    }
+                    observer_.HandleChanges(table_, answer.rows, version_);
+                    observer_.After(kFollowPause, [this] { Follow(); });
+                  });
+  }
+
+  void Succeed() {
+    pause_ = kFirstStorePause;
+    if (!std::exchange(connected_, true)) {
+      observer_.HandleStoreRegained(table_);
+    }
+  }
+
+  void Fail(std::error_code ec, std::function<void()> again) {
+    if (std::exchange(connected_, false) || !told_) {
+      told_ = true;
+      observer_.HandleStoreLost(table_, ec);
+    }
+    observer_.After(pause_, std::move(again));
+    pause_ = std::min(pause_ * 2, kLongestStorePause);
+  }
+
+  S& store_;
+  O& observer_;
+  const std::string table_;
+  std::vector<StoredRow> listing_;
+  uint64_t version_ = 0;
+  uint64_t first_version_ = 0;
+  Duration pause_ = kFirstStorePause;
+  bool connected_ = false;
+  bool told_ = false;
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_COORDINATION_WATCHES_TABLE_WATCH_H_
--- /dev/null
+++ b/libs/directory/endpoints/endpoint_register.cc
@@ -0,0 +1,100 @@
+#include "directory/endpoints/endpoint_register.h"
+
+#include <set>
+
+namespace magnoliareel {
+
+bool EndpointRegister::Put(const VersionedEntry& entry) {
+  if (const auto it = removed_.find(entry.entry.id);
+      it != removed_.end() && it->second >= entry.row_version) {
+    return false;
+  }
+  Held& held = entries_[entry.entry.id];
+  if (entry.row_version < held.versioned.row_version) {
+    return false;
+  }
+  const bool changed =
+      held.versioned.entry != entry.entry || held.removed_at.has_value();
+  held.versioned = entry;
+  held.removed_at.reset();
+  return changed;
+}
+
+void EndpointRegister::Vanish(const EndpointId& id,
+                              uint64_t row_version,
+                              TimePoint now) {
+  const auto it = entries_.find(id);
+  if (it == entries_.end() || row_version < it->second.versioned.row_version) {
+    return;
+  }
+  it->second.versioned.row_version = row_version;
+  if (!it->second.removed_at) {
+    it->second.removed_at =
+        it->second.versioned.entry.draining ? now : now + kLapseGrace;
+  }
+}
+
+bool EndpointRegister::Replace(std::span<const VersionedEntry> listing,
+                               uint64_t row_version,
+                               TimePoint now) {
+  bool changed = false;
+  std::set<EndpointId> listed;
+  for (const VersionedEntry& it : listing) {
+    listed.insert(it.entry.id);
+    changed = Put(it) || changed;
+  }
+  for (const auto& [id, held] : entries_) {
+    if (!listed.contains(id)) {
+      Vanish(id, row_version, now);
+    }
+  }
+  return changed;
+}
+
+void EndpointRegister::HoldVanished(TimePoint now) {
+  for (auto& [id, held] : entries_) {
+    if (held.removed_at && !held.versioned.entry.draining) {
+      held.removed_at = now + kLapseGrace;
+    }
+  }
+}
+
+std::vector<EndpointId> EndpointRegister::Sweep(TimePoint now) {
+  std::vector<EndpointId> removed;
+  for (auto it = entries_.begin(); it != entries_.end();) {
+    if (!it->second.removed_at || *it->second.removed_at > now) {
+      ++it;
+      continue;
+    }
+    removed_[it->first] = it->second.versioned.row_version;
+    removed.push_back(it->first);
+    it = entries_.erase(it);
+  }
+  return removed;
+}
+
+std::vector<EndpointEntry> EndpointRegister::List() const {
+  std::vector<EndpointEntry> list;
+  list.reserve(entries_.size());
+  for (const auto& [id, held] : entries_) {
+    list.push_back(held.versioned.entry);
+  }
+  return list;
+}
+
+std::vector<VersionedEntry> EndpointRegister::ListVersioned() const {
+  std::vector<VersionedEntry> list;
+  for (const auto& [id, held] : entries_) {
+    if (!held.removed_at) {
+      list.push_back(held.versioned);
+    }
+  }
+  return list;
+}
+
+const EndpointEntry* EndpointRegister::Find(const EndpointId& id) const {
+  const auto it = entries_.find(id);
+  return it == entries_.end() ? nullptr : &it->second.versioned.entry;
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/libs/directory/model/fleet_view.h
@@ -0,0 +1,32 @@
+#ifndef MAGNOLIAREEL_DIRECTORY_MODEL_FLEET_VIEW_H_
+#define MAGNOLIAREEL_DIRECTORY_MODEL_FLEET_VIEW_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "directory/model/endpoint_entry.h"
+#include "directory/model/route_table.h"
+
+namespace magnoliareel {
+
+/** Everything that traffic reads of the control state; immutable once
+    published.
+
+    @see Snapshot
+*/
+struct FleetView {
+  /** Never null. */
+  std::shared_ptr<const RouteTable> routes = std::make_shared<RouteTable>();
+  /** Endpoints in use, ordered by id. */
+  std::vector<EndpointEntry> endpoints;
+  /** VMs that are alive, this one included. */
+  uint32_t live_vms = 1;
+};
+
+/** Where a VM or endpoint is, relative to this VM. */
+enum class Distance { kSameSite = 0, kSameRegion = 1, kRemote = 2 };
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_DIRECTORY_MODEL_FLEET_VIEW_H_
--- /dev/null
+++ b/libs/relay/connections/endpoint_pool.h
@@ -0,0 +1,101 @@
+#ifndef MAGNOLIAREEL_RELAY_CONNECTIONS_ENDPOINT_POOL_H_
+#define MAGNOLIAREEL_RELAY_CONNECTIONS_ENDPOINT_POOL_H_
+
+#include <cstdint>
+#include <deque>
+#include <span>
+#include <vector>
+
+#include "core/core.h"
+#include "directory/directory.h"
+
+namespace magnoliareel {
+
+/** A statement that waits for an endpoint. */
+struct QueuedStatement {
+  uint64_t session = 0;
+  uint64_t ticket = 0;
+  int priority = 0;
+  TimePoint deadline;
+};
+
+/** What this VM knows of one endpoint and holds for it: connections, waiting
+    statements, and how it has answered lately.
+
+    @see PooledConnection, TrafficCore
+*/
+class EndpointPool {
+ public:
+  /** @param entry     the endpoint
+      @param distance  from this VM
+  */
+  EndpointPool(EndpointEntry entry, Distance distance);
+
+  /** Adds a statement behind those of its priority that end earlier. */
+  void Enqueue(const QueuedStatement& statement);
+  /** Removes a statement that no longer waits.
+
+      @param ticket  the statement
+  */
+  void Remove(uint64_t ticket);
+
+  /** Notes that a statement was answered.
+
+      @param run_time  from sending to the answer
+      @param now       the present moment
+  */
+  void NoteAnswer(Duration run_time, TimePoint now);
+  /** Notes any sign of life. */
+  void NoteHeard(TimePoint now);
+  /** Notes that a connection could not be opened or fell silent; the endpoint
+      is left alone for a time that doubles with every failure.
+
+      @param now  the present moment
+  */
+  void NoteFailure(TimePoint now);
+  /** Notes that the endpoint takes no further connection from this VM.
+
+      @param now  the present moment
+  */
+  void NoteConnectionRefused(TimePoint now);
+  /** Notes that the endpoint lacked a log point. */
+  void NoteBehind(TimePoint now);
+
+  /** @returns true while the endpoint should get no new work */
+  bool IsAvoided(TimePoint now) const { return now < avoid_until_; }
+  /** @returns true while reads find it too far behind */
+  bool IsBehind(TimePoint now) const { return now < behind_until_; }
+  /** @returns true if a further connection may be opened
+
+      @param share  connections that this VM may have
+      @param now    the present moment
+  */
+  bool MayOpen(uint32_t share, TimePoint now) const;
+  /** @returns how long a statement added now would wait for a slot */
+  Duration EstimateWait() const;
+  /** @returns statements that may run at a time from this VM */
+  uint32_t GetLimit() const { return entry.slots == 0 ? 1 : entry.slots; }
+
+  /** The endpoint, as the directory lists it. */
+  EndpointEntry entry;
+  Distance distance;
+  /** The directory lists it no more; connections end with their work. */
+  bool gone = false;
+  std::vector<uint64_t> connections;
+  std::deque<QueuedStatement> queue;
+  /** Number of statements that run, abandoned ones included. */
+  uint32_t running = 0;
+  TimePoint last_heard;
+  /** Number of failures since the last sign of life. */
+  uint32_t failures = 0;
+
+ private:
+  TimePoint avoid_until_;
+  TimePoint behind_until_;
+  TimePoint no_open_until_;
+  Duration mean_run_time_;
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_RELAY_CONNECTIONS_ENDPOINT_POOL_H_
--- /dev/null
+++ b/libs/relay/connections/pooled_connection.h
@@ -0,0 +1,95 @@
+#ifndef MAGNOLIAREEL_RELAY_CONNECTIONS_POOLED_CONNECTION_H_
+#define MAGNOLIAREEL_RELAY_CONNECTIONS_POOLED_CONNECTION_H_
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "core/core.h"
+#include "relay/messages/endpoint_message.h"
+#include "relay/sessions/session_values.h"
+
+namespace magnoliareel {
+
+/** What was sent on a connection and has to be answered. */
+enum class Exchange {
+  kOpen,
+  kBegin,
+  kBeginRead,
+  kRollback,
+  kReset,
+  kSetValue,
+  kPrepare,
+  /** A caller's statement. */
+  kStatement,
+};
+
+/** One expected answer. */
+struct ExpectedAnswer {
+  Exchange exchange = Exchange::kOpen;
+  TimePoint sent_at;
+  /** The caller's statement, for kStatement. */
+  uint64_t ticket = 0;
+  /** Set once an error has been read. */
+  std::optional<Refusal> refusal;
+};
+
+/** What a pooled connection is used for at the moment. */
+enum class ConnectionUse {
+  /** The endpoint has not accepted it yet. */
+  kOpening,
+  /** It is brought into the state in which it waits for work. */
+  kSettling,
+  kIdle,
+  /** A transaction has to begin before the statement may be sent. */
+  kPreparing,
+  /** A statement runs. */
+  kRunning,
+  /** It holds a transaction between two statements. */
+  kHeld,
+  /** Nobody waits for the statement that runs. */
+  kAbandoned,
+};
+
+/** A connection to an endpoint that sessions take turns on. */
+struct PooledConnection {
+  uint64_t id = 0;
+  EndpointId endpoint;
+  ConnectionUse use = ConnectionUse::kOpening;
+  /** As of the last answer. */
+  ConnectionStatus status = ConnectionStatus::kIdle;
+  /** The open transaction proves that its endpoint leads. */
+  bool plain_transaction = false;
+  /** Configuration version under which the open transaction began. A caller's
+      statement must not run in one that is older than its route. */
+  uint64_t begun_version = 0;
+  /** Values that the endpoint holds for this connection. */
+  SessionValues values;
+  /** Names of statements prepared on it. */
+  std::set<std::string, std::less<>> prepared;
+  /** Values were set inside the open transaction; what a rollback makes of
+      them is the database's affair, so they are cleared afterwards. */
+  bool values_in_transaction = false;
+  std::deque<ExpectedAnswer> expected;
+  /** Session that it works for; 0 if none. */
+  uint64_t session = 0;
+  /** Rows of the answer being received, encoded for the caller. */
+  std::string rows;
+  /** Why the last transaction could not begin, if it could not. */
+  std::optional<Refusal> begin_refusal;
+  /** Proof or explanation of the answer being received. */
+  std::string text;
+  TimePoint opened_at;
+  TimePoint used_at;
+
+  /** @returns true if a plain transaction is open that nobody uses yet */
+  bool IsBegunAhead() const {
+    return status == ConnectionStatus::kInTransaction && plain_transaction;
+  }
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_RELAY_CONNECTIONS_POOLED_CONNECTION_H_
--- /dev/null
+++ b/libs/relay/core/log_budget.h
@@ -0,0 +1,44 @@
+#ifndef MAGNOLIAREEL_RELAY_CORE_LOG_BUDGET_H_
+#define MAGNOLIAREEL_RELAY_CORE_LOG_BUDGET_H_
+
+#include <algorithm>
+#include <cstdint>
+
+#include "core/core.h"
+
+namespace magnoliareel {
+
+/** Bounds the number of log lines a second, with bursts up to one second's
+    worth. */
+class LogBudget {
+ public:
+  /** @param lines_per_second  the bound */
+  explicit LogBudget(int64_t lines_per_second)
+      : rate_(lines_per_second), tokens_(lines_per_second * 1000000) {}
+
+  /** @param now  the present moment
+      @returns    true if a line may be written now
+  */
+  bool Take(TimePoint now) {
+    if (last_ != TimePoint{}) {
+      const int64_t elapsed = std::min<int64_t>((now - last_).count(), 1000000);
+      tokens_ = std::min(tokens_ + elapsed * rate_, rate_ * 1000000);
+    }
+    last_ = now;
+    if (tokens_ < 1000000) {
+      return false;
+    }
+    tokens_ -= 1000000;
+    return true;
+  }
+
+ private:
+  int64_t rate_;
+  // Millionths of a line.
+  int64_t tokens_;
+  TimePoint last_;
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_RELAY_CORE_LOG_BUDGET_H_
--- /dev/null
+++ b/libs/relay/core/traffic_core_dispatch.h
@@ -0,0 +1,381 @@
+#ifndef MAGNOLIAREEL_RELAY_CORE_TRAFFIC_CORE_DISPATCH_H_
+#define MAGNOLIAREEL_RELAY_CORE_TRAFFIC_CORE_DISPATCH_H_
+
+// Where statements go. Included by traffic_core.h.
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "relay/core/traffic_core.h"
+#include "relay/core/traffic_limits.h"
+
+namespace magnoliareel {
+
+template <WireDialect D, class N>
+void TrafficCore<D, N>::Dispatch(CallerSession& session) {
+  SessionWork& work = session.work;
+  if (work.base_need == Need::kWithin) {
+    SendWithin(session);
+    return;
+  }
+  work.need = work.base_need;
+  if (NeedsLeader(work.need)) {
+    DispatchToLeader(session);
+    return;
+  }
+  DispatchRead(session);
+}
+
+template <WireDialect D, class N>
+void TrafficCore<D, N>::DispatchToLeader(CallerSession& session) {
+  ServiceState& service = GetService(session.route->service);
+  const EndpointId* leader = service.leader.Get();
+  EndpointPool* pool = leader == nullptr ? nullptr : FindPool(*leader);
+  if (pool != nullptr && !pool->gone) {
+    EnqueueAt(*pool, session);
+    return;
+  }
+  session.work.queued_at = {};
+  service.waiting.push_back({session.id, session.work.ticket,
+                             session.route->priority, session.work.deadline});
+  Remind({net_.Now() + kLeaderReview, Reminder::kLeaders, 0, 0, {}});
+}
+
+template <WireDialect D, class N>
+void TrafficCore<D, N>::DispatchRead(CallerSession& session) {
+  SessionWork& work = session.work;
+  ServiceState& service = GetService(session.route->service);
+  const TimePoint not_before =
+      work.began_at - session.route->max_staleness + kStalenessMargin;
+  work.after = service.bounds.Find(not_before);
+  const TimePoint now = net_.Now();
+  if (now - service.bounds.GetNewest() >
+      session.route->max_staleness / kBoundRenewalDivisor) {
+    RefreshBounds(service);
+  }
+  const Need proven = work.need == Need::kReadTransaction
+                          ? Need::kPlainTransaction
+                          : Need::kProvenRead;
+  if (!work.after) {
+    work.need = proven;
+    DispatchToLeader(session);
+    return;
+  }
+  if (session.route->consistency == Consistency::kReadYourWrites &&
+      session.last_commit && *session.last_commit > *work.after) {
+    work.after = session.last_commit;
+  }
+  EndpointPool* pool = ChooseReadPool(session, service);
+  if (pool == nullptr || IsLeader(*pool)) {
+    work.need = proven;
+    work.after.reset();
+    DispatchToLeader(session);
+    return;
+  }
+  EnqueueAt(*pool, session);
+}
+
+template <WireDialect D, class N>
+EndpointPool* TrafficCore<D, N>::ChooseReadPool(const CallerSession& session,
+                                                const ServiceState& service) {
+  const TimePoint now = net_.Now();
+  EndpointPool* best = nullptr;
+  Duration best_cost{};
+  for (const EndpointId& id : service.endpoints) {
+    EndpointPool* pool = FindPool(id);
+    if (pool == nullptr || pool->gone) {
+      continue;
+    }
+    const bool leads = IsLeader(*pool);
+    if (pool->entry.draining && !leads) {
+      continue;
+    }
+    Duration cost = pool->EstimateWait();
+    if (pool->distance == Distance::kRemote) {
+      cost += session.route->latency_objective / kRemotePenaltyDivisor;
+    } else if (pool->distance == Distance::kSameRegion) {
+      cost += kRegionPenalty;
+    }
+    if (leads) {
+      cost += kLeaderPenalty;
+    } else if (pool->IsBehind(now)) {
+      cost += kBehindPenalty;
+    }
+    const auto& passed = session.work.passed_over;
+    if (pool->IsAvoided(now) ||
+        std::find(passed.begin(), passed.end(), id) != passed.end()) {
+      cost += kFailedPenalty;
+    }
+    if (best == nullptr || cost < best_cost) {
+      best = pool;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+template <WireDialect D, class N>
+void TrafficCore<D, N>::EnqueueAt(EndpointPool& pool, CallerSession& session) {
+  session.work.queued_at = pool.entry.id;
+  pool.Enqueue({session.id, session.work.ticket, session.route->priority,
+                session.work.deadline});
+  StartQueued(pool);
+}
+
+template <WireDialect D, class N>
+void TrafficCore<D, N>::RetryLater(CallerSession& session, Duration pause) {
+  session.work.queued_at = {};
+  if (pause <= Duration(0)) {
+    Dispatch(session);
+    return;
+  }
+  Remind({net_.Now() + pause,
+          Reminder::kRetry,
+          session.id,
+          session.work.ticket,
+          {}});
+}
+
+template <WireDialect D, class N>
+void TrafficCore<D, N>::LeaveQueues(CallerSession& session) {
+  if (!session.IsBusy()) {
+    return;
+  }
+  if (EndpointPool* pool = FindPool(session.work.queued_at)) {
+    pool->Remove(session.work.ticket);
+  }
+  session.work.queued_at = {};
+  if (session.route != nullptr) {
+    std::erase_if(GetService(session.route->service).waiting,
+                  [&](const QueuedStatement& it) {
+                    return it.ticket == session.work.ticket;
+                  });
+  }
+}
+
+template <WireDialect D, class N>
+bool TrafficCore<D, N>::IsStillWaiting(uint64_t session_id, uint64_t ticket) {
+  const CallerSession* session = FindSession(session_id);
+  return session != nullptr && session->work.ticket == ticket;
+}
+
+template <WireDialect D, class N>
+void TrafficCore<D, N>::StartQueued(EndpointPool& pool) {
+  while (!pool.queue.empty() && pool.running < pool.GetLimit()) {
+    const QueuedStatement next = pool.queue.front();
+    if (!IsStillWaiting(next.session, next.ticket)) {
+      pool.queue.pop_front();
+      continue;
+    }
+    CallerSession& session = *FindSession(next.session);
+    PooledConnection* connection = PickIdle(pool, session);
+    if (connection == nullptr) {
+      OpenConnections(pool);
+      return;
+    }
+    pool.queue.pop_front();
+    session.work.queued_at = {};
+    Start(*connection, session);
+  }
+}
+
+template <WireDialect D, class N>
+void TrafficCore<D, N>::OpenConnections(EndpointPool& pool) {
+  const TimePoint now = net_.Now();
+  size_t opening = 0;
+  for (const uint64_t it : pool.connections) {
+    const PooledConnection* connection = FindConnection(it);
+    if (connection != nullptr && connection->use == ConnectionUse::kOpening) {
+      ++opening;
+    }
+  }
+  const uint32_t share = GetShare(pool);
+  while (opening < pool.queue.size() && pool.MayOpen(share, now)) {
+    const uint64_t id = next_id_++;
+    PooledConnection& connection = connections_[id];
+    connection.id = id;
+    connection.endpoint = pool.entry.id;
+    connection.opened_at = now;
+    pool.connections.push_back(id);
+    ++counters_.connections_opened;
+    ++opening;
+    Remind({now + kConnectTimeout, Reminder::kConnect, id, 0, {}});
+    net_.OpenEndpoint(id, pool.entry.address);
+  }
+}
+
+template <WireDialect D, class N>
+PooledConnection* TrafficCore<D, N>::PickIdle(EndpointPool& pool,
+                                              const CallerSession& session) {
+  PooledConnection* best = nullptr;
+  for (const uint64_t it : pool.connections) {
+    PooledConnection* connection = FindConnection(it);
+    if (connection == nullptr || connection->use != ConnectionUse::kIdle) {
+      continue;
+    }
+    // One that carries the session's values needs no preparation.
+    if (connection->values == session.values) {
+      return connection;
+    }
+    if (best == nullptr) {
+      best = connection;
+    }
+  }
+  return best;
+}
+
+template <WireDialect D, class N>
+void TrafficCore<D, N>::Start(PooledConnection& connection,
+                              CallerSession& session) {
+  SessionWork& work = session.work;
+  connection.session = session.id;
+  connection.used_at = net_.Now();
+  ++work.attempts;
+  const bool same_values =
+      connection.values == session.values && !connection.values_in_transaction;
+  const bool proves =
+      work.need == Need::kProvenRead || work.need == Need::kPlainTransaction;
+  if (proves && connection.IsBegunAhead() && same_values &&
+      connection.begun_version == view_->routes->version) {
+    SendStatement(connection, session);
+    return;
+  }
+  LeaveTransaction(connection);
+  SyncValues(connection, session.values);
+  if (!proves && work.need != Need::kReadTransaction) {
+    SendStatement(connection, session);
+    return;
+  }
+  // The statement waits for the transaction: behind a refused beginning it
+  // would run alone.
+  connection.use = ConnectionUse::kPreparing;
+  work.connections.push_back(connection.id);
+  if (proves) {
+    BeginAhead(connection);
+  } else {
+    D::AppendBeginRead(net_.GetEndpointBuffer(connection.id), work.after);
+    Expect(connection, Exchange::kBeginRead);
+  }
+  Remind(
+      {net_.Now() + kSlowAfter, Reminder::kSlow, session.id, work.ticket, {}});
+}
+
+template <WireDialect D, class N>
+void TrafficCore<D, N>::SendStatement(PooledConnection& connection,
+                                      CallerSession& session) {
+  SessionWork& work = session.work;
+  const TimePoint now = net_.Now();
+  std::string& out = net_.GetEndpointBuffer(connection.id);
+  const std::optional<LogPoint> after =
+      work.need == Need::kRead ? work.after : std::nullopt;
+  if (work.kind == StatementKind::kExecute) {
+    const std::string name = MakePooledName(work.prepared);
+    if (connection.prepared.insert(name).second) {
+      D::AppendPrepare(out, name, work.prepared.writes, work.prepared.shape);
+      Expect(connection, Exchange::kPrepare);
+    }
+    D::AppendExecute(out, work.request_id, after, name, work.arguments);
+  } else {
+    D::AppendForward(out, work.request_id, after, work.text);
+  }
+  Expect(connection, Exchange::kStatement, work.ticket);
+  connection.use = ConnectionUse::kRunning;
+  connection.session = session.id;
+  connection.rows.clear();
+  if (std::find(work.connections.begin(), work.connections.end(),
+                connection.id) == work.connections.end()) {
+    work.connections.push_back(connection.id);
+  }
+  if (EndpointPool* pool = FindPool(connection.endpoint)) {
+    ++pool->running;
+  }
+  work.sent_at = now;
+  Remind({now + kSlowAfter, Reminder::kSlow, session.id, work.ticket, {}});
+}
+
+template <WireDialect D, class N>
+void TrafficCore<D, N>::SendWithin(CallerSession& session) {
+  PooledConnection* connection = FindConnection(session.connection);
+  if (connection == nullptr) {
+    session.connection = 0;
+    FailWork(session, Refusal::kAborted,
+             "the transaction's connection is gone");
+    return;
+  }
+  ++session.work.attempts;
+  if (connection->values != session.values) {
+    // Only additions: a session never unsets a value, and a reset would touch
+    // the open transaction.
+    AddValues(*connection, session.values);
+    connection->values_in_transaction = true;
+  }
+  SendStatement(*connection, session);
+}
+
+template <WireDialect D, class N>
+void TrafficCore<D, N>::LeaderChanged(ServiceState& service) {
+  std::vector<QueuedStatement> moved(service.waiting.begin(),
+                                     service.waiting.end());
+  if (service.leader.Get() != nullptr) {
+    service.waiting.clear();
+  } else {
+    moved.clear();
+  }
+  for (const EndpointId& id : service.endpoints) {
+    EndpointPool* pool = FindPool(id);
+    if (pool == nullptr || IsLeader(*pool)) {
+      continue;
+    }
+    const std::deque<QueuedStatement> queue = pool->queue;
+    for (const QueuedStatement& it : queue) {
+      const CallerSession* session = FindSession(it.session);
+      if (session != nullptr && NeedsLeader(session->work.need)) {
+        pool->Remove(it.ticket);
+        moved.push_back(it);
+      }
+    }
+  }
+  for (const QueuedStatement& it : moved) {
+    if (IsStillWaiting(it.session, it.ticket)) {
+      Dispatch(*FindSession(it.session));
+    }
+  }
+  const EndpointId* leader = service.leader.Get();
+  EndpointPool* pool = leader == nullptr ? nullptr : FindPool(*leader);
+  if (pool == nullptr) {
+    return;
+  }
+  const std::vector<uint64_t> ids = pool->connections;
+  for (const uint64_t it : ids) {
+    PooledConnection* connection = FindConnection(it);
+    if (connection != nullptr && connection->use == ConnectionUse::kIdle &&
+        connection->status == ConnectionStatus::kIdle) {
+      Settle(*connection);
+    }
+  }
+}
+
+template <WireDialect D, class N>
+void TrafficCore<D, N>::RefreshBounds(ServiceState& service) {
+  const TimePoint now = net_.Now();
+  const EndpointId* leader = service.leader.Get();
+  EndpointPool* pool = leader == nullptr ? nullptr : FindPool(*leader);
+  if (pool == nullptr || now - service.bounds_asked_at < kSlowAfter) {
+    return;
+  }
+  for (const uint64_t it : pool->connections) {
+    PooledConnection* connection = FindConnection(it);
+    if (connection != nullptr && connection->use == ConnectionUse::kIdle) {
+      service.bounds_asked_at = now;
+      ++counters_.bounds_asked;
+      Settle(*connection);
+      return;
+    }
+  }
+}
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_RELAY_CORE_TRAFFIC_CORE_DISPATCH_H_
--- /dev/null
+++ b/libs/relay/core/traffic_core_sessions.h
@@ -0,0 +1,380 @@
+#ifndef MAGNOLIAREEL_RELAY_CORE_TRAFFIC_CORE_SESSIONS_H_
+#define MAGNOLIAREEL_RELAY_CORE_TRAFFIC_CORE_SESSIONS_H_
+
+// What callers say. Included by traffic_core.h.
+
+#include <string>
+#include <utility>
+
+#include "relay/core/traffic_core.h"
+
+namespace magnoliareel {
+
+template <WireDialect D, class N>
+TrafficCore<D, N>::TrafficCore(N& net, TrafficOptions options)
+    : net_(net),
+      options_(std::move(options)),
+      served_lines_(kServedLinesPerSecond) {
+  // Checked here as N is not complete where it declares its core.
+  static_assert(TrafficNet<N>);
+}
+
+template <WireDialect D, class N>
+CallerSession* TrafficCore<D, N>::FindSession(uint64_t id) {
+  const auto it = sessions_.find(id);
+  return it == sessions_.end() ? nullptr : &it->second;
+}
+
+template <WireDialect D, class N>
+void TrafficCore<D, N>::OpenSession(uint64_t id) {
+  CallerSession& session = sessions_[id];
+  session.id = id;
+  session.last_active = net_.Now();
+}
+
+template <WireDialect D, class N>
+void TrafficCore<D, N>::HandleCallerFrame(uint64_t id, std::string_view frame) {
+  CallerSession* session = FindSession(id);
+  if (session == nullptr || session->closing) {
+    return;
+  }
+  if (session->IsBusy()) {
+    session->backlog.emplace_back(frame);
+    return;
+  }
+  session->last_active = net_.Now();
+  CallerMessage message;
+  if (!D::DecodeCaller(frame, message)) {
+    RejectCaller(id, Refusal::kMalformed, "message not understood");
+    return;
+  }
+  switch (message.kind) {
+    case CallerRequestKind::kOpen:
+      OpenDatabase(*session, message);
+      return;
+    case CallerRequestKind::kStatement:
+      if (!session->opened) {
+        RejectCaller(id, Refusal::kMalformed, "no database was named");
+        return;
+      }
+      HandleStatement(*session, message);
+      return;
+    case CallerRequestKind::kClose:
+      EndSession(*session);
+      return;
+  }
+}
+
+template <WireDialect D, class N>
+void TrafficCore<D, N>::RejectCaller(uint64_t id,
+                                     Refusal refusal,
+                                     std::string_view reason) {
+  CallerSession* session = FindSession(id);
+  if (session == nullptr) {
+    return;
+  }
+  LogEvent(Event::kCallerRejected,
+           {{"caller", session->caller}, {"reason", std::string(reason)}});
+  if (session->opened) {
+    AnswerError(*session, refusal, reason);
+    return;
+  }
+  D::AppendError(net_.GetCallerBuffer(id), refusal, reason);
+  EndSession(*session);
+}
+
+template <WireDialect D, class N>
+void TrafficCore<D, N>::OpenDatabase(CallerSession& session,
+                                     const CallerMessage& message) {
+  if (session.opened) {
+    AnswerError(session, Refusal::kMalformed, "the session is open already");
+    return;
+  }
+  session.caller = message.caller;
+  session.database = message.database;
+  if (view_->routes->version == 0) {
+    unopened_.push_back(session.id);
+    return;
+  }
+  if (!RefreshRoute(session)) {
+    return;
+  }
+  session.opened = true;
+  D::AppendReady(net_.GetCallerBuffer(session.id), ConnectionStatus::kIdle, {});
+}
+
+template <WireDialect D, class N>
+bool TrafficCore<D, N>::RefreshRoute(CallerSession& session) {
+  session.route = view_->routes->Find(session.database);
+  if (session.route != nullptr) {
+    return true;
+  }
+  LogEvent(Event::kDatabaseUnknown,
+           {{"database", session.database},
+            {"caller", session.caller},
+            {"config", std::to_string(view_->routes->version)}});
+  ++counters_.refused;
+  std::string& out = net_.GetCallerBuffer(session.id);
+  D::AppendError(out, Refusal::kUnknownDatabase, session.database);
+  if (session.opened) {
+    D::AppendReady(out, ConnectionStatus::kIdle, {});
+  }
+  EndSession(session);
+  return false;
+}
+
+template <WireDialect D, class N>
+void TrafficCore<D, N>::HandleStatement(CallerSession& session,
+                                        const CallerMessage& message) {
+  const StatementText& statement = message.statement;
+  const bool ends = statement.kind == StatementKind::kCommit ||
+                    statement.kind == StatementKind::kRollback;
+  if (session.transaction == TransactionPhase::kLost &&
+      statement.kind != StatementKind::kRollback) {
+    session.transaction =
+        ends ? TransactionPhase::kNone : TransactionPhase::kFailed;
+    LogEvent(Event::kStatementRefused,
+             {{"request", std::string(message.request_id)},
+              {"refusal", "aborted"},
+              {"reason", "transaction lost"},
+              {"database", session.database}});
+    ++counters_.aborted;
+    AnswerError(session, Refusal::kAborted, "transaction rolled back");
+    return;
+  }
+  if (session.transaction == TransactionPhase::kFailed && !ends) {
+    AnswerError(session, Refusal::kMalformed, "the transaction has failed");
+    return;
+  }
+  switch (statement.kind) {
+    case StatementKind::kBegin:
+    case StatementKind::kBeginRead:
+      HandleBegin(session, statement.kind == StatementKind::kBeginRead);
+      return;
+    case StatementKind::kRollback:
+      HandleRollback(session);
+      return;
+    case StatementKind::kSetValue:
+      session.values.insert_or_assign(std::string(statement.name),
+                                      std::string(statement.argument));
+      AnswerLocally(session);
+      return;
+    case StatementKind::kPrepareRead:
+    case StatementKind::kPrepareWrite:
+      HandlePrepare(session, statement);
+      return;
+    case StatementKind::kDeallocate:
+      HandleDeallocate(session, statement.name);
+      return;
+    case StatementKind::kCommit:
+    case StatementKind::kRead:
+    case StatementKind::kWrite:
+    case StatementKind::kExecute:
+      HandleWork(session, message);
+      return;
+  }
+}
+
+template <WireDialect D, class N>
+void TrafficCore<D, N>::HandleBegin(CallerSession& session, bool reads_only) {
+  if (session.transaction != TransactionPhase::kNone) {
+    AnswerError(session, Refusal::kMalformed, "a transaction is open already");
+    return;
+  }
+  if (!RefreshRoute(session)) {
+    return;
+  }
+  // The endpoint hears of it with the first statement: until then it holds no
+  // connection and may still go to any endpoint.
+  session.transaction = TransactionPhase::kAnnounced;
+  session.transaction_reads_only = reads_only;
+  session.transaction_used = false;
+  session.transaction_wrote = false;
+  session.transaction_began_at = net_.Now();
+  AnswerLocally(session);
+}
+
+template <WireDialect D, class N>
+void TrafficCore<D, N>::HandleRollback(CallerSession& session) {
+  session.transaction = TransactionPhase::kNone;
+  if (PooledConnection* connection =
+          FindConnection(std::exchange(session.connection, 0))) {
+    connection->session = 0;
+    Settle(*connection);
+  }
+  AnswerLocally(session);
+}
+
+template <WireDialect D, class N>
+void TrafficCore<D, N>::HandlePrepare(CallerSession& session,
+                                      const StatementText& statement) {
+  session.prepared.insert_or_assign(
+      std::string(statement.name),
+      PreparedStatement{statement.kind == StatementKind::kPrepareWrite,
+                        std::string(statement.argument)});
+  AnswerLocally(session);
+}
+
+template <WireDialect D, class N>
+void TrafficCore<D, N>::HandleDeallocate(CallerSession& session,
+                                         std::string_view name) {
+  const auto it = session.prepared.find(name);
+  if (it == session.prepared.end()) {
+    AnswerError(session, Refusal::kUnknownStatement, name);
+    return;
+  }
+  session.prepared.erase(it);
+  AnswerLocally(session);
+}
+
+template <WireDialect D, class N>
+void TrafficCore<D, N>::HandleWork(CallerSession& session,
+                                   const CallerMessage& message) {
+  const StatementText& statement = message.statement;
+  SessionWork work;
+  bool writes = statement.kind == StatementKind::kWrite;
+  if (statement.kind == StatementKind::kExecute) {
+    const auto it = session.prepared.find(statement.name);
+    if (it == session.prepared.end()) {
+      AnswerError(session, Refusal::kUnknownStatement, statement.name);
+      return;
+    }
+    work.prepared = it->second;
+    work.arguments = statement.argument;
+    writes = it->second.writes;
+  }
+  const bool commits = statement.kind == StatementKind::kCommit;
+  if (session.transaction == TransactionPhase::kFailed) {
+    session.transaction = TransactionPhase::kNone;
+    AnswerError(session, Refusal::kAborted, "the transaction has failed");
+    return;
+  }
+  if (commits && session.transaction == TransactionPhase::kNone) {
+    AnswerError(session, Refusal::kMalformed, "no transaction is open");
+    return;
+  }
+  if (session.transaction == TransactionPhase::kNone &&
+      !RefreshRoute(session)) {
+    return;
+  }
+  if (writes && session.transaction_reads_only &&
+      session.transaction != TransactionPhase::kNone) {
+    AnswerError(session, Refusal::kNotPrimary, "the transaction only reads");
+    return;
+  }
+  const TimePoint now = net_.Now();
+  work.ticket = next_id_++;
+  work.request_id = message.request_id;
+  work.text = statement.text;
+  work.kind = statement.kind;
+  work.received_at = now;
+  work.began_at = now;
+  work.deadline = now + session.route->statement_timeout;
+  const bool at_primary = session.route->consistency == Consistency::kPrimary;
+  if (session.transaction == TransactionPhase::kOpen) {
+    work.need = Need::kWithin;
+  } else if (session.transaction == TransactionPhase::kAnnounced) {
+    work.began_at = session.transaction_began_at;
+    work.need = session.transaction_reads_only && !at_primary
+                    ? Need::kReadTransaction
+                    : Need::kPlainTransaction;
+  } else if (writes) {
+    work.need = Need::kWrite;
+  } else {
+    work.need = at_primary ? Need::kProvenRead : Need::kRead;
+  }
+  work.base_need = work.need;
+  work.writes = writes;
+  session.work = std::move(work);
+  Remind({session.work.deadline,
+          Reminder::kDeadline,
+          session.id,
+          session.work.ticket,
+          {}});
+  Dispatch(session);
+}
+
+template <WireDialect D, class N>
+ConnectionStatus TrafficCore<D, N>::GetCallerStatus(
+    const CallerSession& session) const {
+  switch (session.transaction) {
+    case TransactionPhase::kNone:
+      return ConnectionStatus::kIdle;
+    case TransactionPhase::kAnnounced:
+    case TransactionPhase::kOpen:
+    case TransactionPhase::kLost:
+      return ConnectionStatus::kInTransaction;
+    case TransactionPhase::kFailed:
+      return ConnectionStatus::kFailedTransaction;
+  }
+  return ConnectionStatus::kIdle;
+}
+
+template <WireDialect D, class N>
+void TrafficCore<D, N>::AnswerLocally(CallerSession& session) {
+  std::string& out = net_.GetCallerBuffer(session.id);
+  D::AppendComplete(out, "-");
+  D::AppendReady(out, GetCallerStatus(session), {});
+}
+
+template <WireDialect D, class N>
+void TrafficCore<D, N>::AnswerError(CallerSession& session,
+                                    Refusal refusal,
+                                    std::string_view reason) {
+  std::string& out = net_.GetCallerBuffer(session.id);
+  D::AppendError(out, refusal, reason);
+  D::AppendReady(out, GetCallerStatus(session), {});
+}
+
+template <WireDialect D, class N>
+void TrafficCore<D, N>::RunBacklog(uint64_t id) {
+  for (CallerSession* session = FindSession(id);
+       session != nullptr && !session->IsBusy() && !session->backlog.empty();
+       session = FindSession(id)) {
+    const std::string frame = std::move(session->backlog.front());
+    session->backlog.pop_front();
+    HandleCallerFrame(id, frame);
+  }
+}
+
+template <WireDialect D, class N>
+void TrafficCore<D, N>::EndSession(CallerSession& session) {
+  session.closing = true;
+  const uint64_t id = session.id;
+  net_.CloseCaller(id);
+  CloseSession(id);
+}
+
+template <WireDialect D, class N>
+void TrafficCore<D, N>::CloseSession(uint64_t id) {
+  CallerSession* session = FindSession(id);
+  if (session == nullptr) {
+    return;
+  }
+  LeaveQueues(*session);
+  for (const uint64_t it : session->work.connections) {
+    if (it == session->connection) {
+      continue;
+    }
+    Abandon(it);
+  }
+  if (PooledConnection* connection =
+          FindConnection(std::exchange(session->connection, 0))) {
+    if (connection->expected.empty()) {
+      connection->session = 0;
+      Settle(*connection);
+    } else if (session->work.kind == StatementKind::kCommit) {
+      // The commit may go through; its answer is not needed.
+      Abandon(connection->id);
+    } else {
+      // Ending the connection rolls back at once.
+      DropConnection(connection->id);
+    }
+  }
+  std::erase(unopened_, id);
+  sessions_.erase(id);
+}
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_RELAY_CORE_TRAFFIC_CORE_SESSIONS_H_
--- /dev/null
+++ b/libs/relay/core/traffic_limits.h
@@ -0,0 +1,59 @@
+#ifndef MAGNOLIAREEL_RELAY_CORE_TRAFFIC_LIMITS_H_
+#define MAGNOLIAREEL_RELAY_CORE_TRAFFIC_LIMITS_H_
+
+#include <cstdint>
+
+#include "core/core.h"
+
+namespace magnoliareel {
+
+/** Longest wait for a new connection: several round trips between regions and
+    a busy endpoint's handshake. */
+inline constexpr Duration kConnectTimeout = std::chrono::milliseconds(700);
+/** A statement that has no answer for this long is looked at: its endpoint may
+    be silent, its answer lost. Above the run time of nearly all statements. */
+inline constexpr Duration kSlowAfter = std::chrono::milliseconds(350);
+/** A connection whose abandoned statement is not answered within this time has
+    lost the answer. */
+inline constexpr Duration kAbandonedLimit = std::chrono::milliseconds(2000);
+/** Pause before a replica that was behind is asked again: about one
+    replication delay between regions. */
+inline constexpr Duration kBehindRetry = std::chrono::milliseconds(25);
+/** Pause before a statement that found all slots taken is sent again. */
+inline constexpr Duration kBusyRetry = std::chrono::milliseconds(20);
+/** Most times that one statement is sent; later attempts would mostly add load
+    to endpoints that refuse. */
+inline constexpr uint32_t kMostAttempts = 12;
+/** How often services without a primary are looked at. */
+inline constexpr Duration kLeaderReview = std::chrono::milliseconds(50);
+/** Taken off a read's staleness limit, for the time between the caller's first
+    byte and its reading here, and for rounding. */
+inline constexpr Duration kStalenessMargin = std::chrono::milliseconds(30);
+/** A bound is asked for when the newest is older than this part of a route's
+    staleness limit, and nothing else has renewed it. */
+inline constexpr int kBoundRenewalDivisor = 2;
+/** Part of the latency objective that waiting nearby may cost before a read
+    goes to another region: traffic between regions is dear. */
+inline constexpr int kRemotePenaltyDivisor = 5;
+/** Cost of another site of the region, in waiting time. */
+inline constexpr Duration kRegionPenalty = std::chrono::milliseconds(10);
+/** Reads prefer a replica that is as near as the primary, in waiting time. */
+inline constexpr Duration kLeaderPenalty = std::chrono::milliseconds(10);
+/** Reads avoid a replica that was behind a moment ago, in waiting time. */
+inline constexpr Duration kBehindPenalty = std::chrono::milliseconds(150);
+/** Reads avoid an endpoint that failed a moment ago, in waiting time. */
+inline constexpr Duration kFailedPenalty = std::chrono::seconds(5);
+/** Connections of an endpoint that are left to probes and to VMs that have
+    just come. */
+inline constexpr uint32_t kReservedConnections = 2;
+/** Most connections that one VM opens to an endpoint whatever its share. */
+inline constexpr uint32_t kMostConnections = 8;
+/** How often sessions at rest are ended while the process stops. */
+inline constexpr Duration kDrainStep = std::chrono::milliseconds(100);
+/** Sessions at rest are ended over this time while the process stops, so that
+    they do not all come to the other VMs at once. */
+inline constexpr Duration kDrainSpread = std::chrono::milliseconds(1500);
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_RELAY_CORE_TRAFFIC_LIMITS_H_
--- /dev/null
+++ b/libs/relay/core/traffic_net.h
@@ -0,0 +1,85 @@
+#ifndef MAGNOLIAREEL_RELAY_CORE_TRAFFIC_NET_H_
+#define MAGNOLIAREEL_RELAY_CORE_TRAFFIC_NET_H_
+
+#include <concepts>
+#include <cstdint>
+#include <string>
+
+#include "core/core.h"
+#include "settings/settings.h"
+
+namespace magnoliareel {
+
+/** What traffic notices of an endpoint. */
+enum class EndpointCondition {
+  /** It answers. */
+  kAnswering,
+  /** A connection was refused, reset, or could not be opened in time. */
+  kUnreachable,
+  /** It has answered nothing for a while although statements run. */
+  kSilent,
+  /** Statements are answered, commits are not. */
+  kCommitsStalled,
+  /** It refused as it does not lead. */
+  kNotLeading,
+};
+
+/** @param condition  any
+    @returns           its name in logs
+*/
+constexpr std::string_view ConditionName(EndpointCondition condition) {
+  switch (condition) {
+    case EndpointCondition::kAnswering:
+      return "answering";
+    case EndpointCondition::kUnreachable:
+      return "unreachable";
+    case EndpointCondition::kSilent:
+      return "silent";
+    case EndpointCondition::kCommitsStalled:
+      return "commits_stalled";
+    case EndpointCondition::kNotLeading:
+      return "not_leading";
+  }
+  return "answering";
+}
+
+/** An observation that traffic reports to the control thread. */
+struct EndpointReport {
+  EndpointId endpoint;
+  EndpointCondition condition = EndpointCondition::kAnswering;
+};
+
+/** Carries the core's bytes and reminders.
+
+    - GetCallerBuffer, GetEndpointBuffer: buffers that are sent when the present
+      event has been handled.
+    - OpenEndpoint: connects; the core hears of success or failure later.
+    - CloseCaller, CloseEndpoint: end a connection, sending what is buffered.
+    - HasUnread: whether a caller has sent bytes that were not handled yet.
+    - Wake: calls TrafficCore::HandleWake() at that moment, or earlier.
+    - Report: hands an observation to the control thread.
+    - LeaderSeen: tells the control thread that an endpoint proved its lead.
+*/
+template <class N>
+concept TrafficNet = requires(N& net,
+                              uint64_t id,
+                              const SocketAddress& address,
+                              TimePoint moment,
+                              const EndpointReport& report,
+                              const EndpointId& endpoint,
+                              Term term) {
+  { net.Now() } -> std::same_as<TimePoint>;
+  { net.GetCallerBuffer(id) } -> std::same_as<std::string&>;
+  { net.GetEndpointBuffer(id) } -> std::same_as<std::string&>;
+  net.OpenEndpoint(id, address);
+  net.CloseEndpoint(id);
+  net.CloseCaller(id);
+  { net.HasUnread(id) } -> std::same_as<bool>;
+  net.Wake(moment);
+  net.Report(report);
+  net.LeaderSeen(endpoint, term);
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_RELAY_CORE_TRAFFIC_NET_H_
--- /dev/null
+++ b/libs/relay/freshness/freshness_bounds.h
@@ -0,0 +1,49 @@
+#ifndef MAGNOLIAREEL_RELAY_FRESHNESS_FRESHNESS_BOUNDS_H_
+#define MAGNOLIAREEL_RELAY_FRESHNESS_FRESHNESS_BOUNDS_H_
+
+#include <deque>
+#include <optional>
+
+#include "core/core.h"
+
+namespace magnoliareel {
+
+/** Log points that cover every commit acknowledged before a known moment.
+
+    A bound is the end of a log that a proven primary reported, with the time at
+    which the question was sent: whatever was acknowledged before that time is
+    at or below the point. A replica that holds the point may serve any read
+    that tolerates missing what came after the time.
+
+    @see DatabaseRoute::max_staleness
+*/
+class FreshnessBounds {
+ public:
+  /** Notes what a proven primary reported.
+
+      @param asked_at  when the question was sent
+      @param point     the end of its log
+  */
+  void Record(TimePoint asked_at, LogPoint point);
+
+  /** @param not_before  the earliest moment whose commits must all be seen
+      @returns           the lowest known point that covers them, or none
+  */
+  std::optional<LogPoint> Find(TimePoint not_before) const;
+
+  /** @returns when the newest bound was asked for; the clock's epoch if none */
+  TimePoint GetNewest() const;
+
+ private:
+  struct Bound {
+    TimePoint asked_at;
+    LogPoint point;
+  };
+
+  // By time; points never decrease.
+  std::deque<Bound> bounds_;
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_RELAY_FRESHNESS_FRESHNESS_BOUNDS_H_
--- /dev/null
+++ b/libs/relay/leaders/leader_belief.h
@@ -0,0 +1,67 @@
+#ifndef MAGNOLIAREEL_RELAY_LEADERS_LEADER_BELIEF_H_
+#define MAGNOLIAREEL_RELAY_LEADERS_LEADER_BELIEF_H_
+
+#include <optional>
+#include <span>
+
+#include "core/core.h"
+#include "directory/directory.h"
+
+namespace magnoliareel {
+
+/** Which endpoint of one service is believed to be its primary.
+
+    What an endpoint proves by accepting a plain transaction goes before what
+    the control thread announces, and that before what endpoints claim of
+    themselves in the directory. A belief is a hint: whatever depends on the
+    lead is proven on the connection that is used.
+*/
+class LeaderBelief {
+ public:
+  /** An endpoint that refused as "not primary" is asked again after this time
+      at the earliest: a round trip between regions and a promotion's end. */
+  static constexpr Duration kAskAgain = std::chrono::milliseconds(100);
+
+  /** An endpoint accepted what only a primary accepts.
+
+      @param id    the endpoint
+      @param term  the term of its log
+      @returns     true if the belief changed
+  */
+  bool NoteProven(const EndpointId& id, Term term);
+  /** An endpoint refused because it does not lead.
+
+      @param id   the endpoint
+      @param now  the present moment
+      @returns    true if the belief changed
+  */
+  bool NoteRefused(const EndpointId& id, TimePoint now);
+  /** A promotion was ordered.
+
+      @param id  the endpoint that takes over
+      @returns   true if the belief changed
+  */
+  bool NoteAnnounced(const EndpointId& id);
+  /** Takes up what endpoints say of themselves, if nothing better is known.
+
+      @param entries  the service's endpoints
+      @param now      the present moment
+      @returns        true if the belief changed
+  */
+  bool Review(std::span<const EndpointEntry* const> entries, TimePoint now);
+
+  /** @returns the endpoint, or null while none is believed in */
+  const EndpointId* Get() const { return leader_ ? &*leader_ : nullptr; }
+  /** @returns the newest term that was proven */
+  Term GetTerm() const { return term_; }
+
+ private:
+  std::optional<EndpointId> leader_;
+  Term term_;
+  std::optional<EndpointId> refused_;
+  TimePoint refused_at_;
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_RELAY_LEADERS_LEADER_BELIEF_H_
--- /dev/null
+++ b/libs/relay/messages/wire_dialect.h
@@ -0,0 +1,57 @@
+#ifndef MAGNOLIAREEL_RELAY_MESSAGES_WIRE_DIALECT_H_
+#define MAGNOLIAREEL_RELAY_MESSAGES_WIRE_DIALECT_H_
+
+#include <concepts>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "relay/messages/caller_message.h"
+#include "relay/messages/endpoint_message.h"
+
+namespace magnoliareel {
+
+/** Encoding of the session protocol: functions without state that append an
+    encoded message to a buffer, or decode one.
+
+    - DecodeCaller, DecodeEndpoint: one whole message; false if it is none.
+
+    - AppendOpen: service, who is connecting, endpoint that is expected there.
+    - AppendForward: a caller's statement with its id and text unchanged, behind
+      an optional log point that the endpoint must have.
+    - AppendExecute: a caller's execution under the pool's name of the prepared
+      statement.
+    - The others are the pool's own statements, or answers to a caller.
+
+    @see TrafficCore
+*/
+template <class D>
+concept WireDialect = requires(std::string& out,
+                               std::string_view text,
+                               const std::optional<LogPoint>& point,
+                               ConnectionStatus status,
+                               Refusal refusal,
+                               bool flag,
+                               CallerMessage& from_caller,
+                               EndpointMessage& from_endpoint) {
+  { D::DecodeCaller(text, from_caller) } -> std::same_as<bool>;
+  { D::DecodeEndpoint(text, from_endpoint) } -> std::same_as<bool>;
+  D::AppendOpen(out, text, text, text);
+  D::AppendForward(out, text, point, text);
+  D::AppendExecute(out, text, point, text, text);
+  D::AppendBegin(out);
+  D::AppendBeginRead(out, point);
+  D::AppendRollback(out);
+  D::AppendReset(out);
+  D::AppendSetValue(out, text, text);
+  D::AppendPrepare(out, text, flag, text);
+  D::AppendClose(out);
+  D::AppendRow(out, text);
+  D::AppendComplete(out, text);
+  D::AppendError(out, refusal, text);
+  D::AppendReady(out, status, point);
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_RELAY_MESSAGES_WIRE_DIALECT_H_
