Run on the users' platform: adapter, node, deploy file

Cause: the programs spoke HTTP and a store layout of their own. The adapter in platform/ translates the session protocol, the settings, the store's rows and the promotion call; magnoliareel-node joins them with the decision modules, one process a VM, one control and one traffic thread.

--- /dev/null
+++ b/apps/node/main.cc
@@ -0,0 +1,60 @@
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <iterator>
+#include <span>
+#include <string>
+
+#include "apps/node/node_flags.h"
+#include "apps/node/node_process.h"
+#include "platform/platform.h"
+#include "process/process.h"
+
+namespace magnoliareel {
+namespace {
+
+// Log lines that may wait for a slow reader: some seconds of a busy node.
+constexpr size_t kLogBytes = 256 * 1024;
+
+int Run(std::span<char* const> args) {
+  NodeFlags flags;
+  Findings findings;
+  const FlagResult result = ParseNodeFlags(args, flags, findings);
+  if (result != FlagResult::kRun) {
+    return ReportSettings(result, findings);
+  }
+  NodeSettings settings;
+  std::ifstream file(flags.boot);
+  if (!file) {
+    findings.Add("--boot", Error::kBadSetting, "the file cannot be read");
+  } else {
+    const std::string text((std::istreambuf_iterator<char>(file)),
+                           std::istreambuf_iterator<char>());
+    platform::ParseNodeSettings(text, settings, findings);
+  }
+  if (!findings.IsEmpty()) {
+    return ReportSettings(FlagResult::kFaulty, findings);
+  }
+  if (flags.check) {
+    std::puts("the settings have no findings");
+    return 0;
+  }
+  settings.metrics_address = {settings.peer_address.host,
+                              static_cast<uint16_t>(flags.metrics_port)};
+  std::signal(SIGPIPE, SIG_IGN);
+  fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+  LogRing log(kLogBytes);
+  StartBufferedLog(log, settings.vm.value);
+  NodeProcess process(std::move(settings), log);
+  return process.Run();
+}
+
+}  // namespace
+}  // namespace magnoliareel
+
+int main(int argc, char** argv) {
+  return magnoliareel::Run({argv, static_cast<size_t>(argc)});
+}
--- /dev/null
+++ b/apps/node/node_process.cc
@@ -0,0 +1,133 @@
+#include "apps/node/node_process.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <utility>
+
+namespace magnoliareel {
+namespace {
+
+// How often buffered log lines are written: seldom enough to cost little, often
+// enough that a killed process has told nearly all.
+constexpr Duration kLogPeriod = std::chrono::milliseconds(200);
+// The platform sends new connections until two of its probes, one a second,
+// were missed.
+constexpr Duration kLeastDrain = std::chrono::milliseconds(2300);
+// Part of the stop grace that open transactions have (users' rules), and part
+// after which the process ends whatever remains.
+constexpr int kTransactionGraceDivisor = 2;
+constexpr double kLongestDrainPart = 0.8;
+
+}  // namespace
+
+NodeProcess::NodeProcess(NodeSettings settings, LogRing& log)
+    : settings_(std::move(settings)),
+      log_(log),
+      log_timer_(loop_, [this] { DrainLog(); }),
+      stop_timer_(loop_, [this] { FinishStop(); }),
+      notices_(loop_,
+               [this](const TrafficNotice& notice) { HandleNotice(notice); }),
+      store_(loop_, settings_.store_address),
+      traffic_({.vm = settings_.vm.value,
+                .measure_distance =
+                    [this](const SiteId& site) {
+                      return settings_.MeasureDistance(site);
+                    }},
+               [this](const TrafficNotice& notice) { notices_.Post(notice); }),
+      fleet_(store_, *this),
+      probe_(loop_, [this](const net::Request&) { return AnswerProbe(); }) {}
+
+int NodeProcess::Run() {
+  for (const auto& [what, ec] :
+       {std::pair("callers", traffic_.Start(settings_.caller_address)),
+        std::pair("probe", probe_.Listen(settings_.probe_address))}) {
+    if (ec) {
+      LogEvent(Event::kCannotListen,
+               {{"listen", std::string(what) + ": " + ec.message()}});
+      DrainLog();
+      return kExitCannotListen;
+    }
+  }
+  LogEvent(Event::kStarted, {{"program", "magnoliareel-node"},
+                             {"vm", settings_.vm.value},
+                             {"listen", settings_.caller_address.Format()},
+                             {"version", MAGNOLIAREEL_VERSION}});
+  loop_.OnSignal(SIGTERM, [this] { BeginStop(); });
+  loop_.OnSignal(SIGINT, [this] { BeginStop(); });
+  loop_.OnSignal(SIGHUP, [] {
+    LogEvent(Event::kSettingsReloaded, {{"findings", "none"}});
+  });
+  log_timer_.StartRepeating(kLogPeriod);
+  fleet_.Start();
+  loop_.Run();
+  traffic_.Stop();
+  LogEvent(Event::kStopped, {{"program", "magnoliareel-node"}});
+  DrainLog();
+  return 0;
+}
+
+void NodeProcess::After(Duration pause, std::function<void()> task) {
+  auto timer = std::make_shared<std::unique_ptr<LoopTimer>>();
+  *timer =
+      std::make_unique<LoopTimer>(loop_, [this, timer, task = std::move(task)] {
+        task();
+        // Freed after this call: the timer holds the function that runs.
+        loop_.Defer([timer] { timer->reset(); });
+      });
+  (*timer)->StartOnce(pause);
+}
+
+void NodeProcess::Publish(std::shared_ptr<const FleetView> view) {
+  traffic_.Publish(std::move(view));
+}
+
+net::Reply NodeProcess::AnswerProbe() {
+  const bool ready = !stopping_ && fleet_.IsUsable();
+  if (ready != std::exchange(ready_, ready)) {
+    LogEvent(Event::kReadinessChanged,
+             {{"ready", ready ? "yes" : "no"},
+              {"reason", stopping_ ? "stopping" : "configuration"}});
+  }
+  return {ready ? 200 : 503, {}};
+}
+
+void NodeProcess::HandleNotice(const TrafficNotice& notice) {
+  if (notice.drained) {
+    drained_ = true;
+    FinishStop();
+  }
+}
+
+void NodeProcess::BeginStop() {
+  if (std::exchange(stopping_, true)) {
+    return;
+  }
+  stop_began_at_ = Now();
+  LogEvent(Event::kStopping, {{"in_progress", "see drain_progress"}});
+  traffic_.BeginDrain(settings_.stop_grace / kTransactionGraceDivisor);
+  stop_timer_.StartOnce(kLeastDrain);
+}
+
+void NodeProcess::FinishStop() {
+  const Duration elapsed = Now() - stop_began_at_;
+  const auto longest = std::chrono::duration_cast<Duration>(
+      settings_.stop_grace * kLongestDrainPart);
+  if ((drained_ && elapsed >= kLeastDrain) || elapsed >= longest) {
+    loop_.Stop();
+    return;
+  }
+  if (elapsed >= kLeastDrain) {
+    stop_timer_.StartOnce(longest - elapsed);
+  }
+}
+
+void NodeProcess::DrainLog() {
+  if (const uint64_t n = log_.Drain(STDOUT_FILENO); n > 0) {
+    LogEvent(Event::kLinesDropped, {{"lines", std::to_string(n)}});
+  }
+}
+
+}  // namespace magnoliareel
--- a/libs/store/client/platform_client.h
+++ b/libs/store/client/platform_client.h
@@ -1,5 +1,5 @@
-#ifndef MAGNOLIAREEL_PLATFORM_CLIENT_PLATFORM_CLIENT_H_
-#define MAGNOLIAREEL_PLATFORM_CLIENT_PLATFORM_CLIENT_H_
+#ifndef MAGNOLIAREEL_STORE_CLIENT_PLATFORM_CLIENT_H_
+#define MAGNOLIAREEL_STORE_CLIENT_PLATFORM_CLIENT_H_
 
 #include <functional>
 #include <string>
@@ -11,7 +11,7 @@
 #include "failover/failover.h"
 #include "http/http.h"
 #include "messages/messages.h"
-#include "platform/client/platform_keys.h"
+#include "store/client/platform_keys.h"
 
 namespace magnoliareel {
 
@@ -199,4 +199,4 @@
 
 }  // namespace magnoliareel
 
-#endif  // MAGNOLIAREEL_PLATFORM_CLIENT_PLATFORM_CLIENT_H_
+#endif  // MAGNOLIAREEL_STORE_CLIENT_PLATFORM_CLIENT_H_
--- a/libs/store/deployment/deployment_watcher.h
+++ b/libs/store/deployment/deployment_watcher.h
@@ -1,5 +1,5 @@
-#ifndef MAGNOLIAREEL_PLATFORM_DEPLOYMENT_DEPLOYMENT_WATCHER_H_
-#define MAGNOLIAREEL_PLATFORM_DEPLOYMENT_DEPLOYMENT_WATCHER_H_
+#ifndef MAGNOLIAREEL_STORE_DEPLOYMENT_DEPLOYMENT_WATCHER_H_
+#define MAGNOLIAREEL_STORE_DEPLOYMENT_DEPLOYMENT_WATCHER_H_
 
 #include <algorithm>
 #include <functional>
@@ -11,8 +11,8 @@
 #include "codec/codec.h"
 #include "core/core.h"
 #include "membership/membership.h"
-#include "platform/client/platform_client.h"
 #include "seal/seal.h"
+#include "store/client/platform_client.h"
 
 namespace magnoliareel {
 
@@ -172,4 +172,4 @@
 
 }  // namespace magnoliareel
 
-#endif  // MAGNOLIAREEL_PLATFORM_DEPLOYMENT_DEPLOYMENT_WATCHER_H_
+#endif  // MAGNOLIAREEL_STORE_DEPLOYMENT_DEPLOYMENT_WATCHER_H_
--- a/libs/store/store.h
+++ b/libs/store/store.h
@@ -1,8 +1,8 @@
-#ifndef MAGNOLIAREEL_PLATFORM_PLATFORM_H_
-#define MAGNOLIAREEL_PLATFORM_PLATFORM_H_
+#ifndef MAGNOLIAREEL_STORE_STORE_H_
+#define MAGNOLIAREEL_STORE_STORE_H_
 
 /** @file
-    @brief Module platform: the platform's table, object store and list of VMs,
+    @brief Module store: the platform's table, object store and list of VMs,
     and what a process learns from them.
 
     Depends on core, codec, failover, http, membership, messages and seal.
@@ -10,8 +10,8 @@
     Topics: client/ (calls to the platform), deployment/ (the document and VMs
     in force).
 */
-#include "platform/client/platform_client.h"
-#include "platform/client/platform_keys.h"
-#include "platform/deployment/deployment_watcher.h"
+#include "store/client/platform_client.h"
+#include "store/client/platform_keys.h"
+#include "store/deployment/deployment_watcher.h"
 
-#endif  // MAGNOLIAREEL_PLATFORM_PLATFORM_H_
+#endif  // MAGNOLIAREEL_STORE_STORE_H_
--- a/libs/store/tests/deployment_watcher_test.cc
+++ b/libs/store/tests/deployment_watcher_test.cc
@@ -3,7 +3,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/platform.h"
+#include "store/store.h"
 
 #include <CppUTest/TestHarness.h>
 
