Replace primaries; let VMs hear each other

VMs send heartbeats by UDP with versions, suspected primaries, duties and ordered leaders; one that is behind takes configuration and directory from a peer. Every replica but the next primary is paused and positions are compared before the promotion.

--- a/apps/node/node_process.cc
+++ b/apps/node/node_process.cc
@@ -19,6 +19,11 @@
 // Part of the stop grace that open transactions have (users' rules), and part
 // after which the process ends whatever remains.
 constexpr int kTransactionGraceDivisor = 2;
+// Table in which VMs find each other; each writes its row once, at its start.
+constexpr std::string_view kVmTable = "magnoliareel-vms";
+// Pause before a failed registration is tried again; until then VMs are found
+// through seeds and through those that know this one.
+constexpr Duration kRegisterRetry = std::chrono::seconds(1);
 constexpr double kLongestDrainPart = 0.8;
 
 }  // namespace
@@ -38,11 +43,22 @@
                     }},
                [this](const TrafficNotice& notice) { notices_.Post(notice); }),
       fleet_(store_, *this),
+      peers_(loop_, settings_.peer_address, MakePeerHooks()),
+      orders_(loop_, settings_.vm.value),
+      promotions_(loop_, settings_.promotion_address, settings_.vm.value),
+      failover_(store_,
+                orders_,
+                promotions_,
+                *this,
+                peers_.GetPeers(),
+                settings_.vm,
+                settings_.site),
       probe_(loop_, [this](const net::Request&) { return AnswerProbe(); }) {}
 
 int NodeProcess::Run() {
   for (const auto& [what, ec] :
        {std::pair("callers", traffic_.Start(settings_.caller_address)),
+        std::pair("peers", peers_.Start()),
         std::pair("probe", probe_.Listen(settings_.probe_address))}) {
     if (ec) {
       LogEvent(Event::kCannotListen,
@@ -62,6 +78,10 @@
   });
   log_timer_.StartRepeating(kLogPeriod);
   fleet_.Start();
+  for (const SocketAddress& it : settings_.seeds) {
+    peers_.Learn(it);
+  }
+  Register();
   loop_.Run();
   traffic_.Stop();
   LogEvent(Event::kStopped, {{"program", "magnoliareel-node"}});
@@ -81,9 +101,83 @@
 }
 
 void NodeProcess::Publish(std::shared_ptr<const FleetView> view) {
+  failover_.Apply(*view);
   traffic_.Publish(std::move(view));
 }
 
+void NodeProcess::AnnounceLeader(const ServiceId& service,
+                                 const EndpointId& endpoint) {
+  traffic_.AnnounceLeader(service, endpoint);
+}
+
+void NodeProcess::SendHeartbeats() {
+  peers_.SendSoon();
+}
+
+bool NodeProcess::IsStoreConnected() const {
+  return fleet_.IsStoreConnected();
+}
+
+PeerExchange::Hooks NodeProcess::MakePeerHooks() {
+  PeerExchange::Hooks hooks;
+  hooks.fill = [this](Heartbeat& heartbeat) {
+    heartbeat.vm = settings_.vm;
+    heartbeat.site = settings_.site;
+    heartbeat.config_version = fleet_.GetRoutes()->version;
+    heartbeat.endpoints_version = fleet_.GetEndpointsVersion();
+    heartbeat.leaving = stopping_;
+    failover_.Fill(heartbeat);
+  };
+  hooks.heard = [this](const Heartbeat& heartbeat) {
+    failover_.NotePeer(heartbeat);
+  };
+  hooks.get_state = [this] {
+    FleetState state;
+    if (fleet_.GetRoutes()->version > 0) {
+      state.config = fleet_.GetConfigRow();
+    }
+    for (const auto& [key, row] : fleet_.GetEndpointRows()) {
+      state.endpoints.push_back(row);
+    }
+    state.endpoints_version = fleet_.GetEndpointsVersion();
+    return state;
+  };
+  hooks.take_state = [this](const FleetState& state) {
+    fleet_.TakeFromPeer(state.config ? &*state.config : nullptr,
+                        state.endpoints, state.endpoints_version);
+  };
+  hooks.changed = [this] {
+    fleet_.SetLiveVms(peers_.GetPeers().CountLive());
+    failover_.Review();
+  };
+  return hooks;
+}
+
+void NodeProcess::Register() {
+  store_.Put(kVmTable, settings_.vm.value, settings_.peer_address.Format(),
+             [this](std::error_code ec, const StoredRows&) {
+               if (ec) {
+                 After(kRegisterRetry, [this] { Register(); });
+                 return;
+               }
+               FindPeers();
+             });
+}
+
+void NodeProcess::FindPeers() {
+  store_.List(kVmTable, {}, [this](std::error_code ec, const StoredRows& rows) {
+    if (ec) {
+      After(kRegisterRetry, [this] { FindPeers(); });
+      return;
+    }
+    for (const StoredRow& it : rows.rows) {
+      if (SocketAddress address; ParseSocketAddress(it.value, address)) {
+        peers_.Learn(address);
+      }
+    }
+  });
+}
+
 net::Reply NodeProcess::AnswerProbe() {
   const bool ready = !stopping_ && fleet_.IsUsable();
   if (ready != std::exchange(ready_, ready)) {
@@ -95,10 +189,16 @@
 }
 
 void NodeProcess::HandleNotice(const TrafficNotice& notice) {
+  if (notice.proven_leader) {
+    failover_.NoteLeader(notice.report.endpoint, notice.term);
+    return;
+  }
   if (notice.drained) {
     drained_ = true;
     FinishStop();
+    return;
   }
+  failover_.NoteReport(notice.report);
 }
 
 void NodeProcess::BeginStop() {
@@ -107,6 +207,8 @@
   }
   stop_began_at_ = Now();
   LogEvent(Event::kStopping, {{"in_progress", "see drain_progress"}});
+  failover_.Leave();
+  peers_.SendSoon();
   traffic_.BeginDrain(settings_.stop_grace / kTransactionGraceDivisor);
   stop_timer_.StartOnce(kLeastDrain);
 }
--- a/apps/node/node_process.h
+++ b/apps/node/node_process.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "apps/node/peer_exchange.h"
 #include "apps/node/traffic_thread.h"
 #include "control/control.h"
 #include "net/net.h"
@@ -34,10 +35,24 @@
   void After(Duration pause, std::function<void()> task);
   /** @see FleetOutlet */
   void Publish(std::shared_ptr<const FleetView> view);
+  /** @see FailoverOutlet */
+  void AnnounceLeader(const ServiceId& service, const EndpointId& endpoint);
+  /** @see FailoverOutlet */
+  void SendHeartbeats();
+  /** @see FailoverOutlet */
+  bool IsStoreConnected() const;
 
  private:
   using Fleet =
       FleetControl<platform::StoreClient, platform::RowCodec, NodeProcess>;
+  using Failover = FailoverControl<platform::StoreClient,
+                                   platform::OrderClient,
+                                   platform::PromotionClient,
+                                   NodeProcess>;
+
+  PeerExchange::Hooks MakePeerHooks();
+  void Register();
+  void FindPeers();
 
   net::Reply AnswerProbe();
   void HandleNotice(const TrafficNotice& notice);
@@ -54,6 +69,10 @@
   platform::StoreClient store_;
   TrafficThread traffic_;
   Fleet fleet_;
+  PeerExchange peers_;
+  platform::OrderClient orders_;
+  platform::PromotionClient promotions_;
+  Failover failover_;
   net::HttpListener probe_;
   bool ready_ = false;
   bool stopping_ = false;
--- /dev/null
+++ b/apps/node/peer_exchange.cc
@@ -0,0 +1,170 @@
+#include "apps/node/peer_exchange.h"
+
+#include <array>
+#include <span>
+#include <utility>
+#include <vector>
+
+namespace magnoliareel {
+namespace {
+
+// Changes that come together travel in one heartbeat.
+constexpr Duration kSoon = std::chrono::milliseconds(15);
+// A peer's newer version may just be on its way from the store.
+constexpr Duration kFetchDelay = std::chrono::milliseconds(400);
+// Longest wait for a peer's state, some hundred kilobytes between regions.
+constexpr Duration kFetchTimeout = std::chrono::milliseconds(1500);
+// Addresses in an answer to a VM that joins: they fit one datagram.
+constexpr size_t kMostOthers = 24;
+constexpr std::string_view kStatePath = "/state";
+
+}  // namespace
+
+PeerExchange::PeerExchange(EventLoop& loop,
+                           const SocketAddress& self,
+                           Hooks hooks)
+    : loop_(loop),
+      self_(self),
+      hooks_(std::move(hooks)),
+      peers_(self),
+      socket_(loop, [this](std::string_view bytes) { HandleDatagram(bytes); }),
+      listener_(loop,
+                [this](const net::Request& request) {
+                  return request.target == kStatePath
+                             ? net::Reply{200,
+                                          EncodeFleetState(hooks_.get_state())}
+                             : net::Reply{404, {}};
+                }),
+      period_timer_(loop, [this] { HandlePeriod(); }),
+      soon_timer_(loop,
+                  [this] {
+                    soon_ = false;
+                    Send(peers_.ListTargets(loop_.Now()), false);
+                  }),
+      fetch_timer_(loop, [this] {
+        if (fetch_) {
+          std::exchange(fetch_, nullptr)();
+        }
+      }) {}
+
+std::error_code PeerExchange::Start() {
+  if (const std::error_code ec = socket_.Bind(self_)) {
+    return ec;
+  }
+  if (const std::error_code ec = listener_.Listen(self_)) {
+    return ec;
+  }
+  period_timer_.StartRepeating(kHeartbeatPeriod);
+  return {};
+}
+
+void PeerExchange::Learn(const SocketAddress& address) {
+  peers_.Learn(address, loop_.Now());
+  SendSoon();
+}
+
+void PeerExchange::SendSoon() {
+  if (!std::exchange(soon_, true)) {
+    soon_timer_.StartOnce(kSoon);
+  }
+}
+
+void PeerExchange::HandleDatagram(std::string_view bytes) {
+  Heartbeat heartbeat;
+  if (!DecodeHeartbeat(bytes, heartbeat) || heartbeat.address == self_) {
+    return;
+  }
+  const TimePoint now = loop_.Now();
+  const bool was_leaving = heartbeat.leaving;
+  const bool joined = peers_.Hear(heartbeat, now);
+  for (const SocketAddress& it : heartbeat.others) {
+    peers_.Learn(it, now);
+  }
+  if (joined) {
+    LogEvent(Event::kPeerRegained,
+             {{"vm", heartbeat.vm.value},
+              {"site", heartbeat.site.value},
+              {"live", std::to_string(peers_.CountLive())}});
+    Send(std::array{heartbeat.address}, true);
+  }
+  if (joined || was_leaving) {
+    hooks_.changed();
+  }
+  hooks_.heard(heartbeat);
+  PlanFetch(heartbeat);
+}
+
+void PeerExchange::HandlePeriod() {
+  const TimePoint now = loop_.Now();
+  const auto lost = peers_.Sweep(now);
+  for (const auto& [vm, silent] : lost) {
+    LogEvent(Event::kPeerLost,
+             {{"vm", vm.value},
+              {"silent_ms", std::to_string(silent.count() / 1000)}});
+  }
+  if (!lost.empty()) {
+    hooks_.changed();
+  }
+  Send(peers_.ListTargets(now), false);
+}
+
+void PeerExchange::Send(std::span<const SocketAddress> targets,
+                        bool with_others) {
+  if (targets.empty()) {
+    return;
+  }
+  Heartbeat heartbeat;
+  heartbeat.address = self_;
+  hooks_.fill(heartbeat);
+  if (with_others) {
+    for (const PeerGroup::Peer* it : peers_.ListLive()) {
+      if (heartbeat.others.size() < kMostOthers) {
+        heartbeat.others.push_back(it->last.address);
+      }
+    }
+  }
+  const std::string bytes = EncodeHeartbeat(heartbeat);
+  for (const SocketAddress& it : targets) {
+    socket_.Send(it, bytes);
+  }
+}
+
+void PeerExchange::PlanFetch(const Heartbeat& heartbeat) {
+  Heartbeat own;
+  hooks_.fill(own);
+  const bool newer = heartbeat.config_version > own.config_version ||
+                     heartbeat.endpoints_version > own.endpoints_version;
+  if (!newer || fetching_ || fetch_) {
+    return;
+  }
+  fetch_ = [this, address = heartbeat.address,
+            config = heartbeat.config_version,
+            endpoints = heartbeat.endpoints_version] {
+    Fetch(address, config, endpoints);
+  };
+  fetch_timer_.StartOnce(kFetchDelay);
+}
+
+void PeerExchange::Fetch(const SocketAddress& address,
+                         uint64_t config_version,
+                         uint64_t endpoints_version) {
+  Heartbeat own;
+  hooks_.fill(own);
+  if (config_version <= own.config_version &&
+      endpoints_version <= own.endpoints_version) {
+    return;
+  }
+  fetching_ = true;
+  source_ = std::make_unique<net::HttpConnection>(loop_, address);
+  source_->Call(
+      {"GET", std::string(kStatePath), {}, {}}, kFetchTimeout,
+      [this](std::error_code ec, const net::Reply& reply) {
+        fetching_ = false;
+        FleetState state;
+        if (!ec && reply.status == 200 && DecodeFleetState(reply.body, state)) {
+          hooks_.take_state(state);
+        }
+      });
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/apps/node/peer_exchange.h
@@ -0,0 +1,77 @@
+#ifndef MAGNOLIAREEL_APPS_NODE_PEER_EXCHANGE_H_
+#define MAGNOLIAREEL_APPS_NODE_PEER_EXCHANGE_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "control/control.h"
+#include "gossip/gossip.h"
+#include "net/net.h"
+
+namespace magnoliareel {
+
+/** Carries heartbeats between VMs, and configuration and directory to those
+    that the store does not answer. */
+class PeerExchange {
+ public:
+  /** What the exchange asks of its node. */
+  struct Hooks {
+    /** Completes a heartbeat of this VM. */
+    std::function<void(Heartbeat&)> fill;
+    /** Takes a heartbeat of a peer. */
+    std::function<void(const Heartbeat&)> heard;
+    /** @returns what to hand to a peer */
+    std::function<FleetState()> get_state;
+    /** Takes what a peer has handed over. */
+    std::function<void(const FleetState&)> take_state;
+    /** The number of live VMs may have changed. */
+    std::function<void()> changed;
+  };
+
+  /** @param loop   serves the exchange; outlives it
+      @param self   where this VM is reached
+      @param hooks  see there
+  */
+  PeerExchange(EventLoop& loop, const SocketAddress& self, Hooks hooks);
+
+  /** Starts to send and receive.
+
+      @returns the system's error if the address cannot be used
+  */
+  std::error_code Start();
+  /** Adds a VM that may exist. */
+  void Learn(const SocketAddress& address);
+  /** Sends heartbeats soon; calls within a short time are joined. */
+  void SendSoon();
+  /** @returns the other VMs */
+  const PeerGroup& GetPeers() const { return peers_; }
+
+ private:
+  void HandleDatagram(std::string_view bytes);
+  void HandlePeriod();
+  void Send(std::span<const SocketAddress> targets, bool with_others);
+  void PlanFetch(const Heartbeat& heartbeat);
+  void Fetch(const SocketAddress& address,
+             uint64_t config_version,
+             uint64_t endpoints_version);
+
+  EventLoop& loop_;
+  const SocketAddress self_;
+  const Hooks hooks_;
+  PeerGroup peers_;
+  DatagramSocket socket_;
+  net::HttpListener listener_;
+  LoopTimer period_timer_;
+  LoopTimer soon_timer_;
+  LoopTimer fetch_timer_;
+  bool soon_ = false;
+  bool fetching_ = false;
+  std::function<void()> fetch_;
+  std::unique_ptr<net::HttpConnection> source_;
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_APPS_NODE_PEER_EXCHANGE_H_
--- a/apps/node/traffic_thread.cc
+++ b/apps/node/traffic_thread.cc
@@ -182,7 +182,7 @@
   wake_timer_.StartOnce(std::max(Duration(0), moment - Now()));
 }
 
-void TrafficThread::Report(const EndpointReport& report) {
+void TrafficThread::Report(const ConditionReport& report) {
   TrafficNotice notice;
   notice.report = report;
   notify_(notice);
--- a/apps/node/traffic_thread.h
+++ b/apps/node/traffic_thread.h
@@ -17,7 +17,7 @@
 /** What the control thread is told by the traffic. */
 struct TrafficNotice {
   /** An endpoint's condition, if no leader is named. */
-  EndpointReport report;
+  ConditionReport report;
   /** The endpoint proved that it leads. */
   bool proven_leader = false;
   /** Term of the proof. */
@@ -75,7 +75,7 @@
   /** @see TrafficNet */
   void Wake(TimePoint moment);
   /** @see TrafficNet */
-  void Report(const EndpointReport& report);
+  void Report(const ConditionReport& report);
   /** @see TrafficNet */
   void LeaderSeen(const EndpointId& endpoint, Term term);
 
--- a/libs/control/control.h
+++ b/libs/control/control.h
@@ -4,14 +4,20 @@
 /** @file
     @brief Module control: the decisions of a node's control thread.
 
-    Depends on coordination, core, directory, settings and telemetry. It knows
-   no encoding and no sockets: both are template parameters.
+    Depends on coordination, core, directory, membership, settings and
+   telemetry. It knows no encoding and no sockets: both are template parameters.
 
     Topics: settings/ (what a node is told at its start), fleet/ (routes and
     endpoints in force, readiness), peers/ (other nodes), failover/ (replacing a
     primary).
 */
+#include "control/failover/endpoint_orders.h"
+#include "control/failover/failover_control.h"
+#include "control/failover/primary_replacement.h"
+#include "control/failover/replacement_plan.h"
 #include "control/fleet/fleet_control.h"
+#include "control/peers/heartbeat.h"
+#include "control/peers/peer_group.h"
 #include "control/settings/node_settings.h"
 
 #endif  // MAGNOLIAREEL_CONTROL_CONTROL_H_
--- /dev/null
+++ b/libs/control/failover/primary_replacement.h
@@ -0,0 +1,310 @@
+#ifndef MAGNOLIAREEL_CONTROL_FAILOVER_PRIMARY_REPLACEMENT_H_
+#define MAGNOLIAREEL_CONTROL_FAILOVER_PRIMARY_REPLACEMENT_H_
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "control/failover/endpoint_orders.h"
+#include "control/failover/replacement_plan.h"
+#include "core/core.h"
+#include "telemetry/telemetry.h"
+
+namespace magnoliareel {
+
+/** Longest wait for an endpoint's answer to an order: a new connection and a
+    statement between regions, twice, with busy slots. */
+inline constexpr Duration kOrderTimeout = std::chrono::milliseconds(600);
+/** Pause before an order is repeated that found no free slot. */
+inline constexpr Duration kOrderRetry = std::chrono::milliseconds(25);
+/** Most repeats of an order that found no free slot. */
+inline constexpr int kMostOrderRetries = 12;
+
+/** One attempt to replace a primary without losing a commit that it has
+    acknowledged.
+
+    A commit is acknowledged once the primary and one replica hold it. Every
+    replica but the next primary is paused; from then on each acknowledgement
+    passes through the next primary, and once it has received at least as much
+    as each paused one, it holds every commit acknowledged before as well. The
+    old primary serves until the promotion takes effect.
+
+    @tparam O  @see EndpointOrders
+    @tparam P  @see PromotionOrders
+    @tparam T  offers After(), @see FleetOutlet
+*/
+template <EndpointOrders O, PromotionOrders P, class T>
+class PrimaryReplacement
+    : public std::enable_shared_from_this<PrimaryReplacement<O, P, T>> {
+ public:
+  /** Told of the end, once. */
+  using Completion = std::function<void(const ReplacementResult&)>;
+
+  /** @param orders      outlives the attempt
+      @param promotions  outlives the attempt
+      @param timing      outlives the attempt
+      @param plan        what to do
+      @param done        told of the end
+  */
+  PrimaryReplacement(O& orders,
+                     P& promotions,
+                     T& timing,
+                     ReplacementPlan plan,
+                     Completion done)
+      : orders_(orders),
+        promotions_(promotions),
+        timing_(timing),
+        plan_(std::move(plan)),
+        done_(std::move(done)) {
+    for (const EndpointEntry& it : plan_.replicas) {
+      replicas_.push_back({it, std::nullopt});
+    }
+  }
+
+  /** Begins; the object keeps itself alive until the end. */
+  void Start() {
+    std::vector<size_t> all(replicas_.size());
+    for (size_t it = 0; it < all.size(); ++it) {
+      all[it] = it;
+    }
+    pending_ = all.size() + 1;
+    for (const size_t it : all) {
+      Ask(it, {OrderKind::kReport, {}}, 0, &PrimaryReplacement::EndSurvey);
+    }
+    SurveyPrimary();
+  }
+
+ private:
+  using Step = void (PrimaryReplacement::*)();
+
+  void SurveyPrimary() {
+    if (!plan_.primary || plan_.reason == ReplacementReason::kGone) {
+      Arrive(&PrimaryReplacement::EndSurvey);
+      return;
+    }
+    auto self = this->shared_from_this();
+    orders_.Send(*plan_.primary, {OrderKind::kReport, {}}, kOrderTimeout / 2,
+                 [self](std::error_code ec, const EndpointStanding& standing) {
+                   self->LogStep(self->plan_.primary_id, OrderKind::kReport, ec,
+                                 standing);
+                   if (!ec) {
+                     self->primary_standing_ = standing;
+                   }
+                   self->Arrive(&PrimaryReplacement::EndSurvey);
+                 });
+  }
+
+  void Ask(size_t index, EndpointOrder order, int repeats, Step next) {
+    auto self = this->shared_from_this();
+    orders_.Send(
+        replicas_[index].entry, order, kOrderTimeout,
+        [self, index, order, repeats, next](std::error_code ec,
+                                            const EndpointStanding& standing) {
+          if (ec == Error::kOverloaded && repeats < kMostOrderRetries) {
+            self->timing_.After(kOrderRetry,
+                                [self, index, order, repeats, next] {
+                                  self->Ask(index, order, repeats + 1, next);
+                                });
+            return;
+          }
+          self->LogStep(self->replicas_[index].entry.id, order.kind, ec,
+                        standing);
+          self->replicas_[index].standing.reset();
+          if (!ec) {
+            self->replicas_[index].standing = standing;
+          }
+          self->Arrive(next);
+        });
+  }
+
+  void Arrive(Step next) {
+    if (--pending_ == 0) {
+      (this->*next)();
+    }
+  }
+
+  void EndSurvey() {
+    Term newest = primary_standing_ ? primary_standing_->term : Term{};
+    for (const SurveyedEndpoint& it : replicas_) {
+      if (it.standing) {
+        newest = std::max({newest, it.standing->term, it.standing->paused_at});
+      }
+    }
+    for (const SurveyedEndpoint& it : replicas_) {
+      if (it.standing && it.standing->leads && it.standing->term >= newest) {
+        pause_term_ = it.standing->term;
+        Finish(ReplacementEnd::kAlreadyReplaced, it.entry.id, "");
+        return;
+      }
+    }
+    if (IsPrimaryFine()) {
+      Finish(ReplacementEnd::kNotNeeded, plan_.primary_id, "");
+      return;
+    }
+    const std::optional<size_t> next = ChooseNextLeader(replicas_);
+    if (!next) {
+      Finish(ReplacementEnd::kAbandoned, {}, "no replica can take over");
+      return;
+    }
+    next_leader_ = *next;
+    pause_term_ = newest.Next();
+    PauseOthers();
+  }
+
+  bool IsPrimaryFine() const {
+    if (plan_.reason != ReplacementReason::kCommitsStalled) {
+      return false;
+    }
+    // Commits stall while its log runs ahead of what every replica receives.
+    return primary_standing_ &&
+           std::any_of(replicas_.begin(), replicas_.end(),
+                       [&](const SurveyedEndpoint& it) {
+                         return it.standing && it.standing->received >=
+                                                   primary_standing_->received;
+                       });
+  }
+
+  void PauseOthers() {
+    std::vector<size_t> others;
+    for (size_t it = 0; it < replicas_.size(); ++it) {
+      if (it != next_leader_) {
+        others.push_back(it);
+      }
+    }
+    pending_ = others.size() + 1;
+    for (const size_t it : others) {
+      maybe_paused_.push_back(replicas_[it].entry);
+      Ask(it, {OrderKind::kPause, pause_term_}, 0,
+          &PrimaryReplacement::EndPause);
+    }
+    Arrive(&PrimaryReplacement::EndPause);
+  }
+
+  void EndPause() {
+    for (size_t it = 0; it < replicas_.size(); ++it) {
+      const bool counted = it == next_leader_ ||
+                           (replicas_[it].standing &&
+                            replicas_[it].standing->paused_at >= pause_term_);
+      if (!counted) {
+        // It may be the only one that holds an acknowledged commit.
+        Finish(ReplacementEnd::kAbandoned, {}, "a replica is unaccounted for");
+        return;
+      }
+    }
+    pending_ = 1;
+    Ask(next_leader_, {OrderKind::kReport, {}}, 0,
+        &PrimaryReplacement::EndCompare);
+  }
+
+  void EndCompare() {
+    if (!replicas_[next_leader_].standing) {
+      Finish(ReplacementEnd::kAbandoned, {}, "the next primary fell silent");
+      return;
+    }
+    if (HoldsMost(next_leader_)) {
+      Promote();
+      return;
+    }
+    if (++pauses_ > 1) {
+      Finish(ReplacementEnd::kAbandoned, {}, "no replica holds every commit");
+      return;
+    }
+    // Another one has received more. With this one paused too, nothing more is
+    // acknowledged, and the one with most holds everything.
+    maybe_paused_.push_back(replicas_[next_leader_].entry);
+    pending_ = 1;
+    Ask(next_leader_, {OrderKind::kPause, pause_term_}, 0,
+        &PrimaryReplacement::EndLastPause);
+  }
+
+  void EndLastPause() {
+    const auto& standing = replicas_[next_leader_].standing;
+    if (!standing || standing->paused_at < pause_term_) {
+      Finish(ReplacementEnd::kAbandoned, {}, "the next primary fell silent");
+      return;
+    }
+    for (size_t it = 0; it < replicas_.size(); ++it) {
+      if (HoldsMost(it) && !replicas_[it].entry.draining) {
+        next_leader_ = it;
+        Promote();
+        return;
+      }
+    }
+    // Only one that leaves holds everything; it leads until the next attempt.
+    for (size_t it = 0; it < replicas_.size(); ++it) {
+      if (HoldsMost(it)) {
+        next_leader_ = it;
+      }
+    }
+    Promote();
+  }
+
+  bool HoldsMost(size_t index) const {
+    return std::all_of(
+        replicas_.begin(), replicas_.end(), [&](const SurveyedEndpoint& it) {
+          return it.standing->received <= replicas_[index].standing->received;
+        });
+  }
+
+  void Promote() {
+    auto self = this->shared_from_this();
+    const EndpointId leader = replicas_[next_leader_].entry.id;
+    promotions_.Promote(plan_.service, leader, plan_.fencing_token,
+                        [self, leader](std::error_code ec) {
+                          if (!ec) {
+                            self->maybe_paused_.clear();
+                            self->Finish(ReplacementEnd::kPromoted, leader, "");
+                          } else if (ec == Error::kSuperseded) {
+                            self->Finish(ReplacementEnd::kSuperseded, {},
+                                         "superseded");
+                          } else if (ec == Error::kAnswerLost) {
+                            self->Finish(ReplacementEnd::kUncertain, leader,
+                                         "the order's answer was lost");
+                          } else {
+                            self->Finish(ReplacementEnd::kAbandoned, {},
+                                         "the platform took no order");
+                          }
+                        });
+  }
+
+  void LogStep(const EndpointId& endpoint,
+               OrderKind kind,
+               std::error_code ec,
+               const EndpointStanding& standing) const {
+    LogEvent(
+        Event::kReplacementStep,
+        {{"service", plan_.service.value},
+         {"endpoint", endpoint.value},
+         {"step", std::string(OrderName(kind))},
+         {"role", standing.leads ? "primary" : "replica"},
+         {"term", std::to_string(standing.term.value)},
+         {"received", std::to_string(standing.received.term.value) + "." +
+                          std::to_string(standing.received.position.value)},
+         {"error", ec ? ec.message() : "none"}});
+  }
+
+  void Finish(ReplacementEnd end, EndpointId leader, std::string_view reason) {
+    done_({end, std::move(leader), pause_term_, plan_.fencing_token, reason,
+           maybe_paused_});
+  }
+
+  O& orders_;
+  P& promotions_;
+  T& timing_;
+  const ReplacementPlan plan_;
+  const Completion done_;
+  std::vector<SurveyedEndpoint> replicas_;
+  std::optional<EndpointStanding> primary_standing_;
+  std::vector<EndpointEntry> maybe_paused_;
+  size_t pending_ = 0;
+  size_t next_leader_ = 0;
+  Term pause_term_;
+  int pauses_ = 0;
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_CONTROL_FAILOVER_PRIMARY_REPLACEMENT_H_
--- /dev/null
+++ b/libs/control/failover/suspicions.h
@@ -0,0 +1,181 @@
+#ifndef MAGNOLIAREEL_CONTROL_FAILOVER_SUSPICIONS_H_
+#define MAGNOLIAREEL_CONTROL_FAILOVER_SUSPICIONS_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "control/failover/endpoint_orders.h"
+#include "core/core.h"
+#include "directory/directory.h"
+
+namespace magnoliareel {
+
+/** Longest wait for a suspected primary's answer: a new connection and a
+    question between regions, with one packet lost. */
+inline constexpr Duration kVerifyTimeout = std::chrono::milliseconds(350);
+/** How often a suspected primary is asked again. */
+inline constexpr Duration kVerifyPeriod = std::chrono::milliseconds(250);
+/** Traffic repeats a report of stalled commits at least this often while it
+    lasts. */
+inline constexpr Duration kStallKept = std::chrono::milliseconds(1000);
+
+/** Primaries that this VM finds in trouble.
+
+    What traffic reports may have innocent causes: a lost answer, one slow
+    statement. So the endpoint is asked on a new connection first, and again
+    until it answers.
+
+    @tparam O  @see EndpointOrders
+    @tparam T  offers Now() and After()
+*/
+template <EndpointOrders O, class T>
+class Suspicions {
+ public:
+  /** @param orders   outlives this
+      @param timing   outlives this
+      @param changed  called when List() changed
+  */
+  Suspicions(O& orders, T& timing, std::function<void()> changed)
+      : orders_(orders), timing_(timing), changed_(std::move(changed)) {}
+
+  /** Takes up what traffic notices. */
+  void Note(const EndpointEntry& endpoint, EndpointCondition condition) {
+    switch (condition) {
+      case EndpointCondition::kUnreachable:
+      case EndpointCondition::kSilent:
+        Verify(endpoint, condition);
+        return;
+      case EndpointCondition::kCommitsStalled: {
+        Entry& entry = entries_[endpoint.id];
+        entry.stalled_at = timing_.Now();
+        if (!entry.suspected) {
+          entry.suspected = condition;
+          changed_();
+          Watch(endpoint);
+        }
+        return;
+      }
+      case EndpointCondition::kAnswering:
+      case EndpointCondition::kNotLeading:
+        return;
+    }
+  }
+
+  /** Asks the endpoint, unless that is under way. */
+  void Verify(const EndpointEntry& endpoint, EndpointCondition condition) {
+    Entry& entry = entries_[endpoint.id];
+    if (entry.asking) {
+      return;
+    }
+    entry.asking = true;
+    Ask(endpoint, condition);
+  }
+
+  /** Forgets endpoints that do not lead any more.
+
+      @param leads  tells whether an endpoint leads
+  */
+  void Keep(const std::function<bool(const EndpointId&)>& leads) {
+    const bool forgets = std::erase_if(entries_, [&](const auto& row) {
+                           return !leads(row.first);
+                         }) > 0;
+    if (forgets) {
+      timing_.After(Duration(0), changed_);
+    }
+  }
+
+  /** @returns primaries in trouble */
+  std::vector<ConditionReport> List() const {
+    std::vector<ConditionReport> list;
+    for (const auto& [id, entry] : entries_) {
+      if (entry.suspected) {
+        list.push_back({id, *entry.suspected});
+      }
+    }
+    return list;
+  }
+
+  /** @param id  an endpoint
+      @returns    its trouble, if it has any */
+  std::optional<EndpointCondition> Get(const EndpointId& id) const {
+    const auto it = entries_.find(id);
+    return it == entries_.end() ? std::nullopt : it->second.suspected;
+  }
+
+ private:
+  struct Entry {
+    bool asking = false;
+    bool watched = false;
+    std::optional<EndpointCondition> suspected;
+    TimePoint stalled_at;
+  };
+
+  void Ask(const EndpointEntry& endpoint, EndpointCondition condition) {
+    orders_.Send(endpoint, {OrderKind::kReport, {}}, kVerifyTimeout,
+                 [this, endpoint, condition](std::error_code ec,
+                                             const EndpointStanding&) {
+                   const auto it = entries_.find(endpoint.id);
+                   if (it == entries_.end()) {
+                     return;
+                   }
+                   Entry& entry = it->second;
+                   // An endpoint without a free slot answers, too.
+                   const bool answers = !ec || ec == Error::kOverloaded;
+                   if (answers) {
+                     entry.asking = false;
+                     const bool was_unreachable =
+                         entry.suspected &&
+                         *entry.suspected != EndpointCondition::kCommitsStalled;
+                     if (was_unreachable) {
+                       entry.suspected.reset();
+                       changed_();
+                     }
+                     return;
+                   }
+                   if (!entry.suspected) {
+                     entry.suspected = condition;
+                     changed_();
+                   }
+                   timing_.After(kVerifyPeriod, [this, endpoint, condition] {
+                     if (entries_.contains(endpoint.id)) {
+                       Ask(endpoint, condition);
+                     }
+                   });
+                 });
+  }
+
+  void Watch(const EndpointEntry& endpoint) {
+    if (std::exchange(entries_[endpoint.id].watched, true)) {
+      return;
+    }
+    timing_.After(kStallKept, [this, endpoint] {
+      const auto it = entries_.find(endpoint.id);
+      if (it == entries_.end()) {
+        return;
+      }
+      Entry& entry = it->second;
+      entry.watched = false;
+      if (entry.suspected != EndpointCondition::kCommitsStalled) {
+        return;
+      }
+      if (timing_.Now() - entry.stalled_at < kStallKept) {
+        Watch(endpoint);
+        return;
+      }
+      entry.suspected.reset();
+      changed_();
+    });
+  }
+
+  O& orders_;
+  T& timing_;
+  const std::function<void()> changed_;
+  std::map<EndpointId, Entry> entries_;
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_CONTROL_FAILOVER_SUSPICIONS_H_
--- a/libs/control/fleet/fleet_control.h
+++ b/libs/control/fleet/fleet_control.h
@@ -90,7 +90,7 @@
   const std::map<std::string, StoredRow>& GetEndpointRows() const {
     return endpoint_rows_;
   }
-  /** @returns the directory's version */
+  /** @returns the newest version of any row of the directory */
   uint64_t GetEndpointsVersion() const { return endpoints_version_; }
 
   /** Takes the number of live VMs into the view.
@@ -135,7 +135,7 @@
   /** @see TableObserver */
   void HandleChanges(std::string_view table,
                      std::span<const StoredRow> rows,
-                     uint64_t version) {
+                     uint64_t) {
     if (table == C::GetConfigTable()) {
       for (const StoredRow& it : rows) {
         if (it.key == C::GetConfigKey() && !it.removed) {
@@ -148,7 +148,6 @@
     for (const StoredRow& it : rows) {
       changed = TakeEndpointRow(it, "store") || changed;
     }
-    endpoints_version_ = std::max(endpoints_version_, version);
     if (changed) {
       Publish();
     }
@@ -203,6 +202,7 @@
 
   bool TakeEndpointRow(const StoredRow& row, std::string_view source) {
     const EndpointId id{row.key};
+    endpoints_version_ = std::max(endpoints_version_, row.version);
     if (row.removed) {
       const EndpointEntry* entry = endpoints_.Find(id);
       if (entry == nullptr) {
@@ -252,10 +252,9 @@
     }
     for (auto& [key, row] : known) {
       row.removed = true;
-      row.version = version;
+      row.version = std::max(row.version, version);
       TakeEndpointRow(row, source);
     }
-    endpoints_version_ = std::max(endpoints_version_, version);
     if (changed) {
       Publish();
     }
--- /dev/null
+++ b/libs/control/peers/peer_group.cc
@@ -0,0 +1,77 @@
+#include "control/peers/peer_group.h"
+
+#include <algorithm>
+
+namespace magnoliareel {
+
+void PeerGroup::Learn(const SocketAddress& address, TimePoint now) {
+  if (address != self_) {
+    addresses_.try_emplace(address, Known{now, {}, {}});
+  }
+}
+
+bool PeerGroup::Hear(const Heartbeat& heartbeat, TimePoint now) {
+  if (heartbeat.address == self_) {
+    return false;
+  }
+  Learn(heartbeat.address, now);
+  addresses_[heartbeat.address].vm = heartbeat.vm;
+  Peer& peer = peers_[heartbeat.vm];
+  const bool fresh = !peer.live;
+  peer.last = heartbeat;
+  peer.heard_at = now;
+  peer.live = !heartbeat.leaving;
+  return fresh && peer.live;
+}
+
+std::vector<std::pair<VmId, Duration>> PeerGroup::Sweep(TimePoint now) {
+  std::vector<std::pair<VmId, Duration>> lost;
+  for (auto& [vm, peer] : peers_) {
+    if (peer.live && now - peer.heard_at >= kPeerTimeout) {
+      peer.live = false;
+      lost.emplace_back(vm, now - peer.heard_at);
+    }
+  }
+  std::erase_if(addresses_, [&](const auto& row) {
+    const auto it = peers_.find(row.second.vm);
+    const TimePoint last =
+        it == peers_.end()
+            ? row.second.first_tried
+            : std::max(it->second.heard_at, row.second.first_tried);
+    return now - last >= kForgetPeer;
+  });
+  return lost;
+}
+
+std::vector<SocketAddress> PeerGroup::ListTargets(TimePoint now) {
+  std::vector<SocketAddress> targets;
+  for (auto& [address, known] : addresses_) {
+    const auto it = peers_.find(known.vm);
+    const bool live = it != peers_.end() && it->second.live;
+    // A new address is tried at once and often: it may just be starting.
+    const bool young = now - known.first_tried < kPeerTimeout;
+    if (live || young || now - known.tried_at >= kLostPeerPeriod) {
+      known.tried_at = now;
+      targets.push_back(address);
+    }
+  }
+  return targets;
+}
+
+std::vector<const PeerGroup::Peer*> PeerGroup::ListLive() const {
+  std::vector<const Peer*> live;
+  for (const auto& [vm, peer] : peers_) {
+    if (peer.live) {
+      live.push_back(&peer);
+    }
+  }
+  return live;
+}
+
+uint32_t PeerGroup::CountLive() const {
+  return 1 + static_cast<uint32_t>(std::count_if(
+                 peers_.begin(), peers_.end(),
+                 [](const auto& row) { return row.second.live; }));
+}
+
+}  // namespace magnoliareel
--- a/libs/directory/directory.h
+++ b/libs/directory/directory.h
@@ -12,7 +12,9 @@
     come, leave and lapse).
 */
 #include "directory/endpoints/endpoint_register.h"
+#include "directory/model/endpoint_condition.h"
 #include "directory/model/endpoint_entry.h"
+#include "directory/model/endpoint_standing.h"
 #include "directory/model/fleet_view.h"
 #include "directory/model/route_table.h"
 #include "directory/routes/route_register.h"
--- /dev/null
+++ b/libs/gossip/gossip.h
@@ -0,0 +1,15 @@
+#ifndef MAGNOLIAREEL_GOSSIP_GOSSIP_H_
+#define MAGNOLIAREEL_GOSSIP_GOSSIP_H_
+
+/** @file
+    @brief Module gossip: the encoding of what VMs tell each other.
+
+    Depends on control, coordination and jsoncpp.
+
+    Topics: heartbeats/ (datagrams), state/ (configuration and directory for a
+    VM that the store does not answer).
+*/
+#include "gossip/heartbeats/heartbeat_codec.h"
+#include "gossip/state/fleet_state_codec.h"
+
+#endif  // MAGNOLIAREEL_GOSSIP_GOSSIP_H_
--- /dev/null
+++ b/libs/gossip/heartbeats/heartbeat_codec.cc
@@ -0,0 +1,136 @@
+#include "gossip/heartbeats/heartbeat_codec.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace magnoliareel {
+namespace {
+
+// First field of every datagram; changes with the layout of the others.
+constexpr std::string_view kMagic = "mr1";
+
+constexpr auto kConditions =
+    std::to_array({EndpointCondition::kUnreachable, EndpointCondition::kSilent,
+                   EndpointCondition::kCommitsStalled});
+
+// Fields are separated by blanks; a list is "letter field field" for each
+// entry.
+std::string_view TakeField(std::string_view& rest) {
+  const size_t blank = rest.find(' ');
+  const std::string_view field = rest.substr(0, blank);
+  rest.remove_prefix(blank == std::string_view::npos ? rest.size() : blank + 1);
+  return field;
+}
+
+bool ParseNumber(std::string_view text, uint64_t& out) {
+  const auto [end, ec] =
+      std::from_chars(text.data(), text.data() + text.size(), out);
+  return ec == std::errc{} && end == text.data() + text.size();
+}
+
+void AppendField(std::string& out, std::string_view field) {
+  out.push_back(' ');
+  out.append(field);
+}
+
+bool DecodeEntry(char letter, std::string_view& rest, Heartbeat& out) {
+  const std::string first(TakeField(rest));
+  if (letter == 'o') {
+    SocketAddress address;
+    const bool valid = ParseSocketAddress(first, address);
+    out.others.push_back(std::move(address));
+    return valid;
+  }
+  const std::string_view second = TakeField(rest);
+  uint64_t number = 0;
+  switch (letter) {
+    case 's':
+      if (!ParseNumber(second, number) || number >= kConditions.size()) {
+        return false;
+      }
+      out.suspicions.push_back({EndpointId{first}, kConditions[number]});
+      return true;
+    case 'd':
+      if (!ParseNumber(second, number)) {
+        return false;
+      }
+      out.duties.push_back({ServiceId{first}, number});
+      return true;
+    case 'l':
+      if (!ParseNumber(TakeField(rest), number)) {
+        return false;
+      }
+      out.ordered.push_back(
+          {ServiceId{first}, EndpointId{std::string(second)}, number});
+      return !second.empty();
+    default:
+      return false;
+  }
+}
+
+}  // namespace
+
+std::string EncodeHeartbeat(const Heartbeat& heartbeat) {
+  std::string out(kMagic);
+  AppendField(out, heartbeat.vm.value);
+  AppendField(out, heartbeat.site.value);
+  AppendField(out, heartbeat.address.Format());
+  AppendField(out, std::to_string(heartbeat.config_version));
+  AppendField(out, std::to_string(heartbeat.endpoints_version));
+  AppendField(out, heartbeat.leaving ? "1" : "0");
+  for (const ConditionReport& it : heartbeat.suspicions) {
+    const auto at =
+        std::find(kConditions.begin(), kConditions.end(), it.condition);
+    if (at == kConditions.end()) {
+      continue;
+    }
+    AppendField(out, "s");
+    AppendField(out, it.endpoint.value);
+    AppendField(out, std::to_string(at - kConditions.begin()));
+  }
+  for (const HeldDuty& it : heartbeat.duties) {
+    AppendField(out, "d");
+    AppendField(out, it.service.value);
+    AppendField(out, std::to_string(it.fencing_token));
+  }
+  for (const OrderedLeader& it : heartbeat.ordered) {
+    AppendField(out, "l");
+    AppendField(out, it.service.value);
+    AppendField(out, it.endpoint.value);
+    AppendField(out, std::to_string(it.fencing_token));
+  }
+  for (const SocketAddress& it : heartbeat.others) {
+    AppendField(out, "o");
+    AppendField(out, it.Format());
+  }
+  return out;
+}
+
+bool DecodeHeartbeat(std::string_view bytes, Heartbeat& out) {
+  std::string_view rest = bytes;
+  if (TakeField(rest) != kMagic) {
+    return false;
+  }
+  out.vm.value = TakeField(rest);
+  out.site.value = TakeField(rest);
+  const std::string_view address = TakeField(rest);
+  const std::string_view config = TakeField(rest);
+  const std::string_view endpoints = TakeField(rest);
+  out.leaving = TakeField(rest) == "1";
+  if (out.vm.IsEmpty() || !ParseSocketAddress(address, out.address) ||
+      !ParseNumber(config, out.config_version) ||
+      !ParseNumber(endpoints, out.endpoints_version)) {
+    return false;
+  }
+  while (!rest.empty()) {
+    const std::string_view letter = TakeField(rest);
+    if (letter.size() != 1 || !DecodeEntry(letter.front(), rest, out)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/libs/gossip/heartbeats/heartbeat_codec.h
@@ -0,0 +1,26 @@
+#ifndef MAGNOLIAREEL_GOSSIP_HEARTBEATS_HEARTBEAT_CODEC_H_
+#define MAGNOLIAREEL_GOSSIP_HEARTBEATS_HEARTBEAT_CODEC_H_
+
+#include <string>
+#include <string_view>
+
+#include "control/control.h"
+
+namespace magnoliareel {
+
+/** @param heartbeat  any
+    @returns           its encoding, one datagram
+    @see DecodeHeartbeat
+*/
+std::string EncodeHeartbeat(const Heartbeat& heartbeat);
+
+/** @param bytes  a datagram
+    @param out    receives the heartbeat
+    @returns      false if it is none of this version
+    @see EncodeHeartbeat
+*/
+bool DecodeHeartbeat(std::string_view bytes, Heartbeat& out);
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_GOSSIP_HEARTBEATS_HEARTBEAT_CODEC_H_
--- a/libs/relay/core/traffic_core_refusals.h
+++ b/libs/relay/core/traffic_core_refusals.h
@@ -103,7 +103,12 @@
     // The other copy of a repeated read still runs.
     return;
   }
-  if (work.attempts >= kMostAttempts || now >= work.deadline) {
+  const bool awaits_leader = refusal == Refusal::kNotPrimary;
+  if (awaits_leader) {
+    pause = kLeaderRetry;
+  }
+  if ((work.attempts >= kMostAttempts && !awaits_leader) ||
+      now >= work.deadline) {
     FailWork(session, IsPromise(refusal) ? refusal : Refusal::kBusy,
              "no endpoint could run it");
     return;
--- a/libs/relay/core/traffic_core_timers.h
+++ b/libs/relay/core/traffic_core_timers.h
@@ -337,7 +337,7 @@
 void TrafficCore<D, N>::AnnounceLeader(const ServiceId& service,
                                        const EndpointId& endpoint) {
   ServiceState& state = GetService(service);
-  if (state.leader.NoteAnnounced(endpoint)) {
+  if (state.leader.NoteAnnounced(endpoint, net_.Now())) {
     LeaderChanged(state);
   }
 }
--- a/libs/relay/core/traffic_limits.h
+++ b/libs/relay/core/traffic_limits.h
@@ -21,6 +21,9 @@
 inline constexpr Duration kBehindRetry = std::chrono::milliseconds(25);
 /** Pause before a statement that found all slots taken is sent again. */
 inline constexpr Duration kBusyRetry = std::chrono::milliseconds(20);
+/** Pause before a statement goes to an endpoint that does not lead yet: several
+    within the 300 ms that the fastest promotion takes. */
+inline constexpr Duration kLeaderRetry = std::chrono::milliseconds(40);
 /** Most times that one statement is sent; later attempts would mostly add load
     to endpoints that refuse. */
 inline constexpr uint32_t kMostAttempts = 12;
--- a/libs/relay/core/traffic_net.h
+++ b/libs/relay/core/traffic_net.h
@@ -6,49 +6,11 @@
 #include <string>
 
 #include "core/core.h"
+#include "directory/directory.h"
 #include "settings/settings.h"
 
 namespace magnoliareel {
 
-/** What traffic notices of an endpoint. */
-enum class EndpointCondition {
-  /** It answers. */
-  kAnswering,
-  /** A connection was refused, reset, or could not be opened in time. */
-  kUnreachable,
-  /** It has answered nothing for a while although statements run. */
-  kSilent,
-  /** Statements are answered, commits are not. */
-  kCommitsStalled,
-  /** It refused as it does not lead. */
-  kNotLeading,
-};
-
-/** @param condition  any
-    @returns           its name in logs
-*/
-constexpr std::string_view ConditionName(EndpointCondition condition) {
-  switch (condition) {
-    case EndpointCondition::kAnswering:
-      return "answering";
-    case EndpointCondition::kUnreachable:
-      return "unreachable";
-    case EndpointCondition::kSilent:
-      return "silent";
-    case EndpointCondition::kCommitsStalled:
-      return "commits_stalled";
-    case EndpointCondition::kNotLeading:
-      return "not_leading";
-  }
-  return "answering";
-}
-
-/** An observation that traffic reports to the control thread. */
-struct EndpointReport {
-  EndpointId endpoint;
-  EndpointCondition condition = EndpointCondition::kAnswering;
-};
-
 /** Carries the core's bytes and reminders.
 
     - GetCallerBuffer, GetEndpointBuffer: buffers that are sent when the present
@@ -65,7 +27,7 @@
                               uint64_t id,
                               const SocketAddress& address,
                               TimePoint moment,
-                              const EndpointReport& report,
+                              const ConditionReport& report,
                               const EndpointId& endpoint,
                               Term term) {
   { net.Now() } -> std::same_as<TimePoint>;
--- a/libs/relay/leaders/leader_belief.cc
+++ b/libs/relay/leaders/leader_belief.cc
@@ -22,14 +22,17 @@
 bool LeaderBelief::NoteRefused(const EndpointId& id, TimePoint now) {
   refused_ = id;
   refused_at_ = now;
-  if (leader_ != id) {
+  const bool awaited = announced_ == id && now - announced_at_ < kAnnouncedKept;
+  if (leader_ != id || awaited) {
     return false;
   }
   leader_.reset();
   return true;
 }
 
-bool LeaderBelief::NoteAnnounced(const EndpointId& id) {
+bool LeaderBelief::NoteAnnounced(const EndpointId& id, TimePoint now) {
+  announced_ = id;
+  announced_at_ = now;
   if (leader_ == id) {
     return false;
   }
--- a/libs/relay/leaders/leader_belief.h
+++ b/libs/relay/leaders/leader_belief.h
@@ -21,6 +21,9 @@
   /** An endpoint that refused as "not primary" is asked again after this time
       at the earliest: a round trip between regions and a promotion's end. */
   static constexpr Duration kAskAgain = std::chrono::milliseconds(100);
+  /** An announced leader is believed in for this long although it refuses: a
+      promotion takes up to a second to come into force. */
+  static constexpr Duration kAnnouncedKept = std::chrono::milliseconds(2000);
 
   /** An endpoint accepted what only a primary accepts.
 
@@ -38,10 +41,11 @@
   bool NoteRefused(const EndpointId& id, TimePoint now);
   /** A promotion was ordered.
 
-      @param id  the endpoint that takes over
-      @returns   true if the belief changed
+      @param id   the endpoint that takes over
+      @param now  the present moment
+      @returns    true if the belief changed
   */
-  bool NoteAnnounced(const EndpointId& id);
+  bool NoteAnnounced(const EndpointId& id, TimePoint now);
   /** Takes up what endpoints say of themselves, if nothing better is known.
 
       @param entries  the service's endpoints
@@ -58,6 +62,8 @@
  private:
   std::optional<EndpointId> leader_;
   Term term_;
+  std::optional<EndpointId> announced_;
+  TimePoint announced_at_;
   std::optional<EndpointId> refused_;
   TimePoint refused_at_;
 };
