Let a stop and a lapse end on time; read where the answer is expected first

- LOST around SIGTERM.
Cause: the process ended as soon as it had once had no session, though new callers had come since, and a timer that fired up to 1 ms early left a stop without an end until SIGKILL.
Ruled out: slow machines (the log shows the process serving).
StopSequence decides again every 50 ms; a caller that never rests is ended behind its answer.
LoopTimer never fires early now.
- After a restart every read went to the primary, as no freshness bound was known; reads now wait for one question.
Connections open two at a time.
- Reads compare expected latency, which includes waiting inside the endpoint, and pass a replica over whose applied position was too low a moment ago.

--- a/apps/node/node_process.cc
+++ b/apps/node/node_process.cc
@@ -13,12 +13,6 @@
 // How often buffered log lines are written: seldom enough to cost little, often
 // enough that a killed process has told nearly all.
 constexpr Duration kLogPeriod = std::chrono::milliseconds(200);
-// The platform sends new connections until two of its probes, one a second,
-// were missed.
-constexpr Duration kLeastDrain = std::chrono::milliseconds(2300);
-// Part of the stop grace that open transactions have (users' rules), and part
-// after which the process ends whatever remains.
-constexpr int kTransactionGraceDivisor = 2;
 // Table in which VMs find each other; each writes its row once, at its start.
 constexpr std::string_view kVmTable = "magnoliareel-vms";
 // Pause before a failed registration is tried again; until then VMs are found
@@ -32,7 +26,7 @@
     : settings_(std::move(settings)),
       log_(log),
       log_timer_(loop_, [this] { DrainLog(); }),
-      stop_timer_(loop_, [this] { FinishStop(); }),
+      stop_timer_(loop_, [this] { ContinueStop(); }),
       notices_(loop_,
                [this](const TrafficNotice& notice) { HandleNotice(notice); }),
       store_(loop_, settings_.store_address),
@@ -193,11 +187,6 @@
     failover_.NoteLeader(notice.report.endpoint, notice.term);
     return;
   }
-  if (notice.drained) {
-    drained_ = true;
-    FinishStop();
-    return;
-  }
   failover_.NoteReport(notice.report);
 }
 
@@ -205,24 +194,24 @@
   if (std::exchange(stopping_, true)) {
     return;
   }
-  stop_began_at_ = Now();
-  LogEvent(Event::kStopping, {{"in_progress", "see drain_progress"}});
+  stop_.emplace(Now(), settings_.stop_grace);
+  LogEvent(Event::kStopping,
+           {{"in_progress", std::to_string(traffic_.CountSessions())}});
   failover_.Leave();
   peers_.SendSoon();
-  traffic_.BeginDrain(settings_.stop_grace / kTransactionGraceDivisor);
-  stop_timer_.StartOnce(kLeastDrain);
+  traffic_.BeginDrain(stop_->GetTransactionGrace());
+  stop_timer_.StartRepeating(StopSequence::kStep);
 }
 
-void NodeProcess::FinishStop() {
-  const Duration elapsed = Now() - stop_began_at_;
-  const auto longest = std::chrono::duration_cast<Duration>(
-      settings_.stop_grace * kLongestDrainPart);
-  if ((drained_ && elapsed >= kLeastDrain) || elapsed >= longest) {
-    loop_.Stop();
-    return;
+void NodeProcess::ContinueStop() {
+  const StopDecision decision = stop_->Decide(Now(), traffic_.CountSessions());
+  if (!decision.accepts) {
+    traffic_.StopAccepting();
   }
-  if (elapsed >= kLeastDrain) {
-    stop_timer_.StartOnce(longest - elapsed);
+  if (decision.ends) {
+    LogEvent(Event::kDrainProgress,
+             {{"sessions", std::to_string(traffic_.CountSessions())}});
+    loop_.Stop();
   }
 }
 
--- a/apps/node/node_process.h
+++ b/apps/node/node_process.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "apps/node/peer_exchange.h"
@@ -57,7 +58,7 @@
   net::Reply AnswerProbe();
   void HandleNotice(const TrafficNotice& notice);
   void BeginStop();
-  void FinishStop();
+  void ContinueStop();
   void DrainLog();
 
   const NodeSettings settings_;
@@ -76,8 +77,7 @@
   net::HttpListener probe_;
   bool ready_ = false;
   bool stopping_ = false;
-  bool drained_ = false;
-  TimePoint stop_began_at_;
+  std::optional<StopSequence> stop_;
 };
 
 }  // namespace magnoliareel
--- a/apps/node/traffic_thread.cc
+++ b/apps/node/traffic_thread.cc
@@ -95,10 +95,12 @@
 }
 
 void TrafficThread::BeginDrain(Duration transaction_grace) {
-  mailbox_.Post([this, transaction_grace] {
-    draining_ = true;
-    core_.BeginDrain(transaction_grace);
-  });
+  mailbox_.Post(
+      [this, transaction_grace] { core_.BeginDrain(transaction_grace); });
+}
+
+void TrafficThread::StopAccepting() {
+  mailbox_.Post([this] { listener_.Stop(); });
 }
 
 void TrafficThread::Stop() {
@@ -197,8 +199,10 @@
 }
 
 void TrafficThread::EndEvent() {
-  const std::vector<Link*> dirty = std::exchange(dirty_, {});
-  for (Link* it : dirty) {
+  // Cutting a caller off may fill further buffers.
+  while (!dirty_.empty()) {
+    Link* it = dirty_.back();
+    dirty_.pop_back();
     it->dirty = false;
     if (!it->stream.IsOpen()) {
       continue;
@@ -211,12 +215,7 @@
     }
   }
   retired_.clear();
-  if (draining_ && !drained_ && core_.CountSessions() == 0) {
-    drained_ = true;
-    TrafficNotice notice;
-    notice.drained = true;
-    notify_(notice);
-  }
+  sessions_.store(core_.CountSessions());
 }
 
 }  // namespace magnoliareel
--- a/apps/node/traffic_thread.h
+++ b/apps/node/traffic_thread.h
@@ -1,6 +1,7 @@
 #ifndef MAGNOLIAREEL_APPS_NODE_TRAFFIC_THREAD_H_
 #define MAGNOLIAREEL_APPS_NODE_TRAFFIC_THREAD_H_
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <string>
@@ -22,8 +23,6 @@
   bool proven_leader = false;
   /** Term of the proof. */
   Term term;
-  /** The last session has ended while the process stops. */
-  bool drained = false;
 };
 
 /** The thread that serves callers: its event loop, its sockets, and the core
@@ -55,6 +54,10 @@
   void AnnounceLeader(const ServiceId& service, const EndpointId& endpoint);
   /** Starts to end sessions. */
   void BeginDrain(Duration transaction_grace);
+  /** Accepts no further callers. */
+  void StopAccepting();
+  /** @returns number of callers' sessions, as of the last event */
+  size_t CountSessions() const { return sessions_.load(); }
   /** Ends the thread; sessions that remain are cut. */
   void Stop();
 
@@ -111,8 +114,7 @@
   std::vector<std::unique_ptr<Link>> retired_;
   std::string discarded_;
   uint64_t next_caller_ = 1;
-  bool draining_ = false;
-  bool drained_ = false;
+  std::atomic<size_t> sessions_ = 0;
   LoopTimer wake_timer_;
   StreamListener listener_;
   Core core_;
--- a/libs/control/control.h
+++ b/libs/control/control.h
@@ -16,6 +16,7 @@
 #include "control/failover/primary_replacement.h"
 #include "control/failover/replacement_plan.h"
 #include "control/fleet/fleet_control.h"
+#include "control/fleet/stop_sequence.h"
 #include "control/peers/heartbeat.h"
 #include "control/peers/peer_group.h"
 #include "control/settings/node_settings.h"
--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -263,8 +263,10 @@
     // A third of the VMs: a primary that so many cannot use costs more than the
     // gap of a promotion. A single VM may itself be the one that is cut off.
     const uint32_t needed = live == 1 ? 1 : std::max(2U, (live + 2) / 3);
-    if (votes != last_votes_[leader->endpoint]) {
-      last_votes_[leader->endpoint] = votes;
+    // One line when the first VM suspects it, one when enough do, one at the
+    // end.
+    const uint32_t level = votes == 0 ? 0 : votes < needed ? 1 : 2;
+    if (level != std::exchange(last_levels_[leader->endpoint], level)) {
       LogEvent(Event::kLeaderSuspected,
                {{"service", service.value},
                 {"endpoint", leader->endpoint.value},
@@ -467,7 +469,7 @@
   std::vector<EndpointEntry> endpoints_;
   std::map<ServiceId, uint32_t> sync_;
   std::map<ServiceId, Progress> progress_;
-  std::map<EndpointId, uint32_t> last_votes_;
+  std::map<EndpointId, uint32_t> last_levels_;
   std::vector<std::pair<OrderedLeader, TimePoint>> ordered_;
   const TimePoint started_at_;
   bool ticking_ = false;
--- /dev/null
+++ b/libs/control/fleet/stop_sequence.h
@@ -0,0 +1,62 @@
+#ifndef MAGNOLIAREEL_CONTROL_FLEET_STOP_SEQUENCE_H_
+#define MAGNOLIAREEL_CONTROL_FLEET_STOP_SEQUENCE_H_
+
+#include "core/core.h"
+
+namespace magnoliareel {
+
+/** What a stopping process does next. @see StopSequence */
+struct StopDecision {
+  /** It still accepts callers. */
+  bool accepts = true;
+  /** It ends now. */
+  bool ends = false;
+};
+
+/** Paces the end of a process between SIGTERM and the moment at which it would
+    be killed.
+
+    Callers are sent here for a moment after the first "not ready", so the
+    process goes on accepting them; it ends when no session is left, and at the
+    latest before it is killed.
+*/
+class StopSequence {
+ public:
+  /** How often Decide() is asked. */
+  static constexpr Duration kStep = std::chrono::milliseconds(50);
+  /** The platform sends new connections until two of its probes, one a second,
+      were missed. */
+  static constexpr Duration kLeast = std::chrono::milliseconds(2300);
+
+  /** @param began_at  when SIGTERM arrived
+      @param grace     from then until the process is killed
+  */
+  StopSequence(TimePoint began_at, Duration grace)
+      : began_at_(began_at), grace_(grace) {}
+
+  /** @param now       the present moment
+      @param sessions  callers' sessions that remain
+      @returns         what to do
+  */
+  StopDecision Decide(TimePoint now, size_t sessions) const {
+    const Duration elapsed = now - began_at_;
+    StopDecision decision;
+    // A caller that came later could not be answered before the end.
+    decision.accepts = elapsed < grace_ * 2 / 3;
+    decision.ends =
+        (sessions == 0 && elapsed >= kLeast) || elapsed >= grace_ * 5 / 6;
+    return decision;
+  }
+
+  /** @returns how long open transactions may go on: the first half of the grace
+      (users' rules) */
+  Duration GetTransactionGrace() const { return grace_ / 2; }
+
+ private:
+  TimePoint began_at_;
+  Duration grace_;
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_CONTROL_FLEET_STOP_SEQUENCE_H_
--- a/libs/net/loop/loop_timer.cc
+++ b/libs/net/loop/loop_timer.cc
@@ -1,16 +1,18 @@
 #include "net/loop/loop_timer.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace magnoliareel {
 namespace {
 
-// libuv counts in whole milliseconds; rounding up keeps a timer from firing
-// before its moment.
+// libuv counts in whole milliseconds and rounds the present moment down. One
+// more keeps a timer from firing before its moment: whoever compares clocks
+// then would find that it is not due yet, and wait for good.
 uint64_t ToMilliseconds(Duration span) {
-  return static_cast<uint64_t>(
-      std::max<int64_t>(0, (span.count() + 999) / 1000));
+  if (span <= Duration(0)) {
+    return 0;
+  }
+  return static_cast<uint64_t>((span.count() + 999) / 1000 + 1);
 }
 
 }  // namespace
--- a/libs/relay/connections/endpoint_pool.cc
+++ b/libs/relay/connections/endpoint_pool.cc
@@ -10,12 +10,20 @@
 // between regions twice over, at most what a promotion plus a restart takes.
 constexpr Duration kFirstAvoidance = std::chrono::milliseconds(100);
 constexpr Duration kLongestAvoidance = std::chrono::milliseconds(800);
-// A replica that was behind is asked again after a few replication delays.
-constexpr Duration kBehindPause = std::chrono::milliseconds(60);
+// A replica's applied position is believed for a few replication delays.
+constexpr Duration kAppliedKept = std::chrono::milliseconds(80);
 // A full endpoint frees connections as other VMs shrink to their share.
 constexpr Duration kOpenPause = std::chrono::milliseconds(200);
 // Before the first answer: a middling statement of the expected deployments.
 constexpr Duration kAssumedRunTime = std::chrono::milliseconds(25);
+// All VMs together start with this many statements for each slot, so that the
+// endpoint's own queue, which knows no priorities, stays short.
+constexpr double kStatementsPerSlot = 2;
+// Growth of the limit for an answer while statements wait here, and its
+// decrease for a refusal, at most once within a pause.
+constexpr double kLimitGrowth = 0.2;
+constexpr double kLimitDecrease = 0.7;
+constexpr Duration kShrinkPause = std::chrono::milliseconds(50);
 // Weight of one answer in the mean: an eighth follows a change within some
 // twenty statements.
 constexpr int kMeanWeight = 8;
@@ -25,7 +33,15 @@
 EndpointPool::EndpointPool(EndpointEntry listed, Distance place)
     : entry(std::move(listed)),
       distance(place),
-      mean_run_time_(kAssumedRunTime) {}
+      mean_run_time_(kAssumedRunTime) {
+  ResetLimit(1);
+}
+
+void EndpointPool::ResetLimit(uint32_t live_vms) {
+  const double slots = std::max(1U, entry.slots);
+  limit_ = std::clamp(kStatementsPerSlot * slots / std::max(1U, live_vms), 1.0,
+                      slots);
+}
 
 void EndpointPool::Enqueue(const QueuedStatement& statement) {
   const auto it = std::find_if(
@@ -43,6 +59,10 @@
 
 void EndpointPool::NoteAnswer(Duration run_time, TimePoint now) {
   mean_run_time_ += (run_time - mean_run_time_) / kMeanWeight;
+  if (!queue.empty()) {
+    limit_ = std::min(limit_ + kLimitGrowth,
+                      static_cast<double>(std::max(1U, entry.slots)));
+  }
   NoteHeard(now);
 }
 
@@ -52,6 +72,13 @@
   avoid_until_ = {};
 }
 
+void EndpointPool::NoteBusy(TimePoint now) {
+  if (now - shrunk_at_ >= kShrinkPause) {
+    shrunk_at_ = now;
+    limit_ = std::max(1.0, limit_ * kLimitDecrease);
+  }
+}
+
 void EndpointPool::NoteFailure(TimePoint now) {
   const Duration pause = std::min(
       kFirstAvoidance * (1 << std::min(failures, 5U)), kLongestAvoidance);
@@ -63,8 +90,13 @@
   no_open_until_ = now + kOpenPause;
 }
 
-void EndpointPool::NoteBehind(TimePoint now) {
-  behind_until_ = now + kBehindPause;
+void EndpointPool::NoteApplied(LogPoint applied, TimePoint now) {
+  applied_ = applied;
+  applied_at_ = now;
+}
+
+bool EndpointPool::IsBehind(const LogPoint& point, TimePoint now) const {
+  return now - applied_at_ < kAppliedKept && applied_ < point;
 }
 
 bool EndpointPool::MayOpen(uint32_t share, TimePoint now) const {
@@ -72,14 +104,10 @@
          now >= avoid_until_;
 }
 
-Duration EndpointPool::EstimateWait() const {
-  const uint64_t ahead = running + queue.size() + 1;
-  const uint32_t limit = GetLimit();
-  if (ahead <= limit) {
-    return Duration(0);
-  }
-  return mean_run_time_ * static_cast<int64_t>(ahead - limit) /
-         static_cast<int64_t>(limit);
+Duration EndpointPool::EstimateLatency() const {
+  const int64_t ahead = running + static_cast<int64_t>(queue.size()) + 1;
+  const int64_t limit = GetLimit();
+  return mean_run_time_ * std::max(ahead, limit) / limit;
 }
 
 }  // namespace magnoliareel
--- a/libs/relay/connections/endpoint_pool.h
+++ b/libs/relay/connections/endpoint_pool.h
@@ -47,6 +47,11 @@
   void NoteAnswer(Duration run_time, TimePoint now);
   /** Notes any sign of life. */
   void NoteHeard(TimePoint now);
+  /** Notes that a statement found all slots and the endpoint's queue taken.
+
+      @param now  the present moment
+  */
+  void NoteBusy(TimePoint now);
   /** Notes that a connection could not be opened or fell silent; the endpoint
       is left alone for a time that doubles with every failure.
 
@@ -58,23 +63,38 @@
       @param now  the present moment
   */
   void NoteConnectionRefused(TimePoint now);
-  /** Notes that the endpoint lacked a log point. */
-  void NoteBehind(TimePoint now);
+  /** Notes how far the endpoint has applied its log.
+
+      @param applied  the end of the applied log
+      @param now      the present moment
+  */
+  void NoteApplied(LogPoint applied, TimePoint now);
 
   /** @returns true while the endpoint should get no new work */
   bool IsAvoided(TimePoint now) const { return now < avoid_until_; }
-  /** @returns true while reads find it too far behind */
-  bool IsBehind(TimePoint now) const { return now < behind_until_; }
+  /** @returns true if it lacked a log point a moment ago
+
+      @param point  what a read demands
+      @param now    the present moment
+  */
+  bool IsBehind(const LogPoint& point, TimePoint now) const;
   /** @returns true if a further connection may be opened
 
       @param share  connections that this VM may have
       @param now    the present moment
   */
   bool MayOpen(uint32_t share, TimePoint now) const;
-  /** @returns how long a statement added now would wait for a slot */
-  Duration EstimateWait() const;
+  /** @returns how long a statement added now would take: what answers took
+      lately, waiting at the endpoint included, times the turns that it waits
+      here */
+  Duration EstimateLatency() const;
   /** @returns statements that may run at a time from this VM */
-  uint32_t GetLimit() const { return entry.slots == 0 ? 1 : entry.slots; }
+  uint32_t GetLimit() const { return static_cast<uint32_t>(limit_); }
+  /** Starts the limit anew.
+
+      @param live_vms  VMs that share the endpoint
+  */
+  void ResetLimit(uint32_t live_vms);
 
   /** The endpoint, as the directory lists it. */
   EndpointEntry entry;
@@ -91,9 +111,14 @@
 
  private:
   TimePoint avoid_until_;
-  TimePoint behind_until_;
+  LogPoint applied_;
+  TimePoint applied_at_;
   TimePoint no_open_until_;
   Duration mean_run_time_;
+  // Grows while statements wait here and the endpoint takes what it is given;
+  // shrinks when it refuses.
+  double limit_ = 1;
+  TimePoint shrunk_at_;
 };
 
 }  // namespace magnoliareel
--- a/libs/relay/connections/pooled_connection.h
+++ b/libs/relay/connections/pooled_connection.h
@@ -82,6 +82,8 @@
   /** Proof or explanation of the answer being received. */
   std::string text;
   TimePoint opened_at;
+  /** When the present kSettling began. */
+  TimePoint settling_since;
   TimePoint used_at;
 
   /** @returns true if a plain transaction is open that nobody uses yet */
--- a/libs/relay/core/service_state.h
+++ b/libs/relay/core/service_state.h
@@ -21,6 +21,8 @@
   FreshnessBounds bounds;
   /** Statements that wait until a primary is believed in. */
   std::deque<QueuedStatement> waiting;
+  /** Reads that wait until a freshness bound is known. */
+  std::deque<QueuedStatement> awaiting_bound;
   /** When a bound was last asked for without a caller's statement. */
   TimePoint bounds_asked_at;
 };
--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -99,6 +99,7 @@
     kRetry,
     kConnect,
     kAbandoned,
+    kSettling,
     kTransactionIdle,
     kPool,
     kLeaders,
@@ -143,12 +144,14 @@
   void LeaveQueues(CallerSession& session);
   void StartQueued(EndpointPool& pool);
   void OpenConnections(EndpointPool& pool);
+  void OpenConnection(EndpointPool& pool);
   PooledConnection* PickIdle(EndpointPool& pool, const CallerSession& session);
   void Start(PooledConnection& connection, CallerSession& session);
   void SendStatement(PooledConnection& connection, CallerSession& session);
   void SendWithin(CallerSession& session);
   void LeaderChanged(ServiceState& service);
   void RefreshBounds(ServiceState& service);
+  void ReleaseAwaiting(ServiceState& service);
 
   // traffic_core_connections.h: connections between statements.
   void Expect(PooledConnection& connection,
@@ -159,6 +162,7 @@
   void SyncValues(PooledConnection& connection, const SessionValues& values);
   void AddValues(PooledConnection& connection, const SessionValues& values);
   void Settle(PooledConnection& connection);
+  void WatchSettling(PooledConnection& connection);
   void BecomeIdle(PooledConnection& connection);
   void Abandon(uint64_t connection_id);
   void DropConnection(uint64_t connection_id);
@@ -199,6 +203,8 @@
   // traffic_core_timers.h: what is due.
   void Remind(Due due);
   void HandleDue(const Due& due);
+  bool IsPast(const Due& due);
+  void DropUnused(const PooledConnection& connection);
   void HandleDeadline(CallerSession& session);
   void HandleSlow(CallerSession& session);
   void HandleIdleTransaction(CallerSession& session);
@@ -228,7 +234,8 @@
   std::vector<uint64_t> unopened_;
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
   uint64_t next_id_ = 1;
-  bool draining_ = false;
+  /** The process stops; sessions end after their present statement. */
+  bool ends_at_rest_ = false;
   TimePoint drain_began_at_;
   Duration transaction_grace_{};
   LogBudget served_lines_;
--- a/libs/relay/core/traffic_core_connections.h
+++ b/libs/relay/core/traffic_core_connections.h
@@ -97,6 +97,7 @@
     // A transaction that read is ended: the next one begins on its own.
     LeaveTransaction(connection);
     BeginAhead(connection);
+    WatchSettling(connection);
     return;
   }
   LeaveTransaction(connection);
@@ -105,7 +106,19 @@
   }
   if (connection.expected.empty()) {
     BecomeIdle(connection);
+    return;
   }
+  WatchSettling(connection);
+}
+
+template <WireDialect D, class N>
+void TrafficCore<D, N>::WatchSettling(PooledConnection& connection) {
+  connection.settling_since = net_.Now();
+  Remind({connection.settling_since + kAbandonedLimit,
+          Reminder::kSettling,
+          connection.id,
+          0,
+          {}});
 }
 
 template <WireDialect D, class N>
@@ -243,6 +256,9 @@
   if (newer) {
     net_.LeaderSeen(pool.entry.id, point.term);
   }
+  if (!service.awaiting_bound.empty()) {
+    ReleaseAwaiting(service);
+  }
 }
 
 template <WireDialect D, class N>
--- a/libs/relay/core/traffic_core_dispatch.h
+++ b/libs/relay/core/traffic_core_dispatch.h
@@ -58,6 +58,14 @@
   const Need proven = work.need == Need::kReadTransaction
                           ? Need::kPlainTransaction
                           : Need::kProvenRead;
+  if (!work.after && !std::exchange(work.awaited_bound, true)) {
+    // One question to the primary lets every waiting read go to a replica;
+    // sending the reads themselves there would overload it after a restart.
+    service.awaiting_bound.push_back(
+        {session.id, work.ticket, session.route->priority, work.deadline});
+    Remind({now + kBoundWait, Reminder::kRetry, session.id, work.ticket, {}});
+    return;
+  }
   if (!work.after) {
     work.need = proven;
     DispatchToLeader(session);
@@ -92,7 +100,7 @@
     if (pool->entry.draining && !leads) {
       continue;
     }
-    Duration cost = pool->EstimateWait();
+    Duration cost = pool->EstimateLatency();
     if (pool->distance == Distance::kRemote) {
       cost += session.route->latency_objective / kRemotePenaltyDivisor;
     } else if (pool->distance == Distance::kSameRegion) {
@@ -100,7 +108,7 @@
     }
     if (leads) {
       cost += kLeaderPenalty;
-    } else if (pool->IsBehind(now)) {
+    } else if (session.work.after && pool->IsBehind(*session.work.after, now)) {
       cost += kBehindPenalty;
     }
     const auto& passed = session.work.passed_over;
@@ -192,20 +200,27 @@
     }
   }
   const uint32_t share = GetShare(pool);
-  while (opening < pool.queue.size() && pool.MayOpen(share, now)) {
-    const uint64_t id = next_id_++;
-    PooledConnection& connection = connections_[id];
-    connection.id = id;
-    connection.endpoint = pool.entry.id;
-    connection.opened_at = now;
-    pool.connections.push_back(id);
-    ++counters_.connections_opened;
+  while (opening < std::min(pool.queue.size(), kMostOpening) &&
+         pool.MayOpen(share, now)) {
+    OpenConnection(pool);
     ++opening;
-    Remind({now + kConnectTimeout, Reminder::kConnect, id, 0, {}});
-    net_.OpenEndpoint(id, pool.entry.address);
   }
 }
 
+template <WireDialect D, class N>
+void TrafficCore<D, N>::OpenConnection(EndpointPool& pool) {
+  const TimePoint now = net_.Now();
+  const uint64_t id = next_id_++;
+  PooledConnection& connection = connections_[id];
+  connection.id = id;
+  connection.endpoint = pool.entry.id;
+  connection.opened_at = now;
+  pool.connections.push_back(id);
+  ++counters_.connections_opened;
+  Remind({now + kConnectTimeout, Reminder::kConnect, id, 0, {}});
+  net_.OpenEndpoint(id, pool.entry.address);
+}
+
 template <WireDialect D, class N>
 PooledConnection* TrafficCore<D, N>::PickIdle(EndpointPool& pool,
                                               const CallerSession& session) {
@@ -374,6 +389,26 @@
       return;
     }
   }
+  // A new connection begins with the question; busy ones bring a bound too.
+  if (pool->connections.empty() && pool->MayOpen(1, now)) {
+    service.bounds_asked_at = now;
+    OpenConnection(*pool);
+  }
+}
+
+template <WireDialect D, class N>
+void TrafficCore<D, N>::ReleaseAwaiting(ServiceState& service) {
+  const std::deque<QueuedStatement> awaiting =
+      std::exchange(service.awaiting_bound, {});
+  for (const QueuedStatement& it : awaiting) {
+    if (IsStillWaiting(it.session, it.ticket)) {
+      CallerSession& session = *FindSession(it.session);
+      if (session.work.queued_at.IsEmpty() &&
+          session.work.connections.empty()) {
+        Dispatch(session);
+      }
+    }
+  }
 }
 
 }  // namespace magnoliareel
--- a/libs/relay/core/traffic_core_refusals.h
+++ b/libs/relay/core/traffic_core_refusals.h
@@ -23,8 +23,8 @@
   if (refusal == Refusal::kUnknownStatement) {
     connection.prepared.clear();
   }
-  if (refusal == Refusal::kBehind) {
-    pool->NoteBehind(now);
+  if (refusal == Refusal::kBusy) {
+    pool->NoteBusy(now);
   }
   if (refusal == Refusal::kNotPrimary) {
     ServiceState& service = GetService(pool->entry.service);
@@ -148,6 +148,13 @@
       session.transaction = TransactionPhase::kFailed;
     }
   }
+  const EndpointPool* pool = FindPool(work.queued_at);
+  const std::string place = pool == nullptr
+                                ? "none"
+                                : pool->entry.id.value + "/" +
+                                      std::to_string(pool->running) + "/" +
+                                      std::to_string(pool->GetLimit()) + "/" +
+                                      std::to_string(pool->connections.size());
   LogEvent(refusal == Refusal::kUnknown ? Event::kStatementUnknown
                                         : Event::kStatementRefused,
            {{"request", work.request_id},
@@ -157,6 +164,7 @@
             {"need", std::string(NeedName(work.need))},
             {"held_us", std::to_string((now - work.received_at).count())},
             {"attempts", std::to_string(work.attempts)},
+            {"queued_at", place},
             {"last", std::string(RefusalName(work.last_refusal))}});
   ++(refusal == Refusal::kUnknown ? counters_.unknown : counters_.refused);
   AnswerError(session, refusal, reason);
--- a/libs/relay/core/traffic_core_replies.h
+++ b/libs/relay/core/traffic_core_replies.h
@@ -85,6 +85,9 @@
   }
   const bool had_trouble = pool->failures > 0;
   pool->NoteHeard(net_.Now());
+  if (ready.log_end) {
+    pool->NoteApplied(*ready.log_end, net_.Now());
+  }
   if (had_trouble) {
     net_.Report({pool->entry.id, EndpointCondition::kAnswering});
   }
@@ -172,10 +175,6 @@
   const Refusal refusal =
       std::exchange(connection.begin_refusal, std::nullopt).value();
   std::erase(session.work.connections, connection.id);
-  EndpointPool* pool = FindPool(endpoint);
-  if (refusal == Refusal::kBehind && pool != nullptr) {
-    pool->NoteBehind(net_.Now());
-  }
   const uint64_t session_id = session.id;
   const uint64_t ticket = session.work.ticket;
   Settle(connection);
@@ -298,7 +297,14 @@
   for (const uint64_t it : others) {
     Abandon(it);
   }
-  RunBacklog(session.id);
+  const uint64_t id = session.id;
+  RunBacklog(id);
+  // A caller that never rests would keep a stopping process.
+  if (CallerSession* it = FindSession(id);
+      it != nullptr && ends_at_rest_ && !it->IsBusy() &&
+      it->transaction == TransactionPhase::kNone && !net_.HasUnread(id)) {
+    EndSession(*it);
+  }
 }
 
 }  // namespace magnoliareel
--- a/libs/relay/core/traffic_core_timers.h
+++ b/libs/relay/core/traffic_core_timers.h
@@ -31,11 +31,8 @@
     due_.pop();
     HandleDue(due);
   }
-  // Reminders of statements that have ended need no wake-up.
-  while (!due_.empty() && due_.top().ticket != 0 &&
-         due_.top().reminder != Reminder::kAbandoned &&
-         due_.top().reminder != Reminder::kTransactionIdle &&
-         !IsStillWaiting(due_.top().subject, due_.top().ticket)) {
+  // Reminders whose reason has passed need no wake-up.
+  while (!due_.empty() && IsPast(due_.top())) {
     due_.pop();
   }
   if (!due_.empty()) {
@@ -43,6 +40,35 @@
   }
 }
 
+template <WireDialect D, class N>
+bool TrafficCore<D, N>::IsPast(const Due& due) {
+  switch (due.reminder) {
+    case Reminder::kDeadline:
+    case Reminder::kSlow:
+    case Reminder::kRetry:
+      return !IsStillWaiting(due.subject, due.ticket);
+    case Reminder::kSettling: {
+      const PooledConnection* it = FindConnection(due.subject);
+      return it == nullptr || it->use != ConnectionUse::kSettling ||
+             it->settling_since + kAbandonedLimit != due.at;
+    }
+    case Reminder::kConnect: {
+      const PooledConnection* it = FindConnection(due.subject);
+      return it == nullptr || it->use != ConnectionUse::kOpening;
+    }
+    case Reminder::kAbandoned: {
+      const PooledConnection* it = FindConnection(due.subject);
+      return it == nullptr || it->use != ConnectionUse::kAbandoned;
+    }
+    case Reminder::kTransactionIdle:
+    case Reminder::kPool:
+    case Reminder::kLeaders:
+    case Reminder::kDrain:
+      return false;
+  }
+  return false;
+}
+
 template <WireDialect D, class N>
 void TrafficCore<D, N>::HandleDue(const Due& due) {
   switch (due.reminder) {
@@ -75,11 +101,15 @@
     case Reminder::kAbandoned:
       if (const PooledConnection* it = FindConnection(due.subject);
           it != nullptr && it->use == ConnectionUse::kAbandoned) {
-        const EndpointId endpoint = it->endpoint;
-        DropConnection(due.subject);
-        if (EndpointPool* pool = FindPool(endpoint)) {
-          StartQueued(*pool);
-        }
+        DropUnused(*it);
+      }
+      return;
+    case Reminder::kSettling:
+      // Its answers are lost; the endpoint may be well otherwise.
+      if (const PooledConnection* it = FindConnection(due.subject);
+          it != nullptr && it->use == ConnectionUse::kSettling &&
+          net_.Now() - it->settling_since >= kAbandonedLimit) {
+        DropUnused(*it);
       }
       return;
     case Reminder::kTransactionIdle:
@@ -107,6 +137,15 @@
   }
 }
 
+template <WireDialect D, class N>
+void TrafficCore<D, N>::DropUnused(const PooledConnection& connection) {
+  const EndpointId endpoint = connection.endpoint;
+  DropConnection(connection.id);
+  if (EndpointPool* pool = FindPool(endpoint)) {
+    StartQueued(*pool);
+  }
+}
+
 template <WireDialect D, class N>
 void TrafficCore<D, N>::HandleDeadline(CallerSession& session) {
   SessionWork& work = session.work;
@@ -249,6 +288,7 @@
 template <WireDialect D, class N>
 void TrafficCore<D, N>::Apply(std::shared_ptr<const FleetView> view) {
   const bool new_routes = view->routes->version != view_->routes->version;
+  const bool shares_changed = view->live_vms != view_->live_vms;
   view_ = std::move(view);
   const TimePoint now = net_.Now();
   for (auto& [id, service] : services_) {
@@ -273,8 +313,12 @@
         LoseConnection(connection, "the endpoint has started anew");
       }
     }
+    const bool resized = pool.entry.slots != it.slots;
     pool.gone = false;
     pool.entry = it;
+    if (added || resized || shares_changed) {
+      pool.ResetLimit(view_->live_vms);
+    }
   }
   std::vector<QueuedStatement> moved;
   for (auto it = pools_.begin(); it != pools_.end();) {
@@ -344,7 +388,6 @@
 
 template <WireDialect D, class N>
 void TrafficCore<D, N>::BeginDrain(Duration transaction_grace) {
-  draining_ = true;
   drain_began_at_ = net_.Now();
   transaction_grace_ = transaction_grace;
   HandleDrain();
@@ -359,6 +402,7 @@
   const double part =
       std::min(1.0, static_cast<double>(elapsed.count() + kDrainStep.count()) /
                         static_cast<double>(kDrainSpread.count()));
+  ends_at_rest_ = part >= 1.0;
   std::vector<uint64_t> ending;
   for (auto& [id, session] : sessions_) {
     const bool in_transaction = session.transaction != TransactionPhase::kNone;
--- a/libs/relay/core/traffic_limits.h
+++ b/libs/relay/core/traffic_limits.h
@@ -35,6 +35,12 @@
 /** A bound is asked for when the newest is older than this part of a route's
     staleness limit, and nothing else has renewed it. */
 inline constexpr int kBoundRenewalDivisor = 2;
+/** Longest wait of a read for a first bound, before it goes to the primary
+    itself: a new connection and a question between regions. */
+inline constexpr Duration kBoundWait = std::chrono::milliseconds(150);
+/** Connections that are opened to an endpoint at a time: each takes a slot for
+    the time of its handshake. */
+inline constexpr size_t kMostOpening = 2;
 /** Part of the latency objective that waiting nearby may cost before a read
     goes to another region: traffic between regions is dear. */
 inline constexpr int kRemotePenaltyDivisor = 5;
--- a/libs/relay/sessions/caller_session.h
+++ b/libs/relay/sessions/caller_session.h
@@ -91,6 +91,8 @@
   uint32_t attempts = 0;
   /** It was sent to a second connection as the first one was slow. */
   bool hedged = false;
+  /** It has waited for a freshness bound. */
+  bool awaited_bound = false;
   /** It has waited for a replica that was behind. */
   bool waited_for_replica = false;
 
--- a/libs/telemetry/events/event.cc
+++ b/libs/telemetry/events/event.cc
@@ -64,10 +64,11 @@
      "wait_us, run_us, after"},
     {kStatementRefused, kWarning, "statement.refused",
      "A statement was answered with an error. request, refusal, reason, "
-     "database, need, held_us, attempts, last"},
+     "database, need, held_us, attempts, queued_at "
+     "(endpoint/running/limit/connections), last"},
     {kStatementUnknown, kWarning, "statement.unknown",
      "A write or commit was sent and its outcome is not known. request, "
-     "refusal, reason, database, need, held_us, attempts, last"},
+     "refusal, reason, database, need, held_us, attempts, queued_at, last"},
     {kStatementRetried, kInfo, "statement.retried",
      "A statement that did not run, or only read, is sent again. request, "
      "need, endpoint, refusal, attempts, pause_us"},
@@ -125,7 +126,7 @@
     {kSettingsReloaded, kInfo, "process.settings_reloaded",
      "The settings file was read again. findings"},
     {kDrainProgress, kInfo, "process.drain_progress",
-     "The process stops; sessions that remain. sessions, elapsed_ms"},
+     "The process ends now; sessions that are cut. sessions"},
     {kLinesDropped, kWarning, "log.lines_dropped",
      "The log's reader was too slow; lines were dropped. lines"},
 });
