Check the session proxy under virtual time against a stand-in group

A stand-in of replicated databases on the session protocol (terms, positions, acknowledgement by a replica, pauses, promotions, slots, lost answers, crashes) and a simulation of four VMs with random callers and faults. A history check looks for stale reads, statements outside their transaction or with other values, doubled or lost writes, and promises that were not kept.

--- /dev/null
+++ b/tests/traffic/traffic_test.cc
@@ -0,0 +1,190 @@
+#include <cstdlib>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "telemetry/telemetry.h"
+#include "tests/traffic/traffic_caller.h"
+#include "tests/traffic/traffic_history.h"
+#include "tests/traffic/traffic_world.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace magnoliareel {
+namespace {
+
+constexpr size_t kVms = 4;
+constexpr uint64_t kUsualSeeds = 40;
+// Staleness limit of the routes in TrafficWorld::Publish().
+constexpr Duration kStaleness = std::chrono::milliseconds(1500);
+
+uint64_t GetNumber(const char* name, uint64_t fallback) {
+  const char* text = std::getenv(name);
+  return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
+/** One run: callers on all VMs, faults in series, then a calm end. */
+class TrafficRun {
+ public:
+  explicit TrafficRun(uint64_t seed) : random_(seed) {
+    GroupOptions options;
+    options.seed = seed;
+    options.slots = 2 + static_cast<uint32_t>(random_() % 4);
+    world_ = std::make_unique<TrafficWorld>(kVms, options);
+    world_->SetCallerOutput(
+        [this](size_t, uint64_t session, std::string_view line) {
+          for (const auto& it : callers_) {
+            if (it->GetSession() == session) {
+              it->Receive(line);
+            }
+          }
+        });
+    constexpr std::array<const char*, 3> kDatabases = {"entries", "lookups",
+                                                       "timesheets"};
+    for (size_t it = 0; it < 3 * kVms; ++it) {
+      callers_.push_back(std::make_unique<TrafficCaller>(
+          *world_, history_, it % kVms, kDatabases[it % 3], random_()));
+    }
+  }
+
+  void Play(bool faults) {
+    EventQueue& queue = world_->GetQueue();
+    const TimePoint start = queue.Now();
+    for (const auto& it : callers_) {
+      it->Start();
+    }
+    if (faults) {
+      for (int n = 0; n < 6; ++n) {
+        queue.After(std::chrono::milliseconds(random_() % 6000),
+                    [this] { Disturb(); });
+      }
+    }
+    queue.RunUntil(start + std::chrono::seconds(10));
+    for (const auto& it : callers_) {
+      it->TakeSuccesses();
+    }
+    queue.RunUntil(start + std::chrono::seconds(12));
+    calm_successes_ = 0;
+    for (const auto& it : callers_) {
+      calm_successes_ += it->TakeSuccesses();
+      it->Stop();
+    }
+    queue.RunUntil(start + std::chrono::seconds(14));
+  }
+
+  std::vector<std::string> Check() const {
+    size_t leader = 0;
+    for (size_t it = 0; it < world_->GetGroup().CountMembers(); ++it) {
+      if (world_->GetGroup().Leads(it)) {
+        leader = it;
+      }
+    }
+    return CheckTraffic(history_, world_->GetGroup(), leader, kStaleness);
+  }
+
+  int GetCalmSuccesses() const { return calm_successes_; }
+  size_t CountOperations() const { return history_.size(); }
+
+ private:
+  void Disturb() {
+    GroupModel& group = world_->GetGroup();
+    EventQueue& queue = world_->GetQueue();
+    const size_t member = random_() % group.CountMembers();
+    const size_t vm = random_() % kVms;
+    const Duration span = std::chrono::milliseconds(200 + random_() % 1500);
+    switch (random_() % 7) {
+      case 0:
+        // At most one member is down: an acknowledged commit then stays on one
+        // that runs.
+        if (down_) {
+          return;
+        }
+        down_ = true;
+        group.Crash(member, random_() % 2 == 0);
+        queue.After(span, [this, member] {
+          world_->GetGroup().Restart(member);
+          world_->Publish();
+          down_ = false;
+        });
+        return;
+      case 1:
+        world_->Replace(ReplacementReason::kDraining);
+        return;
+      case 2:
+        group.SetAnswerLoss(0.05);
+        queue.After(span, [this] { world_->GetGroup().SetAnswerLoss(0); });
+        return;
+      case 3:
+        group.SetApplyFactor(60);
+        queue.After(span, [this] { world_->GetGroup().SetApplyFactor(1); });
+        return;
+      case 4:
+        world_->Cut(vm, member, true);
+        queue.After(span, [this, vm, member] {
+          world_->Cut(vm, member, false);
+          world_->ResetConnections(vm, member);
+        });
+        return;
+      case 5:
+        world_->ResetConnections(vm, member);
+        return;
+      default:
+        for (const auto& it : callers_) {
+          if (random_() % 3 == 0) {
+            world_->CloseCaller(it->GetVm(), it->GetSession());
+            it->Receive({});
+          }
+        }
+        return;
+    }
+  }
+
+  std::mt19937_64 random_;
+  std::unique_ptr<TrafficWorld> world_;
+  std::vector<CallerOperation> history_;
+  std::vector<std::unique_ptr<TrafficCaller>> callers_;
+  int calm_successes_ = 0;
+  bool down_ = false;
+};
+
+}  // namespace
+
+TEST_GROUP(Traffic){// The decisions' log lines go nowhere here.
+                    void setup() override{static LogRing ring(0);
+if (std::getenv("MAGNOLIAREEL_SIM_TRACE") == nullptr) {
+  StartBufferedLog(ring, "simulated");
+} else {
+  StartLog();
+}
+}  // namespace magnoliareel
+}
+;
+
+TEST(Traffic, ACalmRunServesAll) {
+  TrafficRun run(1);
+  run.Play(false);
+  CHECK(run.CountOperations() > 500);
+  CHECK(run.GetCalmSuccesses() > 100);
+  for (const std::string& it : run.Check()) {
+    FAIL(it.c_str());
+  }
+}
+
+TEST(Traffic, NoPromiseBreaksUnderFaults) {
+  const uint64_t first = GetNumber("MAGNOLIAREEL_SIM_FIRST_SEED", 1);
+  const uint64_t seeds = GetNumber("MAGNOLIAREEL_SIM_SEEDS", kUsualSeeds);
+  for (uint64_t seed = first; seed < first + seeds; ++seed) {
+    TrafficRun run(seed);
+    run.Play(true);
+    for (const std::string& it : run.Check()) {
+      FAIL(("seed " + std::to_string(seed) + ": " + it).c_str());
+    }
+    const std::string place =
+        "seed " + std::to_string(seed) +
+        ": served after the faults: " + std::to_string(run.GetCalmSuccesses());
+    CHECK_TEXT(run.GetCalmSuccesses() > 60, place.c_str());
+  }
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/tests/traffic/traffic_world.cc
@@ -0,0 +1,401 @@
+#include "tests/traffic/traffic_world.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace magnoliareel {
+namespace {
+
+// Connections that carry orders, apart from those of the VMs.
+constexpr uint64_t kFirstOrder = 1ULL << 40;
+// Member n listens on this port plus n.
+constexpr uint16_t kFirstPort = 9000;
+// From a report until the replacement begins: what the product's probe and its
+// second vantage point take.
+constexpr Duration kDetection = std::chrono::milliseconds(150);
+
+}  // namespace
+
+TimePoint SimulatedNet::Now() const {
+  return world_.queue_.Now();
+}
+
+void SimulatedNet::OpenEndpoint(uint64_t id, const SocketAddress& address) {
+  const size_t member = address.port - kFirstPort;
+  const uint64_t link = world_.next_link_++;
+  world_.links_[link] = {vm_, member, id, false, {}};
+  world_.link_of_[{vm_, id}] = link;
+  if (world_.IsCut(vm_, member)) {
+    return;
+  }
+  world_.queue_.After(world_.GetDelay(vm_, member), [this, link, member, id] {
+    if (!world_.links_.contains(link)) {
+      return;
+    }
+    world_.links_[link].open = true;
+    const bool refused = !world_.group_.Runs(member);
+    world_.group_.Open(member, link);
+    if (!refused) {
+      world_.Run(vm_, [id](auto& core) { core.HandleEndpointOpened(id); });
+    }
+  });
+}
+
+void SimulatedNet::CloseEndpoint(uint64_t id) {
+  const auto it = world_.link_of_.find({vm_, id});
+  if (it == world_.link_of_.end()) {
+    return;
+  }
+  const uint64_t link = it->second;
+  world_.link_of_.erase(it);
+  world_.links_.erase(link);
+  to_endpoints_.erase(id);
+  world_.queue_.After(Duration(500),
+                      [this, link] { world_.group_.Close(link); });
+}
+
+void SimulatedNet::Wake(TimePoint moment) {
+  world_.queue_.After(std::max(Duration(0), moment - Now()), [this] {
+    world_.Run(vm_, [](auto& core) { core.HandleWake(); });
+  });
+}
+
+void SimulatedNet::Report(const ConditionReport& report) {
+  world_.HandleReport(report);
+}
+
+void SimulatedNet::Flush() {
+  for (auto& [id, buf] : to_endpoints_) {
+    const auto it = world_.link_of_.find({vm_, id});
+    if (buf.empty() || it == world_.link_of_.end()) {
+      buf.clear();
+      continue;
+    }
+    const TrafficWorld::Link& link = world_.links_[it->second];
+    if (!world_.IsCut(vm_, link.member)) {
+      world_.queue_.After(world_.GetDelay(vm_, link.member),
+                          [this, id = it->second, bytes = buf] {
+                            world_.group_.SetNow(Now());
+                            world_.group_.Receive(id, bytes);
+                          });
+    }
+    buf.clear();
+  }
+  std::map<uint64_t, std::string> lines;
+  lines.swap(to_callers_);
+  std::set<uint64_t> closed;
+  closed.swap(closed_callers_);
+  for (const auto& [id, buf] : lines) {
+    std::string_view rest = buf;
+    for (size_t end = rest.find("\r\n"); end != std::string_view::npos;
+         end = rest.find("\r\n")) {
+      world_.output_(vm_, id, rest.substr(0, end));
+      rest.remove_prefix(end + 2);
+    }
+  }
+  for (const uint64_t it : closed) {
+    world_.output_(vm_, it, {});
+  }
+}
+
+TrafficWorld::TrafficWorld(size_t vms, GroupOptions options)
+    : options_(options),
+      group_(
+          options,
+          [this](uint64_t connection, std::string bytes) {
+            HandleGroupOutput(connection, std::move(bytes));
+          },
+          [this](Duration pause, std::function<void()> task) {
+            queue_.After(pause, [this, task = std::move(task)] {
+              group_.SetNow(queue_.Now());
+              task();
+            });
+          }),
+      random_(options.seed) {
+  group_.SetNow(queue_.Now());
+  for (size_t it = 0; it < vms; ++it) {
+    Vm& vm = vms_.emplace_back();
+    vm.net = std::make_unique<SimulatedNet>(*this, it);
+    TrafficOptions traffic;
+    traffic.vm = "vm-" + std::to_string(it);
+    traffic.measure_distance = [it](const SiteId& site) {
+      return site.value == "site-" + std::to_string(it % 3)
+                 ? Distance::kSameSite
+                 : Distance::kRemote;
+    };
+    vm.core = std::make_unique<Core>(*vm.net, std::move(traffic));
+  }
+  Publish();
+}
+
+std::vector<EndpointEntry> TrafficWorld::ListEndpoints() const {
+  std::vector<EndpointEntry> entries;
+  for (size_t it = 0; it < group_.CountMembers(); ++it) {
+    EndpointEntry entry;
+    entry.id.value = group_.GetId(it);
+    entry.service.value = options_.service;
+    entry.address = {"127.0.0.1", static_cast<uint16_t>(kFirstPort + it)};
+    entry.site.value = "site-" + std::to_string(it % 3);
+    entry.slots = options_.slots;
+    entry.claims_primary = group_.Leads(it);
+    entry.started_at_ms = group_.GetStartedAt(it);
+    entries.push_back(std::move(entry));
+  }
+  return entries;
+}
+
+void TrafficWorld::Publish() {
+  auto routes = std::make_shared<RouteTable>();
+  routes->version = 1;
+  for (const auto& [name, consistency] :
+       {std::pair("entries", Consistency::kPrimary),
+        std::pair("lookups", Consistency::kBounded),
+        std::pair("timesheets", Consistency::kReadYourWrites)}) {
+    auto route = std::make_shared<DatabaseRoute>();
+    route->database = name;
+    route->service.value = options_.service;
+    route->consistency = consistency;
+    route->statement_timeout = std::chrono::milliseconds(800);
+    route->latency_objective = std::chrono::milliseconds(800);
+    route->max_staleness = std::chrono::milliseconds(1500);
+    routes->routes[name] = std::move(route);
+  }
+  routes->services[ServiceId{options_.service}] = {options_.max_connections, 1};
+  auto view = std::make_shared<FleetView>();
+  view->routes = std::move(routes);
+  view->endpoints = ListEndpoints();
+  view->live_vms = static_cast<uint32_t>(vms_.size());
+  for (size_t it = 0; it < vms_.size(); ++it) {
+    Run(it, [&](Core& core) { core.Apply(view); });
+  }
+}
+
+void TrafficWorld::Run(size_t vm, const std::function<void(Core&)>& event) {
+  event(*vms_[vm].core);
+  vms_[vm].net->Flush();
+}
+
+uint64_t TrafficWorld::OpenCaller(size_t vm) {
+  const uint64_t id = next_caller_++;
+  Run(vm, [id](Core& core) { core.OpenSession(id); });
+  return id;
+}
+
+void TrafficWorld::Send(size_t vm, uint64_t session, const std::string& line) {
+  Run(vm, [&](Core& core) { core.HandleCallerFrame(session, line); });
+}
+
+void TrafficWorld::CloseCaller(size_t vm, uint64_t session) {
+  Run(vm, [&](Core& core) { core.CloseSession(session); });
+}
+
+void TrafficWorld::Cut(size_t vm, size_t member, bool cut) {
+  if (cut) {
+    cuts_.insert({vm, member});
+  } else {
+    cuts_.erase({vm, member});
+  }
+}
+
+void TrafficWorld::ResetConnections(size_t vm, size_t member) {
+  std::vector<std::pair<uint64_t, uint64_t>> ended;
+  for (const auto& [link, it] : links_) {
+    if (it.vm == vm && it.member == member) {
+      ended.emplace_back(link, it.id);
+    }
+  }
+  for (const auto& [link, id] : ended) {
+    group_.Close(link);
+    Run(vm, [&, id = id](Core& core) {
+      core.HandleEndpointClosed(
+          id, std::make_error_code(std::errc::connection_reset));
+    });
+  }
+}
+
+Duration TrafficWorld::GetDelay(size_t vm, size_t member) {
+  const bool near = vm % 3 == member % 3;
+  return Duration(near ? 100 : 4000) +
+         Duration(static_cast<int64_t>(random_() % 200));
+}
+
+void TrafficWorld::HandleGroupOutput(uint64_t connection, std::string bytes) {
+  if (connection >= kFirstOrder) {
+    queue_.After(Duration(2000), [this, connection, bytes = std::move(bytes)] {
+      HandleOrderOutput(connection, bytes);
+    });
+    return;
+  }
+  const auto it = links_.find(connection);
+  if (it == links_.end() || IsCut(it->second.vm, it->second.member)) {
+    return;
+  }
+  // One delay a direction keeps the order of a connection's bytes.
+  const bool near = it->second.vm % 3 == it->second.member % 3;
+  queue_.After(Duration(near ? 150 : 4100),
+               [this, connection, bytes = std::move(bytes)] {
+                 DeliverToVm(connection, bytes);
+               });
+}
+
+void TrafficWorld::DeliverToVm(uint64_t connection, const std::string& bytes) {
+  auto it = links_.find(connection);
+  if (it == links_.end() || IsCut(it->second.vm, it->second.member)) {
+    return;
+  }
+  const size_t vm = it->second.vm;
+  const uint64_t id = it->second.id;
+  if (bytes.empty()) {
+    Run(vm, [&](Core& core) {
+      core.HandleEndpointClosed(
+          id, std::make_error_code(std::errc::connection_reset));
+    });
+    return;
+  }
+  it->second.received += bytes;
+  for (;;) {
+    it = links_.find(connection);
+    if (it == links_.end()) {
+      return;
+    }
+    std::string& received = it->second.received;
+    const size_t end = received.find("\r\n");
+    if (end == std::string::npos) {
+      return;
+    }
+    const std::string line = received.substr(0, end);
+    received.erase(0, end + 2);
+    Run(vm, [&](Core& core) { core.HandleEndpointFrame(id, line); });
+  }
+}
+
+void TrafficWorld::HandleReport(const ConditionReport& report) {
+  const bool lost = report.condition == EndpointCondition::kUnreachable ||
+                    report.condition == EndpointCondition::kSilent;
+  for (size_t it = 0; it < group_.CountMembers(); ++it) {
+    if (group_.GetId(it) == report.endpoint.value && group_.Leads(it) && lost &&
+        !group_.Runs(it)) {
+      queue_.After(kDetection,
+                   [this] { Replace(ReplacementReason::kUnreachable); });
+    }
+  }
+}
+
+void TrafficWorld::Replace(ReplacementReason reason) {
+  if (std::exchange(replacing_, true)) {
+    return;
+  }
+  ReplacementPlan plan;
+  plan.service.value = options_.service;
+  plan.reason = reason;
+  plan.fencing_token = next_token_++;
+  for (const EndpointEntry& it : ListEndpoints()) {
+    if (it.claims_primary) {
+      plan.primary = it;
+      plan.primary_id = it.id;
+    } else {
+      plan.replicas.push_back(it);
+    }
+  }
+  using Replacement =
+      PrimaryReplacement<TrafficWorld, TrafficWorld, TrafficWorld>;
+  std::make_shared<Replacement>(
+      *this, *this, *this, std::move(plan),
+      [this](const ReplacementResult& result) {
+        replacing_ = false;
+        if (result.end != ReplacementEnd::kPromoted) {
+          for (const EndpointEntry& it : result.maybe_paused) {
+            Send(it, {OrderKind::kResume, {}}, std::chrono::milliseconds(500),
+                 [](std::error_code, const EndpointStanding&) {});
+          }
+          return;
+        }
+        for (size_t it = 0; it < vms_.size(); ++it) {
+          Run(it, [&](Core& core) {
+            core.AnnounceLeader(ServiceId{options_.service}, result.leader);
+          });
+        }
+        queue_.After(2 * options_.promotion, [this] { Publish(); });
+      })
+      ->Start();
+}
+
+void TrafficWorld::Send(const EndpointEntry& endpoint,
+                        const EndpointOrder& order,
+                        Duration timeout,
+                        OrderCompletion done) {
+  const uint64_t id = kFirstOrder + next_link_++;
+  const size_t member = endpoint.address.port - kFirstPort;
+  orders_[id] = {{}, std::move(done), false};
+  std::string bytes;
+  platform::LineDialect::AppendOpen(bytes, endpoint.service.value, "driver",
+                                    endpoint.id.value);
+  switch (order.kind) {
+    case OrderKind::kReport:
+      platform::LineDialect::AppendStatus(bytes);
+      break;
+    case OrderKind::kPause:
+      platform::LineDialect::AppendPause(bytes, order.term);
+      break;
+    case OrderKind::kResume:
+      platform::LineDialect::AppendResume(bytes);
+      break;
+  }
+  queue_.After(Duration(2000), [this, id, member, bytes] {
+    group_.SetNow(queue_.Now());
+    group_.Open(member, id);
+    group_.Receive(id, bytes);
+  });
+  queue_.After(timeout, [this, id] {
+    group_.Close(id);
+    const auto it = orders_.find(id);
+    if (it != orders_.end()) {
+      const OrderCompletion ended = std::move(it->second.done);
+      orders_.erase(it);
+      ended(Error::kAnswerLost, {});
+    }
+  });
+}
+
+void TrafficWorld::HandleOrderOutput(uint64_t connection,
+                                     const std::string& bytes) {
+  const auto it = orders_.find(connection);
+  if (it == orders_.end()) {
+    return;
+  }
+  it->second.received += bytes;
+  const std::string& text = it->second.received;
+  std::error_code ec;
+  EndpointStanding standing;
+  if (bytes.empty()) {
+    ec = Error::kUnreachable;
+  } else if (const size_t row = text.find("ROW "); row != std::string::npos) {
+    platform::LineDialect::DecodeStatus(
+        std::string_view(text).substr(row + 4,
+                                      text.find("\r\n", row) - row - 4),
+        standing);
+  } else if (text.find("ERROR") != std::string::npos) {
+    ec = Error::kOverloaded;
+  } else {
+    return;
+  }
+  const OrderCompletion done = std::move(it->second.done);
+  orders_.erase(it);
+  group_.Close(connection);
+  done(ec, standing);
+}
+
+void TrafficWorld::Promote(const ServiceId&,
+                           const EndpointId& endpoint,
+                           uint64_t fencing_token,
+                           std::function<void(std::error_code)> done) {
+  queue_.After(
+      Duration(3000), [this, endpoint, fencing_token, done = std::move(done)] {
+        group_.SetNow(queue_.Now());
+        const int status = group_.Promote(endpoint.value, fencing_token);
+        done(status == 200 ? std::error_code{}
+                           : make_error_code(Error::kSuperseded));
+      });
+}
+
+}  // namespace magnoliareel
