Fence off promotions whose answer was lost; run the node before a stand-in site

A second attempt with a higher token named another replica, lost its answer too, and both were carried out: the later one names an endpoint that lacks what the earlier one had acknowledged.

An order without an answer is repeated for the same endpoint under the same token; if all are lost, the next attempt prefers that endpoint under a new token, and whoever claims a duty orders the present primary to lead once, after which the platform refuses every older order.

--- a/apps/node/node_process.cc
+++ b/apps/node/node_process.cc
@@ -47,7 +47,11 @@
                 peers_.GetPeers(),
                 settings_.vm,
                 settings_.site),
-      probe_(loop_, [this](const net::Request&) { return AnswerProbe(); }) {}
+      probe_(
+          loop_,
+          [this](const net::Request&, const net::HttpListener::Answer& answer) {
+            answer(AnswerProbe());
+          }) {}
 
 int NodeProcess::Run() {
   for (const auto& [what, ec] :
--- a/apps/node/peer_exchange.cc
+++ b/apps/node/peer_exchange.cc
@@ -28,13 +28,14 @@
       hooks_(std::move(hooks)),
       peers_(self),
       socket_(loop, [this](std::string_view bytes) { HandleDatagram(bytes); }),
-      listener_(loop,
-                [this](const net::Request& request) {
-                  return request.target == kStatePath
-                             ? net::Reply{200,
-                                          EncodeFleetState(hooks_.get_state())}
-                             : net::Reply{404, {}};
-                }),
+      listener_(
+          loop,
+          [this](const net::Request& request,
+                 const net::HttpListener::Answer& answer) {
+            answer(request.target == kStatePath
+                       ? net::Reply{200, EncodeFleetState(hooks_.get_state())}
+                       : net::Reply{404, {}});
+          }),
       period_timer_(loop, [this] { HandlePeriod(); }),
       soon_timer_(loop,
                   [this] {
--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -173,6 +173,7 @@
         Replace(service, *reason, now);
       } else if (!reason) {
         ClaimAhead(service, now);
+        Confirm(service, now);
       }
     }
     if (unsettled && !std::exchange(ticking_, true)) {
@@ -195,6 +196,12 @@
   struct Progress {
     bool running = false;
     bool claiming = false;
+    bool confirming = false;
+    /** An order without an answer may still be carried out, of this VM or of
+        the holder before. */
+    bool unsettled = false;
+    /** The endpoint that such an order of this VM names. */
+    EndpointId ordered;
     TimePoint not_before;
     TimePoint claimed_at;
   };
@@ -325,8 +332,9 @@
 
   void ClaimAhead(const ServiceId& service, TimePoint now) {
     if (leaving_ || now - started_at_ < kClaimAfter ||
-        !outlet_.IsStoreConnected() || claims_.GetToken(service) != 0 ||
-        FindPeerToken(service) != 0 || !IsRankedFirst(service)) {
+        now < progress_[service].not_before || !outlet_.IsStoreConnected() ||
+        claims_.GetToken(service) != 0 || FindPeerToken(service) != 0 ||
+        !IsRankedFirst(service)) {
       return;
     }
     Claim(service, now, [] {});
@@ -350,6 +358,7 @@
                                        {"call", ec.message()}});
         return;
       }
+      progress_[service].unsettled = true;
       outlet_.SendHeartbeats();
       // The holder before may have left replicas paused.
       for (const EndpointEntry& it : endpoints_) {
@@ -358,14 +367,61 @@
         }
       }
       then();
+      Review();
     });
   }
 
+  /** Orders the endpoint that leads to lead, under the newest token: that
+      changes nothing, but the platform then refuses every older order. */
+  void Confirm(const ServiceId& service, TimePoint now) {
+    Progress& progress = progress_[service];
+    const uint64_t token = claims_.GetToken(service);
+    const auto leader = leaders_.Get(service, now);
+    const EndpointEntry* entry = leader ? Find(leader->endpoint) : nullptr;
+    if (!progress.unsettled || progress.confirming || progress.running ||
+        token == 0 || entry == nullptr || now < progress.not_before) {
+      return;
+    }
+    progress.confirming = true;
+    orders_.Send(*entry, {OrderKind::kReport, {}}, kOrderTimeout,
+                 [this, service, token, id = entry->id](
+                     std::error_code ec, const EndpointStanding& standing) {
+                   if (ec || !standing.leads) {
+                     EndConfirm(service, Error::kUnreachable);
+                     return;
+                   }
+                   promotions_.Promote(service, id, token,
+                                       [this, service](std::error_code end) {
+                                         EndConfirm(service, end);
+                                       });
+                 });
+  }
+
+  void EndConfirm(const ServiceId& service, std::error_code ec) {
+    Progress& progress = progress_[service];
+    progress.confirming = false;
+    if (!ec) {
+      progress.unsettled = false;
+      progress.ordered = {};
+      return;
+    }
+    if (ec == Error::kSuperseded) {
+      LogEvent(Event::kDutyRefused,
+               {{"service", service.value},
+                {"fencing_token", std::to_string(claims_.GetToken(service))},
+                {"call", "confirm"}});
+      claims_.Forget(service);
+    }
+    progress.not_before = outlet_.Now() + kReplacementRetry;
+    outlet_.After(kReplacementRetry, [this] { Review(); });
+  }
+
   void Replace(const ServiceId& service,
                ReplacementReason reason,
                TimePoint now) {
     Progress& progress = progress_[service];
-    if (progress.running || progress.claiming || now < progress.not_before) {
+    if (progress.running || progress.claiming || progress.confirming ||
+        now < progress.not_before) {
       return;
     }
     if (claims_.GetToken(service) == 0) {
@@ -377,6 +433,7 @@
     plan.primary_id = leaders_.Get(service, now)->endpoint;
     plan.reason = reason;
     plan.fencing_token = claims_.GetToken(service);
+    plan.preferred = progress.ordered;
     for (const EndpointEntry& it : endpoints_) {
       if (it.service != service) {
         continue;
@@ -421,7 +478,9 @@
             {{"service", service.value},
              {"endpoint", result.leader.value},
              {"took_ms", std::to_string((now - began_at).count() / 1000)}});
-        if (result.end == ReplacementEnd::kUncertain) {
+        progress.unsettled = result.end == ReplacementEnd::kUncertain;
+        progress.ordered = progress.unsettled ? result.leader : EndpointId{};
+        if (progress.unsettled) {
           // The next order must be above the one that may still come.
           claims_.Forget(service);
         }
--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -23,6 +23,9 @@
 /** Most repeats of an order that found no free slot. */
 inline constexpr int kMostOrderRetries = 12;
 
+/** Times that a promotion is ordered whose answer is lost. */
+inline constexpr int kMostPromotionOrders = 4;
+
 /** One attempt to replace a primary without losing a commit that it has
     acknowledged.
 
@@ -144,7 +147,8 @@
       Finish(ReplacementEnd::kNotNeeded, plan_.primary_id, "");
       return;
     }
-    const std::optional<size_t> next = ChooseNextLeader(replicas_);
+    const std::optional<size_t> next =
+        ChooseNextLeader(replicas_, plan_.preferred);
     if (!next) {
       Finish(ReplacementEnd::kAbandoned, {}, "no replica can take over");
       return;
@@ -251,23 +255,33 @@
 
   void Promote() {
     auto self = this->shared_from_this();
+    promotions_.Promote(plan_.service, replicas_[next_leader_].entry.id,
+                        plan_.fencing_token,
+                        [self](std::error_code ec) { self->EndPromote(ec); });
+  }
+
+  void EndPromote(std::error_code ec) {
     const EndpointId leader = replicas_[next_leader_].entry.id;
-    promotions_.Promote(plan_.service, leader, plan_.fencing_token,
-                        [self, leader](std::error_code ec) {
-                          if (!ec) {
-                            self->maybe_paused_.clear();
-                            self->Finish(ReplacementEnd::kPromoted, leader, "");
-                          } else if (ec == Error::kSuperseded) {
-                            self->Finish(ReplacementEnd::kSuperseded, {},
-                                         "superseded");
-                          } else if (ec == Error::kAnswerLost) {
-                            self->Finish(ReplacementEnd::kUncertain, leader,
-                                         "the order's answer was lost");
-                          } else {
-                            self->Finish(ReplacementEnd::kAbandoned, {},
-                                         "the platform took no order");
-                          }
-                        });
+    if (!ec) {
+      maybe_paused_.clear();
+      Finish(ReplacementEnd::kPromoted, leader, "");
+      return;
+    }
+    if (ec == Error::kSuperseded) {
+      Finish(ReplacementEnd::kSuperseded, {}, "superseded");
+      return;
+    }
+    if (ec != Error::kAnswerLost) {
+      Finish(ReplacementEnd::kAbandoned, {}, "the platform took no order");
+      return;
+    }
+    if (++promotions_lost_ < kMostPromotionOrders) {
+      // The same order again: whichever of them is carried out, and whenever,
+      // names the same endpoint.
+      Promote();
+      return;
+    }
+    Finish(ReplacementEnd::kUncertain, leader, "the order's answer was lost");
   }
 
   void LogStep(const EndpointId& endpoint,
@@ -303,6 +317,7 @@
   size_t next_leader_ = 0;
   Term pause_term_;
   int pauses_ = 0;
+  int promotions_lost_ = 0;
 };
 
 }  // namespace magnoliareel
--- a/libs/control/failover/replacement_plan.cc
+++ b/libs/control/failover/replacement_plan.cc
@@ -1,17 +1,22 @@
 #include "control/failover/replacement_plan.h"
 
+#include <utility>
+
 namespace magnoliareel {
 
 std::optional<size_t> ChooseNextLeader(
-    const std::vector<SurveyedEndpoint>& replicas) {
+    std::span<const SurveyedEndpoint> replicas,
+    const EndpointId& preferred) {
   std::optional<size_t> best;
+  const auto rank = [&](size_t index) {
+    return std::pair(replicas[index].standing->received,
+                     replicas[index].entry.id == preferred);
+  };
   for (size_t it = 0; it < replicas.size(); ++it) {
-    const SurveyedEndpoint& candidate = replicas[it];
-    if (!candidate.standing || candidate.entry.draining) {
+    if (!replicas[it].standing || replicas[it].entry.draining) {
       continue;
     }
-    if (!best ||
-        candidate.standing->received > replicas[*best].standing->received) {
+    if (!best || rank(it) > rank(*best)) {
       best = it;
     }
   }
--- a/libs/control/failover/replacement_plan.h
+++ b/libs/control/failover/replacement_plan.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string_view>
 #include <vector>
 
@@ -50,6 +51,8 @@
   /** Every other endpoint of the service. */
   std::vector<EndpointEntry> replicas;
   uint64_t fencing_token = 0;
+  /** Chosen by an earlier attempt whose order may still be carried out. */
+  EndpointId preferred;
 };
 
 /** How an attempt ended. */
@@ -91,11 +94,13 @@
 /** Chooses the endpoint that takes over: the one that has received most, among
     those that stay.
 
-    @param replicas  surveyed endpoints, the primary excluded
-    @returns         its index, or none if no endpoint can take over
+    @param replicas   surveyed endpoints, the primary excluded
+    @param preferred  goes before others that have received as much
+    @returns          its index, or none if no endpoint can take over
 */
 std::optional<size_t> ChooseNextLeader(
-    const std::vector<SurveyedEndpoint>& replicas);
+    std::span<const SurveyedEndpoint> replicas,
+    const EndpointId& preferred);
 
 }  // namespace magnoliareel
 
--- a/libs/net/http/http_listener.cc
+++ b/libs/net/http/http_listener.cc
@@ -15,11 +15,15 @@
 
 struct HttpListener::Peer {
   HttpListener* owner = nullptr;
+  uint64_t id = 0;
   Stream stream;
   http_parser parser{};
   http_parser_settings settings{};
   Request request;
+  // Bytes behind the request that is being answered.
+  std::string rest;
   bool complete = false;
+  bool answering = false;
 
   void Reset() {
     http_parser_init(&parser, HTTP_REQUEST);
@@ -31,45 +35,38 @@
   void HandleOpened() {}
 
   void HandleBytes(std::string_view bytes) {
-    while (!bytes.empty()) {
+    rest.append(bytes);
+    HttpListener& listener = *owner;
+    const uint64_t own_id = id;
+    if (!Parse()) {
+      listener.peers_.erase(own_id);
+    }
+  }
+
+  void HandleClosed(std::error_code) { owner->peers_.erase(id); }
+
+  // Returns false if the connection has to end.
+  bool Parse() {
+    while (!rest.empty() && !answering) {
       const size_t n =
-          http_parser_execute(&parser, &settings, bytes.data(), bytes.size());
-      const bool paused = HTTP_PARSER_ERRNO(&parser) == HPE_PAUSED;
-      if ((HTTP_PARSER_ERRNO(&parser) != HPE_OK && !paused) ||
+          http_parser_execute(&parser, &settings, rest.data(), rest.size());
+      const auto error = HTTP_PARSER_ERRNO(&parser);
+      if ((error != HPE_OK && error != HPE_PAUSED) ||
           request.body.size() + request.target.size() > kLargestRequest) {
-        owner->peers_.erase(this);
-        return;
+        return false;
       }
-      bytes.remove_prefix(n);
+      rest.erase(0, n);
       if (!complete) {
-        return;
-      }
-      Answer();
-      if (!stream.IsOpen()) {
-        owner->peers_.erase(this);
-        return;
+        return true;
       }
+      answering = true;
+      request.method = http_method_str(static_cast<http_method>(parser.method));
+      owner->respond_(request,
+                      [listener = owner, own_id = id](const Reply& it) {
+                        listener->Send(own_id, it);
+                      });
     }
-  }
-
-  void HandleClosed(std::error_code) { owner->peers_.erase(this); }
-
-  void Answer() {
-    request.method = http_method_str(static_cast<http_method>(parser.method));
-    const bool keep = http_should_keep_alive(&parser) != 0;
-    const Reply reply = owner->respond_(request);
-    std::string& buf = stream.GetBuffer();
-    buf.append("HTTP/1.1 ").append(std::to_string(reply.status));
-    buf.append(" -\r\nContent-Length: ");
-    buf.append(std::to_string(reply.body.size())).append("\r\n");
-    buf.append(keep ? "\r\n" : "Connection: close\r\n\r\n");
-    buf.append(reply.body);
-    stream.Flush();
-    if (!keep) {
-      stream.Close();
-      return;
-    }
-    Reset();
+    return stream.IsOpen();
   }
 };
 
@@ -83,6 +80,28 @@
   return listener_.Listen(address);
 }
 
+void HttpListener::Send(uint64_t peer, const Reply& reply) {
+  const auto it = peers_.find(peer);
+  if (it == peers_.end()) {
+    return;
+  }
+  Peer& to = *it->second;
+  const bool keep = http_should_keep_alive(&to.parser) != 0;
+  std::string& buf = to.stream.GetBuffer();
+  buf.append("HTTP/1.1 ").append(std::to_string(reply.status));
+  buf.append(" -\r\nContent-Length: ");
+  buf.append(std::to_string(reply.body.size())).append("\r\n");
+  buf.append(keep ? "\r\n" : "Connection: close\r\n\r\n");
+  buf.append(reply.body);
+  to.stream.Flush();
+  to.answering = false;
+  if (!keep) {
+    to.stream.Close();
+    return;
+  }
+  to.Reset();
+}
+
 void HttpListener::Accept(Stream stream) {
   if (peers_.size() >= kMostPeers) {
     return;
@@ -90,12 +109,31 @@
   auto peer = std::make_unique<Peer>();
   Peer* it = peer.get();
   it->owner = this;
+  it->id = next_peer_++;
   it->stream = std::move(stream);
   http_parser_settings_init(&it->settings);
   it->settings.on_url = [](http_parser* parser, const char* at, size_t n) {
     static_cast<Peer*>(parser->data)->request.target.append(at, n);
     return 0;
   };
+  it->settings.on_header_field = [](http_parser* parser, const char* at,
+                                    size_t n) {
+    auto& headers = static_cast<Peer*>(parser->data)->request.headers;
+    // A name may come in parts; a value in between starts the next header.
+    if (headers.empty() || !headers.back().second.empty()) {
+      headers.emplace_back();
+    }
+    headers.back().first.append(at, n);
+    return 0;
+  };
+  it->settings.on_header_value = [](http_parser* parser, const char* at,
+                                    size_t n) {
+    auto& headers = static_cast<Peer*>(parser->data)->request.headers;
+    if (!headers.empty()) {
+      headers.back().second.append(at, n);
+    }
+    return 0;
+  };
   it->settings.on_body = [](http_parser* parser, const char* at, size_t n) {
     static_cast<Peer*>(parser->data)->request.body.append(at, n);
     return 0;
@@ -107,7 +145,7 @@
     return 0;
   };
   it->Reset();
-  peers_.emplace(it, std::move(peer));
+  peers_.emplace(it->id, std::move(peer));
   it->stream.Serve(*it);
 }
 
--- a/libs/net/http/http_listener.h
+++ b/libs/net/http/http_listener.h
@@ -1,6 +1,7 @@
 #ifndef MAGNOLIAREEL_NET_HTTP_HTTP_LISTENER_H_
 #define MAGNOLIAREEL_NET_HTTP_HTTP_LISTENER_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <unordered_map>
@@ -10,11 +11,14 @@
 
 namespace magnoliareel::net {
 
-/** Answers HTTP requests at once, from state at hand. */
+/** Answers HTTP requests, at once or later; each connection one at a time. */
 class HttpListener {
  public:
-  /** Makes the answer to a request. */
-  using Responder = std::function<Reply(const Request&)>;
+  /** Sends the answer; called once, on the loop's thread. Does nothing if the
+      connection has ended meanwhile. */
+  using Answer = std::function<void(const Reply&)>;
+  /** Sees to the answer of a request. */
+  using Responder = std::function<void(const Request&, Answer)>;
 
   /** @param loop     serves the listener; outlives it
       @param respond  called on the loop's thread
@@ -35,9 +39,11 @@
   struct Peer;
 
   void Accept(Stream stream);
+  void Send(uint64_t peer, const Reply& reply);
 
   Responder respond_;
-  std::unordered_map<Peer*, std::unique_ptr<Peer>> peers_;
+  std::unordered_map<uint64_t, std::unique_ptr<Peer>> peers_;
+  uint64_t next_peer_ = 1;
   StreamListener listener_;
 };
 
--- /dev/null
+++ b/standins/site/site_server.cc
@@ -0,0 +1,238 @@
+#include "standins/site/site_server.h"
+
+#include <json/json.h>
+
+#include <cstdlib>
+#include <utility>
+
+namespace magnoliareel {
+namespace {
+
+constexpr std::string_view kService = "groyne-logs";
+// How soon a database's change of role shows in the directory.
+constexpr Duration kEntryPeriod = std::chrono::milliseconds(100);
+
+}  // namespace
+
+struct SiteServer::Connection {
+  SiteServer* owner = nullptr;
+  uint64_t id = 0;
+  Stream stream;
+
+  void HandleOpened() {}
+  void HandleBytes(std::string_view bytes) {
+    SiteServer& site = *owner;
+    site.group_.SetNow(site.loop_.Now());
+    site.group_.Receive(id, bytes);
+  }
+  void HandleClosed(std::error_code) {
+    SiteServer& site = *owner;
+    site.group_.Close(id);
+    site.connections_.erase(id);
+  }
+};
+
+SiteServer::SiteServer(EventLoop& loop, SiteSettings settings)
+    : loop_(loop),
+      settings_(std::move(settings)),
+      group_(
+          GroupOptions{},
+          [this](uint64_t id, const std::string& bytes) {
+            const auto it = connections_.find(id);
+            if (it == connections_.end()) {
+              return;
+            }
+            if (!bytes.empty()) {
+              it->second->stream.Append(bytes);
+              it->second->stream.Flush();
+              return;
+            }
+            // Freed later: the connection may be the one that is served now.
+            it->second->stream.Close();
+            retired_.push_back(std::move(it->second));
+            connections_.erase(it);
+            loop_.Defer([this] { retired_.clear(); });
+          },
+          [this](Duration pause, std::function<void()> task) {
+            After(pause, std::move(task));
+          }),
+      http_(loop,
+            [this](const net::Request& request,
+                   const net::HttpListener::Answer& answer) {
+              Respond(request, answer);
+            }),
+      entry_timer_(loop, [this] { PublishEntries(); }) {}
+
+SiteServer::~SiteServer() = default;
+
+std::error_code SiteServer::Start() {
+  if (const std::error_code ec = http_.Listen({settings_.host, GetPort(0)})) {
+    return ec;
+  }
+  for (size_t it = 0; it < group_.CountMembers(); ++it) {
+    databases_.push_back(std::make_unique<StreamListener>(
+        loop_, [this, it](Stream stream) { Accept(it, std::move(stream)); }));
+    const SocketAddress address{settings_.host, GetPort(it + 1)};
+    if (const std::error_code ec = databases_.back()->Listen(address)) {
+      return ec;
+    }
+  }
+  PublishConfig();
+  PublishEntries();
+  entry_timer_.StartRepeating(kEntryPeriod);
+  return {};
+}
+
+void SiteServer::After(Duration pause, std::function<void()> task) {
+  auto timer = std::make_shared<std::unique_ptr<LoopTimer>>();
+  *timer =
+      std::make_unique<LoopTimer>(loop_, [this, timer, task = std::move(task)] {
+        group_.SetNow(loop_.Now());
+        task();
+        loop_.Defer([timer] { timer->reset(); });
+      });
+  (*timer)->StartOnce(pause);
+}
+
+void SiteServer::Accept(size_t member, Stream stream) {
+  auto connection = std::make_unique<Connection>();
+  Connection& it = *connection;
+  it.owner = this;
+  it.id = next_connection_++;
+  it.stream = std::move(stream);
+  connections_.emplace(it.id, std::move(connection));
+  it.stream.Serve(it);
+  group_.SetNow(loop_.Now());
+  group_.Open(member, it.id);
+}
+
+void SiteServer::Respond(const net::Request& request,
+                         const net::HttpListener::Answer& answer) {
+  constexpr std::string_view kFault = "/fault/";
+  if (request.target == "/promote") {
+    Promote(request, answer);
+    return;
+  }
+  if (request.target.starts_with(kFault)) {
+    answer({Disturb(std::string_view(request.target).substr(kFault.size()))
+                ? 200
+                : 404,
+            {}});
+    return;
+  }
+  const uint64_t wait =
+      store_.Handle(request.method, request.target, request.body,
+                    [answer](int status, const std::string& body) {
+                      answer({status, body});
+                    });
+  if (wait != 0) {
+    After(std::chrono::milliseconds(StoreModel::GetWait(request.target)),
+          [this, wait] { store_.EndWait(wait); });
+  }
+}
+
+void SiteServer::Promote(const net::Request& request,
+                         const net::HttpListener::Answer& answer) {
+  Json::Value body;
+  const std::unique_ptr<Json::CharReader> reader(
+      Json::CharReaderBuilder().newCharReader());
+  uint64_t token = 0;
+  for (const auto& [name, value] : request.headers) {
+    if (name == "Fencing-Token") {
+      token = std::strtoull(value.c_str(), nullptr, 10);
+    }
+  }
+  if (token == 0 || !reader->parse(request.body.data(),
+                                   request.body.data() + request.body.size(),
+                                   &body, nullptr)) {
+    answer({400, {}});
+    return;
+  }
+  group_.SetNow(loop_.Now());
+  answer({group_.Promote(body["id"].asString(), token), {}});
+}
+
+bool SiteServer::Disturb(std::string_view fault) {
+  const size_t dash = fault.find('-');
+  const std::string_view name = fault.substr(0, dash);
+  const size_t member =
+      dash == std::string_view::npos
+          ? 0
+          : std::strtoull(std::string(fault.substr(dash + 1)).c_str(), nullptr,
+                          10);
+  if (member >= group_.CountMembers()) {
+    return false;
+  }
+  group_.SetNow(loop_.Now());
+  if (name == "down" || name == "up") {
+    store_.SetDown(name == "down");
+  } else if (name == "crash" || name == "dark") {
+    group_.Crash(member, name == "dark");
+  } else if (name == "restart") {
+    group_.Restart(member);
+  } else if (name == "drain") {
+    draining_[member] = true;
+  } else if (name == "forget") {
+    store_.Compact();
+  } else if (name == "lose" || name == "keep") {
+    group_.SetAnswerLoss(name == "lose" ? 0.1 : 0);
+  } else {
+    return false;
+  }
+  return true;
+}
+
+void SiteServer::PublishConfig() {
+  Json::Value root(Json::objectValue);
+  root["version"] = Json::UInt64{++config_version_};
+  for (const auto& [name, kind] :
+       {std::pair("entries", "primary"), std::pair("lookups", "bounded"),
+        std::pair("timesheets", "read_your_writes")}) {
+    Json::Value route(Json::objectValue);
+    route["name"] = name;
+    route["host"] = name;
+    route["kind"] = kind;
+    route["service"] = std::string(kService);
+    route["timeout-ms"] = 1000;
+    route["target-latency-ms"] = 800;
+    route["priority"] = 1;
+    route["max-staleness-ms"] = 1500;
+    root["routes"].append(std::move(route));
+  }
+  Json::Value service(Json::objectValue);
+  service["name"] = std::string(kService);
+  service["max-conns"] = 32;
+  service["sync-replicas"] = 1;
+  root["services"].append(std::move(service));
+  root["limits"]["tx-idle-ms"] = 3000;
+  store_.Put("op", "config",
+             Json::writeString(Json::StreamWriterBuilder(), root));
+}
+
+void SiteServer::PublishEntry(size_t member) {
+  Json::Value root(Json::objectValue);
+  root["service"] = std::string(kService);
+  root["address"] = settings_.host + ":" + std::to_string(GetPort(member + 1));
+  root["zone"] = "site-" + std::to_string(member + 1);
+  root["version"] = "v1";
+  root["capacity"] = 4;
+  root["state"] = draining_[member] ? "draining" : "ready";
+  root["warmup-left-ms"] = 0;
+  root["db-role"] = group_.Leads(member) ? "primary" : "replica";
+  root["born"] = Json::Int64{group_.GetStartedAt(member)};
+  std::string value = Json::writeString(Json::StreamWriterBuilder(), root);
+  if (entries_[member] != value) {
+    entries_[member] = value;
+    store_.Put("servers", group_.GetId(member), std::move(value));
+  }
+}
+
+void SiteServer::PublishEntries() {
+  for (size_t it = 0; it < group_.CountMembers(); ++it) {
+    if (group_.Runs(it)) {
+      PublishEntry(it);
+    }
+  }
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/standins/site/site_server.h
@@ -0,0 +1,79 @@
+#ifndef MAGNOLIAREEL_STANDINS_SITE_SITE_SERVER_H_
+#define MAGNOLIAREEL_STANDINS_SITE_SITE_SERVER_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/net.h"
+#include "standins/group/group_model.h"
+#include "standins/site/store_model.h"
+
+namespace magnoliareel {
+
+/** Where the stand-in listens: port `base` for store, promotions and faults,
+    the following ports for the databases. */
+struct SiteSettings {
+  std::string host = "127.0.0.1";
+  int64_t base_port = 9000;
+};
+
+/** A whole users' site in one process: the platform's store and promotion call,
+    and one group of three databases on the session protocol. Test-only.
+
+    Faults are ordered by POST /fault/NAME: down and up (the store), crash-N,
+    dark-N and restart-N (a database), drain-N (its directory entry), forget
+    (the store's history), lose (one answer in ten) and keep (none).
+*/
+class SiteServer {
+ public:
+  /** @param loop      serves it; outlives it
+      @param settings  where it listens
+  */
+  SiteServer(EventLoop& loop, SiteSettings settings);
+  ~SiteServer();
+
+  /** Starts to listen.
+
+      @returns the system's error if an address cannot be used
+  */
+  std::error_code Start();
+
+ private:
+  struct Database;
+  struct Connection;
+
+  void Respond(const net::Request& request,
+               const net::HttpListener::Answer& answer);
+  void Promote(const net::Request& request,
+               const net::HttpListener::Answer& answer);
+  bool Disturb(std::string_view fault);
+  void Accept(size_t member, Stream stream);
+  void PublishConfig();
+  void PublishEntry(size_t member);
+  void PublishEntries();
+  void After(Duration pause, std::function<void()> task);
+  uint16_t GetPort(size_t offset) const {
+    return static_cast<uint16_t>(settings_.base_port +
+                                 static_cast<int64_t>(offset));
+  }
+
+  EventLoop& loop_;
+  const SiteSettings settings_;
+  StoreModel store_;
+  GroupModel group_;
+  net::HttpListener http_;
+  std::vector<std::unique_ptr<StreamListener>> databases_;
+  std::map<uint64_t, std::unique_ptr<Connection>> connections_;
+  std::vector<std::unique_ptr<Connection>> retired_;
+  std::map<size_t, std::string> entries_;
+  std::map<size_t, bool> draining_;
+  LoopTimer entry_timer_;
+  uint64_t next_connection_ = 1;
+  uint64_t config_version_ = 0;
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_STANDINS_SITE_SITE_SERVER_H_
--- /dev/null
+++ b/standins/site/store_model.h
@@ -0,0 +1,77 @@
+#ifndef MAGNOLIAREEL_STANDINS_SITE_STORE_MODEL_H_
+#define MAGNOLIAREEL_STANDINS_SITE_STORE_MODEL_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace magnoliareel {
+
+/** The stand-in's store of rows, with the platform's HTTP interface: rows-tx,
+    rows-get, rows-feed. Test-only. */
+class StoreModel {
+ public:
+  /** Sends an answer: status and body. */
+  using Answer = std::function<void(int status, const std::string& body)>;
+
+  /** Handles a call.
+
+      @param method  of the request
+      @param target  path and query
+      @param body    of the request
+      @param answer  called at once, or when a followed table changes
+      @returns       a number to end a call that waits by, or 0
+  */
+  uint64_t Handle(std::string_view method,
+                  std::string_view target,
+                  const std::string& body,
+                  Answer answer);
+  /** Ends a waiting call without changes. */
+  void EndWait(uint64_t wait);
+
+  /** Writes a row, as the operator or a database does. */
+  void Put(const std::string& table, const std::string& key, std::string value);
+  /** Deletes a row. */
+  void Remove(const std::string& table, const std::string& key);
+  /** Refuses every call while set. */
+  void SetDown(bool down) { down_ = down; }
+  /** Forgets all changes so far. */
+  void Compact() { oldest_ = version_; }
+  /** @returns the time to wait that a call asked for, in milliseconds */
+  static int64_t GetWait(std::string_view target);
+
+ private:
+  struct Row {
+    std::string value;
+    uint64_t version = 0;
+    bool removed = false;
+  };
+  struct Waiter {
+    std::string table;
+    uint64_t after = 0;
+    Answer answer;
+  };
+  using Table = std::map<std::string, Row>;
+
+  void Transact(const std::string& body, const Answer& answer);
+  std::string FormatRows(const std::string& table,
+                         uint64_t after,
+                         bool with_removed,
+                         std::string_view from,
+                         std::string_view to) const;
+  void Wake(const std::string& table);
+
+  std::map<std::string, Table> tables_;
+  std::map<uint64_t, Waiter> waiters_;
+  uint64_t version_ = 1;
+  uint64_t oldest_ = 0;
+  uint64_t next_wait_ = 1;
+  bool down_ = false;
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_STANDINS_SITE_STORE_MODEL_H_
--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -93,7 +93,7 @@
     const size_t member = random_() % group.CountMembers();
     const size_t vm = random_() % kVms;
     const Duration span = std::chrono::milliseconds(200 + random_() % 1500);
-    switch (random_() % 7) {
+    switch (random_() % 9) {
       case 0:
         // At most one member is down: an acknowledged commit then stays on one
         // that runs.
@@ -109,7 +109,13 @@
         });
         return;
       case 1:
-        world_->Replace(ReplacementReason::kDraining);
+        world_->SetDraining(member, true);
+        queue.After(std::chrono::milliseconds(1500),
+                    [this, member] { world_->SetDraining(member, false); });
+        return;
+      case 7:
+        world_->SetPromotionLoss(0.6);
+        queue.After(2 * span, [this] { world_->SetPromotionLoss(0); });
         return;
       case 2:
         group.SetAnswerLoss(0.05);
--- a/tests/traffic/traffic_world.cc
+++ b/tests/traffic/traffic_world.cc
@@ -10,10 +10,6 @@
 constexpr uint64_t kFirstOrder = 1ULL << 40;
 // Member n listens on this port plus n.
 constexpr uint16_t kFirstPort = 9000;
-// From a report until the replacement begins: what the product's probe and its
-// second vantage point take.
-constexpr Duration kDetection = std::chrono::milliseconds(150);
-
 }  // namespace
 
 TimePoint SimulatedNet::Now() const {
@@ -64,6 +60,10 @@
   world_.HandleReport(report);
 }
 
+void SimulatedNet::LeaderSeen(const EndpointId& endpoint, Term term) {
+  world_.HandleLeader(endpoint, term);
+}
+
 void SimulatedNet::Flush() {
   for (auto& [id, buf] : to_endpoints_) {
     const auto it = world_.link_of_.find({vm_, id});
@@ -125,6 +125,9 @@
     };
     vm.core = std::make_unique<Core>(*vm.net, std::move(traffic));
   }
+  failover_ =
+      std::make_unique<Failover>(services_, services_, services_, *this, peers_,
+                                 VmId{"vm-0"}, SiteId{"site-0"});
   Publish();
 }
 
@@ -138,6 +141,7 @@
     entry.site.value = "site-" + std::to_string(it % 3);
     entry.slots = options_.slots;
     entry.claims_primary = group_.Leads(it);
+    entry.draining = draining_.contains(it);
     entry.started_at_ms = group_.GetStartedAt(it);
     entries.push_back(std::move(entry));
   }
@@ -168,6 +172,53 @@
   for (size_t it = 0; it < vms_.size(); ++it) {
     Run(it, [&](Core& core) { core.Apply(view); });
   }
+  failover_->Apply(*view);
+}
+
+void TrafficWorld::SetDraining(size_t member, bool draining) {
+  if (draining) {
+    draining_.insert(member);
+  } else {
+    draining_.erase(member);
+  }
+  Publish();
+}
+
+void SimulatedServices::Get(std::string_view,
+                            std::string_view key,
+                            RowsCompletion done) {
+  StoredRows rows;
+  if (row_version_ > 0) {
+    rows.rows.push_back({std::string(key), "holder", row_version_, false});
+  }
+  world_.After(Duration(4000),
+               [rows, done = std::move(done)] { done({}, rows); });
+}
+
+void SimulatedServices::WriteIf(std::string_view,
+                                std::string_view,
+                                std::string_view,
+                                uint64_t version,
+                                RowsCompletion done) {
+  world_.After(Duration(4000), [this, version, done = std::move(done)] {
+    if (version != row_version_) {
+      done(Error::kVersionConflict, {});
+      return;
+    }
+    StoredRows rows;
+    rows.version = ++row_version_;
+    done({}, rows);
+  });
+}
+
+void TrafficWorld::AnnounceLeader(const ServiceId& service,
+                                  const EndpointId& endpoint) {
+  for (size_t it = 0; it < vms_.size(); ++it) {
+    queue_.After(Duration(5000), [this, it, service, endpoint] {
+      Run(it, [&](Core& core) { core.AnnounceLeader(service, endpoint); });
+    });
+  }
+  queue_.After(2 * options_.promotion, [this] { Publish(); });
 }
 
 void TrafficWorld::Run(size_t vm, const std::function<void(Core&)>& event) {
@@ -270,63 +321,24 @@
 }
 
 void TrafficWorld::HandleReport(const ConditionReport& report) {
-  const bool lost = report.condition == EndpointCondition::kUnreachable ||
-                    report.condition == EndpointCondition::kSilent;
-  for (size_t it = 0; it < group_.CountMembers(); ++it) {
-    if (group_.GetId(it) == report.endpoint.value && group_.Leads(it) && lost &&
-        !group_.Runs(it)) {
-      queue_.After(kDetection,
-                   [this] { Replace(ReplacementReason::kUnreachable); });
-    }
-  }
+  queue_.After(Duration(100),
+               [this, report] { failover_->NoteReport(report); });
 }
 
-void TrafficWorld::Replace(ReplacementReason reason) {
-  if (std::exchange(replacing_, true)) {
-    return;
-  }
-  ReplacementPlan plan;
-  plan.service.value = options_.service;
-  plan.reason = reason;
-  plan.fencing_token = next_token_++;
-  for (const EndpointEntry& it : ListEndpoints()) {
-    if (it.claims_primary) {
-      plan.primary = it;
-      plan.primary_id = it.id;
-    } else {
-      plan.replicas.push_back(it);
-    }
-  }
-  using Replacement =
-      PrimaryReplacement<TrafficWorld, TrafficWorld, TrafficWorld>;
-  std::make_shared<Replacement>(
-      *this, *this, *this, std::move(plan),
-      [this](const ReplacementResult& result) {
-        replacing_ = false;
-        if (result.end != ReplacementEnd::kPromoted) {
-          for (const EndpointEntry& it : result.maybe_paused) {
-            Send(it, {OrderKind::kResume, {}}, std::chrono::milliseconds(500),
-                 [](std::error_code, const EndpointStanding&) {});
-          }
-          return;
-        }
-        for (size_t it = 0; it < vms_.size(); ++it) {
-          Run(it, [&](Core& core) {
-            core.AnnounceLeader(ServiceId{options_.service}, result.leader);
-          });
-        }
-        queue_.After(2 * options_.promotion, [this] { Publish(); });
-      })
-      ->Start();
+void TrafficWorld::HandleLeader(const EndpointId& endpoint, Term term) {
+  queue_.After(Duration(100), [this, endpoint, term] {
+    failover_->NoteLeader(endpoint, term);
+  });
 }
 
-void TrafficWorld::Send(const EndpointEntry& endpoint,
-                        const EndpointOrder& order,
-                        Duration timeout,
-                        OrderCompletion done) {
-  const uint64_t id = kFirstOrder + next_link_++;
+void SimulatedServices::Send(const EndpointEntry& endpoint,
+                             const EndpointOrder& order,
+                             Duration timeout,
+                             OrderCompletion done) {
+  TrafficWorld& world = world_;
+  const uint64_t id = kFirstOrder + world.next_link_++;
   const size_t member = endpoint.address.port - kFirstPort;
-  orders_[id] = {{}, std::move(done), false};
+  world.orders_[id] = {{}, std::move(done), false};
   std::string bytes;
   platform::LineDialect::AppendOpen(bytes, endpoint.service.value, "driver",
                                     endpoint.id.value);
@@ -341,17 +353,17 @@
       platform::LineDialect::AppendResume(bytes);
       break;
   }
-  queue_.After(Duration(2000), [this, id, member, bytes] {
-    group_.SetNow(queue_.Now());
-    group_.Open(member, id);
-    group_.Receive(id, bytes);
+  world.queue_.After(Duration(2000), [&world, id, member, bytes] {
+    world.group_.SetNow(world.queue_.Now());
+    world.group_.Open(member, id);
+    world.group_.Receive(id, bytes);
   });
-  queue_.After(timeout, [this, id] {
-    group_.Close(id);
-    const auto it = orders_.find(id);
-    if (it != orders_.end()) {
+  world.queue_.After(timeout, [&world, id] {
+    world.group_.Close(id);
+    const auto it = world.orders_.find(id);
+    if (it != world.orders_.end()) {
       const OrderCompletion ended = std::move(it->second.done);
-      orders_.erase(it);
+      world.orders_.erase(it);
       ended(Error::kAnswerLost, {});
     }
   });
@@ -385,17 +397,27 @@
   done(ec, standing);
 }
 
-void TrafficWorld::Promote(const ServiceId&,
-                           const EndpointId& endpoint,
-                           uint64_t fencing_token,
-                           std::function<void(std::error_code)> done) {
-  queue_.After(
-      Duration(3000), [this, endpoint, fencing_token, done = std::move(done)] {
-        group_.SetNow(queue_.Now());
-        const int status = group_.Promote(endpoint.value, fencing_token);
-        done(status == 200 ? std::error_code{}
-                           : make_error_code(Error::kSuperseded));
-      });
+void SimulatedServices::Promote(const ServiceId&,
+                                const EndpointId& endpoint,
+                                uint64_t fencing_token,
+                                std::function<void(std::error_code)> done) {
+  TrafficWorld& world = world_;
+  const auto carry_out = [&world, endpoint, fencing_token] {
+    world.group_.SetNow(world.Now());
+    return world.group_.Promote(endpoint.value, fencing_token);
+  };
+  if (std::uniform_real_distribution<>(0, 1)(world.random_) <
+      world.promotion_loss_) {
+    world.After(std::chrono::milliseconds(400),
+                [done] { done(Error::kAnswerLost); });
+    world.After(std::chrono::milliseconds(1000 + world.random_() % 3000),
+                [carry_out] { carry_out(); });
+    return;
+  }
+  world.After(Duration(3000), [carry_out, done = std::move(done)] {
+    done(carry_out() == 200 ? std::error_code{}
+                            : make_error_code(Error::kSuperseded));
+  });
 }
 
 }  // namespace magnoliareel
--- a/tests/traffic/traffic_world.h
+++ b/tests/traffic/traffic_world.h
@@ -32,7 +32,7 @@
   bool HasUnread(uint64_t) const { return false; }
   void Wake(TimePoint moment);
   void Report(const ConditionReport& report);
-  void LeaderSeen(const EndpointId&, Term) {}
+  void LeaderSeen(const EndpointId& endpoint, Term term);
 
   /** Sends what the core has written. */
   void Flush();
@@ -47,6 +47,38 @@
   std::set<uint64_t> closed_callers_;
 };
 
+/** Store, orders and promotions of a TrafficWorld.
+    @see RowStore, EndpointOrders, PromotionOrders */
+class SimulatedServices {
+ public:
+  explicit SimulatedServices(TrafficWorld& world) : world_(world) {}
+
+  void List(std::string_view, std::string_view, RowsCompletion) {}
+  void Get(std::string_view table, std::string_view key, RowsCompletion done);
+  void Follow(std::string_view, uint64_t, Duration, RowsCompletion) {}
+  void WriteIf(std::string_view table,
+               std::string_view key,
+               std::string_view value,
+               uint64_t version,
+               RowsCompletion done);
+  void Put(std::string_view,
+           std::string_view,
+           std::string_view,
+           RowsCompletion) {}
+  void Send(const EndpointEntry& endpoint,
+            const EndpointOrder& order,
+            Duration timeout,
+            OrderCompletion done);
+  void Promote(const ServiceId& service,
+               const EndpointId& endpoint,
+               uint64_t fencing_token,
+               std::function<void(std::error_code)> done);
+
+ private:
+  TrafficWorld& world_;
+  uint64_t row_version_ = 0;
+};
+
 /** Several VMs before one group of databases, with a network whose faults are
     under the test's control. The driver of replacements runs the product's own
     PrimaryReplacement. */
@@ -77,19 +109,21 @@
   void Cut(size_t vm, size_t member, bool cut);
   /** Ends connections of a VM to a member. */
   void ResetConnections(size_t vm, size_t member);
-  /** Replaces the primary, as the holder of the duty would. */
-  void Replace(ReplacementReason reason);
+  /** Lets the directory say that a member leaves, or stays after all. */
+  void SetDraining(size_t member, bool draining);
+  /** Loses orders to promote: they are not answered, and carried out seconds
+      later. */
+  void SetPromotionLoss(double part) { promotion_loss_ = part; }
+
+  /** @see FailoverOutlet */
+  TimePoint Now() const { return queue_.Now(); }
+  /** @see FailoverOutlet */
+  void AnnounceLeader(const ServiceId& service, const EndpointId& endpoint);
+  /** @see FailoverOutlet */
+  void SendHeartbeats() {}
+  /** @see FailoverOutlet */
+  bool IsStoreConnected() const { return true; }
 
-  /** @see EndpointOrders */
-  void Send(const EndpointEntry& endpoint,
-            const EndpointOrder& order,
-            Duration timeout,
-            OrderCompletion done);
-  /** @see PromotionOrders */
-  void Promote(const ServiceId& service,
-               const EndpointId& endpoint,
-               uint64_t fencing_token,
-               std::function<void(std::error_code)> done);
   /** @see FleetOutlet */
   void After(Duration pause, std::function<void()> task) {
     queue_.After(pause, std::move(task));
@@ -97,6 +131,11 @@
 
  private:
   friend class SimulatedNet;
+  friend class SimulatedServices;
+  using Failover = FailoverControl<SimulatedServices,
+                                   SimulatedServices,
+                                   SimulatedServices,
+                                   TrafficWorld>;
 
   struct Vm {
     std::unique_ptr<SimulatedNet> net;
@@ -121,6 +160,7 @@
   void DeliverToVm(uint64_t connection, const std::string& bytes);
   void Run(size_t vm, const std::function<void(Core&)>& event);
   void HandleReport(const ConditionReport& report);
+  void HandleLeader(const EndpointId& endpoint, Term term);
   Duration GetDelay(size_t vm, size_t member);
   bool IsCut(size_t vm, size_t member) const {
     return cuts_.contains({vm, member});
@@ -138,9 +178,12 @@
   std::set<std::pair<size_t, size_t>> cuts_;
   uint64_t next_link_ = 1;
   uint64_t next_caller_ = 1;
-  uint64_t next_token_ = 1;
-  bool replacing_ = false;
+  double promotion_loss_ = 0;
+  std::set<size_t> draining_;
   std::mt19937_64 random_;
+  PeerGroup peers_{SocketAddress{"127.0.0.1", 1}};
+  SimulatedServices services_{*this};
+  std::unique_ptr<Failover> failover_;
 };
 
 }  // namespace magnoliareel
