--- a/apps/node/node_process.cc
+++ b/apps/node/node_process.cc
@@ -29,13 +29,16 @@
       stop_timer_(loop_, [this] { ContinueStop(); }),
       notices_(loop_,
                [this](const TrafficNotice& notice) { HandleNotice(notice); }),
+      tasks_(loop_, [](const std::function<void()>& task) { task(); }),
       store_(loop_, settings_.store_address),
-      traffic_({.vm = settings_.vm.value,
-                .measure_distance =
-                    [this](const SiteId& site) {
-                      return settings_.MeasureDistance(site);
-                    }},
-               [this](const TrafficNotice& notice) { notices_.Post(notice); }),
+      traffic_(
+          {.vm = settings_.vm.value,
+           .measure_distance =
+               [this](const SiteId& site) {
+                 return settings_.MeasureDistance(site);
+               }},
+          [this](const TrafficNotice& notice) { notices_.Post(notice); },
+          metrics_),
       fleet_(store_, *this),
       peers_(loop_, settings_.peer_address, MakePeerHooks()),
       orders_(loop_, settings_.vm.value),
@@ -51,7 +54,16 @@
           loop_,
           [this](const net::Request&, const net::HttpListener::Answer& answer) {
             answer(AnswerProbe());
-          }) {}
+          }),
+      metrics_listener_(loop_,
+                        [this](const net::Request& request,
+                               const net::HttpListener::Answer& answer) {
+                          if (request.target == "/metrics") {
+                            AnswerMetrics(answer);
+                          } else {
+                            answer({404, {}});
+                          }
+                        }) {}
 
 int NodeProcess::Run() {
   for (const auto& [what, ec] :
@@ -65,6 +77,13 @@
       return kExitCannotListen;
     }
   }
+  if (settings_.metrics_address.port != 0) {
+    if (const std::error_code ec =
+            metrics_listener_.Listen(settings_.metrics_address)) {
+      // Callers are served without metrics, too.
+      LogEvent(Event::kCannotListen, {{"listen", "metrics: " + ec.message()}});
+    }
+  }
   LogEvent(Event::kStarted, {{"program", "magnoliareel-node"},
                              {"vm", settings_.vm.value},
                              {"listen", settings_.caller_address.Format()},
@@ -186,6 +205,28 @@
   return {ready ? 200 : 503, {}};
 }
 
+void NodeProcess::AnswerMetrics(const net::HttpListener::Answer& answer) {
+  traffic_.Collect([this, answer](GaugePage page) {
+    tasks_.Post([this, answer, page = std::move(page)]() mutable {
+      page.Add("config_version", "Configuration version in force.", {},
+               static_cast<double>(fleet_.GetRoutes()->version));
+      page.Add("directory_version", "Newest row of the directory.", {},
+               static_cast<double>(fleet_.GetEndpointsVersion()));
+      page.Add("store_connected", "1 while the platform's store answers.", {},
+               fleet_.IsStoreConnected() ? 1 : 0);
+      page.Add("live_vms", "VMs that are heard, this one included.", {},
+               peers_.GetPeers().CountLive());
+      for (const auto& [service, token] : failover_.GetDuties()) {
+        page.Add("duty_fencing_token", "Failover duties that this VM holds.",
+                 {{"service", service.value}}, static_cast<double>(token));
+      }
+      page.Add("log_lines_dropped", "Log lines dropped, since the start.", {},
+               static_cast<double>(log_.GetDropped()));
+      answer({200, page.RenderText() + metrics_.RenderText()});
+    });
+  });
+}
+
 void NodeProcess::HandleNotice(const TrafficNotice& notice) {
   if (notice.proven_leader) {
     failover_.NoteLeader(notice.report.endpoint, notice.term);
--- a/apps/node/node_process.h
+++ b/apps/node/node_process.h
@@ -56,6 +56,7 @@
   void FindPeers();
 
   net::Reply AnswerProbe();
+  void AnswerMetrics(const net::HttpListener::Answer& answer);
   void HandleNotice(const TrafficNotice& notice);
   void BeginStop();
   void ContinueStop();
@@ -67,6 +68,8 @@
   LoopTimer log_timer_;
   LoopTimer stop_timer_;
   Mailbox<TrafficNotice> notices_;
+  Mailbox<std::function<void()>> tasks_;
+  StatementMetrics metrics_{"magnoliareel"};
   platform::StoreClient store_;
   TrafficThread traffic_;
   Fleet fleet_;
@@ -75,6 +78,7 @@
   platform::PromotionClient promotions_;
   Failover failover_;
   net::HttpListener probe_;
+  net::HttpListener metrics_listener_;
   bool ready_ = false;
   bool stopping_ = false;
   std::optional<StopSequence> stop_;
--- a/apps/node/traffic_thread.cc
+++ b/apps/node/traffic_thread.cc
@@ -56,8 +56,10 @@
 }
 
 TrafficThread::TrafficThread(TrafficOptions options,
-                             std::function<void(const TrafficNotice&)> notify)
+                             std::function<void(const TrafficNotice&)> notify,
+                             StatementMetrics& metrics)
     : notify_(std::move(notify)),
+      metrics_(metrics),
       wake_timer_(loop_,
                   [this] {
                     core_.HandleWake();
@@ -99,6 +101,45 @@
       [this, transaction_grace] { core_.BeginDrain(transaction_grace); });
 }
 
+void TrafficThread::Collect(std::function<void(GaugePage)> done) {
+  mailbox_.Post([this, done = std::move(done)] {
+    GaugePage page("magnoliareel");
+    const auto add = [&](std::string_view name, std::string_view help,
+                         const auto& get) {
+      for (const auto& [id, pool] : core_.GetPools()) {
+        page.Add(
+            name, help,
+            {{"endpoint", id.value}, {"service", pool.entry.service.value}},
+            get(pool));
+      }
+    };
+    add("endpoint_connections", "Connections of this VM to the endpoint.",
+        [](const EndpointPool& it) { return it.connections.size(); });
+    add("endpoint_running", "Statements of this VM that run there.",
+        [](const EndpointPool& it) { return it.running; });
+    add("endpoint_queued", "Statements that wait here for the endpoint.",
+        [](const EndpointPool& it) { return it.queue.size(); });
+    add("endpoint_limit", "Statements that this VM lets run there at a time.",
+        [](const EndpointPool& it) { return it.GetLimit(); });
+    add("endpoint_failures", "Failures since the endpoint's last answer.",
+        [](const EndpointPool& it) { return it.failures; });
+    add("endpoint_latency_seconds", "Expected time of one more statement.",
+        [](const EndpointPool& it) {
+          return std::chrono::duration<double>(it.EstimateLatency()).count();
+        });
+    const TrafficCounters& counters = core_.GetCounters();
+    page.Add("sessions", "Callers' sessions.", {},
+             static_cast<double>(core_.CountSessions()));
+    page.Add("statements_retried", "Statements sent again, since the start.",
+             {}, static_cast<double>(counters.retried));
+    page.Add("statements_hedged", "Slow reads sent twice, since the start.", {},
+             static_cast<double>(counters.hedged));
+    page.Add("connections_opened", "Connections opened, since the start.", {},
+             static_cast<double>(counters.connections_opened));
+    done(std::move(page));
+  });
+}
+
 void TrafficThread::StopAccepting() {
   mailbox_.Post([this] { listener_.Stop(); });
 }
--- a/apps/node/traffic_thread.h
+++ b/apps/node/traffic_thread.h
@@ -35,9 +35,11 @@
  public:
   /** @param options  for the core
       @param notify   called on the traffic thread; must not block
+      @param metrics  takes the figures of statements; outlives the thread
   */
   TrafficThread(TrafficOptions options,
-                std::function<void(const TrafficNotice&)> notify);
+                std::function<void(const TrafficNotice&)> notify,
+                StatementMetrics& metrics);
   ~TrafficThread();
   TrafficThread(const TrafficThread&) = delete;
   TrafficThread& operator=(const TrafficThread&) = delete;
@@ -54,6 +56,11 @@
   void AnnounceLeader(const ServiceId& service, const EndpointId& endpoint);
   /** Starts to end sessions. */
   void BeginDrain(Duration transaction_grace);
+  /** Collects the figures of the pools.
+
+      @param done  called on the traffic thread with them
+  */
+  void Collect(std::function<void(GaugePage)> done);
   /** Accepts no further callers. */
   void StopAccepting();
   /** @returns number of callers' sessions, as of the last event */
@@ -80,6 +87,8 @@
   /** @see TrafficNet */
   void Report(const ConditionReport& report);
   /** @see TrafficNet */
+  void Observe(const StatementSample& sample) { metrics_.Observe(sample); }
+  /** @see TrafficNet */
   void LeaderSeen(const EndpointId& endpoint, Term term);
 
  private:
@@ -108,6 +117,7 @@
 
   EventLoop loop_;
   std::function<void(const TrafficNotice&)> notify_;
+  StatementMetrics& metrics_;
   Links callers_;
   Links endpoints_;
   std::vector<Link*> dirty_;
--- a/libs/directory/model/route_table.h
+++ b/libs/directory/model/route_table.h
@@ -21,6 +21,21 @@
   kReadYourWrites,
 };
 
+/** @param consistency  any
+    @returns            its name in logs and metrics
+*/
+constexpr std::string_view ConsistencyName(Consistency consistency) {
+  switch (consistency) {
+    case Consistency::kPrimary:
+      return "primary";
+    case Consistency::kBounded:
+      return "bounded";
+    case Consistency::kReadYourWrites:
+      return "read_your_writes";
+  }
+  return "primary";
+}
+
 /** How sessions of one database are served. */
 struct DatabaseRoute {
   /** The name that callers give at their start. */
--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -191,6 +191,7 @@
   void HandleRefusalWithin(PooledConnection& connection,
                            CallerSession& session,
                            Refusal refusal);
+  void Observe(const CallerSession& session, Outcome outcome);
   void FinishWork(CallerSession& session);
   void FailWork(CallerSession& session,
                 Refusal refusal,
--- a/libs/relay/core/traffic_core_refusals.h
+++ b/libs/relay/core/traffic_core_refusals.h
@@ -167,6 +167,11 @@
             {"queued_at", place},
             {"last", std::string(RefusalName(work.last_refusal))}});
   ++(refusal == Refusal::kUnknown ? counters_.unknown : counters_.refused);
+  Observe(session,
+          IsPromise(refusal) ? Outcome::kNotRun
+          : refusal == Refusal::kUnknown || refusal == Refusal::kTimedOut
+              ? Outcome::kUnknown
+              : Outcome::kFailed);
   AnswerError(session, refusal, reason);
   FinishWork(session);
 }
--- a/libs/relay/core/traffic_core_replies.h
+++ b/libs/relay/core/traffic_core_replies.h
@@ -261,6 +261,7 @@
   out.append(connection.rows);
   D::AppendComplete(out, connection.text);
   D::AppendReady(out, GetCallerStatus(session), ready.log_end);
+  Observe(session, Outcome::kDone);
   ++counters_.served;
   session.last_ticket = work.ticket;
   const TimePoint now = net_.Now();
@@ -288,6 +289,16 @@
   }
 }
 
+template <WireDialect D, class N>
+void TrafficCore<D, N>::Observe(const CallerSession& session, Outcome outcome) {
+  const SessionWork& work = session.work;
+  const TimePoint now = net_.Now();
+  const TimePoint sent = work.sent_at == TimePoint{} ? now : work.sent_at;
+  net_.Observe({session.database, ConsistencyName(session.route->consistency),
+                outcome, sent - work.received_at, now - sent,
+                now - work.received_at});
+}
+
 template <WireDialect D, class N>
 void TrafficCore<D, N>::FinishWork(CallerSession& session) {
   LeaveQueues(session);
--- a/libs/relay/core/traffic_net.h
+++ b/libs/relay/core/traffic_net.h
@@ -8,6 +8,7 @@
 #include "core/core.h"
 #include "directory/directory.h"
 #include "settings/settings.h"
+#include "telemetry/telemetry.h"
 
 namespace magnoliareel {
 
@@ -20,6 +21,7 @@
     - HasUnread: whether a caller has sent bytes that were not handled yet.
     - Wake: calls TrafficCore::HandleWake() at that moment, or earlier.
     - Report: hands an observation to the control thread.
+    - Observe: takes the figures of an answered statement.
     - LeaderSeen: tells the control thread that an endpoint proved its lead.
 */
 template <class N>
@@ -29,7 +31,8 @@
                               TimePoint moment,
                               const ConditionReport& report,
                               const EndpointId& endpoint,
-                              Term term) {
+                              Term term,
+                              const StatementSample& sample) {
   { net.Now() } -> std::same_as<TimePoint>;
   { net.GetCallerBuffer(id) } -> std::same_as<std::string&>;
   { net.GetEndpointBuffer(id) } -> std::same_as<std::string&>;
@@ -40,6 +43,7 @@
   net.Wake(moment);
   net.Report(report);
   net.LeaderSeen(endpoint, term);
+  net.Observe(sample);
 };
 
 }  // namespace magnoliareel
--- a/libs/telemetry/metrics/statement_metrics.cc
+++ b/libs/telemetry/metrics/statement_metrics.cc
@@ -46,16 +46,41 @@
                     .Register(*registry_)) {}
 
 void StatementMetrics::Observe(const StatementSample& sample) {
-  const std::string caller = ChooseLabel(sample.caller);
+  const std::lock_guard lock(mutex_);
+  Series& series = FindSeries(sample.caller, sample.work_class);
+  series.waited->Observe(ToSeconds(sample.waited));
+  series.ran->Observe(ToSeconds(sample.ran));
+  series.total->Observe(ToSeconds(sample.total));
+  series.outcomes[static_cast<size_t>(sample.outcome)]->Increment();
+}
+
+StatementMetrics::Series& StatementMetrics::FindSeries(
+    std::string_view caller,
+    std::string_view work_class) {
+  if (const auto it = series_.find(caller); it != series_.end()) {
+    if (const auto found = it->second.find(work_class);
+        found != it->second.end()) {
+      return found->second;
+    }
+  }
+  const std::string label = ChooseLabel(caller);
+  Series& series = series_[label][std::string(work_class)];
+  if (series.waited != nullptr) {
+    return series;
+  }
   const std::map<std::string, std::string> labels = {
-      {"caller", caller}, {"class", std::string(sample.work_class)}};
-  waited_.Add(labels, GetBoundaries()).Observe(ToSeconds(sample.waited));
-  ran_.Add(labels, GetBoundaries()).Observe(ToSeconds(sample.ran));
-  total_.Add(labels, GetBoundaries()).Observe(ToSeconds(sample.total));
-  outcomes_
-      .Add({{"caller", caller},
-            {"outcome", std::string(OutcomeName(sample.outcome))}})
-      .Increment();
+      {"caller", label}, {"class", std::string(work_class)}};
+  series.waited = &waited_.Add(labels, GetBoundaries());
+  series.ran = &ran_.Add(labels, GetBoundaries());
+  series.total = &total_.Add(labels, GetBoundaries());
+  for (const Outcome it : {Outcome::kDone, Outcome::kFailed, Outcome::kNotRun,
+                           Outcome::kUnknown}) {
+    series.outcomes[static_cast<size_t>(it)] =
+        &outcomes_.Add({{"caller", label},
+                        {"class", std::string(work_class)},
+                        {"outcome", std::string(OutcomeName(it))}});
+  }
+  return series;
 }
 
 std::string StatementMetrics::RenderText() const {
@@ -63,7 +88,6 @@
 }
 
 std::string StatementMetrics::ChooseLabel(std::string_view caller) {
-  const std::lock_guard lock(mutex_);
   if (labelled_callers_.contains(caller)) {
     return std::string(caller);
   }
--- a/libs/telemetry/metrics/statement_metrics.h
+++ b/libs/telemetry/metrics/statement_metrics.h
@@ -3,6 +3,8 @@
 
 #include <prometheus/registry.h>
 
+#include <array>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <set>
@@ -46,6 +48,15 @@
   std::string RenderText() const;
 
  private:
+  /** The series of one caller and class, looked up once. */
+  struct Series {
+    prometheus::Histogram* waited = nullptr;
+    prometheus::Histogram* ran = nullptr;
+    prometheus::Histogram* total = nullptr;
+    std::array<prometheus::Counter*, 4> outcomes{};
+  };
+
+  Series& FindSeries(std::string_view caller, std::string_view work_class);
   std::string ChooseLabel(std::string_view caller);
 
   std::shared_ptr<prometheus::Registry> registry_;
@@ -55,6 +66,8 @@
   prometheus::Family<prometheus::Counter>& outcomes_;
   std::mutex mutex_;
   std::set<std::string, std::less<>> labelled_callers_;
+  std::map<std::string, std::map<std::string, Series, std::less<>>, std::less<>>
+      series_;
 };
 
 }  // namespace magnoliareel
--- a/libs/telemetry/telemetry.h
+++ b/libs/telemetry/telemetry.h
@@ -11,6 +11,7 @@
 */
 #include "telemetry/events/event.h"
 #include "telemetry/events/event_log.h"
+#include "telemetry/metrics/gauge_page.h"
 #include "telemetry/metrics/statement_metrics.h"
 
 #endif  // MAGNOLIAREEL_TELEMETRY_TELEMETRY_H_
--- a/libs/telemetry/tests/telemetry_test.cc
+++ b/libs/telemetry/tests/telemetry_test.cc
@@ -55,8 +55,8 @@
         std::string::npos);
   CHECK(text.find("caller=\"caller-150\"") == std::string::npos);
   CHECK(text.find(
-            "test_statements_total{caller=\"other\",outcome=\"done\"} 136") !=
-        std::string::npos);
+            "test_statements_total{caller=\"other\",class=\"short\",outcome="
+            "\"done\"} 136") != std::string::npos);
 }
 
 }  // namespace magnoliareel
--- a/tests/traffic/traffic_world.h
+++ b/tests/traffic/traffic_world.h
@@ -33,6 +33,7 @@
   void Wake(TimePoint moment);
   void Report(const ConditionReport& report);
   void LeaderSeen(const EndpointId& endpoint, Term term);
+  void Observe(const StatementSample&) {}
 
   /** Sends what the core has written. */
   void Flush();
