--- /dev/null
+++ b/libs/control/tests/control_test.cc
@@ -0,0 +1,245 @@
+#include "control/control.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+namespace magnoliareel {
+namespace {
+
+constexpr TimePoint kStart{std::chrono::seconds(10)};
+const ServiceId kService{"groyne-logs"};
+
+TimePoint After(int64_t milliseconds) {
+  return kStart + std::chrono::milliseconds(milliseconds);
+}
+
+EndpointStanding MakeStanding(bool leads, uint64_t term, uint64_t position) {
+  EndpointStanding standing;
+  standing.leads = leads;
+  standing.term = Term{term};
+  standing.received = {Term{term}, LogPosition{position}};
+  return standing;
+}
+
+EndpointEntry MakeEntry(const char* id, bool draining = false) {
+  EndpointEntry entry;
+  entry.id.value = id;
+  entry.service = kService;
+  entry.draining = draining;
+  return entry;
+}
+
+/** Endpoints, the platform and the clock of one replacement, all at once. */
+class FakeGroup {
+ public:
+  void Send(const EndpointEntry& endpoint,
+            const EndpointOrder& order,
+            Duration,
+            const OrderCompletion& done) {
+    trace += std::string(OrderName(order.kind)) + " " + endpoint.id.value + ";";
+    const auto it = standings.find(endpoint.id.value);
+    if (it == standings.end()) {
+      done(Error::kAnswerLost, {});
+      return;
+    }
+    if (order.kind == OrderKind::kPause) {
+      it->second.paused_at = order.term;
+    }
+    done({}, it->second);
+  }
+  void Promote(const ServiceId&,
+               const EndpointId& endpoint,
+               uint64_t token,
+               const std::function<void(std::error_code)>& done) {
+    trace += "promote " + endpoint.value + " " + std::to_string(token) + ";";
+    const std::error_code ec =
+        lost_orders-- > 0 ? make_error_code(Error::kAnswerLost) : answer;
+    done(ec);
+  }
+  void After(Duration, const std::function<void()>& task) { task(); }
+
+  ReplacementResult Replace(ReplacementReason reason,
+                            std::vector<EndpointEntry> replicas) {
+    ReplacementPlan plan;
+    plan.service = kService;
+    plan.primary = MakeEntry("db-1");
+    plan.primary_id = plan.primary->id;
+    plan.reason = reason;
+    plan.replicas = std::move(replicas);
+    plan.fencing_token = 9;
+    ReplacementResult result;
+    std::make_shared<PrimaryReplacement<FakeGroup, FakeGroup, FakeGroup>>(
+        *this, *this, *this, std::move(plan),
+        [&](const ReplacementResult& end) { result = end; })
+        ->Start();
+    return result;
+  }
+
+  std::map<std::string, EndpointStanding> standings;
+  std::error_code answer;
+  int lost_orders = 0;
+  std::string trace;
+};
+
+}  // namespace
+
+TEST_GROUP(Replacement) {
+  FakeGroup group;
+  const std::vector<EndpointEntry> replicas = {MakeEntry("db-2"),
+                                               MakeEntry("db-3")};
+};
+
+TEST(Replacement, PausesTheOthersAndPromotesTheOneWithMost) {
+  group.standings = {{"db-2", MakeStanding(false, 1, 5)},
+                     {"db-3", MakeStanding(false, 1, 7)}};
+  const ReplacementResult result =
+      group.Replace(ReplacementReason::kUnreachable, replicas);
+  CHECK(result.end == ReplacementEnd::kPromoted);
+  STRCMP_EQUAL("db-3", result.leader.value.c_str());
+  STRCMP_EQUAL(
+      "report db-2;report db-3;report db-1;pause db-2;report db-3;"
+      "promote db-3 9;",
+      group.trace.c_str());
+}
+
+TEST(Replacement, NeverPromotesOverAnUnaccountedReplica) {
+  group.standings = {{"db-2", MakeStanding(false, 1, 5)}};
+  const ReplacementResult result =
+      group.Replace(ReplacementReason::kUnreachable, replicas);
+  CHECK(result.end == ReplacementEnd::kAbandoned);
+  LONGS_EQUAL(1, result.maybe_paused.size());
+  CHECK(group.trace.find("promote") == std::string::npos);
+}
+
+TEST(Replacement, LeavesAPrimaryWhoseCommitsArrive) {
+  group.standings = {{"db-1", MakeStanding(true, 1, 7)},
+                     {"db-2", MakeStanding(false, 1, 7)},
+                     {"db-3", MakeStanding(false, 1, 5)}};
+  CHECK(group.Replace(ReplacementReason::kCommitsStalled, replicas).end ==
+        ReplacementEnd::kNotNeeded);
+  group.standings["db-1"] = MakeStanding(true, 1, 9);
+  CHECK(group.Replace(ReplacementReason::kCommitsStalled, replicas).end ==
+        ReplacementEnd::kPromoted);
+}
+
+TEST(Replacement, FindsThatAnotherLeadsAlready) {
+  group.standings = {{"db-2", MakeStanding(true, 2, 8)},
+                     {"db-3", MakeStanding(false, 2, 8)}};
+  const ReplacementResult result =
+      group.Replace(ReplacementReason::kUnreachable, replicas);
+  CHECK(result.end == ReplacementEnd::kAlreadyReplaced);
+  STRCMP_EQUAL("db-2", result.leader.value.c_str());
+}
+
+TEST(Replacement, DoesNotChooseAnEndpointThatLeaves) {
+  group.standings = {{"db-2", MakeStanding(false, 1, 7)},
+                     {"db-3", MakeStanding(false, 1, 7)}};
+  const ReplacementResult result =
+      group.Replace(ReplacementReason::kDraining,
+                    {MakeEntry("db-2", true), MakeEntry("db-3")});
+  STRCMP_EQUAL("db-3", result.leader.value.c_str());
+}
+
+TEST(Replacement, RepeatsALostOrderForTheSameEndpoint) {
+  group.standings = {{"db-2", MakeStanding(false, 1, 7)},
+                     {"db-3", MakeStanding(false, 1, 7)}};
+  group.lost_orders = 2;
+  const ReplacementResult result =
+      group.Replace(ReplacementReason::kUnreachable, replicas);
+  CHECK(result.end == ReplacementEnd::kPromoted);
+  const std::string order = "promote " + result.leader.value + " 9;";
+  CHECK(group.trace.find(order + order + order) != std::string::npos);
+  group.lost_orders = 99;
+  CHECK(group.Replace(ReplacementReason::kUnreachable, replicas).end ==
+        ReplacementEnd::kUncertain);
+}
+
+TEST(Replacement, StopsWhenANewerHolderHasActed) {
+  group.standings = {{"db-2", MakeStanding(false, 1, 7)},
+                     {"db-3", MakeStanding(false, 1, 7)}};
+  group.answer = Error::kSuperseded;
+  const ReplacementResult result =
+      group.Replace(ReplacementReason::kUnreachable, replicas);
+  CHECK(result.end == ReplacementEnd::kSuperseded);
+  CHECK(!result.maybe_paused.empty());
+}
+
+TEST_GROUP(Stop){};
+
+TEST(Stop, GoesOnWhileCallersStillCome) {
+  // Seen: it had ended at the first moment without sessions, and a caller that
+  // came afterwards was cut.
+  const StopSequence stop(kStart, std::chrono::seconds(6));
+  CHECK(!stop.Decide(After(500), 0).ends);
+  CHECK(!stop.Decide(After(2400), 1).ends);
+  CHECK(stop.Decide(After(2400), 0).ends);
+  CHECK(stop.Decide(After(3000), 1).accepts);
+  CHECK(!stop.Decide(After(4100), 1).accepts);
+  CHECK(!stop.Decide(After(4900), 1).ends);
+  CHECK(stop.Decide(After(5000), 1).ends);
+}
+
+TEST_GROUP(Leaders){};
+
+TEST(Leaders, AnOlderOrderDoesNotReplaceANewerOne) {
+  LeaderRegister leaders;
+  CHECK(leaders.NoteOrdered(kService, EndpointId{"db-2"}, 5, kStart));
+  CHECK(!leaders.NoteOrdered(kService, EndpointId{"db-3"}, 4, kStart));
+  STRCMP_EQUAL("db-2", leaders.Get(kService, kStart)->endpoint.value.c_str());
+}
+
+TEST(Leaders, AnOrderedOneThatProvesNothingHasFailed) {
+  LeaderRegister leaders;
+  leaders.NoteOrdered(kService, EndpointId{"db-2"}, 5, kStart);
+  CHECK(!leaders.Get(kService, After(1900))->failed_to_lead);
+  CHECK(leaders.Get(kService, After(2000))->failed_to_lead);
+  leaders.NoteProven(kService, EndpointId{"db-2"}, Term{2});
+  CHECK(!leaders.Get(kService, After(9000))->failed_to_lead);
+}
+
+TEST(Leaders, OneThatTheDirectoryLostIsGone) {
+  LeaderRegister leaders;
+  EndpointEntry entry = MakeEntry("db-1");
+  entry.claims_primary = true;
+  leaders.Apply(std::vector{entry}, kStart);
+  leaders.Apply({}, After(1000));
+  CHECK(!leaders.Get(kService, After(1100))->gone);
+  CHECK(leaders.Get(kService, After(1300))->gone);
+}
+
+TEST_GROUP(Peers){};
+
+TEST(Peers, AreLiveWhileTheyAreHeard) {
+  PeerGroup peers({"127.0.0.1", 1});
+  Heartbeat heartbeat;
+  heartbeat.vm.value = "vm-2";
+  heartbeat.address = {"127.0.0.1", 2};
+  CHECK(peers.Hear(heartbeat, kStart));
+  CHECK(!peers.Hear(heartbeat, After(1000)));
+  LONGS_EQUAL(2, peers.CountLive());
+  LONGS_EQUAL(0, peers.Sweep(After(4000)).size());
+  LONGS_EQUAL(1, peers.Sweep(After(4500)).size());
+  LONGS_EQUAL(1, peers.CountLive());
+  CHECK(peers.Hear(heartbeat, After(9000)));
+  heartbeat.leaving = true;
+  peers.Hear(heartbeat, After(9100));
+  LONGS_EQUAL(1, peers.CountLive());
+}
+
+TEST(Peers, LostOnesAreTriedSeldomAndThenForgotten) {
+  PeerGroup peers({"127.0.0.1", 1});
+  peers.Learn({"127.0.0.1", 2}, kStart);
+  LONGS_EQUAL(1, peers.ListTargets(After(1000)).size());
+  LONGS_EQUAL(1, peers.ListTargets(After(6000)).size());
+  LONGS_EQUAL(0, peers.ListTargets(After(7000)).size());
+  LONGS_EQUAL(1, peers.ListTargets(After(10000)).size());
+  peers.Sweep(After(91000));
+  LONGS_EQUAL(0, peers.ListTargets(After(99000)).size());
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/libs/coordination/tests/coordination_test.cc
@@ -0,0 +1,172 @@
+#include "coordination/coordination.h"
+
+#include <functional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+namespace magnoliareel {
+namespace {
+
+/** A store whose answers the test gives. */
+class FakeStore {
+ public:
+  void List(std::string_view, std::string_view behind, RowsCompletion done) {
+    Ask("list " + std::string(behind), std::move(done));
+  }
+  void Get(std::string_view, std::string_view key, RowsCompletion done) {
+    Ask("get " + std::string(key), std::move(done));
+  }
+  void Follow(std::string_view,
+              uint64_t version,
+              Duration,
+              RowsCompletion done) {
+    Ask("follow " + std::to_string(version), std::move(done));
+  }
+  void WriteIf(std::string_view,
+               std::string_view key,
+               std::string_view,
+               uint64_t version,
+               RowsCompletion done) {
+    Ask("write " + std::string(key) + " " + std::to_string(version),
+        std::move(done));
+  }
+  void Put(std::string_view,
+           std::string_view,
+           std::string_view,
+           RowsCompletion) {}
+
+  /** Answers the open call. */
+  void Answer(std::error_code ec, StoredRows rows) {
+    RowsCompletion done = std::move(open_);
+    open_ = nullptr;
+    done(ec, std::move(rows));
+  }
+
+  std::string last;
+
+ private:
+  void Ask(std::string call, RowsCompletion done) {
+    last = std::move(call);
+    open_ = std::move(done);
+  }
+
+  RowsCompletion open_;
+};
+
+struct FakeObserver {
+  void HandleListing(std::string_view,
+                     std::span<const StoredRow> rows,
+                     uint64_t) {
+    seen += "listing " + std::to_string(rows.size()) + ";";
+  }
+  void HandleChanges(std::string_view,
+                     std::span<const StoredRow> rows,
+                     uint64_t) {
+    seen += "changes " + std::to_string(rows.size()) + ";";
+  }
+  void HandleStoreLost(std::string_view, std::error_code) { seen += "lost;"; }
+  void HandleStoreRegained(std::string_view) { seen += "regained;"; }
+  void After(Duration, std::function<void()> task) { next = std::move(task); }
+
+  std::string seen;
+  std::function<void()> next;
+};
+
+StoredRows Rows(std::vector<std::string> keys, uint64_t version) {
+  StoredRows rows;
+  for (std::string& it : keys) {
+    rows.rows.push_back({std::move(it), "value", version, false});
+  }
+  rows.version = version;
+  return rows;
+}
+
+}  // namespace
+
+TEST_GROUP(Watch) {
+  FakeStore store;
+  FakeObserver observer;
+  TableWatch<FakeStore, FakeObserver> watch{store, observer, "table"};
+};
+
+TEST(Watch, ListsOnceAndThenFollows) {
+  watch.Start();
+  STRCMP_EQUAL("list ", store.last.c_str());
+  store.Answer({}, Rows({"a", "b"}, 10));
+  STRCMP_EQUAL("regained;listing 2;", observer.seen.c_str());
+  STRCMP_EQUAL("follow 10", store.last.c_str());
+  store.Answer({}, Rows({"c"}, 12));
+  observer.next();
+  STRCMP_EQUAL("follow 12", store.last.c_str());
+  store.Answer({}, Rows({}, 15));
+  STRCMP_EQUAL("follow 15", store.last.c_str());
+}
+
+TEST(Watch, ListsAllPagesAndFollowsFromTheFirst) {
+  watch.Start();
+  StoredRows page = Rows({"a", "b"}, 10);
+  page.has_more = true;
+  store.Answer({}, page);
+  STRCMP_EQUAL("list b", store.last.c_str());
+  store.Answer({}, Rows({"c"}, 14));
+  STRCMP_EQUAL("regained;listing 3;", observer.seen.c_str());
+  STRCMP_EQUAL("follow 10", store.last.c_str());
+}
+
+TEST(Watch, ListsAgainWhenTheHistoryIsLost) {
+  watch.Start();
+  store.Answer({}, Rows({"a"}, 10));
+  store.Answer(Error::kHistoryLost, {});
+  STRCMP_EQUAL("list ", store.last.c_str());
+}
+
+TEST(Watch, GoesOnWhereItStoodAfterAnOutage) {
+  watch.Start();
+  store.Answer({}, Rows({"a"}, 10));
+  observer.seen.clear();
+  store.Answer(Error::kUnreachable, {});
+  CHECK(!watch.IsConnected());
+  observer.next();
+  store.Answer(Error::kStoreUnavailable, {});
+  observer.next();
+  STRCMP_EQUAL("follow 10", store.last.c_str());
+  store.Answer({}, Rows({"b"}, 11));
+  STRCMP_EQUAL("lost;regained;changes 1;", observer.seen.c_str());
+}
+
+TEST_GROUP(Duties) {
+  FakeStore store;
+  DutyClaims<FakeStore> claims{store, "vm-1"};
+  const ServiceId service{"groyne-logs"};
+};
+
+TEST(Duties, TheTokenIsTheVersionOfTheConditionalWrite) {
+  std::error_code code = Error::kNotFound;
+  uint64_t token = 0;
+  claims.Claim(service, [&](std::error_code ec, uint64_t given) {
+    code = ec;
+    token = given;
+  });
+  STRCMP_EQUAL("get groyne-logs", store.last.c_str());
+  store.Answer({}, Rows({"groyne-logs"}, 33));
+  STRCMP_EQUAL("write groyne-logs 33", store.last.c_str());
+  store.Answer({}, Rows({}, 41));
+  CHECK(!code);
+  LONGS_EQUAL(41, token);
+  LONGS_EQUAL(41, claims.GetToken(service));
+}
+
+TEST(Duties, OneOfTwoClaimsLoses) {
+  std::error_code code;
+  claims.Claim(service, [&](std::error_code ec, uint64_t) { code = ec; });
+  store.Answer({}, {});
+  STRCMP_EQUAL("write groyne-logs 0", store.last.c_str());
+  store.Answer(Error::kVersionConflict, {});
+  CHECK(code == Error::kVersionConflict);
+  LONGS_EQUAL(0, claims.GetToken(service));
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/libs/directory/tests/directory_test.cc
@@ -0,0 +1,86 @@
+#include "directory/directory.h"
+
+#include <array>
+
+#include <CppUTest/TestHarness.h>
+
+namespace magnoliareel {
+namespace {
+
+constexpr TimePoint kStart{std::chrono::seconds(10)};
+
+VersionedEntry MakeEntry(const char* id, uint64_t version) {
+  VersionedEntry versioned;
+  versioned.entry.id.value = id;
+  versioned.entry.service.value = "groyne-logs";
+  versioned.row_version = version;
+  return versioned;
+}
+
+}  // namespace
+
+TEST_GROUP(Directory){};
+
+TEST(Directory, AConfigurationNeverGoesBack) {
+  RouteRegister routes;
+  RouteTable table;
+  table.version = 7;
+  CHECK(routes.Offer(table));
+  table.version = 5;
+  CHECK(!routes.Offer(table));
+  table.version = 7;
+  CHECK(!routes.Offer(table));
+  LONGS_EQUAL(7, routes.Get()->version);
+}
+
+TEST(Directory, AnEntryThatLapsedStaysUntilItIsSureToBeGone) {
+  EndpointRegister endpoints;
+  CHECK(endpoints.Put(MakeEntry("db-1", 3)));
+  endpoints.Vanish(EndpointId{"db-1"}, 4, kStart);
+  LONGS_EQUAL(0, endpoints.Sweep(kStart).size());
+  CHECK(endpoints.Find(EndpointId{"db-1"}) != nullptr);
+  endpoints.HoldVanished(kStart + std::chrono::seconds(2));
+  LONGS_EQUAL(0, endpoints.Sweep(kStart + std::chrono::seconds(3)).size());
+  CHECK(endpoints.Put(MakeEntry("db-1", 9)));
+  LONGS_EQUAL(0, endpoints.Sweep(kStart + std::chrono::seconds(60)).size());
+}
+
+TEST(Directory, AnEntryIsSweptAtTheVeryMomentThatItsGraceEnds) {
+  EndpointRegister endpoints;
+  endpoints.Put(MakeEntry("db-1", 3));
+  endpoints.Vanish(EndpointId{"db-1"}, 4, kStart);
+  LONGS_EQUAL(1,
+              endpoints.Sweep(kStart + EndpointRegister::kLapseGrace).size());
+}
+
+TEST(Directory, AnEntryThatAnnouncedItsEndGoesAtOnce) {
+  EndpointRegister endpoints;
+  VersionedEntry leaving = MakeEntry("db-1", 3);
+  leaving.entry.draining = true;
+  endpoints.Put(leaving);
+  endpoints.Vanish(EndpointId{"db-1"}, 4, kStart);
+  LONGS_EQUAL(1, endpoints.Sweep(kStart).size());
+}
+
+TEST(Directory, AnOlderEntryFromAPeerBringsNothingBack) {
+  EndpointRegister endpoints;
+  endpoints.Put(MakeEntry("db-1", 3));
+  endpoints.Vanish(EndpointId{"db-1"}, 6, kStart);
+  endpoints.Sweep(kStart + std::chrono::seconds(10));
+  CHECK(!endpoints.Put(MakeEntry("db-1", 5)));
+  CHECK(endpoints.Find(EndpointId{"db-1"}) == nullptr);
+  CHECK(endpoints.Put(MakeEntry("db-1", 7)));
+}
+
+TEST(Directory, AListingRemovesWhatItLacks) {
+  EndpointRegister endpoints;
+  endpoints.Put(MakeEntry("db-1", 3));
+  endpoints.Put(MakeEntry("db-2", 4));
+  const std::array listing = {MakeEntry("db-2", 4)};
+  endpoints.Replace(listing, 8, kStart);
+  endpoints.Sweep(kStart + std::chrono::seconds(3));
+  LONGS_EQUAL(1, endpoints.List().size());
+  STRCMP_EQUAL("db-2", endpoints.List().front().id.value.c_str());
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/libs/gossip/tests/gossip_test.cc
@@ -0,0 +1,70 @@
+#include "gossip/gossip.h"
+
+#include <random>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+namespace magnoliareel {
+
+TEST_GROUP(Gossip){};
+
+TEST(Gossip, AHeartbeatSurvivesItsEncoding) {
+  Heartbeat sent;
+  sent.vm.value = "vm-1";
+  sent.site.value = "sava-krsko";
+  sent.address = {"10.1.0.8", 7440};
+  sent.config_version = 12;
+  sent.endpoints_version = 34;
+  sent.leaving = true;
+  sent.suspicions = {{EndpointId{"db-1"}, EndpointCondition::kSilent}};
+  sent.duties = {{ServiceId{"logs"}, 5}};
+  sent.ordered = {{ServiceId{"logs"}, EndpointId{"db-2"}, 6}};
+  sent.others = {{"10.1.0.9", 7440}};
+  Heartbeat read;
+  CHECK(DecodeHeartbeat(EncodeHeartbeat(sent), read));
+  CHECK(read.vm == sent.vm && read.site == sent.site);
+  CHECK(read.address == sent.address && read.leaving);
+  LONGS_EQUAL(12, read.config_version);
+  LONGS_EQUAL(34, read.endpoints_version);
+  CHECK(read.suspicions.front().endpoint.value == "db-1");
+  CHECK(read.suspicions.front().condition == EndpointCondition::kSilent);
+  CHECK(read.duties == sent.duties && read.ordered == sent.ordered);
+  CHECK(read.others == sent.others);
+}
+
+TEST(Gossip, AFleetStateSurvivesItsEncoding) {
+  FleetState sent;
+  sent.config = StoredRow{"config", "{\"a\":\"b\\n\"}", 7, false};
+  sent.endpoints = {{"db-1", "{}", 9, false}};
+  sent.endpoints_version = 11;
+  FleetState read;
+  CHECK(DecodeFleetState(EncodeFleetState(sent), read));
+  CHECK(read.config->value == sent.config->value);
+  LONGS_EQUAL(9, read.endpoints.front().version);
+  LONGS_EQUAL(11, read.endpoints_version);
+}
+
+TEST(Gossip, DamagedBytesAreRefusedOrReadButNeverHarm) {
+  Heartbeat sent;
+  sent.vm.value = "vm-1";
+  sent.address = {"10.1.0.8", 7440};
+  sent.duties = {{ServiceId{"logs"}, 5}};
+  FleetState state;
+  state.endpoints = {{"db-1", "{}", 9, false}};
+  std::mt19937 random(7);
+  for (int n = 0; n < 20000; ++n) {
+    std::string bytes =
+        n % 2 == 0 ? EncodeHeartbeat(sent) : EncodeFleetState(state);
+    for (int k = 0; k < 3; ++k) {
+      bytes[random() % bytes.size()] = static_cast<char>(random() % 256);
+    }
+    bytes.resize(random() % (bytes.size() + 1));
+    Heartbeat heartbeat;
+    FleetState read;
+    DecodeHeartbeat(bytes, heartbeat);
+    DecodeFleetState(bytes, read);
+  }
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/libs/relay/tests/relay_test.cc
@@ -0,0 +1,167 @@
+#include "relay/relay.h"
+
+#include <array>
+
+#include <CppUTest/TestHarness.h>
+
+namespace magnoliareel {
+namespace {
+
+constexpr TimePoint kStart{std::chrono::seconds(10)};
+
+LogPoint At(uint64_t term, uint64_t position) {
+  return {Term{term}, LogPosition{position}};
+}
+
+TimePoint After(int64_t milliseconds) {
+  return kStart + std::chrono::milliseconds(milliseconds);
+}
+
+EndpointEntry MakeEndpoint(const char* id, bool primary) {
+  EndpointEntry entry;
+  entry.id.value = id;
+  entry.slots = 4;
+  entry.claims_primary = primary;
+  return entry;
+}
+
+}  // namespace
+
+TEST_GROUP(Freshness){};
+
+TEST(Freshness, FindsTheLowestPointThatCoversAMoment) {
+  FreshnessBounds bounds;
+  bounds.Record(After(0), At(1, 10));
+  bounds.Record(After(100), At(1, 20));
+  bounds.Record(After(200), At(1, 30));
+  CHECK(bounds.Find(After(-50)) == At(1, 10));
+  CHECK(bounds.Find(After(50)) == At(1, 20));
+  CHECK(bounds.Find(After(200)) == At(1, 30));
+  CHECK(!bounds.Find(After(201)));
+}
+
+TEST(Freshness, IgnoresAnswersThatWereOvertaken) {
+  FreshnessBounds bounds;
+  bounds.Record(After(100), At(2, 20));
+  bounds.Record(After(200), At(1, 25));
+  bounds.Record(After(50), At(2, 30));
+  CHECK(bounds.Find(After(60)) == At(2, 20));
+  CHECK(!bounds.Find(After(150)));
+}
+
+TEST(Freshness, PrefersTheNewestTerm) {
+  FreshnessBounds bounds;
+  bounds.Record(After(0), At(1, 90));
+  bounds.Record(After(100), At(2, 80));
+  CHECK(bounds.Find(After(-10)) == At(2, 80));
+}
+
+TEST(Freshness, MergedBoundsNeverUnderstate) {
+  FreshnessBounds bounds;
+  for (int n = 0; n < 100; ++n) {
+    bounds.Record(After(n), At(1, static_cast<uint64_t>(n)));
+  }
+  for (int n = 0; n < 100; ++n) {
+    CHECK(bounds.Find(After(n)) >= At(1, static_cast<uint64_t>(n)));
+  }
+}
+
+TEST_GROUP(Leaders){};
+
+TEST(Leaders, AProofGoesBeforeAClaim) {
+  const EndpointEntry old = MakeEndpoint("db-1", true);
+  const EndpointEntry fresh = MakeEndpoint("db-2", false);
+  const std::array<const EndpointEntry*, 2> entries = {&old, &fresh};
+  LeaderBelief belief;
+  CHECK(belief.Review(entries, kStart));
+  STRCMP_EQUAL("db-1", belief.Get()->value.c_str());
+  CHECK(belief.NoteProven(fresh.id, Term{2}));
+  CHECK(!belief.Review(entries, kStart));
+  CHECK(!belief.NoteProven(old.id, Term{1}));
+  STRCMP_EQUAL("db-2", belief.Get()->value.c_str());
+}
+
+TEST(Leaders, OneThatRefusesIsAskedAgainLater) {
+  const EndpointEntry entry = MakeEndpoint("db-1", true);
+  const std::array<const EndpointEntry*, 1> entries = {&entry};
+  LeaderBelief belief;
+  belief.Review(entries, kStart);
+  CHECK(belief.NoteRefused(entry.id, kStart));
+  CHECK(belief.Get() == nullptr);
+  CHECK(!belief.Review(entries, After(50)));
+  CHECK(belief.Review(entries, After(150)));
+}
+
+TEST(Leaders, AnAnnouncedOneIsAwaited) {
+  LeaderBelief belief;
+  const EndpointId next{"db-2"};
+  CHECK(belief.NoteAnnounced(next, kStart));
+  CHECK(!belief.NoteRefused(next, After(300)));
+  CHECK(belief.Get() != nullptr);
+  CHECK(belief.NoteRefused(next, After(2500)));
+  CHECK(belief.Get() == nullptr);
+}
+
+TEST_GROUP(Pool){};
+
+TEST(Pool, ServesUrgentAndEarlyDeadlinesFirst) {
+  EndpointPool pool(MakeEndpoint("db-1", true), Distance::kSameSite);
+  pool.Enqueue({1, 1, 2, After(100)});
+  pool.Enqueue({2, 2, 1, After(900)});
+  pool.Enqueue({3, 3, 1, After(500)});
+  pool.Enqueue({4, 4, 1, After(500)});
+  LONGS_EQUAL(3, pool.queue[0].session);
+  LONGS_EQUAL(4, pool.queue[1].session);
+  LONGS_EQUAL(2, pool.queue[2].session);
+  LONGS_EQUAL(1, pool.queue[3].session);
+  pool.Remove(4);
+  LONGS_EQUAL(3, pool.queue.size());
+}
+
+TEST(Pool, LeavesAFailingEndpointAloneForLongerAndLonger) {
+  EndpointPool pool(MakeEndpoint("db-1", true), Distance::kSameSite);
+  CHECK(pool.MayOpen(4, kStart));
+  pool.NoteFailure(kStart);
+  CHECK(pool.IsAvoided(After(99)));
+  CHECK(!pool.IsAvoided(After(100)));
+  pool.NoteFailure(After(100));
+  CHECK(pool.IsAvoided(After(299)));
+  pool.NoteHeard(After(300));
+  CHECK(!pool.IsAvoided(After(300)));
+}
+
+TEST(Pool, TheLimitFollowsWhatTheEndpointTakes) {
+  EndpointPool pool(MakeEndpoint("db-1", true), Distance::kSameSite);
+  pool.ResetLimit(8);
+  LONGS_EQUAL(1, pool.GetLimit());
+  pool.Enqueue({1, 1, 1, After(100)});
+  for (int n = 0; n < 40; ++n) {
+    pool.NoteAnswer(Duration(1000), After(n));
+  }
+  LONGS_EQUAL(4, pool.GetLimit());
+  pool.NoteBusy(After(100));
+  LONGS_EQUAL(2, pool.GetLimit());
+  pool.NoteBusy(After(110));
+  LONGS_EQUAL(2, pool.GetLimit());
+}
+
+TEST(Pool, KnowsForAMomentThatAReplicaIsBehind) {
+  EndpointPool pool(MakeEndpoint("db-1", false), Distance::kSameSite);
+  pool.NoteApplied(At(1, 10), kStart);
+  CHECK(pool.IsBehind(At(1, 11), After(10)));
+  CHECK(!pool.IsBehind(At(1, 10), After(10)));
+  CHECK(!pool.IsBehind(At(1, 11), After(200)));
+}
+
+TEST_GROUP(Lines){};
+
+TEST(Lines, AreBoundedASecond) {
+  LogBudget budget(5);
+  int taken = 0;
+  for (int n = 0; n < 2000; ++n) {
+    taken += budget.Take(After(n)) ? 1 : 0;
+  }
+  CHECK(taken >= 14 && taken <= 15);
+}
+
+}  // namespace magnoliareel
--- a/libs/telemetry/tests/telemetry_test.cc
+++ b/libs/telemetry/tests/telemetry_test.cc
@@ -1,3 +1,7 @@
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
 #include <fstream>
 #include <iterator>
 #include <set>
@@ -41,6 +45,35 @@
   }
 }
 
+TEST_GROUP(Log){};
+
+TEST(Log, AStalledReaderCostsLinesAndNoTime) {
+  std::array<int, 2> ends{};
+  LONGS_EQUAL(0, pipe(ends.data()));
+  fcntl(ends[1], F_SETFL, O_NONBLOCK);
+  LogRing ring(4096);
+  const std::string line(99, 'x');
+  uint64_t reported = 0;
+  for (int n = 0; n < 5000; ++n) {
+    ring.Push(line);
+    reported += ring.Drain(ends[1]);
+  }
+  // Nobody reads: the pipe and the ring are full, the rest is counted.
+  CHECK(ring.GetDropped() > 3000);
+  LONGS_EQUAL(0, reported);
+  std::array<char, 65536> buf{};
+  size_t read_bytes = 0;
+  for (ssize_t n = 1; n > 0;) {
+    fcntl(ends[0], F_SETFL, O_NONBLOCK);
+    n = read(ends[0], buf.data(), buf.size());
+    read_bytes += n > 0 ? static_cast<size_t>(n) : 0;
+    reported += ring.Drain(ends[1]);
+  }
+  LONGS_EQUAL(5000, reported + read_bytes / 100);
+  close(ends[0]);
+  close(ends[1]);
+}
+
 TEST_GROUP(Metrics){};
 
 TEST(Metrics, CountPerCallerAndClassWithinABound) {
