--- a/apps/node/node_process.cc
+++ b/apps/node/node_process.cc
@@ -164,7 +164,7 @@
                         state.endpoints, state.endpoints_version);
   };
   hooks.changed = [this] {
-    fleet_.SetLiveVms(peers_.GetPeers().CountLive());
+    fleet_.SetLiveVms(peers_.GetPeers().CountExpected(Now()));
     failover_.Review();
   };
   return hooks;
--- a/apps/node/peer_exchange.cc
+++ b/apps/node/peer_exchange.cc
@@ -61,6 +61,7 @@
 
 void PeerExchange::Learn(const SocketAddress& address) {
   peers_.Learn(address, loop_.Now());
+  hooks_.changed();
   SendSoon();
 }
 
@@ -103,9 +104,7 @@
              {{"vm", vm.value},
               {"silent_ms", std::to_string(silent.count() / 1000)}});
   }
-  if (!lost.empty()) {
-    hooks_.changed();
-  }
+  hooks_.changed();
   Send(peers_.ListTargets(now), false);
 }
 
--- a/apps/node/peer_exchange.h
+++ b/apps/node/peer_exchange.h
@@ -26,7 +26,7 @@
     std::function<FleetState()> get_state;
     /** Takes what a peer has handed over. */
     std::function<void(const FleetState&)> take_state;
-    /** The number of live VMs may have changed. */
+    /** The number of live or expected VMs may have changed. */
     std::function<void()> changed;
   };
 
--- a/libs/control/failover/leader_register.cc
+++ b/libs/control/failover/leader_register.cc
@@ -26,9 +26,10 @@
     }
   }
   for (auto& [service, known] : leaders_) {
+    const EndpointId& leader = known.endpoint;
     const bool listed = std::any_of(
         endpoints.begin(), endpoints.end(),
-        [&](const EndpointEntry& it) { return it.id == known.endpoint; });
+        [&leader](const EndpointEntry& it) { return it.id == leader; });
     if (listed) {
       known.missing_since.reset();
     } else if (!known.missing_since) {
--- a/libs/control/failover/paused_replicas.h
+++ b/libs/control/failover/paused_replicas.h
@@ -70,8 +70,8 @@
 
   void Ask(const EndpointEntry& replica, EndpointOrder order, uint64_t round) {
     orders_.Send(replica, order, kPausedPeriod,
-                 [this, replica, order, round](
-                     std::error_code ec, const EndpointStanding& standing) {
+                 [this, replica, round](std::error_code ec,
+                                        const EndpointStanding& standing) {
                    if (!IsCurrent(replica.id, round)) {
                      return;
                    }
--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -93,6 +93,7 @@
                  [self](std::error_code ec, const EndpointStanding& standing) {
                    self->LogStep(self->plan_.primary_id, OrderKind::kReport, ec,
                                  standing);
+                   self->primary_busy_ = ec == Error::kOverloaded;
                    if (!ec) {
                      self->primary_standing_ = standing;
                    }
@@ -163,12 +164,14 @@
       return false;
     }
     // Commits stall while its log runs ahead of what every replica receives.
-    return primary_standing_ &&
-           std::any_of(replicas_.begin(), replicas_.end(),
-                       [&](const SurveyedEndpoint& it) {
-                         return it.standing && it.standing->received >=
-                                                   primary_standing_->received;
-                       });
+    // One without a free slot is only busy: its commits wait for slots, too.
+    return primary_busy_ ||
+           (primary_standing_ &&
+            std::any_of(replicas_.begin(), replicas_.end(),
+                        [&](const SurveyedEndpoint& it) {
+                          return it.standing && it.standing->received >=
+                                                    primary_standing_->received;
+                        }));
   }
 
   void PauseOthers() {
@@ -312,6 +315,7 @@
   const Completion done_;
   std::vector<SurveyedEndpoint> replicas_;
   std::optional<EndpointStanding> primary_standing_;
+  bool primary_busy_ = false;
   std::vector<EndpointEntry> maybe_paused_;
   size_t pending_ = 0;
   size_t next_leader_ = 0;
--- a/libs/control/peers/peer_group.cc
+++ b/libs/control/peers/peer_group.cc
@@ -68,6 +68,15 @@
   return live;
 }
 
+uint32_t PeerGroup::CountExpected(TimePoint now) const {
+  const auto unheard =
+      std::count_if(addresses_.begin(), addresses_.end(), [&](const auto& row) {
+        return row.second.vm.IsEmpty() &&
+               now - row.second.first_tried < kPeerTimeout;
+      });
+  return CountLive() + static_cast<uint32_t>(unheard);
+}
+
 uint32_t PeerGroup::CountLive() const {
   return 1 + static_cast<uint32_t>(std::count_if(
                  peers_.begin(), peers_.end(),
--- a/libs/control/peers/peer_group.h
+++ b/libs/control/peers/peer_group.h
@@ -65,6 +65,10 @@
   std::vector<const Peer*> ListLive() const;
   /** @returns number of live VMs, this one included */
   uint32_t CountLive() const;
+  /** @param now  the present moment
+      @returns    CountLive() with addresses that were learned so lately that
+                  their VMs may not have been heard yet */
+  uint32_t CountExpected(TimePoint now) const;
 
  private:
   struct Known {
--- a/libs/control/tests/control_test.cc
+++ b/libs/control/tests/control_test.cc
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,10 @@
             Duration,
             const OrderCompletion& done) {
     trace += std::string(OrderName(order.kind)) + " " + endpoint.id.value + ";";
+    if (busy.contains(endpoint.id.value)) {
+      done(Error::kOverloaded, {});
+      return;
+    }
     const auto it = standings.find(endpoint.id.value);
     if (it == standings.end()) {
       done(Error::kAnswerLost, {});
@@ -81,6 +86,7 @@
   }
 
   std::map<std::string, EndpointStanding> standings;
+  std::set<std::string> busy;
   std::error_code answer;
   int lost_orders = 0;
   std::string trace;
@@ -127,6 +133,16 @@
         ReplacementEnd::kPromoted);
 }
 
+TEST(Replacement, LeavesAPrimaryThatIsOnlyBusy) {
+  // Seen in incident inc-ee0a: a full primary was replaced without need.
+  group.standings = {{"db-2", MakeStanding(false, 1, 7)},
+                     {"db-3", MakeStanding(false, 1, 5)}};
+  group.busy = {"db-1"};
+  CHECK(group.Replace(ReplacementReason::kCommitsStalled, replicas).end ==
+        ReplacementEnd::kNotNeeded);
+  CHECK(group.trace.find("pause") == std::string::npos);
+}
+
 TEST(Replacement, FindsThatAnotherLeadsAlready) {
   group.standings = {{"db-2", MakeStanding(true, 2, 8)},
                      {"db-3", MakeStanding(false, 2, 8)}};
--- a/libs/core/errors/error.cc
+++ b/libs/core/errors/error.cc
@@ -82,6 +82,7 @@
      "the log differs from the primary's at this position"},
     {Error::kListenFailed, "listen_failed",
      "the address cannot be listened on"},
+    {Error::kPeerClosed, "peer_closed", "the peer closed the connection"},
     {Error::kHistoryLost, "history_lost",
      "the changes since that version are not known any more"},
     {Error::kSuperseded, "superseded", "a newer holder of the duty has acted"},
--- a/libs/core/errors/error.h
+++ b/libs/core/errors/error.h
@@ -59,6 +59,7 @@
   kRequestVoid,
   kDiverged,
   kListenFailed,
+  kPeerClosed,
   kHistoryLost,
   kSuperseded,
 };
--- a/libs/net/streams/stream.cc
+++ b/libs/net/streams/stream.cc
@@ -32,6 +32,10 @@
 }
 
 std::error_code ToErrorCode(int uv_error) {
+  if (uv_error == UV_EOF) {
+    // libuv's own code; the system has none for the end of a stream.
+    return Error::kPeerClosed;
+  }
   return {-uv_error, std::system_category()};
 }
 
--- a/libs/relay/connections/endpoint_pool.h
+++ b/libs/relay/connections/endpoint_pool.h
@@ -106,6 +106,8 @@
   /** Number of statements that run, abandoned ones included. */
   uint32_t running = 0;
   TimePoint last_heard;
+  /** Somebody looks for connections that are not used any more. */
+  bool unused_watched = false;
   /** Number of failures since the last sign of life. */
   uint32_t failures = 0;
 
--- a/libs/relay/connections/pooled_connection.h
+++ b/libs/relay/connections/pooled_connection.h
@@ -84,7 +84,8 @@
   TimePoint opened_at;
   /** When the present kSettling began. */
   TimePoint settling_since;
-  TimePoint used_at;
+  /** When it last worked for a session. */
+  TimePoint worked_at;
 
   /** @returns true if a plain transaction is open that nobody uses yet */
   bool IsBegunAhead() const {
--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -100,6 +100,7 @@
     kConnect,
     kAbandoned,
     kSettling,
+    kUnused,
     kTransactionIdle,
     kPool,
     kLeaders,
@@ -169,6 +170,7 @@
   void LoseConnection(uint64_t connection_id, std::string_view reason);
   void RetirePool(EndpointPool& pool);
   void ShrinkPool(EndpointPool& pool);
+  void EndUnused(EndpointPool& pool);
   uint32_t GetShare(const EndpointPool& pool) const;
   void NotePoolFailure(EndpointPool& pool, EndpointCondition condition);
   void NoteProven(EndpointPool& pool, TimePoint asked_at, LogPoint point);
--- a/libs/relay/core/traffic_core_connections.h
+++ b/libs/relay/core/traffic_core_connections.h
@@ -124,7 +124,6 @@
 template <WireDialect D, class N>
 void TrafficCore<D, N>::BecomeIdle(PooledConnection& connection) {
   connection.use = ConnectionUse::kIdle;
-  connection.used_at = net_.Now();
   EndpointPool* pool = FindPool(connection.endpoint);
   if (pool == nullptr || pool->gone) {
     DropConnection(connection.id);
@@ -133,9 +132,31 @@
   if (pool->connections.size() > GetShare(*pool)) {
     ShrinkPool(*pool);
   }
+  if (!std::exchange(pool->unused_watched, true)) {
+    Remind(
+        {net_.Now() + kUnusedLimit, Reminder::kUnused, 0, 0, pool->entry.id});
+  }
   StartQueued(*pool);
 }
 
+template <WireDialect D, class N>
+void TrafficCore<D, N>::EndUnused(EndpointPool& pool) {
+  const TimePoint now = net_.Now();
+  const std::vector<uint64_t> ids = pool.connections;
+  for (const uint64_t it : ids) {
+    const PooledConnection* connection = FindConnection(it);
+    if (pool.connections.size() > 1 && connection != nullptr &&
+        connection->use == ConnectionUse::kIdle &&
+        now - connection->worked_at >= kUnusedLimit) {
+      DropConnection(it);
+    }
+  }
+  pool.unused_watched = pool.connections.size() > 1;
+  if (pool.unused_watched) {
+    Remind({now + kUnusedLimit / 2, Reminder::kUnused, 0, 0, pool.entry.id});
+  }
+}
+
 template <WireDialect D, class N>
 void TrafficCore<D, N>::Abandon(uint64_t connection_id) {
   PooledConnection* connection = FindConnection(connection_id);
--- a/libs/relay/core/traffic_core_dispatch.h
+++ b/libs/relay/core/traffic_core_dispatch.h
@@ -215,6 +215,7 @@
   connection.id = id;
   connection.endpoint = pool.entry.id;
   connection.opened_at = now;
+  connection.worked_at = now;
   pool.connections.push_back(id);
   ++counters_.connections_opened;
   Remind({now + kConnectTimeout, Reminder::kConnect, id, 0, {}});
@@ -246,7 +247,7 @@
                               CallerSession& session) {
   SessionWork& work = session.work;
   connection.session = session.id;
-  connection.used_at = net_.Now();
+  connection.worked_at = net_.Now();
   ++work.attempts;
   const bool same_values =
       connection.values == session.values && !connection.values_in_transaction;
--- a/libs/relay/core/traffic_core_timers.h
+++ b/libs/relay/core/traffic_core_timers.h
@@ -62,6 +62,7 @@
     }
     case Reminder::kTransactionIdle:
     case Reminder::kPool:
+    case Reminder::kUnused:
     case Reminder::kLeaders:
     case Reminder::kDrain:
       return false;
@@ -128,6 +129,11 @@
         }
       }
       return;
+    case Reminder::kUnused:
+      if (EndpointPool* pool = FindPool(due.endpoint)) {
+        EndUnused(*pool);
+      }
+      return;
     case Reminder::kLeaders:
       HandleLeaderReview();
       return;
--- a/libs/relay/core/traffic_limits.h
+++ b/libs/relay/core/traffic_limits.h
@@ -36,8 +36,13 @@
     staleness limit, and nothing else has renewed it. */
 inline constexpr int kBoundRenewalDivisor = 2;
 /** Longest wait of a read for a first bound, before it goes to the primary
-    itself: a new connection and a question between regions. */
-inline constexpr Duration kBoundWait = std::chrono::milliseconds(150);
+    itself. Only the primary can give one, so a read gains nothing by queueing
+    there earlier; after a restart it would only overload it. */
+inline constexpr Duration kBoundWait = std::chrono::milliseconds(600);
+/** A connection that was not used for this long is ended, but for the last one
+    to an endpoint: endpoints hold the connections of VMs that lost power for 3
+   s more, and need room for those that come back. */
+inline constexpr Duration kUnusedLimit = std::chrono::milliseconds(1500);
 /** Connections that are opened to an endpoint at a time: each takes a slot for
     the time of its handshake. */
 inline constexpr size_t kMostOpening = 2;
