--- a/apps/node/main.cc
+++ b/apps/node/main.cc
@@ -3,14 +3,12 @@
 
 #include <csignal>
 #include <cstdio>
-#include <fstream>
-#include <iterator>
 #include <span>
 #include <string>
 
 #include "apps/node/node_flags.h"
 #include "apps/node/node_process.h"
-#include "platform/platform.h"
+#include "apps/node/read_settings.h"
 #include "process/process.h"
 
 namespace magnoliareel {
@@ -27,14 +25,7 @@
     return ReportSettings(result, findings);
   }
   NodeSettings settings;
-  std::ifstream file(flags.boot);
-  if (!file) {
-    findings.Add("--boot", Error::kBadSetting, "the file cannot be read");
-  } else {
-    const std::string text((std::istreambuf_iterator<char>(file)),
-                           std::istreambuf_iterator<char>());
-    platform::ParseNodeSettings(text, settings, findings);
-  }
+  ReadNodeSettings(flags.boot, settings, findings);
   if (!findings.IsEmpty()) {
     return ReportSettings(FlagResult::kFaulty, findings);
   }
@@ -48,7 +39,7 @@
   fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
   LogRing log(kLogBytes);
   StartBufferedLog(log, settings.vm.value);
-  NodeProcess process(std::move(settings), log);
+  NodeProcess process(std::move(settings), flags.boot, log);
   return process.Run();
 }
 
--- a/apps/node/node_process.cc
+++ b/apps/node/node_process.cc
@@ -7,6 +7,8 @@
 #include <csignal>
 #include <utility>
 
+#include "apps/node/read_settings.h"
+
 namespace magnoliareel {
 namespace {
 
@@ -22,8 +24,11 @@
 
 }  // namespace
 
-NodeProcess::NodeProcess(NodeSettings settings, LogRing& log)
+NodeProcess::NodeProcess(NodeSettings settings,
+                         std::string settings_path,
+                         LogRing& log)
     : settings_(std::move(settings)),
+      settings_path_(std::move(settings_path)),
       log_(log),
       log_timer_(loop_, [this] { DrainLog(); }),
       stop_timer_(loop_, [this] { ContinueStop(); }),
@@ -90,9 +95,7 @@
                              {"version", MAGNOLIAREEL_VERSION}});
   loop_.OnSignal(SIGTERM, [this] { BeginStop(); });
   loop_.OnSignal(SIGINT, [this] { BeginStop(); });
-  loop_.OnSignal(SIGHUP, [] {
-    LogEvent(Event::kSettingsReloaded, {{"findings", "none"}});
-  });
+  loop_.OnSignal(SIGHUP, [this] { CheckSettings(); });
   log_timer_.StartRepeating(kLogPeriod);
   fleet_.Start();
   for (const SocketAddress& it : settings_.seeds) {
@@ -235,6 +238,17 @@
   failover_.NoteReport(notice.report);
 }
 
+void NodeProcess::CheckSettings() const {
+  // Addresses and names cannot change under open connections; what the file
+  // says now is in force after the next start, and its faults are told today.
+  NodeSettings settings;
+  Findings findings;
+  ReadNodeSettings(settings_path_, settings, findings);
+  LogEvent(
+      Event::kSettingsReloaded,
+      {{"findings", findings.IsEmpty() ? "none" : findings.FormatLines()}});
+}
+
 void NodeProcess::BeginStop() {
   if (std::exchange(stopping_, true)) {
     return;
--- a/apps/node/node_process.h
+++ b/apps/node/node_process.h
@@ -19,10 +19,11 @@
     thread that it starts. */
 class NodeProcess {
  public:
-  /** @param settings  checked
-      @param log       what the log is buffered in; outlives the process
+  /** @param settings       checked
+      @param settings_path  read again on SIGHUP
+      @param log            what the log is buffered in; outlives the process
   */
-  NodeProcess(NodeSettings settings, LogRing& log);
+  NodeProcess(NodeSettings settings, std::string settings_path, LogRing& log);
 
   /** Serves until SIGTERM.
 
@@ -58,11 +59,13 @@
   net::Reply AnswerProbe();
   void AnswerMetrics(const net::HttpListener::Answer& answer);
   void HandleNotice(const TrafficNotice& notice);
+  void CheckSettings() const;
   void BeginStop();
   void ContinueStop();
   void DrainLog();
 
   const NodeSettings settings_;
+  const std::string settings_path_;
   LogRing& log_;
   EventLoop loop_;
   LoopTimer log_timer_;
--- a/libs/telemetry/events/event.cc
+++ b/libs/telemetry/events/event.cc
@@ -124,7 +124,8 @@
     {kReadinessChanged, kInfo, "process.readiness",
      "The process changed its answer to the platform's probe. ready, reason"},
     {kSettingsReloaded, kInfo, "process.settings_reloaded",
-     "The settings file was read again. findings"},
+     "SIGHUP: the settings file was checked; it is in force after the next "
+     "start. findings"},
     {kDrainProgress, kInfo, "process.drain_progress",
      "The process ends now; sessions that are cut. sessions"},
     {kLinesDropped, kWarning, "log.lines_dropped",
--- a/standins/site/site_server.cc
+++ b/standins/site/site_server.cc
@@ -176,6 +176,8 @@
     store_.Compact();
   } else if (name == "lose" || name == "keep") {
     group_.SetAnswerLoss(name == "lose" ? 0.1 : 0);
+  } else if (name == "slow" || name == "quick") {
+    group_.SetApplyFactor(name == "slow" ? 60 : 1);
   } else {
     return false;
   }
--- a/standins/site/site_server.h
+++ b/standins/site/site_server.h
@@ -24,7 +24,8 @@
 
     Faults are ordered by POST /fault/NAME: down and up (the store), crash-N,
     dark-N and restart-N (a database), drain-N (its directory entry), forget
-    (the store's history), lose (one answer in ten) and keep (none).
+    (the store's history), lose (one answer in ten) and keep (none), slow
+    (replicas apply 60 times as late) and quick.
 */
 class SiteServer {
  public:
