--- a/apps/node/node_process.cc
+++ b/apps/node/node_process.cc
@@ -15,8 +15,6 @@
 // How often buffered log lines are written: seldom enough to cost little, often
 // enough that a killed process has told nearly all.
 constexpr Duration kLogPeriod = std::chrono::milliseconds(200);
-// Table in which VMs find each other; each writes its row once, at its start.
-constexpr std::string_view kVmTable = "magnoliareel-vms";
 // Pause before a failed registration is tried again; until then VMs are found
 // through seeds and through those that know this one.
 constexpr Duration kRegisterRetry = std::chrono::seconds(1);
@@ -162,6 +160,7 @@
     state.endpoints_version = fleet_.GetEndpointsVersion();
     return state;
   };
+  hooks.get_status = [this] { return MakeStatus(); };
   hooks.take_state = [this](const FleetState& state) {
     fleet_.TakeFromPeer(state.config ? &*state.config : nullptr,
                         state.endpoints, state.endpoints_version);
@@ -173,6 +172,25 @@
   return hooks;
 }
 
+NodeStatus NodeProcess::MakeStatus() const {
+  NodeStatus status;
+  status.vm = settings_.vm;
+  status.site = settings_.site;
+  status.ready = !stopping_ && fleet_.IsUsable();
+  status.store_connected = fleet_.IsStoreConnected();
+  status.config_version = fleet_.GetRoutes()->version;
+  status.directory_version = fleet_.GetEndpointsVersion();
+  status.live_vms = peers_.GetPeers().CountLive();
+  status.sessions = traffic_.CountSessions();
+  for (const auto& [service, token] : failover_.GetDuties()) {
+    status.duties.push_back({service, token});
+  }
+  for (const auto& [service, endpoint] : failover_.ListLeaders()) {
+    status.leaders.push_back({service, endpoint});
+  }
+  return status;
+}
+
 void NodeProcess::Register() {
   store_.Put(kVmTable, settings_.vm.value, settings_.peer_address.Format(),
              [this](std::error_code ec, const StoredRows&) {
--- a/apps/node/node_process.h
+++ b/apps/node/node_process.h
@@ -53,6 +53,7 @@
                                    NodeProcess>;
 
   PeerExchange::Hooks MakePeerHooks();
+  NodeStatus MakeStatus() const;
   void Register();
   void FindPeers();
 
--- a/apps/node/peer_exchange.cc
+++ b/apps/node/peer_exchange.cc
@@ -17,6 +17,7 @@
 // Addresses in an answer to a VM that joins: they fit one datagram.
 constexpr size_t kMostOthers = 24;
 constexpr std::string_view kStatePath = "/state";
+constexpr std::string_view kStatusPath = "/status";
 
 }  // namespace
 
@@ -28,14 +29,11 @@
       hooks_(std::move(hooks)),
       peers_(self),
       socket_(loop, [this](std::string_view bytes) { HandleDatagram(bytes); }),
-      listener_(
-          loop,
-          [this](const net::Request& request,
-                 const net::HttpListener::Answer& answer) {
-            answer(request.target == kStatePath
-                       ? net::Reply{200, EncodeFleetState(hooks_.get_state())}
-                       : net::Reply{404, {}});
-          }),
+      listener_(loop,
+                [this](const net::Request& request,
+                       const net::HttpListener::Answer& answer) {
+                  Respond(request, answer);
+                }),
       period_timer_(loop, [this] { HandlePeriod(); }),
       soon_timer_(loop,
                   [this] {
@@ -48,6 +46,17 @@
         }
       }) {}
 
+void PeerExchange::Respond(const net::Request& request,
+                           const net::HttpListener::Answer& answer) {
+  if (request.target == kStatePath) {
+    answer({200, EncodeFleetState(hooks_.get_state())});
+  } else if (request.target == kStatusPath) {
+    answer({200, EncodeNodeStatus(hooks_.get_status())});
+  } else {
+    answer({404, {}});
+  }
+}
+
 std::error_code PeerExchange::Start() {
   if (const std::error_code ec = socket_.Bind(self_)) {
     return ec;
--- a/apps/node/peer_exchange.h
+++ b/apps/node/peer_exchange.h
@@ -24,6 +24,8 @@
     std::function<void(const Heartbeat&)> heard;
     /** @returns what to hand to a peer */
     std::function<FleetState()> get_state;
+    /** @returns what to tell operators */
+    std::function<NodeStatus()> get_status;
     /** Takes what a peer has handed over. */
     std::function<void(const FleetState&)> take_state;
     /** The number of live or expected VMs may have changed. */
@@ -49,6 +51,8 @@
   const PeerGroup& GetPeers() const { return peers_; }
 
  private:
+  void Respond(const net::Request& request,
+               const net::HttpListener::Answer& answer);
   void HandleDatagram(std::string_view bytes);
   void HandlePeriod();
   void Send(std::span<const SocketAddress> targets, bool with_others);
--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -186,6 +186,10 @@
 
   /** Gives up every duty, as the process stops. */
   void Leave() { leaving_ = true; }
+  /** @returns the primaries that this VM knows, by service */
+  std::vector<std::pair<ServiceId, EndpointId>> ListLeaders() const {
+    return leaders_.List();
+  }
   /** @returns the duties that this VM holds, with their fencing tokens */
   const std::map<ServiceId, uint64_t>& GetDuties() const {
     return claims_.List();
--- a/libs/control/failover/leader_register.cc
+++ b/libs/control/failover/leader_register.cc
@@ -79,6 +79,14 @@
   });
 }
 
+std::vector<std::pair<ServiceId, EndpointId>> LeaderRegister::List() const {
+  std::vector<std::pair<ServiceId, EndpointId>> list;
+  for (const auto& [service, known] : leaders_) {
+    list.emplace_back(service, known.endpoint);
+  }
+  return list;
+}
+
 std::optional<LeaderRegister::Leader> LeaderRegister::Get(
     const ServiceId& service,
     TimePoint now) const {
--- a/libs/control/failover/leader_register.h
+++ b/libs/control/failover/leader_register.h
@@ -4,6 +4,8 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <utility>
+#include <vector>
 
 #include "core/core.h"
 #include "directory/directory.h"
@@ -51,6 +53,8 @@
   /** @param endpoint  any
       @returns          true if it is known as a leader */
   bool IsLeader(const EndpointId& endpoint) const;
+  /** @returns the leaders that are known, by service */
+  std::vector<std::pair<ServiceId, EndpointId>> List() const;
   /** @param service  any
       @param now      the present moment
       @returns         its leader, or none if none was ever known */
--- a/libs/coordination/rows/row_store.h
+++ b/libs/coordination/rows/row_store.h
@@ -12,6 +12,10 @@
 
 namespace magnoliareel {
 
+/** The table in which VMs find each other; each writes its address once, at its
+    start. */
+inline constexpr std::string_view kVmTable = "magnoliareel-vms";
+
 /** One row of a table. */
 struct StoredRow {
   std::string key;
--- a/libs/gossip/gossip.h
+++ b/libs/gossip/gossip.h
@@ -2,7 +2,8 @@
 #define MAGNOLIAREEL_GOSSIP_GOSSIP_H_
 
 /** @file
-    @brief Module gossip: the encoding of what VMs tell each other.
+    @brief Module gossip: the encoding of what VMs tell each other, and
+    operators.
 
     Depends on control, coordination and jsoncpp.
 
@@ -11,5 +12,6 @@
 */
 #include "gossip/heartbeats/heartbeat_codec.h"
 #include "gossip/state/fleet_state_codec.h"
+#include "gossip/state/node_status.h"
 
 #endif  // MAGNOLIAREEL_GOSSIP_GOSSIP_H_
--- a/libs/gossip/tests/gossip_test.cc
+++ b/libs/gossip/tests/gossip_test.cc
@@ -45,6 +45,22 @@
   LONGS_EQUAL(11, read.endpoints_version);
 }
 
+TEST(Gossip, AStatusSurvivesItsEncoding) {
+  NodeStatus sent;
+  sent.vm.value = "vm-1";
+  sent.ready = true;
+  sent.config_version = 12;
+  sent.live_vms = 6;
+  sent.duties = {{ServiceId{"logs"}, 5}};
+  sent.leaders = {{ServiceId{"logs"}, EndpointId{"db-1"}}};
+  NodeStatus read;
+  CHECK(DecodeNodeStatus(EncodeNodeStatus(sent), read));
+  CHECK(read.ready && read.vm == sent.vm && read.duties == sent.duties);
+  LONGS_EQUAL(12, read.config_version);
+  CHECK(read.leaders.front().endpoint.value == "db-1");
+  CHECK(!DecodeNodeStatus("{}", read));
+}
+
 TEST(Gossip, DamagedBytesAreRefusedOrReadButNeverHarm) {
   Heartbeat sent;
   sent.vm.value = "vm-1";
