--- a/apps/node/node_process.cc
+++ b/apps/node/node_process.cc
@@ -18,7 +18,6 @@
 // Pause before a failed registration is tried again; until then VMs are found
 // through seeds and through those that know this one.
 constexpr Duration kRegisterRetry = std::chrono::seconds(1);
-constexpr double kLongestDrainPart = 0.8;
 
 }  // namespace
 
--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -231,295 +231,37 @@
   }
 
   uint32_t CountVantagePoints(const EndpointId& endpoint,
-                              EndpointCondition& condition) const {
-    uint32_t n = 0;
-    if (const auto own = suspicions_.Get(endpoint)) {
-      condition = *own;
-      ++n;
-    }
-    for (const PeerGroup::Peer* peer : peers_.ListLive()) {
-      for (const ConditionReport& it : peer->last.suspicions) {
-        if (it.endpoint == endpoint) {
-          condition = it.condition;
-          ++n;
-          break;
-        }
-      }
-    }
-    return n;
-  }
+                              EndpointCondition& condition) const;
 
   std::optional<ReplacementReason> FindReason(const ServiceId& service,
-                                              TimePoint now) {
-    const auto leader = leaders_.Get(service, now);
-    if (!leader) {
-      return std::nullopt;
-    }
-    if (leader->gone) {
-      return ReplacementReason::kGone;
-    }
-    if (leader->failed_to_lead) {
-      return ReplacementReason::kGone;
-    }
-    const EndpointEntry* entry = Find(leader->endpoint);
-    if (entry == nullptr) {
-      return std::nullopt;
-    }
-    if (entry->draining) {
-      return ReplacementReason::kDraining;
-    }
-    EndpointCondition condition = EndpointCondition::kAnswering;
-    const uint32_t votes = CountVantagePoints(leader->endpoint, condition);
-    const uint32_t live = peers_.CountLive();
-    // A third of the VMs: a primary that so many cannot use costs more than the
-    // gap of a promotion. A single VM may itself be the one that is cut off.
-    const uint32_t needed = live == 1 ? 1 : std::max(2U, (live + 2) / 3);
-    // One line when the first VM suspects it, one when enough do, one at the
-    // end.
-    const uint32_t level = votes == 0 ? 0 : votes < needed ? 1 : 2;
-    if (level != std::exchange(last_levels_[leader->endpoint], level)) {
-      LogEvent(Event::kLeaderSuspected,
-               {{"service", service.value},
-                {"endpoint", leader->endpoint.value},
-                {"condition", std::string(ConditionName(condition))},
-                {"vantage_points", std::to_string(votes)},
-                {"live", std::to_string(live)}});
-    }
-    if (votes < needed) {
-      return std::nullopt;
-    }
-    return condition == EndpointCondition::kCommitsStalled
-               ? ReplacementReason::kCommitsStalled
-               : ReplacementReason::kUnreachable;
-  }
+                                              TimePoint now);
 
   /** @returns the live peer that holds a duty with the newest token, or 0 */
-  uint64_t FindPeerToken(const ServiceId& service) const {
-    uint64_t token = 0;
-    for (const PeerGroup::Peer* peer : peers_.ListLive()) {
-      for (const HeldDuty& it : peer->last.duties) {
-        if (it.service == service) {
-          token = std::max(token, it.fencing_token);
-        }
-      }
-    }
-    return token;
-  }
+  uint64_t FindPeerToken(const ServiceId& service) const;
 
-  bool IsRankedFirst(const ServiceId& service) const {
-    std::vector<VmEntry> vms;
-    VmEntry self;
-    self.vm = self_;
-    self.site = site_;
-    vms.push_back(self);
-    for (const PeerGroup::Peer* it : peers_.ListLive()) {
-      VmEntry entry;
-      entry.vm = it->last.vm;
-      entry.site = it->last.site;
-      vms.push_back(entry);
-    }
-    const std::vector<VmId> ranked = RankOwners(vms, {}, service.value, 1);
-    return !ranked.empty() && ranked.front() == self_;
-  }
+  bool IsRankedFirst(const ServiceId& service) const;
 
-  bool IsDriver(const ServiceId& service) const {
-    if (leaving_) {
-      return false;
-    }
-    const uint64_t own = claims_.GetToken(service);
-    const uint64_t other = FindPeerToken(service);
-    if (own != 0 || other != 0) {
-      return own > other;
-    }
-    return IsRankedFirst(service);
-  }
+  bool IsDriver(const ServiceId& service) const;
 
-  void ClaimAhead(const ServiceId& service, TimePoint now) {
-    if (leaving_ || now - started_at_ < kClaimAfter ||
-        now < progress_[service].not_before || !outlet_.IsStoreConnected() ||
-        claims_.GetToken(service) != 0 || FindPeerToken(service) != 0 ||
-        !IsRankedFirst(service)) {
-      return;
-    }
-    Claim(service, now, [] {});
-  }
+  void ClaimAhead(const ServiceId& service, TimePoint now);
 
   void Claim(const ServiceId& service,
              TimePoint now,
-             std::function<void()> then) {
-    Progress& progress = progress_[service];
-    if (progress.claiming || now - progress.claimed_at < kClaimRetry) {
-      return;
-    }
-    progress.claiming = true;
-    progress.claimed_at = now;
-    claims_.Claim(service, [this, service, then = std::move(then)](
-                               std::error_code ec, uint64_t) {
-      progress_[service].claiming = false;
-      if (ec) {
-        LogEvent(Event::kDutyRefused, {{"service", service.value},
-                                       {"fencing_token", "none"},
-                                       {"call", ec.message()}});
-        return;
-      }
-      progress_[service].unsettled = true;
-      outlet_.SendHeartbeats();
-      // The holder before may have left replicas paused.
-      for (const EndpointEntry& it : endpoints_) {
-        if (it.service == service && !progress_[service].running) {
-          paused_.Check(it);
-        }
-      }
-      then();
-      Review();
-    });
-  }
+             std::function<void()> then);
 
   /** Orders the endpoint that leads to lead, under the newest token: that
       changes nothing, but the platform then refuses every older order. */
-  void Confirm(const ServiceId& service, TimePoint now) {
-    Progress& progress = progress_[service];
-    const uint64_t token = claims_.GetToken(service);
-    const auto leader = leaders_.Get(service, now);
-    const EndpointEntry* entry = leader ? Find(leader->endpoint) : nullptr;
-    if (!progress.unsettled || progress.confirming || progress.running ||
-        token == 0 || entry == nullptr || now < progress.not_before) {
-      return;
-    }
-    progress.confirming = true;
-    orders_.Send(*entry, {OrderKind::kReport, {}}, kOrderTimeout,
-                 [this, service, token, id = entry->id](
-                     std::error_code ec, const EndpointStanding& standing) {
-                   if (ec || !standing.leads) {
-                     EndConfirm(service, Error::kUnreachable);
-                     return;
-                   }
-                   promotions_.Promote(service, id, token,
-                                       [this, service](std::error_code end) {
-                                         EndConfirm(service, end);
-                                       });
-                 });
-  }
+  void Confirm(const ServiceId& service, TimePoint now);
 
-  void EndConfirm(const ServiceId& service, std::error_code ec) {
-    Progress& progress = progress_[service];
-    progress.confirming = false;
-    if (!ec) {
-      progress.unsettled = false;
-      progress.ordered = {};
-      return;
-    }
-    if (ec == Error::kSuperseded || ec == Error::kAnswerLost) {
-      LogEvent(Event::kDutyRefused,
-               {{"service", service.value},
-                {"fencing_token", std::to_string(claims_.GetToken(service))},
-                {"call", "confirm: " + ec.message()}});
-      // An order without an answer may be carried out after another endpoint
-      // was promoted; only a higher token makes it void then.
-      claims_.Forget(service);
-    }
-    progress.not_before = outlet_.Now() + kReplacementRetry;
-    outlet_.After(kReplacementRetry, [this] { Review(); });
-  }
+  void EndConfirm(const ServiceId& service, std::error_code ec);
 
   void Replace(const ServiceId& service,
                ReplacementReason reason,
-               TimePoint now) {
-    Progress& progress = progress_[service];
-    if (progress.running || progress.claiming || progress.confirming ||
-        now < progress.not_before) {
-      return;
-    }
-    if (claims_.GetToken(service) == 0) {
-      Claim(service, now, [this] { Review(); });
-      return;
-    }
-    ReplacementPlan plan;
-    plan.service = service;
-    plan.primary_id = leaders_.Get(service, now)->endpoint;
-    plan.reason = reason;
-    plan.fencing_token = claims_.GetToken(service);
-    plan.preferred = progress.ordered;
-    for (const EndpointEntry& it : endpoints_) {
-      if (it.service != service) {
-        continue;
-      }
-      if (it.id == plan.primary_id) {
-        plan.primary = it;
-      } else {
-        plan.replicas.push_back(it);
-      }
-    }
-    progress.running = true;
-    paused_.Forget(plan.replicas);
-    LogEvent(Event::kReplacementStarted,
-             {{"service", service.value},
-              {"primary", plan.primary_id.value},
-              {"reason", std::string(ReasonName(reason))},
-              {"fencing_token", std::to_string(plan.fencing_token)}});
-    std::make_shared<Replacement>(
-        orders_, promotions_, outlet_, std::move(plan),
-        [this, service, now](const ReplacementResult& result) {
-          HandleEnd(service, now, result);
-        })
-        ->Start();
-  }
+               TimePoint now);
 
   void HandleEnd(const ServiceId& service,
                  TimePoint began_at,
-                 const ReplacementResult& result) {
-    const TimePoint now = outlet_.Now();
-    Progress& progress = progress_[service];
-    progress.running = false;
-    progress.not_before = now + kReplacementRetry;
-    switch (result.end) {
-      case ReplacementEnd::kPromoted:
-      case ReplacementEnd::kUncertain:
-        progress.not_before = now + kPromotionLimit;
-        ordered_.emplace_back(
-            OrderedLeader{service, result.leader, result.fencing_token}, now);
-        leaders_.NoteOrdered(service, result.leader, result.fencing_token, now);
-        LogEvent(
-            Event::kReplacementDone,
-            {{"service", service.value},
-             {"endpoint", result.leader.value},
-             {"took_ms", std::to_string((now - began_at).count() / 1000)}});
-        progress.unsettled = result.end == ReplacementEnd::kUncertain;
-        progress.ordered = progress.unsettled ? result.leader : EndpointId{};
-        if (progress.unsettled) {
-          // The next order must be above the one that may still come.
-          claims_.Forget(service);
-        }
-        outlet_.AnnounceLeader(service, result.leader);
-        outlet_.SendHeartbeats();
-        outlet_.After(kPromotionLimit, [this] { Review(); });
-        break;
-      case ReplacementEnd::kAlreadyReplaced:
-        leaders_.NoteProven(service, result.leader, result.term);
-        outlet_.AnnounceLeader(service, result.leader);
-        break;
-      case ReplacementEnd::kSuperseded:
-        LogEvent(Event::kDutyRefused,
-                 {{"service", service.value},
-                  {"fencing_token", std::to_string(claims_.GetToken(service))},
-                  {"call", "promote"}});
-        claims_.Forget(service);
-        break;
-      case ReplacementEnd::kNotNeeded:
-      case ReplacementEnd::kAbandoned:
-        LogEvent(Event::kReplacementAbandoned,
-                 {{"service", service.value},
-                  {"reason", result.end == ReplacementEnd::kNotNeeded
-                                 ? "the primary serves"
-                                 : std::string(result.reason)}});
-        break;
-    }
-    PruneSuspicions();
-    for (const EndpointEntry& it : result.maybe_paused) {
-      paused_.Release(it);
-    }
-    outlet_.After(kReplacementRetry, [this] { Review(); });
-  }
+                 const ReplacementResult& result);
 
   O& orders_;
   P& promotions_;
@@ -543,4 +285,8 @@
 
 }  // namespace magnoliareel
 
+// The methods, by topic.
+#include "control/failover/failover_control_duties.h"     // IWYU pragma: export
+#include "control/failover/failover_control_replacing.h"  // IWYU pragma: export
+
 #endif  // MAGNOLIAREEL_CONTROL_FAILOVER_FAILOVER_CONTROL_H_
--- /dev/null
+++ b/libs/control/failover/failover_control_duties.h
@@ -0,0 +1,158 @@
+#ifndef MAGNOLIAREEL_CONTROL_FAILOVER_FAILOVER_CONTROL_DUTIES_H_
+#define MAGNOLIAREEL_CONTROL_FAILOVER_FAILOVER_CONTROL_DUTIES_H_
+
+// Who may order a promotion. Included by failover_control.h.
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "control/failover/failover_control.h"
+
+namespace magnoliareel {
+
+template <RowStore S, EndpointOrders O, PromotionOrders P, class T>
+uint64_t FailoverControl<S, O, P, T>::FindPeerToken(
+    const ServiceId& service) const {
+  uint64_t token = 0;
+  for (const PeerGroup::Peer* peer : peers_.ListLive()) {
+    for (const HeldDuty& it : peer->last.duties) {
+      if (it.service == service) {
+        token = std::max(token, it.fencing_token);
+      }
+    }
+  }
+  return token;
+}
+
+template <RowStore S, EndpointOrders O, PromotionOrders P, class T>
+bool FailoverControl<S, O, P, T>::IsRankedFirst(
+    const ServiceId& service) const {
+  std::vector<VmEntry> vms;
+  VmEntry self;
+  self.vm = self_;
+  self.site = site_;
+  vms.push_back(self);
+  for (const PeerGroup::Peer* it : peers_.ListLive()) {
+    VmEntry entry;
+    entry.vm = it->last.vm;
+    entry.site = it->last.site;
+    vms.push_back(entry);
+  }
+  const std::vector<VmId> ranked = RankOwners(vms, {}, service.value, 1);
+  return !ranked.empty() && ranked.front() == self_;
+}
+
+template <RowStore S, EndpointOrders O, PromotionOrders P, class T>
+bool FailoverControl<S, O, P, T>::IsDriver(const ServiceId& service) const {
+  if (leaving_) {
+    return false;
+  }
+  const uint64_t own = claims_.GetToken(service);
+  const uint64_t other = FindPeerToken(service);
+  if (own != 0 || other != 0) {
+    return own > other;
+  }
+  return IsRankedFirst(service);
+}
+
+template <RowStore S, EndpointOrders O, PromotionOrders P, class T>
+void FailoverControl<S, O, P, T>::ClaimAhead(const ServiceId& service,
+                                             TimePoint now) {
+  if (leaving_ || now - started_at_ < kClaimAfter ||
+      now < progress_[service].not_before || !outlet_.IsStoreConnected() ||
+      claims_.GetToken(service) != 0 || FindPeerToken(service) != 0 ||
+      !IsRankedFirst(service)) {
+    return;
+  }
+  Claim(service, now, [] {});
+}
+
+template <RowStore S, EndpointOrders O, PromotionOrders P, class T>
+void FailoverControl<S, O, P, T>::Claim(const ServiceId& service,
+                                        TimePoint now,
+                                        std::function<void()> then) {
+  Progress& progress = progress_[service];
+  if (progress.claiming || now - progress.claimed_at < kClaimRetry) {
+    return;
+  }
+  progress.claiming = true;
+  progress.claimed_at = now;
+  claims_.Claim(service, [this, service, then = std::move(then)](
+                             std::error_code ec, uint64_t) {
+    progress_[service].claiming = false;
+    if (ec) {
+      LogEvent(Event::kDutyRefused, {{"service", service.value},
+                                     {"fencing_token", "none"},
+                                     {"call", ec.message()}});
+      return;
+    }
+    progress_[service].unsettled = true;
+    outlet_.SendHeartbeats();
+    // The holder before may have left replicas paused.
+    for (const EndpointEntry& it : endpoints_) {
+      if (it.service == service && !progress_[service].running) {
+        paused_.Check(it);
+      }
+    }
+    then();
+    Review();
+  });
+}
+
+template <RowStore S, EndpointOrders O, PromotionOrders P, class T>
+void FailoverControl<S, O, P, T>::Confirm(const ServiceId& service,
+                                          TimePoint now) {
+  Progress& progress = progress_[service];
+  const uint64_t token = claims_.GetToken(service);
+  const auto leader = leaders_.Get(service, now);
+  const EndpointEntry* entry = leader ? Find(leader->endpoint) : nullptr;
+  if (!progress.unsettled || progress.confirming || progress.running ||
+      token == 0 || entry == nullptr || now < progress.not_before) {
+    return;
+  }
+  progress.confirming = true;
+  orders_.Send(*entry, {OrderKind::kReport, {}}, kOrderTimeout,
+               [this, service, token, id = entry->id](
+                   std::error_code ec, const EndpointStanding& standing) {
+                 if (ec || !standing.leads) {
+                   EndConfirm(service, Error::kUnreachable);
+                   return;
+                 }
+                 promotions_.Promote(service, id, token,
+                                     [this, service](std::error_code end) {
+                                       EndConfirm(service, end);
+                                     });
+               });
+}
+
+template <RowStore S, EndpointOrders O, PromotionOrders P, class T>
+void FailoverControl<S, O, P, T>::EndConfirm(const ServiceId& service,
+                                             std::error_code ec) {
+  Progress& progress = progress_[service];
+  progress.confirming = false;
+  if (!ec) {
+    progress.unsettled = false;
+    progress.ordered = {};
+    return;
+  }
+  if (ec == Error::kSuperseded || ec == Error::kAnswerLost) {
+    LogEvent(Event::kDutyRefused,
+             {{"service", service.value},
+              {"fencing_token", std::to_string(claims_.GetToken(service))},
+              {"call", "confirm: " + ec.message()}});
+    // An order without an answer may be carried out after another endpoint
+    // was promoted; only a higher token makes it void then.
+    claims_.Forget(service);
+  }
+  progress.not_before = outlet_.Now() + kReplacementRetry;
+  outlet_.After(kReplacementRetry, [this] { Review(); });
+}
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_CONTROL_FAILOVER_FAILOVER_CONTROL_DUTIES_H_
--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -249,7 +249,9 @@
 
 // The methods, by topic.
 #include "relay/core/traffic_core_connections.h"  // IWYU pragma: export
+#include "relay/core/traffic_core_control.h"      // IWYU pragma: export
 #include "relay/core/traffic_core_dispatch.h"     // IWYU pragma: export
+#include "relay/core/traffic_core_reads.h"        // IWYU pragma: export
 #include "relay/core/traffic_core_refusals.h"     // IWYU pragma: export
 #include "relay/core/traffic_core_replies.h"      // IWYU pragma: export
 #include "relay/core/traffic_core_sessions.h"     // IWYU pragma: export
--- a/libs/relay/core/traffic_core_dispatch.h
+++ b/libs/relay/core/traffic_core_dispatch.h
@@ -43,87 +43,6 @@
   Remind({net_.Now() + kLeaderReview, Reminder::kLeaders, 0, 0, {}});
 }
 
-template <WireDialect D, class N>
-void TrafficCore<D, N>::DispatchRead(CallerSession& session) {
-  SessionWork& work = session.work;
-  ServiceState& service = GetService(session.route->service);
-  const TimePoint not_before =
-      work.began_at - session.route->max_staleness + kStalenessMargin;
-  work.after = service.bounds.Find(not_before);
-  const TimePoint now = net_.Now();
-  if (now - service.bounds.GetNewest() >
-      session.route->max_staleness / kBoundRenewalDivisor) {
-    RefreshBounds(service);
-  }
-  const Need proven = work.need == Need::kReadTransaction
-                          ? Need::kPlainTransaction
-                          : Need::kProvenRead;
-  if (!work.after && !std::exchange(work.awaited_bound, true)) {
-    // One question to the primary lets every waiting read go to a replica;
-    // sending the reads themselves there would overload it after a restart.
-    service.awaiting_bound.push_back(
-        {session.id, work.ticket, session.route->priority, work.deadline});
-    Remind({now + kBoundWait, Reminder::kRetry, session.id, work.ticket, {}});
-    return;
-  }
-  if (!work.after) {
-    work.need = proven;
-    DispatchToLeader(session);
-    return;
-  }
-  if (session.route->consistency == Consistency::kReadYourWrites &&
-      session.last_commit && *session.last_commit > *work.after) {
-    work.after = session.last_commit;
-  }
-  EndpointPool* pool = ChooseReadPool(session, service);
-  if (pool == nullptr || IsLeader(*pool)) {
-    work.need = proven;
-    work.after.reset();
-    DispatchToLeader(session);
-    return;
-  }
-  EnqueueAt(*pool, session);
-}
-
-template <WireDialect D, class N>
-EndpointPool* TrafficCore<D, N>::ChooseReadPool(const CallerSession& session,
-                                                const ServiceState& service) {
-  const TimePoint now = net_.Now();
-  EndpointPool* best = nullptr;
-  Duration best_cost{};
-  for (const EndpointId& id : service.endpoints) {
-    EndpointPool* pool = FindPool(id);
-    if (pool == nullptr || pool->gone) {
-      continue;
-    }
-    const bool leads = IsLeader(*pool);
-    if (pool->entry.draining && !leads) {
-      continue;
-    }
-    Duration cost = pool->EstimateLatency();
-    if (pool->distance == Distance::kRemote) {
-      cost += session.route->latency_objective / kRemotePenaltyDivisor;
-    } else if (pool->distance == Distance::kSameRegion) {
-      cost += kRegionPenalty;
-    }
-    if (leads) {
-      cost += kLeaderPenalty;
-    } else if (session.work.after && pool->IsBehind(*session.work.after, now)) {
-      cost += kBehindPenalty;
-    }
-    const auto& passed = session.work.passed_over;
-    if (pool->IsAvoided(now) ||
-        std::find(passed.begin(), passed.end(), id) != passed.end()) {
-      cost += kFailedPenalty;
-    }
-    if (best == nullptr || cost < best_cost) {
-      best = pool;
-      best_cost = cost;
-    }
-  }
-  return best;
-}
-
 template <WireDialect D, class N>
 void TrafficCore<D, N>::EnqueueAt(EndpointPool& pool, CallerSession& session) {
   session.work.queued_at = pool.entry.id;
@@ -373,45 +292,6 @@
   }
 }
 
-template <WireDialect D, class N>
-void TrafficCore<D, N>::RefreshBounds(ServiceState& service) {
-  const TimePoint now = net_.Now();
-  const EndpointId* leader = service.leader.Get();
-  EndpointPool* pool = leader == nullptr ? nullptr : FindPool(*leader);
-  if (pool == nullptr || now - service.bounds_asked_at < kSlowAfter) {
-    return;
-  }
-  for (const uint64_t it : pool->connections) {
-    PooledConnection* connection = FindConnection(it);
-    if (connection != nullptr && connection->use == ConnectionUse::kIdle) {
-      service.bounds_asked_at = now;
-      ++counters_.bounds_asked;
-      Settle(*connection);
-      return;
-    }
-  }
-  // A new connection begins with the question; busy ones bring a bound too.
-  if (pool->connections.empty() && pool->MayOpen(1, now)) {
-    service.bounds_asked_at = now;
-    OpenConnection(*pool);
-  }
-}
-
-template <WireDialect D, class N>
-void TrafficCore<D, N>::ReleaseAwaiting(ServiceState& service) {
-  const std::deque<QueuedStatement> awaiting =
-      std::exchange(service.awaiting_bound, {});
-  for (const QueuedStatement& it : awaiting) {
-    if (IsStillWaiting(it.session, it.ticket)) {
-      CallerSession& session = *FindSession(it.session);
-      if (session.work.queued_at.IsEmpty() &&
-          session.work.connections.empty()) {
-        Dispatch(session);
-      }
-    }
-  }
-}
-
 }  // namespace magnoliareel
 
 #endif  // MAGNOLIAREEL_RELAY_CORE_TRAFFIC_CORE_DISPATCH_H_
--- /dev/null
+++ b/standins/group/group_statements.cc
@@ -0,0 +1,98 @@
+// What reads, writes and commits do.
+
+#include <algorithm>
+#include <utility>
+
+#include "standins/group/group_model.h"
+
+namespace magnoliareel {
+
+void GroupModel::Record(const Connection& connection,
+                        uint64_t id,
+                        const std::string& request,
+                        const std::string& text) {
+  const Member& member = members_[connection.member];
+  runs_.push_back({request, id, member.id, text, GetEnd(member, true), now_,
+                   connection.status == 'T', connection.values});
+}
+
+void GroupModel::RunRead(uint64_t id,
+                         const std::string& request,
+                         const std::string& text,
+                         const std::string& item) {
+  Connection& connection = connections_[id];
+  Record(connection, id, request, text);
+  const auto found = Look(members_[connection.member], item);
+  Complete(id, found ? "ROW " + *found + "\r\n" : "", "proof-" + request);
+}
+
+void GroupModel::RunWrite(uint64_t id,
+                          const std::string& request,
+                          const std::string& text,
+                          std::string item,
+                          std::string data) {
+  Connection& connection = connections_[id];
+  if (!members_[connection.member].leads) {
+    Fail(id, "READONLY");
+    return;
+  }
+  Record(connection, id, request, text);
+  connection.writes.emplace_back(std::move(item), std::move(data));
+  connection.requests.push_back(request);
+  if (connection.status == 'T') {
+    Complete(id, "", "proof-" + request);
+    return;
+  }
+  Commit(id, request);
+}
+
+void GroupModel::Commit(uint64_t id, const std::string& request) {
+  Connection& connection = connections_[id];
+  connection.status = 'I';
+  if (connection.writes.empty()) {
+    Complete(id, "", "proof-" + request);
+    return;
+  }
+  Member& leader = members_[connection.member];
+  GroupCommit commit;
+  commit.point = {leader.term,
+                  LogPosition{GetEnd(leader, false).position.value + 1}};
+  commit.writes = std::exchange(connection.writes, {});
+  commit.requests = std::exchange(connection.requests, {});
+  const size_t index = commits_.size();
+  commits_.push_back(std::move(commit));
+  leader.log.push_back(index);
+  leader.applied = leader.log.size();
+  connection.busy = true;
+  Replicate(index);
+  Acknowledge(id, request, index);
+}
+
+void GroupModel::Acknowledge(uint64_t id,
+                             const std::string& request,
+                             size_t commit) {
+  Connection* it = Find(id);
+  if (it == nullptr) {
+    return;
+  }
+  const bool received =
+      std::any_of(members_.begin(), members_.end(), [&](const Member& member) {
+        return &member != &members_[it->member] &&
+               std::find(member.log.begin(), member.log.end(), commit) !=
+                   member.log.end();
+      });
+  if (!received && members_.size() > 1) {
+    timer_(options_.receive_delay / 2,
+           [this, id, request, commit] { Acknowledge(id, request, commit); });
+    return;
+  }
+  if (!members_[it->member].leads) {
+    // It lost the lead while the commit waited: its outcome stays open.
+    return;
+  }
+  commits_[commit].acknowledged = true;
+  commits_[commit].acknowledged_at = now_;
+  Complete(id, "", "proof-" + request);
+}
+
+}  // namespace magnoliareel
--- a/tests/traffic/traffic_world.cc
+++ b/tests/traffic/traffic_world.cc
@@ -6,10 +6,6 @@
 namespace magnoliareel {
 namespace {
 
-// Connections that carry orders, apart from those of the VMs.
-constexpr uint64_t kFirstOrder = 1ULL << 40;
-// Member n listens on this port plus n.
-constexpr uint16_t kFirstPort = 9000;
 // How soon a change of a member's role shows in the directory.
 constexpr Duration kDirectoryPeriod = std::chrono::milliseconds(250);
 
@@ -192,33 +188,6 @@
   Publish();
 }
 
-void SimulatedServices::Get(std::string_view,
-                            std::string_view key,
-                            RowsCompletion done) {
-  StoredRows rows;
-  if (row_version_ > 0) {
-    rows.rows.push_back({std::string(key), "holder", row_version_, false});
-  }
-  world_.After(Duration(4000),
-               [rows, done = std::move(done)] { done({}, rows); });
-}
-
-void SimulatedServices::WriteIf(std::string_view,
-                                std::string_view,
-                                std::string_view,
-                                uint64_t version,
-                                RowsCompletion done) {
-  world_.After(Duration(4000), [this, version, done = std::move(done)] {
-    if (version != row_version_) {
-      done(Error::kVersionConflict, {});
-      return;
-    }
-    StoredRows rows;
-    rows.version = ++row_version_;
-    done({}, rows);
-  });
-}
-
 void TrafficWorld::AnnounceLeader(const ServiceId& service,
                                   const EndpointId& endpoint) {
   for (size_t it = 0; it < vms_.size(); ++it) {
@@ -339,44 +308,6 @@
   });
 }
 
-void SimulatedServices::Send(const EndpointEntry& endpoint,
-                             const EndpointOrder& order,
-                             Duration timeout,
-                             OrderCompletion done) {
-  TrafficWorld& world = world_;
-  const uint64_t id = kFirstOrder + world.next_link_++;
-  const size_t member = endpoint.address.port - kFirstPort;
-  world.orders_[id] = {{}, std::move(done), false};
-  std::string bytes;
-  platform::LineDialect::AppendOpen(bytes, endpoint.service.value, "driver",
-                                    endpoint.id.value);
-  switch (order.kind) {
-    case OrderKind::kReport:
-      platform::LineDialect::AppendStatus(bytes);
-      break;
-    case OrderKind::kPause:
-      platform::LineDialect::AppendPause(bytes, order.term);
-      break;
-    case OrderKind::kResume:
-      platform::LineDialect::AppendResume(bytes);
-      break;
-  }
-  world.queue_.After(Duration(2000), [&world, id, member, bytes] {
-    world.group_.SetNow(world.queue_.Now());
-    world.group_.Open(member, id);
-    world.group_.Receive(id, bytes);
-  });
-  world.queue_.After(timeout, [&world, id] {
-    world.group_.Close(id);
-    const auto it = world.orders_.find(id);
-    if (it != world.orders_.end()) {
-      const OrderCompletion ended = std::move(it->second.done);
-      world.orders_.erase(it);
-      ended(Error::kAnswerLost, {});
-    }
-  });
-}
-
 void TrafficWorld::HandleOrderOutput(uint64_t connection,
                                      const std::string& bytes) {
   const auto it = orders_.find(connection);
@@ -405,27 +336,4 @@
   done(ec, standing);
 }
 
-void SimulatedServices::Promote(const ServiceId&,
-                                const EndpointId& endpoint,
-                                uint64_t fencing_token,
-                                std::function<void(std::error_code)> done) {
-  TrafficWorld& world = world_;
-  const auto carry_out = [&world, endpoint, fencing_token] {
-    world.group_.SetNow(world.Now());
-    return world.group_.Promote(endpoint.value, fencing_token);
-  };
-  if (std::uniform_real_distribution<>(0, 1)(world.random_) <
-      world.promotion_loss_) {
-    world.After(std::chrono::milliseconds(400),
-                [done] { done(Error::kAnswerLost); });
-    world.After(std::chrono::milliseconds(1000 + world.random_() % 3000),
-                [carry_out] { carry_out(); });
-    return;
-  }
-  world.After(Duration(3000), [carry_out, done = std::move(done)] {
-    done(carry_out() == 200 ? std::error_code{}
-                            : make_error_code(Error::kSuperseded));
-  });
-}
-
 }  // namespace magnoliareel
--- a/tests/traffic/traffic_world.h
+++ b/tests/traffic/traffic_world.h
@@ -18,6 +18,11 @@
 
 class TrafficWorld;
 
+/** Connections that carry orders, apart from those of the VMs. */
+inline constexpr uint64_t kFirstOrder = 1ULL << 40;
+/** Member n listens on this port plus n. */
+inline constexpr uint16_t kFirstPort = 9000;
+
 /** The network of one simulated VM. @see TrafficNet */
 class SimulatedNet {
  public:
