Order nothing further under a token whose order was lost

A token is given up as soon as one of its orders had no answer; the next claim is above it and is confirmed at once.

--- a/libs/control/failover/failover_control_replacing.h
+++ b/libs/control/failover/failover_control_replacing.h
@@ -133,6 +133,13 @@
   const TimePoint now = outlet_.Now();
   Progress& progress = progress_[service];
   progress.running = false;
+  if (result.orders_lost && result.end != ReplacementEnd::kSuperseded) {
+    // An order under this token may still be carried out. Only a higher token
+    // makes it void: nothing further is ordered under this one, and the next
+    // claim is followed by a confirmation.
+    progress.unsettled = true;
+    claims_.Forget(service);
+  }
   progress.not_before = now + kReplacementRetry;
   switch (result.end) {
     case ReplacementEnd::kPromoted:
@@ -145,12 +152,9 @@
                {{"service", service.value},
                 {"endpoint", result.leader.value},
                 {"took_ms", std::to_string((now - began_at).count() / 1000)}});
-      progress.unsettled = result.end == ReplacementEnd::kUncertain;
-      progress.ordered = progress.unsettled ? result.leader : EndpointId{};
-      if (progress.unsettled) {
-        // The next order must be above the one that may still come.
-        claims_.Forget(service);
-      }
+      progress.ordered = result.end == ReplacementEnd::kUncertain
+                             ? result.leader
+                             : EndpointId{};
       outlet_.AnnounceLeader(service, result.leader);
       outlet_.SendHeartbeats();
       outlet_.After(kPromotionLimit, [this] { Review(); });
--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -304,8 +304,15 @@
   }
 
   void Finish(ReplacementEnd end, EndpointId leader, std::string_view reason) {
-    done_({end, std::move(leader), pause_term_, plan_.fencing_token, reason,
-           maybe_paused_});
+    ReplacementResult result;
+    result.end = end;
+    result.leader = std::move(leader);
+    result.term = pause_term_;
+    result.fencing_token = plan_.fencing_token;
+    result.orders_lost = promotions_lost_ > 0;
+    result.reason = reason;
+    result.maybe_paused = maybe_paused_;
+    done_(result);
   }
 
   O& orders_;
--- a/libs/control/failover/replacement_plan.h
+++ b/libs/control/failover/replacement_plan.h
@@ -79,6 +79,8 @@
   /** Term in which it leads, if it does. */
   Term term;
   uint64_t fencing_token = 0;
+  /** An order under the token had no answer and may still be carried out. */
+  bool orders_lost = false;
   std::string_view reason;
   /** Endpoints that may be paused, now or by an order that is still under way,
       without a promotion that frees them. */
