Resume paused replicas once the next primary leads

What a successful attempt paused is resumed as soon as its endpoint has proven that it leads, not before: until then the old primary could have commits acknowledged through it. No duty is claimed in the first 1.3 s of a process.

--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -42,11 +42,17 @@
 inline constexpr Duration kFailoverTick = std::chrono::milliseconds(100);
 /** Pause between two attempts for one service. */
 inline constexpr Duration kReplacementRetry = std::chrono::milliseconds(300);
+/** Paused replicas have this time to receive what they missed before the next
+    attempt pauses them again. */
+inline constexpr Duration kResumeTime = std::chrono::milliseconds(800);
 /** A promotion takes effect within this time, or is tried again: the slowest
     that the deployments state, 1 s, and as much again. */
 inline constexpr Duration kPromotionLimit = std::chrono::milliseconds(2000);
 /** An order to lead is told to other VMs for this long. */
 inline constexpr Duration kOrderedKept = std::chrono::seconds(4);
+/** No duty is claimed before: a VM that has just started has not heard yet who
+    holds it. More than a heartbeat's period. */
+inline constexpr Duration kNoClaimBefore = std::chrono::milliseconds(1300);
 /** Duties without a holder are claimed this long after the start: by then all
     VMs that start together have heard each other. */
 inline constexpr Duration kClaimAfter = std::chrono::seconds(3);
@@ -169,6 +175,7 @@
     for (const auto& [service, sync] : sync_) {
       const std::optional<ReplacementReason> reason = FindReason(service, now);
       unsettled = unsettled || reason.has_value();
+      ResumePaused(service, now);
       if (reason && IsDriver(service)) {
         Replace(service, *reason, now);
       } else if (!reason) {
@@ -206,6 +213,8 @@
     bool unsettled = false;
     /** The endpoint that such an order of this VM names. */
     EndpointId ordered;
+    /** Replicas to resume once the endpoint that was promoted leads. */
+    std::vector<EndpointEntry> paused;
     TimePoint not_before;
     TimePoint claimed_at;
   };
@@ -255,6 +264,7 @@
 
   void EndConfirm(const ServiceId& service, std::error_code ec);
 
+  void ResumePaused(const ServiceId& service, TimePoint now);
   void Replace(const ServiceId& service,
                ReplacementReason reason,
                TimePoint now);
--- a/libs/control/failover/failover_control_duties.h
+++ b/libs/control/failover/failover_control_duties.h
@@ -77,7 +77,8 @@
                                         TimePoint now,
                                         std::function<void()> then) {
   Progress& progress = progress_[service];
-  if (progress.claiming || now - progress.claimed_at < kClaimRetry) {
+  if (now - started_at_ < kNoClaimBefore || progress.claiming ||
+      now - progress.claimed_at < kClaimRetry) {
     return;
   }
   progress.claiming = true;
--- a/libs/control/failover/failover_control_replacing.h
+++ b/libs/control/failover/failover_control_replacing.h
@@ -126,6 +126,26 @@
       ->Start();
 }
 
+template <RowStore S, EndpointOrders O, PromotionOrders P, class T>
+void FailoverControl<S, O, P, T>::ResumePaused(const ServiceId& service,
+                                               TimePoint now) {
+  Progress& progress = progress_[service];
+  const auto leader = leaders_.Get(service, now);
+  if (progress.paused.empty() || progress.running || !leader ||
+      !leader->confirmed) {
+    return;
+  }
+  // The promotion is in force: what the old primary could still have
+  // acknowledged through them, it cannot any more.
+  for (const EndpointEntry& it : progress.paused) {
+    if (it.id != leader->endpoint) {
+      paused_.Resume(it);
+    }
+  }
+  progress.paused.clear();
+  progress.not_before = now + kResumeTime;
+}
+
 template <RowStore S, EndpointOrders O, PromotionOrders P, class T>
 void FailoverControl<S, O, P, T>::HandleEnd(const ServiceId& service,
                                             TimePoint began_at,
@@ -180,8 +200,13 @@
       break;
   }
   PruneSuspicions();
-  for (const EndpointEntry& it : result.maybe_paused) {
-    paused_.Release(it);
+  if (result.end == ReplacementEnd::kPromoted ||
+      result.end == ReplacementEnd::kUncertain) {
+    progress.paused = result.maybe_paused;
+  } else {
+    for (const EndpointEntry& it : result.maybe_paused) {
+      paused_.Release(it);
+    }
   }
   outlet_.After(kReplacementRetry, [this] { Review(); });
 }
--- a/libs/control/failover/leader_register.cc
+++ b/libs/control/failover/leader_register.cc
@@ -97,6 +97,7 @@
   const Known& known = it->second;
   Leader leader;
   leader.endpoint = known.endpoint;
+  leader.confirmed = known.confirmed;
   leader.gone = known.missing_since && now - *known.missing_since >= kGoneAfter;
   leader.failed_to_lead = !known.confirmed && known.ordered_at &&
                           now - *known.ordered_at >= kProofLimit;
--- a/libs/control/failover/leader_register.h
+++ b/libs/control/failover/leader_register.h
@@ -25,6 +25,8 @@
   /** What is known of one service's leader. */
   struct Leader {
     EndpointId endpoint;
+    /** It leads, as it has proven or said. */
+    bool confirmed = false;
     /** The directory lists it no more. */
     bool gone = false;
     /** It was ordered to lead and has not. */
--- a/libs/control/failover/paused_replicas.h
+++ b/libs/control/failover/paused_replicas.h
@@ -37,6 +37,13 @@
     Start(replica, {OrderKind::kResume, {}});
   }
 
+  /** Resumes a replica whose pause has served its purpose. */
+  void Resume(const EndpointEntry& replica) {
+    Entry& entry = entries_[replica.id];
+    entry.until = timing_.Now();
+    Start(replica, {OrderKind::kResume, {}});
+  }
+
   /** Resumes a replica if it is paused. */
   void Check(const EndpointEntry& replica) {
     Entry& entry = entries_[replica.id];
--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -266,7 +266,6 @@
   void EndPromote(std::error_code ec) {
     const EndpointId leader = replicas_[next_leader_].entry.id;
     if (!ec) {
-      maybe_paused_.clear();
       Finish(ReplacementEnd::kPromoted, leader, "");
       return;
     }
--- a/libs/control/failover/replacement_plan.h
+++ b/libs/control/failover/replacement_plan.h
@@ -82,8 +82,8 @@
   /** An order under the token had no answer and may still be carried out. */
   bool orders_lost = false;
   std::string_view reason;
-  /** Endpoints that may be paused, now or by an order that is still under way,
-      without a promotion that frees them. */
+  /** Endpoints that may be paused, now or by an order that is still under way.
+      After a promotion they must stay so until it has taken effect. */
   std::vector<EndpointEntry> maybe_paused;
 };
 
