Resume a replica only if it says that it is paused

Cause, as far as traced: resume orders of abandoned attempts had no answer and are carried out up to 12 s later; one that falls into a later replacement lets the old primary have commits acknowledged by a replica that is not the next primary. A replica is now asked first, an abandoned attempt waits 1.5 s for the next one before it looks.

--- a/libs/control/failover/failover_control_replacing.h
+++ b/libs/control/failover/failover_control_replacing.h
@@ -139,7 +139,7 @@
   // acknowledged through them, it cannot any more.
   for (const EndpointEntry& it : progress.paused) {
     if (it.id != leader->endpoint) {
-      paused_.Resume(it);
+      paused_.Check(it);
     }
   }
   progress.paused.clear();
--- a/libs/control/failover/paused_replicas.h
+++ b/libs/control/failover/paused_replicas.h
@@ -12,6 +12,9 @@
 
 /** How often a replica that may be paused is looked at. */
 inline constexpr Duration kPausedPeriod = std::chrono::milliseconds(700);
+/** An abandoned attempt is usually followed by another one within this time,
+    which pauses the same replicas again. */
+inline constexpr Duration kReleaseDelay = std::chrono::milliseconds(1500);
 /** For how long: an order without an answer may be carried out up to 12 s later
     (users' pages). */
 inline constexpr Duration kPausedWatch = std::chrono::seconds(14);
@@ -30,25 +33,25 @@
   */
   PausedReplicas(O& orders, T& timing) : orders_(orders), timing_(timing) {}
 
-  /** Resumes a replica, and looks after it for a while. */
+  /** Looks after a replica that an abandoned attempt may have paused; resumes
+      it unless a new attempt begins first. */
   void Release(const EndpointEntry& replica) {
     Entry& entry = entries_[replica.id];
     entry.until = timing_.Now() + kPausedWatch;
-    Start(replica, {OrderKind::kResume, {}});
-  }
-
-  /** Resumes a replica whose pause has served its purpose. */
-  void Resume(const EndpointEntry& replica) {
-    Entry& entry = entries_[replica.id];
-    entry.until = timing_.Now();
-    Start(replica, {OrderKind::kResume, {}});
+    const uint64_t round = entry.round = ++rounds_;
+    timing_.After(kReleaseDelay, [this, replica, round] {
+      if (IsCurrent(replica.id, round)) {
+        Ask(replica, {OrderKind::kReport, {}}, round);
+      }
+    });
   }
 
   /** Resumes a replica if it is paused. */
   void Check(const EndpointEntry& replica) {
     Entry& entry = entries_[replica.id];
     entry.until = timing_.Now();
-    Start(replica, {OrderKind::kReport, {}});
+    entry.round = ++rounds_;
+    Ask(replica, {OrderKind::kReport, {}}, entry.round);
   }
 
   /** Leaves replicas alone, as a new attempt takes care of them. */
@@ -64,12 +67,6 @@
     uint64_t round = 0;
   };
 
-  void Start(const EndpointEntry& replica, EndpointOrder order) {
-    const uint64_t round = ++rounds_;
-    entries_[replica.id].round = round;
-    Ask(replica, order, round);
-  }
-
   bool IsCurrent(const EndpointId& id, uint64_t round) const {
     const auto it = entries_.find(id);
     return it != entries_.end() && it->second.round == round;
@@ -77,8 +74,8 @@
 
   void Ask(const EndpointEntry& replica, EndpointOrder order, uint64_t round) {
     orders_.Send(replica, order, kPausedPeriod,
-                 [this, replica, round](std::error_code ec,
-                                        const EndpointStanding& standing) {
+                 [this, replica, kind = order.kind, round](
+                     std::error_code ec, const EndpointStanding& standing) {
                    if (!IsCurrent(replica.id, round)) {
                      return;
                    }
@@ -88,9 +85,15 @@
                      entries_.erase(replica.id);
                      return;
                    }
+                   // A replica is resumed only if it says that it is paused:
+                   // an order without an answer may be carried out in the
+                   // middle of a later attempt.
                    const OrderKind next =
-                       settled ? OrderKind::kReport : OrderKind::kResume;
-                   timing_.After(settled ? 2 * kPausedPeriod : kPausedPeriod,
+                       paused ? OrderKind::kResume : OrderKind::kReport;
+                   timing_.After(settled ? 2 * kPausedPeriod
+                                 : paused && kind == OrderKind::kReport
+                                     ? Duration(0)
+                                     : kPausedPeriod,
                                  [this, replica, next, round] {
                                    if (IsCurrent(replica.id, round)) {
                                      Ask(replica, {next, {}}, round);
