Leave paused replicas to the present holder

It forgets them once another VM holds the duty.

The new test passes; its run without the mend was not made.

--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -234,6 +234,16 @@
     });
   }
 
+  std::vector<EndpointEntry> ListEndpoints(const ServiceId& service) const {
+    std::vector<EndpointEntry> list;
+    for (const EndpointEntry& it : endpoints_) {
+      if (it.service == service) {
+        list.push_back(it);
+      }
+    }
+    return list;
+  }
+
   void HandleSuspicionsChanged() {
     outlet_.SendHeartbeats();
     Review();
--- a/libs/control/failover/failover_control_replacing.h
+++ b/libs/control/failover/failover_control_replacing.h
@@ -130,6 +130,13 @@
 void FailoverControl<S, O, P, T>::ResumePaused(const ServiceId& service,
                                                TimePoint now) {
   Progress& progress = progress_[service];
+  if (!IsDriver(service) && !progress.running) {
+    // Pauses are the present holder's now; resuming one of its replicas would
+    // undo its attempt.
+    progress.paused.clear();
+    paused_.Forget(ListEndpoints(service));
+    return;
+  }
   const auto leader = leaders_.Get(service, now);
   if (progress.paused.empty() || progress.running || !leader ||
       !leader->confirmed) {
--- a/libs/control/tests/failover_control_test.cc
+++ b/libs/control/tests/failover_control_test.cc
@@ -61,6 +61,10 @@
     standing.leads = endpoint.id.value == leader;
     standing.term = Term{term};
     standing.received = {Term{1}, LogPosition{7}};
+    if (endpoint.id.value == silent) {
+      done(Error::kAnswerLost, {});
+      return;
+    }
     if (order.kind == OrderKind::kPause) {
       paused[endpoint.id.value] = order.term;
     } else if (order.kind == OrderKind::kResume) {
@@ -119,6 +123,8 @@
   std::string leader = "db-1";
   uint64_t term = 1;
   int lost_orders = 0;
+  // An endpoint that answers nothing.
+  std::string silent;
   std::vector<std::pair<std::string, uint64_t>> orders;
   // A promotion ends only the pauses below its term; here it ends none.
   std::map<std::string, Term> paused;
@@ -182,6 +188,25 @@
   CHECK(fake.paused.empty());
 }
 
+TEST(Failover, AFormerHolderLeavesPausedReplicasAlone) {
+  // Seen (late-orders --seed 211310843558: LOST): it resumed what the present
+  // holder had paused in the middle of an attempt.
+  fake.silent = "db-3";
+  failover.Apply(fake.MakeView("db-1"));
+  fake.RunFor(std::chrono::milliseconds(1600));
+  CHECK(fake.orders.empty());
+  fake.silent.clear();
+  Heartbeat heartbeat;
+  heartbeat.vm.value = "other";
+  heartbeat.address = {"127.0.0.1", 2};
+  heartbeat.duties = {{kService, 99}};
+  peers.Hear(heartbeat, fake.Now());
+  failover.NotePeer(heartbeat);
+  fake.paused["db-2"] = Term{9};
+  fake.RunFor(std::chrono::seconds(3));
+  CHECK(fake.paused.contains("db-2"));
+}
+
 TEST(Failover, AVmThatHasJustStartedClaimsNothing) {
   // It has not heard yet who holds the duty.
   failover.Apply(fake.MakeView("db-1"));
