--- a/apps/fleet/fleet_report.cc
+++ b/apps/fleet/fleet_report.cc
@@ -6,6 +6,8 @@
 #include <initializer_list>
 #include <utility>
 
+#include "codec/json/json_text.h"
+
 namespace magnoliareel {
 namespace {
 
@@ -123,9 +125,7 @@
     duty["fencing_token"] = Json::UInt64{it.fencing_token};
     root["duties"].append(std::move(duty));
   }
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, root) + "\n";
+  return FormatJson(root) + "\n";
 }
 
 }  // namespace magnoliareel
--- a/libs/gossip/gossip.h
+++ b/libs/gossip/gossip.h
@@ -5,7 +5,7 @@
     @brief Module gossip: the encoding of what VMs tell each other, and
     operators.
 
-    Depends on control, coordination and jsoncpp.
+    Depends on codec (JSON texts), control, coordination and jsoncpp.
 
     Topics: heartbeats/ (datagrams), state/ (configuration and directory for a
     VM that the store does not answer).
--- a/libs/gossip/state/fleet_state_codec.cc
+++ b/libs/gossip/state/fleet_state_codec.cc
@@ -2,9 +2,10 @@
 
 #include <json/json.h>
 
-#include <memory>
 #include <utility>
 
+#include "codec/json/json_text.h"
+
 namespace magnoliareel {
 namespace {
 
@@ -39,18 +40,13 @@
     root["endpoints"].append(EncodeRow(it));
   }
   root["endpoints_version"] = Json::UInt64{state.endpoints_version};
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, root);
+  return FormatJson(root);
 }
 
 bool DecodeFleetState(std::string_view bytes, FleetState& out) {
-  Json::Value root;
-  const std::unique_ptr<Json::CharReader> reader(
-      Json::CharReaderBuilder().newCharReader());
-  if (!reader->parse(bytes.data(), bytes.data() + bytes.size(), &root,
-                     nullptr) ||
-      !root.isObject() || !root["endpoints"].isArray() ||
+  Findings findings;
+  const Json::Value root = ParseJsonObject(bytes, findings);
+  if (!findings.IsEmpty() || !root["endpoints"].isArray() ||
       !root["endpoints_version"].isUInt64()) {
     return false;
   }
--- a/libs/gossip/state/node_status.cc
+++ b/libs/gossip/state/node_status.cc
@@ -2,7 +2,7 @@
 
 #include <json/json.h>
 
-#include <memory>
+#include "codec/json/json_text.h"
 
 namespace magnoliareel {
 
@@ -24,20 +24,15 @@
   for (const BelievedLeader& it : status.leaders) {
     root["leaders"][it.service.value] = it.endpoint.value;
   }
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, root);
+  return FormatJson(root);
 }
 
 bool DecodeNodeStatus(std::string_view bytes, NodeStatus& out) {
-  Json::Value root;
-  const std::unique_ptr<Json::CharReader> reader(
-      Json::CharReaderBuilder().newCharReader());
-  if (!reader->parse(bytes.data(), bytes.data() + bytes.size(), &root,
-                     nullptr) ||
-      !root.isObject() || !root["vm"].isString() || !root["site"].isString() ||
-      !root["ready"].isBool() || !root["store_connected"].isBool() ||
-      !root["config_version"].isUInt64() ||
+  Findings findings;
+  const Json::Value root = ParseJsonObject(bytes, findings);
+  if (!findings.IsEmpty() || !root["vm"].isString() ||
+      !root["site"].isString() || !root["ready"].isBool() ||
+      !root["store_connected"].isBool() || !root["config_version"].isUInt64() ||
       !root["directory_version"].isUInt64() || !root["live_vms"].isUInt() ||
       !root["sessions"].isUInt64() || !root["duties"].isObject() ||
       !root["leaders"].isObject()) {
--- a/libs/gossip/tests/gossip_test.cc
+++ b/libs/gossip/tests/gossip_test.cc
@@ -61,6 +61,14 @@
   CHECK(!DecodeNodeStatus("{}", read));
 }
 
+TEST(Gossip, DeepNestingIsRefused) {
+  const std::string deep = "{\"endpoints\":" + std::string(5000, '[');
+  FleetState state;
+  NodeStatus status;
+  CHECK(!DecodeFleetState(deep, state));
+  CHECK(!DecodeNodeStatus(deep, status));
+}
+
 TEST(Gossip, DamagedBytesAreRefusedOrReadButNeverHarm) {
   Heartbeat sent;
   sent.vm.value = "vm-1";
--- a/standins/site/site_server.cc
+++ b/standins/site/site_server.cc
@@ -5,6 +5,8 @@
 #include <cstdlib>
 #include <utility>
 
+#include "codec/json/json_text.h"
+
 namespace magnoliareel {
 namespace {
 
@@ -133,18 +135,15 @@
 
 void SiteServer::Promote(const net::Request& request,
                          const net::HttpListener::Answer& answer) {
-  Json::Value body;
-  const std::unique_ptr<Json::CharReader> reader(
-      Json::CharReaderBuilder().newCharReader());
+  Findings findings;
+  const Json::Value body = ParseJsonObject(request.body, findings);
   uint64_t token = 0;
   for (const auto& [name, value] : request.headers) {
     if (name == "Fencing-Token") {
       token = std::strtoull(value.c_str(), nullptr, 10);
     }
   }
-  if (token == 0 || !reader->parse(request.body.data(),
-                                   request.body.data() + request.body.size(),
-                                   &body, nullptr)) {
+  if (token == 0 || !findings.IsEmpty()) {
     answer({400, {}});
     return;
   }
@@ -207,8 +206,7 @@
   service["sync-replicas"] = 1;
   root["services"].append(std::move(service));
   root["limits"]["tx-idle-ms"] = 3000;
-  store_.Put("op", "config",
-             Json::writeString(Json::StreamWriterBuilder(), root));
+  store_.Put("op", "config", FormatJson(root));
 }
 
 void SiteServer::PublishEntry(size_t member) {
@@ -222,7 +220,7 @@
   root["warmup-left-ms"] = 0;
   root["db-role"] = group_.Leads(member) ? "primary" : "replica";
   root["born"] = Json::Int64{group_.GetStartedAt(member)};
-  std::string value = Json::writeString(Json::StreamWriterBuilder(), root);
+  std::string value = FormatJson(root);
   if (entries_[member] != value) {
     entries_[member] = value;
     store_.Put("servers", group_.GetId(member), std::move(value));
--- a/standins/site/store_model.cc
+++ b/standins/site/store_model.cc
@@ -4,9 +4,10 @@
 
 #include <algorithm>
 #include <cstdlib>
-#include <memory>
 #include <utility>
 
+#include "codec/json/json_text.h"
+
 namespace magnoliareel {
 namespace {
 
@@ -42,12 +43,6 @@
   return fields;
 }
 
-std::string Write(const Json::Value& value) {
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, value);
-}
-
 std::string EncodeBase64(std::string_view bytes) {
   constexpr std::string_view kDigits =
       "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
@@ -125,10 +120,9 @@
 }
 
 void StoreModel::Transact(const std::string& body, const Answer& answer) {
-  Json::Value root;
-  const std::unique_ptr<Json::CharReader> reader(
-      Json::CharReaderBuilder().newCharReader());
-  if (!reader->parse(body.data(), body.data() + body.size(), &root, nullptr)) {
+  Findings findings;
+  const Json::Value root = ParseJsonObject(body, findings);
+  if (!findings.IsEmpty()) {
     answer(400, "");
     return;
   }
@@ -207,7 +201,7 @@
       root["rows"].append(std::move(value));
     }
   }
-  return Write(root);
+  return FormatJson(root);
 }
 
 }  // namespace magnoliareel
