Join what the node's code had twice, remove what nothing reads

Removed: counters that no page shows (the outcome counters of the metrics stand), an encoding and members without a caller.

--- a/apps/fleet/fleet_report.cc
+++ b/apps/fleet/fleet_report.cc
@@ -22,11 +22,6 @@
   out += '\n';
 }
 
-std::string FormatPoint(const LogPoint& point) {
-  return std::to_string(point.term.value) + "." +
-         std::to_string(point.position.value);
-}
-
 std::string FormatRole(const FleetEndpoint& endpoint) {
   if (!endpoint.standing) {
     return "no answer";
@@ -61,7 +56,7 @@
   if (endpoint.standing) {
     value["role"] = FormatRole(endpoint);
     value["term"] = Json::UInt64{endpoint.standing->term.value};
-    value["received"] = FormatPoint(endpoint.standing->received);
+    value["received"] = FormatLogPoint(endpoint.standing->received);
     value["lag_ms"] = Json::Int64{endpoint.standing->lag.count() / 1000};
   }
   return value;
@@ -94,7 +89,7 @@
     AppendRow(out, {it.entry.id.value, it.entry.service.value,
                     it.entry.draining ? "draining" : "ready", FormatRole(it),
                     std::to_string(standing.term.value),
-                    FormatPoint(standing.received),
+                    FormatLogPoint(standing.received),
                     std::to_string(standing.lag.count() / 1000)});
   }
   out += '\n';
--- a/apps/node/node_process.cc
+++ b/apps/node/node_process.cc
@@ -107,14 +107,7 @@
 }
 
 void NodeProcess::After(Duration pause, std::function<void()> task) {
-  auto timer = std::make_shared<std::unique_ptr<LoopTimer>>();
-  *timer =
-      std::make_unique<LoopTimer>(loop_, [this, timer, task = std::move(task)] {
-        task();
-        // Freed after this call: the timer holds the function that runs.
-        loop_.Defer([timer] { timer->reset(); });
-      });
-  (*timer)->StartOnce(pause);
+  RunLater(loop_, pause, std::move(task));
 }
 
 void NodeProcess::Publish(std::shared_ptr<const FleetView> view) {
--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -104,9 +104,9 @@
   /** Takes up the endpoints in use. */
   void Apply(const FleetView& view) {
     endpoints_ = view.endpoints;
-    sync_.clear();
+    services_.clear();
     for (const auto& [id, rules] : view.routes->services) {
-      sync_[id] = rules.sync_replicas;
+      services_.push_back(id);
     }
     leaders_.Apply(endpoints_, outlet_.Now());
     PruneSuspicions();
@@ -172,7 +172,7 @@
   void Review() {
     const TimePoint now = outlet_.Now();
     bool unsettled = !suspicions_.List().empty();
-    for (const auto& [service, sync] : sync_) {
+    for (const ServiceId& service : services_) {
       const std::optional<ReplacementReason> reason = FindReason(service, now);
       unsettled = unsettled || reason.has_value();
       ResumePaused(service, now);
@@ -294,7 +294,7 @@
   Suspicions<O, T> suspicions_;
   PausedReplicas<O, T> paused_;
   std::vector<EndpointEntry> endpoints_;
-  std::map<ServiceId, uint32_t> sync_;
+  std::vector<ServiceId> services_;
   std::map<ServiceId, Progress> progress_;
   std::map<EndpointId, uint32_t> last_levels_;
   std::vector<std::pair<OrderedLeader, TimePoint>> ordered_;
--- a/libs/control/failover/failover_control_duties.h
+++ b/libs/control/failover/failover_control_duties.h
@@ -95,8 +95,8 @@
     progress_[service].unsettled = true;
     outlet_.SendHeartbeats();
     // The holder before may have left replicas paused.
-    for (const EndpointEntry& it : endpoints_) {
-      if (it.service == service && !progress_[service].running) {
+    if (!progress_[service].running) {
+      for (const EndpointEntry& it : ListEndpoints(service)) {
         paused_.Check(it);
       }
     }
--- a/libs/control/failover/failover_control_replacing.h
+++ b/libs/control/failover/failover_control_replacing.h
@@ -101,10 +101,7 @@
   plan.reason = reason;
   plan.fencing_token = claims_.GetToken(service);
   plan.preferred = progress.ordered;
-  for (const EndpointEntry& it : endpoints_) {
-    if (it.service != service) {
-      continue;
-    }
+  for (const EndpointEntry& it : ListEndpoints(service)) {
     if (it.id == plan.primary_id) {
       plan.primary = it;
     } else {
--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -290,16 +290,14 @@
                OrderKind kind,
                std::error_code ec,
                const EndpointStanding& standing) const {
-    LogEvent(
-        Event::kReplacementStep,
-        {{"service", plan_.service.value},
-         {"endpoint", endpoint.value},
-         {"step", std::string(OrderName(kind))},
-         {"role", standing.leads ? "primary" : "replica"},
-         {"term", std::to_string(standing.term.value)},
-         {"received", std::to_string(standing.received.term.value) + "." +
-                          std::to_string(standing.received.position.value)},
-         {"error", ec ? ec.message() : "none"}});
+    LogEvent(Event::kReplacementStep,
+             {{"service", plan_.service.value},
+              {"endpoint", endpoint.value},
+              {"step", std::string(OrderName(kind))},
+              {"role", standing.leads ? "primary" : "replica"},
+              {"term", std::to_string(standing.term.value)},
+              {"received", FormatLogPoint(standing.received)},
+              {"error", ec ? ec.message() : "none"}});
   }
 
   void Finish(ReplacementEnd end, EndpointId leader, std::string_view reason) {
--- a/libs/core/core.h
+++ b/libs/core/core.h
@@ -9,8 +9,8 @@
 
     Topics: ids/ (identifiers, terms, log positions), errors/ (error codes,
     findings), outcomes/ (the four outcomes of a request), time/ (clock
-    concept), random/ (random source concept), concurrency/ (the control loop,
-    snapshots).
+    concept), random/ (random source concept), text/ (fields of a line),
+   concurrency/ (the control loop, snapshots).
 */
 #include "core/concurrency/control_loop.h"
 #include "core/concurrency/executor.h"
@@ -25,6 +25,7 @@
 #include "core/ids/term.h"
 #include "core/outcomes/outcome.h"
 #include "core/random/random_source.h"
+#include "core/text/text_fields.h"
 #include "core/time/boot_clock.h"
 #include "core/time/clock.h"
 #include "core/time/steady_clock.h"
--- a/libs/core/ids/log_point.h
+++ b/libs/core/ids/log_point.h
@@ -1,6 +1,8 @@
 #ifndef MAGNOLIAREEL_CORE_IDS_LOG_POINT_H_
 #define MAGNOLIAREEL_CORE_IDS_LOG_POINT_H_
 
+#include <string>
+
 #include "core/ids/log_position.h"
 #include "core/ids/term.h"
 
@@ -22,6 +24,11 @@
   auto operator<=>(const LogPoint&) const = default;
 };
 
+/** @param point  any
+    @returns       "term.position", as in logs and reports
+*/
+std::string FormatLogPoint(const LogPoint& point);
+
 }  // namespace magnoliareel
 
 #endif  // MAGNOLIAREEL_CORE_IDS_LOG_POINT_H_
--- a/libs/directory/endpoints/endpoint_register.cc
+++ b/libs/directory/endpoints/endpoint_register.cc
@@ -82,16 +82,6 @@
   return list;
 }
 
-std::vector<VersionedEntry> EndpointRegister::ListVersioned() const {
-  std::vector<VersionedEntry> list;
-  for (const auto& [id, held] : entries_) {
-    if (!held.removed_at) {
-      list.push_back(held.versioned);
-    }
-  }
-  return list;
-}
-
 const EndpointEntry* EndpointRegister::Find(const EndpointId& id) const {
   const auto it = entries_.find(id);
   return it == entries_.end() ? nullptr : &it->second.versioned.entry;
--- a/libs/directory/endpoints/endpoint_register.h
+++ b/libs/directory/endpoints/endpoint_register.h
@@ -74,8 +74,6 @@
 
   /** @returns the entries, ordered by id */
   std::vector<EndpointEntry> List() const;
-  /** @returns the entries with their versions, for peers */
-  std::vector<VersionedEntry> ListVersioned() const;
   /** @param id  an endpoint
       @returns    its entry, or null
   */
--- a/libs/gossip/heartbeats/heartbeat_codec.cc
+++ b/libs/gossip/heartbeats/heartbeat_codec.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <utility>
 
 namespace magnoliareel {
@@ -15,21 +14,6 @@
     std::to_array({EndpointCondition::kUnreachable, EndpointCondition::kSilent,
                    EndpointCondition::kCommitsStalled});
 
-// Fields are separated by blanks; a list is "letter field field" for each
-// entry.
-std::string_view TakeField(std::string_view& rest) {
-  const size_t blank = rest.find(' ');
-  const std::string_view field = rest.substr(0, blank);
-  rest.remove_prefix(blank == std::string_view::npos ? rest.size() : blank + 1);
-  return field;
-}
-
-bool ParseNumber(std::string_view text, uint64_t& out) {
-  const auto [end, ec] =
-      std::from_chars(text.data(), text.data() + text.size(), out);
-  return ec == std::errc{} && end == text.data() + text.size();
-}
-
 void AppendField(std::string& out, std::string_view field) {
   out.push_back(' ');
   out.append(field);
@@ -47,19 +31,19 @@
   uint64_t number = 0;
   switch (letter) {
     case 's':
-      if (!ParseNumber(second, number) || number >= kConditions.size()) {
+      if (!ParseDecimal(second, number) || number >= kConditions.size()) {
         return false;
       }
       out.suspicions.push_back({EndpointId{first}, kConditions[number]});
       return true;
     case 'd':
-      if (!ParseNumber(second, number)) {
+      if (!ParseDecimal(second, number)) {
         return false;
       }
       out.duties.push_back({ServiceId{first}, number});
       return true;
     case 'l':
-      if (!ParseNumber(TakeField(rest), number)) {
+      if (!ParseDecimal(TakeField(rest), number)) {
         return false;
       }
       out.ordered.push_back(
@@ -120,8 +104,8 @@
   const std::string_view endpoints = TakeField(rest);
   out.leaving = TakeField(rest) == "1";
   if (out.vm.IsEmpty() || !ParseSocketAddress(address, out.address) ||
-      !ParseNumber(config, out.config_version) ||
-      !ParseNumber(endpoints, out.endpoints_version)) {
+      !ParseDecimal(config, out.config_version) ||
+      !ParseDecimal(endpoints, out.endpoints_version)) {
     return false;
   }
   while (!rest.empty()) {
--- a/libs/net/http/http_connection.h
+++ b/libs/net/http/http_connection.h
@@ -41,8 +41,6 @@
       @param done     called once, on the loop's thread
   */
   void Call(Request request, Duration timeout, Completion done);
-  /** @returns number of calls that have not ended */
-  size_t GetWaiting() const { return calls_.size(); }
 
   /** @see StreamHandler */
   void HandleOpened();
--- a/libs/net/loop/loop_timer.cc
+++ b/libs/net/loop/loop_timer.cc
@@ -1,5 +1,6 @@
 #include "net/loop/loop_timer.h"
 
+#include <memory>
 #include <utility>
 
 namespace magnoliareel {
@@ -51,4 +52,15 @@
       ToMilliseconds(delay), ToMilliseconds(period));
 }
 
+void RunLater(EventLoop& loop, Duration delay, std::function<void()> task) {
+  auto timer = std::make_shared<std::unique_ptr<LoopTimer>>();
+  *timer =
+      std::make_unique<LoopTimer>(loop, [&loop, timer, task = std::move(task)] {
+        task();
+        // Freed after this call: the timer holds the function that runs.
+        loop.Defer([timer] { timer->reset(); });
+      });
+  (*timer)->StartOnce(delay);
+}
+
 }  // namespace magnoliareel
--- a/libs/net/loop/loop_timer.h
+++ b/libs/net/loop/loop_timer.h
@@ -42,6 +42,15 @@
   State* state_;
 };
 
+/** Calls a function once, later.
+
+    @param loop   serves the call
+    @param delay  least time until then
+    @param task   what to call
+    @see LoopTimer
+*/
+void RunLater(EventLoop& loop, Duration delay, std::function<void()> task);
+
 }  // namespace magnoliareel
 
 #endif  // MAGNOLIAREEL_NET_LOOP_LOOP_TIMER_H_
--- a/libs/relay/connections/pooled_connection.h
+++ b/libs/relay/connections/pooled_connection.h
@@ -81,7 +81,6 @@
   std::optional<Refusal> begin_refusal;
   /** Proof or explanation of the answer being received. */
   std::string text;
-  TimePoint opened_at;
   /** When the present kSettling began. */
   TimePoint settling_since;
   /** When it last worked for a session. */
--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -89,7 +89,7 @@
 
   /** @returns every endpoint with what this VM holds for it */
   const std::map<EndpointId, EndpointPool>& GetPools() const { return pools_; }
-  /** @returns what was served and refused so far */
+  /** @returns what was retried, sent twice and opened so far */
   const TrafficCounters& GetCounters() const { return counters_; }
 
  private:
@@ -119,6 +119,7 @@
 
   // traffic_core_sessions.h: what callers say.
   void OpenDatabase(CallerSession& session, const CallerMessage& message);
+  void AcceptSession(CallerSession& session);
   void HandleStatement(CallerSession& session, const CallerMessage& message);
   void HandleBegin(CallerSession& session, bool reads_only);
   void HandleRollback(CallerSession& session);
@@ -173,6 +174,7 @@
   void EndUnused(EndpointPool& pool);
   uint32_t GetShare(const EndpointPool& pool) const;
   void NotePoolFailure(EndpointPool& pool, EndpointCondition condition);
+  void NoteNotLeading(EndpointPool& pool);
   void NoteProven(EndpointPool& pool, TimePoint asked_at, LogPoint point);
 
   // traffic_core_replies.h, traffic_core_refusals.h: what endpoints answer.
--- a/libs/relay/core/traffic_core_connections.h
+++ b/libs/relay/core/traffic_core_connections.h
@@ -92,14 +92,6 @@
     DropConnection(connection.id);
     return;
   }
-  if (connection.IsBegunAhead() && IsLeader(*pool) &&
-      connection.expected.empty()) {
-    // A transaction that read is ended: the next one begins on its own.
-    LeaveTransaction(connection);
-    BeginAhead(connection);
-    WatchSettling(connection);
-    return;
-  }
   LeaveTransaction(connection);
   if (IsLeader(*pool)) {
     BeginAhead(connection);
@@ -282,6 +274,15 @@
   }
 }
 
+template <WireDialect D, class N>
+void TrafficCore<D, N>::NoteNotLeading(EndpointPool& pool) {
+  const TimePoint now = net_.Now();
+  if (GetService(pool.entry.service).leader.NoteRefused(pool.entry.id, now)) {
+    net_.Report({pool.entry.id, EndpointCondition::kNotLeading});
+    Remind({now + kLeaderReview, Reminder::kLeaders, 0, 0, {}});
+  }
+}
+
 template <WireDialect D, class N>
 void TrafficCore<D, N>::LoseConnection(uint64_t connection_id,
                                        std::string_view reason) {
--- a/libs/relay/core/traffic_core_control.h
+++ b/libs/relay/core/traffic_core_control.h
@@ -82,12 +82,9 @@
   }
   const std::vector<uint64_t> unopened = std::exchange(unopened_, {});
   for (const uint64_t it : unopened) {
-    CallerSession* session = FindSession(it);
-    if (session == nullptr || !RefreshRoute(*session)) {
-      continue;
+    if (CallerSession* session = FindSession(it)) {
+      AcceptSession(*session);
     }
-    session->opened = true;
-    D::AppendReady(net_.GetCallerBuffer(it), ConnectionStatus::kIdle, {});
   }
 }
 
--- a/libs/relay/core/traffic_core_dispatch.h
+++ b/libs/relay/core/traffic_core_dispatch.h
@@ -133,7 +133,6 @@
   PooledConnection& connection = connections_[id];
   connection.id = id;
   connection.endpoint = pool.entry.id;
-  connection.opened_at = now;
   connection.worked_at = now;
   pool.connections.push_back(id);
   ++counters_.connections_opened;
--- a/libs/relay/core/traffic_core_reads.h
+++ b/libs/relay/core/traffic_core_reads.h
@@ -106,7 +106,6 @@
     PooledConnection* connection = FindConnection(it);
     if (connection != nullptr && connection->use == ConnectionUse::kIdle) {
       service.bounds_asked_at = now;
-      ++counters_.bounds_asked;
       Settle(*connection);
       return;
     }
--- a/libs/relay/core/traffic_core_refusals.h
+++ b/libs/relay/core/traffic_core_refusals.h
@@ -27,11 +27,7 @@
     pool->NoteBusy(now);
   }
   if (refusal == Refusal::kNotPrimary) {
-    ServiceState& service = GetService(pool->entry.service);
-    if (service.leader.NoteRefused(endpoint, now)) {
-      net_.Report({endpoint, EndpointCondition::kNotLeading});
-      Remind({now + kLeaderReview, Reminder::kLeaders, 0, 0, {}});
-    }
+    NoteNotLeading(*pool);
   }
   if (work.need == Need::kWithin) {
     HandleRefusalWithin(connection, session, refusal);
@@ -166,7 +162,6 @@
             {"attempts", std::to_string(work.attempts)},
             {"queued_at", place},
             {"last", std::string(RefusalName(work.last_refusal))}});
-  ++(refusal == Refusal::kUnknown ? counters_.unknown : counters_.refused);
   Observe(session,
           IsPromise(refusal) ? Outcome::kNotRun
           : refusal == Refusal::kUnknown || refusal == Refusal::kTimedOut
--- a/libs/relay/core/traffic_core_replies.h
+++ b/libs/relay/core/traffic_core_replies.h
@@ -102,11 +102,7 @@
       if (connection.plain_transaction && ready.log_end) {
         NoteProven(*pool, answer.sent_at, *ready.log_end);
       } else if (answer.refusal == Refusal::kNotPrimary) {
-        ServiceState& service = GetService(pool->entry.service);
-        if (service.leader.NoteRefused(pool->entry.id, net_.Now())) {
-          net_.Report({pool->entry.id, EndpointCondition::kNotLeading});
-          Remind({net_.Now() + kLeaderReview, Reminder::kLeaders, 0, 0, {}});
-        }
+        NoteNotLeading(*pool);
       }
       break;
     case Exchange::kBeginRead:
@@ -262,7 +258,6 @@
   D::AppendComplete(out, connection.text);
   D::AppendReady(out, GetCallerStatus(session), ready.log_end);
   Observe(session, Outcome::kDone);
-  ++counters_.served;
   session.last_ticket = work.ticket;
   const TimePoint now = net_.Now();
   const bool unusual = work.attempts > 1 || work.hedged;
@@ -276,9 +271,7 @@
          {"attempts", std::to_string(work.attempts)},
          {"wait_us", std::to_string((work.sent_at - work.received_at).count())},
          {"run_us", std::to_string((now - work.sent_at).count())},
-         {"after", work.after ? std::to_string(work.after->term.value) + "." +
-                                    std::to_string(work.after->position.value)
-                              : "none"}});
+         {"after", work.after ? FormatLogPoint(*work.after) : "none"}});
   }
   const uint64_t session_id = session.id;
   if (released) {
--- a/libs/relay/core/traffic_core_sessions.h
+++ b/libs/relay/core/traffic_core_sessions.h
@@ -96,6 +96,11 @@
     unopened_.push_back(session.id);
     return;
   }
+  AcceptSession(session);
+}
+
+template <WireDialect D, class N>
+void TrafficCore<D, N>::AcceptSession(CallerSession& session) {
   if (!RefreshRoute(session)) {
     return;
   }
@@ -113,7 +118,6 @@
            {{"database", session.database},
             {"caller", session.caller},
             {"config", std::to_string(view_->routes->version)}});
-  ++counters_.refused;
   std::string& out = net_.GetCallerBuffer(session.id);
   D::AppendError(out, Refusal::kUnknownDatabase, session.database);
   if (session.opened) {
@@ -138,7 +142,6 @@
               {"refusal", "aborted"},
               {"reason", "transaction lost"},
               {"database", session.database}});
-    ++counters_.aborted;
     AnswerError(session, Refusal::kAborted, "transaction rolled back");
     return;
   }
--- a/libs/relay/core/traffic_options.h
+++ b/libs/relay/core/traffic_options.h
@@ -24,14 +24,9 @@
 
 /** Counts since the process's start; read by the metrics. */
 struct TrafficCounters {
-  uint64_t served = 0;
-  uint64_t refused = 0;
   uint64_t retried = 0;
   uint64_t hedged = 0;
-  uint64_t unknown = 0;
-  uint64_t aborted = 0;
   uint64_t connections_opened = 0;
-  uint64_t bounds_asked = 0;
 };
 
 }  // namespace magnoliareel
--- a/libs/relay/messages/wire_dialect.h
+++ b/libs/relay/messages/wire_dialect.h
@@ -45,7 +45,6 @@
   D::AppendReset(out);
   D::AppendSetValue(out, text, text);
   D::AppendPrepare(out, text, flag, text);
-  D::AppendClose(out);
   D::AppendRow(out, text);
   D::AppendComplete(out, text);
   D::AppendError(out, refusal, text);
--- a/standins/group/group_model.h
+++ b/standins/group/group_model.h
@@ -129,8 +129,6 @@
   }
   /** @returns what was run, in order */
   const std::vector<GroupRun>& GetRuns() const { return runs_; }
-  /** Forgets what was run, to bound memory. */
-  void ClearRuns() { runs_.clear(); }
 
  private:
   struct Member {
--- a/standins/site/site_server.cc
+++ b/standins/site/site_server.cc
@@ -86,14 +86,10 @@
 }
 
 void SiteServer::After(Duration pause, std::function<void()> task) {
-  auto timer = std::make_shared<std::unique_ptr<LoopTimer>>();
-  *timer =
-      std::make_unique<LoopTimer>(loop_, [this, timer, task = std::move(task)] {
-        group_.SetNow(loop_.Now());
-        task();
-        loop_.Defer([timer] { timer->reset(); });
-      });
-  (*timer)->StartOnce(pause);
+  RunLater(loop_, pause, [this, task = std::move(task)] {
+    group_.SetNow(loop_.Now());
+    task();
+  });
 }
 
 void SiteServer::Accept(size_t member, Stream stream) {
