Take the later of two orders under one token

Found by node_scenarios, failed once: a read waited its whole timeout at a node that had just started. Cause, inferred, as that node's log is the one whose reader stalls there: the holder had ordered two endpoints in turn under one token and told both for 4 s; a VM that heard of both held to the first and awaited it for 2 s. Tests first (control_tests, two red before): only the last order of a service is told, and a later one under the same token is news, a repeat is not.

--- a/libs/control/failover/failover_control_replacing.h
+++ b/libs/control/failover/failover_control_replacing.h
@@ -169,6 +169,10 @@
     case ReplacementEnd::kPromoted:
     case ReplacementEnd::kUncertain:
       progress.not_before = now + kPromotionLimit;
+      // A VM that hears of two orders under one token takes the later one.
+      std::erase_if(ordered_, [&](const auto& it) {
+        return it.first.service == service;
+      });
       ordered_.emplace_back(
           OrderedLeader{service, result.leader, result.fencing_token}, now);
       leaders_.NoteOrdered(service, result.leader, result.fencing_token, now);
--- a/libs/control/failover/leader_register.cc
+++ b/libs/control/failover/leader_register.cc
@@ -59,10 +59,13 @@
                                  uint64_t fencing_token,
                                  TimePoint now) {
   Known& known = leaders_[service];
-  if (fencing_token <= known.ordered_token) {
+  if (fencing_token < known.ordered_token ||
+      (fencing_token == known.ordered_token &&
+       endpoint == known.ordered_endpoint)) {
     return false;
   }
   known.ordered_token = fencing_token;
+  known.ordered_endpoint = endpoint;
   if (known.endpoint == endpoint) {
     return false;
   }
--- a/libs/control/failover/leader_register.h
+++ b/libs/control/failover/leader_register.h
@@ -43,7 +43,8 @@
 
       @param service        its service
       @param endpoint       the endpoint
-      @param fencing_token  of the order; older ones are ignored
+      @param fencing_token  of the order; lower ones are ignored, the holder
+                            of one may order another endpoint later
       @param now            the present moment
       @returns              true if that is news
   */
@@ -70,6 +71,8 @@
     bool confirmed = false;
     std::optional<TimePoint> ordered_at;
     uint64_t ordered_token = 0;
+    /** The endpoint of the last order; repeats of it are no news. */
+    EndpointId ordered_endpoint;
     std::optional<TimePoint> missing_since;
   };
 
--- a/libs/control/tests/control_test.cc
+++ b/libs/control/tests/control_test.cc
@@ -209,6 +209,24 @@
   STRCMP_EQUAL("db-2", leaders.Get(kService, kStart)->endpoint.value.c_str());
 }
 
+TEST(Leaders, ALaterOrderUnderTheSameTokenIsNews) {
+  // Seen in node_scenarios: a holder ordered two endpoints in turn, and a VM
+  // that heard of both held to the first.
+  LeaderRegister leaders;
+  CHECK(leaders.NoteOrdered(kService, EndpointId{"db-2"}, 5, kStart));
+  CHECK(leaders.NoteOrdered(kService, EndpointId{"db-3"}, 5, kStart));
+  CHECK(!leaders.NoteOrdered(kService, EndpointId{"db-3"}, 5, kStart));
+  STRCMP_EQUAL("db-3", leaders.Get(kService, kStart)->endpoint.value.c_str());
+}
+
+TEST(Leaders, ARepeatedOrderDoesNotUndoAProof) {
+  LeaderRegister leaders;
+  leaders.NoteOrdered(kService, EndpointId{"db-2"}, 5, kStart);
+  leaders.NoteProven(kService, EndpointId{"db-3"}, Term{3});
+  CHECK(!leaders.NoteOrdered(kService, EndpointId{"db-2"}, 5, kStart));
+  STRCMP_EQUAL("db-3", leaders.Get(kService, kStart)->endpoint.value.c_str());
+}
+
 TEST(Leaders, AnOrderedOneThatProvesNothingHasFailed) {
   LeaderRegister leaders;
   leaders.NoteOrdered(kService, EndpointId{"db-2"}, 5, kStart);
--- a/libs/control/tests/failover_control_test.cc
+++ b/libs/control/tests/failover_control_test.cc
@@ -175,6 +175,21 @@
   }
 }
 
+TEST(Failover, OnlyTheLastOrderIsTold) {
+  failover.Apply(fake.MakeView("db-1"));
+  fake.RunFor(std::chrono::seconds(2));
+  const std::string second = fake.leader;
+  failover.NoteLeader(EndpointId{second}, Term{fake.term});
+  failover.Apply(fake.MakeView(second));
+  RunReviewed(3);
+  CHECK(fake.leader != second);
+  Heartbeat heartbeat;
+  failover.Fill(heartbeat);
+  LONGS_EQUAL(1, heartbeat.ordered.size());
+  STRCMP_EQUAL(fake.leader.c_str(),
+               heartbeat.ordered.front().endpoint.value.c_str());
+}
+
 TEST(Failover, PausedReplicasReceiveAgainOnceTheNextPrimaryLeads) {
   // Seen (store-away --seed 44074814871: LOST, DRAIN): two attempts met, the
   // second one's pauses outlived the first one's promotion, and the replicas
