Answer what still waits before a stopping process ends

At three quarters of the grace every statement gets the answer that is true of it then: a promise if nothing was sent, unknown for a write under way.

--- a/apps/node/node_process.cc
+++ b/apps/node/node_process.cc
@@ -268,7 +268,7 @@
            {{"in_progress", std::to_string(traffic_.CountSessions())}});
   failover_.Leave();
   peers_.SendSoon();
-  traffic_.BeginDrain(stop_->GetTransactionGrace());
+  traffic_.BeginDrain(stop_->GetTransactionGrace(), stop_->GetStatementGrace());
   stop_timer_.StartRepeating(StopSequence::kStep);
 }
 
--- a/apps/node/traffic_thread.cc
+++ b/apps/node/traffic_thread.cc
@@ -96,9 +96,11 @@
       [this, service, endpoint] { core_.AnnounceLeader(service, endpoint); });
 }
 
-void TrafficThread::BeginDrain(Duration transaction_grace) {
-  mailbox_.Post(
-      [this, transaction_grace] { core_.BeginDrain(transaction_grace); });
+void TrafficThread::BeginDrain(Duration transaction_grace,
+                               Duration statement_grace) {
+  mailbox_.Post([this, transaction_grace, statement_grace] {
+    core_.BeginDrain(transaction_grace, statement_grace);
+  });
 }
 
 void TrafficThread::Collect(std::function<void(GaugePage)> done) {
--- a/apps/node/traffic_thread.h
+++ b/apps/node/traffic_thread.h
@@ -55,7 +55,7 @@
   /** Hands over that an endpoint was promoted. */
   void AnnounceLeader(const ServiceId& service, const EndpointId& endpoint);
   /** Starts to end sessions. */
-  void BeginDrain(Duration transaction_grace);
+  void BeginDrain(Duration transaction_grace, Duration statement_grace);
   /** Collects the figures of the pools.
 
       @param done  called on the traffic thread with them
--- a/libs/control/fleet/fleet_control.h
+++ b/libs/control/fleet/fleet_control.h
@@ -174,6 +174,8 @@
              {{"away_ms", std::to_string((now - lost_at_).count() / 1000)}});
   }
 
+  /** @see TableObserver */
+  TimePoint Now() const { return outlet_.Now(); }
   /** @see TableObserver */
   void After(Duration pause, std::function<void()> task) {
     outlet_.After(pause, std::move(task));
--- a/libs/control/fleet/stop_sequence.h
+++ b/libs/control/fleet/stop_sequence.h
@@ -51,6 +51,9 @@
   /** @returns how long open transactions may go on: the first half of the grace
       (users' rules) */
   Duration GetTransactionGrace() const { return grace_ / 2; }
+  /** @returns how long statements may wait: until shortly before the end, which
+      leaves time for their callers to read the answers */
+  Duration GetStatementGrace() const { return grace_ * 3 / 4; }
 
  private:
   TimePoint began_at_;
--- a/libs/coordination/tests/coordination_test.cc
+++ b/libs/coordination/tests/coordination_test.cc
@@ -69,9 +69,15 @@
   }
   void HandleStoreLost(std::string_view, std::error_code) { seen += "lost;"; }
   void HandleStoreRegained(std::string_view) { seen += "regained;"; }
-  void After(Duration, std::function<void()> task) { next = std::move(task); }
+  TimePoint Now() const { return now; }
+  void After(Duration span, std::function<void()> task) {
+    pause = span;
+    next = std::move(task);
+  }
 
   std::string seen;
+  TimePoint now{std::chrono::seconds(100)};
+  Duration pause{};
   std::function<void()> next;
 };
 
@@ -105,6 +111,23 @@
   STRCMP_EQUAL("follow 15", store.last.c_str());
 }
 
+TEST(Watch, WaitsLongerWhileChangesGoOn) {
+  watch.Start();
+  store.Answer({}, Rows({"a"}, 10));
+  Duration last{};
+  for (uint64_t n = 0; n < 6; ++n) {
+    store.Answer({}, Rows({"b"}, 11 + n));
+    CHECK(observer.pause >= last);
+    last = observer.pause;
+    observer.now += observer.pause;
+    observer.next();
+  }
+  CHECK(last == kLongestFollowPause);
+  observer.now += kFollowQuiet;
+  store.Answer({}, Rows({"b"}, 20));
+  CHECK(observer.pause == kFollowPause);
+}
+
 TEST(Watch, ListsAllPagesAndFollowsFromTheFirst) {
   watch.Start();
   StoredRows page = Rows({"a", "b"}, 10);
--- a/libs/coordination/watches/table_watch.h
+++ b/libs/coordination/watches/table_watch.h
@@ -14,11 +14,17 @@
 namespace magnoliareel {
 
 /** Longest wait of one question for changes; most questions of a quiet table
-    end with it, so a long one keeps the store's calls few. */
-inline constexpr Duration kFollowWait = std::chrono::seconds(25);
+    end with it, so a long one keeps the store's calls few. The store takes up
+   to 30 s (users' pages). */
+inline constexpr Duration kFollowWait = std::chrono::seconds(29);
 /** Pause after an answer with changes: several often come together, and each
     answer is a priced call. Small beside the bounds, which count in seconds. */
 inline constexpr Duration kFollowPause = std::chrono::milliseconds(120);
+/** While changes go on, as when endpoints register one by one, the pause
+    doubles up to this, a small part of the bounds on configuration (6 s). */
+inline constexpr Duration kLongestFollowPause = std::chrono::milliseconds(960);
+/** Changes further apart than this are news again and told at once. */
+inline constexpr Duration kFollowQuiet = std::chrono::seconds(2);
 /** Pause after a failed call: first, and at most. The store recovers within
     seconds, and each call is priced. */
 inline constexpr Duration kFirstStorePause = std::chrono::milliseconds(150);
@@ -41,6 +47,8 @@
   observer.HandleStoreLost(table, ec);
   /** It answers again. */
   observer.HandleStoreRegained(table);
+  /** The present moment. */
+  { observer.Now() } -> std::convertible_to<TimePoint>;
   /** Calls a function once, later. */
   observer.After(pause, task);
 };
@@ -118,10 +126,19 @@
                       return;
                     }
                     observer_.HandleChanges(table_, answer.rows, version_);
-                    observer_.After(kFollowPause, [this] { Follow(); });
+                    observer_.After(TakeFollowPause(), [this] { Follow(); });
                   });
   }
 
+  Duration TakeFollowPause() {
+    const TimePoint now = observer_.Now();
+    const bool goes_on = now - changed_at_ < kFollowQuiet;
+    changed_at_ = now;
+    follow_pause_ = goes_on ? std::min(2 * follow_pause_, kLongestFollowPause)
+                            : kFollowPause;
+    return follow_pause_;
+  }
+
   void Succeed() {
     pause_ = kFirstStorePause;
     if (!std::exchange(connected_, true)) {
@@ -145,6 +162,8 @@
   uint64_t version_ = 0;
   uint64_t first_version_ = 0;
   Duration pause_ = kFirstStorePause;
+  Duration follow_pause_ = kFollowPause;
+  TimePoint changed_at_;
   bool connected_ = false;
   bool told_ = false;
 };
--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -55,8 +55,11 @@
   /** Ends sessions one by one as they come to rest.
 
       @param transaction_grace  time that open transactions have
+      @param statement_grace    time after which statements are not waited for
+                                any more: each gets the answer that is true of
+                                it at that moment
   */
-  void BeginDrain(Duration transaction_grace);
+  void BeginDrain(Duration transaction_grace, Duration statement_grace);
   /** @returns number of callers' sessions */
   size_t CountSessions() const { return sessions_.size(); }
 
@@ -246,6 +249,7 @@
   bool ends_at_rest_ = false;
   TimePoint drain_began_at_;
   Duration transaction_grace_{};
+  Duration statement_grace_{};
   LogBudget served_lines_;
   TrafficCounters counters_;
 };
--- a/libs/relay/core/traffic_core_timers.h
+++ b/libs/relay/core/traffic_core_timers.h
@@ -291,9 +291,11 @@
 }
 
 template <WireDialect D, class N>
-void TrafficCore<D, N>::BeginDrain(Duration transaction_grace) {
+void TrafficCore<D, N>::BeginDrain(Duration transaction_grace,
+                                   Duration statement_grace) {
   drain_began_at_ = net_.Now();
   transaction_grace_ = transaction_grace;
+  statement_grace_ = statement_grace;
   HandleDrain();
 }
 
@@ -308,7 +310,12 @@
                         static_cast<double>(kDrainSpread.count()));
   ends_at_rest_ = part >= 1.0;
   std::vector<uint64_t> ending;
+  std::vector<uint64_t> overdue;
   for (auto& [id, session] : sessions_) {
+    if (session.IsBusy() && elapsed >= statement_grace_) {
+      overdue.push_back(id);
+      continue;
+    }
     const bool in_transaction = session.transaction != TransactionPhase::kNone;
     if (session.IsBusy() || net_.HasUnread(id) ||
         (in_transaction && !transactions_end)) {
@@ -320,6 +327,12 @@
       ending.push_back(id);
     }
   }
+  for (const uint64_t it : overdue) {
+    if (CallerSession* session = FindSession(it);
+        session != nullptr && session->IsBusy()) {
+      HandleDeadline(*session);
+    }
+  }
   for (const uint64_t it : ending) {
     if (CallerSession* session = FindSession(it)) {
       EndSession(*session);
--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -217,6 +217,31 @@
   }
 }
 
+TEST(Traffic, ADrainAnswersWhatStillWaits) {
+  // Seen (grown Krajnc, trouble-2: LOST): a statement waited for a connection
+  // until the stopping process ended without an answer to it.
+  TrafficWorld world(1, GroupOptions{});
+  std::string answers;
+  world.SetCallerOutput([&](size_t, uint64_t, std::string_view line) {
+    answers += line.empty() ? "closed\n" : std::string(line) + "\n";
+  });
+  EventQueue& queue = world.GetQueue();
+  queue.RunUntil(queue.Now() + std::chrono::seconds(1));
+  const uint64_t session = world.OpenCaller(0);
+  world.Send(0, session, "STARTUP entries caller");
+  for (size_t it = 0; it < world.GetGroup().CountMembers(); ++it) {
+    world.Cut(0, it, true);
+  }
+  answers.clear();
+  world.Send(0, session, "QUERY q1 WRITE groyne-1 x");
+  world.GetCore(0).BeginDrain(std::chrono::milliseconds(100),
+                              std::chrono::milliseconds(300));
+  queue.RunUntil(queue.Now() + std::chrono::milliseconds(600));
+  CHECK_TEXT(answers.find("ERROR") != std::string::npos, answers.c_str());
+  CHECK_TEXT(answers.find("closed") != std::string::npos, answers.c_str());
+  LONGS_EQUAL(0, world.GetCore(0).CountSessions());
+}
+
 TEST(Traffic, MoreVmsThanConnectionsShareThem) {
   // Twelve VMs before members that accept eight connections each. Red while a
   // VM kept its last connection for good: the others' callers got nothing.
