Let VMs take turns in getting heartbeats where there are many

Cause: each VM told all others every second; with 89 VMs 7,800 datagrams a second, most of them between regions, and a cost per VM that grows with their number. At most 24 live VMs get a heartbeat in a period now, in turn; VMs that hold duties still tell all, and news still goes to all at once. Timeouts follow the turns. Up to 25 VMs nothing changes.

--- a/apps/node/peer_exchange.cc
+++ b/apps/node/peer_exchange.cc
@@ -1,6 +1,7 @@
 #include "apps/node/peer_exchange.h"
 
 #include <array>
+#include <cstdint>
 #include <span>
 #include <utility>
 #include <vector>
@@ -38,7 +39,7 @@
       soon_timer_(loop,
                   [this] {
                     soon_ = false;
-                    Send(peers_.ListTargets(loop_.Now()), false);
+                    Send(peers_.ListTargets(loop_.Now(), SIZE_MAX), false);
                   }),
       fetch_timer_(loop, [this] {
         if (fetch_) {
@@ -114,7 +115,10 @@
               {"silent_ms", std::to_string(silent.count() / 1000)}});
   }
   hooks_.changed();
-  Send(peers_.ListTargets(now), false);
+  Heartbeat own;
+  hooks_.fill(own);
+  Send(peers_.ListTargets(now, own.duties.empty() ? kMostTargets : SIZE_MAX),
+       false);
 }
 
 void PeerExchange::Send(std::span<const SocketAddress> targets,
--- a/libs/control/peers/peer_group.cc
+++ b/libs/control/peers/peer_group.cc
@@ -27,7 +27,7 @@
 std::vector<std::pair<VmId, Duration>> PeerGroup::Sweep(TimePoint now) {
   std::vector<std::pair<VmId, Duration>> lost;
   for (auto& [vm, peer] : peers_) {
-    if (peer.live && now - peer.heard_at >= kPeerTimeout) {
+    if (peer.live && now - peer.heard_at >= GetTimeout(peer)) {
       peer.live = false;
       lost.emplace_back(vm, now - peer.heard_at);
     }
@@ -43,18 +43,35 @@
   return lost;
 }
 
-std::vector<SocketAddress> PeerGroup::ListTargets(TimePoint now) {
+Duration PeerGroup::GetTimeout(const Peer& peer) const {
+  if (!peer.last.duties.empty()) {
+    return kPeerTimeout;
+  }
+  // Three turns missed, as with three heartbeats.
+  const auto turns = (CountLive() - 1) / static_cast<uint32_t>(kMostTargets);
+  return kPeerTimeout + 3 * turns * kHeartbeatPeriod;
+}
+
+std::vector<SocketAddress> PeerGroup::ListTargets(TimePoint now, size_t most) {
   std::vector<SocketAddress> targets;
+  std::vector<std::pair<TimePoint, SocketAddress>> live;
   for (auto& [address, known] : addresses_) {
     const auto it = peers_.find(known.vm);
-    const bool live = it != peers_.end() && it->second.live;
     // A new address is tried at once and often: it may just be starting.
     const bool young = now - known.first_tried < kPeerTimeout;
-    if (live || young || now - known.tried_at >= kLostPeerPeriod) {
+    if (!young && it != peers_.end() && it->second.live) {
+      live.emplace_back(known.tried_at, address);
+    } else if (young || now - known.tried_at >= kLostPeerPeriod) {
       known.tried_at = now;
       targets.push_back(address);
     }
   }
+  std::sort(live.begin(), live.end());
+  live.resize(std::min(live.size(), most));
+  for (auto& [tried_at, address] : live) {
+    addresses_[address].tried_at = now;
+    targets.push_back(std::move(address));
+  }
   return targets;
 }
 
--- a/libs/control/peers/peer_group.h
+++ b/libs/control/peers/peer_group.h
@@ -15,6 +15,10 @@
 /** A VM that was not heard for this long counts as lost: three heartbeats and
     half a second for the network. */
 inline constexpr Duration kPeerTimeout = std::chrono::milliseconds(3500);
+/** Live VMs that get a heartbeat in one period; with more of them they take
+    turns, so that a VM's cost stays the same: about 6 KB/s each way, half of
+    what control may cost. */
+inline constexpr size_t kMostTargets = 24;
 /** How often a lost VM is still tried, in case it returns. */
 inline constexpr Duration kLostPeerPeriod = std::chrono::seconds(4);
 /** An address that stayed silent for this long is forgotten. */
@@ -27,7 +31,7 @@
   struct Peer {
     Heartbeat last;
     TimePoint heard_at;
-    /** It was heard within kPeerTimeout. */
+    /** It was heard within GetTimeout(). */
     bool live = false;
   };
 
@@ -57,9 +61,10 @@
   */
   std::vector<std::pair<VmId, Duration>> Sweep(TimePoint now);
 
-  /** @param now  the present moment
-      @returns    whom to send the periodic heartbeat to; lost VMs in turn */
-  std::vector<SocketAddress> ListTargets(TimePoint now);
+  /** @param now   the present moment
+      @param most  of the live VMs; those that have waited longest go first
+      @returns     whom to send a heartbeat to; lost VMs in turn */
+  std::vector<SocketAddress> ListTargets(TimePoint now, size_t most);
 
   /** @returns live VMs, by name */
   std::vector<const Peer*> ListLive() const;
@@ -77,6 +82,10 @@
     VmId vm;
   };
 
+  /** VMs that hold duties tell everybody every period, as others wait for them
+      to act; the rest are heard when their turn comes. */
+  Duration GetTimeout(const Peer& peer) const;
+
   SocketAddress self_;
   std::map<SocketAddress, Known> addresses_;
   std::map<VmId, Peer> peers_;
