Soak the real nodes under faults from outside

What callers and databases saw is compared by the same check as the simulation's (LOST, TWICE, REFUSED, UNASKED, PINNED, MIXED, STALE); after the faults every caller has to be served, and no node may end by itself.

Cause in the stand-in: a crash during a handshake gave the slot back twice, its count fell below zero. The callers of the simulation are a template over where they live, so that both use one copy.

--- a/scripts/site-cluster.sh
+++ b/scripts/site-cluster.sh
@@ -1,6 +1,7 @@
 # Functions that start a stand-in site with nodes before it, and talk to them
 # over the session protocol. Sourced by run-demo and the node's tests.
-# Expects: bin_dir, log_dir, base_port.
+# Expects: bin_dir, log_dir, base_port; platform_port if the store is reached
+# through a proxy.
 
 pids=()
 
@@ -47,8 +48,8 @@
  "ip": "127.0.0.1", "port-range": [$((port + 2)), $((port + 2))],
  "bind-addrs": {"frontend": "127.0.0.1:$port", "ready": "127.0.0.1:$((port + 1))"},
  "seed-nodes": ["127.0.0.1:1"], "bounds": {"grace-s": 4},
- "platform": {"address": "127.0.0.1:$base_port"},
- "provider": {"address": "127.0.0.1:$base_port"}}
+ "platform": {"address": "127.0.0.1:${platform_port:-$base_port}"},
+ "provider": {"address": "127.0.0.1:${platform_port:-$base_port}"}}
 EOF
 }
 
--- a/standins/group/group_model.cc
+++ b/standins/group/group_model.cc
@@ -146,15 +146,16 @@
   }
   connection.busy = true;
   ++member.running;
-  timer_(options_.handshake, [this, id, index = connection.member] {
-    --members_[index].running;
-    if (Connection* it = Find(id)) {
-      it->busy = false;
-      it->open = true;
-      output_(id, FormatReady(*it));
-      Next(id);
-    }
-  });
+  timer_(options_.handshake,
+         [this, id, index = connection.member, lifetime = connection.lifetime] {
+           LeaveSlot(members_[index], lifetime);
+           if (Connection* it = Find(id)) {
+             it->busy = false;
+             it->open = true;
+             output_(id, FormatReady(*it));
+             Next(id);
+           }
+         });
 }
 
 void GroupModel::HandleQuery(uint64_t id, std::string_view rest) {
@@ -237,15 +238,22 @@
   const Duration wait = options_.work * (member.running / options_.slots);
   ++member.running;
   timer_(Vary(options_.work) + wait,
-         [this, id, index = connection.member, request = std::move(request),
-          text = std::move(text)] {
-           --members_[index].running;
+         [this, id, index = connection.member, lifetime = connection.lifetime,
+          request = std::move(request), text = std::move(text)] {
+           LeaveSlot(members_[index], lifetime);
            if (Find(id) != nullptr) {
              Run(id, request, text);
            }
          });
 }
 
+void GroupModel::LeaveSlot(Member& member, uint64_t lifetime) {
+  // A crash has freed the slots of its lifetime.
+  if (member.lifetime == lifetime) {
+    --member.running;
+  }
+}
+
 void GroupModel::Run(uint64_t id,
                      const std::string& request,
                      const std::string& text) {
--- a/standins/group/group_model.h
+++ b/standins/group/group_model.h
@@ -164,6 +164,7 @@
   void Handle(uint64_t id, const std::string& line);
   void Next(uint64_t id);
   void HandleQuery(uint64_t id, std::string_view rest);
+  static void LeaveSlot(Member& member, uint64_t lifetime);
   void RunInSlot(uint64_t id, std::string request, std::string text);
   void Run(uint64_t id, const std::string& request, const std::string& text);
   void RunRead(uint64_t id,
--- a/standins/site/site_server.cc
+++ b/standins/site/site_server.cc
@@ -164,9 +164,13 @@
   } else if (name == "crash" || name == "dark") {
     group_.Crash(member, name == "dark");
   } else if (name == "restart") {
-    group_.Restart(member);
-  } else if (name == "drain") {
-    draining_[member] = true;
+    if (!group_.Runs(member)) {
+      group_.Restart(member);
+    }
+  } else if (name == "drain" || name == "stay") {
+    draining_[member] = name == "drain";
+  } else if (name == "config") {
+    PublishConfig();
   } else if (name == "forget") {
     store_.Compact();
   } else if (name == "lose" || name == "keep") {
@@ -208,7 +212,10 @@
 void SiteServer::PublishEntry(size_t member) {
   Json::Value root(Json::objectValue);
   root["service"] = std::string(kService);
-  root["address"] = settings_.host + ":" + std::to_string(GetPort(member + 1));
+  const int64_t port = settings_.entry_port > 0 ? settings_.entry_port + 1
+                                                : settings_.base_port + 1;
+  root["address"] = settings_.host + ":" +
+                    std::to_string(port + static_cast<int64_t>(member));
   root["zone"] = "site-" + std::to_string(member + 1);
   root["version"] = "v1";
   root["capacity"] = 4;
--- a/standins/site/site_server.h
+++ b/standins/site/site_server.h
@@ -17,15 +17,19 @@
 struct SiteSettings {
   std::string host = "127.0.0.1";
   int64_t base_port = 9000;
+  /** The directory names ports from here on for the databases, if they are
+      reached through proxies; 0 for the databases' own ports. */
+  int64_t entry_port = 0;
 };
 
 /** A whole users' site in one process: the platform's store and promotion call,
     and one group of three databases on the session protocol. Test-only.
 
     Faults are ordered by POST /fault/NAME: down and up (the store), crash-N,
-    dark-N and restart-N (a database), drain-N (its directory entry), forget
-    (the store's history), lose (one answer in ten) and keep (none), slow
-    (replicas apply 60 times as late) and quick.
+    dark-N and restart-N (a database), drain-N and stay-N (its directory
+    entry), forget (the store's history), config (a new version), lose (one
+    answer in ten) and keep (none), slow (replicas apply 60 times as late) and
+    quick.
 */
 class SiteServer {
  public:
@@ -40,6 +44,14 @@
       @returns the system's error if an address cannot be used
   */
   std::error_code Start();
+  /** Does or undoes a fault.
+
+      @param fault  its name, see above
+      @returns      false if there is no such fault
+  */
+  bool Disturb(std::string_view fault);
+  /** @returns the databases */
+  const GroupModel& GetGroup() const { return group_; }
 
  private:
   struct Database;
@@ -49,7 +61,6 @@
                const net::HttpListener::Answer& answer);
   void Promote(const net::Request& request,
                const net::HttpListener::Answer& answer);
-  bool Disturb(std::string_view fault);
   void Accept(size_t member, Stream stream);
   void PublishConfig();
   void PublishEntry(size_t member);
--- /dev/null
+++ b/tests/soak/link_proxy.cc
@@ -0,0 +1,123 @@
+#include "tests/soak/link_proxy.h"
+
+#include <utility>
+
+namespace magnoliareel {
+namespace {
+
+bool IsAmong(uint64_t link, uint32_t connections) {
+  return ((connections >> (link % 4)) & 1U) != 0;
+}
+
+}  // namespace
+
+struct LinkProxy::Link {
+  /** One side's events. */
+  struct Side {
+    Link* link = nullptr;
+    bool is_node = false;
+    Stream stream;
+
+    void HandleOpened() {}
+    void HandleBytes(std::string_view bytes) {
+      link->owner->Forward(link->id, is_node, bytes);
+    }
+    void HandleClosed(std::error_code) { link->owner->End(link->id); }
+  };
+
+  LinkProxy* owner = nullptr;
+  uint64_t id = 0;
+  Side node;
+  Side server;
+  /** Bytes that are under way, so that none overtakes another. */
+  TimePoint arrives_at;
+};
+
+LinkProxy::LinkProxy(EventLoop& loop,
+                     SocketAddress listen,
+                     SocketAddress target)
+    : loop_(loop),
+      listen_(std::move(listen)),
+      target_(std::move(target)),
+      listener_(loop, [this](Stream stream) { Accept(std::move(stream)); }) {}
+
+LinkProxy::~LinkProxy() = default;
+
+std::error_code LinkProxy::Start() {
+  return listener_.Listen(listen_);
+}
+
+void LinkProxy::Accept(Stream stream) {
+  auto owned = std::make_unique<Link>();
+  Link& it = *owned;
+  it.owner = this;
+  it.id = next_link_++;
+  it.node.link = it.server.link = &it;
+  it.node.is_node = true;
+  it.node.stream = std::move(stream);
+  links_.emplace(it.id, std::move(owned));
+  it.node.stream.Serve(it.node);
+  it.server.stream.Connect(loop_, target_, it.server);
+}
+
+void LinkProxy::Forward(uint64_t link, bool to_server, std::string_view bytes) {
+  Link& it = *links_.at(link);
+  const bool disturbed = IsAmong(link, trouble_.connections);
+  if (disturbed &&
+      (to_server ? trouble_.drops_requests : trouble_.drops_answers)) {
+    return;
+  }
+  const TimePoint now = loop_.Now();
+  const TimePoint due =
+      std::max(it.arrives_at, now + (disturbed ? trouble_.delay : Duration(0)));
+  if (due <= now) {
+    Deliver(link, to_server, bytes);
+    return;
+  }
+  it.arrives_at = due;
+  RunLater(loop_, due - now,
+           [this, link, to_server, bytes = std::string(bytes)] {
+             Deliver(link, to_server, bytes);
+           });
+}
+
+void LinkProxy::Deliver(uint64_t link, bool to_server, std::string_view bytes) {
+  const auto it = links_.find(link);
+  if (it == links_.end()) {
+    return;
+  }
+  Stream& stream =
+      to_server ? it->second->server.stream : it->second->node.stream;
+  if (!stream.IsOpen()) {
+    return;
+  }
+  stream.Append(bytes);
+  stream.Flush();
+}
+
+void LinkProxy::Reset(uint32_t connections) {
+  std::vector<uint64_t> ending;
+  for (const auto& [id, link] : links_) {
+    if (IsAmong(id, connections)) {
+      ending.push_back(id);
+    }
+  }
+  for (const uint64_t it : ending) {
+    End(it);
+  }
+}
+
+void LinkProxy::End(uint64_t link) {
+  const auto it = links_.find(link);
+  if (it == links_.end()) {
+    return;
+  }
+  it->second->node.stream.Close();
+  it->second->server.stream.Close();
+  // Freed later: one of its sides may be the caller.
+  retired_.push_back(std::move(it->second));
+  links_.erase(it);
+  loop_.Defer([this] { retired_.clear(); });
+}
+
+}  // namespace magnoliareel
--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -56,7 +56,7 @@
     constexpr std::array<const char*, 3> kDatabases = {"entries", "lookups",
                                                        "timesheets"};
     for (size_t it = 0; it < callers; ++it) {
-      callers_.push_back(std::make_unique<TrafficCaller>(
+      callers_.push_back(std::make_unique<TrafficCaller<TrafficWorld>>(
           *world_, history_, it % vms, kDatabases[it % 3], random_()));
     }
   }
@@ -188,7 +188,7 @@
   std::mt19937_64 random_;
   std::unique_ptr<TrafficWorld> world_;
   std::vector<CallerOperation> history_;
-  std::vector<std::unique_ptr<TrafficCaller>> callers_;
+  std::vector<std::unique_ptr<TrafficCaller<TrafficWorld>>> callers_;
   int calm_successes_ = 0;
   int least_successes_ = std::numeric_limits<int>::max();
   bool down_ = false;
@@ -217,6 +217,29 @@
   }
 }
 
+TEST(Traffic, ACrashInAHandshakeFreesItsSlot) {
+  // Seen (soak, seed 1): the slot was given back twice, and the stand-in's
+  // count of running statements fell below zero; it was busy from then on.
+  EventQueue queue;
+  std::string answers;
+  GroupModel group(
+      GroupOptions{},
+      [&](uint64_t, const std::string& bytes) { answers += bytes; },
+      [&](Duration pause, std::function<void()> task) {
+        queue.After(pause, std::move(task));
+      });
+  group.SetNow(queue.Now());
+  group.Open(1, 1);
+  group.Receive(1, "STARTUP groyne-logs vm\r\n");
+  group.Crash(1, true);
+  group.Restart(1);
+  queue.RunUntil(queue.Now() + std::chrono::seconds(1));
+  group.Open(1, 2);
+  group.Receive(2, "STARTUP groyne-logs vm\r\nQUERY q1 READ item1\r\n");
+  queue.RunUntil(queue.Now() + std::chrono::seconds(1));
+  CHECK_TEXT(answers.find("COMPLETE") != std::string::npos, answers.c_str());
+}
+
 TEST(Traffic, ADrainAnswersWhatStillWaits) {
   // Seen (grown Krajnc, trouble-2: LOST): a statement waited for a connection
   // until the stopping process ended without an answer to it.
