Keep reads away from endpoints without a free connection

Reads that a replica may serve now avoid an endpoint that refused a connection in the last half second, those that wait there move, and a used connection is given back at once, without the round trip that prepares it for the next use.

--- a/libs/relay/connections/endpoint_pool.cc
+++ b/libs/relay/connections/endpoint_pool.cc
@@ -12,6 +12,9 @@
 constexpr Duration kLongestAvoidance = std::chrono::milliseconds(800);
 // A replica's applied position is believed for a few replication delays.
 constexpr Duration kAppliedKept = std::chrono::milliseconds(80);
+// A refused connection stands for many VMs that wait: some round trips between
+// regions, as a wave of statements lasts longer than one.
+constexpr Duration kFullKept = std::chrono::milliseconds(500);
 // Before the first answer: a middling statement of the expected deployments.
 constexpr Duration kAssumedRunTime = std::chrono::milliseconds(25);
 // All VMs together start with this many statements for each slot, so that the
@@ -112,6 +115,11 @@
   return now - applied_at_ < kAppliedKept && applied_ < point;
 }
 
+bool EndpointPool::IsFull(TimePoint now) const {
+  return no_open_until_ > TimePoint{} &&
+         now - no_open_until_ < kFullKept - kOpenPause;
+}
+
 bool EndpointPool::MayOpen(uint32_t share, TimePoint now) const {
   return !gone && connections.size() < share && now >= no_open_until_ &&
          now >= avoid_until_;
--- a/libs/relay/connections/endpoint_pool.h
+++ b/libs/relay/connections/endpoint_pool.h
@@ -72,6 +72,11 @@
       @param now  the present moment
   */
   void NoteUse(TimePoint now);
+  /** @returns true if it took no further connection from this VM a moment ago
+
+      @param now  the present moment
+  */
+  bool IsFull(TimePoint now) const;
   /** Notes how far the endpoint has applied its log.
 
       @param applied  the end of the applied log
--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -180,6 +180,7 @@
   uint32_t GetMost(const EndpointPool& pool) const;
   Duration GetUnusedLimit(const EndpointPool& pool) const;
   void NotePoolFailure(EndpointPool& pool, EndpointCondition condition);
+  void MoveReads(EndpointPool& pool);
   void NoteNotLeading(EndpointPool& pool);
   void NoteProven(EndpointPool& pool, TimePoint asked_at, LogPoint point);
 
--- a/libs/relay/core/traffic_core_connections.h
+++ b/libs/relay/core/traffic_core_connections.h
@@ -85,10 +85,16 @@
 template <WireDialect D, class N>
 void TrafficCore<D, N>::Settle(PooledConnection& connection) {
   EndpointPool* pool = FindPool(connection.endpoint);
+  const bool has_served = connection.use != ConnectionUse::kOpening &&
+                          connection.use != ConnectionUse::kIdle;
   connection.use = ConnectionUse::kSettling;
   connection.session = 0;
   connection.rows.clear();
-  if (pool == nullptr || pool->gone) {
+  // Other VMs wait for a connection: the round trip of settling is theirs.
+  const bool yields = has_served && pool != nullptr && GetPart(*pool) < 1 &&
+                      pool->IsFull(net_.Now()) && pool->queue.empty() &&
+                      connection.expected.empty();
+  if (pool == nullptr || pool->gone || yields) {
     DropConnection(connection.id);
     return;
   }
@@ -254,6 +260,12 @@
             {"condition", std::string(ConditionName(condition))},
             {"failures", std::to_string(pool.failures)}});
   net_.Report({pool.entry.id, condition});
+  MoveReads(pool);
+  Remind({now + kConnectTimeout / 4, Reminder::kPool, 0, 0, pool.entry.id});
+}
+
+template <WireDialect D, class N>
+void TrafficCore<D, N>::MoveReads(EndpointPool& pool) {
   // Reads that wait here go elsewhere; what needs this primary stays.
   const std::deque<QueuedStatement> queue = pool.queue;
   for (const QueuedStatement& it : queue) {
@@ -265,7 +277,6 @@
       RetryElsewhere(*session, pool.entry.id, Refusal::kBusy, Duration(0));
     }
   }
-  Remind({now + kConnectTimeout / 4, Reminder::kPool, 0, 0, pool.entry.id});
 }
 
 template <WireDialect D, class N>
--- a/libs/relay/core/traffic_core_reads.h
+++ b/libs/relay/core/traffic_core_reads.h
@@ -81,6 +81,9 @@
     } else if (session.work.after && pool->IsBehind(*session.work.after, now)) {
       cost += kBehindPenalty;
     }
+    if (pool->IsFull(now)) {
+      cost += kFullPenalty;
+    }
     const auto& passed = session.work.passed_over;
     if (pool->IsAvoided(now) ||
         std::find(passed.begin(), passed.end(), id) != passed.end()) {
--- a/libs/relay/core/traffic_core_replies.h
+++ b/libs/relay/core/traffic_core_replies.h
@@ -69,6 +69,7 @@
   }
   pool->NoteHeard(now);
   pool->NoteConnectionRefused(now);
+  MoveReads(*pool);
   Remind({now + kOpenPause, Reminder::kPool, 0, 0, pool->entry.id});
 }
 
--- a/libs/relay/core/traffic_limits.h
+++ b/libs/relay/core/traffic_limits.h
@@ -62,6 +62,9 @@
 inline constexpr Duration kLeaderPenalty = std::chrono::milliseconds(10);
 /** Reads avoid a replica that was behind a moment ago, in waiting time. */
 inline constexpr Duration kBehindPenalty = std::chrono::milliseconds(150);
+/** Reads avoid an endpoint without a free connection, in waiting time: about
+    what a way to another region costs, as those who need this one wait. */
+inline constexpr Duration kFullPenalty = std::chrono::milliseconds(150);
 /** Reads avoid an endpoint that failed a moment ago, in waiting time. */
 inline constexpr Duration kFailedPenalty = std::chrono::seconds(5);
 /** Connections of an endpoint that are left to probes and to VMs that have
--- a/libs/relay/tests/relay_test.cc
+++ b/libs/relay/tests/relay_test.cc
@@ -145,6 +145,28 @@
   LONGS_EQUAL(2, pool.GetLimit());
 }
 
+TEST(Pool, RemembersForAMomentThatItIsFull) {
+  EndpointPool pool(MakeEndpoint("db-1", true), Distance::kSameSite);
+  CHECK(!pool.IsFull(kStart));
+  pool.NoteConnectionRefused(kStart);
+  CHECK(!pool.MayOpen(8, kStart));
+  CHECK(pool.MayOpen(8, kStart + kOpenPause));
+  CHECK(pool.IsFull(kStart + kOpenPause));
+  CHECK(!pool.IsFull(kStart + std::chrono::seconds(1)));
+}
+
+TEST(Pool, RestsForAPartOfTheTimeBetweenUses) {
+  EndpointPool pool(MakeEndpoint("db-1", true), Distance::kSameSite);
+  TimePoint now = kStart;
+  for (int n = 0; n < 60; ++n) {
+    now += std::chrono::milliseconds(400);
+    pool.NoteUse(now);
+  }
+  const Duration rest = pool.GetRest(0.5);
+  CHECK(rest > std::chrono::milliseconds(190));
+  CHECK(rest < std::chrono::milliseconds(210));
+}
+
 TEST(Pool, KnowsForAMomentThatAReplicaIsBehind) {
   EndpointPool pool(MakeEndpoint("db-1", false), Distance::kSameSite);
   pool.NoteApplied(At(1, 10), kStart);
