--- a/libs/relay/connections/endpoint_pool.cc
+++ b/libs/relay/connections/endpoint_pool.cc
@@ -15,6 +15,8 @@
 // A refused connection stands for many VMs that wait: some round trips between
 // regions, as a wave of statements lasts longer than one.
 constexpr Duration kFullKept = std::chrono::milliseconds(500);
+// The pause before the next attempt doubles so many times, to 240 ms.
+constexpr uint32_t kMostOpenDoublings = 2;
 // Before the first answer: a middling statement of the expected deployments.
 constexpr Duration kAssumedRunTime = std::chrono::milliseconds(25);
 // All VMs together start with this many statements for each slot, so that the
@@ -92,13 +94,18 @@
 }
 
 void EndpointPool::NoteConnectionRefused(TimePoint now) {
-  no_open_until_ = now + kOpenPause;
+  const Duration pause =
+      kOpenPause * (1 << std::min(open_refusals_, kMostOpenDoublings));
+  ++open_refusals_;
+  refused_at_ = now;
+  no_open_until_ = now + pause;
 }
 
 void EndpointPool::NoteUse(TimePoint now) {
   const Duration interval =
       std::min<Duration>(now - std::exchange(used_at_, now), kLongestInterval);
   mean_interval_ += (interval - mean_interval_) / kMeanWeight;
+  open_refusals_ = 0;
 }
 
 Duration EndpointPool::GetRest(double part) const {
@@ -116,8 +123,7 @@
 }
 
 bool EndpointPool::IsFull(TimePoint now) const {
-  return no_open_until_ > TimePoint{} &&
-         now - no_open_until_ < kFullKept - kOpenPause;
+  return refused_at_ > TimePoint{} && now - refused_at_ < kFullKept;
 }
 
 bool EndpointPool::MayOpen(uint32_t share, TimePoint now) const {
--- a/libs/relay/connections/endpoint_pool.h
+++ b/libs/relay/connections/endpoint_pool.h
@@ -11,8 +11,8 @@
 
 namespace magnoliareel {
 
-/** Pause after an endpoint took no further connection: others end within a few
-    statements, as VMs shrink to their share. */
+/** First pause after an endpoint took no further connection: others end within
+   a few statements, as VMs shrink to their share. */
 inline constexpr Duration kOpenPause = std::chrono::milliseconds(60);
 
 /** A statement that waits for an endpoint. */
@@ -98,6 +98,8 @@
       @param now    the present moment
   */
   bool MayOpen(uint32_t share, TimePoint now) const;
+  /** @returns when a further connection may be tried */
+  TimePoint GetNextOpening() const { return no_open_until_; }
   /** @returns how long a statement added now would take: what answers took
       lately, waiting at the endpoint included, times the turns that it waits
       here */
@@ -137,6 +139,9 @@
   LogPoint applied_;
   TimePoint applied_at_;
   TimePoint no_open_until_;
+  TimePoint refused_at_;
+  // Since the last use of a connection.
+  uint32_t open_refusals_ = 0;
   Duration mean_run_time_;
   TimePoint used_at_;
   Duration mean_interval_;
--- a/libs/relay/core/traffic_core_replies.h
+++ b/libs/relay/core/traffic_core_replies.h
@@ -70,7 +70,7 @@
   pool->NoteHeard(now);
   pool->NoteConnectionRefused(now);
   MoveReads(*pool);
-  Remind({now + kOpenPause, Reminder::kPool, 0, 0, pool->entry.id});
+  Remind({pool->GetNextOpening(), Reminder::kPool, 0, 0, pool->entry.id});
 }
 
 template <WireDialect D, class N>
