Remember a replica that lags for long for longer

Cause: a VM with two reads a second forgot after 80 ms that a replica was seconds behind; each read asked both replicas twice before it went to the primary. Each further read that finds a replica behind doubles that memory, to 1.28 s, and the short wait for it is left out after two.

Test RemembersALongLagForLonger.

--- a/libs/relay/connections/endpoint_pool.cc
+++ b/libs/relay/connections/endpoint_pool.cc
@@ -12,6 +12,11 @@
 constexpr Duration kLongestAvoidance = std::chrono::milliseconds(800);
 // A replica's applied position is believed for a few replication delays.
 constexpr Duration kAppliedKept = std::chrono::milliseconds(80);
+// Each further read that finds it behind doubles that time, up to 1.28 s: a
+// replica that lags for seconds is not asked by every read.
+constexpr uint32_t kMostBehindDoublings = 4;
+// From so many on a short wait for it is in vain.
+constexpr uint32_t kLongStreak = 2;
 // A refused connection stands for many VMs that wait: some round trips between
 // regions, as a wave of statements lasts longer than one.
 constexpr Duration kFullKept = std::chrono::milliseconds(500);
@@ -118,8 +123,18 @@
   applied_at_ = now;
 }
 
+void EndpointPool::NoteFreshness(bool behind) {
+  behind_streak_ = behind ? behind_streak_ + 1 : 0;
+}
+
+bool EndpointPool::LagsLong() const {
+  return behind_streak_ >= kLongStreak;
+}
+
 bool EndpointPool::IsBehind(const LogPoint& point, TimePoint now) const {
-  return now - applied_at_ < kAppliedKept && applied_ < point;
+  const Duration kept =
+      kAppliedKept * (1 << std::min(behind_streak_, kMostBehindDoublings));
+  return now - applied_at_ < kept && applied_ < point;
 }
 
 bool EndpointPool::IsFull(TimePoint now) const {
--- a/libs/relay/connections/endpoint_pool.h
+++ b/libs/relay/connections/endpoint_pool.h
@@ -86,7 +86,15 @@
 
   /** @returns true while the endpoint should get no new work */
   bool IsAvoided(TimePoint now) const { return now < avoid_until_; }
-  /** @returns true if it lacked a log point a moment ago
+  /** Notes that a read found it behind, or not.
+
+      @param behind  it lacked the log point that was demanded
+  */
+  void NoteFreshness(bool behind);
+  /** @returns true if reads have found it behind several times in a row */
+  bool LagsLong() const;
+  /** @returns true if it lacked a log point a moment ago; the moment is the
+      longer the more reads in a row have found it behind
 
       @param point  what a read demands
       @param now    the present moment
@@ -138,6 +146,8 @@
   TimePoint avoid_until_;
   LogPoint applied_;
   TimePoint applied_at_;
+  // Reads in a row that found it behind.
+  uint32_t behind_streak_ = 0;
   TimePoint no_open_until_;
   TimePoint refused_at_;
   // Since the last use of a connection.
--- a/libs/relay/core/traffic_core_refusals.h
+++ b/libs/relay/core/traffic_core_refusals.h
@@ -113,7 +113,10 @@
                               failed) != work.passed_over.end();
   // A replica that is a little behind catches up sooner than a trip to another
   // region takes; the second time it is passed over.
-  if (refusal == Refusal::kBehind && !work.waited_for_replica && !seen) {
+  const EndpointPool* pool = FindPool(failed);
+  const bool lags_long = pool != nullptr && pool->LagsLong();
+  if (refusal == Refusal::kBehind && !work.waited_for_replica && !seen &&
+      !lags_long) {
     work.waited_for_replica = true;
     pause = kBehindRetry;
   } else if (refusal != Refusal::kBusy && !NeedsLeader(work.base_need)) {
--- a/libs/relay/core/traffic_core_replies.h
+++ b/libs/relay/core/traffic_core_replies.h
@@ -109,6 +109,9 @@
     case Exchange::kBeginRead:
       connection.begin_refusal = answer.refusal;
       connection.plain_transaction = false;
+      if (!answer.refusal || answer.refusal == Refusal::kBehind) {
+        pool->NoteFreshness(answer.refusal.has_value());
+      }
       break;
     case Exchange::kRollback:
       connection.plain_transaction = false;
@@ -192,6 +195,10 @@
   if (!answer.refusal) {
     pool->NoteAnswer(now - answer.sent_at, now);
   }
+  if (!IsLeader(*pool) &&
+      (!answer.refusal || answer.refusal == Refusal::kBehind)) {
+    pool->NoteFreshness(answer.refusal.has_value());
+  }
   CallerSession* session = FindSession(connection.session);
   if (session == nullptr || session->work.ticket != answer.ticket ||
       connection.use == ConnectionUse::kAbandoned) {
--- a/libs/relay/tests/relay_test.cc
+++ b/libs/relay/tests/relay_test.cc
@@ -163,6 +163,24 @@
   CHECK(!pool.IsFull(kStart + std::chrono::seconds(1)));
 }
 
+TEST(Pool, RemembersALongLagForLonger) {
+  EndpointPool pool(MakeEndpoint("db-2", false), Distance::kSameSite);
+  pool.NoteApplied(At(1, 5), kStart);
+  pool.NoteFreshness(true);
+  CHECK(!pool.LagsLong());
+  CHECK(!pool.IsBehind(At(1, 9), After(200)));
+  for (int n = 0; n < 5; ++n) {
+    pool.NoteFreshness(true);
+  }
+  CHECK(pool.LagsLong());
+  CHECK(pool.IsBehind(At(1, 9), After(1000)));
+  CHECK(!pool.IsBehind(At(1, 5), After(1000)));
+  CHECK(!pool.IsBehind(At(1, 9), After(1300)));
+  pool.NoteFreshness(false);
+  CHECK(!pool.LagsLong());
+  CHECK(!pool.IsBehind(At(1, 9), After(100)));
+}
+
 TEST(Pool, RestsForAPartOfTheTimeBetweenUses) {
   EndpointPool pool(MakeEndpoint("db-1", true), Distance::kSameSite);
   TimePoint now = kStart;
