--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -192,17 +192,19 @@
   void DropConnection(uint64_t connection_id);
   void LoseConnection(uint64_t connection_id, std::string_view reason);
   void RetirePool(EndpointPool& pool);
-  void ShrinkPool(EndpointPool& pool);
-  void EndUnused(EndpointPool& pool);
-  double GetPart(const EndpointPool& pool) const;
-  uint32_t GetShare(const EndpointPool& pool) const;
-  uint32_t GetMost(const EndpointPool& pool) const;
-  Duration GetUnusedLimit(const EndpointPool& pool) const;
   void NotePoolFailure(EndpointPool& pool, EndpointCondition condition);
   void MoveReads(EndpointPool& pool);
   void NoteNotLeading(EndpointPool& pool);
   void NoteProven(EndpointPool& pool, TimePoint asked_at, LogPoint point);
 
+  // traffic_core_shares.h: how many connections, and for how long.
+  double GetPart(const EndpointPool& pool) const;
+  uint32_t GetShare(const EndpointPool& pool) const;
+  uint32_t GetMost(const EndpointPool& pool) const;
+  Duration GetUnusedLimit(const EndpointPool& pool) const;
+  void ShrinkPool(EndpointPool& pool);
+  void EndUnused(EndpointPool& pool);
+
   // traffic_core_replies.h, traffic_core_refusals.h: what endpoints answer.
   void HandleAnswer(PooledConnection& connection, const EndpointMessage& ready);
   void HandleOpenAnswer(PooledConnection& connection,
@@ -285,6 +287,7 @@
 #include "relay/core/traffic_core_refusals.h"     // IWYU pragma: export
 #include "relay/core/traffic_core_replies.h"      // IWYU pragma: export
 #include "relay/core/traffic_core_sessions.h"     // IWYU pragma: export
+#include "relay/core/traffic_core_shares.h"       // IWYU pragma: export
 #include "relay/core/traffic_core_timers.h"       // IWYU pragma: export
 
 #endif  // MAGNOLIAREEL_RELAY_CORE_TRAFFIC_CORE_H_
