--- a/libs/gossip/gossip.h
+++ b/libs/gossip/gossip.h
@@ -8,7 +8,7 @@
     Depends on codec (JSON texts), control, coordination, relay and jsoncpp.
 
     Topics: heartbeats/ and bounds/ (datagrams), state/ (configuration and
-   directory for a VM that the store does not answer).
+    directory for a VM that the store does not answer).
 */
 #include "gossip/bounds/bound_codec.h"
 #include "gossip/heartbeats/heartbeat_codec.h"
