--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -283,18 +283,26 @@
   }
 }
 
+namespace {
+
+void PlayWithFaults(TrafficRun& run, uint64_t seed) {
+  run.Play(true);
+  for (const std::string& it : run.Check()) {
+    FAIL(("seed " + std::to_string(seed) + ": " + it).c_str());
+  }
+  const std::string place =
+      "seed " + std::to_string(seed) +
+      ": served after the faults: " + std::to_string(run.GetCalmSuccesses()) +
+      run.DescribePools();
+  CHECK_TEXT(run.GetCalmSuccesses() > 60, place.c_str());
+}
+
+}  // namespace
+
 TEST(Traffic, NoPromiseBreaksWhereVmsOutnumberConnections) {
   for (uint64_t seed = 1; seed <= 12; ++seed) {
     TrafficRun run(seed, 10, 15, 8);
-    run.Play(true);
-    for (const std::string& it : run.Check()) {
-      FAIL(("seed " + std::to_string(seed) + ": " + it).c_str());
-    }
-    const std::string place =
-        "seed " + std::to_string(seed) +
-        ": served after the faults: " + std::to_string(run.GetCalmSuccesses()) +
-        run.DescribePools();
-    CHECK_TEXT(run.GetCalmSuccesses() > 60, place.c_str());
+    PlayWithFaults(run, seed);
   }
 }
 
@@ -303,15 +311,7 @@
   const uint64_t seeds = GetNumber("MAGNOLIAREEL_SIM_SEEDS", kUsualSeeds);
   for (uint64_t seed = first; seed < first + seeds; ++seed) {
     TrafficRun run(seed);
-    run.Play(true);
-    for (const std::string& it : run.Check()) {
-      FAIL(("seed " + std::to_string(seed) + ": " + it).c_str());
-    }
-    const std::string place =
-        "seed " + std::to_string(seed) +
-        ": served after the faults: " + std::to_string(run.GetCalmSuccesses()) +
-        run.DescribePools();
-    CHECK_TEXT(run.GetCalmSuccesses() > 60, place.c_str());
+    PlayWithFaults(run, seed);
   }
 }
 
