Account for replicas that left before a primary is replaced

Ruled out: keeping the leaving replica longer (the platform ends it on its own); requiring that the candidate never is behind a primary that answers (no primary that is cut off from its replicas could then be replaced).

Change: every VM notes endpoints that leave the directory. Before a promotion the duty's holder asks the primary for the end of its log and then the replicas whether one has received that much; until then the group waits, said so in E5508. The result is told to the other VMs in a datagram of its own, so that a new holder and a VM that has just started know it. The stand-in group learns members that leave for good and new ones in their place.

--- a/apps/node/node_process.cc
+++ b/apps/node/node_process.cc
@@ -150,6 +150,12 @@
   callbacks.on_heartbeat = [this](const Heartbeat& heartbeat) {
     failover_.HandleHeartbeat(heartbeat);
   };
+  callbacks.list_departures = [this] {
+    return failover_.ListDepartureNotices();
+  };
+  callbacks.on_departures = [this](std::span<const DepartureNotice> notices) {
+    failover_.HandleDepartureNotices(notices);
+  };
   callbacks.get_state = [this] {
     FleetState state;
     if (fleet_.GetRoutes()->version > 0) {
--- a/apps/node/peer_exchange.cc
+++ b/apps/node/peer_exchange.cc
@@ -1,5 +1,6 @@
 #include "apps/node/peer_exchange.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <span>
@@ -84,6 +85,11 @@
 }
 
 void PeerExchange::HandleDatagram(std::string_view bytes) {
+  if (std::vector<DepartureNotice> notices;
+      DecodeDepartureNotices(bytes, notices)) {
+    callbacks_.on_departures(notices);
+    return;
+  }
   Heartbeat heartbeat;
   if (!DecodeHeartbeat(bytes, heartbeat)) {
     callbacks_.handle_other_datagram(bytes);
@@ -145,9 +151,18 @@
   if (targets.empty()) {
     return;
   }
-  const std::string bytes = EncodeHeartbeat(heartbeat);
+  std::vector<std::string> datagrams = {EncodeHeartbeat(heartbeat)};
+  const std::vector<DepartureNotice> notices = callbacks_.list_departures();
+  std::span<const DepartureNotice> rest = notices;
+  while (!rest.empty()) {
+    const size_t n = std::min(rest.size(), kMaxDepartureNotices);
+    datagrams.push_back(EncodeDepartureNotices(rest.first(n)));
+    rest = rest.subspan(n);
+  }
   for (const SocketAddress& it : targets) {
-    socket_.Send(it, bytes);
+    for (const std::string& bytes : datagrams) {
+      socket_.Send(it, bytes);
+    }
   }
 }
 
--- a/apps/node/peer_exchange.h
+++ b/apps/node/peer_exchange.h
@@ -4,7 +4,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
+#include <vector>
 
 #include "control/control.h"
 #include "gossip/gossip.h"
@@ -26,6 +28,10 @@
     std::function<void(Heartbeat&)> fill_heartbeat;
     /** Returns true if either version is newer than this VM's. */
     std::function<bool(uint64_t config, uint64_t endpoints)> is_newer;
+    /** Returns the notices to send along with heartbeats. */
+    std::function<std::vector<DepartureNotice>()> list_departures;
+    /** Handles the notices of a peer. */
+    std::function<void(std::span<const DepartureNotice>)> on_departures;
     /** Handles a heartbeat received from a peer. */
     std::function<void(const Heartbeat&)> on_heartbeat;
     /** Returns the configuration and directory to send to a peer. */
--- a/libs/control/control.h
+++ b/libs/control/control.h
@@ -13,12 +13,15 @@
     (detection of failed primaries, failover duties, replacement of a
     primary).
 */
+#include "control/failover/departure_audit.h"
+#include "control/failover/departure_tracker.h"
 #include "control/failover/endpoint_commands.h"
 #include "control/failover/failover_control.h"
 #include "control/failover/primary_replacement.h"
 #include "control/failover/replacement_plan.h"
 #include "control/fleet/fleet_control.h"
 #include "control/fleet/shutdown_sequence.h"
+#include "control/peers/departure_notice.h"
 #include "control/peers/heartbeat.h"
 #include "control/peers/peer_group.h"
 #include "control/settings/node_settings.h"
--- /dev/null
+++ b/libs/control/failover/departure_tracker.cc
@@ -0,0 +1,73 @@
+#include "control/failover/departure_tracker.h"
+
+#include <utility>
+
+namespace magnoliareel {
+
+void DepartureTracker::Apply(std::span<const EndpointEntry> endpoints,
+                             TimePoint now) {
+  std::map<EndpointId, ServiceId> listed;
+  for (const EndpointEntry& it : endpoints) {
+    listed.emplace(it.id, it.service);
+    departures_.erase(it.id);
+  }
+  for (const auto& [id, service] : listed_) {
+    if (!listed.contains(id)) {
+      departures_.try_emplace(id, Departure{service, std::nullopt});
+    }
+  }
+  listed_ = std::move(listed);
+  std::erase_if(departures_, [now](const auto& row) {
+    return row.second.accounted_at &&
+           now - *row.second.accounted_at >= kRetention;
+  });
+}
+
+bool DepartureTracker::ApplyNotice(const DepartureNotice& notice,
+                                   TimePoint now) {
+  if (listed_.contains(notice.endpoint)) {
+    return false;
+  }
+  const auto [it, added] = departures_.try_emplace(
+      notice.endpoint, Departure{notice.service, std::nullopt});
+  if (!notice.accounted || it->second.accounted_at) {
+    return added;
+  }
+  it->second.accounted_at = now;
+  return true;
+}
+
+void DepartureTracker::RecordAccounted(std::span<const EndpointId> endpoints,
+                                       TimePoint now) {
+  for (const EndpointId& id : endpoints) {
+    if (const auto it = departures_.find(id);
+        it != departures_.end() && !it->second.accounted_at) {
+      it->second.accounted_at = now;
+    }
+  }
+}
+
+std::vector<EndpointId> DepartureTracker::ListUnaccounted(
+    const ServiceId& service) const {
+  std::vector<EndpointId> list;
+  for (const auto& [id, departure] : departures_) {
+    if (departure.service == service && !departure.accounted_at) {
+      list.push_back(id);
+    }
+  }
+  return list;
+}
+
+std::vector<DepartureNotice> DepartureTracker::ListNotices(
+    TimePoint now) const {
+  std::vector<DepartureNotice> list;
+  for (const auto& [id, departure] : departures_) {
+    const bool accounted = departure.accounted_at.has_value();
+    if (!accounted || now - *departure.accounted_at < kNoticeRetention) {
+      list.push_back({departure.service, id, accounted});
+    }
+  }
+  return list;
+}
+
+}  // namespace magnoliareel
--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -10,6 +10,8 @@
 #include <utility>
 #include <vector>
 
+#include "control/failover/departure_audit.h"
+#include "control/failover/departure_tracker.h"
 #include "control/failover/endpoint_commands.h"
 #include "control/failover/primary_failure_detector.h"
 #include "control/failover/primary_registry.h"
@@ -59,6 +61,9 @@
 /** Duties without a holder are claimed this long after the start. By then, VMs
     that start together have exchanged heartbeats. */
 inline constexpr Duration kUnheldDutyClaimDelay = std::chrono::seconds(3);
+/** Delay between two audits of a service's departed replicas. */
+inline constexpr Duration kDepartureAuditInterval =
+    std::chrono::milliseconds(200);
 /** Delay between two claims of one duty. */
 inline constexpr Duration kClaimRetryInterval = std::chrono::milliseconds(700);
 
@@ -116,6 +121,7 @@
       services_.push_back(id);
     }
     primaries_.Apply(endpoints_, delegate_.Now());
+    departures_.Apply(endpoints_, delegate_.Now());
     PruneSuspicions();
     Review();
   }
@@ -167,6 +173,25 @@
     Review();
   }
 
+  /** Applies what a peer knows about departed endpoints.
+
+      @param notices  the peer's notices
+  */
+  void HandleDepartureNotices(std::span<const DepartureNotice> notices) {
+    bool changed = false;
+    for (const DepartureNotice& it : notices) {
+      changed = departures_.ApplyNotice(it, delegate_.Now()) || changed;
+    }
+    if (changed) {
+      Review();
+    }
+  }
+
+  /** @returns what the other VMs have to know about departed endpoints */
+  std::vector<DepartureNotice> ListDepartureNotices() const {
+    return departures_.ListNotices(delegate_.Now());
+  }
+
   /** Writes this VM's part of the failover state to a heartbeat.
 
       @param heartbeat  receives suspicions, duties and promotions
@@ -192,8 +217,12 @@
     bool unsettled = !detector_.List().empty();
     for (const ServiceId& service : services_) {
       const std::optional<ReplacementReason> reason = FindReason(service, now);
-      unsettled = unsettled || reason.has_value();
+      const std::vector<EndpointId> departed = ListBlockingDepartures(service);
+      unsettled = unsettled || reason.has_value() || !departed.empty();
       ResumePaused(service, now);
+      if (!departed.empty() && IsCoordinator(service)) {
+        AuditDepartures(service, departed, now);
+      }
       if (reason && IsCoordinator(service)) {
         Replace(service, *reason, now);
       } else if (!reason) {
@@ -227,6 +256,7 @@
     bool running = false;
     bool claiming = false;
     bool confirming = false;
+    bool auditing = false;
     /** A promotion of this VM or of the previous holder may still be executed,
         because its answer was lost. */
     bool unsettled = false;
@@ -236,6 +266,9 @@
     std::vector<EndpointEntry> paused_replicas;
     TimePoint not_before;
     TimePoint claimed_at;
+    TimePoint next_audit_at;
+    /** Why the latest audit failed; empty if it did not. */
+    std::string_view audit_failure;
   };
 
   const EndpointEntry* FindEndpoint(const EndpointId& id) const {
@@ -274,6 +307,19 @@
   std::optional<ReplacementReason> FindReason(const ServiceId& service,
                                               TimePoint now);
 
+  /** @returns departed endpoints that must be accounted for before a promotion.
+      The primary is not one: replicas acknowledged its commits. */
+  std::vector<EndpointId> ListBlockingDepartures(
+      const ServiceId& service) const;
+
+  void AuditDepartures(const ServiceId& service,
+                       std::span<const EndpointId> departed,
+                       TimePoint now);
+
+  void HandleAuditResult(const ServiceId& service,
+                         std::span<const EndpointId> departed,
+                         const DepartureAuditResult& result);
+
   /** @returns the highest fencing token of a live peer's claim, or 0 if no live
       peer holds the duty */
   uint64_t FindPeerToken(const ServiceId& service) const;
@@ -313,6 +359,7 @@
   PrimaryRegistry primaries_;
   PrimaryFailureDetector<C, T> detector_;
   ReplicaResumer<C, T> resumer_;
+  DepartureTracker departures_;
   std::vector<EndpointEntry> endpoints_;
   std::vector<ServiceId> services_;
   std::map<ServiceId, Progress> progress_;
@@ -326,6 +373,7 @@
 }  // namespace magnoliareel
 
 // Definitions of the methods, grouped by topic.
+#include "control/failover/failover_control_departures.h"  // IWYU pragma: export
 #include "control/failover/failover_control_duties.h"  // IWYU pragma: export
 #include "control/failover/failover_control_replacement.h"  // IWYU pragma: export
 
--- /dev/null
+++ b/libs/control/failover/failover_control_departures.h
@@ -0,0 +1,92 @@
+#ifndef MAGNOLIAREEL_CONTROL_FAILOVER_FAILOVER_CONTROL_DEPARTURES_H_
+#define MAGNOLIAREEL_CONTROL_FAILOVER_FAILOVER_CONTROL_DEPARTURES_H_
+
+// Methods of FailoverControl that account for replicas that have left. Included
+// by failover_control.h.
+
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "control/failover/failover_control.h"
+
+namespace magnoliareel {
+
+template <RowStore S, EndpointCommandSender C, PromotionSender P, class T>
+std::vector<EndpointId> FailoverControl<S, C, P, T>::ListBlockingDepartures(
+    const ServiceId& service) const {
+  std::vector<EndpointId> list = departures_.ListUnaccounted(service);
+  if (!list.empty()) {
+    std::erase_if(list, [this](const EndpointId& it) {
+      return primaries_.IsLatestConfirmed(it);
+    });
+  }
+  return list;
+}
+
+template <RowStore S, EndpointCommandSender C, PromotionSender P, class T>
+void FailoverControl<S, C, P, T>::AuditDepartures(
+    const ServiceId& service,
+    std::span<const EndpointId> departed,
+    TimePoint now) {
+  Progress& progress = progress_[service];
+  if (progress.running || now < progress.next_audit_at ||
+      std::exchange(progress.auditing, true)) {
+    return;
+  }
+  std::make_shared<DepartureAudit<C>>(
+      commands_, ListEndpoints(service),
+      [this, service, departed = std::vector(departed.begin(), departed.end())](
+          const DepartureAuditResult& result) {
+        HandleAuditResult(service, departed, result);
+      })
+      ->Start();
+}
+
+template <RowStore S, EndpointCommandSender C, PromotionSender P, class T>
+void FailoverControl<S, C, P, T>::HandleAuditResult(
+    const ServiceId& service,
+    std::span<const EndpointId> departed,
+    const DepartureAuditResult& result) {
+  const TimePoint now = delegate_.Now();
+  Progress& progress = progress_[service];
+  progress.auditing = false;
+  progress.next_audit_at = now + kDepartureAuditInterval;
+  if (result.primary) {
+    const bool is_known = primaries_.IsPrimary(*result.primary);
+    primaries_.RecordConfirmed(service, *result.primary, result.term);
+    if (!is_known) {
+      delegate_.AnnouncePrimary(service, *result.primary);
+    }
+  }
+  const std::string_view previous =
+      std::exchange(progress.audit_failure, result.reason);
+  const bool failed_anew = !result.accounted && previous != result.reason;
+  if (result.accounted || failed_anew) {
+    std::string names;
+    for (const EndpointId& it : departed) {
+      names += (names.empty() ? "" : ",") + it.value;
+    }
+    if (result.accounted) {
+      LogEvent(Event::kDepartureAccounted,
+               {{"service", service.value}, {"departed", names}});
+    } else {
+      LogEvent(Event::kReplacementWaiting,
+               {{"service", service.value},
+                {"departed", names},
+                {"reason", std::string(result.reason)}});
+    }
+  }
+  if (result.accounted) {
+    departures_.RecordAccounted(departed, now);
+    delegate_.SendHeartbeats();
+    Review();
+  }
+}
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_CONTROL_FAILOVER_FAILOVER_CONTROL_DEPARTURES_H_
--- a/libs/control/failover/failover_control_replacement.h
+++ b/libs/control/failover/failover_control_replacement.h
@@ -93,6 +93,9 @@
       now < progress.not_before) {
     return;
   }
+  if (!ListBlockingDepartures(service).empty()) {
+    return;
+  }
   if (claims_.GetToken(service) == 0) {
     Claim(service, now, [this] { Review(); });
     return;
--- a/libs/control/failover/primary_registry.cc
+++ b/libs/control/failover/primary_registry.cc
@@ -15,13 +15,16 @@
       Record& fresh = primaries_[it.service];
       fresh.endpoint = it.id;
       fresh.confirmed = true;
+      fresh.latest_confirmed = it.id;
     } else if (record->second.endpoint == it.id) {
       record->second.confirmed = true;
+      record->second.latest_confirmed = it.id;
     } else if (record->second.missing_since) {
       // The recorded primary left the directory, and another endpoint reports
       // the role.
       record->second.endpoint = it.id;
       record->second.confirmed = true;
+      record->second.latest_confirmed = it.id;
       record->second.promotion_ordered_at.reset();
       record->second.missing_since.reset();
     }
@@ -52,6 +55,7 @@
   record.endpoint = endpoint;
   record.term = term;
   record.confirmed = true;
+  record.latest_confirmed = endpoint;
   record.promotion_ordered_at.reset();
 }
 
@@ -83,6 +87,12 @@
       [&](const auto& row) { return row.second.endpoint == endpoint; });
 }
 
+bool PrimaryRegistry::IsLatestConfirmed(const EndpointId& endpoint) const {
+  return std::any_of(
+      primaries_.begin(), primaries_.end(),
+      [&](const auto& row) { return row.second.latest_confirmed == endpoint; });
+}
+
 std::vector<std::pair<ServiceId, EndpointId>> PrimaryRegistry::List() const {
   std::vector<std::pair<ServiceId, EndpointId>> list;
   for (const auto& [service, record] : primaries_) {
--- a/libs/control/failover/primary_registry.h
+++ b/libs/control/failover/primary_registry.h
@@ -77,6 +77,10 @@
   /** @param endpoint  the endpoint to look up
       @returns          true if it is the recorded primary of a service */
   bool IsPrimary(const EndpointId& endpoint) const;
+  /** @param endpoint  the endpoint to look up
+      @returns          true if it was the latest confirmed primary of a
+     service, even if another promotion was ordered since */
+  bool IsLatestConfirmed(const EndpointId& endpoint) const;
   /** @returns the recorded primaries, ordered by service */
   std::vector<std::pair<ServiceId, EndpointId>> List() const;
   /** @param service  the service to look up
@@ -88,6 +92,7 @@
  private:
   struct Record {
     EndpointId endpoint;
+    EndpointId latest_confirmed;
     Term term;
     /** @see PrimaryState::confirmed */
     bool confirmed = false;
--- a/libs/control/tests/failover_control_test.cc
+++ b/libs/control/tests/failover_control_test.cc
@@ -19,10 +19,7 @@
  public:
   FakeDeployment() {
     for (const char* it : {"db-1", "db-2", "db-3"}) {
-      EndpointEntry entry;
-      entry.id.value = it;
-      entry.service = kService;
-      view_.endpoints.push_back(std::move(entry));
+      Add(it);
     }
     auto routes = std::make_shared<RouteTable>();
     routes->services[kService] = {32, 1};
@@ -61,7 +58,9 @@
     ReplicationStatus status;
     status.is_primary = endpoint.id.value == primary;
     status.term = Term{term};
-    status.received = {Term{1}, LogPosition{7}};
+    const auto end = log_ends.find(endpoint.id.value);
+    status.received = {Term{1},
+                       LogPosition{end == log_ends.end() ? 7 : end->second}};
     if (endpoint.id.value == unresponsive) {
       done(Error::kAnswerLost, {});
       return;
@@ -122,6 +121,13 @@
     }
     return view_;
   }
+  /** Adds an endpoint to the directory. */
+  void Add(const std::string& endpoint) {
+    EndpointEntry entry;
+    entry.id.value = endpoint;
+    entry.service = kService;
+    view_.endpoints.push_back(std::move(entry));
+  }
   /** Removes an endpoint from the directory. */
   void Remove(const std::string& endpoint) {
     std::erase_if(view_.endpoints, [&](const EndpointEntry& it) {
@@ -134,6 +140,8 @@
   int lost_promotion_replies = 0;
   // Number of promotions that are accepted without effect.
   int ineffective_promotions = 0;
+  // Ends of the endpoints' logs; 7 for those that are not named.
+  std::map<std::string, uint64_t> log_ends;
   // Endpoint that does not answer; empty for none.
   std::string unresponsive;
   std::vector<std::pair<std::string, uint64_t>> promotions;
@@ -293,4 +301,101 @@
   STRCMP_EQUAL("db-1", fake.primary.c_str());
 }
 
+TEST_GROUP_BASE(Departures, TEST_GROUP_CppUTestGroupFailover){
+    // db-2 leaves after its acknowledgements have let the primary's log grow
+    // beyond what db-3 has received.
+    void LoseTheOnlyReplicaThatIsUpToDate(){failover.Apply(fake.MakeView(""));
+fake.log_ends["db-3"] = 3;
+fake.Remove("db-2");
+failover.Apply(fake.MakeView(""));
+}  // namespace magnoliareel
+}
+;
+
+TEST(Departures, KeepThePrimaryWhileNoReplicaHoldsItsLog) {
+  // Guards against the loss of commits that a departed replica acknowledged
+  // (mix --seed 650525654572).
+  LoseTheOnlyReplicaThatIsUpToDate();
+  for (int n = 0; n < 5; ++n) {
+    failover.HandleConditionReport(
+        {EndpointId{"db-1"}, EndpointCondition::kCommitsStalled});
+    RunWithReviews(1);
+  }
+  STRCMP_EQUAL("db-1", fake.primary.c_str());
+  CHECK(fake.paused.empty());
+  fake.log_ends["db-3"] = 7;
+  ReplaceDraining("db-1");
+  STRCMP_EQUAL("db-3", fake.primary.c_str());
+}
+
+TEST(Departures, WaitForAPrimaryThatDoesNotAnswer) {
+  LoseTheOnlyReplicaThatIsUpToDate();
+  fake.log_ends["db-3"] = 7;
+  fake.unresponsive = "db-1";
+  failover.HandleConditionReport(
+      {EndpointId{"db-1"}, EndpointCondition::kUnreachable});
+  RunWithReviews(5);
+  CHECK(fake.promotions.empty());
+  fake.unresponsive.clear();
+  ReplaceDraining("db-1");
+  STRCMP_EQUAL("db-3", fake.primary.c_str());
+}
+
+TEST(Departures, ThatAPeerAccountedForDoNotDelayAPromotion) {
+  LoseTheOnlyReplicaThatIsUpToDate();
+  fake.unresponsive = "db-1";
+  failover.HandleConditionReport(
+      {EndpointId{"db-1"}, EndpointCondition::kUnreachable});
+  RunWithReviews(2);
+  CHECK(fake.promotions.empty());
+  const std::vector<DepartureNotice> notices = {
+      {kService, EndpointId{"db-2"}, true}};
+  failover.HandleDepartureNotices(notices);
+  RunWithReviews(3);
+  STRCMP_EQUAL("db-3", fake.primary.c_str());
+}
+
+TEST(Departures, AreAnnouncedUntilTheyAreAccountedForAndAWhileAfter) {
+  LoseTheOnlyReplicaThatIsUpToDate();
+  RunWithReviews(1);
+  LONGS_EQUAL(1, failover.ListDepartureNotices().size());
+  CHECK(!failover.ListDepartureNotices().front().accounted);
+  fake.log_ends["db-3"] = 7;
+  RunWithReviews(1);
+  CHECK(failover.ListDepartureNotices().front().accounted);
+  RunWithReviews(5);
+  CHECK(failover.ListDepartureNotices().empty());
+}
+
+TEST(Departures, OfWhichAPeerTellsBlockAPromotion) {
+  // A VM that has just started learns from its peers what left before.
+  failover.Apply(fake.MakeView(""));
+  fake.Remove("db-2");
+  fake.unresponsive = "db-1";
+  Failover started{fake, fake, fake, fake, peers, VmId{"vm"}, SiteId{"site"}};
+  started.Apply(fake.MakeView(""));
+  const std::vector<DepartureNotice> notices = {
+      {kService, EndpointId{"db-2"}, false}};
+  started.HandleDepartureNotices(notices);
+  started.HandleConditionReport(
+      {EndpointId{"db-1"}, EndpointCondition::kUnreachable});
+  for (int n = 0; n < 5; ++n) {
+    started.Review();
+    fake.Advance(std::chrono::seconds(1));
+  }
+  CHECK(fake.promotions.empty());
+}
+
+TEST(Departures, OfAnEndpointThatReturnsAreWithdrawn) {
+  LoseTheOnlyReplicaThatIsUpToDate();
+  const std::vector<DepartureNotice> notices = {
+      {kService, EndpointId{"db-2"}, false}};
+  failover.Apply(fake.MakeView(""));
+  LONGS_EQUAL(1, failover.ListDepartureNotices().size());
+  fake.Add("db-2");
+  failover.Apply(fake.MakeView(""));
+  failover.HandleDepartureNotices(notices);
+  CHECK(failover.ListDepartureNotices().empty());
+}
+
 }  // namespace magnoliareel
--- a/libs/gossip/tests/gossip_test.cc
+++ b/libs/gossip/tests/gossip_test.cc
@@ -2,6 +2,7 @@
 
 #include <random>
 #include <string>
+#include <vector>
 
 #include <CppUTest/TestHarness.h>
 
@@ -33,6 +34,19 @@
   CHECK(read.others == sent.others);
 }
 
+TEST(Gossip, DecodesEncodedDepartureNotices) {
+  const std::vector<DepartureNotice> sent = {
+      {ServiceId{"logs"}, EndpointId{"db-1"}, true},
+      {ServiceId{"logs"}, EndpointId{"db-2"}, false}};
+  std::vector<DepartureNotice> read;
+  CHECK(DecodeDepartureNotices(EncodeDepartureNotices(sent), read));
+  CHECK(read == sent);
+  for (const char* it : {"", "mrd1 logs", "mrd1 logs db-1", "mrd1 logs db-1 2",
+                         "mrd2 logs db-1 1", "mrd1 logs  1"}) {
+    CHECK_TEXT(!DecodeDepartureNotices(it, read), it);
+  }
+}
+
 TEST(Gossip, DecodesEncodedFreshnessBoundMessages) {
   const FreshnessBoundRequest sent{
       7,
--- a/libs/telemetry/events/event.cc
+++ b/libs/telemetry/events/event.cc
@@ -129,6 +129,12 @@
     {kReplacementAbandoned, kWarning, "replacement.abandoned",
      "A replacement was abandoned and will be retried if it is still needed. "
      "service, reason"},
+    {kReplacementWaiting, kWarning, "replacement.waiting",
+     "No primary is promoted, because a replica that has left may have been "
+     "the only one with an acknowledged commit. service, departed, reason"},
+    {kDepartureAccounted, kInfo, "departure.accounted",
+     "A replica holds every commit that departed ones can have acknowledged. "
+     "service, departed"},
     {kReadinessChanged, kInfo, "process.readiness",
      "The process changed its answer to the platform's readiness probe. ready, "
      "reason"},
--- a/libs/telemetry/events/event.h
+++ b/libs/telemetry/events/event.h
@@ -59,6 +59,8 @@
   kReplacementStep = 5505,
   kReplacementDone = 5506,
   kReplacementAbandoned = 5507,
+  kReplacementWaiting = 5508,
+  kDepartureAccounted = 5509,
   kReadinessChanged = 5601,
   kSettingsReloaded = 5602,
   kDrainProgress = 5603,
--- a/standins/group/group_model.cc
+++ b/standins/group/group_model.cc
@@ -43,7 +43,7 @@
       random_(options_.seed) {
   for (uint32_t it = 0; it <= options_.replicas; ++it) {
     Member member;
-    member.id = options_.service + "-" + std::to_string(it + 1);
+    member.id = options_.service + "-" + std::to_string(++id_count_);
     member.is_primary = it == 0;
     member.term = Term{1};
     members_.push_back(std::move(member));
--- a/standins/group/group_model.h
+++ b/standins/group/group_model.h
@@ -122,6 +122,18 @@
   /** Restarts a crashed member. It comes back as a replica if another member
       was promoted meanwhile. */
   void Restart(size_t member);
+  /** Ends a member for good: its log is lost with it. Commits that it has
+      received stay acknowledged.
+
+      @param member  index of the member
+  */
+  void Leave(size_t member);
+  /** Starts a new member in the place of one that has left. It has an empty
+      log, copies the primary's and has an id of its own.
+
+      @param member  index of a member that has left
+  */
+  void Join(size_t member);
   /** Disconnects a member from replication, or reconnects it. */
   void SetReplicationCut(size_t member, bool is_cut);
   /** Multiplies the apply delay of every replica. */
@@ -138,6 +150,8 @@
   }
   /** @returns whether the member is running */
   bool IsRunning(size_t member) const { return members_[member].is_up; }
+  /** @returns whether the member has left */
+  bool HasLeft(size_t member) const { return members_[member].has_left; }
   /** @returns the number of members */
   size_t CountMembers() const { return members_.size(); }
   /** @returns the start time of the member in the directory; it increases by
@@ -162,6 +176,7 @@
     std::string id;
     bool is_up = true;
     bool is_silent = false;
+    bool has_left = false;
     bool is_primary = false;
     bool is_replication_cut = false;
     Term term;
@@ -239,6 +254,8 @@
   std::vector<ExecutedStatement> executed_statements_;
   Term newest_term_{1};
   uint64_t highest_fencing_token_ = 0;
+  /** Number of ids given to members so far. */
+  uint32_t id_count_ = 0;
   double apply_delay_factor_ = 1;
   std::mt19937_64 random_;
 };
--- a/standins/group/group_replication.cc
+++ b/standins/group/group_replication.cc
@@ -133,6 +133,24 @@
   SynchronizeLog(index);
 }
 
+void GroupModel::Leave(size_t index) {
+  Crash(index, false);
+  Member& member = members_[index];
+  member.has_left = true;
+  member.is_primary = false;
+  member.is_replication_cut = false;
+  member.log.clear();
+  member.applied_count = 0;
+}
+
+void GroupModel::Join(size_t index) {
+  Member& member = members_[index];
+  member.has_left = false;
+  member.id = options_.service + "-" + std::to_string(++id_count_);
+  member.term = Term{1};
+  Restart(index);
+}
+
 void GroupModel::SetReplicationCut(size_t index, bool is_cut) {
   members_[index].is_replication_cut = is_cut;
   for (size_t it = 0; it < members_.size(); ++it) {
--- a/tests/traffic/traffic_simulation.cc
+++ b/tests/traffic/traffic_simulation.cc
@@ -139,6 +139,9 @@
 std::vector<EndpointEntry> TrafficSimulation::ListEndpoints() const {
   std::vector<EndpointEntry> entries;
   for (size_t it = 0; it < group_.CountMembers(); ++it) {
+    if (group_.HasLeft(it)) {
+      continue;
+    }
     EndpointEntry entry;
     entry.id.value = group_.GetId(it);
     entry.service.value = options_.service;
@@ -150,6 +153,10 @@
     entry.started_at_ms = group_.GetStartedAt(it);
     entries.push_back(std::move(entry));
   }
+  std::sort(entries.begin(), entries.end(),
+            [](const EndpointEntry& left, const EndpointEntry& right) {
+              return left.id.value < right.id.value;
+            });
   return entries;
 }
 
--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -1,9 +1,11 @@
 #include <algorithm>
 #include <cstdlib>
+#include <functional>
 #include <limits>
 #include <memory>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "telemetry/telemetry.h"
@@ -28,6 +30,17 @@
   return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
 }
 
+/** Which faults a run injects. */
+enum class FaultSchedule {
+  kNone,
+  /** Crashes, drains that are withdrawn, partitions, resets, replica lag, lost
+      answers and lost promotions. */
+  kTransient,
+  /** Those of kTransient; besides, members leave for good and are replaced by
+      new ones, and replicas receive nothing for a while. */
+  kMembership,
+};
+
 /** One simulated run: callers on all VMs, a period with random faults, and a
     final period without faults. */
 class TrafficRun {
@@ -63,19 +76,28 @@
     }
   }
 
-  /** Runs to the end. @param faults  whether faults are injected */
-  void Run(bool faults) {
+  /** Runs to the end with random faults. */
+  void Run(FaultSchedule schedule) {
+    Run([this, schedule] {
+      if (schedule == FaultSchedule::kNone) {
+        return;
+      }
+      for (int n = 0; n < 6; ++n) {
+        simulation_->GetQueue().After(
+            std::chrono::milliseconds(random_() % 6000),
+            [this, schedule] { InjectFault(schedule); });
+      }
+    });
+  }
+
+  /** Runs to the end. @param schedule_faults  called once at the start */
+  void Run(const std::function<void()>& schedule_faults) {
     EventQueue& queue = simulation_->GetQueue();
     const TimePoint start = queue.Now();
     for (const auto& it : callers_) {
       it->Start();
     }
-    if (faults) {
-      for (int n = 0; n < 6; ++n) {
-        queue.After(std::chrono::milliseconds(random_() % 6000),
-                    [this] { InjectFault(); });
-      }
-    }
+    schedule_faults();
     queue.RunUntil(start + std::chrono::seconds(10));
     for (const auto& it : callers_) {
       it->TakeSuccessCount();
@@ -91,6 +113,8 @@
     queue.RunUntil(start + std::chrono::seconds(14));
   }
 
+  TrafficSimulation& GetSimulation() { return *simulation_; }
+
   /** @returns the violated guarantees. @see CheckTraffic */
   std::vector<std::string> Check() const {
     size_t primary = 0;
@@ -134,13 +158,56 @@
   size_t CountOperations() const { return history_.size(); }
 
  private:
-  void InjectFault() {
+  // Drains a member, and ends it once it is not the primary. A new member takes
+  // its place after the duration.
+  void ReplaceMember(size_t member, Duration duration) {
+    simulation_->SetDraining(member, true);
+    EndDrainedMember(member, duration);
+  }
+
+  void EndDrainedMember(size_t member, Duration duration) {
+    EventQueue& queue = simulation_->GetQueue();
+    queue.After(std::chrono::milliseconds(1000), [this, member, duration] {
+      GroupModel& group = simulation_->GetGroup();
+      if (group.HasPrimaryRole(member)) {
+        EndDrainedMember(member, duration);
+        return;
+      }
+      group.Leave(member);
+      simulation_->SetDraining(member, false);
+      simulation_->GetQueue().After(duration, [this, member] {
+        simulation_->GetGroup().Join(member);
+        simulation_->Publish();
+        is_member_down_ = false;
+      });
+    });
+  }
+
+  void InjectFault(FaultSchedule schedule) {
     GroupModel& group = simulation_->GetGroup();
     EventQueue& queue = simulation_->GetQueue();
     const size_t member = random_() % group.CountMembers();
     const size_t vm = random_() % vms_;
     const Duration duration = std::chrono::milliseconds(200 + random_() % 1500);
-    switch (random_() % 9) {
+    switch (random_() % (schedule == FaultSchedule::kMembership ? 12 : 9)) {
+      case 10:
+        if (is_member_down_) {
+          return;
+        }
+        is_member_down_ = true;
+        ReplaceMember(member, 2 * duration);
+        return;
+      case 9:
+      case 11:
+        if (std::exchange(is_replica_deaf_, true)) {
+          return;
+        }
+        group.SetReplicationCut(member, true);
+        queue.After(3 * duration, [this, member] {
+          simulation_->GetGroup().SetReplicationCut(member, false);
+          is_replica_deaf_ = false;
+        });
+        return;
       case 0:
         // At most one member is down at a time, so that every acknowledged
         // commit is on a member that runs.
@@ -204,6 +271,7 @@
   int final_success_count_ = 0;
   int min_success_count_ = std::numeric_limits<int>::max();
   bool is_member_down_ = false;
+  bool is_replica_deaf_ = false;
 };
 
 }  // namespace
@@ -221,7 +289,7 @@
 
 TEST(Traffic, KeepsGuaranteesWithoutFaults) {
   TrafficRun run(1);
-  run.Run(false);
+  run.Run(FaultSchedule::kNone);
   CHECK(run.CountOperations() > 500);
   CHECK(run.GetFinalSuccessCount() > 100);
   for (const std::string& it : run.Check()) {
@@ -285,7 +353,7 @@
   // then never served.
   for (uint64_t seed = 1; seed <= 5; ++seed) {
     TrafficRun run(seed, 12, 12, 8);
-    run.Run(false);
+    run.Run(FaultSchedule::kNone);
     const std::string context =
         "seed " + std::to_string(seed) +
         ": lowest success count of a caller: " +
@@ -301,8 +369,10 @@
 
 namespace {
 
-void RunWithFaults(TrafficRun& run, uint64_t seed) {
-  run.Run(true);
+void RunWithFaults(TrafficRun& run,
+                   uint64_t seed,
+                   FaultSchedule schedule = FaultSchedule::kTransient) {
+  run.Run(schedule);
   for (const std::string& it : run.Check()) {
     FAIL(("seed " + std::to_string(seed) + ": " + it).c_str());
   }
@@ -332,4 +402,48 @@
   }
 }
 
+TEST(Traffic, KeepsGuaranteesWhileMembersLeave) {
+  const uint64_t first = ReadNumber("MAGNOLIAREEL_SIM_FIRST_SEED", 1);
+  const uint64_t seeds =
+      ReadNumber("MAGNOLIAREEL_SIM_SEEDS", kDefaultSeedCount);
+  for (uint64_t seed = first; seed < first + seeds; ++seed) {
+    TrafficRun run(seed);
+    RunWithFaults(run, seed, FaultSchedule::kMembership);
+  }
+}
+
+TEST(Traffic, KeepsCommitsThatOnlyADepartedReplicaHeld) {
+  // Guards against the promotion of a replica that received nothing while
+  // another one acknowledged commits and then left. Afterwards commits stalled,
+  // and the old primary, which alone held them, was replaced (LOST in
+  // mix --seed 650525654572).
+  using std::chrono::milliseconds;
+  TrafficRun run(1);
+  run.Run([&run] {
+    TrafficSimulation& simulation = run.GetSimulation();
+    EventQueue& queue = simulation.GetQueue();
+    queue.After(milliseconds(1000), [&simulation] {
+      simulation.GetGroup().SetReplicationCut(2, true);
+      simulation.SetDraining(1, true);
+    });
+    queue.After(milliseconds(2000), [&simulation] {
+      simulation.GetGroup().Leave(1);
+      simulation.SetDraining(1, false);
+    });
+    queue.After(milliseconds(3000), [&simulation] {
+      simulation.GetGroup().SetReplicationCut(2, false);
+    });
+    queue.After(milliseconds(6000), [&simulation] {
+      simulation.GetGroup().Join(1);
+      simulation.Publish();
+    });
+  });
+  std::string violations;
+  for (const std::string& it : run.Check()) {
+    violations += it + "\n";
+  }
+  CHECK_TEXT(violations.empty(), violations.c_str());
+  CHECK_TEXT(run.GetFinalSuccessCount() > 60, run.DescribePools().c_str());
+}
+
 }  // namespace magnoliareel
