Answer pipelined requests and forget connections closed behind a late reply

Cause: a reply that was sent after its request had been handled left the bytes behind it unparsed until more arrived, and a connection that it closed stayed in the table. After 64 of them the listener refused every connection, the readiness probe's too. The name of a header behind an empty value was appended to the name before it.

--- a/libs/net/http/http_listener.cc
+++ b/libs/net/http/http_listener.cc
@@ -26,21 +26,33 @@
   std::string unparsed;
   bool complete = false;
   bool awaiting_reply = false;
+  bool parsing = false;
+  // The last piece of a header that the parser delivered belongs to its value.
+  bool in_header_value = false;
 
   void Reset() {
     http_parser_init(&parser, HTTP_REQUEST);
     parser.data = this;
     request = {};
     complete = false;
+    in_header_value = false;
   }
 
   void HandleOpened() {}
 
   void HandleBytes(std::string_view bytes) {
     unparsed.append(bytes);
+    ParseOrClose();
+  }
+
+  // Destroys the connection if it must be closed.
+  void ParseOrClose() {
     HttpListener& listener = *owner;
     const uint64_t own_id = id;
-    if (!Parse()) {
+    parsing = true;
+    const bool open = Parse();
+    parsing = false;
+    if (!open) {
       listener.connections_.erase(own_id);
     }
   }
@@ -68,7 +80,7 @@
                         listener->Send(own_id, reply);
                       });
     }
-    return stream.IsOpen();
+    return stream.IsOpen() && unparsed.size() <= kMaxRequestBytes;
   }
 };
 
@@ -97,11 +109,14 @@
   buf.append(reply.body);
   connection.stream.Flush();
   connection.awaiting_reply = false;
-  if (!keep_alive) {
+  if (keep_alive) {
+    connection.Reset();
+  } else {
     connection.stream.Close();
-    return;
   }
-  connection.Reset();
+  if (!connection.parsing) {
+    connection.ParseOrClose();
+  }
 }
 
 void HttpListener::Accept(Stream stream) {
@@ -122,9 +137,9 @@
   connection->settings.on_header_field = [](http_parser* parser, const char* at,
                                             size_t n) {
     auto& headers = static_cast<Connection*>(parser->data)->request.headers;
-    // The parser may deliver a name in pieces; it belongs to a new header only
-    // if the previous header already has a value.
-    if (headers.empty() || !headers.back().second.empty()) {
+    // The parser may deliver a name in pieces.
+    auto& in_value = static_cast<Connection*>(parser->data)->in_header_value;
+    if (headers.empty() || std::exchange(in_value, false)) {
       headers.emplace_back();
     }
     headers.back().first.append(at, n);
@@ -133,6 +148,7 @@
   connection->settings.on_header_value = [](http_parser* parser, const char* at,
                                             size_t n) {
     auto& headers = static_cast<Connection*>(parser->data)->request.headers;
+    static_cast<Connection*>(parser->data)->in_header_value = true;
     if (!headers.empty()) {
       headers.back().second.append(at, n);
     }
--- a/libs/net/tests/net_test.cc
+++ b/libs/net/tests/net_test.cc
@@ -1,6 +1,9 @@
 #include "net/net.h"
 
+#include <functional>
+#include <memory>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -132,4 +135,131 @@
   accepted.clear();
 }
 
+namespace {
+
+/** Sends bytes to a listener and collects what it answers. */
+struct RawClient {
+  Stream stream;
+  std::string to_send;
+  std::string received;
+  std::function<void()> on_change;
+  bool closed = false;
+
+  void HandleOpened() {
+    stream.GetBuffer().append(to_send);
+    stream.Flush();
+  }
+  void HandleBytes(std::string_view bytes) {
+    received.append(bytes);
+    on_change();
+  }
+  void HandleClosed(std::error_code) {
+    closed = true;
+    on_change();
+  }
+};
+
+size_t CountReplies(std::string_view text) {
+  size_t n = 0;
+  for (size_t at = text.find("HTTP/1.1 "); at != std::string_view::npos;
+       at = text.find("HTTP/1.1 ", at + 1)) {
+    ++n;
+  }
+  return n;
+}
+
+}  // namespace
+
+TEST(NetHttp, AnswersARequestThatWasPipelinedBehindASlowOne) {
+  // The second request used to wait until the client sent further bytes.
+  EventLoop loop;
+  std::vector<std::unique_ptr<LoopTimer>> timers;
+  net::HttpListener listener(
+      loop, [&](const net::Request&, const net::HttpListener::Answer& answer) {
+        timers.push_back(std::make_unique<LoopTimer>(loop, [answer] {
+          answer({200, "slow"});
+        }));
+        timers.back()->StartOnce(Duration(3000));
+      });
+  const SocketAddress address{"127.0.0.1", kHttpPort};
+  CHECK(!listener.Listen(address));
+  RawClient client;
+  client.to_send = "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n";
+  client.on_change = [&] {
+    if (CountReplies(client.received) == 2) {
+      loop.Stop();
+    }
+  };
+  client.stream.Connect(loop, address, client);
+  LoopTimer limit(loop, [&] { loop.Stop(); });
+  limit.StartOnce(std::chrono::seconds(2));
+  loop.Run();
+  LONGS_EQUAL(2, CountReplies(client.received));
+  timers.clear();
+}
+
+TEST(NetHttp, KeepsTheNameOfAHeaderWithoutAValue) {
+  // The name of the next header used to be appended to it.
+  EventLoop loop;
+  std::string names;
+  net::HttpListener listener(
+      loop, [&](const net::Request& request,
+                const net::HttpListener::Answer& answer) {
+        for (const auto& [name, value] : request.headers) {
+          names += name + "=" + value + ";";
+        }
+        answer({200, ""});
+      });
+  const SocketAddress address{"127.0.0.1", kHttpPort};
+  CHECK(!listener.Listen(address));
+  RawClient client;
+  client.to_send = "GET / HTTP/1.1\r\nEmpty:\r\nToken: 7\r\n\r\n";
+  client.on_change = [&] { loop.Stop(); };
+  client.stream.Connect(loop, address, client);
+  loop.Run();
+  STRCMP_EQUAL("Empty=;Token=7;", names.c_str());
+}
+
+TEST(NetHttp, ForgetsConnectionsThatItClosesBehindALateReply) {
+  // A listener that keeps them refuses all connections, the readiness probe's
+  // too, once it has reached its limit of 64.
+  EventLoop loop;
+  std::vector<std::unique_ptr<LoopTimer>> timers;
+  net::HttpListener listener(
+      loop, [&](const net::Request&, const net::HttpListener::Answer& answer) {
+        timers.push_back(std::make_unique<LoopTimer>(loop, [answer] {
+          answer({200, "late"});
+        }));
+        timers.back()->StartOnce(Duration(100));
+      });
+  const SocketAddress address{"127.0.0.1", kHttpPort};
+  CHECK(!listener.Listen(address));
+  constexpr int kCalls = 70;
+  int answered = 0;
+  std::unique_ptr<RawClient> client;
+  std::function<void()> start_next = [&] {
+    client = std::make_unique<RawClient>();
+    client->to_send = "GET / HTTP/1.1\r\nConnection: close\r\n\r\n";
+    client->on_change = [&] {
+      if (!client->closed) {
+        return;
+      }
+      answered += static_cast<int>(CountReplies(client->received));
+      timers.push_back(std::make_unique<LoopTimer>(loop, start_next));
+      timers.back()->StartOnce(Duration(0));
+    };
+    if (answered == kCalls) {
+      loop.Stop();
+      return;
+    }
+    client->stream.Connect(loop, address, *client);
+  };
+  start_next();
+  LoopTimer limit(loop, [&] { loop.Stop(); });
+  limit.StartOnce(std::chrono::seconds(5));
+  loop.Run();
+  LONGS_EQUAL(kCalls, answered);
+  timers.clear();
+}
+
 }  // namespace magnoliareel
