Report a sent request without a body as lost, and end every call of a client

Cause: HttpClient judged by the bytes of the body, so a GET that the server had received counted as "nothing sent"; calls that its thread had not taken when the client was destroyed never ended (173 of 200 did).

Red before: ReportsALostAnswerToARequestWithoutABody, EndsEveryCallWhenTheClientIsDestroyed.

--- a/libs/http/client/http_client.cc
+++ b/libs/http/client/http_client.cc
@@ -59,6 +59,15 @@
       1, std::chrono::ceil<std::chrono::milliseconds>(duration).count());
 }
 
+// A server acts on a request only when it has received a part of its body, if
+// there is one.
+bool MayHaveArrived(CURL* easy, const CallInProgress& progress) {
+  long request_bytes = 0;
+  curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+  return progress.call.body.empty() ? request_bytes > 0
+                                    : progress.sent_bytes > 0;
+}
+
 HttpResult MakeResult(CURL* easy, CURLcode code, CallInProgress& progress) {
   HttpResult result;
   if (progress.is_too_large) {
@@ -66,8 +75,8 @@
     return result;
   }
   if (code != CURLE_OK) {
-    result.ec =
-        progress.sent_bytes > 0 ? Error::kAnswerLost : Error::kUnreachable;
+    result.ec = MayHaveArrived(easy, progress) ? Error::kAnswerLost
+                                               : Error::kUnreachable;
     return result;
   }
   long status = 0;
@@ -131,6 +140,10 @@
       curl_easy_cleanup(easy);
       progress->done(HttpResult{Error::kAnswerLost, 0, {}});
     }
+    const std::lock_guard lock(mutex_);
+    for (const auto& it : new_calls_) {
+      it->done(HttpResult{Error::kUnreachable, 0, {}});
+    }
   }
 
   // Returns false if the client is being destroyed.
--- a/libs/http/client/http_client.h
+++ b/libs/http/client/http_client.h
@@ -31,8 +31,9 @@
 /** Result of a call. */
 struct HttpResult {
   /** No error if a response arrived; Error::kUnreachable if nothing of the
-      request body was sent; Error::kAnswerLost if the server may have received
-      the request; Error::kAnswerTooLarge if the response exceeded the limit. */
+      request body, or of a request without a body, was sent; Error::kAnswerLost
+     if the server may have received the request; Error::kAnswerTooLarge if the
+     response exceeded the limit. */
   std::error_code ec;
   /** HTTP status code; valid without an error only. */
   int status = 0;
@@ -52,7 +53,8 @@
   using Completion = std::function<void(HttpResult)>;
 
   HttpClient();
-  /** Completes all calls in progress with Error::kAnswerLost. */
+  /** Completes all calls in progress with Error::kAnswerLost, and those that
+      were not started with Error::kUnreachable. */
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
--- a/libs/http/tests/http_test.cc
+++ b/libs/http/tests/http_test.cc
@@ -82,6 +82,39 @@
   CHECK(SendRequest(client, port, "x").ec == Error::kUnreachable);
 }
 
+TEST(Http, ReportsALostAnswerToARequestWithoutABody) {
+  // The server may have received a request that was sent without a body.
+  HttpServer server(MakeOptions(),
+                    [](const HttpRequest&, const HttpResponder& responder) {
+                      responder.Drop();
+                    });
+  CHECK(!server.Start());
+  CHECK(SendRequest(client, server.GetPort(), "").ec == Error::kAnswerLost);
+}
+
+TEST(Http, EndsEveryCallWhenTheClientIsDestroyed) {
+  // A call that the client's thread had not taken yet used to stay without an
+  // end.
+  HttpServer server(MakeOptions(),
+                    [](const HttpRequest&, const HttpResponder& responder) {
+                      responder.Send({200, ""});
+                    });
+  CHECK(!server.Start());
+  constexpr int kCalls = 200;
+  std::atomic<int> ended = 0;
+  {
+    HttpClient ending_client;
+    for (int n = 0; n < kCalls; ++n) {
+      HttpCall call;
+      call.address = {"127.0.0.1", server.GetPort()};
+      call.path = "/path";
+      call.timeout = kTimeout;
+      ending_client.Send(std::move(call), [&](const HttpResult&) { ++ended; });
+    }
+  }
+  LONGS_EQUAL(kCalls, ended.load());
+}
+
 TEST(Http, LimitsTheSizeOfRequestsAndResponses) {
   HttpServer server(MakeOptions(), [](const HttpRequest& request,
                                       const HttpResponder& responder) {
