Leave an enumerated field unchanged by an unknown word; check a driver's rank

ReadEnum's users wrote their target before they knew the word; an unknown kind of a history became an enumerator that does not exist. GroupDriver read its rank after the other VMs had confirmed a lost primary, when it may have lost the rank meanwhile. No test shows the second one yet.

--- a/libs/codec/caller/caller_codec.cc
+++ b/libs/codec/caller/caller_codec.cc
@@ -31,8 +31,11 @@
   reader.ReadEnum(
       "kind", Presence::kRequired,
       [&request](std::string_view word) {
+        if (word != "write" && word != "read") {
+          return false;
+        }
         request.verb = word == "write" ? CallerVerb::kWrite : CallerVerb::kRead;
-        return word == "write" || word == "read";
+        return true;
       },
       "read, write");
   reader.ReadString("statement", Presence::kRequired, request.statement,
--- a/libs/codec/endpoint/report_codec.cc
+++ b/libs/codec/endpoint/report_codec.cc
@@ -30,9 +30,12 @@
   reader.ReadEnum(
       "role", Presence::kRequired,
       [&report](std::string_view word) {
+        if (word != "primary" && word != "replica") {
+          return false;
+        }
         report.role =
             word == "primary" ? EndpointRole::kPrimary : EndpointRole::kReplica;
-        return word == "primary" || word == "replica";
+        return true;
       },
       "primary, replica");
   reader.ReadUint64("term", Presence::kRequired, report.term.value);
--- a/libs/codec/history/history_codec.cc
+++ b/libs/codec/history/history_codec.cc
@@ -22,8 +22,11 @@
       "kind", Presence::kRequired,
       [&operation](std::string_view word) {
         const auto it = std::find(kKindNames.begin(), kKindNames.end(), word);
+        if (it == kKindNames.end()) {
+          return false;
+        }
         operation.kind = static_cast<OperationKind>(it - kKindNames.begin());
-        return it != kKindNames.end();
+        return true;
       },
       "write, transaction, read, final_read");
   ReadOutcome(reader, operation.outcome);
--- a/libs/codec/json/common_fields.cc
+++ b/libs/codec/json/common_fields.cc
@@ -6,8 +6,11 @@
   reader.ReadEnum(
       "class", presence,
       [&out](std::string_view word) {
+        if (word != "long" && word != "short") {
+          return false;
+        }
         out = word == "long" ? WorkClass::kLong : WorkClass::kShort;
-        return word == "long" || word == "short";
+        return true;
       },
       "short, long");
 }
@@ -45,7 +48,7 @@
       "outcome", Presence::kRequired,
       [&out](std::string_view word) {
         const auto outcome = ParseOutcomeName(word);
-        out = outcome.value_or(Outcome::kUnknown);
+        out = outcome.value_or(out);
         return outcome.has_value();
       },
       "done, failed, not_run, unknown");
--- a/libs/failover/driver/group_driver.h
+++ b/libs/failover/driver/group_driver.h
@@ -269,6 +269,10 @@
         BackOffWithJitter();
         return;
       }
+      if (!rank_) {
+        // Meanwhile another VM has become the group's driver.
+        return;
+      }
       // The state may have changed while the other VMs answered.
       const auto reason = FindDueReason(state, executor_.Now());
       if (reason == PromotionReason::kPrimaryLost) {
