--- a/tests/scenarios/lib/cluster.lua
+++ b/tests/scenarios/lib/cluster.lua
@@ -78,8 +78,11 @@
     groups[g] = { name = group_name(g), endpoints = endpoints }
   end
   local callers = {}
-  for n, name in ipairs(cluster.callers) do
-    callers[n] = { name = name, key_hashes = { sha256("key-" .. name) }, services = { "groyne-logs" } }
+  for _, name in ipairs(cluster.callers) do
+    if name ~= options.without_caller then
+      callers[#callers + 1] = { name = name, key_hashes = { sha256("key-" .. name) },
+        services = { "groyne-logs" } }
+    end
   end
   return encode({ callers = callers, services = { { name = "groyne-logs",
     default_deadline_ms = 5000, max_deadline_ms = options.max_deadline_ms or 60000,
--- a/tests/traffic/traffic_simulation.cc
+++ b/tests/traffic/traffic_simulation.cc
@@ -139,7 +139,7 @@
 std::vector<EndpointEntry> TrafficSimulation::ListEndpoints() const {
   std::vector<EndpointEntry> entries;
   for (size_t it = 0; it < group_.CountMembers(); ++it) {
-    if (group_.HasLeft(it)) {
+    if (group_.HasLeft(it) || unlisted_.contains(it)) {
       continue;
     }
     EndpointEntry entry;
@@ -232,6 +232,15 @@
   Publish();
 }
 
+void TrafficSimulation::SetListed(size_t member, bool listed) {
+  if (listed) {
+    unlisted_.erase(member);
+  } else {
+    unlisted_.insert(member);
+  }
+  Publish();
+}
+
 void TrafficSimulation::AnnouncePrimary(const ServiceId& service,
                                         const EndpointId& endpoint) {
   for (size_t it = 0; it < vms_.size(); ++it) {
--- a/tests/traffic/traffic_simulation.h
+++ b/tests/traffic/traffic_simulation.h
@@ -126,6 +126,8 @@
   void ResetConnections(size_t vm, size_t member);
   /** Sets whether the directory reports a member as draining. */
   void SetDraining(size_t member, bool draining);
+  /** Sets whether the directory lists a member. */
+  void SetListed(size_t member, bool listed);
   /** Sets the probability that a promotion is not answered and takes effect
       seconds later. */
   void SetPromotionLoss(double probability) { promotion_loss_ = probability; }
@@ -197,6 +199,7 @@
   uint64_t next_caller_ = 1;
   double promotion_loss_ = 0;
   std::set<size_t> draining_;
+  std::set<size_t> unlisted_;
   std::mt19937_64 random_;
   PeerGroup peers_{SocketAddress{"127.0.0.1", 1}};
   SimulatedServices services_{*this};
--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -446,4 +446,37 @@
   CHECK_TEXT(run.GetFinalSuccessCount() > 60, run.DescribePools().c_str());
 }
 
+TEST(Traffic, StatementsOfAMemberThatIsNotListedForAWhileAreAnswered) {
+  // Guards against work that is given up, or started again elsewhere, because
+  // the database that runs it is slow to report to the directory.
+  using std::chrono::milliseconds;
+  GroupOptions options;
+  options.mean_run_time = milliseconds(300);
+  TrafficSimulation simulation(1, options);
+  std::string answers;
+  simulation.SetCallerOutput([&](size_t, uint64_t, std::string_view line) {
+    answers += line.empty() ? "closed\n" : std::string(line) + "\n";
+  });
+  EventQueue& queue = simulation.GetQueue();
+  queue.RunUntil(queue.Now() + std::chrono::seconds(2));
+  for (const char* it : {"WRITE groyne-1 x", "READ groyne-1"}) {
+    answers.clear();
+    const uint64_t session = simulation.OpenCaller(0);
+    simulation.Send(0, session, "STARTUP entries caller");
+    simulation.Send(0, session, std::string("QUERY q1 ") + it);
+    queue.RunUntil(queue.Now() + milliseconds(100));
+    simulation.SetListed(0, false);
+    queue.RunUntil(queue.Now() + milliseconds(700));
+    simulation.SetListed(0, true);
+    queue.RunUntil(queue.Now() + std::chrono::seconds(2));
+    CHECK_TEXT(answers.find("COMPLETE proof-q1") != std::string::npos,
+               answers.c_str());
+    const auto& statements = simulation.GetGroup().GetExecutedStatements();
+    LONGS_EQUAL(1, std::count_if(statements.begin(), statements.end(),
+                                 [it](const ExecutedStatement& executed) {
+                                   return executed.text == it;
+                                 }));
+  }
+}
+
 }  // namespace magnoliareel
