Account for departures only where replicas acknowledge commits

Without sync-replicas an audit could fail for good, and departures of a service that the configuration has removed would have been announced for ever. Tests: Departures DoNotMatterWhereTheReplicasAcknowledgeNothing and OfARemovedServiceAreForgotten, both red without the change's two calls.

--- a/libs/control/failover/departure_tracker.cc
+++ b/libs/control/failover/departure_tracker.cc
@@ -1,5 +1,6 @@
 #include "control/failover/departure_tracker.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace magnoliareel {
@@ -23,6 +24,18 @@
   });
 }
 
+void DepartureTracker::RetainServices(std::span<const ServiceId> services) {
+  const auto is_removed = [services](const ServiceId& service) {
+    return std::find(services.begin(), services.end(), service) ==
+           services.end();
+  };
+  std::erase_if(listed_,
+                [&](const auto& row) { return is_removed(row.second); });
+  std::erase_if(departures_, [&](const auto& row) {
+    return is_removed(row.second.service);
+  });
+}
+
 bool DepartureTracker::ApplyNotice(const DepartureNotice& notice,
                                    TimePoint now) {
   if (listed_.contains(notice.endpoint)) {
--- a/libs/control/failover/departure_tracker.h
+++ b/libs/control/failover/departure_tracker.h
@@ -39,6 +39,12 @@
   */
   void Apply(std::span<const EndpointEntry> endpoints, TimePoint now);
 
+  /** Drops what is known of services that the configuration has removed.
+
+      @param services  the services that are left
+  */
+  void RetainServices(std::span<const ServiceId> services);
+
   /** Applies what a peer knows about a departure.
 
       @param notice  the peer's notice; ignored if it reports the departure of
--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -1,6 +1,7 @@
 #ifndef MAGNOLIAREEL_CONTROL_FAILOVER_FAILOVER_CONTROL_H_
 #define MAGNOLIAREEL_CONTROL_FAILOVER_FAILOVER_CONTROL_H_
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -120,8 +121,9 @@
     for (const auto& [id, rules] : view.routes->services) {
       services_.push_back(id);
     }
+    departures_.RetainServices(services_);
     primaries_.Apply(endpoints_, delegate_.Now());
-    departures_.Apply(endpoints_, delegate_.Now());
+    departures_.Apply(ListAcknowledgingEndpoints(view), delegate_.Now());
     PruneSuspicions();
     Review();
   }
@@ -186,7 +188,9 @@
   void HandleDepartureNotices(std::span<const DepartureNotice> notices) {
     bool changed = false;
     for (const DepartureNotice& it : notices) {
-      changed = departures_.ApplyNotice(it, delegate_.Now()) || changed;
+      changed = (IsKnown(it.service) &&
+                 departures_.ApplyNotice(it, delegate_.Now())) ||
+                changed;
     }
     if (changed) {
       Review();
@@ -303,6 +307,25 @@
     });
   }
 
+  bool IsKnown(const ServiceId& service) const {
+    return std::find(services_.begin(), services_.end(), service) !=
+           services_.end();
+  }
+
+  /** @returns the endpoints of services whose replicas acknowledge commits */
+  static std::vector<EndpointEntry> ListAcknowledgingEndpoints(
+      const FleetView& view) {
+    std::vector<EndpointEntry> list;
+    for (const EndpointEntry& it : view.endpoints) {
+      const auto rules = view.routes->services.find(it.service);
+      if (rules != view.routes->services.end() &&
+          rules->second.sync_replicas > 0) {
+        list.push_back(it);
+      }
+    }
+    return list;
+  }
+
   std::vector<EndpointEntry> ListEndpoints(const ServiceId& service) const {
     std::vector<EndpointEntry> list;
     for (const EndpointEntry& it : endpoints_) {
--- a/libs/control/tests/failover_control_test.cc
+++ b/libs/control/tests/failover_control_test.cc
@@ -21,10 +21,17 @@
     for (const char* it : {"db-1", "db-2", "db-3"}) {
       Add(it);
     }
+    SetSyncReplicas(1);
+  }
+
+  /** Sets how many replicas must hold a commit before it is acknowledged. */
+  void SetSyncReplicas(uint32_t n) {
     auto routes = std::make_shared<RouteTable>();
-    routes->services[kService] = {32, 1};
+    routes->services[kService] = {32, n};
     view_.routes = std::move(routes);
   }
+  /** Removes all services from the configuration. */
+  void RemoveServices() { view_.routes = std::make_shared<RouteTable>(); }
 
   // RowStore
   void List(std::string_view, std::string_view, const RowsCompletion&) {}
@@ -398,4 +405,20 @@
   CHECK(failover.ListDepartureNotices().empty());
 }
 
+TEST(Departures, DoNotMatterWhereTheReplicasAcknowledgeNothing) {
+  fake.SetSyncReplicas(0);
+  LoseTheOnlyReplicaThatIsUpToDate();
+  CHECK(failover.ListDepartureNotices().empty());
+  ReplaceDraining("db-1");
+  STRCMP_EQUAL("db-3", fake.primary.c_str());
+}
+
+TEST(Departures, OfARemovedServiceAreForgotten) {
+  LoseTheOnlyReplicaThatIsUpToDate();
+  LONGS_EQUAL(1, failover.ListDepartureNotices().size());
+  fake.RemoveServices();
+  failover.Apply(fake.MakeView(""));
+  CHECK(failover.ListDepartureNotices().empty());
+}
+
 }  // namespace magnoliareel
