Forget the first page of a listing that failed

A listing that began anew after an outage was followed from the version of the failed one's first page. Red before: Watch ForgetsTheFirstPageOfAListingThatFailed.

--- a/libs/coordination/tests/coordination_test.cc
+++ b/libs/coordination/tests/coordination_test.cc
@@ -139,6 +139,20 @@
   STRCMP_EQUAL("follow 10", store.last.c_str());
 }
 
+TEST(Watch, ForgetsTheFirstPageOfAListingThatFailed) {
+  // Following from the first page of the failed listing would ask for changes
+  // that the store may have dropped meanwhile.
+  watch.Start();
+  StoredRows page = Rows({"a", "b"}, 10);
+  page.has_more = true;
+  store.Answer({}, page);
+  store.Answer(Error::kStoreUnavailable, {});
+  delegate.next();
+  STRCMP_EQUAL("list ", store.last.c_str());
+  store.Answer({}, Rows({"a"}, 20));
+  STRCMP_EQUAL("follow 20", store.last.c_str());
+}
+
 TEST(Watch, ListsAgainWhenTheHistoryIsLost) {
   watch.Start();
   store.Answer({}, Rows({"a"}, 10));
--- a/libs/coordination/watches/table_watch.h
+++ b/libs/coordination/watches/table_watch.h
@@ -85,6 +85,7 @@
  private:
   void List() {
     listing_.clear();
+    first_version_ = 0;
     ListAfter("");
   }
 
