Do not count a crashed primary among the replicas that left

A primary crashes, another is promoted, and the old one lapses from the directory; when the replica left then turns deaf, the group waited until it heard again, although the old primary had acknowledged nothing for the new one.

Change: an endpoint that reported the role of the primary until it left is not tracked. A database reports a change of its role at once. Red before: Departures OfAPrimaryThatWasReplacedAfterItsCrashDoNotMatter.

--- a/libs/control/failover/departure_tracker.h
+++ b/libs/control/failover/departure_tracker.h
@@ -18,7 +18,10 @@
 
     A replica that leaves takes its log along, so the replicas that remain prove
     nothing about the commits that it acknowledged. A departure is accounted for
-    once a remaining replica holds the log that the primary had after it.
+    once a remaining replica holds the log that the primary had after it. An
+    endpoint that reported the role of the primary until it left is not tracked:
+    replicas acknowledged its commits, and it acknowledged none of a successor,
+    because it reports at once that it has become a replica.
 
     @see DepartureAudit
 */
@@ -77,7 +80,12 @@
     std::optional<TimePoint> accounted_at;
   };
 
-  std::map<EndpointId, ServiceId> listed_;
+  struct Listed {
+    ServiceId service;
+    bool claims_primary = false;
+  };
+
+  std::map<EndpointId, Listed> listed_;
   std::map<EndpointId, Departure> departures_;
 };
 
--- a/libs/control/tests/failover_control_test.cc
+++ b/libs/control/tests/failover_control_test.cc
@@ -128,6 +128,8 @@
     }
     return view_;
   }
+  /** @returns the view with the roles that the endpoints reported last */
+  const FleetView& GetView() const { return view_; }
   /** Adds an endpoint to the directory. */
   void Add(const std::string& endpoint) {
     EndpointEntry entry;
@@ -405,6 +407,23 @@
   CHECK(failover.ListDepartureNotices().empty());
 }
 
+TEST(Departures, OfAPrimaryThatWasReplacedAfterItsCrashDoNotMatter) {
+  // It was never a replica of the new primary, so it acknowledged nothing for
+  // it. The new primary can be replaced although its commits stall.
+  failover.Apply(fake.MakeView(""));
+  fake.unresponsive = "db-1";
+  failover.HandleConditionReport(
+      {EndpointId{"db-1"}, EndpointCondition::kUnreachable});
+  RunWithReviews(3);
+  const std::string first = fake.primary;
+  CHECK(first != "db-1");
+  failover.HandlePrimaryConfirmed(EndpointId{first}, Term{fake.term});
+  fake.Remove("db-1");
+  fake.unresponsive.clear();
+  failover.Apply(fake.GetView());
+  CHECK(failover.ListDepartureNotices().empty());
+}
+
 TEST(Departures, DoNotMatterWhereTheReplicasAcknowledgeNothing) {
   fake.SetSyncReplicas(0);
   LoseTheOnlyReplicaThatIsUpToDate();
