--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -408,7 +408,7 @@
   const TimePoint started_at_;
   /** Highest fencing token of the live peers for each duty that one holds. */
   std::map<ServiceId, uint64_t> peer_tokens_;
-  /** Suspicions of the live peers, with the peer's number in their list. */
+  /** Suspicions of the live peers. The number tells the peers apart. */
   std::vector<std::pair<size_t, ConditionReport>> peer_suspicions_;
   /** The live VMs, this one included; listed when first needed. */
   mutable std::vector<VmEntry> live_vms_;
--- a/libs/net/http/http_listener.cc
+++ b/libs/net/http/http_listener.cc
@@ -26,6 +26,7 @@
   std::string unparsed;
   bool complete = false;
   bool awaiting_reply = false;
+  // A reply that is sent meanwhile leaves further requests to Parse().
   bool parsing = false;
   // The last piece of a header that the parser delivered belongs to its value.
   bool in_header_value = false;
--- a/tests/fuzz/decoder_fuzz_test.cc
+++ b/tests/fuzz/decoder_fuzz_test.cc
@@ -1,11 +1,11 @@
 #include <array>
-#include <chrono>
 #include <cstdint>
 #include <cstdlib>
 #include <fstream>
 #include <random>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "codec/codec.h"
--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -189,25 +189,8 @@
     const size_t member = random_() % group.CountMembers();
     const size_t vm = random_() % vms_;
     const Duration duration = std::chrono::milliseconds(200 + random_() % 1500);
-    switch (random_() % (schedule == FaultSchedule::kMembership ? 12 : 9)) {
-      case 10:
-        if (is_member_down_) {
-          return;
-        }
-        is_member_down_ = true;
-        ReplaceMember(member, 2 * duration);
-        return;
-      case 9:
-      case 11:
-        if (std::exchange(is_replica_deaf_, true)) {
-          return;
-        }
-        group.SetReplicationCut(member, true);
-        queue.After(3 * duration, [this, member] {
-          simulation_->GetGroup().SetReplicationCut(member, false);
-          is_replica_deaf_ = false;
-        });
-        return;
+    const bool with_membership = schedule == FaultSchedule::kMembership;
+    switch (random_() % (with_membership ? 12 : 9)) {
       case 0:
         // At most one member is down at a time, so that every acknowledged
         // commit is on a member that runs.
@@ -252,6 +235,24 @@
       case 5:
         simulation_->ResetConnections(vm, member);
         return;
+      case 9:
+      case 11:
+        if (std::exchange(is_replica_deaf_, true)) {
+          return;
+        }
+        group.SetReplicationCut(member, true);
+        queue.After(3 * duration, [this, member] {
+          simulation_->GetGroup().SetReplicationCut(member, false);
+          is_replica_deaf_ = false;
+        });
+        return;
+      case 10:
+        if (is_member_down_) {
+          return;
+        }
+        is_member_down_ = true;
+        ReplaceMember(member, 2 * duration);
+        return;
       default:
         for (const auto& it : callers_) {
           if (random_() % 3 == 0) {
