Name the endpoint of a lost promotion while its order may still be executed

The next attempt, under a higher token, named the old primary, which still led and had received most. Before that order was executed the first one was: it ended the pauses, its endpoint acknowledged commits, and the second order rolled them back.

Ruled out: ordering the present primary first, so that older orders are refused; that order may itself be executed after the older one.

Change: for 14 s after a lost answer an attempt names the same endpoint again as long as it answers; the old primary is set aside if it is listed among the replicas; if the endpoint is behind, the attempt is abandoned.

Red before: Replacement NamesTheEndpointOfAnOrderThatMayStillBeExecuted and NamesNoOtherEndpointWhileAnOrderMayStillBeExecuted.

--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -54,6 +54,10 @@
 /** A promotion that has not taken effect within this time is tried again.
     Twice the slowest promotion that the deployments specify, 1 s. */
 inline constexpr Duration kPromotionTimeout = std::chrono::milliseconds(2000);
+/** Time for which a promotion whose answer was lost may still be executed: up
+    to 12 s (platform documentation), and the time that a refusal of it takes.
+ */
+inline constexpr Duration kLostPromotionRetention = std::chrono::seconds(14);
 /** Time for which heartbeats announce a promotion. */
 inline constexpr Duration kPromotionNoticeRetention = std::chrono::seconds(4);
 /** No duty is claimed earlier than this after the start. It is longer than
@@ -270,6 +274,8 @@
     bool unsettled = false;
     /** Endpoint of this VM's promotion whose answer was lost; empty if none. */
     EndpointId pending_promotion;
+    /** Time after which it is not executed any more. */
+    TimePoint pending_until;
     /** Replicas to resume once the promoted endpoint is confirmed. */
     std::vector<EndpointEntry> paused_replicas;
     TimePoint not_before;
--- a/libs/control/failover/failover_control_replacement.h
+++ b/libs/control/failover/failover_control_replacement.h
@@ -105,7 +105,9 @@
   plan.primary_id = primary.endpoint;
   plan.reason = reason;
   plan.fencing_token = claims_.GetToken(service);
-  plan.preferred = progress.pending_promotion;
+  if (now < progress.pending_until) {
+    plan.pending_promotion = progress.pending_promotion;
+  }
   for (const EndpointEntry& it : ListEndpoints(service)) {
     // An endpoint whose promotion failed counts as a replica: the old primary
     // may still acknowledge commits through it.
@@ -191,9 +193,12 @@
                {{"service", service.value},
                 {"endpoint", result.primary.value},
                 {"took_ms", std::to_string((now - began_at).count() / 1000)}});
-      progress.pending_promotion =
-          result.outcome == ReplacementOutcome::kUncertain ? result.primary
-                                                           : EndpointId{};
+      if (result.outcome == ReplacementOutcome::kUncertain) {
+        progress.pending_promotion = result.primary;
+        progress.pending_until = now + kLostPromotionRetention;
+      } else {
+        progress.pending_promotion = {};
+      }
       delegate_.AnnouncePrimary(service, result.primary);
       delegate_.SendHeartbeats();
       delegate_.After(kPromotionTimeout, [this] { Review(); });
--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -161,8 +161,9 @@
       Finish(ReplacementOutcome::kNotNeeded, plan_.primary_id, "");
       return;
     }
+    SetActingPrimaryAside();
     const std::optional<size_t> next =
-        ChoosePromotionCandidate(replicas_, plan_.preferred);
+        ChoosePromotionCandidate(replicas_, plan_.pending_promotion);
     if (!next) {
       Finish(ReplacementOutcome::kAbandoned, {},
              "no replica is eligible for promotion");
@@ -173,6 +174,25 @@
     PauseOthers();
   }
 
+  // While a promotion that was ordered has not taken effect, the old primary
+  // may be listed among the replicas. What it holds beyond the candidate's log
+  // was acknowledged by nobody.
+  void SetActingPrimaryAside() {
+    if (plan_.pending_promotion.IsEmpty()) {
+      return;
+    }
+    Term newest_term;
+    for (const SurveyedEndpoint& it : replicas_) {
+      if (it.status) {
+        newest_term = std::max(newest_term, it.status->term);
+      }
+    }
+    std::erase_if(replicas_, [newest_term](const SurveyedEndpoint& it) {
+      return it.status && it.status->is_primary &&
+             it.status->term == newest_term;
+    });
+  }
+
   bool IsPrimaryHealthy() const {
     if (plan_.reason != ReplacementReason::kCommitsStalled) {
       return false;
@@ -232,6 +252,12 @@
       Promote();
       return;
     }
+    if (replicas_[candidate_].entry.id == plan_.pending_promotion) {
+      Finish(ReplacementOutcome::kAbandoned, {},
+             "an earlier promotion of a replica that is behind may still be "
+             "executed");
+      return;
+    }
     if (++candidate_pauses_ > 1) {
       Finish(ReplacementOutcome::kAbandoned, {},
              "no replica holds every commit");
--- a/libs/control/failover/replacement_plan.cc
+++ b/libs/control/failover/replacement_plan.cc
@@ -1,22 +1,21 @@
 #include "control/failover/replacement_plan.h"
 
-#include <utility>
-
 namespace magnoliareel {
 
 std::optional<size_t> ChoosePromotionCandidate(
     std::span<const SurveyedEndpoint> replicas,
-    const EndpointId& preferred) {
+    const EndpointId& pending_promotion) {
   std::optional<size_t> best;
-  const auto rank = [&](size_t index) {
-    return std::pair(replicas[index].status->received,
-                     replicas[index].entry.id == preferred);
-  };
   for (size_t it = 0; it < replicas.size(); ++it) {
-    if (!replicas[it].status || replicas[it].entry.draining) {
+    if (!replicas[it].status) {
       continue;
     }
-    if (!best || rank(it) > rank(*best)) {
+    if (replicas[it].entry.id == pending_promotion) {
+      return it;
+    }
+    if (!replicas[it].entry.draining &&
+        (!best ||
+         replicas[it].status->received > replicas[*best].status->received)) {
       best = it;
     }
   }
--- a/libs/control/failover/replacement_plan.h
+++ b/libs/control/failover/replacement_plan.h
@@ -54,8 +54,10 @@
   std::vector<EndpointEntry> replicas;
   uint64_t fencing_token = 0;
   /** Endpoint that an earlier attempt tried to promote with an order that may
-      still be executed; empty if none. */
-  EndpointId preferred;
+      still be executed; empty if none. As long as it answers, no other endpoint
+      is promoted: the late order would end the pauses that a promotion relies
+      on. */
+  EndpointId pending_promotion;
 };
 
 /** Result of a replacement attempt. */
@@ -101,13 +103,15 @@
 /** Chooses the replica to promote: the one that has received most of the log,
     among those that answered and are not draining.
 
-    @param replicas   surveyed endpoints, without the primary
-    @param preferred  endpoint that wins a tie
-    @returns          index of the candidate, or none if no replica qualifies
+    @param replicas           surveyed endpoints, without the primary
+    @param pending_promotion  endpoint of an order that may still be executed;
+                              chosen if it answered
+    @returns                  index of the candidate, or none if no replica
+                              qualifies
 */
 std::optional<size_t> ChoosePromotionCandidate(
     std::span<const SurveyedEndpoint> replicas,
-    const EndpointId& preferred);
+    const EndpointId& pending_promotion);
 
 }  // namespace magnoliareel
 
--- a/libs/control/tests/control_test.cc
+++ b/libs/control/tests/control_test.cc
@@ -76,11 +76,25 @@
   ReplacementResult Replace(ReplacementReason reason,
                             std::vector<EndpointEntry> replicas) {
     ReplacementPlan plan;
-    plan.service = kService;
     plan.primary = MakeEntry("db-1");
     plan.primary_id = plan.primary->id;
     plan.reason = reason;
     plan.replicas = std::move(replicas);
+    return Run(std::move(plan));
+  }
+
+  /** Runs an attempt after the promotion of db-2 was ordered without an answer
+      and has not taken effect. */
+  ReplacementResult ReplaceAfterLostPromotion() {
+    ReplacementPlan plan;
+    plan.primary_id.value = "db-2";
+    plan.pending_promotion.value = "db-2";
+    plan.replicas = {MakeEntry("db-1"), MakeEntry("db-2"), MakeEntry("db-3")};
+    return Run(std::move(plan));
+  }
+
+  ReplacementResult Run(ReplacementPlan plan) {
+    plan.service = kService;
     plan.fencing_token = 9;
     ReplacementResult result;
     std::make_shared<PrimaryReplacement<FakeGroup, FakeGroup, FakeGroup>>(
@@ -181,6 +195,32 @@
         ReplacementOutcome::kUncertain);
 }
 
+TEST(Replacement, NamesTheEndpointOfAnOrderThatMayStillBeExecuted) {
+  // The primary still leads and has commits that nobody acknowledged, so it is
+  // ahead of db-2. Ordering it to lead let the lost order for db-2 take effect
+  // in between: it ended the pauses, and what db-2 then acknowledged was lost.
+  // Found by late-orders --seed 706197990614 (LOST).
+  group.statuses = {{"db-1", MakeStatus(true, 2, 201)},
+                    {"db-2", MakeStatus(false, 2, 148)},
+                    {"db-3", MakeStatus(false, 1, 103)}};
+  group.statuses["db-3"].paused_at = Term{3};
+  const ReplacementResult result = group.ReplaceAfterLostPromotion();
+  CHECK(result.outcome == ReplacementOutcome::kPromoted);
+  STRCMP_EQUAL("db-2", result.primary.value.c_str());
+  CHECK(group.trace.find("pause db-1") == std::string::npos);
+  CHECK(group.trace.find("pause db-2") == std::string::npos);
+}
+
+TEST(Replacement, NamesNoOtherEndpointWhileAnOrderMayStillBeExecuted) {
+  group.statuses = {{"db-1", MakeStatus(true, 2, 201)},
+                    {"db-2", MakeStatus(false, 2, 148)},
+                    {"db-3", MakeStatus(false, 2, 150)}};
+  group.statuses["db-3"].paused_at = Term{3};
+  const ReplacementResult result = group.ReplaceAfterLostPromotion();
+  CHECK(result.outcome == ReplacementOutcome::kAbandoned);
+  CHECK(group.trace.find("promote") == std::string::npos);
+}
+
 TEST(Replacement, StopsWhenANewerTokenWasUsed) {
   group.statuses = {{"db-2", MakeStatus(false, 1, 7)},
                     {"db-3", MakeStatus(false, 1, 7)}};
