End the use of a draining primary before its drain period is over

Cause: a draining primary got statements until its successor led, however long that took; nothing in the node knew drain-ms. With a replica that answers nobody no promotion is safe, and the primary was used until its process ended. Ruled out: a late directory (every VM knew within 0.2 s) and statements queued at a replica (all late ones ran at the primary).

Change: EndpointRegistry keeps the earliest time at which an endpoint can have announced its end, also over an expired entry and an outage of the store; the traffic core sends nothing new to a primary in the last 2 s of its drain period (bounds of the settings), also not behind a BEGIN that was under way. Statements then wait for a successor within their timeouts, as they do for a lost primary. Event E5205 primary.drained.

NoStatementReachesALeavingPrimaryAfterItsDrainPeriod failed before (first late statement: WRITE groyne-1 x); directory_tests and control_tests guard the start of the period.

--- a/apps/node/node_process.cc
+++ b/apps/node/node_process.cc
@@ -42,7 +42,9 @@
            .measure_distance =
                [this](const SiteId& site) {
                  return settings_.MeasureDistance(site);
-               }},
+               },
+           .max_draining_use =
+               GetMaxDrainingUse(settings_.endpoint_drain_period)},
           [this](const TrafficNotice& notice) { notices_.Post(notice); },
           metrics_),
       fleet_(store_, *this),
--- a/libs/control/fleet/fleet_control.h
+++ b/libs/control/fleet/fleet_control.h
@@ -55,13 +55,19 @@
 template <RowStore S, FleetRowCodec C, class D>
 class FleetControl {
  public:
+  /** Time within which changes made during an outage of the store are known
+      after it: the longest backoff, and a call. */
+  static constexpr Duration kStoreSettlePeriod = std::chrono::seconds(2);
+
   /** @param store     must outlive this object
       @param delegate  must outlive this object
   */
   FleetControl(S& store, D& delegate)
       : delegate_(delegate),
         config_watch_(store, *this, C::GetConfigTable()),
-        endpoint_watch_(store, *this, C::GetEndpointTable()) {
+        endpoint_watch_(store, *this, C::GetEndpointTable()),
+        lost_at_(delegate.Now()),
+        regained_at_(lost_at_) {
     // Checked here because D is incomplete where it declares its FleetControl
     // member.
     static_assert(FleetDelegate<D>);
@@ -170,11 +176,12 @@
     if (!IsStoreConnected() || !std::exchange(store_lost_, false)) {
       return;
     }
-    const TimePoint now = delegate_.Now();
-    endpoints_.ExtendGracePeriods(now);
+    regained_at_ = delegate_.Now();
+    endpoints_.ExtendGracePeriods(regained_at_);
     ScheduleSweep();
     LogEvent(Event::kStoreRegained,
-             {{"away_ms", std::to_string((now - lost_at_).count() / 1000)}});
+             {{"away_ms",
+               std::to_string((regained_at_ - lost_at_).count() / 1000)}});
   }
 
   /** @see TableWatchDelegate */
@@ -233,7 +240,7 @@
       return false;
     }
     endpoint_rows_[row.key] = row;
-    if (!endpoints_.Put(versioned)) {
+    if (!endpoints_.Put(versioned, FindEarliestChangeTime())) {
       return false;
     }
     const EndpointEntry& entry = versioned.entry;
@@ -246,6 +253,14 @@
     return true;
   }
 
+  // A change that becomes known during an outage of the store, through a peer,
+  // or just after it, may have been made at any time in the outage.
+  TimePoint FindEarliestChangeTime() const {
+    const TimePoint now = delegate_.Now();
+    return store_lost_ || now - regained_at_ < kStoreSettlePeriod ? lost_at_
+                                                                  : now;
+  }
+
   void HandleEndpointListing(std::span<const StoredRow> rows,
                              uint64_t version,
                              std::string_view source) {
@@ -297,10 +312,14 @@
   std::map<std::string, StoredRow> endpoint_rows_;
   uint64_t endpoints_version_ = 0;
   uint32_t live_vms_ = 1;
-  bool store_lost_ = false;
-  TimePoint lost_at_;
   TableWatch<S, FleetControl> config_watch_;
   TableWatch<S, FleetControl> endpoint_watch_;
+  bool store_lost_ = false;
+  /** Start of the latest outage of the store; at first, the start of this
+      process. */
+  TimePoint lost_at_;
+  /** End of the latest outage of the store. */
+  TimePoint regained_at_;
 };
 
 }  // namespace magnoliareel
--- a/libs/control/settings/node_settings.h
+++ b/libs/control/settings/node_settings.h
@@ -34,6 +34,9 @@
   SocketAddress metrics_address;
   /** Interval at which endpoints write to the directory. */
   Duration endpoint_heartbeat = std::chrono::milliseconds(1200);
+  /** Time for which an endpoint serves after it has reported that it is
+      draining. */
+  Duration endpoint_drain_period = std::chrono::seconds(7);
   /** Time from SIGTERM until the platform kills the process. */
   Duration stop_grace = std::chrono::seconds(6);
 
--- /dev/null
+++ b/libs/control/tests/fleet_control_test.cc
@@ -0,0 +1,152 @@
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "control/control.h"
+#include "telemetry/telemetry.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace magnoliareel {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** Rows are written as text: a configuration is its version, an endpoint is
+    its state. */
+struct TextRowCodec {
+  static std::string_view GetConfigTable() { return "config"; }
+  static std::string_view GetConfigKey() { return "routes"; }
+  static std::string_view GetEndpointTable() { return "endpoints"; }
+  static void ParseRoutes(std::string_view value, RouteTable& out, Findings&) {
+    out.version = std::stoull(std::string(value));
+  }
+  static void ParseEndpoint(std::string_view id,
+                            std::string_view value,
+                            EndpointEntry& out,
+                            Findings&) {
+    out.id.value = id;
+    out.draining = value == "draining";
+  }
+};
+
+/** Keeps the latest call to each table until the test answers it. */
+class PendingStore {
+ public:
+  void List(std::string_view table, std::string_view, RowsCompletion done) {
+    listings[std::string(table)] = std::move(done);
+  }
+  void Get(std::string_view, std::string_view, RowsCompletion) {}
+  void Follow(std::string_view table, uint64_t, Duration, RowsCompletion done) {
+    polls[std::string(table)] = std::move(done);
+  }
+  void WriteIf(std::string_view,
+               std::string_view,
+               std::string_view,
+               uint64_t,
+               RowsCompletion) {}
+  void Put(std::string_view,
+           std::string_view,
+           std::string_view,
+           RowsCompletion) {}
+
+  std::map<std::string, RowsCompletion> listings;
+  std::map<std::string, RowsCompletion> polls;
+};
+
+/** A node whose clock and store the test controls. */
+class TestNode {
+ public:
+  TestNode() {
+    fleet.Start();
+    Answer(store.listings, "config", {}, {});
+    Answer(store.listings, "endpoints", {}, {});
+    Advance(seconds(10));
+  }
+
+  TimePoint Now() const { return now_; }
+  void After(Duration delay, std::function<void()> task) {
+    tasks_.emplace(now_ + delay, std::move(task));
+  }
+  void Publish(std::shared_ptr<const FleetView> view) { view_ = view; }
+
+  /** Passes time and runs the tasks that are due. */
+  void Advance(Duration duration) {
+    const TimePoint end = now_ + duration;
+    while (!tasks_.empty() && tasks_.begin()->first <= end) {
+      auto node = tasks_.extract(tasks_.begin());
+      now_ = node.key();
+      node.mapped()();
+    }
+    now_ = end;
+  }
+
+  /** Answers the pending call to a table. */
+  static void Answer(std::map<std::string, RowsCompletion>& calls,
+                     const std::string& table,
+                     std::error_code ec,
+                     StoredRows rows) {
+    const RowsCompletion done = std::exchange(calls[table], nullptr);
+    CHECK_TEXT(done != nullptr, table.c_str());
+    done(ec, std::move(rows));
+  }
+
+  const EndpointEntry& GetEndpoint(const std::string& id) const {
+    const EndpointEntry* entry = fleet.GetEndpoints().Find(EndpointId{id});
+    CHECK_TEXT(entry != nullptr, id.c_str());
+    return *entry;
+  }
+
+ private:
+  TimePoint now_{seconds(100)};
+  std::multimap<TimePoint, std::function<void()>> tasks_;
+  std::shared_ptr<const FleetView> view_;
+
+ public:
+  PendingStore store;
+  FleetControl<PendingStore, TextRowCodec, TestNode> fleet{store, *this};
+};
+
+StoredRows MakeRows(uint64_t version, std::vector<StoredRow> rows) {
+  return {std::move(rows), version, false};
+}
+
+}  // namespace
+
+TEST_GROUP(Fleet){void setup() override{static LogBuffer log_buffer(0);
+StartBufferedLog(log_buffer, "test");
+}  // namespace magnoliareel
+}
+;
+
+TEST(Fleet, DrainCountsFromTheAnswerOfAStoreThatWasNotAway) {
+  TestNode node;
+  TestNode::Answer(node.store.polls, "endpoints", {},
+                   MakeRows(5, {{"db-1", "draining", 5, false}}));
+  CHECK(node.GetEndpoint("db-1").draining_since == node.Now());
+}
+
+TEST(Fleet, DrainCountsFromTheStartOfTheOutageInWhichItBecameKnown) {
+  // Guards against a VM that was cut off from the store and uses a leaving
+  // primary for longer than the others (DRAIN).
+  TestNode node;
+  const TimePoint lost_at = node.Now();
+  TestNode::Answer(node.store.polls, "endpoints", Error::kUnreachable, {});
+  node.Advance(seconds(3));
+  const StoredRow leaving{"db-1", "draining", 5, false};
+  node.fleet.ApplyPeerState(nullptr, std::span(&leaving, 1), 5);
+  CHECK(node.GetEndpoint("db-1").draining_since == lost_at);
+  TestNode::Answer(node.store.polls, "endpoints", {},
+                   MakeRows(6, {{"db-2", "draining", 6, false}}));
+  CHECK(node.GetEndpoint("db-2").draining_since == lost_at);
+  node.Advance(seconds(20));
+  TestNode::Answer(node.store.polls, "endpoints", {},
+                   MakeRows(7, {{"db-3", "draining", 7, false}}));
+  CHECK(node.GetEndpoint("db-3").draining_since == node.Now());
+}
+
+}  // namespace magnoliareel
--- a/libs/directory/endpoints/endpoint_registry.cc
+++ b/libs/directory/endpoints/endpoint_registry.cc
@@ -1,25 +1,50 @@
 #include "directory/endpoints/endpoint_registry.h"
 
 #include <set>
+#include <utility>
 
 namespace magnoliareel {
 
-bool EndpointRegistry::Put(const VersionedEntry& entry) {
-  if (const auto it = removed_versions_.find(entry.entry.id);
-      it != removed_versions_.end() && it->second >= entry.row_version) {
+bool EndpointRegistry::Put(const VersionedEntry& entry,
+                           TimePoint changed_since) {
+  if (const auto it = removed_.find(entry.entry.id);
+      it != removed_.end() && it->second.row_version >= entry.row_version) {
     return false;
   }
+  const std::optional<TimePoint> draining_since =
+      FindDrainingSince(entry.entry, changed_since);
   State& state = entries_[entry.entry.id];
   if (entry.row_version < state.versioned.row_version) {
     return false;
   }
+  VersionedEntry next = entry;
+  next.entry.draining_since = draining_since;
   const bool changed =
-      state.versioned.entry != entry.entry || state.remove_at.has_value();
-  state.versioned = entry;
+      state.versioned.entry != next.entry || state.remove_at.has_value();
+  state.versioned = std::move(next);
   state.remove_at.reset();
   return changed;
 }
 
+std::optional<TimePoint> EndpointRegistry::FindDrainingSince(
+    const EndpointEntry& entry,
+    TimePoint changed_since) const {
+  if (!entry.draining) {
+    return std::nullopt;
+  }
+  if (const EndpointEntry* known = Find(entry.id);
+      known != nullptr && known->draining_since &&
+      known->started_at_ms == entry.started_at_ms) {
+    return known->draining_since;
+  }
+  if (const auto it = removed_.find(entry.id);
+      it != removed_.end() && it->second.draining_since &&
+      it->second.started_at_ms == entry.started_at_ms) {
+    return it->second.draining_since;
+  }
+  return changed_since;
+}
+
 void EndpointRegistry::MarkRemoved(const EndpointId& id,
                                    uint64_t row_version,
                                    TimePoint now) {
@@ -41,7 +66,7 @@
   std::set<EndpointId> listed;
   for (const VersionedEntry& it : listing) {
     listed.insert(it.entry.id);
-    changed = Put(it) || changed;
+    changed = Put(it, now) || changed;
   }
   for (const auto& [id, state] : entries_) {
     if (!listed.contains(id)) {
@@ -66,7 +91,9 @@
       ++it;
       continue;
     }
-    removed_versions_[it->first] = it->second.versioned.row_version;
+    const VersionedEntry& last = it->second.versioned;
+    removed_[it->first] = {last.row_version, last.entry.draining_since,
+                           last.entry.started_at_ms};
     removed.push_back(it->first);
     it = entries_.erase(it);
   }
--- a/libs/directory/endpoints/endpoint_registry.h
+++ b/libs/directory/endpoints/endpoint_registry.h
@@ -36,10 +36,11 @@
 
   /** Adds or changes an entry, unless a newer version is known.
 
-      @param entry  an entry from the store or from a peer
-      @returns      true if the listed entries changed
+      @param entry          an entry from the store or from a peer
+      @param changed_since  earliest time at which it can have been written
+      @returns              true if the listed entries changed
   */
-  bool Put(const VersionedEntry& entry);
+  bool Put(const VersionedEntry& entry, TimePoint changed_since);
 
   /** Marks an entry as removed from the store. A draining endpoint has no
       grace period.
@@ -88,10 +89,21 @@
     std::optional<TimePoint> remove_at;
   };
 
+  struct Removed {
+    // Version at which the endpoint was removed. An older entry from a peer
+    // must not restore it.
+    uint64_t row_version = 0;
+    // An endpoint whose entry expired is still as far into its drain when it is
+    // listed again.
+    std::optional<TimePoint> draining_since;
+    int64_t started_at_ms = 0;
+  };
+
+  std::optional<TimePoint> FindDrainingSince(const EndpointEntry& entry,
+                                             TimePoint changed_since) const;
+
   std::map<EndpointId, State> entries_;
-  // Versions at which endpoints were removed. An older entry from a peer must
-  // not restore a removed endpoint.
-  std::map<EndpointId, uint64_t> removed_versions_;
+  std::map<EndpointId, Removed> removed_;
 };
 
 }  // namespace magnoliareel
--- a/libs/directory/model/endpoint_entry.h
+++ b/libs/directory/model/endpoint_entry.h
@@ -2,6 +2,7 @@
 #define MAGNOLIAREEL_DIRECTORY_MODEL_ENDPOINT_ENTRY_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "core/core.h"
@@ -19,6 +20,9 @@
   uint32_t slots = 0;
   /** The endpoint will stop soon and takes no new work. */
   bool draining = false;
+  /** Earliest time at which the endpoint can have reported that it is draining;
+      set by EndpointRegistry. */
+  std::optional<TimePoint> draining_since;
   /** The endpoint reports that it is its service's primary. */
   bool claims_primary = false;
   /** Start time in Unix milliseconds; distinguishes restarts of one endpoint.
--- a/libs/relay/connections/endpoint_pool.h
+++ b/libs/relay/connections/endpoint_pool.h
@@ -91,6 +91,14 @@
   */
   void RecordAppliedPoint(LogPoint applied, TimePoint now);
 
+  /** @returns true if the endpoint has been draining for some time
+
+      @param limit  the time
+      @param now    the current time
+  */
+  bool HasDrained(Duration limit, TimePoint now) const {
+    return entry.draining_since && now - *entry.draining_since >= limit;
+  }
   /** @returns true during the backoff after a failure */
   bool IsBackedOff(TimePoint now) const { return now < backoff_until_; }
   /** Records whether the endpoint was fresh enough for a read.
--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -127,6 +127,7 @@
     kPoolRetry,
     kPrimaryReview,
     kPeerBoundTimeout,
+    kDrainingUseLimit,
     kDrain,
   };
   struct Timer {
@@ -169,6 +170,7 @@
   void ScheduleRetry(CallerSession& session, Duration delay);
   void RemoveFromQueues(CallerSession& session);
   void StartQueued(EndpointPool& pool);
+  void DispatchQueueAgain(EndpointPool& pool);
   void OpenConnections(EndpointPool& pool);
   void OpenConnection(EndpointPool& pool);
   PooledConnection* PickIdleConnection(EndpointPool& pool,
@@ -249,6 +251,7 @@
   void HandleDeadline(CallerSession& session);
   void HandleSlowStatement(CallerSession& session);
   void HandleIdleTransaction(CallerSession& session);
+  void HandleDrainingUseLimit(EndpointPool& pool);
   void ReviewPrimaries();
   void HandleDrain();
   void RenewUnusedTransactions();
@@ -257,6 +260,9 @@
   PooledConnection* FindConnection(uint64_t id);
   EndpointPool* FindPool(const EndpointId& id);
   EndpointPool* FindPrimaryPool(const ServiceState& service);
+  /** @returns whether an endpoint gets new statements; those of transactions
+      that are open there go on */
+  bool TakesNewStatements(const EndpointPool& pool);
   ServiceState& GetService(const ServiceId& id) { return services_[id]; }
   bool RequiresPrimary(EndpointRequirement requirement) const {
     return requirement == EndpointRequirement::kPrimaryRead ||
--- a/libs/relay/core/traffic_core_connections.h
+++ b/libs/relay/core/traffic_core_connections.h
@@ -37,6 +37,16 @@
   return primary != nullptr && *primary == pool.entry.id;
 }
 
+template <WireDialect D, class N>
+bool TrafficCore<D, N>::TakesNewStatements(const EndpointPool& pool) {
+  if (pool.removed) {
+    return false;
+  }
+  return !pool.entry.draining ||
+         (IsPrimary(pool) &&
+          !pool.HasDrained(options_.max_draining_use, net_.Now()));
+}
+
 template <WireDialect D, class N>
 void TrafficCore<D, N>::ExpectReply(PooledConnection& connection,
                                     EndpointRequestKind request,
--- a/libs/relay/core/traffic_core_control.h
+++ b/libs/relay/core/traffic_core_control.h
@@ -41,8 +41,14 @@
       }
     }
     const bool resized = pool.entry.slots != it.slots;
+    const bool begins_to_drain =
+        it.draining_since && (added || !pool.entry.draining_since);
     pool.removed = false;
     pool.entry = it;
+    if (begins_to_drain) {
+      ScheduleTimer({*it.draining_since + options_.max_draining_use,
+                     TimerKind::kDrainingUseLimit, 0, 0, it.id});
+    }
     if (added || resized || shares_changed) {
       pool.ResetConcurrencyLimit(view_->live_vms);
     }
--- a/libs/relay/core/traffic_core_dispatch.h
+++ b/libs/relay/core/traffic_core_dispatch.h
@@ -33,7 +33,7 @@
 void TrafficCore<D, N>::DispatchToPrimary(CallerSession& session) {
   ServiceState& service = GetService(session.route->service);
   EndpointPool* pool = FindPrimaryPool(service);
-  if (pool != nullptr && !pool->removed) {
+  if (pool != nullptr && TakesNewStatements(*pool)) {
     EnqueueStatement(*pool, session);
     return;
   }
@@ -96,6 +96,16 @@
   return session != nullptr && session->statement.id == statement_id;
 }
 
+template <WireDialect D, class N>
+void TrafficCore<D, N>::DispatchQueueAgain(EndpointPool& pool) {
+  const std::deque<QueuedStatement> queue = std::exchange(pool.queue, {});
+  for (const QueuedStatement& it : queue) {
+    if (IsInProgress(it.session, it.statement_id)) {
+      Dispatch(*FindSession(it.session));
+    }
+  }
+}
+
 template <WireDialect D, class N>
 void TrafficCore<D, N>::StartQueued(EndpointPool& pool) {
   while (!pool.queue.empty() && pool.running < pool.GetConcurrencyLimit()) {
@@ -281,7 +291,8 @@
   std::vector<QueuedStatement> moved(
       service.statements_awaiting_primary.begin(),
       service.statements_awaiting_primary.end());
-  if (service.primary_tracker.GetPrimary() != nullptr) {
+  if (EndpointPool* primary = FindPrimaryPool(service);
+      primary != nullptr && TakesNewStatements(*primary)) {
     service.statements_awaiting_primary.clear();
   } else {
     moved.clear();
--- a/libs/relay/core/traffic_core_reads.h
+++ b/libs/relay/core/traffic_core_reads.h
@@ -70,13 +70,10 @@
   Duration best_cost{};
   for (const EndpointId& id : service.endpoints) {
     EndpointPool* pool = FindPool(id);
-    if (pool == nullptr || pool->removed) {
+    if (pool == nullptr || !TakesNewStatements(*pool)) {
       continue;
     }
     const bool is_primary = IsPrimary(*pool);
-    if (pool->entry.draining && !is_primary) {
-      continue;
-    }
     Duration cost = pool->EstimateLatency();
     if (pool->distance == Distance::kRemote) {
       cost += session.route->latency_objective / kRemotePenaltyDivisor;
--- a/libs/relay/core/traffic_core_replies.h
+++ b/libs/relay/core/traffic_core_replies.h
@@ -161,6 +161,12 @@
         HandleBeginError(connection);
         return;
       }
+      if (const EndpointPool* pool = FindPool(connection.endpoint);
+          pool != nullptr && !TakesNewStatements(*pool)) {
+        connection.begin_error = StatementError::kBusy;
+        HandleBeginError(connection);
+        return;
+      }
       SendStatement(connection, *session);
       return;
     }
--- a/libs/relay/core/traffic_core_timers.h
+++ b/libs/relay/core/traffic_core_timers.h
@@ -64,6 +64,7 @@
     case TimerKind::kIdleCheck:
     case TimerKind::kPrimaryReview:
     case TimerKind::kPeerBoundTimeout:
+    case TimerKind::kDrainingUseLimit:
     case TimerKind::kDrain:
       return false;
   }
@@ -145,6 +146,11 @@
         RequestPrimaryBound(pool->entry.service);
       }
       return;
+    case TimerKind::kDrainingUseLimit:
+      if (EndpointPool* pool = FindPool(timer.endpoint)) {
+        HandleDrainingUseLimit(*pool);
+      }
+      return;
     case TimerKind::kDrain:
       HandleDrain();
       return;
@@ -287,6 +293,19 @@
   session.transaction = TransactionPhase::kLost;
 }
 
+template <WireDialect D, class N>
+void TrafficCore<D, N>::HandleDrainingUseLimit(EndpointPool& pool) {
+  if (pool.removed || !IsPrimary(pool) ||
+      !pool.HasDrained(options_.max_draining_use, net_.Now())) {
+    return;
+  }
+  LogEvent(Event::kPrimaryDrained,
+           {{"service", pool.entry.service.value},
+            {"endpoint", pool.entry.id.value},
+            {"queued", std::to_string(pool.queue.size())}});
+  DispatchQueueAgain(pool);
+}
+
 template <WireDialect D, class N>
 void TrafficCore<D, N>::ReviewPrimaries() {
   const TimePoint now = net_.Now();
@@ -303,7 +322,8 @@
       }
     }
     service.primary_tracker.UpdateFromDirectory(entries, now);
-    if (service.primary_tracker.GetPrimary() != nullptr) {
+    if (const EndpointPool* pool = FindPrimaryPool(service);
+        pool != nullptr && TakesNewStatements(*pool)) {
       HandlePrimaryChange(service);
     }
     waiting = waiting || !service.statements_awaiting_primary.empty();
--- a/libs/relay/core/traffic_limits.h
+++ b/libs/relay/core/traffic_limits.h
@@ -1,6 +1,7 @@
 #ifndef MAGNOLIAREEL_RELAY_CORE_TRAFFIC_LIMITS_H_
 #define MAGNOLIAREEL_RELAY_CORE_TRAFFIC_LIMITS_H_
 
+#include <algorithm>
 #include <cstdint>
 
 #include "core/core.h"
@@ -92,6 +93,18 @@
     all reconnect to the other VMs at once. */
 inline constexpr Duration kDrainSpreadPeriod = std::chrono::milliseconds(1500);
 
+/** The end of an endpoint's drain period in which it gets no new statements:
+    covers the delay of the directory and statements that are under way. */
+inline constexpr Duration kDrainingUseMargin = std::chrono::seconds(2);
+
+/** @param drain_period  time for which an endpoint serves after it has reported
+                        that it is draining
+    @returns            the part of it in which a primary without a successor
+                        gets new statements */
+constexpr Duration GetMaxDrainingUse(Duration drain_period) {
+  return std::max(drain_period / 2, drain_period - kDrainingUseMargin);
+}
+
 }  // namespace magnoliareel
 
 #endif  // MAGNOLIAREEL_RELAY_CORE_TRAFFIC_LIMITS_H_
--- a/libs/relay/core/traffic_options.h
+++ b/libs/relay/core/traffic_options.h
@@ -20,6 +20,9 @@
   std::string vm;
   /** Returns the distance of a site from this VM. */
   std::function<Distance(const SiteId&)> measure_distance;
+  /** Longest time for which a draining primary that has no successor gets new
+      statements. @see GetMaxDrainingUse */
+  Duration max_draining_use = std::chrono::seconds(5);
 };
 
 /** Counters since the start of the process, for the metrics. */
--- a/libs/telemetry/events/event.cc
+++ b/libs/telemetry/events/event.cc
@@ -90,6 +90,9 @@
     {kPrimaryConfirmed, kInfo, "leader.proven",
      "An endpoint proved that it is the primary of its service. service, "
      "endpoint, term"},
+    {kPrimaryDrained, kWarning, "primary.drained",
+     "A primary is draining and has no successor in time; it gets no new "
+     "statements. service, endpoint, queued"},
     {kConfigInForce, kInfo, "config.in_force",
      "A configuration version took effect. version, routes, source"},
     {kConfigRejected, kError, "config.rejected",
--- a/libs/telemetry/events/event.h
+++ b/libs/telemetry/events/event.h
@@ -44,6 +44,7 @@
   kConnectionRefused = 5202,
   kEndpointFailureObserved = 5203,
   kPrimaryConfirmed = 5204,
+  kPrimaryDrained = 5205,
   kConfigInForce = 5301,
   kConfigRejected = 5302,
   kDirectoryChanged = 5303,
--- a/tests/traffic/traffic_simulation.cc
+++ b/tests/traffic/traffic_simulation.cc
@@ -149,7 +149,10 @@
     entry.site.value = "site-" + std::to_string(it % 3);
     entry.slots = options_.slots;
     entry.claims_primary = group_.HasPrimaryRole(it);
-    entry.draining = draining_.contains(it);
+    if (const auto drain = draining_.find(it); drain != draining_.end()) {
+      entry.draining = true;
+      entry.draining_since = drain->second;
+    }
     entry.started_at_ms = group_.GetStartedAt(it);
     entries.push_back(std::move(entry));
   }
@@ -225,7 +228,7 @@
 
 void TrafficSimulation::SetDraining(size_t member, bool draining) {
   if (draining) {
-    draining_.insert(member);
+    draining_.emplace(member, queue_.Now());
   } else {
     draining_.erase(member);
   }
--- a/tests/traffic/traffic_simulation.h
+++ b/tests/traffic/traffic_simulation.h
@@ -198,7 +198,8 @@
   uint64_t next_link_ = 1;
   uint64_t next_caller_ = 1;
   double promotion_loss_ = 0;
-  std::set<size_t> draining_;
+  /** Since when each member is listed as draining. */
+  std::map<size_t, TimePoint> draining_;
   std::set<size_t> unlisted_;
   std::mt19937_64 random_;
   PeerGroup peers_{SocketAddress{"127.0.0.1", 1}};
--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -23,6 +23,9 @@
 constexpr uint64_t kDefaultSeedCount = 40;
 // Staleness bound of the routes in TrafficSimulation::Publish().
 constexpr Duration kMaxStaleness = std::chrono::milliseconds(1500);
+// Time for which a member serves after the directory lists it as draining, as
+// the deployments specify it.
+constexpr Duration kDrainPeriod = std::chrono::seconds(7);
 
 /** Reads a number from an environment variable. */
 uint64_t ReadNumber(const char* name, uint64_t fallback) {
@@ -447,6 +450,58 @@
   CHECK_TEXT(run.GetFinalSuccessCount() > 60, run.DescribePools().c_str());
 }
 
+TEST(Traffic, NoStatementReachesALeavingPrimaryAfterItsDrainPeriod) {
+  // Guards against a primary that is used for as long as it has no successor,
+  // beyond the time that it serves after it has announced its end (DRAIN).
+  using std::chrono::milliseconds;
+  TrafficSimulation simulation(2, GroupOptions{});
+  std::string answers;
+  simulation.SetCallerOutput([&](size_t, uint64_t, std::string_view line) {
+    answers += line.empty() ? "closed\n" : std::string(line) + "\n";
+  });
+  EventQueue& queue = simulation.GetQueue();
+  queue.RunUntil(queue.Now() + std::chrono::seconds(2));
+  // A replica that answers nobody prevents the promotion of the other one.
+  simulation.GetGroup().Crash(2, true);
+  const TimePoint drained_at = queue.Now();
+  simulation.SetDraining(0, true);
+  for (size_t n = 0; queue.Now() < drained_at + 2 * kDrainPeriod; ++n) {
+    const size_t vm = n % 2;
+    const std::string id = "q" + std::to_string(n);
+    for (const char* database : {"entries", "lookups", "timesheets"}) {
+      const uint64_t session = simulation.OpenCaller(vm);
+      simulation.Send(vm, session,
+                      std::string("STARTUP ") + database + " caller");
+      for (const char* text :
+           {"READ groyne-1", "WRITE groyne-1 x", "BEGIN", "READ groyne-2"}) {
+        simulation.Send(vm, session, "QUERY " + id + " " + text);
+        queue.RunUntil(queue.Now() + milliseconds(25));
+      }
+      simulation.CloseCaller(vm, session);
+    }
+  }
+  const std::string& leaving = simulation.GetGroup().GetId(0);
+  int count_in_time = 0;
+  for (const ExecutedStatement& it :
+       simulation.GetGroup().GetExecutedStatements()) {
+    if (it.endpoint == leaving && it.request != "-" && it.at >= drained_at) {
+      CHECK_TEXT(it.at < drained_at + kDrainPeriod, it.text.c_str());
+      ++count_in_time;
+    }
+  }
+  CHECK(count_in_time > 50);
+  // Once the replica answers, the other one is promoted, and all is served.
+  simulation.GetGroup().Restart(2);
+  queue.RunUntil(queue.Now() + std::chrono::seconds(6));
+  answers.clear();
+  const uint64_t session = simulation.OpenCaller(0);
+  simulation.Send(0, session, "STARTUP entries caller");
+  simulation.Send(0, session, "QUERY last WRITE groyne-1 y");
+  queue.RunUntil(queue.Now() + std::chrono::seconds(1));
+  CHECK_TEXT(answers.find("COMPLETE proof-last") != std::string::npos,
+             answers.c_str());
+}
+
 TEST(Traffic, StatementsOfAMemberThatIsNotListedForAWhileAreAnswered) {
   // Guards against work that is given up, or started again elsewhere, because
   // the database that runs it is slow to report to the directory.
