Pause no replica while another one does not answer

Cause: an attempt that could not succeed, because one replica was silent, paused another one; the next attempt started 300 ms later, took over the pauses, and so on.

Change: an attempt whose survey has no answer from a replica ends before it pauses anything, and what earlier attempts may have left paused is resumed when it was due; before, each new attempt dropped that.

Tests: ReplicasReceiveWhileOneOfThemIsSilent and AbandonsThePromotionIfAReplicaDoesNotAnswer, both red on the code before. The latter expected one possibly paused replica; now it demands that none is sent a pause, and the former check stands in AbandonsThePromotionIfAReplicaDoesNotConfirmItsPause. AFormerDutyHolderDoesNotResumeReplicas plays a lost pause in place of a silent replica, since a silent one now leaves nothing to resume, and checks one more replica.

--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -278,6 +278,9 @@
     TimePoint pending_until;
     /** Replicas to resume once the promoted endpoint is confirmed. */
     std::vector<EndpointEntry> paused_replicas;
+    /** Replicas that earlier attempts may have left paused when the running
+        attempt began. */
+    std::vector<typename ReplicaResumer<C, T>::PendingResume> pending_resumes;
     TimePoint not_before;
     TimePoint claimed_at;
     TimePoint next_audit_at;
--- a/libs/control/failover/failover_control_replacement.h
+++ b/libs/control/failover/failover_control_replacement.h
@@ -118,7 +118,7 @@
     }
   }
   progress.running = true;
-  resumer_.Cancel(plan.replicas);
+  progress.pending_resumes = resumer_.Cancel(plan.replicas);
   LogEvent(Event::kReplacementStarted,
            {{"service", service.value},
             {"primary", plan.primary_id.value},
@@ -227,11 +227,16 @@
   if (result.outcome == ReplacementOutcome::kPromoted ||
       result.outcome == ReplacementOutcome::kUncertain) {
     progress.paused_replicas = result.possibly_paused;
+    for (const auto& it : progress.pending_resumes) {
+      progress.paused_replicas.push_back(it.replica);
+    }
   } else {
     for (const EndpointEntry& it : result.possibly_paused) {
       resumer_.ScheduleResume(it);
     }
+    resumer_.Restore(progress.pending_resumes);
   }
+  progress.pending_resumes.clear();
   delegate_.After(kReplacementRetryInterval, [this] { Review(); });
 }
 
--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -162,6 +162,13 @@
       return;
     }
     SetActingPrimaryAside();
+    if (std::any_of(replicas_.begin(), replicas_.end(),
+                    [](const SurveyedEndpoint& it) { return !it.status; })) {
+      // It may be the only replica that holds an acknowledged commit. The
+      // others go on receiving, or commits would stall while it is silent.
+      Finish(ReplacementOutcome::kAbandoned, {}, "a replica does not answer");
+      return;
+    }
     const std::optional<size_t> next =
         ChoosePromotionCandidate(replicas_, plan_.pending_promotion);
     if (!next) {
--- a/libs/control/failover/replica_resumer.h
+++ b/libs/control/failover/replica_resumer.h
@@ -1,8 +1,11 @@
 #ifndef MAGNOLIAREEL_CONTROL_FAILOVER_REPLICA_RESUMER_H_
 #define MAGNOLIAREEL_CONTROL_FAILOVER_REPLICA_RESUMER_H_
 
+#include <algorithm>
 #include <map>
 #include <span>
+#include <utility>
+#include <vector>
 
 #include "control/failover/endpoint_commands.h"
 #include "core/core.h"
@@ -37,6 +40,15 @@
   ReplicaResumer(C& commands, T& timing)
       : commands_(commands), timing_(timing) {}
 
+  /** A replica that is to be resumed. */
+  struct PendingResume {
+    EndpointEntry replica;
+    /** Time of the first query. */
+    TimePoint due_at;
+    /** Time until which the replica is polled. */
+    TimePoint watch_until;
+  };
+
   /** Resumes a replica that an abandoned attempt may have paused, unless
       Cancel() is called first.
 
@@ -45,14 +57,21 @@
       @param replica  the replica
   */
   void ScheduleResume(const EndpointEntry& replica) {
-    Entry& entry = entries_[replica.id];
-    entry.watch_until = timing_.Now() + kPausedReplicaWatchPeriod;
-    const uint64_t generation = entry.generation = ++last_generation_;
-    timing_.After(kReplicaResumeDelay, [this, replica, generation] {
-      if (IsCurrent(replica.id, generation)) {
-        SendCommand(replica, {EndpointCommandKind::kReport, {}}, generation);
+    const TimePoint now = timing_.Now();
+    Schedule(
+        {replica, now + kReplicaResumeDelay, now + kPausedReplicaWatchPeriod});
+  }
+
+  /** Continues what Cancel() has ended, because the attempt paused nothing.
+
+      @param resumes  result of Cancel()
+  */
+  void Restore(std::span<const PendingResume> resumes) {
+    for (const PendingResume& it : resumes) {
+      if (!entries_.contains(it.replica.id)) {
+        Schedule(it);
       }
-    });
+    }
   }
 
   /** Queries a replica at once and resumes it if it is paused.
@@ -60,28 +79,44 @@
       @param replica  the replica
   */
   void ResumeIfPaused(const EndpointEntry& replica) {
-    Entry& entry = entries_[replica.id];
-    entry.watch_until = timing_.Now();
-    entry.generation = ++last_generation_;
-    SendCommand(replica, {EndpointCommandKind::kReport, {}}, entry.generation);
+    const TimePoint now = timing_.Now();
+    const uint64_t generation = ++last_generation_;
+    entries_[replica.id] = {{replica, now, now}, generation};
+    SendCommand(replica, {EndpointCommandKind::kReport, {}}, generation);
   }
 
   /** Stops polling and resuming replicas, because a new attempt controls them.
 
       @param replicas  the replicas
+      @returns         what was still to be done
   */
-  void Cancel(std::span<const EndpointEntry> replicas) {
+  std::vector<PendingResume> Cancel(std::span<const EndpointEntry> replicas) {
+    std::vector<PendingResume> cancelled;
     for (const EndpointEntry& it : replicas) {
-      entries_.erase(it.id);
+      if (auto node = entries_.extract(it.id)) {
+        cancelled.push_back(std::move(node.mapped().resume));
+      }
     }
+    return cancelled;
   }
 
  private:
   struct Entry {
-    TimePoint watch_until;
+    PendingResume resume;
     uint64_t generation = 0;
   };
 
+  void Schedule(const PendingResume& resume) {
+    const uint64_t generation = ++last_generation_;
+    entries_[resume.replica.id] = {resume, generation};
+    const Duration delay = std::max(Duration(0), resume.due_at - timing_.Now());
+    timing_.After(delay, [this, replica = resume.replica, generation] {
+      if (IsCurrent(replica.id, generation)) {
+        SendCommand(replica, {EndpointCommandKind::kReport, {}}, generation);
+      }
+    });
+  }
+
   bool IsCurrent(const EndpointId& id, uint64_t generation) const {
     const auto it = entries_.find(id);
     return it != entries_.end() && it->second.generation == generation;
@@ -99,7 +134,8 @@
           }
           const bool paused = !ec && status.paused_at > Term{};
           const bool receiving = !ec && !paused;
-          if (receiving && timing_.Now() >= entries_[replica.id].watch_until) {
+          if (receiving &&
+              timing_.Now() >= entries_[replica.id].resume.watch_until) {
             entries_.erase(replica.id);
             return;
           }
--- a/libs/control/tests/control_test.cc
+++ b/libs/control/tests/control_test.cc
@@ -52,7 +52,8 @@
       return;
     }
     const auto it = statuses.find(endpoint.id.value);
-    if (it == statuses.end()) {
+    if (it == statuses.end() || (command.kind == EndpointCommandKind::kPause &&
+                                 endpoint.id.value == fails_pause)) {
       done(Error::kAnswerLost, {});
       return;
     }
@@ -106,6 +107,8 @@
 
   std::map<std::string, ReplicationStatus> statuses;
   std::set<std::string> busy;
+  // Endpoint that does not answer a pause; empty for none.
+  std::string fails_pause;
   std::error_code promotion_reply;
   int lost_promotion_replies = 0;
   std::string trace;
@@ -137,6 +140,17 @@
   const ReplacementResult result =
       group.Replace(ReplacementReason::kUnreachable, replicas);
   CHECK(result.outcome == ReplacementOutcome::kAbandoned);
+  STRCMP_EQUAL("report db-2;report db-3;report db-1;", group.trace.c_str());
+  LONGS_EQUAL(0, result.possibly_paused.size());
+}
+
+TEST(Replacement, AbandonsThePromotionIfAReplicaDoesNotConfirmItsPause) {
+  group.statuses = {{"db-2", MakeStatus(false, 1, 5)},
+                    {"db-3", MakeStatus(false, 1, 7)}};
+  group.fails_pause = "db-2";
+  const ReplacementResult result =
+      group.Replace(ReplacementReason::kUnreachable, replicas);
+  CHECK(result.outcome == ReplacementOutcome::kAbandoned);
   LONGS_EQUAL(1, result.possibly_paused.size());
   CHECK(group.trace.find("promote") == std::string::npos);
 }
--- a/libs/control/tests/failover_control_test.cc
+++ b/libs/control/tests/failover_control_test.cc
@@ -68,7 +68,9 @@
     const auto end = log_ends.find(endpoint.id.value);
     status.received = {Term{1},
                        LogPosition{end == log_ends.end() ? 7 : end->second}};
-    if (endpoint.id.value == unresponsive) {
+    if (endpoint.id.value == unresponsive ||
+        (endpoint.id.value == fails_pause &&
+         command.kind == EndpointCommandKind::kPause)) {
       done(Error::kAnswerLost, {});
       return;
     }
@@ -153,6 +155,8 @@
   std::map<std::string, uint64_t> log_ends;
   // Endpoint that does not answer; empty for none.
   std::string unresponsive;
+  // Endpoint that does not answer a pause; empty for none.
+  std::string fails_pause;
   std::vector<std::pair<std::string, uint64_t>> promotions;
   // Paused endpoints with the term of the pause. At a real endpoint a promotion
   // ends the pauses below its term; here it ends none.
@@ -232,15 +236,38 @@
   CHECK(fake.paused.empty());
 }
 
+TEST(Failover, ReplicasReceiveWhileOneOfThemIsSilent) {
+  // Guards against commits that stall for as long as a replica is silent: each
+  // attempt left another replica paused, until the next one began (DRAIN on
+  // krajnc-groyne).
+  fake.Add("db-4");
+  failover.Apply(fake.MakeView(""));
+  RunWithReviews(5);
+  fake.fails_pause = "db-4";
+  failover.Apply(fake.MakeView("db-1"));
+  fake.Advance(std::chrono::milliseconds(100));
+  CHECK(fake.paused.contains("db-3"));
+  fake.unresponsive = "db-4";
+  RunWithReviews(4);
+  CHECK(fake.paused.empty());
+  STRCMP_EQUAL("db-1", fake.primary.c_str());
+  fake.fails_pause.clear();
+  fake.unresponsive.clear();
+  RunWithReviews(4);
+  CHECK(fake.primary != "db-1");
+}
+
 TEST(Failover, AFormerDutyHolderDoesNotResumeReplicas) {
   // A former holder could resume replicas that the current holder had paused
   // for an attempt in progress. Found by late-orders --seed 211310843558
   // (LOST).
-  fake.unresponsive = "db-3";
+  fake.Add("db-4");
+  fake.fails_pause = "db-4";
   failover.Apply(fake.MakeView("db-1"));
   fake.Advance(std::chrono::milliseconds(1600));
   CHECK(fake.promotions.empty());
-  fake.unresponsive.clear();
+  CHECK(fake.paused.contains("db-3"));
+  fake.fails_pause.clear();
   Heartbeat heartbeat;
   heartbeat.vm.value = "other";
   heartbeat.address = {"127.0.0.1", 2};
@@ -250,6 +277,7 @@
   fake.paused["db-2"] = Term{9};
   fake.Advance(std::chrono::seconds(3));
   CHECK(fake.paused.contains("db-2"));
+  CHECK(fake.paused.contains("db-3"));
 }
 
 TEST(Failover, CountsAnEndpointWithAFailedPromotionAsReplica) {
