Move waiting reads off a replica that begins to drain

Cause: reads that waited for a connection to a replica were still sent to it after the directory had listed it as draining, until their timeout. Same class of fault as the leaving primary: the entry was checked when a statement was queued and not when it was sent.

ReadsThatWaitForAReplicaLeaveItWhenItDrains: red before, green now.

--- a/libs/relay/core/traffic_core_control.h
+++ b/libs/relay/core/traffic_core_control.h
@@ -75,6 +75,11 @@
       HandlePrimaryChange(service);
     }
   }
+  for (auto& [id, pool] : pools_) {
+    if (!pool.queue.empty() && !TakesNewStatements(pool)) {
+      DispatchQueueAgain(pool);
+    }
+  }
   for (const QueuedStatement& it : moved) {
     if (IsInProgress(it.session, it.statement_id)) {
       Dispatch(*FindSession(it.session));
--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -502,6 +502,35 @@
              answers.c_str());
 }
 
+TEST(Traffic, ReadsThatWaitForAReplicaLeaveItWhenItDrains) {
+  // Guards against reads that wait for a replica when it announces its end, and
+  // are still sent to it afterwards.
+  using std::chrono::milliseconds;
+  GroupOptions options;
+  options.slots = 1;
+  options.mean_run_time = milliseconds(60);
+  TrafficSimulation simulation(1, options);
+  simulation.SetCallerOutput([](size_t, uint64_t, std::string_view) {});
+  EventQueue& queue = simulation.GetQueue();
+  queue.RunUntil(queue.Now() + std::chrono::seconds(2));
+  for (size_t n = 0; n < 30; ++n) {
+    const uint64_t session = simulation.OpenCaller(0);
+    simulation.Send(0, session, "STARTUP lookups caller");
+    simulation.Send(0, session,
+                    "QUERY q" + std::to_string(n) + " READ groyne-1");
+    queue.RunUntil(queue.Now() + milliseconds(2));
+  }
+  const size_t replica = 1;
+  const std::string& leaving = simulation.GetGroup().GetId(replica);
+  const EndpointPool& pool =
+      simulation.GetCore(0).GetPools().at(EndpointId{leaving});
+  CHECK(!pool.queue.empty());
+  simulation.SetDraining(replica, true);
+  CHECK(pool.queue.empty());
+  queue.RunUntil(queue.Now() + std::chrono::seconds(2));
+  CHECK(pool.queue.empty());
+}
+
 TEST(Traffic, StatementsOfAMemberThatIsNotListedForAWhileAreAnswered) {
   // Guards against work that is given up, or started again elsewhere, because
   // the database that runs it is slow to report to the directory.
