--- a/libs/coordination/duties/duty_claims.h
+++ b/libs/coordination/duties/duty_claims.h
@@ -19,8 +19,8 @@
 /** Claims failover duties by conditional writes.
 
     The version that the store assigns to a claim's write is the fencing token.
-    The store assigns every version once, so each holder's token is higher than
-    its predecessor's.
+    Versions grow, also when the store is restored from a copy, so each holder's
+    token is higher than its predecessor's.
 
     @tparam S  @see RowStore
 */
--- a/libs/coordination/rows/row_store.h
+++ b/libs/coordination/rows/row_store.h
@@ -36,12 +36,14 @@
 };
 
 /** Called with rows, or with an error: Error::kHistoryLost if the store has
-    dropped changes since the given version, Error::kVersionConflict if a
+    dropped changes since the given version or was restored from a copy,
+    Error::kVersionConflict if a
     condition did not hold, Error::kStoreUnavailable if the store refused,
     Error::kUnreachable or Error::kAnswerLost if it did not answer. */
 using RowsCompletion = std::function<void(std::error_code, StoredRows)>;
 
-/** A linearizable store of rows in tables, reached asynchronously.
+/** A linearizable store of rows in tables, reached asynchronously. Its versions
+    grow with each change; one that was given out is not given out again.
 
     - List: returns the rows of a table after a key, in key order.
     - Get: returns the row of a key, if it exists.
--- a/libs/coordination/tests/coordination_test.cc
+++ b/libs/coordination/tests/coordination_test.cc
@@ -21,8 +21,9 @@
   }
   void Follow(std::string_view,
               uint64_t version,
-              Duration,
+              Duration wait,
               RowsCompletion done) {
+    last_wait = wait;
     Ask("follow " + std::to_string(version), std::move(done));
   }
   void WriteIf(std::string_view,
@@ -46,6 +47,8 @@
   }
 
   std::string last;
+  // Long-poll timeout of the latest request for changes.
+  Duration last_wait{};
 
  private:
   void Ask(std::string call, RowsCompletion done) {
@@ -174,6 +177,20 @@
   STRCMP_EQUAL("lost;regained;changes 1;", delegate.seen.c_str());
 }
 
+TEST(Watch, AsksWithoutWaitingAfterAnOutage) {
+  // Guards against changes that are missed for the time of a long poll, because
+  // the store was restored from a copy (CONFIG).
+  watch.Start();
+  store.Answer({}, Rows({"a"}, 10));
+  CHECK(store.last_wait == kTableFollowTimeout);
+  store.Answer(Error::kUnreachable, {});
+  delegate.next();
+  STRCMP_EQUAL("follow 10", store.last.c_str());
+  CHECK(store.last_wait == Duration(0));
+  store.Answer({}, Rows({}, 10));
+  CHECK(store.last_wait == kTableFollowTimeout);
+}
+
 TEST_GROUP(Duties) {
   FakeStore store;
   DutyClaims<FakeStore> claims{store, "vm-1"};
--- a/libs/coordination/watches/table_watch.h
+++ b/libs/coordination/watches/table_watch.h
@@ -28,6 +28,9 @@
 /** After a period of this length without changes, the delay is reset to
     kMinFollowDelay. */
 inline constexpr Duration kFollowQuietPeriod = std::chrono::seconds(2);
+/** Long-poll timeout of the first request after a failed one: its answer shows
+    at once whether the store was restored from a copy meanwhile. */
+inline constexpr Duration kTableProbeTimeout = Duration(0);
 /** First and longest backoff after a failed call. The store recovers within
     seconds, and it charges for each call. */
 inline constexpr Duration kMinStoreBackoff = std::chrono::milliseconds(150);
@@ -113,8 +116,8 @@
     });
   }
 
-  void Follow() {
-    store_.Follow(table_, version_, kTableFollowTimeout,
+  void Follow(Duration timeout = kTableFollowTimeout) {
+    store_.Follow(table_, version_, timeout,
                   [this](std::error_code ec, StoredRows answer) {
                     if (ec == Error::kHistoryLost) {
                       HandleSuccess();
@@ -122,7 +125,7 @@
                       return;
                     }
                     if (ec) {
-                      HandleFailure(ec, [this] { Follow(); });
+                      HandleFailure(ec, [this] { Follow(kTableProbeTimeout); });
                       return;
                     }
                     HandleSuccess();
--- a/libs/net/http/http_connection.cc
+++ b/libs/net/http/http_connection.cc
@@ -12,6 +12,18 @@
                                             : Error::kUnreachable);
       }) {
   http_parser_settings_init(&parser_settings_);
+  parser_settings_.on_header_field = [](http_parser* parser, const char* at,
+                                        size_t n) {
+    static_cast<HttpConnection*>(parser->data)->AppendHeaderName({at, n});
+    return 0;
+  };
+  parser_settings_.on_header_value = [](http_parser* parser, const char* at,
+                                        size_t n) {
+    auto* connection = static_cast<HttpConnection*>(parser->data);
+    connection->in_header_name_ = false;
+    connection->reply_.headers.back().second.append(at, n);
+    return 0;
+  };
   parser_settings_.on_body = [](http_parser* parser, const char* at, size_t n) {
     static_cast<HttpConnection*>(parser->data)->reply_.body.append(at, n);
     return 0;
@@ -47,9 +59,18 @@
   http_parser_init(&parser_, HTTP_RESPONSE);
   parser_.data = this;
   reply_complete_ = false;
+  in_header_name_ = false;
   reply_ = {};
 }
 
+void HttpConnection::AppendHeaderName(std::string_view part) {
+  // A name or a value may arrive in several parts.
+  if (!std::exchange(in_header_name_, true)) {
+    reply_.headers.emplace_back();
+  }
+  reply_.headers.back().first.append(part);
+}
+
 void HttpConnection::SendFrontCall() {
   PendingCall& call = calls_.front();
   std::string& buf = stream_.GetBuffer();
@@ -103,7 +124,7 @@
   }
   PendingCall& call = calls_.front();
   if (call.sent && reply_count_ > 0 && !call.retried &&
-      call.request.method == "GET") {
+      call.request.method == "GET" && call.request.retry_if_closed) {
     call.retried = true;
     call.sent = false;
     StartFrontCall();
--- a/libs/net/http/http_connection.h
+++ b/libs/net/http/http_connection.h
@@ -65,6 +65,7 @@
   void SendFrontCall();
   void FinishFrontCall(std::error_code ec);
   void ResetParser();
+  void AppendHeaderName(std::string_view part);
 
   EventLoop& loop_;
   SocketAddress address_;
@@ -73,6 +74,7 @@
   std::deque<PendingCall> calls_;
   bool connected_ = false;
   bool reply_complete_ = false;
+  bool in_header_name_ = false;
   bool keep_alive_ = true;
   // Replies received on the current connection.
   size_t reply_count_ = 0;
--- a/libs/net/http/http_listener.cc
+++ b/libs/net/http/http_listener.cc
@@ -106,6 +106,9 @@
   buf.append("HTTP/1.1 ").append(std::to_string(reply.status));
   buf.append(" -\r\nContent-Length: ");
   buf.append(std::to_string(reply.body.size())).append("\r\n");
+  for (const auto& [name, value] : reply.headers) {
+    buf.append(name).append(": ").append(value).append("\r\n");
+  }
   buf.append(keep_alive ? "\r\n" : "Connection: close\r\n\r\n");
   buf.append(reply.body);
   connection.stream.Flush();
--- a/libs/net/http/http_message.h
+++ b/libs/net/http/http_message.h
@@ -17,6 +17,9 @@
   std::vector<std::pair<std::string, std::string>> headers;
   /** Empty if there is none. */
   std::string body;
+  /** Whether HttpConnection sends a GET once more if the server closes the
+      connection, which may have been idle, without a reply. */
+  bool retry_if_closed = true;
 };
 
 /** An HTTP reply. */
@@ -25,6 +28,8 @@
   int status = 0;
   /** Empty if there is none. */
   std::string body;
+  /** Header names and values; HttpListener adds Content-Length. */
+  std::vector<std::pair<std::string, std::string>> headers = {};
 };
 
 }  // namespace magnoliareel::net
--- a/standins/site/site_server.cc
+++ b/standins/site/site_server.cc
@@ -121,8 +121,9 @@
   }
   const uint64_t poll =
       store_.Handle(request.method, request.target, request.body,
-                    [answer](int status, const std::string& body) {
-                      answer({status, body});
+                    [this, answer](int status, const std::string& body) {
+                      const std::string era = std::to_string(store_.GetEra());
+                      answer({status, body, {{"Store-Era", era}}});
                     });
   if (poll != 0) {
     RunAfter(
@@ -172,7 +173,18 @@
   } else if (name == "drain" || name == "stay") {
     draining_[member] = name == "drain";
   } else if (name == "config") {
+    ++config_version_;
     PublishConfig();
+  } else if (name == "copy") {
+    store_.TakeCopy();
+  } else if (name == "restore") {
+    store_.RestoreCopy();
+    // The operator changes the configuration at once, and the databases write
+    // their entries again.
+    ++config_version_;
+    PublishConfig();
+    published_endpoints_.clear();
+    PublishEndpoints();
   } else if (name == "forget") {
     store_.DiscardHistory();
   } else if (name == "lose" || name == "keep") {
@@ -187,7 +199,7 @@
 
 void SiteServer::PublishConfig() {
   Json::Value root(Json::objectValue);
-  root["version"] = Json::UInt64{++config_version_};
+  root["version"] = Json::UInt64{config_version_};
   for (const auto& [name, kind] :
        {std::pair("entries", "primary"), std::pair("lookups", "bounded"),
         std::pair("timesheets", "read_your_writes")}) {
--- a/standins/site/site_server.h
+++ b/standins/site/site_server.h
@@ -37,6 +37,8 @@
     - forget: the store discards its history, so that reads of the feed from
       earlier versions fail
     - config: a new version of the configuration is published
+    - copy, restore: the store takes a copy of its rows, or is restored from it
+      while the operator publishes a new version of the configuration
     - lose, keep: the databases drop one answer in ten, or none
     - slow, quick: replicas apply commits with 60 times the delay, or with the
       usual one
@@ -93,7 +95,7 @@
   std::map<size_t, bool> draining_;
   LoopTimer publish_timer_;
   uint64_t next_connection_ = 1;
-  uint64_t config_version_ = 0;
+  uint64_t config_version_ = 1;
 };
 
 }  // namespace magnoliareel
--- a/standins/site/store_model.cc
+++ b/standins/site/store_model.cc
@@ -94,7 +94,7 @@
     return 0;
   }
   const auto after = std::strtoull(fields["after"].c_str(), nullptr, 10);
-  if (after < oldest_version_) {
+  if (after < oldest_version_ || after > version_) {
     answer(410, "");
     return 0;
   }
@@ -109,6 +109,20 @@
   return next_poll_id_++;
 }
 
+void StoreModel::TakeCopy() {
+  copied_tables_ = tables_;
+  copied_version_ = version_;
+}
+
+void StoreModel::RestoreCopy() {
+  tables_ = copied_tables_;
+  version_ = copied_version_;
+  ++era_;
+  for (const auto& [id, poll] : std::exchange(pending_polls_, {})) {
+    poll.answer(503, "");
+  }
+}
+
 void StoreModel::AnswerPendingPoll(uint64_t poll_id) {
   const auto it = pending_polls_.find(poll_id);
   if (it == pending_polls_.end()) {
--- a/standins/site/store_model.h
+++ b/standins/site/store_model.h
@@ -42,6 +42,13 @@
   void Remove(const std::string& table, const std::string& key);
   /** Sets whether every request is answered with 503. */
   void SetDown(bool is_down) { is_down_ = is_down; }
+  /** Takes a copy of all rows. */
+  void TakeCopy();
+  /** Replaces all rows by those of the copy. Versions continue from there, and
+      the era is the next one. Pending polls are answered with 503. */
+  void RestoreCopy();
+  /** @returns how often the store was restored from a copy, plus one */
+  uint64_t GetEra() const { return era_; }
   /** Discards the history of changes: a feed from an earlier version is
       answered with 410. */
   void DiscardHistory() { oldest_version_ = version_; }
@@ -71,6 +78,9 @@
   void AnswerPendingPolls(const std::string& table);
 
   std::map<std::string, Table> tables_;
+  std::map<std::string, Table> copied_tables_;
+  uint64_t copied_version_ = 1;
+  uint64_t era_ = 1;
   std::map<uint64_t, PendingPoll> pending_polls_;
   uint64_t version_ = 1;
   uint64_t oldest_version_ = 0;
