Ignore endpoint reports older than those known

What callers would see: after the store came back from a copy, new requests at a database that has announced its end, or that has left (DRAIN).

Cause: the copy shows an endpoint as it was some seconds ago, under versions that are new. Each report carries its number since the endpoint's start; it was not read.

Change: a report with a lower number than the latest known one of the same start is ignored, also for endpoints that have left. Without a start time or a number nothing is compared. A row that is deleted also leaves the rows that peers are given when its endpoint is not in use any more.

--- a/libs/control/fleet/fleet_control.h
+++ b/libs/control/fleet/fleet_control.h
@@ -216,6 +216,7 @@
     const EndpointId id{row.key};
     endpoints_version_ = std::max(endpoints_version_, row.version);
     if (row.removed) {
+      endpoint_rows_.erase(row.key);
       const EndpointEntry* entry = endpoints_.Find(id);
       if (entry == nullptr) {
         return false;
@@ -227,7 +228,6 @@
                                           {"source", std::string(source)}});
       endpoints_.MarkRemoved(id, row.version, delegate_.Now());
       ScheduleSweep();
-      endpoint_rows_.erase(row.key);
       return false;
     }
     VersionedEntry versioned;
@@ -239,6 +239,9 @@
                {{"entry", row.key}, {"findings", findings.FormatLines()}});
       return false;
     }
+    if (endpoints_.IsOutdated(versioned.entry)) {
+      return false;
+    }
     endpoint_rows_[row.key] = row;
     if (!endpoints_.Put(versioned, FindEarliestChangeTime())) {
       return false;
--- a/libs/control/tests/fleet_control_test.cc
+++ b/libs/control/tests/fleet_control_test.cc
@@ -16,8 +16,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/** Rows are written as text: a configuration is its version, an endpoint is
-    its state. */
+/** Rows are written as text: a configuration is its version, an endpoint the
+    number of its report and its state. */
 struct TextRowCodec {
   static std::string_view GetConfigTable() { return "config"; }
   static std::string_view GetConfigKey() { return "routes"; }
@@ -29,8 +29,11 @@
                             std::string_view value,
                             EndpointEntry& out,
                             Findings&) {
+    const size_t blank = value.find(' ');
     out.id.value = id;
-    out.draining = value == "draining";
+    out.started_at_ms = 1;
+    out.report_number = std::stoull(std::string(value.substr(0, blank)));
+    out.draining = value.substr(blank + 1) == "draining";
   }
 };
 
@@ -62,6 +65,8 @@
 class TestNode {
  public:
   TestNode() {
+    static LogBuffer log_buffer(0);
+    StartBufferedLog(log_buffer, "test");
     fleet.Start();
     Answer(store.listings, "config", {}, {});
     Answer(store.listings, "endpoints", {}, {});
@@ -117,16 +122,12 @@
 
 }  // namespace
 
-TEST_GROUP(Fleet){void setup() override{static LogBuffer log_buffer(0);
-StartBufferedLog(log_buffer, "test");
-}  // namespace magnoliareel
-}
-;
+TEST_GROUP(Fleet){};
 
 TEST(Fleet, DrainCountsFromTheAnswerOfAStoreThatWasNotAway) {
   TestNode node;
   TestNode::Answer(node.store.polls, "endpoints", {},
-                   MakeRows(5, {{"db-1", "draining", 5, false}}));
+                   MakeRows(5, {{"db-1", "1 draining", 5, false}}));
   CHECK(node.GetEndpoint("db-1").draining_since == node.Now());
 }
 
@@ -137,16 +138,47 @@
   const TimePoint lost_at = node.Now();
   TestNode::Answer(node.store.polls, "endpoints", Error::kUnreachable, {});
   node.Advance(seconds(3));
-  const StoredRow leaving{"db-1", "draining", 5, false};
+  const StoredRow leaving{"db-1", "1 draining", 5, false};
   node.fleet.ApplyPeerState(nullptr, std::span(&leaving, 1), 5);
   CHECK(node.GetEndpoint("db-1").draining_since == lost_at);
   TestNode::Answer(node.store.polls, "endpoints", {},
-                   MakeRows(6, {{"db-2", "draining", 6, false}}));
+                   MakeRows(6, {{"db-2", "1 draining", 6, false}}));
   CHECK(node.GetEndpoint("db-2").draining_since == lost_at);
   node.Advance(seconds(20));
   TestNode::Answer(node.store.polls, "endpoints", {},
-                   MakeRows(7, {{"db-3", "draining", 7, false}}));
+                   MakeRows(7, {{"db-3", "1 draining", 7, false}}));
   CHECK(node.GetEndpoint("db-3").draining_since == node.Now());
 }
 
+TEST(Fleet, ADrainIsNotUndoneByAnEntryOfARestoredStore) {
+  // Guards against a leaving database that is used again because the store was
+  // restored from a copy which shows it as ready (DRAIN).
+  TestNode node;
+  TestNode::Answer(node.store.polls, "endpoints", {},
+                   MakeRows(5, {{"db-1", "2 draining", 5, false}}));
+  node.Advance(seconds(1));
+  TestNode::Answer(node.store.polls, "endpoints", Error::kHistoryLost, {});
+  TestNode::Answer(node.store.listings, "endpoints", {},
+                   MakeRows(103, {{"db-1", "1 ready", 103, false}}));
+  CHECK(node.GetEndpoint("db-1").draining);
+  CHECK(node.fleet.GetEndpointRows().at("db-1").value == "2 draining");
+}
+
+TEST(Fleet, ADepartedDatabaseIsNotUsedAgainBecauseTheStoreWasRestored) {
+  TestNode node;
+  const EndpointId id{"db-1"};
+  TestNode::Answer(node.store.polls, "endpoints", {},
+                   MakeRows(5, {{"db-1", "2 draining", 5, false}}));
+  node.Advance(seconds(1));
+  TestNode::Answer(node.store.polls, "endpoints", {},
+                   MakeRows(6, {{"db-1", "", 6, true}}));
+  CHECK(node.fleet.GetEndpoints().Find(id) == nullptr);
+  node.Advance(seconds(1));
+  TestNode::Answer(node.store.polls, "endpoints", Error::kHistoryLost, {});
+  TestNode::Answer(node.store.listings, "endpoints", {},
+                   MakeRows(103, {{"db-1", "1 ready", 103, false}}));
+  CHECK(node.fleet.GetEndpoints().Find(id) == nullptr);
+  CHECK(node.fleet.GetEndpointRows().empty());
+}
+
 }  // namespace magnoliareel
--- a/libs/directory/endpoints/endpoint_registry.cc
+++ b/libs/directory/endpoints/endpoint_registry.cc
@@ -26,21 +26,36 @@
   return changed;
 }
 
+bool EndpointRegistry::IsOutdated(const EndpointEntry& entry) const {
+  // Without a start time, a restart is not told from an older report.
+  const EndpointEntry* latest = FindLatest(entry);
+  return latest != nullptr && entry.started_at_ms != 0 && entry.report_number &&
+         latest->report_number && *entry.report_number < *latest->report_number;
+}
+
+const EndpointEntry* EndpointRegistry::FindLatest(
+    const EndpointEntry& entry) const {
+  const EndpointEntry* latest = Find(entry.id);
+  if (const auto it = removed_.find(entry.id);
+      latest == nullptr && it != removed_.end()) {
+    latest = &it->second.last_entry;
+  }
+  return latest != nullptr && latest->started_at_ms == entry.started_at_ms
+             ? latest
+             : nullptr;
+}
+
 std::optional<TimePoint> EndpointRegistry::FindDrainingSince(
     const EndpointEntry& entry,
     TimePoint changed_since) const {
   if (!entry.draining) {
     return std::nullopt;
   }
-  if (const EndpointEntry* known = Find(entry.id);
-      known != nullptr && known->draining_since &&
-      known->started_at_ms == entry.started_at_ms) {
-    return known->draining_since;
-  }
-  if (const auto it = removed_.find(entry.id);
-      it != removed_.end() && it->second.draining_since &&
-      it->second.started_at_ms == entry.started_at_ms) {
-    return it->second.draining_since;
+  // An endpoint whose entry expired is still as far into its drain when it is
+  // listed again.
+  if (const EndpointEntry* latest = FindLatest(entry);
+      latest != nullptr && latest->draining_since) {
+    return latest->draining_since;
   }
   return changed_since;
 }
@@ -92,8 +107,7 @@
       continue;
     }
     const VersionedEntry& last = it->second.versioned;
-    removed_[it->first] = {last.row_version, last.entry.draining_since,
-                           last.entry.started_at_ms};
+    removed_[it->first] = {last.row_version, last.entry};
     removed.push_back(it->first);
     it = entries_.erase(it);
   }
--- a/libs/directory/endpoints/endpoint_registry.h
+++ b/libs/directory/endpoints/endpoint_registry.h
@@ -42,6 +42,12 @@
   */
   bool Put(const VersionedEntry& entry, TimePoint changed_since);
 
+  /** @param entry  an entry from the store or from a peer
+      @returns      true if the endpoint has reported something later since the
+                    same start, also if it was removed meanwhile: the entry
+     comes from a store that was restored from a copy */
+  bool IsOutdated(const EndpointEntry& entry) const;
+
   /** Marks an entry as removed from the store. A draining endpoint has no
       grace period.
 
@@ -93,12 +99,12 @@
     // Version at which the endpoint was removed. An older entry from a peer
     // must not restore it.
     uint64_t row_version = 0;
-    // An endpoint whose entry expired is still as far into its drain when it is
-    // listed again.
-    std::optional<TimePoint> draining_since;
-    int64_t started_at_ms = 0;
+    EndpointEntry last_entry;
   };
 
+  /** @returns the latest known entry of the same start of an endpoint, also if
+               it was removed; null if there is none */
+  const EndpointEntry* FindLatest(const EndpointEntry& entry) const;
   std::optional<TimePoint> FindDrainingSince(const EndpointEntry& entry,
                                              TimePoint changed_since) const;
 
--- a/libs/directory/model/endpoint_entry.h
+++ b/libs/directory/model/endpoint_entry.h
@@ -28,6 +28,9 @@
   /** Start time in Unix milliseconds; distinguishes restarts of one endpoint.
    */
   int64_t started_at_ms = 0;
+  /** Number of this report since that start; none if the endpoint does not
+      count them. */
+  std::optional<uint64_t> report_number;
 
   bool operator==(const EndpointEntry&) const = default;
 };
