Register VMs again when the store comes back from a copy

Cause: a VM writes its address to the store once, at its start. If the copy is older, VMs that start later don't find it: they exchange no heartbeats with it, count the live VMs too low, and both may rank themselves first for a duty.

Change: the store's client reports a new era; the node then registers and lists the registered VMs again.

--- a/apps/node/node_process.cc
+++ b/apps/node/node_process.cc
@@ -36,7 +36,9 @@
       notices_(loop_,
                [this](const TrafficNotice& notice) { HandleNotice(notice); }),
       mailbox_(loop_, [](const std::function<void()>& task) { task(); }),
-      store_(loop_, settings_.store_address),
+      store_(loop_,
+             settings_.store_address,
+             [this](uint64_t era) { HandleStoreRestored(era); }),
       traffic_(
           {.vm = settings_.vm.value,
            .measure_distance =
@@ -230,6 +232,12 @@
   return status;
 }
 
+void NodeProcess::HandleStoreRestored(uint64_t era) {
+  LogEvent(Event::kStoreRestored, {{"era", std::to_string(era)}});
+  // The registration may be younger than the copy.
+  RegisterVm();
+}
+
 void NodeProcess::RegisterVm() {
   store_.Put(kVmTable, settings_.vm.value, settings_.peer_address.Format(),
              [this](std::error_code ec, const StoredRows&) {
--- a/apps/node/node_process.h
+++ b/apps/node/node_process.h
@@ -57,6 +57,7 @@
   PeerExchange::Callbacks MakePeerExchangeCallbacks();
   FreshnessBoundExchange::Callbacks MakeBoundExchangeCallbacks();
   NodeStatus MakeStatus() const;
+  void HandleStoreRestored(uint64_t era);
   void RegisterVm();
   /** Lists the addresses of the VMs whose names follow the given one. */
   void ListRegisteredVms(const std::string& after);
--- a/libs/telemetry/events/event.cc
+++ b/libs/telemetry/events/event.cc
@@ -107,6 +107,9 @@
      "error"},
     {kStoreRegained, kInfo, "store.regained",
      "The platform's store answers again. away_ms"},
+    {kStoreRestored, kWarning, "store.restored",
+     "The platform's store was restored from a copy; both tables are listed "
+     "and this VM registers again. era"},
     {kPeerLost, kWarning, "peer.lost",
      "No heartbeat of another VM arrived within the peer timeout. vm, "
      "silent_ms"},
--- a/libs/telemetry/events/event.h
+++ b/libs/telemetry/events/event.h
@@ -51,6 +51,7 @@
   kDirectoryEntryRejected = 5304,
   kStoreLost = 5305,
   kStoreRegained = 5306,
+  kStoreRestored = 5307,
   kPeerLost = 5401,
   kPeerRegained = 5402,
   kDutyClaimed = 5501,
