--- a/tests/traffic/traffic_simulation.h
+++ b/tests/traffic/traffic_simulation.h
@@ -18,6 +18,9 @@
 
 class TrafficSimulation;
 
+/** Time for which a member serves after the directory lists it as draining. */
+inline constexpr Duration kSimulatedDrainPeriod = std::chrono::seconds(3);
+
 /** First number of the connections that carry endpoint commands; the VMs'
     connections have lower numbers. */
 inline constexpr uint64_t kFirstCommandConnection = 1ULL << 40;
@@ -126,6 +129,9 @@
   void ResetConnections(size_t vm, size_t member);
   /** Sets whether the directory reports a member as draining. */
   void SetDraining(size_t member, bool draining);
+  /** @returns the statements that reached a member after its drain period,
+     except those of a transaction that was open there */
+  std::vector<std::string> ListStatementsAfterDrain() const;
   /** Sets whether the directory lists a member. */
   void SetListed(size_t member, bool listed);
   /** Sets the probability that a promotion is not answered and takes effect
@@ -198,8 +204,15 @@
   uint64_t next_link_ = 1;
   uint64_t next_caller_ = 1;
   double promotion_loss_ = 0;
+  /** A time in which the directory lists a member as draining. */
+  struct Drain {
+    TimePoint since;
+    TimePoint until;
+  };
+
   /** Since when each member is listed as draining. */
   std::map<size_t, TimePoint> draining_;
+  std::map<std::string, std::vector<Drain>> past_drains_;
   std::set<size_t> unlisted_;
   std::mt19937_64 random_;
   PeerGroup peers_{SocketAddress{"127.0.0.1", 1}};
