--- a/libs/control/tests/fleet_control_test.cc
+++ b/libs/control/tests/fleet_control_test.cc
@@ -112,6 +112,7 @@
   std::shared_ptr<const FleetView> view_;
 
  public:
+  // Declared last, because its construction reads the clock.
   PendingStore store;
   FleetControl<PendingStore, TextRowCodec, TestNode> fleet{store, *this};
 };
--- a/libs/coordination/rows/row_store.h
+++ b/libs/coordination/rows/row_store.h
@@ -37,9 +37,9 @@
 
 /** Called with rows, or with an error: Error::kHistoryLost if the store has
     dropped changes since the given version or was restored from a copy,
-    Error::kVersionConflict if a
-    condition did not hold, Error::kStoreUnavailable if the store refused,
-    Error::kUnreachable or Error::kAnswerLost if it did not answer. */
+    Error::kVersionConflict if a condition did not hold,
+    Error::kStoreUnavailable if the store refused, Error::kUnreachable or
+    Error::kAnswerLost if it did not answer. */
 using RowsCompletion = std::function<void(std::error_code, StoredRows)>;
 
 /** A linearizable store of rows in tables, reached asynchronously. Its versions
--- a/libs/directory/endpoints/endpoint_registry.h
+++ b/libs/directory/endpoints/endpoint_registry.h
@@ -42,10 +42,12 @@
   */
   bool Put(const VersionedEntry& entry, TimePoint changed_since);
 
-  /** @param entry  an entry from the store or from a peer
-      @returns      true if the endpoint has reported something later since the
-                    same start, also if it was removed meanwhile: the entry
-     comes from a store that was restored from a copy */
+  /** Returns whether an entry comes from a store that was restored from a copy.
+
+      @param entry  an entry from the store or from a peer
+      @returns      true if the endpoint is known to have reported something
+                    later since the same start, also if it was removed since
+  */
   bool IsOutdated(const EndpointEntry& entry) const;
 
   /** Marks an entry as removed from the store. A draining endpoint has no
