--- a/libs/coordination/rows/row_store.h
+++ b/libs/coordination/rows/row_store.h
@@ -12,8 +12,8 @@
 
 namespace magnoliareel {
 
-/** Table for the discovery of VMs. Each VM writes its address once, at its
-    start. */
+/** Table for the discovery of VMs. Each VM writes its address at its start, and
+    again when the store was restored from a copy. */
 inline constexpr std::string_view kVmTable = "magnoliareel-vms";
 
 /** One row of a table. */
