--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -548,6 +548,40 @@
              answers.c_str());
 }
 
+TEST(Traffic, NothingIsSentBehindABeginningThatOutlastsTheUseOfAPrimary) {
+  // Guards against a statement that is sent to a leaving primary after its use
+  // has ended, because the beginning of its transaction was under way.
+  using std::chrono::milliseconds;
+  TrafficSimulation simulation(2, GroupOptions{});
+  simulation.SetCallerOutput([](size_t, uint64_t, std::string_view) {});
+  EventQueue& queue = simulation.GetQueue();
+  queue.RunUntil(queue.Now() + std::chrono::seconds(2));
+  simulation.GetGroup().Crash(2, true);
+  const TimePoint end_of_use =
+      queue.Now() + GetMaxDrainingUse(kSimulatedDrainPeriod);
+  simulation.SetDraining(0, true);
+  // VM 1 is 4 ms from the primary. A session with values of its own can't use a
+  // transaction that was begun in advance.
+  const size_t remote_vm = 1;
+  const uint64_t session = simulation.OpenCaller(remote_vm);
+  simulation.Send(remote_vm, session, "STARTUP entries caller");
+  queue.RunUntil(end_of_use - milliseconds(300));
+  simulation.Send(remote_vm, session, "QUERY early READ groyne-1");
+  queue.RunUntil(end_of_use - milliseconds(2));
+  simulation.Send(remote_vm, session, "QUERY s1 SET zone north");
+  simulation.Send(remote_vm, session, "QUERY late READ groyne-1");
+  queue.RunUntil(end_of_use + milliseconds(100));
+  const auto& statements = simulation.GetGroup().GetExecutedStatements();
+  const auto count = [&statements](std::string_view request) {
+    return std::count_if(statements.begin(), statements.end(),
+                         [request](const ExecutedStatement& it) {
+                           return it.request == request;
+                         });
+  };
+  LONGS_EQUAL(1, count("early"));
+  LONGS_EQUAL(0, count("late"));
+}
+
 TEST(Traffic, ReadsThatWaitForAReplicaLeaveItWhenItDrains) {
   // Guards against reads that wait for a replica when it announces its end, and
   // are still sent to it afterwards.
