Answer liveness checks of a stopping process until its requests are done

Cause: a stopping server closed its listening socket first. An entry that has not heard from a pooler for 500 ms checks it on a new connection; the check was refused, so the pooler was taken for dead and its running statements were given up.

HttpServer::Drain() accepts connections until nothing is in progress; new statements are refused by the core and the entry as before.

--- a/apps/load/load_run.cc
+++ b/apps/load/load_run.cc
@@ -59,6 +59,8 @@
     if (loop_.Now() - started_at_ >=
         std::chrono::milliseconds(settings_.duration_ms)) {
       is_finishing_ = true;
+      std::printf("sent all %lu requests\n", generated_requests_);
+      std::fflush(stdout);
       FinishIfIdle();
       return;
     }
--- a/libs/http/server/http_server.cc
+++ b/libs/http/server/http_server.cc
@@ -129,13 +129,19 @@
   size_t CountInProgress() { return GetInProgress().size(); }
 
   bool Drain(Duration timeout) {
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    WaitUntilIdle(deadline);
     MHD_quiesce_daemon(daemon_);
-    std::unique_lock lock(mutex_);
-    return idle_.wait_for(lock, timeout,
-                          [this] { return in_progress_.empty(); });
+    return WaitUntilIdle(deadline);
   }
 
  private:
+  bool WaitUntilIdle(std::chrono::steady_clock::time_point deadline) {
+    std::unique_lock lock(mutex_);
+    return idle_.wait_until(lock, deadline,
+                            [this] { return in_progress_.empty(); });
+  }
+
   static MHD_Result OnAccess(void* self,
                              MHD_Connection* connection,
                              const char* url,
--- a/libs/http/server/http_server.h
+++ b/libs/http/server/http_server.h
@@ -57,7 +57,11 @@
   /** @returns the number of requests without a response */
   size_t CountInProgress() const;
 
-  /** Stops accepting connections and waits until no request is in progress.
+  /** Waits until no request is in progress, then stops accepting connections.
+
+      New connections are accepted until then, because clients that check
+     whether the process lives would otherwise abandon requests that are in
+     progress. The handler must reject new work at once.
 
       @param timeout  longest wait
       @returns        false if requests were still in progress after the timeout
--- a/libs/http/tests/http_test.cc
+++ b/libs/http/tests/http_test.cc
@@ -154,6 +154,35 @@
   CHECK(server.Drain(kTimeout));
 }
 
+TEST(Http, AnswersNewConnectionsWhileARequestIsInProgress) {
+  // Guards against clients that take a process which is stopping for dead,
+  // because it refuses their check, and give up its requests in progress.
+  std::promise<HttpResponder> arrived;
+  HttpServer server(MakeOptions(), [&arrived](const HttpRequest& request,
+                                              const HttpResponder& responder) {
+    if (request.body == "check") {
+      responder.Send({200, "alive"});
+    } else {
+      arrived.set_value(responder);
+    }
+  });
+  CHECK(!server.Start());
+  auto pending_result = std::async(std::launch::async, [this, &server] {
+    return SendRequest(client, server.GetPort(), "slow");
+  });
+  const HttpResponder responder = arrived.get_future().get();
+  auto is_drained = std::async(std::launch::async,
+                               [&server] { return server.Drain(kTimeout); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  HttpClient other_client;
+  const HttpResult check = SendRequest(other_client, server.GetPort(), "check");
+  responder.Send({200, "done"});
+  CHECK(!check.ec);
+  STRCMP_EQUAL("alive", check.body.c_str());
+  STRCMP_EQUAL("done", pending_result.get().body.c_str());
+  CHECK(is_drained.get());
+}
+
 TEST(Http, DestroyingTheServerAbortsRequestsInProgress) {
   std::promise<HttpResponder> arrived;
   auto server = std::make_unique<HttpServer>(
