Send each new document to the pooler of the VM before an entry applies it

Cause: entries and poolers poll the document each for itself. When the store went down within half a second of the change, the entries had learned the document without the key and the pooler had not. The new entry asks poolers, so it took the old document, and no other was to be had until the store's return. Class of fault: what one process has put in force is known to it alone.

--- a/apps/entry/entry_process.cc
+++ b/apps/entry/entry_process.cc
@@ -58,6 +58,7 @@
                        [this](const DocumentOffer& offer) {
                          deployment_watcher_.Offer(offer.version, offer.text);
                        }),
+      document_forwarder_(loop_, rpc_),
       server_(MakeServerOptions(settings_),
               [this](HttpRequest request, const HttpResponder& responder) {
                 HandleHttpRequest(std::move(request), responder);
@@ -107,7 +108,30 @@
     peers.push_back(it.pooler_address);
   }
   document_poller_.SetPeers(std::move(peers));
-  state_.Apply(std::move(deployment));
+  pending_deployment_ = std::move(deployment);
+  if (!is_forwarding_) {
+    ApplyPendingDeployment();
+  }
+}
+
+/** Applies the newest deployment, after its document was sent to the pooler of
+    this VM. Otherwise a key that this entry has rejected could be accepted
+   again by an entry that starts while the platform is unavailable. */
+template <EntryPolicy P>
+void EntryProcess<P>::ApplyPendingDeployment() {
+  const VmEntry* vm = pending_deployment_->FindVm(VmId{settings_.vm});
+  if (vm == nullptr || pending_deployment_->version == forwarded_version_) {
+    state_.Apply(std::move(pending_deployment_));
+    return;
+  }
+  forwarded_version_ = pending_deployment_->version;
+  is_forwarding_ = true;
+  document_forwarder_.Forward(
+      vm->pooler_address, {forwarded_version_, deployment_watcher_.GetText()},
+      [this] {
+        is_forwarding_ = false;
+        ApplyPendingDeployment();
+      });
 }
 
 template <EntryPolicy P>
--- a/apps/entry/entry_process.h
+++ b/apps/entry/entry_process.h
@@ -46,6 +46,7 @@
  private:
   DeploymentEvents MakeDeploymentEvents();
   void ApplyDeployment(std::shared_ptr<const Deployment> deployment);
+  void ApplyPendingDeployment();
   void HandleHttpRequest(HttpRequest request, const HttpResponder& responder);
   void HandleCallerRequest(HttpRequest request, const HttpResponder& responder);
   void Serve(CallerRequest request, const HttpResponder& responder);
@@ -67,6 +68,10 @@
   DeploymentWatcher<ControlLoop, PlatformClient<ControlLoop>>
       deployment_watcher_;
   PeerDocumentPoller<ControlLoop> document_poller_;
+  DocumentForwarder<ControlLoop> document_forwarder_;
+  std::shared_ptr<const Deployment> pending_deployment_;
+  uint64_t forwarded_version_ = 0;
+  bool is_forwarding_ = false;
   // Declared after the members that its completions use, so that it is
   // destroyed before them.
   HttpClient client_;
--- a/apps/pooler/pooler_process.cc
+++ b/apps/pooler/pooler_process.cc
@@ -13,12 +13,15 @@
 namespace {
 
 constexpr size_t kLoopCapacity = 20000;
+/** Leaves room for the largest configuration document and its escapes. */
+constexpr size_t kMaxBodyBytes = 20 * 1024 * 1024;
 constexpr Duration kObserveTimeout = std::chrono::milliseconds(150);
 constexpr Duration kTransactionPollInterval = std::chrono::milliseconds(20);
 
 HttpServerOptions MakeServerOptions(const SocketAddress& listen) {
   HttpServerOptions options;
   options.listen = listen;
+  options.max_body_bytes = kMaxBodyBytes;
   return options;
 }
 
@@ -249,6 +252,16 @@
     return EncodeDocumentOffer(
         {deployment_watcher_.GetVersion(), deployment_watcher_.GetText()});
   });
+  dispatcher_.Add("offer_document", [this](const Json::Value& parameters) {
+    Findings findings;
+    const DocumentOffer offer = DecodeDocumentOffer(parameters, findings);
+    if (findings.IsEmpty()) {
+      deployment_watcher_.Offer(offer.version, offer.text);
+    }
+    Json::Value result(Json::objectValue);
+    result["version"] = Json::UInt64(deployment_watcher_.GetVersion());
+    return result;
+  });
   dispatcher_.Add("promote", [this](const Json::Value& parameters) {
     Findings findings;
     const PromoteRequest request = DecodePromoteRequest(parameters, findings);
--- a/libs/links/links.h
+++ b/libs/links/links.h
@@ -4,11 +4,12 @@
 /** @file
     @brief Module links: HTTP calls with JSON bodies between processes. The
     links implement the concepts that the decision modules define; the other
-    files hold the addresses of endpoints and peers, and the poller that
-    requests the configuration document from peers.
+    files hold the addresses of endpoints and peers, and exchange the
+    configuration document with peers.
 
     Depends on core, codec, entry, failover, http, messages, rpc and settings.
 */
+#include "links/document_forwarder.h"
 #include "links/endpoint_address_map.h"
 #include "links/http_endpoint_link.h"
 #include "links/http_pooler_link.h"
