Demote a primary that answers before another endpoint is promoted

Cause: a replacement pauses the replicas that it knows and compares what they have received, so that the primary can acknowledge commits through the candidate only. A replica that joins between the comparison and the moment when the promotion takes effect (300 to 1,000 ms) is not paused: the old primary, which still leads, acknowledges the commits that were waiting through it, and the promoted replica lacks them. Class of fault: a decision about a group holds for the members that it has surveyed, while the group can grow.

A primary that answers the survey is now demoted before the promotion is ordered. It acknowledges nothing from then on, and the end of its log bounds what was acknowledged. A candidate that has received that much, or does within 150 ms, is promoted. Otherwise only a replica that has joined can have acknowledged the rest: after 1 s, by when the directory lists it, a candidate is promoted if nobody has joined; else the demoted primary is promoted again, and the next attempt includes the new replica. A demoted primary without a successor is a reason for a replacement of its own, at once on the VM that demoted it, and after 2 s without any endpoint that reports the role on the others; if no replica can be promoted then, the VM that demoted it promotes it again.

Ruled out: waiting longer before commits count as stalled (the new replica may join at any time), pausing a replica when it is listed (it had acknowledged 60 ms before it was).

It was never found because promotions took 120 ms in the simulation and members joined at times of their own, and because only the log of the last primary was checked; the check now looks at each promotion, and the stand-in knows the demotion.

Open: a primary that does not answer the VM that replaces it, but others, is not demoted.

--- a/libs/control/failover/endpoint_commands.h
+++ b/libs/control/failover/endpoint_commands.h
@@ -21,6 +21,9 @@
   kPause,
   /** Receives the log again. */
   kResume,
+  /** Becomes a replica, unless it is primary in the command's term or a later
+      one. It acknowledges no commit from then on. */
+  kDemote,
 };
 
 /** @param kind  the kind of command
@@ -34,6 +37,8 @@
       return "pause";
     case EndpointCommandKind::kResume:
       return "resume";
+    case EndpointCommandKind::kDemote:
+      return "demote";
   }
   return "report";
 }
@@ -41,7 +46,7 @@
 /** A command with its argument. */
 struct EndpointCommand {
   EndpointCommandKind kind = EndpointCommandKind::kReport;
-  /** Term of kPause, above every term that the endpoint knows. */
+  /** Term of kPause and kDemote, above every term that the endpoint knows. */
   Term term;
 };
 
--- a/libs/control/failover/failover_control_replacement.h
+++ b/libs/control/failover/failover_control_replacement.h
@@ -54,6 +54,11 @@
   if (entry == nullptr) {
     return std::nullopt;
   }
+  const Progress& progress = progress_[service];
+  if (primary->demoted || (progress.awaits_promotion &&
+                           progress.demoted_primary.id == primary->endpoint)) {
+    return ReplacementReason::kDemoted;
+  }
   if (entry->draining) {
     return ReplacementReason::kDraining;
   }
@@ -92,7 +97,9 @@
       now < progress.not_before) {
     return;
   }
-  if (!ListBlockingDepartures(service).empty()) {
+  const bool has_unaccounted_departures =
+      !ListBlockingDepartures(service).empty();
+  if (has_unaccounted_departures && reason != ReplacementReason::kDemoted) {
     return;
   }
   if (claims_.GetToken(service) == 0) {
@@ -105,6 +112,9 @@
   plan.primary_id = primary.endpoint;
   plan.reason = reason;
   plan.fencing_token = claims_.GetToken(service);
+  plan.demoted_primary = progress.demoted_primary;
+  plan.has_unaccounted_departures = has_unaccounted_departures;
+  plan.list_endpoints = [this, service] { return ListEndpoints(service); };
   if (now < progress.pending_until) {
     plan.pending_promotion = progress.pending_promotion;
   }
@@ -176,9 +186,14 @@
     claims_.Forget(service);
   }
   progress.not_before = now + kReplacementRetryInterval;
+  if (result.demoted_primary) {
+    progress.demoted_primary = *result.demoted_primary;
+    progress.awaits_promotion = true;
+  }
   switch (result.outcome) {
     case ReplacementOutcome::kPromoted:
     case ReplacementOutcome::kUncertain:
+      progress.awaits_promotion = false;
       progress.not_before = now + kPromotionTimeout;
       // Only the latest promotion is announced: a VM that receives two under
       // one token applies the later one.
@@ -204,6 +219,7 @@
       delegate_.After(kPromotionTimeout, [this] { Review(); });
       break;
     case ReplacementOutcome::kAlreadyReplaced:
+      progress.awaits_promotion = false;
       primaries_.RecordConfirmed(service, result.primary, result.term);
       delegate_.AnnouncePrimary(service, result.primary);
       break;
@@ -215,6 +231,8 @@
       claims_.Forget(service);
       break;
     case ReplacementOutcome::kNotNeeded:
+      progress.awaits_promotion = false;
+      [[fallthrough]];
     case ReplacementOutcome::kAbandoned:
       LogEvent(Event::kReplacementAbandoned,
                {{"service", service.value},
--- a/libs/control/failover/primary_registry.cc
+++ b/libs/control/failover/primary_registry.cc
@@ -30,6 +30,17 @@
     }
   }
   for (auto& [service, record] : primaries_) {
+    const auto reported =
+        std::find_if(endpoints.begin(), endpoints.end(),
+                     [&service = service](const EndpointEntry& it) {
+                       return it.service == service && it.claims_primary;
+                     });
+    if (reported != endpoints.end()) {
+      record.latest_reported = reported->id;
+      record.unreported_since.reset();
+    } else if (!record.unreported_since) {
+      record.unreported_since = now;
+    }
     const EndpointId& primary = record.endpoint;
     const bool listed = std::any_of(
         endpoints.begin(), endpoints.end(),
@@ -114,6 +125,10 @@
   primary.confirmed = record.confirmed;
   primary.gone = record.missing_since &&
                  now - *record.missing_since >= kDelistedGracePeriod;
+  primary.demoted = record.confirmed &&
+                    record.latest_reported == record.endpoint &&
+                    !record.missing_since && record.unreported_since &&
+                    now - *record.unreported_since >= kConfirmationTimeout;
   primary.promotion_failed =
       !record.confirmed && record.promotion_ordered_at &&
       now - *record.promotion_ordered_at >= kConfirmationTimeout;
--- a/libs/control/failover/primary_registry.h
+++ b/libs/control/failover/primary_registry.h
@@ -39,6 +39,9 @@
     bool gone = false;
     /** Its promotion was ordered and not confirmed in time. */
     bool promotion_failed = false;
+    /** It reports that it is a replica, and for kConfirmationTimeout no
+       endpoint has reported the role of the primary. */
+    bool demoted = false;
   };
 
   /** Applies a listing of the endpoints in use.
@@ -101,6 +104,10 @@
     /** Endpoint of the latest order; a repeated order changes nothing. */
     EndpointId promotion_endpoint;
     std::optional<TimePoint> missing_since;
+    /** Endpoint that reported the role of the primary last. */
+    EndpointId latest_reported;
+    /** Time since which no endpoint reports it. */
+    std::optional<TimePoint> unreported_since;
   };
 
   std::map<ServiceId, Record> primaries_;
--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -29,6 +30,17 @@
     lost. */
 inline constexpr int kMaxPromotionAttempts = 4;
 
+/** Interval between two reports of a candidate that may still receive what a
+    demoted primary has sent. */
+inline constexpr Duration kCandidateReportInterval =
+    std::chrono::milliseconds(25);
+/** Maximum number of these reports. Together they take longer than a commit
+    needs between regions. */
+inline constexpr int kMaxCandidateReports = 6;
+/** Time after a demotion by which the directory lists every endpoint that had
+    joined before it. */
+inline constexpr Duration kMembershipDelay = std::chrono::milliseconds(1000);
+
 /** One attempt to replace a primary without losing an acknowledged commit.
 
     A commit is acknowledged once the primary and one replica hold it. The
@@ -36,8 +48,14 @@
     From then on, the primary can acknowledge a commit only if the candidate
     holds it. Once the candidate has received at least as much of the log as
     every paused replica, it also holds every commit acknowledged before the
-    pause, and is promoted. The old primary serves until the promotion takes
-    effect.
+    pause.
+
+    That does not hold for a replica that joins later, since nothing pauses it.
+    A primary that answers is therefore demoted before the promotion, and its
+    log compared with the candidate's. If the candidate lacks the end of it,
+   only a replica that has joined can have acknowledged that; if one has, the
+    demoted primary is promoted again, and the next attempt includes the new
+    replica. A primary that does not answer is replaced without a demotion.
 
     @tparam C  @see EndpointCommandSender
     @tparam P  @see PromotionSender
@@ -161,19 +179,28 @@
       Finish(ReplacementOutcome::kNotNeeded, plan_.primary_id, "");
       return;
     }
+    if (IsPrimaryDemoted() && plan_.reason != ReplacementReason::kDemoted) {
+      // The VM that demoted it may have ordered a promotion.
+      Finish(ReplacementOutcome::kAbandoned, {},
+             "another VM has demoted the primary");
+      return;
+    }
     SetActingPrimaryAside();
+    if (plan_.has_unaccounted_departures) {
+      PromotePrimaryAgainOrAbandon("a departed replica is unaccounted for");
+      return;
+    }
     if (std::any_of(replicas_.begin(), replicas_.end(),
                     [](const SurveyedEndpoint& it) { return !it.status; })) {
       // It may be the only replica that holds an acknowledged commit. The
       // others go on receiving, or commits would stall while it is silent.
-      Finish(ReplacementOutcome::kAbandoned, {}, "a replica does not answer");
+      PromotePrimaryAgainOrAbandon("a replica does not answer");
       return;
     }
     const std::optional<size_t> next =
         ChoosePromotionCandidate(replicas_, plan_.pending_promotion);
     if (!next) {
-      Finish(ReplacementOutcome::kAbandoned, {},
-             "no replica is eligible for promotion");
+      PromotePrimaryAgainOrAbandon("no replica is eligible for promotion");
       return;
     }
     candidate_ = *next;
@@ -181,6 +208,10 @@
     PauseOthers();
   }
 
+  bool IsPrimaryDemoted() const {
+    return primary_status_ && !primary_status_->is_primary;
+  }
+
   // While a promotion that was ordered has not taken effect, the old primary
   // may be listed among the replicas. What it holds beyond the candidate's log
   // was acknowledged by nobody.
@@ -188,6 +219,12 @@
     if (plan_.pending_promotion.IsEmpty()) {
       return;
     }
+    if (const EndpointId& demoted = plan_.demoted_primary.id;
+        demoted != plan_.pending_promotion) {
+      std::erase_if(replicas_, [&demoted](const SurveyedEndpoint& it) {
+        return it.entry.id == demoted;
+      });
+    }
     Term newest_term;
     for (const SurveyedEndpoint& it : replicas_) {
       if (it.status) {
@@ -201,6 +238,9 @@
   }
 
   bool IsPrimaryHealthy() const {
+    if (plan_.reason == ReplacementReason::kDemoted) {
+      return primary_status_ && primary_status_->is_primary;
+    }
     if (plan_.reason != ReplacementReason::kCommitsStalled) {
       return false;
     }
@@ -256,7 +296,7 @@
       return;
     }
     if (HasReceivedMost(candidate_)) {
-      Promote();
+      DemotePrimary(0);
       return;
     }
     if (replicas_[candidate_].entry.id == plan_.pending_promotion) {
@@ -289,7 +329,7 @@
     for (size_t it = 0; it < replicas_.size(); ++it) {
       if (HasReceivedMost(it) && !replicas_[it].entry.draining) {
         candidate_ = it;
-        Promote();
+        DemotePrimary(0);
         return;
       }
     }
@@ -300,6 +340,104 @@
         candidate_ = it;
       }
     }
+    DemotePrimary(0);
+  }
+
+  void DemotePrimary(int attempt) {
+    if (!primary_status_) {
+      Promote();
+      return;
+    }
+    if (IsPrimaryDemoted()) {
+      CompareWithPrimary();
+      return;
+    }
+    auto self = this->shared_from_this();
+    commands_.Send(
+        *plan_.primary, {EndpointCommandKind::kDemote, pause_term_},
+        kEndpointCommandTimeout,
+        [self, attempt](std::error_code ec, const ReplicationStatus& status) {
+          if (ec == Error::kOverloaded && attempt < kMaxBusyEndpointRetries) {
+            self->timing_.After(kBusyEndpointRetryInterval, [self, attempt] {
+              self->DemotePrimary(attempt + 1);
+            });
+            return;
+          }
+          self->LogStep(self->plan_.primary_id, EndpointCommandKind::kDemote,
+                        ec, status);
+          self->FinishDemotion(ec, status);
+        });
+  }
+
+  void FinishDemotion(std::error_code ec, const ReplicationStatus& status) {
+    if (ec == Error::kAnswerLost) {
+      demoted_primary_ = {plan_.primary_id, std::nullopt};
+    }
+    if (ec || status.is_primary) {
+      Finish(ReplacementOutcome::kAbandoned, {},
+             "the primary did not confirm its demotion");
+      return;
+    }
+    primary_status_ = status;
+    demoted_primary_ = {plan_.primary_id, status.received};
+    CompareWithPrimary();
+  }
+
+  void CompareWithPrimary() {
+    const std::optional<ReplicationStatus>& status =
+        replicas_[candidate_].status;
+    if (status && status->received >= primary_status_->received) {
+      Promote();
+      return;
+    }
+    if (status && candidate_reports_++ < kMaxCandidateReports) {
+      timing_.After(kCandidateReportInterval, [self =
+                                                   this->shared_from_this()] {
+        self->pending_ = 1;
+        self->SendCommand(self->candidate_, {EndpointCommandKind::kReport, {}},
+                          0, &PrimaryReplacement::CompareWithPrimary);
+      });
+      return;
+    }
+    timing_.After(kMembershipDelay, [self = this->shared_from_this()] {
+      self->FinishMembershipCheck();
+    });
+  }
+
+  void FinishMembershipCheck() {
+    const std::vector<EndpointEntry> listed = plan_.list_endpoints();
+    const bool is_known =
+        std::all_of(listed.begin(), listed.end(), [&](const auto& entry) {
+          return entry.id == plan_.primary_id ||
+                 std::any_of(plan_.replicas.begin(), plan_.replicas.end(),
+                             [&](const EndpointEntry& it) {
+                               return it.id == entry.id;
+                             });
+        });
+    if (is_known && replicas_[candidate_].status) {
+      Promote();
+      return;
+    }
+    PromotePrimaryAgainOrAbandon(
+        "a replica that has joined may hold the end of the log");
+  }
+
+  // A demoted primary holds every commit that was acknowledged before. It is
+  // promoted again if no replica can be, so that the service has a primary.
+  void PromotePrimaryAgainOrAbandon(std::string_view reason) {
+    const std::optional<LogPoint>& log_end =
+        demoted_primary_ ? demoted_primary_->log_end
+        : plan_.demoted_primary.id == plan_.primary_id
+            ? plan_.demoted_primary.log_end
+            : std::nullopt;
+    if (!IsPrimaryDemoted() || !log_end ||
+        primary_status_->received < *log_end ||
+        !plan_.pending_promotion.IsEmpty()) {
+      Finish(ReplacementOutcome::kAbandoned, {}, reason);
+      return;
+    }
+    candidate_ = replicas_.size();
+    replicas_.push_back({*plan_.primary, primary_status_});
     Promote();
   }
 
@@ -367,6 +505,7 @@
     result.promotion_reply_lost = lost_promotion_replies_ > 0;
     result.reason = reason;
     result.possibly_paused = possibly_paused_;
+    result.demoted_primary = demoted_primary_;
     done_(result);
   }
 
@@ -383,6 +522,8 @@
   size_t candidate_ = 0;
   Term pause_term_;
   int candidate_pauses_ = 0;
+  int candidate_reports_ = 0;
+  std::optional<DemotedPrimary> demoted_primary_;
   int lost_promotion_replies_ = 0;
 };
 
--- a/libs/control/failover/replacement_plan.h
+++ b/libs/control/failover/replacement_plan.h
@@ -2,6 +2,7 @@
 #define MAGNOLIAREEL_CONTROL_FAILOVER_REPLACEMENT_PLAN_H_
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <span>
 #include <string_view>
@@ -22,6 +23,8 @@
   kUnreachable,
   /** It answers, but its commits are not acknowledged. */
   kCommitsStalled,
+  /** It was demoted by an attempt that did not promote another endpoint. */
+  kDemoted,
 };
 
 /** @param reason  the reason
@@ -37,10 +40,20 @@
       return "unreachable";
     case ReplacementReason::kCommitsStalled:
       return "commits_stalled";
+    case ReplacementReason::kDemoted:
+      return "demoted";
   }
   return "gone";
 }
 
+/** A primary that an attempt has demoted, or may have demoted by a command
+   whose answer was lost. */
+struct DemotedPrimary {
+  EndpointId id;
+  /** End of its log after the demotion; none if it was not confirmed. */
+  std::optional<LogPoint> log_end;
+};
+
 /** Input of one attempt to replace a primary. */
 struct ReplacementPlan {
   ServiceId service;
@@ -58,6 +71,13 @@
       is promoted: the late order would end the pauses that a promotion relies
       on. */
   EndpointId pending_promotion;
+  /** Primary that the latest attempt of this VM with a demotion has demoted. */
+  DemotedPrimary demoted_primary;
+  /** Departed replicas are not accounted for, so that no replica may be
+      promoted. */
+  bool has_unaccounted_departures = false;
+  /** Lists the service's endpoints in use at the time of the call. */
+  std::function<std::vector<EndpointEntry>()> list_endpoints;
 };
 
 /** Result of a replacement attempt. */
@@ -92,6 +112,8 @@
       in transit. After a promotion they must stay paused until it has taken
       effect. */
   std::vector<EndpointEntry> possibly_paused;
+  /** Set if the attempt has demoted the primary, or may have. */
+  std::optional<DemotedPrimary> demoted_primary;
 };
 
 /** A replica and the status that it reported; none if it did not answer. */
--- a/libs/control/tests/control_test.cc
+++ b/libs/control/tests/control_test.cc
@@ -59,6 +59,13 @@
     }
     if (command.kind == EndpointCommandKind::kPause) {
       it->second.paused_at = command.term;
+    } else if (command.kind == EndpointCommandKind::kDemote) {
+      it->second.is_primary = false;
+      on_demotion();
+      if (loses_demotion_reply) {
+        done(Error::kAnswerLost, {});
+        return;
+      }
     }
     done({}, it->second);
   }
@@ -96,6 +103,7 @@
 
   ReplacementResult Run(ReplacementPlan plan) {
     plan.service = kService;
+    plan.list_endpoints = [this] { return listed; };
     plan.fencing_token = 9;
     ReplacementResult result;
     std::make_shared<PrimaryReplacement<FakeGroup, FakeGroup, FakeGroup>>(
@@ -107,6 +115,11 @@
 
   std::map<std::string, ReplicationStatus> statuses;
   std::set<std::string> busy;
+  // Endpoints that the directory lists after the demotion.
+  std::vector<EndpointEntry> listed;
+  // Called when an endpoint has been demoted.
+  std::function<void()> on_demotion = [] {};
+  bool loses_demotion_reply = false;
   // Endpoint that does not answer a pause; empty for none.
   std::string fails_pause;
   std::error_code promotion_reply;
@@ -186,6 +199,77 @@
   STRCMP_EQUAL("db-2", result.primary.value.c_str());
 }
 
+TEST(Replacement, DemotesAPrimaryThatAnswersBeforeThePromotion) {
+  // Guards against commits that a replica acknowledges which joins before the
+  // promotion takes effect (LOST in draining-primary).
+  group.statuses = {{"db-1", MakeStatus(true, 1, 7)},
+                    {"db-2", MakeStatus(false, 1, 7)},
+                    {"db-3", MakeStatus(false, 1, 5)}};
+  const ReplacementResult result =
+      group.Replace(ReplacementReason::kDraining, replicas);
+  CHECK(result.outcome == ReplacementOutcome::kPromoted);
+  STRCMP_EQUAL(
+      "report db-2;report db-3;report db-1;pause db-3;report db-2;"
+      "demote db-1;promote db-2 9;",
+      group.trace.c_str());
+}
+
+TEST(Replacement, PromotesOnceTheCandidateHasWhatTheDemotedPrimaryHasSent) {
+  group.statuses = {{"db-1", MakeStatus(true, 1, 9)},
+                    {"db-2", MakeStatus(false, 1, 8)},
+                    {"db-3", MakeStatus(false, 1, 7)}};
+  group.on_demotion = [this] {
+    group.statuses["db-2"] = MakeStatus(false, 1, 9);
+  };
+  const ReplacementResult result =
+      group.Replace(ReplacementReason::kDraining, replicas);
+  STRCMP_EQUAL("db-2", result.primary.value.c_str());
+  CHECK(group.trace.ends_with("demote db-1;report db-2;promote db-2 9;"));
+}
+
+TEST(Replacement, PromotesTheDemotedPrimaryAgainIfAReplicaHasJoined) {
+  // What the candidate lacks may have been acknowledged by the new replica.
+  group.statuses = {{"db-1", MakeStatus(true, 1, 9)},
+                    {"db-2", MakeStatus(false, 1, 7)},
+                    {"db-3", MakeStatus(false, 1, 7)}};
+  group.listed = {MakeEntry("db-1"), MakeEntry("db-2"), MakeEntry("db-3"),
+                  MakeEntry("db-4")};
+  const ReplacementResult result =
+      group.Replace(ReplacementReason::kCommitsStalled, replicas);
+  CHECK(result.outcome == ReplacementOutcome::kPromoted);
+  STRCMP_EQUAL("db-1", result.primary.value.c_str());
+  CHECK(group.trace.find("promote db-2") == std::string::npos);
+  group.trace.clear();
+  group.statuses["db-1"] = MakeStatus(true, 1, 9);
+  group.listed.pop_back();
+  STRCMP_EQUAL("db-2",
+               group.Replace(ReplacementReason::kCommitsStalled, replicas)
+                   .primary.value.c_str());
+}
+
+TEST(Replacement, PromotesNobodyIfTheDemotionIsNotConfirmed) {
+  group.statuses = {{"db-1", MakeStatus(true, 1, 7)},
+                    {"db-2", MakeStatus(false, 1, 7)},
+                    {"db-3", MakeStatus(false, 1, 7)}};
+  group.loses_demotion_reply = true;
+  const ReplacementResult result =
+      group.Replace(ReplacementReason::kDraining, replicas);
+  CHECK(result.outcome == ReplacementOutcome::kAbandoned);
+  CHECK(result.demoted_primary && !result.demoted_primary->log_end);
+  CHECK(group.trace.find("promote") == std::string::npos);
+}
+
+TEST(Replacement, LeavesAPrimaryThatAnotherVmHasDemotedForAWhile) {
+  // That VM may have ordered a promotion that has not taken effect.
+  group.statuses = {{"db-1", MakeStatus(false, 1, 7)},
+                    {"db-2", MakeStatus(false, 1, 7)},
+                    {"db-3", MakeStatus(false, 1, 7)}};
+  CHECK(group.Replace(ReplacementReason::kDraining, replicas).outcome ==
+        ReplacementOutcome::kAbandoned);
+  CHECK(group.Replace(ReplacementReason::kDemoted, replicas).outcome ==
+        ReplacementOutcome::kPromoted);
+}
+
 TEST(Replacement, DoesNotPromoteADrainingEndpoint) {
   group.statuses = {{"db-2", MakeStatus(false, 1, 7)},
                     {"db-3", MakeStatus(false, 1, 7)}};
@@ -296,6 +380,20 @@
   CHECK(!registry.Get(kService, After(9000))->promotion_failed);
 }
 
+TEST(Primaries, AreDemotedIfNoEndpointReportsTheRoleForAWhile) {
+  PrimaryRegistry registry;
+  std::vector<EndpointEntry> entries = {MakeEntry("db-1"), MakeEntry("db-2")};
+  entries[0].claims_primary = true;
+  registry.Apply(entries, kStart);
+  entries[0].claims_primary = false;
+  registry.Apply(entries, After(1000));
+  CHECK(!registry.Get(kService, After(2900))->demoted);
+  CHECK(registry.Get(kService, After(3000))->demoted);
+  entries[1].claims_primary = true;
+  registry.Apply(entries, After(3000));
+  CHECK(!registry.Get(kService, After(9000))->demoted);
+}
+
 TEST(Primaries, AreGoneAfterTheirRemovalFromTheDirectory) {
   PrimaryRegistry registry;
   EndpointEntry entry = MakeEntry("db-1");
--- a/libs/control/tests/failover_control_test.cc
+++ b/libs/control/tests/failover_control_test.cc
@@ -63,6 +63,10 @@
             Duration,
             const EndpointCommandCompletion& done) {
     ReplicationStatus status;
+    if (command.kind == EndpointCommandKind::kDemote &&
+        endpoint.id.value == primary && endpoint.id.value != unresponsive) {
+      primary.clear();
+    }
     status.is_primary = endpoint.id.value == primary;
     status.term = Term{term};
     const auto end = log_ends.find(endpoint.id.value);
@@ -90,6 +94,11 @@
                uint64_t token,
                const std::function<void(std::error_code)>& done) {
     promotions.emplace_back(endpoint.value, token);
+    if (rejected_promotions > 0) {
+      --rejected_promotions;
+      done(Error::kUnreachable);
+      return;
+    }
     if (lost_promotion_replies > 0) {
       --lost_promotion_replies;
       done(Error::kAnswerLost);
@@ -149,6 +158,8 @@
   std::string primary = "db-1";
   uint64_t term = 1;
   int lost_promotion_replies = 0;
+  // Number of promotions that the platform does not accept.
+  int rejected_promotions = 0;
   // Number of promotions that are accepted without effect.
   int ineffective_promotions = 0;
   // Ends of the endpoints' logs; 7 for those that are not named.
@@ -236,6 +247,44 @@
   CHECK(fake.paused.empty());
 }
 
+TEST(Failover, PromotesAReplicaAfterADemotionWithoutAPromotion) {
+  // The platform was unavailable after the primary had been demoted. Its
+  // commits do not stall any more, since it accepts none.
+  fake.log_ends["db-1"] = 9;
+  failover.Apply(fake.MakeView(""));
+  RunWithReviews(5);
+  fake.promotions.clear();
+  fake.rejected_promotions = 2;
+  failover.HandleConditionReport(
+      {EndpointId{"db-1"}, EndpointCondition::kCommitsStalled});
+  RunWithReviews(6);
+  CHECK(fake.promotions.size() > 2);
+  CHECK(!fake.primary.empty());
+}
+
+TEST(Failover, PromotesTheDemotedPrimaryAgainIfAReplicaFallsSilent) {
+  failover.Apply(fake.MakeView(""));
+  RunWithReviews(5);
+  fake.rejected_promotions = 1;
+  failover.Apply(fake.MakeView("db-1"));
+  fake.Advance(std::chrono::milliseconds(100));
+  CHECK(fake.primary.empty());
+  fake.unresponsive = "db-3";
+  RunWithReviews(2);
+  STRCMP_EQUAL("db-1", fake.primary.c_str());
+}
+
+TEST(Failover, ReplacesAPrimaryThatAVmHasDemotedWhichFailedThen) {
+  failover.Apply(fake.MakeView(""));
+  RunWithReviews(5);
+  fake.primary.clear();
+  failover.Apply(fake.MakeView(""));
+  RunWithReviews(1);
+  CHECK(fake.primary.empty());
+  RunWithReviews(3);
+  CHECK(!fake.primary.empty());
+}
+
 TEST(Failover, ReplicasReceiveWhileOneOfThemIsSilent) {
   // Guards against commits that stall for as long as a replica is silent: each
   // attempt left another replica paused, until the next one began (DRAIN on
--- a/standins/group/group_model.cc
+++ b/standins/group/group_model.cc
@@ -268,9 +268,13 @@
   Member& member = members_[connection.member];
   std::string_view body = text;
   std::string verb = TakeNextField(body);
-  if (verb == "STATUS" || verb == "PAUSE" || verb == "RESUME") {
+  if (verb == "STATUS" || verb == "PAUSE" || verb == "RESUME" ||
+      verb == "DEMOTE") {
     if (verb == "PAUSE" && Term{ParseNumberOrZero(body)} > member.term) {
       member.paused_at_term = Term{ParseNumberOrZero(body)};
+    } else if (verb == "DEMOTE" &&
+               Term{ParseNumberOrZero(body)} > member.term) {
+      Demote(connection.member);
     } else if (verb == "RESUME") {
       member.paused_at_term = {};
       SynchronizeLog(connection.member);
--- a/standins/group/group_model.h
+++ b/standins/group/group_model.h
@@ -48,6 +48,14 @@
   TimePoint acknowledged_at;
 };
 
+/** A promotion that took effect, recorded for the checks of tests. */
+struct AppliedPromotion {
+  std::string endpoint;
+  TimePoint at;
+  /** The member's log at that time, as indexes into GetCommits(). */
+  std::vector<size_t> log;
+};
+
 /** A statement that a member executed, recorded for the checks of tests. */
 struct ExecutedStatement {
   std::string request;
@@ -65,9 +73,9 @@
 
 /** Simulates a group of replicated databases that speak the line-based session
     protocol. It models terms, log positions, acknowledgement by a replica,
-    pauses of replication, promotions, slots, transactions, lost answers and
-    crashes. The owner supplies the transport, the clock and the timers, so that
-    the same model runs in simulated time and in a server.
+    pauses of replication, promotions, demotions, slots, transactions, lost
+   answers and crashes. The owner supplies the transport, the clock and the
+   timers, so that the same model runs in simulated time and in a server.
 
     Test-only. It follows the published rules of the protocol, is not a copy of
     a real system and verifies nothing itself: tests check what it recorded.
@@ -168,6 +176,10 @@
   const std::vector<size_t>& GetLog(size_t member) const {
     return members_[member].log;
   }
+  /** @returns the promotions that took effect, in their order */
+  const std::vector<AppliedPromotion>& GetPromotions() const {
+    return promotions_;
+  }
   /** @returns the executed statements, in order of execution */
   const std::vector<ExecutedStatement>& GetExecutedStatements() const {
     return executed_statements_;
@@ -235,6 +247,7 @@
   void ReceiveCommit(size_t member, size_t commit, uint64_t incarnation);
   void SynchronizeLog(size_t member);
   void ApplyPromotion(size_t member, Term term);
+  void Demote(size_t member);
   LogPoint GetLastPoint(const Member& member, bool applied) const;
   std::string FormatReady(const Connection& connection) const;
   std::string FormatStatus(const Member& member) const;
@@ -254,6 +267,7 @@
   std::vector<Member> members_;
   std::map<uint64_t, Connection> connections_;
   std::vector<CommitRecord> commits_;
+  std::vector<AppliedPromotion> promotions_;
   std::vector<ExecutedStatement> executed_statements_;
   Term newest_term_{1};
   uint64_t highest_fencing_token_ = 0;
--- a/standins/group/group_replication.cc
+++ b/standins/group/group_replication.cc
@@ -93,6 +93,7 @@
   primary.is_primary = true;
   primary.term = term;
   primary.applied_count = primary.log.size();
+  promotions_.push_back({primary.id, now_, primary.log});
   for (Member& it : members_) {
     it.paused_at_term = {};
   }
@@ -101,6 +102,15 @@
   }
 }
 
+// The replicas receive what the primary has sent before. Commits that wait for
+// a replica are not acknowledged any more.
+void GroupModel::Demote(size_t index) {
+  for (size_t it = 0; it < members_.size(); ++it) {
+    SynchronizeLog(it);
+  }
+  members_[index].is_primary = false;
+}
+
 void GroupModel::Crash(size_t index, bool is_silent) {
   Member& member = members_[index];
   member.is_up = false;
--- a/tests/traffic/simulated_services.cc
+++ b/tests/traffic/simulated_services.cc
@@ -52,6 +52,9 @@
     case EndpointCommandKind::kResume:
       platform::LineDialect::AppendResume(bytes);
       break;
+    case EndpointCommandKind::kDemote:
+      platform::LineDialect::AppendDemote(bytes, command.term);
+      break;
   }
   simulation.queue_.After(Duration(2000), [&simulation, id, member, bytes] {
     simulation.group_.SetNow(simulation.queue_.Now());
@@ -74,6 +77,7 @@
                                 uint64_t fencing_token,
                                 std::function<void(std::error_code)> done) {
   TrafficSimulation& simulation = simulation_;
+  simulation.promotion_observer_();
   const auto promote = [&simulation, endpoint, fencing_token] {
     simulation.group_.SetNow(simulation.Now());
     return simulation.group_.Promote(endpoint.value, fencing_token);
--- a/tests/traffic/traffic_history.cc
+++ b/tests/traffic/traffic_history.cc
@@ -67,6 +67,9 @@
         AddViolation("LOST", group_.GetCommits()[commit].requests.front());
       }
     }
+    for (const AppliedPromotion& it : group_.GetPromotions()) {
+      CheckPromotion(it);
+    }
     return std::move(violations_);
   }
 
@@ -75,6 +78,20 @@
     violations_.push_back(rule + " " + id);
   }
 
+  // A later promotion may bring back a log with the missing commits, so the
+  // last primary alone does not show that one was lost.
+  void CheckPromotion(const AppliedPromotion& promotion) {
+    const std::set<size_t> log(promotion.log.begin(), promotion.log.end());
+    for (size_t it = 0; it < group_.GetCommits().size(); ++it) {
+      const CommitRecord& commit = group_.GetCommits()[it];
+      if (commit.acknowledged && commit.acknowledged_at < promotion.at &&
+          !log.contains(it)) {
+        AddViolation("LOST at the promotion of " + promotion.endpoint,
+                     commit.requests.front());
+      }
+    }
+  }
+
   void CheckOutcome(const CallerOperation& operation) {
     const CallerStatement& last = operation.statements.back();
     const bool guaranteed_no_effect = std::any_of(
--- a/tests/traffic/traffic_history.h
+++ b/tests/traffic/traffic_history.h
@@ -52,7 +52,8 @@
     @param primary        the member that is primary after the run
     @param max_staleness  staleness bound of the routes that have one
     @returns              one line for each violation, "RULE ID"; the rules are
-                          LOST (an acknowledged commit is missing), TWICE (a
+                          LOST (an acknowledged commit is missing at the end, or
+                          was at a promotion), TWICE (a
                           statement was committed more than once), REFUSED (an
                           error guaranteed no effect, but the statement was
                           committed), UNASKED (a commit or a text that no caller
--- a/tests/traffic/traffic_simulation.h
+++ b/tests/traffic/traffic_simulation.h
@@ -137,6 +137,11 @@
   /** Sets the probability that a promotion is not answered and takes effect
       seconds later. */
   void SetPromotionLoss(double probability) { promotion_loss_ = probability; }
+  /** Sets a function that is called whenever a promotion is ordered, before it
+      takes effect. */
+  void SetPromotionObserver(std::function<void()> observer) {
+    promotion_observer_ = std::move(observer);
+  }
 
   /** @see FailoverDelegate */
   TimePoint Now() const { return queue_.Now(); }
@@ -204,6 +209,7 @@
   uint64_t next_link_ = 1;
   uint64_t next_caller_ = 1;
   double promotion_loss_ = 0;
+  std::function<void()> promotion_observer_ = [] {};
   /** A time in which the directory lists a member as draining. */
   struct Drain {
     TimePoint since;
--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -42,6 +42,9 @@
   /** Those of kTransient; besides, the primary leaves while a replica answers
       nobody, so that it has no successor. */
   kLeavingPrimary,
+  /** Those of kMembership; besides, a replica leaves and another one receives
+      nothing, and a new member joins while a promotion is ordered. */
+  kJoiningMember,
 };
 
 /** One simulated run: callers on all VMs, a period with random faults, and a
@@ -52,14 +55,17 @@
       @param vms          number of VMs in front of the group
       @param callers      number of callers on all VMs together
       @param connections  number of connections that each member accepts
+      @param promotion_delay  time until a promotion takes effect
   */
   explicit TrafficRun(uint64_t seed,
                       size_t vms = kVmCount,
                       size_t callers = 3 * kVmCount,
-                      uint32_t connections = kMemberConnections)
-      : vms_(vms), random_(seed) {
+                      uint32_t connections = kMemberConnections,
+                      Duration promotion_delay = GroupOptions{}.promotion_delay)
+      : vms_(vms), random_(seed), promotion_delay_(promotion_delay) {
     GroupOptions options;
     options.seed = seed;
+    options.promotion_delay = promotion_delay;
     options.max_connections = connections;
     options.slots = 2 + static_cast<uint32_t>(random_() % 4);
     simulation_ = std::make_unique<TrafficSimulation>(vms, options);
@@ -85,6 +91,9 @@
       if (schedule == FaultSchedule::kNone) {
         return;
       }
+      if (schedule == FaultSchedule::kJoiningMember) {
+        simulation_->SetPromotionObserver([this] { JoinBehindPromotion(); });
+      }
       for (int n = 0; n < 6; ++n) {
         simulation_->GetQueue().After(
             std::chrono::milliseconds(random_() % 6000),
@@ -182,11 +191,52 @@
       }
       group.Leave(member);
       simulation_->SetDraining(member, false);
-      simulation_->GetQueue().After(duration, [this, member] {
-        simulation_->GetGroup().Join(member);
-        simulation_->Publish();
-        is_member_down_ = false;
-      });
+      simulation_->GetQueue().After(duration,
+                                    [this, member] { JoinIfLeft(member); });
+    });
+  }
+
+  void JoinIfLeft(size_t member) {
+    if (simulation_->GetGroup().HasLeft(member)) {
+      simulation_->GetGroup().Join(member);
+      is_member_down_ = false;
+    }
+  }
+
+  // Starts a new member in the place of one that has left before the promotion
+  // that was just ordered takes effect.
+  void JoinBehindPromotion() {
+    const Duration delay{
+        static_cast<int64_t>(random_() % promotion_delay_.count())};
+    for (size_t it = 0; it < simulation_->GetGroup().CountMembers(); ++it) {
+      simulation_->GetQueue().After(delay, [this, it] { JoinIfLeft(it); });
+    }
+  }
+
+  // Lets a replica leave for good; another one receives nothing afterwards, so
+  // that commits stall.
+  void LoseAcknowledgingReplicas() {
+    GroupModel& group = simulation_->GetGroup();
+    if (is_member_down_ || is_replica_deaf_) {
+      return;
+    }
+    is_member_down_ = true;
+    is_replica_deaf_ = true;
+    size_t primary = 0;
+    while (!group.HasPrimaryRole(primary)) {
+      ++primary;
+    }
+    const size_t deaf = (primary + 2) % group.CountMembers();
+    ReplaceMember((primary + 1) % group.CountMembers(),
+                  std::chrono::seconds(3));
+    EventQueue& queue = simulation_->GetQueue();
+    const Duration delay = std::chrono::milliseconds(1300 + random_() % 700);
+    queue.After(delay, [this, deaf] {
+      simulation_->GetGroup().SetReplicationCut(deaf, true);
+    });
+    queue.After(delay + std::chrono::milliseconds(2000), [this, deaf] {
+      simulation_->GetGroup().SetReplicationCut(deaf, false);
+      is_replica_deaf_ = false;
     });
   }
 
@@ -218,12 +268,17 @@
       LetPrimaryLeaveWithoutSuccessor();
       return;
     }
+    if (schedule == FaultSchedule::kJoiningMember && random_() % 2 == 0) {
+      LoseAcknowledgingReplicas();
+      return;
+    }
     GroupModel& group = simulation_->GetGroup();
     EventQueue& queue = simulation_->GetQueue();
     const size_t member = random_() % group.CountMembers();
     const size_t vm = random_() % vms_;
     const Duration duration = std::chrono::milliseconds(200 + random_() % 1500);
-    const bool with_membership = schedule == FaultSchedule::kMembership;
+    const bool with_membership = schedule == FaultSchedule::kMembership ||
+                                 schedule == FaultSchedule::kJoiningMember;
     switch (random_() % (with_membership ? 12 : 9)) {
       case 0:
         // At most one member is down at a time, so that every acknowledged
@@ -305,6 +360,7 @@
   std::vector<std::unique_ptr<TrafficCaller<TrafficSimulation>>> callers_;
   int final_success_count_ = 0;
   int min_success_count_ = std::numeric_limits<int>::max();
+  const Duration promotion_delay_;
   bool is_member_down_ = false;
   bool is_replica_deaf_ = false;
 };
@@ -447,6 +503,19 @@
   }
 }
 
+TEST(Traffic, KeepsGuaranteesWhileMembersJoinBehindPromotions) {
+  const uint64_t first = ReadNumber("MAGNOLIAREEL_SIM_FIRST_SEED", 1);
+  const uint64_t seeds =
+      ReadNumber("MAGNOLIAREEL_SIM_SEEDS", kDefaultSeedCount);
+  for (uint64_t seed = first; seed < first + seeds; ++seed) {
+    const Duration promotion_delay =
+        std::chrono::milliseconds(300 + 100 * (seed % 8));
+    TrafficRun run(seed, kVmCount, 3 * kVmCount, kMemberConnections,
+                   promotion_delay);
+    RunWithFaults(run, seed, FaultSchedule::kJoiningMember);
+  }
+}
+
 TEST(Traffic, KeepsGuaranteesWhilePrimariesLeaveWithoutSuccessor) {
   const uint64_t first = ReadNumber("MAGNOLIAREEL_SIM_FIRST_SEED", 1);
   const uint64_t seeds =
@@ -491,6 +560,40 @@
   CHECK_TEXT(run.GetFinalSuccessCount() > 60, run.DescribePools().c_str());
 }
 
+TEST(Traffic, KeepsCommitsThatAMemberAcknowledgesWhichJoinsBehindAPromotion) {
+  // Guards against the promotion of a replica that lacks what a new member has
+  // acknowledged: it joined after the replicas were compared, and the old
+  // primary led until the promotion took effect (LOST in draining-primary).
+  using std::chrono::milliseconds;
+  TrafficRun run(1);
+  run.Run([&run] {
+    TrafficSimulation& simulation = run.GetSimulation();
+    EventQueue& queue = simulation.GetQueue();
+    simulation.GetGroup().Leave(1);
+    simulation.Publish();
+    queue.After(milliseconds(2000), [&simulation] {
+      simulation.GetGroup().SetReplicationCut(2, true);
+    });
+    simulation.SetPromotionObserver([&simulation, &queue] {
+      queue.After(milliseconds(20), [&simulation] {
+        if (simulation.GetGroup().HasLeft(1)) {
+          simulation.GetGroup().Join(1);
+        }
+      });
+    });
+    queue.After(milliseconds(6000), [&simulation] {
+      simulation.GetGroup().SetReplicationCut(2, false);
+    });
+  });
+  CHECK(!run.GetSimulation().GetGroup().HasLeft(1));
+  std::string violations;
+  for (const std::string& it : run.Check()) {
+    violations += it + "\n";
+  }
+  CHECK_TEXT(violations.empty(), violations.c_str());
+  CHECK_TEXT(run.GetFinalSuccessCount() > 60, run.DescribePools().c_str());
+}
+
 TEST(Traffic, NoStatementReachesALeavingPrimaryAfterItsDrainPeriod) {
   // Guards against a primary that is used for as long as it has no successor,
   // beyond the time that it serves after it has announced its end (DRAIN).
