Let the platform refuse earlier orders before a primary is demoted

Cause: the order for the present primary by which a new holder of the duty has the platform refuse older ones had lost its answer, and was executed 1 s later. While the primary led it would have changed nothing; in the meantime it had been demoted, so the order promoted it again, unnoticed, and the comparison no longer held when the candidate was promoted. Class of fault: an order that is harmless only in the state in which it was given.

If an order under an earlier token may still be executed, the present primary is now ordered under the newest token before it is demoted, which makes the platform refuse the earlier ones. If that is not answered, the attempt ends and the token is given up. In calm the duty's holder has done so before, and an attempt costs nothing more.

Two tests of FailoverControl now let the VM settle its duty first, since they are about the orders that follow.

--- a/libs/control/failover/failover_control_replacement.h
+++ b/libs/control/failover/failover_control_replacement.h
@@ -113,6 +113,7 @@
   plan.reason = reason;
   plan.fencing_token = claims_.GetToken(service);
   plan.demoted_primary = progress.demoted_primary;
+  plan.has_unsettled_orders = progress.unsettled;
   plan.has_unaccounted_departures = has_unaccounted_departures;
   plan.list_endpoints = [this, service] { return ListEndpoints(service); };
   if (now < progress.pending_until) {
@@ -177,6 +178,9 @@
   const TimePoint now = delegate_.Now();
   Progress& progress = progress_[service];
   progress.running = false;
+  if (result.orders_settled) {
+    progress.unsettled = false;
+  }
   if (result.promotion_reply_lost &&
       result.outcome != ReplacementOutcome::kSuperseded) {
     // A promotion under this token may still be executed, and only a higher
--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -352,6 +352,10 @@
       CompareWithPrimary();
       return;
     }
+    if (plan_.has_unsettled_orders && !orders_settled_) {
+      SettleOrders();
+      return;
+    }
     auto self = this->shared_from_this();
     commands_.Send(
         *plan_.primary, {EndpointCommandKind::kDemote, pause_term_},
@@ -369,6 +373,33 @@
         });
   }
 
+  // An earlier order for the present primary changes nothing while it leads,
+  // but would undo its demotion. Ordering the same under the newest token lets
+  // the platform refuse it.
+  void SettleOrders() {
+    promotions_.Promote(plan_.service, plan_.primary_id, plan_.fencing_token,
+                        [self = this->shared_from_this()](std::error_code ec) {
+                          self->FinishSettlement(ec);
+                        });
+  }
+
+  void FinishSettlement(std::error_code ec) {
+    if (ec == Error::kSuperseded) {
+      Finish(ReplacementOutcome::kSuperseded, {}, "superseded");
+      return;
+    }
+    if (ec) {
+      // A repetition under this token could be executed after the promotion of
+      // the candidate.
+      lost_promotion_replies_ += ec == Error::kAnswerLost ? 1 : 0;
+      Finish(ReplacementOutcome::kAbandoned, {},
+             "an earlier order for the primary may still be executed");
+      return;
+    }
+    orders_settled_ = true;
+    DemotePrimary(0);
+  }
+
   void FinishDemotion(std::error_code ec, const ReplicationStatus& status) {
     if (ec == Error::kAnswerLost) {
       demoted_primary_ = {plan_.primary_id, std::nullopt};
@@ -506,6 +537,7 @@
     result.reason = reason;
     result.possibly_paused = possibly_paused_;
     result.demoted_primary = demoted_primary_;
+    result.orders_settled = orders_settled_;
     done_(result);
   }
 
@@ -523,6 +555,7 @@
   Term pause_term_;
   int candidate_pauses_ = 0;
   int candidate_reports_ = 0;
+  bool orders_settled_ = false;
   std::optional<DemotedPrimary> demoted_primary_;
   int lost_promotion_replies_ = 0;
 };
--- a/libs/control/failover/replacement_plan.h
+++ b/libs/control/failover/replacement_plan.h
@@ -73,6 +73,8 @@
   EndpointId pending_promotion;
   /** Primary that the latest attempt of this VM with a demotion has demoted. */
   DemotedPrimary demoted_primary;
+  /** An order under an earlier token may still be executed. */
+  bool has_unsettled_orders = false;
   /** Departed replicas are not accounted for, so that no replica may be
       promoted. */
   bool has_unaccounted_departures = false;
@@ -112,6 +114,8 @@
       in transit. After a promotion they must stay paused until it has taken
       effect. */
   std::vector<EndpointEntry> possibly_paused;
+  /** Every order under an earlier token is refused from now on. */
+  bool orders_settled = false;
   /** Set if the attempt has demoted the primary, or may have. */
   std::optional<DemotedPrimary> demoted_primary;
 };
--- a/libs/control/tests/control_test.cc
+++ b/libs/control/tests/control_test.cc
@@ -104,6 +104,7 @@
   ReplacementResult Run(ReplacementPlan plan) {
     plan.service = kService;
     plan.list_endpoints = [this] { return listed; };
+    plan.has_unsettled_orders = has_unsettled_orders;
     plan.fencing_token = 9;
     ReplacementResult result;
     std::make_shared<PrimaryReplacement<FakeGroup, FakeGroup, FakeGroup>>(
@@ -120,6 +121,7 @@
   // Called when an endpoint has been demoted.
   std::function<void()> on_demotion = [] {};
   bool loses_demotion_reply = false;
+  bool has_unsettled_orders = false;
   // Endpoint that does not answer a pause; empty for none.
   std::string fails_pause;
   std::error_code promotion_reply;
@@ -259,6 +261,25 @@
   CHECK(group.trace.find("promote") == std::string::npos);
 }
 
+TEST(Replacement, RefusesEarlierOrdersBeforeADemotion) {
+  // An order for the present primary whose answer was lost would undo its
+  // demotion (traffic_tests, members that leave, seed 57: STALE).
+  group.statuses = {{"db-1", MakeStatus(true, 1, 7)},
+                    {"db-2", MakeStatus(false, 1, 7)},
+                    {"db-3", MakeStatus(false, 1, 5)}};
+  group.has_unsettled_orders = true;
+  CHECK(group.Replace(ReplacementReason::kDraining, replicas).orders_settled);
+  CHECK(group.trace.ends_with("promote db-1 9;demote db-1;promote db-2 9;"));
+  group.trace.clear();
+  group.statuses["db-1"] = MakeStatus(true, 1, 7);
+  group.lost_promotion_replies = 1;
+  const ReplacementResult result =
+      group.Replace(ReplacementReason::kDraining, replicas);
+  CHECK(result.outcome == ReplacementOutcome::kAbandoned);
+  CHECK(result.promotion_reply_lost);
+  CHECK(group.trace.ends_with("promote db-1 9;"));
+}
+
 TEST(Replacement, LeavesAPrimaryThatAnotherVmHasDemotedForAWhile) {
   // That VM may have ordered a promotion that has not taken effect.
   group.statuses = {{"db-1", MakeStatus(false, 1, 7)},
--- a/libs/control/tests/failover_control_test.cc
+++ b/libs/control/tests/failover_control_test.cc
@@ -200,6 +200,13 @@
     RunWithReviews(3);
   }
 
+  // Lets the VM claim the duty and order the present primary under its token.
+  void SettleOrders() {
+    failover.Apply(fake.MakeView(""));
+    RunWithReviews(5);
+    fake.promotions.clear();
+  }
+
   // Reviews once a second, like a node in every heartbeat period.
   void RunWithReviews(int seconds) {
     for (int n = 0; n < seconds; ++n) {
@@ -210,6 +217,7 @@
 };
 
 TEST(Failover, ReplacesADrainingPrimaryOnce) {
+  SettleOrders();
   ReplaceDraining("db-1");
   CHECK(fake.primary != "db-1");
   const auto first = fake.promotions.front();
@@ -358,6 +366,7 @@
   // A promotion whose answer was lost may be executed seconds later, after
   // another endpoint was promoted under the same token. Found by
   // late-orders --seed 211310843558 (LOST).
+  SettleOrders();
   fake.lost_promotion_replies = 2;
   ReplaceDraining("db-1");
   const std::string second = fake.primary;
