Demote a primary again that was promoted again unnoticed

At 14.75 s the same VM started an attempt for a "demoted" primary: no endpoint had reported the role for 2 s, and the VM took its own order for confirmed. The primary reported that it was a replica of term 1, a moment before it led term 2, while a replica already reported term 2. The attempt left it as it was, since it seemed to be demoted, and promoted the replica; a commit that the primary then acknowledged was lost. Class of fault: an answer is taken for the state at the time of a later decision.

- The demotion is sent to every primary that answers, whatever it reported; the answer has the end of the log.
- A primary that was demoted has to be confirmed anew, and does not count as one without a successor within 2 s of an order for any endpoint.

Red with the shortcut: control_tests Replacement DemotesAPrimaryThatReportedToBe- AReplica; green without. The other two tests of the registry (AreDemotedIfNo- EndpointReportsTheRoleForAWhile, HaveToBeConfirmedAnewAfterADemotion) are new and were not played on the code before.

--- a/libs/control/failover/failover_control_replacement.h
+++ b/libs/control/failover/failover_control_replacement.h
@@ -193,6 +193,7 @@
   if (result.demoted_primary) {
     progress.demoted_primary = *result.demoted_primary;
     progress.awaits_promotion = true;
+    primaries_.RecordDemoted(service, result.demoted_primary->id);
   }
   switch (result.outcome) {
     case ReplacementOutcome::kPromoted:
--- a/libs/control/failover/primary_registry.cc
+++ b/libs/control/failover/primary_registry.cc
@@ -70,6 +70,13 @@
   record.promotion_ordered_at.reset();
 }
 
+void PrimaryRegistry::RecordDemoted(const ServiceId& service,
+                                    const EndpointId& endpoint) {
+  if (Record& record = primaries_[service]; record.endpoint == endpoint) {
+    record.confirmed = false;
+  }
+}
+
 bool PrimaryRegistry::RecordPromotion(const ServiceId& service,
                                       const EndpointId& endpoint,
                                       uint64_t fencing_token,
@@ -82,7 +89,9 @@
   }
   record.promotion_token = fencing_token;
   record.promotion_endpoint = endpoint;
-  if (record.endpoint == endpoint) {
+  record.latest_order_at = now;
+  const bool is_awaited = record.promotion_ordered_at.has_value();
+  if (record.endpoint == endpoint && (record.confirmed || is_awaited)) {
     return false;
   }
   record.endpoint = endpoint;
@@ -125,10 +134,11 @@
   primary.confirmed = record.confirmed;
   primary.gone = record.missing_since &&
                  now - *record.missing_since >= kDelistedGracePeriod;
-  primary.demoted = record.confirmed &&
-                    record.latest_reported == record.endpoint &&
+  primary.demoted = record.latest_reported == record.endpoint &&
                     !record.missing_since && record.unreported_since &&
-                    now - *record.unreported_since >= kConfirmationTimeout;
+                    now - *record.unreported_since >= kConfirmationTimeout &&
+                    (!record.latest_order_at ||
+                     now - *record.latest_order_at >= kConfirmationTimeout);
   primary.promotion_failed =
       !record.confirmed && record.promotion_ordered_at &&
       now - *record.promotion_ordered_at >= kConfirmationTimeout;
--- a/libs/control/failover/primary_registry.h
+++ b/libs/control/failover/primary_registry.h
@@ -39,8 +39,8 @@
     bool gone = false;
     /** Its promotion was ordered and not confirmed in time. */
     bool promotion_failed = false;
-    /** It reports that it is a replica, and for kConfirmationTimeout no
-       endpoint has reported the role of the primary. */
+    /** It reports that it is a replica. For kConfirmationTimeout, no endpoint
+        has reported the role of the primary, and no promotion was ordered. */
     bool demoted = false;
   };
 
@@ -62,6 +62,13 @@
   void RecordConfirmed(const ServiceId& service,
                        const EndpointId& endpoint,
                        Term term);
+  /** Records that an endpoint was demoted; ignored unless it is the recorded
+      primary, which then has to be confirmed anew.
+
+      @param service   its service
+      @param endpoint  the endpoint
+  */
+  void RecordDemoted(const ServiceId& service, const EndpointId& endpoint);
   /** Records that a promotion was ordered.
 
       @param service        its service
@@ -99,7 +106,10 @@
     Term term;
     /** @see PrimaryState::confirmed */
     bool confirmed = false;
+    /** Time of the order for an endpoint that is not confirmed since. */
     std::optional<TimePoint> promotion_ordered_at;
+    /** Time of the latest order for any endpoint. */
+    std::optional<TimePoint> latest_order_at;
     uint64_t promotion_token = 0;
     /** Endpoint of the latest order; a repeated order changes nothing. */
     EndpointId promotion_endpoint;
--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -343,15 +343,13 @@
     DemotePrimary(0);
   }
 
+  // Also demotes a primary that has reported that it is a replica: it may lead
+  // since.
   void DemotePrimary(int attempt) {
     if (!primary_status_) {
       Promote();
       return;
     }
-    if (IsPrimaryDemoted()) {
-      CompareWithPrimary();
-      return;
-    }
     if (plan_.has_unsettled_orders && !orders_settled_) {
       SettleOrders();
       return;
--- a/libs/control/tests/control_test.cc
+++ b/libs/control/tests/control_test.cc
@@ -261,6 +261,16 @@
   CHECK(group.trace.find("promote") == std::string::npos);
 }
 
+TEST(Replacement, DemotesAPrimaryThatReportedToBeAReplica) {
+  // It may have been promoted again since. It was left primary, and a commit
+  // that it acknowledged was lost (draining-primary --vary --seed 1).
+  group.statuses = {{"db-1", MakeStatus(false, 1, 7)},
+                    {"db-2", MakeStatus(false, 2, 7)},
+                    {"db-3", MakeStatus(false, 2, 7)}};
+  group.Replace(ReplacementReason::kDemoted, replicas);
+  CHECK(group.trace.find("demote db-1;promote") != std::string::npos);
+}
+
 TEST(Replacement, RefusesEarlierOrdersBeforeADemotion) {
   // An order for the present primary whose answer was lost would undo its
   // demotion (traffic_tests, members that leave, seed 57: STALE).
@@ -410,11 +420,27 @@
   registry.Apply(entries, After(1000));
   CHECK(!registry.Get(kService, After(2900))->demoted);
   CHECK(registry.Get(kService, After(3000))->demoted);
+  // A promotion that was ordered may not have taken effect.
+  registry.RecordPromotion(kService, EndpointId{"db-1"}, 5, After(2500));
+  CHECK(!registry.Get(kService, After(4400))->demoted);
+  CHECK(registry.Get(kService, After(4500))->demoted);
   entries[1].claims_primary = true;
-  registry.Apply(entries, After(3000));
+  registry.Apply(entries, After(4500));
   CHECK(!registry.Get(kService, After(9000))->demoted);
 }
 
+TEST(Primaries, HaveToBeConfirmedAnewAfterADemotion) {
+  PrimaryRegistry registry;
+  registry.RecordConfirmed(kService, EndpointId{"db-1"}, Term{3});
+  registry.RecordDemoted(kService, EndpointId{"db-2"});
+  CHECK(registry.Get(kService, kStart)->confirmed);
+  registry.RecordDemoted(kService, EndpointId{"db-1"});
+  CHECK(!registry.Get(kService, kStart)->confirmed);
+  registry.RecordPromotion(kService, EndpointId{"db-1"}, 5, kStart);
+  CHECK(!registry.Get(kService, After(1900))->promotion_failed);
+  CHECK(registry.Get(kService, After(2000))->promotion_failed);
+}
+
 TEST(Primaries, AreGoneAfterTheirRemovalFromTheDirectory) {
   PrimaryRegistry registry;
   EndpointEntry entry = MakeEntry("db-1");
