--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -3,6 +3,7 @@
 #include <functional>
 #include <limits>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -174,6 +175,17 @@
   size_t CountOperations() const { return history_.size(); }
 
  private:
+  /** @returns the primary; none while it is demoted and no other one leads */
+  std::optional<size_t> FindPrimary() const {
+    const GroupModel& group = simulation_->GetGroup();
+    for (size_t it = 0; it < group.CountMembers(); ++it) {
+      if (group.HasPrimaryRole(it)) {
+        return it;
+      }
+    }
+    return std::nullopt;
+  }
+
   // Drains a member, and ends it once it is not the primary. A new member takes
   // its place after the duration.
   void ReplaceMember(size_t member, Duration duration) {
@@ -217,17 +229,14 @@
   // that commits stall.
   void LoseAcknowledgingReplicas() {
     GroupModel& group = simulation_->GetGroup();
-    if (is_member_down_ || is_replica_deaf_) {
+    const std::optional<size_t> primary = FindPrimary();
+    if (!primary || is_member_down_ || is_replica_deaf_) {
       return;
     }
     is_member_down_ = true;
     is_replica_deaf_ = true;
-    size_t primary = 0;
-    while (!group.HasPrimaryRole(primary)) {
-      ++primary;
-    }
-    const size_t deaf = (primary + 2) % group.CountMembers();
-    ReplaceMember((primary + 1) % group.CountMembers(),
+    const size_t deaf = (*primary + 2) % group.CountMembers();
+    ReplaceMember((*primary + 1) % group.CountMembers(),
                   std::chrono::seconds(3));
     EventQueue& queue = simulation_->GetQueue();
     const Duration delay = std::chrono::milliseconds(1300 + random_() % 700);
@@ -244,13 +253,11 @@
   // ordinary member afterwards.
   void LetPrimaryLeaveWithoutSuccessor() {
     GroupModel& group = simulation_->GetGroup();
-    if (std::exchange(is_member_down_, true)) {
+    const std::optional<size_t> found = FindPrimary();
+    if (!found || std::exchange(is_member_down_, true)) {
       return;
     }
-    size_t primary = 0;
-    while (!group.HasPrimaryRole(primary)) {
-      ++primary;
-    }
+    const size_t primary = *found;
     const size_t silent = (primary + 1) % group.CountMembers();
     group.Crash(silent, true);
     simulation_->SetDraining(primary, true);
