Order the primary anew before a demotion only while it leads

A VM that takes over a duty with a primary that its predecessor had demoted would have ordered that primary to lead, to have earlier orders refused, and a moment later the candidate: both promotions take effect, and what is acknowledged in between is lost. Found by reading, before it was seen. control_tests Replacement RefusesEarlierOrdersBeforeADemotion is extended by the case.

The methods that demote the primary move to a file of their own, as those of FailoverControl; they are otherwise unchanged.

--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -53,7 +53,7 @@
     That does not hold for a replica that joins later, since nothing pauses it.
     A primary that answers is therefore demoted before the promotion, and its
     log compared with the candidate's. If the candidate lacks the end of it,
-   only a replica that has joined can have acknowledged that; if one has, the
+    only a replica that has joined can have acknowledged that; if one has, the
     demoted primary is promoted again, and the next attempt includes the new
     replica. A primary that does not answer is replaced without a demotion.
 
@@ -343,132 +343,26 @@
     DemotePrimary(0);
   }
 
-  // Also demotes a primary that has reported that it is a replica: it may lead
-  // since.
-  void DemotePrimary(int attempt) {
-    if (!primary_status_) {
-      Promote();
-      return;
-    }
-    if (plan_.has_unsettled_orders && !orders_settled_) {
-      SettleOrders();
-      return;
-    }
-    auto self = this->shared_from_this();
-    commands_.Send(
-        *plan_.primary, {EndpointCommandKind::kDemote, pause_term_},
-        kEndpointCommandTimeout,
-        [self, attempt](std::error_code ec, const ReplicationStatus& status) {
-          if (ec == Error::kOverloaded && attempt < kMaxBusyEndpointRetries) {
-            self->timing_.After(kBusyEndpointRetryInterval, [self, attempt] {
-              self->DemotePrimary(attempt + 1);
-            });
-            return;
-          }
-          self->LogStep(self->plan_.primary_id, EndpointCommandKind::kDemote,
-                        ec, status);
-          self->FinishDemotion(ec, status);
-        });
-  }
-
-  // An earlier order for the present primary changes nothing while it leads,
-  // but would undo its demotion. Ordering the same under the newest token lets
-  // the platform refuse it.
-  void SettleOrders() {
-    promotions_.Promote(plan_.service, plan_.primary_id, plan_.fencing_token,
-                        [self = this->shared_from_this()](std::error_code ec) {
-                          self->FinishSettlement(ec);
-                        });
-  }
-
-  void FinishSettlement(std::error_code ec) {
-    if (ec == Error::kSuperseded) {
-      Finish(ReplacementOutcome::kSuperseded, {}, "superseded");
-      return;
-    }
-    if (ec) {
-      // A repetition under this token could be executed after the promotion of
-      // the candidate.
-      lost_promotion_replies_ += ec == Error::kAnswerLost ? 1 : 0;
-      Finish(ReplacementOutcome::kAbandoned, {},
-             "an earlier order for the primary may still be executed");
-      return;
-    }
-    orders_settled_ = true;
-    DemotePrimary(0);
-  }
-
-  void FinishDemotion(std::error_code ec, const ReplicationStatus& status) {
-    if (ec == Error::kAnswerLost) {
-      demoted_primary_ = {plan_.primary_id, std::nullopt};
-    }
-    if (ec || status.is_primary) {
-      Finish(ReplacementOutcome::kAbandoned, {},
-             "the primary did not confirm its demotion");
-      return;
-    }
-    primary_status_ = status;
-    demoted_primary_ = {plan_.primary_id, status.received};
-    CompareWithPrimary();
-  }
-
-  void CompareWithPrimary() {
-    const std::optional<ReplicationStatus>& status =
-        replicas_[candidate_].status;
-    if (status && status->received >= primary_status_->received) {
-      Promote();
-      return;
-    }
-    if (status && candidate_reports_++ < kMaxCandidateReports) {
-      timing_.After(kCandidateReportInterval, [self =
-                                                   this->shared_from_this()] {
-        self->pending_ = 1;
-        self->SendCommand(self->candidate_, {EndpointCommandKind::kReport, {}},
-                          0, &PrimaryReplacement::CompareWithPrimary);
-      });
-      return;
-    }
-    timing_.After(kMembershipDelay, [self = this->shared_from_this()] {
-      self->FinishMembershipCheck();
-    });
-  }
-
-  void FinishMembershipCheck() {
-    const std::vector<EndpointEntry> listed = plan_.list_endpoints();
-    const bool is_known =
-        std::all_of(listed.begin(), listed.end(), [&](const auto& entry) {
-          return entry.id == plan_.primary_id ||
-                 std::any_of(plan_.replicas.begin(), plan_.replicas.end(),
-                             [&](const EndpointEntry& it) {
-                               return it.id == entry.id;
-                             });
-        });
-    if (is_known && replicas_[candidate_].status) {
-      Promote();
-      return;
-    }
-    PromotePrimaryAgainOrAbandon(
-        "a replica that has joined may hold the end of the log");
-  }
-
-  // A demoted primary holds every commit that was acknowledged before. It is
-  // promoted again if no replica can be, so that the service has a primary.
-  void PromotePrimaryAgainOrAbandon(std::string_view reason) {
-    const std::optional<LogPoint>& log_end =
-        demoted_primary_ ? demoted_primary_->log_end
-        : plan_.demoted_primary.id == plan_.primary_id
-            ? plan_.demoted_primary.log_end
-            : std::nullopt;
-    if (!IsPrimaryDemoted() || !log_end ||
-        primary_status_->received < *log_end ||
-        !plan_.pending_promotion.IsEmpty()) {
-      Finish(ReplacementOutcome::kAbandoned, {}, reason);
-      return;
-    }
-    candidate_ = replicas_.size();
-    replicas_.push_back({*plan_.primary, primary_status_});
-    Promote();
-  }
+  /** Demotes the primary and continues with CompareWithPrimary(). A primary
+     that did not answer the survey is left as it is. */
+  void DemotePrimary(int attempt);
+  /** Lets the platform refuse earlier orders, which would undo the demotion. */
+  void SettleOrders();
+  void FinishSettlement(std::error_code ec);
+  void FinishDemotion(std::error_code ec, const ReplicationStatus& status);
+  /** Promotes the candidate once it has received the whole log of the demoted
+      primary; otherwise continues with FinishMembershipCheck() later. */
+  void CompareWithPrimary();
+  /** Promotes the candidate unless a replica has joined, which may have
+      acknowledged what the candidate lacks. */
+  void FinishMembershipCheck();
+  /** Promotes the demoted primary, which holds every acknowledged commit, so
+      that the service has a primary again.
+
+      @param reason  why no replica can be promoted; the attempt is abandoned
+                     for it if this VM has not demoted the primary
+  */
+  void PromotePrimaryAgainOrAbandon(std::string_view reason);
 
   bool HasReceivedMost(size_t index) const {
     return std::all_of(
@@ -560,4 +454,6 @@
 
 }  // namespace magnoliareel
 
+#include "control/failover/primary_replacement_demotion.h"  // IWYU pragma: export
+
 #endif  // MAGNOLIAREEL_CONTROL_FAILOVER_PRIMARY_REPLACEMENT_H_
--- /dev/null
+++ b/libs/control/failover/primary_replacement_demotion.h
@@ -0,0 +1,147 @@
+#ifndef MAGNOLIAREEL_CONTROL_FAILOVER_PRIMARY_REPLACEMENT_DEMOTION_H_
+#define MAGNOLIAREEL_CONTROL_FAILOVER_PRIMARY_REPLACEMENT_DEMOTION_H_
+
+// Methods of PrimaryReplacement that demote the primary and compare its log
+// with the candidate's. Included by primary_replacement.h.
+
+#include <algorithm>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "control/failover/primary_replacement.h"
+
+namespace magnoliareel {
+
+template <EndpointCommandSender C, PromotionSender P, class T>
+void PrimaryReplacement<C, P, T>::DemotePrimary(int attempt) {
+  if (!primary_status_) {
+    Promote();
+    return;
+  }
+  if (primary_status_->is_primary && plan_.has_unsettled_orders &&
+      !orders_settled_) {
+    SettleOrders();
+    return;
+  }
+  // One that has reported that it is a replica may lead since.
+  auto self = this->shared_from_this();
+  commands_.Send(
+      *plan_.primary, {EndpointCommandKind::kDemote, pause_term_},
+      kEndpointCommandTimeout,
+      [self, attempt](std::error_code ec, const ReplicationStatus& status) {
+        if (ec == Error::kOverloaded && attempt < kMaxBusyEndpointRetries) {
+          self->timing_.After(kBusyEndpointRetryInterval, [self, attempt] {
+            self->DemotePrimary(attempt + 1);
+          });
+          return;
+        }
+        self->LogStep(self->plan_.primary_id, EndpointCommandKind::kDemote, ec,
+                      status);
+        self->FinishDemotion(ec, status);
+      });
+}
+
+template <EndpointCommandSender C, PromotionSender P, class T>
+void PrimaryReplacement<C, P, T>::SettleOrders() {
+  // The order changes nothing, because the endpoint leads.
+  promotions_.Promote(plan_.service, plan_.primary_id, plan_.fencing_token,
+                      [self = this->shared_from_this()](std::error_code ec) {
+                        self->FinishSettlement(ec);
+                      });
+}
+
+template <EndpointCommandSender C, PromotionSender P, class T>
+void PrimaryReplacement<C, P, T>::FinishSettlement(std::error_code ec) {
+  if (ec == Error::kSuperseded) {
+    Finish(ReplacementOutcome::kSuperseded, {}, "superseded");
+    return;
+  }
+  if (ec) {
+    // A repetition under this token could be executed after the promotion of
+    // the candidate.
+    lost_promotion_replies_ += ec == Error::kAnswerLost ? 1 : 0;
+    Finish(ReplacementOutcome::kAbandoned, {},
+           "an earlier order for the primary may still be executed");
+    return;
+  }
+  orders_settled_ = true;
+  DemotePrimary(0);
+}
+
+template <EndpointCommandSender C, PromotionSender P, class T>
+void PrimaryReplacement<C, P, T>::FinishDemotion(
+    std::error_code ec,
+    const ReplicationStatus& status) {
+  if (ec == Error::kAnswerLost) {
+    demoted_primary_ = {plan_.primary_id, std::nullopt};
+  }
+  if (ec || status.is_primary) {
+    Finish(ReplacementOutcome::kAbandoned, {},
+           "the primary did not confirm its demotion");
+    return;
+  }
+  primary_status_ = status;
+  demoted_primary_ = {plan_.primary_id, status.received};
+  CompareWithPrimary();
+}
+
+template <EndpointCommandSender C, PromotionSender P, class T>
+void PrimaryReplacement<C, P, T>::CompareWithPrimary() {
+  const std::optional<ReplicationStatus>& status = replicas_[candidate_].status;
+  if (status && status->received >= primary_status_->received) {
+    Promote();
+    return;
+  }
+  if (status && candidate_reports_++ < kMaxCandidateReports) {
+    timing_.After(kCandidateReportInterval, [self = this->shared_from_this()] {
+      self->pending_ = 1;
+      self->SendCommand(self->candidate_, {EndpointCommandKind::kReport, {}}, 0,
+                        &PrimaryReplacement::CompareWithPrimary);
+    });
+    return;
+  }
+  timing_.After(kMembershipDelay, [self = this->shared_from_this()] {
+    self->FinishMembershipCheck();
+  });
+}
+
+template <EndpointCommandSender C, PromotionSender P, class T>
+void PrimaryReplacement<C, P, T>::FinishMembershipCheck() {
+  const std::vector<EndpointEntry> listed = plan_.list_endpoints();
+  const bool is_known =
+      std::all_of(listed.begin(), listed.end(), [&](const auto& entry) {
+        return entry.id == plan_.primary_id ||
+               std::any_of(
+                   plan_.replicas.begin(), plan_.replicas.end(),
+                   [&](const EndpointEntry& it) { return it.id == entry.id; });
+      });
+  if (is_known && replicas_[candidate_].status) {
+    Promote();
+    return;
+  }
+  PromotePrimaryAgainOrAbandon(
+      "a replica that has joined may hold the end of the log");
+}
+
+template <EndpointCommandSender C, PromotionSender P, class T>
+void PrimaryReplacement<C, P, T>::PromotePrimaryAgainOrAbandon(
+    std::string_view reason) {
+  const std::optional<LogPoint>& log_end =
+      demoted_primary_ ? demoted_primary_->log_end
+      : plan_.demoted_primary.id == plan_.primary_id
+          ? plan_.demoted_primary.log_end
+          : std::nullopt;
+  if (!IsPrimaryDemoted() || !log_end || primary_status_->received < *log_end ||
+      !plan_.pending_promotion.IsEmpty()) {
+    Finish(ReplacementOutcome::kAbandoned, {}, reason);
+    return;
+  }
+  candidate_ = replicas_.size();
+  replicas_.push_back({*plan_.primary, primary_status_});
+  Promote();
+}
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_CONTROL_FAILOVER_PRIMARY_REPLACEMENT_DEMOTION_H_
--- a/libs/control/tests/control_test.cc
+++ b/libs/control/tests/control_test.cc
@@ -288,6 +288,11 @@
   CHECK(result.outcome == ReplacementOutcome::kAbandoned);
   CHECK(result.promotion_reply_lost);
   CHECK(group.trace.ends_with("promote db-1 9;"));
+  // For an endpoint that does not lead, the order would be a promotion.
+  group.trace.clear();
+  group.statuses["db-1"] = MakeStatus(false, 1, 7);
+  group.Replace(ReplacementReason::kDemoted, replicas);
+  CHECK(group.trace.ends_with("report db-2;demote db-1;promote db-2 9;"));
 }
 
 TEST(Replacement, LeavesAPrimaryThatAnotherVmHasDemotedForAWhile) {
