--- a/apps/entry/entry_process.cc
+++ b/apps/entry/entry_process.cc
@@ -114,9 +114,9 @@
   }
 }
 
-/** Applies the newest deployment, after its document was sent to the pooler of
-    this VM. Otherwise a key that this entry has rejected could be accepted
-   again by an entry that starts while the platform is unavailable. */
+/** Applies the newest deployment after its document was sent to the pooler of
+    this VM. Otherwise an entry that starts while the platform is unavailable
+    could accept a key that this entry has rejected. */
 template <EntryPolicy P>
 void EntryProcess<P>::ApplyPendingDeployment() {
   const VmEntry* vm = pending_deployment_->FindVm(VmId{settings_.vm});
--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -283,8 +283,8 @@
     /** Replicas that earlier attempts may have left paused when the running
         attempt began. */
     std::vector<typename ReplicaResumer<C, T>::PendingResume> pending_resumes;
-    /** Primary that this VM has demoted, or may have, in its latest attempt
-       with a demotion. */
+    /** Primary that the latest attempt with a demotion has demoted, or may
+        have. */
     DemotedPrimary demoted_primary;
     /** No promotion was ordered since that demotion. */
     bool awaits_promotion = false;
--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -217,6 +217,7 @@
     PauseOthers();
   }
 
+  /** @returns whether the primary has reported that it is a replica */
   bool IsPrimaryDemoted() const {
     return primary_status_ && !primary_status_->is_primary;
   }
@@ -352,8 +353,12 @@
     DemotePrimary(0);
   }
 
-  /** Demotes the primary and continues with CompareWithPrimary(). A primary
-     that did not answer the survey is left as it is. */
+  /** Demotes the primary and continues with CompareWithPrimary(). If it did not
+      answer the survey, promotes the candidate at once.
+
+      @param attempt  number of times that the primary had no free slot for the
+                      command
+  */
   void DemotePrimary(int attempt);
   void FinishDemotion(std::error_code ec, const ReplicationStatus& status);
   /** Promotes the candidate once it has received the whole log of the demoted
