Refuse statements at an endpoint that joins a group in force

What callers saw: once a document added an endpoint to a group, the first read there ended the pooler with signal 11, at every pooler that had the group in use.

Cause: a group's controller keeps the endpoints of the first document that named the group, while requests are checked against the newest one. GroupState::Find returned null for the added endpoint, and StartRead dereferenced it. Class of fault: two views of one list, of which only one is brought up to date.

A request for an endpoint that the group's state doesn't have is refused as "not run" with unknown_endpoint, before a runner is created. Taking the endpoint into the group is another matter, since a majority counts the members (docs/PROOFS.md, not proved).

Red before: pooler_tests AnEndpointThatJoinsAGroupInForceGetsNoStatements, signal 11. Green: the test.

--- a/libs/pooler/core/pooler_core.h
+++ b/libs/pooler/core/pooler_core.h
@@ -140,6 +140,11 @@
         deployment_->document.FindServiceOfGroup(request.group)
             ->transaction_idle_limit;
     pending->controller = &table_.GetController(*group);
+    if (GetGroupState(pending).Find(request.endpoint) == nullptr) {
+      // A group in use keeps its endpoints until this process ends.
+      Refuse(pending, Error::kUnknownEndpoint);
+      return;
+    }
     pending->runner = &table_.GetRunner(*endpoint);
     if (!request.transaction.IsEmpty()) {
       ContinueTransaction(pending);
