Refuse a transaction's statement that names another endpoint

What callers would see: a statement of an open transaction that names another endpoint of the group ran there, outside the transaction, on a connection id that belongs to the transaction's endpoint; its outcome was reported as part of the transaction. Entries take the endpoint from the sealed token, so a caller can't provoke it alone; a pooler must not depend on that.

Cause: the open transaction was found by its id and caller, and its endpoint and group were never compared with the request's.

The request is refused as "not run" with no_transaction; the transaction stays open.

Red before: pooler_tests AStatementOfATransactionAtAnotherEndpointIsRefused (the statement ran at db-2). Green: the test.

--- a/libs/pooler/core/pooler_core_transactions.h
+++ b/libs/pooler/core/pooler_core_transactions.h
@@ -36,6 +36,10 @@
     ContinueUnknownTransaction(pending);
     return;
   }
+  if (open->endpoint != request.endpoint || open->group != request.group) {
+    Refuse(pending, Error::kNoTransaction);
+    return;
+  }
   if (open->is_busy) {
     Refuse(pending, Error::kTransactionBusy);
     return;
--- a/libs/pooler/tests/pooler_test.cc
+++ b/libs/pooler/tests/pooler_test.cc
@@ -160,4 +160,19 @@
         Outcome::kDone);
 }
 
+// A transaction is pinned to a connection of one endpoint. The statement went
+// to the endpoint that the request named, on a connection of another one.
+TEST(Pooler, AStatementOfATransactionAtAnotherEndpointIsRefused) {
+  const PoolerAnswer begun = Run(PoolerVerb::kBegin, kPrimary, "begin", {});
+  CHECK(begun.outcome == Outcome::kDone);
+  endpoints.statements.clear();
+  const PoolerAnswer refused =
+      Run(PoolerVerb::kWrite, "db-2", "elsewhere", begun.transaction);
+  CHECK(refused.outcome == Outcome::kNotRun);
+  CHECK(refused.ec == Error::kNoTransaction);
+  LONGS_EQUAL(0, endpoints.statements.size());
+  CHECK(Run(PoolerVerb::kWrite, kPrimary, "here", begun.transaction).outcome ==
+        Outcome::kDone);
+}
+
 }  // namespace magnoliareel
