Close the idle connections that a lost answer takes out of the pool

What operators would see: after a few lost answers an endpoint of the HTTP programs refuses new connections although its pooler counts hardly any.

Cause: after a lost answer the runner took all idle connections out of its pool, in case the endpoint had restarted, and closed only the statement's own. If the endpoint had not restarted, the others stayed open there, uncounted, until the endpoint forgot the process.

They are closed now, with the same retries as the statement's connection.

Red before: pooler_tests KeepsNoConnectionOpenThatItDoesNotCount, 7 connections open at the endpoint and 2 counted after 5 lost answers.

--- a/libs/pooler/endpoints/endpoint_runner.h
+++ b/libs/pooler/endpoints/endpoint_runner.h
@@ -305,8 +305,11 @@
       result.is_transaction_lost = is_in_transaction;
       connections_.RecordClosed();
       SendClose(connection, kMaxCloseAttempts);
-      // If the endpoint restarted, its idle connections are lost too.
-      connections_.TakeAllIdle();
+      // If the endpoint restarted, its idle connections are lost too. If it did
+      // not, they are still open there.
+      for (const ConnectionId& it : connections_.TakeAllIdle()) {
+        SendClose(it, kMaxCloseAttempts);
+      }
       return;
     }
     result.is_transaction_lost =
--- a/libs/pooler/tests/pooler_test.cc
+++ b/libs/pooler/tests/pooler_test.cc
@@ -175,4 +175,32 @@
         Outcome::kDone);
 }
 
+TEST_GROUP(EndpointRunner){};
+
+// A lost answer made the runner forget the endpoint's idle connections. They
+// stayed open there, and in the end the endpoint refused new ones.
+TEST(EndpointRunner, KeepsNoConnectionOpenThatItDoesNotCount) {
+  ManualExecutor executor;
+  FakeEndpoints endpoints(executor);
+  EndpointRunner<ManualExecutor, FakeEndpoints, StandardPolicy> runner(
+      executor, endpoints, MakeEndpoint(kPrimary), "vm");
+  runner.WarmUp();
+  executor.Advance(milliseconds(10));
+  LONGS_EQUAL(2, endpoints.connections[kPrimary].size());
+  endpoints.lost_statement = "lost";
+  for (int n = 0; n < 10; ++n) {
+    RunnerWork work;
+    work.call.verb = EndpointVerb::kRead;
+    work.call.request = std::to_string(n);
+    work.call.statement = n % 2 == 0 ? "lost" : "read";
+    work.caller = kCaller;
+    work.deadline = executor.Now() + seconds(1);
+    runner.Run(std::move(work), [](const RunnerResult&) {});
+    runner.WarmUp();
+    executor.Advance(seconds(2));
+  }
+  LONGS_EQUAL(runner.CountConnections(),
+              endpoints.connections[kPrimary].size());
+}
+
 }  // namespace magnoliareel
