Compare a directory row's version before it is kept for peers

What callers would see: statements sent to a database that has left, or that drains, by a VM that was started while the store is down.

Cause: a VM keeps the rows of the directory for peers that start. A row was kept before its version was compared with what is known, so an older row, in a peer's listing that is newer as a whole, replaced the newer one there, although the VM itself did not use it. A VM that then asked for the rows got the departed database. Class of fault: state that is passed on is not the state in force.

EndpointRegistry::IsOutdated() now also says whether a newer version of the row is known; Put() decides by the same function. Only rows in force are kept.

Red before: control_tests Fleet AnOlderRowOfAPeerIsNotPassedOnToPeers.

--- a/libs/control/fleet/fleet_control.h
+++ b/libs/control/fleet/fleet_control.h
@@ -239,7 +239,7 @@
                {{"entry", row.key}, {"findings", findings.FormatLines()}});
       return false;
     }
-    if (endpoints_.IsOutdated(versioned.entry)) {
+    if (endpoints_.IsOutdated(versioned)) {
       return false;
     }
     endpoint_rows_[row.key] = row;
--- a/libs/control/tests/fleet_control_test.cc
+++ b/libs/control/tests/fleet_control_test.cc
@@ -200,4 +200,24 @@
   CHECK(node.fleet.GetEndpointRows().empty());
 }
 
+TEST(Fleet, AnOlderRowOfAPeerIsNotPassedOnToPeers) {
+  // Guards against a VM that starts while the store is down and uses a database
+  // which has left: a peer that knows better passed on the older row, since its
+  // listing as a whole was newer.
+  TestNode node;
+  TestNode::Answer(node.store.polls, "endpoints", {},
+                   MakeRows(5, {{"db-1", "1 draining", 5, false},
+                                {"db-2", "1 ready", 5, false}}));
+  node.Advance(seconds(1));
+  TestNode::Answer(
+      node.store.polls, "endpoints", {},
+      MakeRows(7, {{"db-1", "", 6, true}, {"db-2", "1 draining", 7, false}}));
+  const std::vector<StoredRow> older = {{"db-1", "1 draining", 5, false},
+                                        {"db-2", "1 ready", 5, false}};
+  node.fleet.ApplyPeerState(nullptr, older, 8);
+  const auto& rows = node.fleet.GetEndpointRows();
+  CHECK(!rows.contains("db-1"));
+  STRCMP_EQUAL("1 draining", rows.at("db-2").value.c_str());
+}
+
 }  // namespace magnoliareel
--- a/libs/directory/endpoints/endpoint_registry.cc
+++ b/libs/directory/endpoints/endpoint_registry.cc
@@ -7,16 +7,12 @@
 
 bool EndpointRegistry::Put(const VersionedEntry& entry,
                            TimePoint changed_since) {
-  if (const auto it = removed_.find(entry.entry.id);
-      it != removed_.end() && it->second.row_version >= entry.row_version) {
+  if (IsOlderVersion(entry)) {
     return false;
   }
   const std::optional<TimePoint> draining_since =
       FindDrainingSince(entry.entry, changed_since);
   State& state = entries_[entry.entry.id];
-  if (entry.row_version < state.versioned.row_version) {
-    return false;
-  }
   VersionedEntry next = entry;
   next.entry.draining_since = draining_since;
   const bool changed =
@@ -26,11 +22,25 @@
   return changed;
 }
 
-bool EndpointRegistry::IsOutdated(const EndpointEntry& entry) const {
+bool EndpointRegistry::IsOutdated(const VersionedEntry& entry) const {
+  if (IsOlderVersion(entry)) {
+    return true;
+  }
   // Without a start time, a restart is not told from an older report.
-  const EndpointEntry* latest = FindLatest(entry);
-  return latest != nullptr && entry.started_at_ms != 0 && entry.report_number &&
-         latest->report_number && *entry.report_number < *latest->report_number;
+  const EndpointEntry* latest = FindLatest(entry.entry);
+  return latest != nullptr && entry.entry.started_at_ms != 0 &&
+         entry.entry.report_number && latest->report_number &&
+         *entry.entry.report_number < *latest->report_number;
+}
+
+bool EndpointRegistry::IsOlderVersion(const VersionedEntry& entry) const {
+  if (const auto it = removed_.find(entry.entry.id);
+      it != removed_.end() && entry.row_version <= it->second.row_version) {
+    return true;
+  }
+  const auto it = entries_.find(entry.entry.id);
+  return it != entries_.end() &&
+         entry.row_version < it->second.versioned.row_version;
 }
 
 const EndpointEntry* EndpointRegistry::FindLatest(
--- a/libs/directory/endpoints/endpoint_registry.h
+++ b/libs/directory/endpoints/endpoint_registry.h
@@ -42,13 +42,16 @@
   */
   bool Put(const VersionedEntry& entry, TimePoint changed_since);
 
-  /** Returns whether an entry comes from a store that was restored from a copy.
+  /** Returns whether something newer is known than an entry says. It then comes
+      from a peer that lags behind, or from a store that was restored from a
+      copy.
 
       @param entry  an entry from the store or from a peer
-      @returns      true if the endpoint is known to have reported something
-                    later since the same start, also if it was removed since
+      @returns      true if a newer version of its row is known, or a later
+                    report since the same start, also if the endpoint was
+                    removed since
   */
-  bool IsOutdated(const EndpointEntry& entry) const;
+  bool IsOutdated(const VersionedEntry& entry) const;
 
   /** Marks an entry as removed from the store. A draining endpoint has no
       grace period.
@@ -104,6 +107,8 @@
     EndpointEntry last_entry;
   };
 
+  /** @returns true if the row is known to have changed or been removed later */
+  bool IsOlderVersion(const VersionedEntry& entry) const;
   /** @returns the latest known entry of the same start of an endpoint, also if
                it was removed; null if there is none */
   const EndpointEntry* FindLatest(const EndpointEntry& entry) const;
