Confirm no primary once the VM is leaving

What would be seen: around a planned stop, a promotion of the present primary by the VM that leaves beside the orders of the VM that has taken its duty over. The platform accepts the older order until it has seen the newer token; if the new holder has promoted another endpoint by then, the order takes the role back.

Cause: StopCoordinating() ended replacements and claims, but not the confirmation that a claim leaves to be done.

Red before: control_tests Failover OrdersNothingNewOnceTheVmIsLeaving.

--- a/libs/control/failover/failover_control_duties.h
+++ b/libs/control/failover/failover_control_duties.h
@@ -125,8 +125,9 @@
   const auto primary = primaries_.Get(service, now);
   const EndpointEntry* entry =
       primary ? FindEndpoint(primary->endpoint) : nullptr;
-  if (!progress.unsettled || progress.confirming || progress.running ||
-      token == 0 || entry == nullptr || now < progress.not_before) {
+  if (leaving_ || !progress.unsettled || progress.confirming ||
+      progress.running || token == 0 || entry == nullptr ||
+      now < progress.not_before) {
     return;
   }
   progress.confirming = true;
@@ -134,7 +135,7 @@
                  kEndpointCommandTimeout,
                  [this, service, token, id = entry->id](
                      std::error_code ec, const ReplicationStatus& status) {
-                   if (ec || !status.is_primary) {
+                   if (ec || !status.is_primary || leaving_) {
                      FinishConfirmation(service, Error::kUnreachable);
                      return;
                    }
--- a/libs/control/tests/failover_control_test.cc
+++ b/libs/control/tests/failover_control_test.cc
@@ -398,6 +398,19 @@
   STRCMP_EQUAL("db-1", fake.primary.c_str());
 }
 
+TEST(Failover, OrdersNothingNewOnceTheVmIsLeaving) {
+  // The other VMs don't count a leaving VM as the holder of its duties, and one
+  // of them takes over. Orders of both would overlap.
+  failover.Apply(fake.MakeView(""));
+  fake.unresponsive = "db-1";
+  RunWithReviews(8);
+  CHECK_EQUAL(1, failover.GetDuties().size());
+  failover.StopCoordinating();
+  fake.unresponsive.clear();
+  RunWithReviews(8);
+  CHECK(fake.promotions.empty());
+}
+
 TEST_GROUP_BASE(Departures, TEST_GROUP_CppUTestGroupFailover){
     // db-2 leaves after its acknowledgements have let the primary's log grow
     // beyond what db-3 has received.
