Dispatch a read that waits for a primary only once

What callers would see: the first statement of a read transaction runs on two connections, of which only one continues the transaction (PINNED); a plain read runs twice, at the price of a second slot.

Cause: a read without a freshness bound waits for one, then for the primary, and stays listed for both, so that either can end its wait. If a peer's bound arrived first, the read was sent to a replica and stayed in the queue of the statements that wait for a primary; when the primary was known it was dispatched again. Class of fault: a place in a queue that outlives its reason.

Dispatch() takes the statement out of every queue in which it waits for an endpoint.

Red before: traffic_tests AReadThatLeftTheWaitForAPrimaryIsNotSentAgainForIt, the plain read and the read transaction each executed twice. Green: the test.

--- a/libs/relay/core/traffic_core_dispatch.h
+++ b/libs/relay/core/traffic_core_dispatch.h
@@ -17,6 +17,9 @@
 template <WireDialect D, class N>
 void TrafficCore<D, N>::Dispatch(CallerSession& session) {
   ActiveStatement& statement = session.statement;
+  // A read that waits for a primary is dispatched early if a freshness bound
+  // arrives. It must not be dispatched again once the primary is known.
+  RemoveFromQueues(session);
   if (statement.base_requirement == EndpointRequirement::kOpenTransaction) {
     SendInTransaction(session);
     return;
--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -754,4 +754,46 @@
   }
 }
 
+TEST(Traffic, AReadThatLeftTheWaitForAPrimaryIsNotSentAgainForIt) {
+  // Guards against a statement that runs on two connections: it waits for a
+  // primary, is sent to a replica because a freshness bound arrives, and is
+  // dispatched again once the primary is known.
+  using std::chrono::milliseconds;
+  GroupOptions options;
+  options.mean_run_time = milliseconds(60);
+  for (const char* begin : {"", "BEGIN READ"}) {
+    TrafficSimulation simulation(1, options);
+    simulation.SetCallerOutput([](size_t, uint64_t, std::string_view) {});
+    EventQueue& queue = simulation.GetQueue();
+    queue.RunUntil(queue.Now() + std::chrono::seconds(2));
+    // The primary leaves and has no successor, since a replica is silent.
+    simulation.GetGroup().Crash(2, true);
+    simulation.SetDraining(0, true);
+    simulation.SetPartitioned(0, 0, true);
+    queue.RunUntil(queue.Now() + 2 * kSimulatedDrainPeriod);
+    const uint64_t session = simulation.OpenCaller(0);
+    simulation.Send(0, session, "STARTUP lookups caller");
+    if (*begin != '\0') {
+      simulation.Send(0, session, std::string("QUERY b1 ") + begin);
+    }
+    simulation.Send(0, session, "QUERY r1 READ groyne-1");
+    queue.RunUntil(queue.Now() + milliseconds(620));
+    TrafficSimulation::Core& core = simulation.GetCore(0);
+    const ServiceId service{options.service};
+    core.RecordPeerBound({service, LogPoint{Term{1}, LogPosition{0}}, {}},
+                         queue.Now());
+    simulation.CloseCaller(0, simulation.OpenCaller(0));
+    queue.RunUntil(queue.Now() + milliseconds(15));
+    simulation.GetGroup().Restart(2);
+    simulation.AnnouncePrimary(service,
+                               EndpointId{simulation.GetGroup().GetId(1)});
+    queue.RunUntil(queue.Now() + std::chrono::seconds(2));
+    const auto& statements = simulation.GetGroup().GetExecutedStatements();
+    LONGS_EQUAL(1, std::count_if(statements.begin(), statements.end(),
+                                 [](const ExecutedStatement& it) {
+                                   return it.request == "r1";
+                                 }));
+  }
+}
+
 }  // namespace magnoliareel
