Send no read again that runs when its wait for a bound would have ended

What callers would see: the first statement of a read transaction that runs for over half a second is executed on a second connection, which doesn't continue the transaction (PINNED); at a busy replica, where such a statement waits in the queue, it was queued twice and took two slots, which adds load when there is most.

Cause: a read without a freshness bound is dispatched again 600 ms after its start, so that it goes to the primary if no bound arrives. The timer stays when a bound arrives earlier, and dispatched the statement whether or not it was queued or sent by then. Class of fault: a timer that outlives its reason.

The timer dispatches only a statement that is neither queued at an endpoint nor sent to one; retries after an error are scheduled in that state anyway.

The random schedules could not find it: their statements run for 4 ms, and a read transaction whose first statement ran twice is legal there after a lost reply.

--- a/libs/relay/core/traffic_core_bounds.h
+++ b/libs/relay/core/traffic_core_bounds.h
@@ -112,8 +112,7 @@
   for (const QueuedStatement& it : awaiting) {
     if (IsInProgress(it.session, it.statement_id)) {
       CallerSession& session = *FindSession(it.session);
-      if (session.statement.queued_endpoint.IsEmpty() &&
-          session.statement.connections.empty()) {
+      if (session.statement.IsUnassigned()) {
         Dispatch(session);
       }
     }
--- a/libs/relay/core/traffic_core_timers.h
+++ b/libs/relay/core/traffic_core_timers.h
@@ -86,7 +86,11 @@
       return;
     case TimerKind::kStatementRetry:
       if (IsInProgress(timer.subject, timer.statement_id)) {
-        Dispatch(*FindSession(timer.subject));
+        CallerSession& session = *FindSession(timer.subject);
+        // A read whose wait for a freshness bound ended early may run already.
+        if (session.statement.IsUnassigned()) {
+          Dispatch(session);
+        }
       }
       return;
     case TimerKind::kConnectTimeout:
--- a/libs/relay/sessions/caller_session.h
+++ b/libs/relay/sessions/caller_session.h
@@ -99,6 +99,11 @@
   /** True if it was retried at a replica that was behind. */
   bool waited_for_replica = false;
 
+  /** @returns true if it neither waits in an endpoint's queue nor was sent to
+               one without a reply yet */
+  bool IsUnassigned() const {
+    return queued_endpoint.IsEmpty() && connections.empty();
+  }
   /** @returns true if it is a write outside a transaction */
   bool IsAutocommitWrite() const {
     return requirement == EndpointRequirement::kWrite;
--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -754,6 +754,64 @@
   }
 }
 
+namespace {
+
+/** A VM that has no freshness bound and reaches no primary: the primary leaves
+    without a successor, since a replica is silent, and is partitioned. */
+class UnboundedRead {
+ public:
+  explicit UnboundedRead(const GroupOptions& options)
+      : service_{options.service}, simulation_(1, options) {
+    simulation_.SetCallerOutput([](size_t, uint64_t, std::string_view) {});
+    Advance(std::chrono::seconds(2));
+    simulation_.GetGroup().Crash(2, true);
+    simulation_.SetDraining(0, true);
+    simulation_.SetPartitioned(0, 0, true);
+    Advance(2 * kSimulatedDrainPeriod);
+  }
+
+  /** Sends a read, in a read transaction if wanted. */
+  void Send(bool in_transaction) {
+    const uint64_t session = simulation_.OpenCaller(0);
+    simulation_.Send(0, session, "STARTUP lookups caller");
+    if (in_transaction) {
+      simulation_.Send(0, session, "QUERY b1 BEGIN READ");
+    }
+    simulation_.Send(0, session, "QUERY r1 READ groyne-1");
+  }
+  /** Delivers another VM's bound, which lets the read go to a replica. */
+  void DeliverBound() {
+    simulation_.GetCore(0).RecordPeerBound(
+        {service_, LogPoint{Term{1}, LogPosition{0}}, {}},
+        simulation_.GetQueue().Now());
+    // The VM sends what it has buffered with its next event.
+    simulation_.CloseCaller(0, simulation_.OpenCaller(0));
+  }
+  /** Announces the other replica as the primary. */
+  void AnnouncePrimary() {
+    simulation_.GetGroup().Restart(2);
+    simulation_.AnnouncePrimary(service_,
+                                EndpointId{simulation_.GetGroup().GetId(1)});
+  }
+  void Advance(Duration duration) {
+    EventQueue& queue = simulation_.GetQueue();
+    queue.RunUntil(queue.Now() + duration);
+  }
+  /** @returns how often the read was executed */
+  int64_t CountExecutions() {
+    const auto& statements = simulation_.GetGroup().GetExecutedStatements();
+    return std::count_if(
+        statements.begin(), statements.end(),
+        [](const ExecutedStatement& it) { return it.request == "r1"; });
+  }
+
+ private:
+  const ServiceId service_;
+  TrafficSimulation simulation_;
+};
+
+}  // namespace
+
 TEST(Traffic, AReadThatLeftTheWaitForAPrimaryIsNotSentAgainForIt) {
   // Guards against a statement that runs on two connections: it waits for a
   // primary, is sent to a replica because a freshness bound arrives, and is
@@ -761,38 +819,33 @@
   using std::chrono::milliseconds;
   GroupOptions options;
   options.mean_run_time = milliseconds(60);
-  for (const char* begin : {"", "BEGIN READ"}) {
-    TrafficSimulation simulation(1, options);
-    simulation.SetCallerOutput([](size_t, uint64_t, std::string_view) {});
-    EventQueue& queue = simulation.GetQueue();
-    queue.RunUntil(queue.Now() + std::chrono::seconds(2));
-    // The primary leaves and has no successor, since a replica is silent.
-    simulation.GetGroup().Crash(2, true);
-    simulation.SetDraining(0, true);
-    simulation.SetPartitioned(0, 0, true);
-    queue.RunUntil(queue.Now() + 2 * kSimulatedDrainPeriod);
-    const uint64_t session = simulation.OpenCaller(0);
-    simulation.Send(0, session, "STARTUP lookups caller");
-    if (*begin != '\0') {
-      simulation.Send(0, session, std::string("QUERY b1 ") + begin);
-    }
-    simulation.Send(0, session, "QUERY r1 READ groyne-1");
-    queue.RunUntil(queue.Now() + milliseconds(620));
-    TrafficSimulation::Core& core = simulation.GetCore(0);
-    const ServiceId service{options.service};
-    core.RecordPeerBound({service, LogPoint{Term{1}, LogPosition{0}}, {}},
-                         queue.Now());
-    simulation.CloseCaller(0, simulation.OpenCaller(0));
-    queue.RunUntil(queue.Now() + milliseconds(15));
-    simulation.GetGroup().Restart(2);
-    simulation.AnnouncePrimary(service,
-                               EndpointId{simulation.GetGroup().GetId(1)});
-    queue.RunUntil(queue.Now() + std::chrono::seconds(2));
-    const auto& statements = simulation.GetGroup().GetExecutedStatements();
-    LONGS_EQUAL(1, std::count_if(statements.begin(), statements.end(),
-                                 [](const ExecutedStatement& it) {
-                                   return it.request == "r1";
-                                 }));
+  for (const bool in_transaction : {false, true}) {
+    UnboundedRead read(options);
+    read.Send(in_transaction);
+    read.Advance(kBoundTimeout + milliseconds(20));
+    read.DeliverBound();
+    read.Advance(milliseconds(15));
+    read.AnnouncePrimary();
+    read.Advance(std::chrono::seconds(2));
+    LONGS_EQUAL(1, read.CountExecutions());
+  }
+}
+
+TEST(Traffic, ARunningReadIsNotSentAgainWhenItsWaitForABoundWouldHaveEnded) {
+  // Guards against a read transaction whose first statement runs on two
+  // connections: the timer that ends the wait for a freshness bound also
+  // dispatched statements that had been sent meanwhile.
+  using std::chrono::milliseconds;
+  GroupOptions options;
+  // Some of the runs end between the timeout of the bound and the statement's.
+  options.mean_run_time = milliseconds(550);
+  for (options.seed = 1; options.seed <= 20; ++options.seed) {
+    UnboundedRead read(options);
+    read.Send(true);
+    read.Advance(milliseconds(100));
+    read.DeliverBound();
+    read.Advance(std::chrono::seconds(3));
+    CHECK(read.CountExecutions() <= 1);
   }
 }
 
