Report a rejected document once, however often peers offer it

What operators see: while the store is down, a pooler or entry beside a peer of a newer build that has a document in force which this build rejects logs the rejection, and parses the document, every 500 ms.

Cause: Offer() remembered only what it put in force.

Red before: store_tests ReportsADocumentThatPeersOfferAgainAndAgainOnce (5 reports for 5 offers).

--- a/libs/store/deployment/deployment_watcher.h
+++ b/libs/store/deployment/deployment_watcher.h
@@ -80,7 +80,7 @@
   void Start() { RequestVms(); }
 
   /** Puts a document in force if its version is higher than the current one and
-      the document has no findings.
+      the document has no findings. A rejected document is reported once.
 
       @param version  version of the document
       @param text     document as JSON
@@ -89,14 +89,20 @@
     if (version <= deployment_.version) {
       return;
     }
+    std::string hash = HashSha256(text);
+    if (version == rejected_version_ && hash == rejected_hash_) {
+      return;
+    }
     Findings findings;
     Document document = ParseDocument(text, findings);
     if (!findings.IsEmpty()) {
+      rejected_version_ = version;
+      rejected_hash_ = std::move(hash);
       events_.on_rejected(version, findings);
       return;
     }
     deployment_.version = version;
-    deployment_.hash = HashSha256(text);
+    deployment_.hash = std::move(hash);
     deployment_.document = std::move(document);
     text_ = text;
     Publish();
@@ -174,6 +180,8 @@
   Deployment deployment_;
   std::string text_;
   uint64_t last_downloaded_version_ = 0;
+  uint64_t rejected_version_ = 0;
+  std::string rejected_hash_;
   std::error_code last_ec_;
 };
 
--- a/libs/store/tests/deployment_watcher_test.cc
+++ b/libs/store/tests/deployment_watcher_test.cc
@@ -128,4 +128,15 @@
   STRCMP_EQUAL(MakeDocument(5).c_str(), watcher.GetText().c_str());
 }
 
+TEST(DeploymentWatching, ReportsADocumentThatPeersOfferAgainAndAgainOnce) {
+  // A peer of a newer build may have in force what this build rejects.
+  const std::string faulty = MakeDocument(0);
+  for (int n = 0; n < 5; ++n) {
+    watcher.Offer(2, faulty);
+  }
+  CHECK(rejected == std::vector<uint64_t>{2});
+  watcher.Offer(2, MakeDocument(5));
+  LONGS_EQUAL(2, watcher.GetVersion());
+}
+
 }  // namespace magnoliareel
