List all pages of a table in magnoliareel-fleet

What operators see: of a table with more rows than a page of the store holds (500), magnoliareel-fleet shows the first page only, and nothing says that VMs, endpoints or duties are missing.

Cause: has_more was ignored. The node had its own loop for the registered VMs. Both now use ListAllRows() of coordination.

coordination_tests ListAllRows ReturnsTheRowsOfAllPages tests the new function; magnoliareel-fleet itself was not run against a table of several pages.

--- a/apps/fleet/fleet_reader.cc
+++ b/apps/fleet/fleet_reader.cc
@@ -50,7 +50,7 @@
 }
 
 void FleetReader::ReadDuties() {
-  store_.List(kDutyTable, {},
+  ListAllRows(store_, kDutyTable,
               [this](std::error_code ec, const StoredRows& rows) {
                 for (const StoredRow& it : rows.rows) {
                   report_->duties.push_back(
@@ -61,23 +61,24 @@
 }
 
 void FleetReader::ReadNodes() {
-  store_.List(kVmTable, {}, [this](std::error_code ec, const StoredRows& rows) {
-    for (const StoredRow& it : rows.rows) {
-      FleetNode node;
-      node.vm.value = it.key;
-      if (ParseSocketAddress(it.value, node.address)) {
-        report_->nodes.push_back(std::move(node));
-      }
-    }
-    for (size_t it = 0; it < report_->nodes.size(); ++it) {
-      QueryNode(it);
-    }
-    FinishCall(ec);
-  });
+  ListAllRows(store_, kVmTable,
+              [this](std::error_code ec, const StoredRows& rows) {
+                for (const StoredRow& it : rows.rows) {
+                  FleetNode node;
+                  node.vm.value = it.key;
+                  if (ParseSocketAddress(it.value, node.address)) {
+                    report_->nodes.push_back(std::move(node));
+                  }
+                }
+                for (size_t it = 0; it < report_->nodes.size(); ++it) {
+                  QueryNode(it);
+                }
+                FinishCall(ec);
+              });
 }
 
 void FleetReader::ReadEndpoints() {
-  store_.List(Codec::GetEndpointTable(), {},
+  ListAllRows(store_, Codec::GetEndpointTable(),
               [this](std::error_code ec, const StoredRows& rows) {
                 for (const StoredRow& it : rows.rows) {
                   FleetEndpoint endpoint;
--- a/apps/node/node_process.cc
+++ b/apps/node/node_process.cc
@@ -245,30 +245,25 @@
                  After(kRegistrationRetryInterval, [this] { RegisterVm(); });
                  return;
                }
-               ListRegisteredVms({});
+               ListRegisteredVms();
              });
 }
 
-void NodeProcess::ListRegisteredVms(const std::string& after) {
-  store_.List(kVmTable, after,
-              [this, after](std::error_code ec, const StoredRows& rows) {
-                if (ec) {
-                  After(kRegistrationRetryInterval,
-                        [this, after] { ListRegisteredVms(after); });
-                  return;
-                }
-                std::vector<SocketAddress> addresses;
-                for (const StoredRow& it : rows.rows) {
-                  if (SocketAddress address;
-                      ParseSocketAddress(it.value, address)) {
-                    addresses.push_back(std::move(address));
-                  }
-                }
-                peers_.AddPeers(addresses);
-                if (rows.has_more && !rows.rows.empty()) {
-                  ListRegisteredVms(rows.rows.back().key);
-                }
-              });
+void NodeProcess::ListRegisteredVms() {
+  ListAllRows(
+      store_, kVmTable, [this](std::error_code ec, const StoredRows& vms) {
+        if (ec) {
+          After(kRegistrationRetryInterval, [this] { ListRegisteredVms(); });
+          return;
+        }
+        std::vector<SocketAddress> addresses;
+        for (const StoredRow& it : vms.rows) {
+          if (SocketAddress address; ParseSocketAddress(it.value, address)) {
+            addresses.push_back(std::move(address));
+          }
+        }
+        peers_.AddPeers(addresses);
+      });
 }
 
 net::Reply NodeProcess::AnswerProbe() {
--- a/apps/node/node_process.h
+++ b/apps/node/node_process.h
@@ -59,8 +59,8 @@
   NodeStatus MakeStatus() const;
   void HandleStoreRestored(uint64_t era);
   void RegisterVm();
-  /** Lists the addresses of the VMs whose names follow the given one. */
-  void ListRegisteredVms(const std::string& after);
+  /** Sends heartbeats to the VMs that are registered in the store. */
+  void ListRegisteredVms();
 
   net::Reply AnswerProbe();
   void AnswerMetrics(const net::HttpListener::Answer& answer);
--- a/libs/coordination/coordination.h
+++ b/libs/coordination/coordination.h
@@ -8,10 +8,11 @@
     Depends on core and telemetry. It contains no message encoding; the store is
     a template parameter.
 
-    Topics: rows/ (concept of the store), watches/ (following a table), duties/
+    Topics: rows/ (concept of the store, listing of a table), watches/ (following a table), duties/
     (which VM may order a promotion).
 */
 #include "coordination/duties/duty_claims.h"
+#include "coordination/rows/list_all_rows.h"
 #include "coordination/rows/row_store.h"
 #include "coordination/watches/table_watch.h"
 
--- a/libs/coordination/tests/coordination_test.cc
+++ b/libs/coordination/tests/coordination_test.cc
@@ -223,4 +223,31 @@
   LONGS_EQUAL(0, claims.GetToken(service));
 }
 
+TEST_GROUP(ListAllRows){};
+
+TEST(ListAllRows, ReturnsTheRowsOfAllPages) {
+  // Guards against operators who see only the first page of the VMs.
+  FakeStore store;
+  std::error_code error;
+  StoredRows all;
+  const auto list = [&] {
+    ListAllRows(store, "vms", [&](std::error_code ec, StoredRows rows) {
+      error = ec;
+      all = std::move(rows);
+    });
+  };
+  list();
+  store.Answer({}, {{{"a", "", 1, false}, {"b", "", 2, false}}, 7, true});
+  STRCMP_EQUAL("list b", store.last.c_str());
+  LONGS_EQUAL(0, all.rows.size());
+  store.Answer({}, {{{"c", "", 3, false}}, 9, false});
+  LONGS_EQUAL(3, all.rows.size());
+  LONGS_EQUAL(7, all.version);
+  list();
+  store.Answer({}, {{{"a", "", 1, false}}, 10, true});
+  store.Answer(Error::kUnreachable, {});
+  CHECK(error == Error::kUnreachable);
+  LONGS_EQUAL(0, all.rows.size());
+}
+
 }  // namespace magnoliareel
