Do not reuse the handle of a failed call

What callers saw, first in scenario store_outage in a build with sanitizers: a primary was killed while the platform was down, and no other was promoted until the platform's return; a write ended as unknown after 6 s.

Timeline: the driver has a granted term and asks all endpoints to adopt it. The killed one refuses, and so, within 44 us, does a live one: "the peer cannot be reached", with no byte sent. There is no majority, the term is used up, and no other is granted while the platform is down.

Cause: when a call is lost on a kept connection, libcurl notes on its handle that the body has to be sent again, and tries a new connection. If that is refused, the note stays; curl_easy_reset() keeps it. The next call that gets the handle, to whatever peer, fails before it sends anything. So after each process that ended with a call in progress, one call to a live one failed as "not sent". Class of fault: state of one peer in what is reused for others.

Only handles of calls that succeeded are reused.

Open: a failed promotion uses up its term (docs/PROOFS.md, not proved).

--- a/libs/http/client/http_client.cc
+++ b/libs/http/client/http_client.cc
@@ -212,8 +212,14 @@
       auto node = calls_.extract(easy);
       HttpResult result = MakeResult(easy, code, *node.mapped());
       curl_multi_remove_handle(multi_, easy);
-      curl_easy_reset(easy);
-      free_handles_.push_back(easy);
+      if (code == CURLE_OK) {
+        curl_easy_reset(easy);
+        free_handles_.push_back(easy);
+      } else {
+        // A reset keeps the intention to send the body again, which would fail
+        // the next call.
+        curl_easy_cleanup(easy);
+      }
       node.mapped()->done(std::move(result));
     }
   }
--- a/libs/http/tests/http_test.cc
+++ b/libs/http/tests/http_test.cc
@@ -3,6 +3,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "http/http.h"
 
@@ -71,6 +72,41 @@
   LONGS_EQUAL(2, received.load());
 }
 
+TEST(Http, AProcessThatEndsDoesNotFailTheNextCallToAnother) {
+  // Guards against a live peer that is reported as unreachable: the client had
+  // reused the handle of a call that was lost with its server on a kept
+  // connection.
+  HttpServer live(MakeOptions(),
+                  [](const HttpRequest&, const HttpResponder& responder) {
+                    responder.Send({200, "live"});
+                  });
+  CHECK(!live.Start());
+  for (int n = 0; n < 5; ++n) {
+    std::promise<void> has_arrived;
+    std::vector<HttpResponder> unanswered;
+    auto ending = std::make_unique<HttpServer>(
+        MakeOptions(),
+        [&](const HttpRequest& request, const HttpResponder& responder) {
+          if (request.body == "first") {
+            responder.Send({200, ""});
+          } else {
+            unanswered.push_back(responder);
+            has_arrived.set_value();
+          }
+        });
+    CHECK(!ending->Start());
+    const uint16_t port = ending->GetPort();
+    CHECK(!SendRequest(client, port, "first").ec);
+    auto lost = std::async(std::launch::async, [&] {
+      return SendRequest(client, port, "second").ec;
+    });
+    has_arrived.get_future().wait();
+    ending.reset();
+    CHECK(lost.get() == Error::kAnswerLost);
+    CHECK(!SendRequest(client, live.GetPort(), "third").ec);
+  }
+}
+
 TEST(Http, ReportsUnreachableIfNothingWasSent) {
   uint16_t port = 0;
   {
