Reject an empty token before it is decoded

An empty token, which a caller may send, was passed to libsodium as a null pointer where the library declares that it never gets one: undefined behaviour, found by the undefined-behaviour sanitizer in seal_tests RejectsRandomlyChangedTokens. The answer does not change.

--- a/libs/seal/tokens/token_sealer.cc
+++ b/libs/seal/tokens/token_sealer.cc
@@ -198,7 +198,7 @@
 }
 
 std::optional<SessionToken> TokenSealer::Open(std::string_view text) const {
-  if (text.size() > kMaxSealedBytes || !IsBase64(text)) {
+  if (text.empty() || text.size() > kMaxSealedBytes || !IsBase64(text)) {
     return std::nullopt;
   }
   std::vector<unsigned char> sealed(text.size());
