--- a/tests/simulation/simulation_test.cc
+++ b/tests/simulation/simulation_test.cc
@@ -64,6 +64,8 @@
 
 RunResult Simulate(uint64_t seed, SimOptions options) {
   SimCluster cluster(seed, options);
+  // Tasks that end a fault refer to it, also after Run().
+  SimFaults faults(cluster);
   RunResult result;
   std::vector<std::unique_ptr<SimCaller>> callers;
   for (int n = 0; n < kCallerCount; ++n) {
@@ -71,7 +73,7 @@
     callers.back()->Start();
   }
   cluster.Advance(std::chrono::seconds(1));
-  SimFaults(cluster).Run(kFaultPeriod);
+  faults.Run(kFaultPeriod);
   for (auto& it : callers) {
     it->Stop();
   }
