--- a/libs/telemetry/events/event.cc
+++ b/libs/telemetry/events/event.cc
@@ -31,7 +31,7 @@
     {kPrimaryLearned, kInfo, "group.primary_learned",
      "The primary of a group's new term became known. group, primary, term"},
     {kEndpointUnreachable, kWarning, "endpoint.unreachable",
-     "An endpoint stopped answering status polls. endpoint, error"},
+     "An endpoint stopped answering status polls. endpoint"},
     {kEndpointReachable, kInfo, "endpoint.reachable",
      "An endpoint answers status polls again. endpoint"},
     {kEndpointLeaving, kInfo, "endpoint.leaving",
