--- a/tests/fuzz/decoder_fuzz_test.cc
+++ b/tests/fuzz/decoder_fuzz_test.cc
@@ -166,6 +166,25 @@
        ParseHistory(bytes, findings);
        return true;
      }},
+    {"caller_answers",
+     [](std::string_view bytes) {
+       Findings findings;
+       ParseCallerAnswer(bytes, findings);
+       return true;
+     }},
+    {"control_messages",
+     [](std::string_view bytes) {
+       Findings findings;
+       if (const Json::Value value = ParseJsonObject(bytes, findings);
+           findings.IsEmpty()) {
+         DecodeObserveRequest(value, findings);
+         DecodeObserveAnswer(value, findings);
+         DecodeDocumentOffer(value, findings);
+         DecodePromoteRequest(value, findings);
+         DecodePoolerStatus(value, findings);
+       }
+       return true;
+     }},
     {"platform_rows",
      [](std::string_view bytes) {
        Findings findings;
