Let a hedged read whose connection is lost wait in one queue

What callers would see: more load on replicas when one of them fails: a read whose first attempt was lost, while its second waited in a replica's queue, was queued once more, took two slots and ran twice.

Cause: ScheduleRetry() forgot the endpoint in whose queue the statement waited, and left it in that queue.

--- a/libs/relay/core/traffic_core_dispatch.h
+++ b/libs/relay/core/traffic_core_dispatch.h
@@ -62,7 +62,8 @@
 
 template <WireDialect D, class N>
 void TrafficCore<D, N>::ScheduleRetry(CallerSession& session, Duration delay) {
-  session.statement.queued_endpoint = {};
+  // The second attempt of a hedged read may still wait for an endpoint.
+  RemoveFromQueues(session);
   if (delay <= Duration(0)) {
     Dispatch(session);
     return;
--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -849,4 +850,37 @@
   }
 }
 
+TEST(Traffic, AHedgedReadWhoseConnectionIsLostWaitsInOneQueue) {
+  // Guards against a read that is started twice: its second attempt waits at a
+  // busy replica when the connection of the first one is lost.
+  using std::chrono::milliseconds;
+  GroupOptions options;
+  options.slots = 1;
+  options.mean_run_time = milliseconds(450);
+  size_t waiting_count = 0;
+  for (options.seed = 1; options.seed <= 20; ++options.seed) {
+    TrafficSimulation simulation(1, options);
+    simulation.SetCallerOutput([](size_t, uint64_t, std::string_view) {});
+    EventQueue& queue = simulation.GetQueue();
+    queue.RunUntil(queue.Now() + std::chrono::seconds(2));
+    for (size_t n = 0; n < 60; ++n) {
+      const uint64_t session = simulation.OpenCaller(0);
+      simulation.Send(0, session, "STARTUP lookups caller");
+      simulation.Send(0, session, "QUERY q READ groyne-1");
+      queue.RunUntil(queue.Now() + milliseconds(50));
+      if (n % 8 == 0) {
+        simulation.ResetConnections(0, 1 + n / 8 % 2);
+      }
+      std::set<uint64_t> waiting;
+      for (const auto& [id, pool] : simulation.GetCore(0).GetPools()) {
+        for (const QueuedStatement& it : pool.queue) {
+          CHECK_TEXT(waiting.insert(it.statement_id).second, id.value.c_str());
+        }
+      }
+      waiting_count += waiting.size();
+    }
+  }
+  CHECK(waiting_count > 0);
+}
+
 }  // namespace magnoliareel
