--- a/libs/control/failover/primary_registry.h
+++ b/libs/control/failover/primary_registry.h
@@ -89,7 +89,7 @@
   bool IsPrimary(const EndpointId& endpoint) const;
   /** @param endpoint  the endpoint to look up
       @returns          true if it was the latest confirmed primary of a
-     service, even if another promotion was ordered since */
+                        service, even if another promotion was ordered since */
   bool IsLatestConfirmed(const EndpointId& endpoint) const;
   /** @returns the recorded primaries, ordered by service */
   std::vector<std::pair<ServiceId, EndpointId>> List() const;
--- a/libs/coordination/coordination.h
+++ b/libs/coordination/coordination.h
@@ -8,8 +8,8 @@
     Depends on core and telemetry. It contains no message encoding; the store is
     a template parameter.
 
-    Topics: rows/ (concept of the store, listing of a table), watches/ (following a table), duties/
-    (which VM may order a promotion).
+    Topics: rows/ (concept of the store, listing of a table), watches/
+    (following a table), duties/ (which VM may order a promotion).
 */
 #include "coordination/duties/duty_claims.h"
 #include "coordination/rows/list_all_rows.h"
--- a/libs/http/server/http_server.h
+++ b/libs/http/server/http_server.h
@@ -60,8 +60,8 @@
   /** Waits until no request is in progress, then stops accepting connections.
 
       New connections are accepted until then, because clients that check
-     whether the process lives would otherwise abandon requests that are in
-     progress. The handler must reject new work at once.
+      whether the process lives would otherwise abandon requests that are in
+      progress. The handler must reject new work at once.
 
       @param timeout  longest wait
       @returns        false if requests were still in progress after the timeout
--- a/standins/group/group_model.h
+++ b/standins/group/group_model.h
@@ -74,8 +74,8 @@
 /** Simulates a group of replicated databases that speak the line-based session
     protocol. It models terms, log positions, acknowledgement by a replica,
     pauses of replication, promotions, demotions, slots, transactions, lost
-   answers and crashes. The owner supplies the transport, the clock and the
-   timers, so that the same model runs in simulated time and in a server.
+    answers and crashes. The owner supplies the transport, the clock and the
+    timers, so that the same model runs in simulated time and in a server.
 
     Test-only. It follows the published rules of the protocol, is not a copy of
     a real system and verifies nothing itself: tests check what it recorded.
--- a/tests/traffic/traffic_simulation.h
+++ b/tests/traffic/traffic_simulation.h
@@ -130,7 +130,7 @@
   /** Sets whether the directory reports a member as draining. */
   void SetDraining(size_t member, bool draining);
   /** @returns the statements that reached a member after its drain period,
-     except those of a transaction that was open there */
+               except those of a transaction that was open there */
   std::vector<std::string> ListStatementsAfterDrain() const;
   /** Sets whether the directory lists a member. */
   void SetListed(size_t member, bool listed);
