--- a/apps/node/traffic_thread.cc
+++ b/apps/node/traffic_thread.cc
@@ -158,6 +158,12 @@
                {}, static_cast<double>(counters.hedged));
     gauges.Add("connections_opened", "Connections opened, since the start.", {},
                static_cast<double>(counters.connections_opened));
+    gauges.Add("connections_refused",
+               "Connections over an endpoint's limit, since the start.", {},
+               static_cast<double>(counters.connections_refused));
+    gauges.Add("statements_refused_busy",
+               "Statements that full endpoints refused, since the start.", {},
+               static_cast<double>(counters.refused_busy));
     done(std::move(gauges));
   });
 }
--- a/libs/relay/core/traffic_core_errors.h
+++ b/libs/relay/core/traffic_core_errors.h
@@ -24,6 +24,7 @@
     connection.prepared.clear();
   }
   if (error == StatementError::kBusy) {
+    ++counters_.refused_busy;
     pool->RecordBusy(now);
   }
   if (error == StatementError::kNotPrimary) {
--- a/libs/relay/core/traffic_core_replies.h
+++ b/libs/relay/core/traffic_core_replies.h
@@ -70,6 +70,7 @@
     HandleEndpointFailure(*pool, EndpointCondition::kUnreachable);
     return;
   }
+  ++counters_.connections_refused;
   pool->RecordActivity(now);
   pool->RecordConnectionRefused(now);
   RerouteReads(*pool);
--- a/libs/relay/core/traffic_options.h
+++ b/libs/relay/core/traffic_options.h
@@ -30,6 +30,11 @@
   uint64_t retried = 0;
   uint64_t hedged = 0;
   uint64_t connections_opened = 0;
+  /** Connections that an endpoint refused because of its connection limit. */
+  uint64_t connections_refused = 0;
+  /** Statements that an endpoint refused because its slots and queue were
+      full. */
+  uint64_t refused_busy = 0;
 };
 
 }  // namespace magnoliareel
--- a/standins/group/group_model.cc
+++ b/standins/group/group_model.cc
@@ -130,35 +130,54 @@
   const std::string service = TakeNextField(rest);
   TakeNextField(rest);
   const std::string expected(rest);
-  const auto open = std::count_if(
-      connections_.begin(), connections_.end(), [&](const auto& row) {
-        return row.second.member == connection.member && row.second.is_open;
-      });
-  std::string_view refusal;
-  if (service != options_.service ||
-      (!expected.empty() && expected != member.id)) {
-    refusal = "MISROUTED";
-  } else if (open >= static_cast<int64_t>(options_.max_connections)) {
-    refusal = "TOOMANY";
+  const bool is_misrouted = service != options_.service ||
+                            (!expected.empty() && expected != member.id);
+  if (is_misrouted) {
+    Refuse(id, "MISROUTED");
+    return;
   }
-  if (!refusal.empty()) {
-    connections_.erase(id);
-    output_(id, "ERROR " + std::string(refusal) + " " + member.id + "\r\n");
-    output_(id, "");
+  if (!options_.handshakes_wait && IsFull(connection.member)) {
+    Refuse(id, "TOOMANY");
     return;
   }
   connection.is_busy = true;
+  const Duration wait =
+      options_.handshakes_wait
+          ? options_.mean_run_time * (member.active_count / options_.slots)
+          : Duration(0);
   ++member.active_count;
-  timer_(options_.handshake_time, [this, id, index = connection.member,
-                                   incarnation = connection.incarnation] {
-    ReleaseSlot(members_[index], incarnation);
-    if (Connection* it = FindConnection(id)) {
-      it->is_busy = false;
-      it->is_open = true;
-      output_(id, FormatReady(*it));
-      ProcessPendingLines(id);
-    }
-  });
+  timer_(options_.handshake_time + wait,
+         [this, id, index = connection.member,
+          incarnation = connection.incarnation] {
+           ReleaseSlot(members_[index], incarnation);
+           Connection* it = FindConnection(id);
+           if (it == nullptr) {
+             return;
+           }
+           if (options_.handshakes_wait && IsFull(index)) {
+             Refuse(id, "TOOMANY");
+             return;
+           }
+           it->is_busy = false;
+           it->is_open = true;
+           output_(id, FormatReady(*it));
+           ProcessPendingLines(id);
+         });
+}
+
+bool GroupModel::IsFull(size_t member) const {
+  const auto open = std::count_if(
+      connections_.begin(), connections_.end(), [member](const auto& row) {
+        return row.second.member == member && row.second.is_open;
+      });
+  return open >= static_cast<int64_t>(options_.max_connections);
+}
+
+void GroupModel::Refuse(uint64_t id, std::string_view code) {
+  const std::string member = members_[connections_[id].member].id;
+  connections_.erase(id);
+  output_(id, "ERROR " + std::string(code) + " " + member + "\r\n");
+  output_(id, "");
 }
 
 void GroupModel::HandleQuery(uint64_t id, std::string_view rest) {
@@ -233,8 +252,8 @@
 void GroupModel::RunInSlot(uint64_t id, std::string request, std::string text) {
   Connection& connection = connections_[id];
   Member& member = members_[connection.member];
-  // As many statements as there are slots may wait; further ones are rejected.
-  if (member.active_count >= options_.slots * 2) {
+  const uint32_t queue = options_.queue == 0 ? options_.slots : options_.queue;
+  if (member.active_count >= options_.slots + queue) {
     Fail(id, "BUSY");
     return;
   }
--- a/standins/group/group_model.h
+++ b/standins/group/group_model.h
@@ -21,8 +21,14 @@
   uint32_t replicas = 2;
   uint32_t slots = 4;
   uint32_t max_connections = 32;
+  /** Number of statements that may wait for a slot; as many as there are slots
+      if 0. */
+  uint32_t queue = 0;
   /** Time for which opening a connection occupies a slot. */
   Duration handshake_time = std::chrono::milliseconds(5);
+  /** Whether a handshake waits for its slot, also one that is then refused
+      because of the connection limit. */
+  bool handshakes_wait = false;
   /** Mean time for which a read, write or commit occupies a slot. */
   Duration mean_run_time = std::chrono::milliseconds(4);
   /** Mean time from a commit until a replica receives it. */
@@ -225,6 +231,8 @@
 
   void HandleLine(uint64_t id, const std::string& line);
   void ProcessPendingLines(uint64_t id);
+  bool IsFull(size_t member) const;
+  void Refuse(uint64_t id, std::string_view code);
   void HandleQuery(uint64_t id, std::string_view rest);
   static void ReleaseSlot(Member& member, uint64_t incarnation);
   void RunInSlot(uint64_t id, std::string request, std::string text);
--- /dev/null
+++ b/tests/load/open_loop_load.cc
@@ -0,0 +1,147 @@
+#include "tests/load/open_loop_load.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace magnoliareel {
+namespace {
+
+// A refused operation is sent again this often, after a pause.
+constexpr uint32_t kMaxRetries = 2;
+constexpr int64_t kMinRetryPauseUs = 100'000;
+constexpr int64_t kRetryPauseSpreadUs = 200'000;
+
+constexpr std::array<std::string_view, 4> kRefusals = {"BUSY", "ABORTED",
+                                                       "LAGGING", "READONLY"};
+
+}  // namespace
+
+OpenLoopLoad::OpenLoopLoad(TrafficSimulation& simulation,
+                           OpenLoopOptions options)
+    : simulation_(simulation), options_(options), random_(options.seed) {
+  simulation_.SetCallerOutput(
+      [this](size_t, uint64_t session, std::string_view line) {
+        HandleLine(session, line);
+      });
+}
+
+void OpenLoopLoad::OpenSessions() {
+  constexpr std::array<const char*, 10> kDatabases = {
+      "entries",    "lookups",    "timesheets", "timesheets", "timesheets",
+      "timesheets", "timesheets", "timesheets", "timesheets", "entries"};
+  for (size_t vm = 0; vm < options_.vms; ++vm) {
+    for (size_t it = 0; it < options_.sessions_per_vm; ++it) {
+      const uint64_t id = simulation_.OpenCaller(vm);
+      const std::string database = kDatabases[(vm + it) % kDatabases.size()];
+      sessions_[id] = {vm, database, false, -1, false, false};
+      session_ids_.push_back(id);
+      simulation_.Send(vm, id, "STARTUP " + database + " caller");
+    }
+  }
+}
+
+void OpenLoopLoad::RunUntil(TimePoint end, double rate_factor) {
+  EventQueue& queue = simulation_.GetQueue();
+  std::exponential_distribution<> interval(options_.rate * rate_factor);
+  for (;;) {
+    const TimePoint next =
+        queue.Now() + Duration(static_cast<int64_t>(interval(random_) * 1e6));
+    if (next >= end) {
+      queue.RunUntil(end);
+      return;
+    }
+    queue.RunUntil(next);
+    BeginOperation();
+  }
+}
+
+void OpenLoopLoad::BeginOperation() {
+  const int64_t operation = static_cast<int64_t>(operations_.size());
+  Operation& it = operations_.emplace_back();
+  it.began_at = simulation_.GetQueue().Now();
+  // A caller that waits for an answer sends nothing; another one is chosen.
+  for (int n = 0; n < 50; ++n) {
+    const uint64_t id = session_ids_[random_() % session_ids_.size()];
+    const Session& session = sessions_[id];
+    if (!session.open || session.operation >= 0) {
+      continue;
+    }
+    const bool writes = session.database != "lookups" && random_() % 6 == 0;
+    const std::string item = "item" + std::to_string(random_() % 50);
+    it.text = writes ? "WRITE " + item + " x" : "READ " + item;
+    Send(id, operation);
+    return;
+  }
+}
+
+void OpenLoopLoad::Send(uint64_t id, int64_t operation) {
+  Session& session = sessions_[id];
+  session.operation = operation;
+  session.refused = false;
+  session.failed = false;
+  simulation_.Send(session.vm, id,
+                   "QUERY q" + std::to_string(next_request_++) + " " +
+                       operations_[static_cast<size_t>(operation)].text);
+}
+
+void OpenLoopLoad::HandleLine(uint64_t id, std::string_view line) {
+  const auto found = sessions_.find(id);
+  if (found == sessions_.end() || line.empty()) {
+    return;
+  }
+  Session& session = found->second;
+  if (line.starts_with("ERROR ")) {
+    line.remove_prefix(6);
+    session.failed = true;
+    session.refused = std::any_of(
+        kRefusals.begin(), kRefusals.end(),
+        [line](std::string_view it) { return line.starts_with(it); });
+    return;
+  }
+  if (!line.starts_with("READY")) {
+    return;
+  }
+  session.open = true;
+  if (session.operation >= 0) {
+    // The answer may arrive while the statement is still being sent.
+    simulation_.GetQueue().After(Duration(0),
+                                 [this, id] { FinishAttempt(id); });
+  }
+}
+
+void OpenLoopLoad::FinishAttempt(uint64_t id) {
+  Session& session = sessions_[id];
+  const int64_t index = std::exchange(session.operation, -1);
+  if (index < 0) {
+    return;
+  }
+  Operation& operation = operations_[static_cast<size_t>(index)];
+  const TimePoint now = simulation_.GetQueue().Now();
+  if (!session.failed) {
+    operation.served = now - operation.began_at <= options_.objective;
+    return;
+  }
+  if (session.refused && operation.retries < kMaxRetries) {
+    ++operation.retries;
+    // The session stays reserved for its retry.
+    session.operation = index;
+    const Duration pause(kMinRetryPauseUs +
+                         static_cast<int64_t>(random_() % kRetryPauseSpreadUs));
+    simulation_.GetQueue().After(pause, [this, id, index] { Send(id, index); });
+  }
+}
+
+double OpenLoopLoad::GetServedShare(TimePoint begin, TimePoint end) const {
+  size_t n = 0;
+  size_t served = 0;
+  for (const Operation& it : operations_) {
+    if (it.began_at >= begin && it.began_at < end) {
+      ++n;
+      served += it.served ? 1 : 0;
+    }
+  }
+  return n == 0 ? 1 : static_cast<double>(served) / static_cast<double>(n);
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/tests/load/open_loop_load.h
@@ -0,0 +1,81 @@
+#ifndef MAGNOLIAREEL_TESTS_LOAD_OPEN_LOOP_LOAD_H_
+#define MAGNOLIAREEL_TESTS_LOAD_OPEN_LOOP_LOAD_H_
+
+#include <cstdint>
+#include <random>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "tests/traffic/traffic_simulation.h"
+
+namespace magnoliareel {
+
+/** Mix and timing of an OpenLoopLoad. */
+struct OpenLoopOptions {
+  size_t vms = 0;
+  size_t sessions_per_vm = 0;
+  /** Statements per second of all callers together. */
+  double rate = 0;
+  /** An answer within this time counts as served. */
+  Duration objective = std::chrono::milliseconds(800);
+  uint64_t seed = 1;
+};
+
+/** Callers that send statements at given times, whether earlier ones were
+    answered or not, and retry those that were refused. */
+class OpenLoopLoad {
+ public:
+  /** @param simulation  outlives the load; its caller output is taken over */
+  OpenLoopLoad(TrafficSimulation& simulation, OpenLoopOptions options);
+
+  /** Opens all sessions. */
+  void OpenSessions();
+  /** Sends statements until a moment.
+
+      @param rate_factor  multiplies OpenLoopOptions::rate
+  */
+  void RunUntil(TimePoint end, double rate_factor);
+  /** @param begin  start of a period
+      @param end    its end
+      @returns      the share of the statements of that period that were served
+                    within the objective
+  */
+  double GetServedShare(TimePoint begin, TimePoint end) const;
+
+ private:
+  /** An operation of a caller, with its retries. */
+  struct Operation {
+    TimePoint began_at;
+    std::string text;
+    uint32_t retries = 0;
+    bool served = false;
+  };
+  struct Session {
+    size_t vm = 0;
+    std::string database;
+    bool open = false;
+    /** Index of the operation in progress; none if negative. */
+    int64_t operation = -1;
+    bool refused = false;
+    bool failed = false;
+  };
+
+  void BeginOperation();
+  void Send(uint64_t id, int64_t operation);
+  void HandleLine(uint64_t id, std::string_view line);
+  void FinishAttempt(uint64_t id);
+
+  TrafficSimulation& simulation_;
+  const OpenLoopOptions options_;
+  std::mt19937_64 random_;
+  std::unordered_map<uint64_t, Session> sessions_;
+  std::vector<uint64_t> session_ids_;
+  std::vector<Operation> operations_;
+  uint64_t next_request_ = 1;
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_TESTS_LOAD_OPEN_LOOP_LOAD_H_
