--- a/apps/node/node_process.cc
+++ b/apps/node/node_process.cc
@@ -49,7 +49,7 @@
                GetMaxDrainingUse(settings_.endpoint_drain_period)},
           [this](const TrafficNotice& notice) { notices_.Post(notice); },
           metrics_),
-      fleet_(store_, *this),
+      fleet_(store_, *this, settings_.vm),
       peers_(loop_, settings_.peer_address, MakePeerExchangeCallbacks()),
       bound_exchange_(loop_,
                       settings_,
@@ -81,7 +81,8 @@
 
 int NodeProcess::Run() {
   for (const auto& [name, ec] :
-       {std::pair("callers", traffic_.Start(settings_.caller_address)),
+       {std::pair("callers", traffic_.Start(settings_.caller_address,
+                                            settings_.forwarding_address)),
         std::pair("peers", peers_.Start()),
         std::pair("probe", probe_.Listen(settings_.probe_address))}) {
     if (ec) {
@@ -146,6 +147,7 @@
     heartbeat.config_version = fleet_.GetRoutes()->version;
     heartbeat.endpoints_version = fleet_.GetEndpointsVersion();
     heartbeat.leaving = stopping_;
+    heartbeat.forwarding_port = settings_.forwarding_address.port;
     failover_.FillHeartbeat(heartbeat);
   };
   callbacks.is_newer = [this](uint64_t config, uint64_t endpoints) {
@@ -184,7 +186,8 @@
     if (!std::exchange(peer_review_scheduled_, true)) {
       After(kPeerReviewDelay, [this] {
         peer_review_scheduled_ = false;
-        fleet_.SetLiveVms(peers_.GetPeers().CountExpected(Now()));
+        fleet_.SetLiveVms(peers_.GetPeers().CountExpected(Now()),
+                          ListHolderCandidates());
         failover_.Review();
       });
     }
@@ -192,6 +195,22 @@
   return callbacks;
 }
 
+std::vector<HolderCandidate> NodeProcess::ListHolderCandidates() const {
+  std::vector<HolderCandidate> candidates;
+  if (!stopping_ && settings_.forwarding_address.port != 0) {
+    candidates.push_back(
+        {settings_.vm, settings_.site, settings_.forwarding_address});
+  }
+  for (const PeerGroup::Peer* it : peers_.GetPeers().ListLive()) {
+    const Heartbeat& last = it->last;
+    if (last.forwarding_port != 0) {
+      candidates.push_back(
+          {last.vm, last.site, {last.address.host, last.forwarding_port}});
+    }
+  }
+  return candidates;
+}
+
 FreshnessBoundExchange::Callbacks NodeProcess::MakeBoundExchangeCallbacks() {
   FreshnessBoundExchange::Callbacks callbacks;
   callbacks.send = [this](const SocketAddress& address,
--- a/apps/node/node_process.h
+++ b/apps/node/node_process.h
@@ -55,6 +55,7 @@
                                    NodeProcess>;
 
   PeerExchange::Callbacks MakePeerExchangeCallbacks();
+  std::vector<HolderCandidate> ListHolderCandidates() const;
   FreshnessBoundExchange::Callbacks MakeBoundExchangeCallbacks();
   NodeStatus MakeStatus() const;
   void HandleStoreRestored(uint64_t era);
--- a/apps/node/traffic_thread.cc
+++ b/apps/node/traffic_thread.cc
@@ -18,20 +18,27 @@
 }
 
 void TrafficThread::Connection::HandleBytes(std::string_view bytes) {
+  const bool has_session = remote != RemoteKind::kEndpoint;
   const Connections& connections =
-      from_caller ? owner->callers_ : owner->endpoints_;
+      has_session ? owner->callers_ : owner->endpoints_;
   const uint64_t connection_id = id;
   Core& core = owner->core_;
   const bool valid = framer.Feed(bytes, [&](std::string_view line) {
-    if (from_caller) {
-      core.HandleCallerFrame(connection_id, line);
-    } else {
-      core.HandleEndpointFrame(connection_id, line);
+    switch (remote) {
+      case RemoteKind::kCaller:
+        core.HandleCallerFrame(connection_id, line);
+        break;
+      case RemoteKind::kPeer:
+        core.HandleForwardedFrame(connection_id, line);
+        break;
+      case RemoteKind::kEndpoint:
+        core.HandleEndpointFrame(connection_id, line);
+        break;
     }
     return connections.contains(connection_id);
   });
   if (!valid && connections.contains(connection_id)) {
-    if (from_caller) {
+    if (has_session) {
       core.RejectCaller(connection_id, StatementError::kTooLarge,
                         "message too long");
       owner->CloseCaller(connection_id);
@@ -47,7 +54,7 @@
 void TrafficThread::Connection::HandleClosed(std::error_code ec) {
   TrafficThread& thread = *owner;
   const uint64_t connection_id = id;
-  if (from_caller) {
+  if (remote != RemoteKind::kEndpoint) {
     thread.RetireConnection(thread.callers_, connection_id);
     thread.core_.CloseSession(connection_id);
   } else {
@@ -67,7 +74,14 @@
                     core_.HandleWake();
                     FinishEvent();
                   }),
-      listener_(loop_, [this](Stream stream) { Accept(std::move(stream)); }),
+      caller_listener_(loop_,
+                       [this](Stream stream) {
+                         Accept(std::move(stream), RemoteKind::kCaller);
+                       }),
+      peer_listener_(loop_,
+                     [this](Stream stream) {
+                       Accept(std::move(stream), RemoteKind::kPeer);
+                     }),
       core_(*this, std::move(options)),
       mailbox_(loop_, [this](const std::function<void()>& task) {
         task();
@@ -78,10 +92,16 @@
   Stop();
 }
 
-std::error_code TrafficThread::Start(const SocketAddress& address) {
-  if (const std::error_code ec = listener_.Listen(address)) {
+std::error_code TrafficThread::Start(const SocketAddress& callers,
+                                     const SocketAddress& peers) {
+  if (const std::error_code ec = caller_listener_.Listen(callers)) {
     return ec;
   }
+  if (peers.port != 0) {
+    if (const std::error_code ec = peer_listener_.Listen(peers)) {
+      return ec;
+    }
+  }
   thread_ = std::thread([this] { loop_.Run(); });
   return {};
 }
@@ -158,6 +178,12 @@
                {}, static_cast<double>(counters.hedged));
     gauges.Add("connections_opened", "Connections opened, since the start.", {},
                static_cast<double>(counters.connections_opened));
+    gauges.Add("statements_forwarded",
+               "Statements sent to other VMs that hold the connections.", {},
+               static_cast<double>(counters.forwarded));
+    gauges.Add("statements_run_for_peers",
+               "Statements run for other VMs, since the start.", {},
+               static_cast<double>(counters.run_for_peers));
     gauges.Add("connections_refused",
                "Connections over an endpoint's limit, since the start.", {},
                static_cast<double>(counters.connections_refused));
@@ -169,7 +195,7 @@
 }
 
 void TrafficThread::StopAccepting() {
-  mailbox_.Post([this] { listener_.Stop(); });
+  mailbox_.Post([this] { caller_listener_.Stop(); });
 }
 
 void TrafficThread::Stop() {
@@ -183,15 +209,19 @@
   endpoints_.clear();
 }
 
-void TrafficThread::Accept(Stream stream) {
+void TrafficThread::Accept(Stream stream, RemoteKind remote) {
   auto connection = std::make_unique<Connection>();
   Connection& it = *connection;
   it.owner = this;
   it.id = next_caller_id_++;
-  it.from_caller = true;
+  it.remote = remote;
   it.stream = std::move(stream);
   callers_.emplace(it.id, std::move(connection));
-  core_.OpenSession(it.id);
+  if (remote == RemoteKind::kPeer) {
+    core_.OpenForwardedSession(it.id);
+  } else {
+    core_.OpenSession(it.id);
+  }
   it.stream.Serve(it);
 }
 
@@ -284,7 +314,8 @@
       continue;
     }
     it->stream.Flush();
-    if (it->from_caller && it->stream.GetUnsentBytes() > kMaxUnsentBytes) {
+    if (it->remote != RemoteKind::kEndpoint &&
+        it->stream.GetUnsentBytes() > kMaxUnsentBytes) {
       const uint64_t id = it->id;
       CloseCaller(id);
       core_.CloseSession(id);
--- a/apps/node/traffic_thread.h
+++ b/apps/node/traffic_thread.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "forwarding/forwarding.h"
 #include "net/net.h"
 #include "platform/platform.h"
 #include "relay/relay.h"
@@ -53,10 +54,13 @@
 
   /** Starts listening and starts the thread.
 
-      @param address  address at which callers connect
-      @returns        an error of the system if the address cannot be used
+      @param callers  address at which callers connect
+      @param peers    address at which other VMs forward statements; port 0 if
+                      they cannot
+      @returns        an error of the system if an address cannot be used
   */
-  std::error_code Start(const SocketAddress& address);
+  std::error_code Start(const SocketAddress& callers,
+                        const SocketAddress& peers);
   /** Passes a new view of routes and endpoints to the core. */
   void Publish(std::shared_ptr<const FleetView> view);
   /** Informs the core that the promotion of an endpoint was requested. */
@@ -110,14 +114,24 @@
   void RequestPeerBound(const FreshnessBoundQuery& query);
 
  private:
-  using Core = TrafficCore<platform::LineDialect, TrafficThread>;
+  using Core =
+      TrafficCore<ForwardingCodec<platform::LineDialect>, TrafficThread>;
+
+  /** Who is at the other end of a connection. */
+  enum class RemoteKind {
+    kCaller,
+    /** Another VM that forwards statements to this one. */
+    kPeer,
+    /** An endpoint, or a VM that holds connections to it. */
+    kEndpoint,
+  };
 
-  /** A connection of a caller or to an endpoint. Its lines are passed to the
-      core. */
+  /** A connection of a caller or another VM, or to an endpoint. Its lines are
+     passed to the core. */
   struct Connection {
     TrafficThread* owner = nullptr;
     uint64_t id = 0;
-    bool from_caller = false;
+    RemoteKind remote = RemoteKind::kEndpoint;
     bool dirty = false;
     Stream stream;
     platform::LineFramer framer;
@@ -128,7 +142,7 @@
   };
   using Connections = std::unordered_map<uint64_t, std::unique_ptr<Connection>>;
 
-  void Accept(Stream stream);
+  void Accept(Stream stream, RemoteKind remote);
   std::string& GetBuffer(Connections& connections, uint64_t id);
   void RetireConnection(Connections& connections, uint64_t id);
   /** Completes an event: sends the buffered output of all connections, closes
@@ -146,7 +160,8 @@
   uint64_t next_caller_id_ = 1;
   std::atomic<size_t> session_count_ = 0;
   LoopTimer wake_timer_;
-  StreamListener listener_;
+  StreamListener caller_listener_;
+  StreamListener peer_listener_;
   Core core_;
   Mailbox<std::function<void()>> mailbox_;
   std::thread thread_;
--- a/libs/control/fleet/fleet_control.h
+++ b/libs/control/fleet/fleet_control.h
@@ -14,6 +14,7 @@
 #include "coordination/coordination.h"
 #include "core/core.h"
 #include "directory/directory.h"
+#include "forwarding/holders/holder_table.h"
 #include "telemetry/telemetry.h"
 
 namespace magnoliareel {
@@ -61,9 +62,11 @@
 
   /** @param store     must outlive this object
       @param delegate  must outlive this object
+      @param self      this VM
   */
-  FleetControl(S& store, D& delegate)
+  FleetControl(S& store, D& delegate, VmId self)
       : delegate_(delegate),
+        holders_(std::move(self)),
         config_watch_(store, *this, C::GetConfigTable()),
         endpoint_watch_(store, *this, C::GetEndpointTable()),
         lost_at_(delegate.Now()),
@@ -102,13 +105,14 @@
   /** @returns the newest version of any row of the directory */
   uint64_t GetEndpointsVersion() const { return endpoints_version_; }
 
-  /** Sets the number of live VMs in the published view.
+  /** Sets the live VMs in the published view.
 
-      @param live  number of live VMs, including this one
+      @param live        number of live VMs, including this one
+      @param candidates  those that accept forwarded statements
   */
-  void SetLiveVms(uint32_t live) {
-    if (live != live_vms_) {
-      live_vms_ = live;
+  void SetLiveVms(uint32_t live, std::span<const HolderCandidate> candidates) {
+    const bool changed = holders_.SetCandidates(candidates);
+    if (live != std::exchange(live_vms_, live) || changed) {
       Publish();
     }
   }
@@ -305,10 +309,20 @@
     view->routes = routes_.Get();
     view->endpoints = endpoints_.List();
     view->live_vms = live_vms_;
+    // A VM that has heard of few others would choose holders of its own.
+    const bool knows_holders = 2 * holders_.CountCandidates() >= live_vms_;
+    for (const EndpointEntry& it : view->endpoints) {
+      const auto rules = view->routes->services.find(it.service);
+      if (knows_holders && rules != view->routes->services.end() &&
+          GetConnectionsPerVm(rules->second.max_connections, live_vms_) < 1) {
+        view->holders[it.id] = holders_.Find(it);
+      }
+    }
     delegate_.Publish(std::move(view));
   }
 
   D& delegate_;
+  HolderTable holders_;
   ActiveRouteTable routes_;
   EndpointRegistry endpoints_;
   StoredRow config_row_;
--- a/libs/control/peers/heartbeat.h
+++ b/libs/control/peers/heartbeat.h
@@ -37,6 +37,9 @@
   SiteId site;
   /** Address at which other VMs reach the VM. */
   SocketAddress address;
+  /** Port at the same host at which the VM accepts forwarded statements; 0 if
+      it accepts none. */
+  uint16_t forwarding_port = 0;
   uint64_t config_version = 0;
   uint64_t endpoints_version = 0;
   /** The VM is shutting down; other VMs may claim its duties. */
--- a/libs/control/settings/node_settings.h
+++ b/libs/control/settings/node_settings.h
@@ -24,6 +24,9 @@
   SocketAddress probe_address;
   /** Address at which other nodes reach this node, TCP and UDP. */
   SocketAddress peer_address;
+  /** Address at which other nodes forward statements; port 0 if the platform
+      gives no port for it. */
+  SocketAddress forwarding_address;
   /** Peers to contact while the store is unavailable; may be out of date. */
   std::vector<SocketAddress> seeds;
   /** Address of the platform's store. */
--- a/libs/control/tests/fleet_control_test.cc
+++ b/libs/control/tests/fleet_control_test.cc
@@ -114,7 +114,8 @@
  public:
   // Declared last, because its construction reads the clock.
   PendingStore store;
-  FleetControl<PendingStore, TextRowCodec, TestNode> fleet{store, *this};
+  FleetControl<PendingStore, TextRowCodec, TestNode> fleet{store, *this,
+                                                           VmId{"vm-1"}};
 };
 
 StoredRows MakeRows(uint64_t version, std::vector<StoredRow> rows) {
--- a/libs/directory/directory.h
+++ b/libs/directory/directory.h
@@ -15,6 +15,7 @@
 #include "directory/endpoints/endpoint_registry.h"
 #include "directory/model/endpoint_condition.h"
 #include "directory/model/endpoint_entry.h"
+#include "directory/model/endpoint_holders.h"
 #include "directory/model/fleet_view.h"
 #include "directory/model/replication_status.h"
 #include "directory/model/route_table.h"
--- a/libs/directory/model/fleet_view.h
+++ b/libs/directory/model/fleet_view.h
@@ -1,11 +1,13 @@
 #ifndef MAGNOLIAREEL_DIRECTORY_MODEL_FLEET_VIEW_H_
 #define MAGNOLIAREEL_DIRECTORY_MODEL_FLEET_VIEW_H_
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "directory/model/endpoint_entry.h"
+#include "directory/model/endpoint_holders.h"
 #include "directory/model/route_table.h"
 
 namespace magnoliareel {
@@ -22,6 +24,8 @@
   std::vector<EndpointEntry> endpoints;
   /** Number of live VMs, including this one. */
   uint32_t live_vms = 1;
+  /** Holders of the endpoints whose connections VMs outnumber. */
+  std::map<EndpointId, EndpointHolders> holders;
 };
 
 /** Distance of a VM or endpoint from this VM. */
--- /dev/null
+++ b/libs/forwarding/frames/forwarding_codec.h
@@ -0,0 +1,91 @@
+#ifndef MAGNOLIAREEL_FORWARDING_FRAMES_FORWARDING_CODEC_H_
+#define MAGNOLIAREEL_FORWARDING_FRAMES_FORWARDING_CODEC_H_
+
+#include <string>
+#include <string_view>
+
+#include "relay/messages/forwarded_message.h"
+#include "relay/messages/forwarding_dialect.h"
+
+namespace magnoliareel {
+
+/** Appends the fields that precede a forwarded statement, each followed by a
+    blank.
+
+    @param out     receives the fields
+    @param header  the values
+*/
+void AppendForwardingFields(std::string& out, const ForwardingHeader& header);
+
+/** Decodes the fields that AppendForwardingFields() writes.
+
+    @param rest  the message; receives what follows the fields
+    @param out   receives the values
+    @returns     false if a field is missing or not valid
+*/
+bool TakeForwardingFields(std::string_view& rest, ForwardingHeader& out);
+
+/** Adds the messages between VMs to a line-based dialect. A forwarded statement
+    is the dialect's own message behind a header on the same line, so that its
+    text reaches the endpoint unchanged.
+
+    @tparam D  a WireDialect whose messages are lines that end with CR LF, with
+               `DecodePeer(line, CallerMessage&)`, which decodes callers'
+               messages and the pool's own statements
+    @see ForwardingDialect
+*/
+template <WireDialect D>
+struct ForwardingCodec : D {
+  static constexpr std::string_view kOpen = "OPEN";
+  static constexpr std::string_view kRun = "RUN";
+  static constexpr std::string_view kPing = "PING";
+  static constexpr std::string_view kPong = "PONG";
+
+  /** @see ForwardingDialect */
+  static bool DecodeForwarded(std::string_view line, ForwardedMessage& out) {
+    std::string_view rest = line;
+    const std::string_view word = TakeField(rest);
+    if (word == kPing) {
+      out.kind = ForwardedMessageKind::kPing;
+      return rest.empty();
+    }
+    if (word == kOpen) {
+      out.kind = ForwardedMessageKind::kOpen;
+      out.service = TakeField(rest);
+      out.endpoint = rest;
+      return !out.service.empty() && !out.endpoint.empty();
+    }
+    if (word == kRun) {
+      out.kind = ForwardedMessageKind::kStatement;
+      return TakeForwardingFields(rest, out.header) &&
+             D::DecodePeer(rest, out.message) &&
+             out.message.kind == CallerRequestKind::kStatement;
+    }
+    out.kind = ForwardedMessageKind::kSessionState;
+    return D::DecodePeer(line, out.message) &&
+           out.message.kind == CallerRequestKind::kStatement;
+  }
+  /** @see ForwardingDialect */
+  static void AppendForwardingOpen(std::string& out,
+                                   std::string_view service,
+                                   std::string_view endpoint) {
+    out.append(kOpen).append(" ").append(service).append(" ");
+    out.append(endpoint).append("\r\n");
+  }
+  /** @see ForwardingDialect */
+  static void AppendForwardingHeader(std::string& out,
+                                     const ForwardingHeader& header) {
+    out.append(kRun).append(" ");
+    AppendForwardingFields(out, header);
+  }
+  /** @see ForwardingDialect */
+  static void AppendPing(std::string& out) { out.append(kPing).append("\r\n"); }
+  /** @see ForwardingDialect */
+  static void AppendPong(std::string& out) { out.append(kPong).append("\r\n"); }
+  /** @see ForwardingDialect */
+  static bool IsPong(std::string_view line) { return line == kPong; }
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_FORWARDING_FRAMES_FORWARDING_CODEC_H_
--- a/libs/gossip/heartbeats/heartbeat_codec.cc
+++ b/libs/gossip/heartbeats/heartbeat_codec.cc
@@ -20,7 +20,8 @@
 }
 
 // Decodes one repeated entry. The letter gives its kind: s suspicion, d duty,
-// l ordered promotion, o address of another VM.
+// l ordered promotion, o address of another VM, f port for forwarded
+// statements.
 bool DecodeEntry(char letter, std::string_view& rest, Heartbeat& out) {
   const std::string first(TakeField(rest));
   if (letter == 'o') {
@@ -29,8 +30,15 @@
     out.others.push_back(std::move(address));
     return valid;
   }
-  const std::string_view second = TakeField(rest);
   uint64_t number = 0;
+  if (letter == 'f') {
+    if (!ParseDecimal(first, number) || number > UINT16_MAX) {
+      return false;
+    }
+    out.forwarding_port = static_cast<uint16_t>(number);
+    return true;
+  }
+  const std::string_view second = TakeField(rest);
   switch (letter) {
     case 's':
       if (!ParseDecimal(second, number) || number >= kConditions.size()) {
@@ -66,6 +74,10 @@
   AppendField(out, std::to_string(heartbeat.config_version));
   AppendField(out, std::to_string(heartbeat.endpoints_version));
   AppendField(out, heartbeat.leaving ? "1" : "0");
+  if (heartbeat.forwarding_port != 0) {
+    AppendField(out, "f");
+    AppendField(out, std::to_string(heartbeat.forwarding_port));
+  }
   for (const ConditionReport& it : heartbeat.suspicions) {
     const auto at =
         std::find(kConditions.begin(), kConditions.end(), it.condition);
--- a/libs/relay/connections/endpoint_pool.cc
+++ b/libs/relay/connections/endpoint_pool.cc
@@ -50,13 +50,26 @@
       distance(pool_distance),
       mean_run_time_(kInitialRunTimeEstimate),
       mean_interval_(kMaxUseInterval) {
-  ResetConcurrencyLimit(1);
+  ResetConcurrencyLimit();
 }
 
-void EndpointPool::ResetConcurrencyLimit(uint32_t live_vms) {
+void EndpointPool::SetSharers(uint32_t sharers) {
+  if (sharers != sharers_) {
+    sharers_ = sharers;
+    ResetConcurrencyLimit();
+  }
+}
+
+void EndpointPool::ResetConcurrencyLimit() {
   const double slots = std::max(1U, entry.slots);
   concurrency_limit_ = std::clamp(
-      kInitialStatementsPerSlot * slots / std::max(1U, live_vms), 1.0, slots);
+      kInitialStatementsPerSlot * slots / std::max(1U, sharers_), 1.0, slots);
+}
+
+bool EndpointPool::IsListedHolder(const VmId& vm) const {
+  return IsForwarding() &&
+         std::any_of(holders->peers.begin(), holders->peers.end(),
+                     [&](const EndpointHolder& it) { return it.vm == vm; });
 }
 
 void EndpointPool::Enqueue(const QueuedStatement& statement) {
--- a/libs/relay/connections/endpoint_pool.h
+++ b/libs/relay/connections/endpoint_pool.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -141,15 +142,30 @@
   uint32_t GetConcurrencyLimit() const {
     return static_cast<uint32_t>(concurrency_limit_);
   }
-  /** Sets the concurrency limit to its initial value.
+  /** Sets the concurrency limit to its initial value if the number of VMs that
+      send statements to the endpoint has changed.
 
-      @param live_vms  number of VMs that share the endpoint
+      @param sharers  number of VMs that share the endpoint
   */
-  void ResetConcurrencyLimit(uint32_t live_vms);
+  void SetSharers(uint32_t sharers);
+  /** Sets the concurrency limit to its initial value. */
+  void ResetConcurrencyLimit();
+  /** @returns true if this VM forwards statements to holders of the endpoint's
+               connections */
+  bool IsForwarding() const {
+    return holders && !holders->held_here && !holders->peers.empty();
+  }
+  /** @returns true if this VM holds connections for the VMs that forward */
+  bool IsHeldHere() const { return holders && holders->held_here; }
+  /** @param vm  another VM
+      @returns   true if statements may be forwarded to it */
+  bool IsListedHolder(const VmId& vm) const;
 
   /** The endpoint, as the directory lists it. */
   EndpointEntry entry;
   Distance distance;
+  /** Holders of the endpoint's connections; none unless VMs outnumber them. */
+  std::optional<EndpointHolders> holders;
   /** True if the directory no longer lists the endpoint; its connections are
       closed when they become idle. */
   bool removed = false;
@@ -176,6 +192,7 @@
   Duration mean_run_time_;
   TimePoint last_used_at_;
   Duration mean_interval_;
+  uint32_t sharers_ = 1;
   // Grows while statements are queued and the endpoint accepts them; decreases
   // when it refuses a statement as busy.
   double concurrency_limit_ = 1;
--- a/libs/relay/connections/pooled_connection.h
+++ b/libs/relay/connections/pooled_connection.h
@@ -58,6 +58,8 @@
 struct PooledConnection {
   uint64_t id = 0;
   EndpointId endpoint;
+  /** VM that forwards to the endpoint; empty if the connection is direct. */
+  VmId holder;
   ConnectionState state = ConnectionState::kOpening;
   /** As of the latest reply. */
   TransactionStatus status = TransactionStatus::kIdle;
@@ -88,6 +90,8 @@
   /** Time of the last use by a session or for a freshness bound. */
   TimePoint last_used_at;
 
+  /** @returns true if statements reach the endpoint through another VM */
+  bool IsForwarded() const { return !holder.IsEmpty(); }
   /** @returns true if a read-write transaction is open that no session uses
       yet */
   bool HasUnusedTransaction() const {
--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -17,11 +17,12 @@
 #include "directory/directory.h"
 #include "relay/connections/endpoint_pool.h"
 #include "relay/connections/pooled_connection.h"
+#include "relay/core/hedge_budget.h"
 #include "relay/core/log_rate_limiter.h"
 #include "relay/core/service_state.h"
 #include "relay/core/traffic_net.h"
 #include "relay/core/traffic_options.h"
-#include "relay/messages/wire_dialect.h"
+#include "relay/messages/forwarding_dialect.h"
 #include "relay/sessions/caller_session.h"
 #include "telemetry/telemetry.h"
 
@@ -32,10 +33,10 @@
     All methods run on the traffic thread and never block: each event is handled
     immediately, and later actions are scheduled through TrafficNet::Wake().
 
-    @tparam D  @see WireDialect
+    @tparam D  @see ForwardingDialect
     @tparam N  @see TrafficNet
 */
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 class TrafficCore {
  public:
   /** @param net      outlives the core
@@ -79,8 +80,10 @@
   */
   void BeginDrain(Duration transaction_grace_period,
                   Duration statement_grace_period);
-  /** @returns the number of callers' sessions */
-  size_t CountSessions() const { return sessions_.size(); }
+  /** @returns the number of callers' sessions; during a drain, also the
+               sessions of other VMs in which a statement or a transaction is
+               in progress */
+  size_t CountSessions() const;
 
   /** Handles a new connection of a caller. */
   void OpenSession(uint64_t id);
@@ -95,9 +98,19 @@
   /** Handles the end of a caller's connection. */
   void CloseSession(uint64_t id);
 
-  /** Handles an established connection to an endpoint. */
+  /** Handles a new connection of another VM that forwards statements. It is
+      answered and closed like a caller's. */
+  void OpenForwardedSession(uint64_t id);
+  /** Handles a message from another VM.
+
+      @param id     the session
+      @param frame  one whole message
+  */
+  void HandleForwardedFrame(uint64_t id, std::string_view frame);
+
+  /** Handles an established connection to an endpoint or holder. */
   void HandleEndpointOpened(uint64_t id);
-  /** Handles a message from an endpoint.
+  /** Handles a message from an endpoint or holder.
 
       @param id     the connection
       @param frame  one whole message
@@ -141,6 +154,37 @@
     bool operator>(const Timer& other) const { return at > other.at; }
   };
 
+  /** What is known of a VM to which statements are forwarded. */
+  struct HolderState {
+    TimePoint heard_at;
+    /** It gets no statements until then. */
+    TimePoint backoff_until;
+    /** Number of failures since it was last heard. */
+    uint32_t failures = 0;
+  };
+
+  // traffic_core_forwarding.h: statements that VMs forward to each other.
+  void AcceptForwardedSession(CallerSession& session,
+                              const ForwardedMessage& message);
+  void SubmitForwarded(CallerSession& session,
+                       const ForwardingHeader& header,
+                       const CallerMessage& message);
+  void DispatchForwarded(CallerSession& session);
+  void RetryForwarded(CallerSession& session,
+                      StatementError error,
+                      Duration delay);
+  const EndpointHolder* ChooseHolder(const EndpointPool& pool) const;
+  bool IsHolderBackedOff(const VmId& vm) const;
+  void RecordHolderActivity(const VmId& vm);
+  void RecordHolderFailure(const VmId& vm, std::string_view reason);
+  void CloseUnlistedHolders(EndpointPool& pool);
+  void AppendForwardingHeader(PooledConnection& connection,
+                              const CallerSession& session);
+  /** Asks the holder of a slow statement for a sign of life.
+
+      @returns false if it did not give one */
+  bool CheckHolder(PooledConnection& connection, ActiveStatement& statement);
+
   // traffic_core_sessions.h: messages from callers.
   void OpenDatabase(CallerSession& session, const CallerMessage& message);
   void AcceptSession(CallerSession& session);
@@ -151,6 +195,12 @@
   void HandleDeallocate(CallerSession& session, std::string_view name);
   void SubmitStatement(CallerSession& session, const CallerMessage& message);
   bool RefreshRoute(CallerSession& session);
+  bool ParseStatement(CallerSession& session,
+                      const CallerMessage& message,
+                      ActiveStatement& out);
+  void AcceptStatement(CallerSession& session,
+                       ActiveStatement statement,
+                       Duration timeout);
   void ReplyLocally(CallerSession& session);
   void ReplyError(CallerSession& session,
                   StatementError error,
@@ -172,7 +222,8 @@
   void StartQueued(EndpointPool& pool);
   void DispatchQueueAgain(EndpointPool& pool);
   void OpenConnections(EndpointPool& pool);
-  void OpenConnection(EndpointPool& pool);
+  void OpenConnection(EndpointPool& pool, const EndpointHolder* holder);
+  void HandleConnectTimeout(const PooledConnection& connection);
   PooledConnection* PickIdleConnection(EndpointPool& pool,
                                        const CallerSession& session);
   void StartStatement(PooledConnection& connection, CallerSession& session);
@@ -210,6 +261,8 @@
 
   // traffic_core_pool_sizes.h: connection counts and idle timeouts.
   double GetConnectionsPerVm(const EndpointPool& pool) const;
+  uint32_t CountSharers(const EndpointPool& pool) const;
+  size_t CountDirectConnections(const EndpointPool& pool);
   uint32_t GetConnectionShare(const EndpointPool& pool) const;
   uint32_t GetMaxConnections(const EndpointPool& pool) const;
   Duration GetIdleTimeout(const EndpointPool& pool) const;
@@ -250,6 +303,13 @@
   void CloseAndStartQueued(const PooledConnection& connection);
   void HandleDeadline(CallerSession& session);
   void HandleSlowStatement(CallerSession& session);
+  void HandleSlowForwarded(CallerSession& session,
+                           PooledConnection& connection,
+                           EndpointPool& pool);
+  void HedgeRead(CallerSession& session,
+                 const EndpointPool& pool,
+                 std::string_view silent,
+                 TimePoint sent_at);
   void HandleIdleTransaction(CallerSession& session);
   void HandleDrainingUseLimit(EndpointPool& pool);
   void ReviewPrimaries();
@@ -279,6 +339,9 @@
   std::unordered_map<uint64_t, PooledConnection> connections_;
   std::map<EndpointId, EndpointPool> pools_;
   std::map<ServiceId, ServiceState> services_;
+  std::map<VmId, HolderState> holder_states_;
+  /** Number of sessions_ in which other VMs forward statements. */
+  size_t forwarded_session_count_ = 0;
   /** Sessions that wait for the first configuration. */
   std::vector<uint64_t> sessions_awaiting_config_;
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
@@ -290,6 +353,7 @@
   Duration transaction_grace_period_{};
   Duration statement_grace_period_{};
   LogRateLimiter served_log_limiter_;
+  HedgeBudget hedge_budget_;
   TrafficCounters counters_;
 };
 
@@ -301,6 +365,7 @@
 #include "relay/core/traffic_core_control.h"      // IWYU pragma: export
 #include "relay/core/traffic_core_dispatch.h"     // IWYU pragma: export
 #include "relay/core/traffic_core_errors.h"       // IWYU pragma: export
+#include "relay/core/traffic_core_forwarding.h"   // IWYU pragma: export
 #include "relay/core/traffic_core_pool_sizes.h"   // IWYU pragma: export
 #include "relay/core/traffic_core_reads.h"        // IWYU pragma: export
 #include "relay/core/traffic_core_replies.h"      // IWYU pragma: export
--- a/libs/relay/core/traffic_core_bounds.h
+++ b/libs/relay/core/traffic_core_bounds.h
@@ -13,7 +13,7 @@
 
 namespace magnoliareel {
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::RefreshBounds(ServiceState& service,
                                       Duration max_bound_age) {
   const EndpointPool* pool = FindPrimaryPool(service);
@@ -36,7 +36,7 @@
                  pool->entry.id});
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::RequestPrimaryBound(const ServiceId& id) {
   ServiceState& service = GetService(id);
   const TimePoint now = net_.Now();
@@ -47,7 +47,8 @@
   }
   for (const uint64_t it : pool->connections) {
     PooledConnection* connection = FindConnection(it);
-    if (connection != nullptr && connection->state == ConnectionState::kIdle) {
+    if (connection != nullptr && !connection->IsForwarded() &&
+        connection->state == ConnectionState::kIdle) {
       service.primary_bound_requested_at = now;
       pool->RecordUse(now);
       connection->last_used_at = now;
@@ -57,14 +58,16 @@
   }
   // A new connection starts with BEGIN, whose reply is a bound; replies on busy
   // connections contain bounds as well.
-  if (pool->connections.empty() && pool->CanOpenConnection(1, now)) {
+  const auto n = static_cast<uint32_t>(pool->connections.size());
+  if (CountDirectConnections(*pool) == 0 &&
+      pool->CanOpenConnection(n + 1, now)) {
     service.primary_bound_requested_at = now;
     pool->RecordUse(now);
-    OpenConnection(*pool);
+    OpenConnection(*pool, nullptr);
   }
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandleBoundQuery(
     const FreshnessBoundQuery& query,
     std::function<void(const FreshnessBound&)> reply) {
@@ -82,7 +85,7 @@
   RequestPrimaryBound(query.service);
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::ReplyToBoundQueries(const ServiceId& id,
                                             ServiceState& service) {
   const FreshnessBound bound{
@@ -93,7 +96,7 @@
   }
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::RecordPeerBound(const FreshnessBound& bound,
                                         TimePoint requested_at) {
   const auto it = services_.find(bound.service);
@@ -105,7 +108,7 @@
   DispatchReadsAwaitingBound(it->second);
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::DispatchReadsAwaitingBound(ServiceState& service) {
   const std::deque<QueuedStatement> awaiting =
       std::exchange(service.reads_awaiting_bound, {});
--- a/libs/relay/core/traffic_core_connections.h
+++ b/libs/relay/core/traffic_core_connections.h
@@ -12,32 +12,32 @@
 
 namespace magnoliareel {
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 PooledConnection* TrafficCore<D, N>::FindConnection(uint64_t id) {
   const auto it = connections_.find(id);
   return it == connections_.end() ? nullptr : &it->second;
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 EndpointPool* TrafficCore<D, N>::FindPool(const EndpointId& id) {
   const auto it = pools_.find(id);
   return it == pools_.end() ? nullptr : &it->second;
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 EndpointPool* TrafficCore<D, N>::FindPrimaryPool(const ServiceState& service) {
   const EndpointId* primary = service.primary_tracker.GetPrimary();
   return primary == nullptr ? nullptr : FindPool(*primary);
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 bool TrafficCore<D, N>::IsPrimary(const EndpointPool& pool) {
   const EndpointId* primary =
       GetService(pool.entry.service).primary_tracker.GetPrimary();
   return primary != nullptr && *primary == pool.entry.id;
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 bool TrafficCore<D, N>::TakesNewStatements(const EndpointPool& pool) {
   if (pool.removed) {
     return false;
@@ -47,7 +47,7 @@
           !pool.HasDrained(options_.max_draining_use, net_.Now()));
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::ExpectReply(PooledConnection& connection,
                                     EndpointRequestKind request,
                                     uint64_t statement_id) {
@@ -55,7 +55,7 @@
       {request, net_.Now(), statement_id, std::nullopt});
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::RollBackOpenTransaction(PooledConnection& connection) {
   if (connection.status == TransactionStatus::kIdle) {
     return;
@@ -64,7 +64,7 @@
   ExpectReply(connection, EndpointRequestKind::kRollback);
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::BeginReadWriteTransaction(
     PooledConnection& connection) {
   connection.transaction_config_version = view_->routes->version;
@@ -72,7 +72,7 @@
   ExpectReply(connection, EndpointRequestKind::kBegin);
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::SyncValues(PooledConnection& connection,
                                    const SessionValues& values) {
   if (connection.values_in_transaction ||
@@ -86,7 +86,7 @@
   AddValues(connection, values);
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::AddValues(PooledConnection& connection,
                                   const SessionValues& values) {
   std::string& out = net_.GetEndpointBuffer(connection.id);
@@ -101,7 +101,7 @@
   }
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::ReturnToPool(PooledConnection& connection) {
   EndpointPool* pool = FindPool(connection.endpoint);
   const bool has_served = connection.state != ConnectionState::kOpening &&
@@ -113,14 +113,17 @@
   // the round trip of returning it to the pool.
   const bool yields_to_other_vms =
       has_served && pool != nullptr && GetConnectionsPerVm(*pool) < 1 &&
+      !connection.IsForwarded() && !pool->IsHeldHere() &&
       pool->IsAtConnectionLimit(net_.Now()) && pool->queue.empty() &&
       connection.pending_replies.empty();
-  if (pool == nullptr || pool->removed || yields_to_other_vms) {
+  const bool holder_left = connection.IsForwarded() && pool != nullptr &&
+                           !pool->IsListedHolder(connection.holder);
+  if (pool == nullptr || pool->removed || yields_to_other_vms || holder_left) {
     CloseEndpointConnection(connection.id);
     return;
   }
   RollBackOpenTransaction(connection);
-  if (IsPrimary(*pool)) {
+  if (IsPrimary(*pool) && !connection.IsForwarded()) {
     BeginReadWriteTransaction(connection);
   }
   if (connection.pending_replies.empty()) {
@@ -130,7 +133,7 @@
   ScheduleReturnTimeout(connection);
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::ScheduleReturnTimeout(PooledConnection& connection) {
   connection.returning_since = net_.Now();
   ScheduleTimer({connection.returning_since + kAbandonedTimeout,
@@ -140,9 +143,10 @@
                  {}});
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::MarkIdle(PooledConnection& connection) {
   connection.state = ConnectionState::kIdle;
+  const bool is_direct = !connection.IsForwarded();
   EndpointPool* pool = FindPool(connection.endpoint);
   if (pool == nullptr || pool->removed) {
     CloseEndpointConnection(connection.id);
@@ -154,13 +158,13 @@
   if (pool->connections.size() > GetConnectionShare(*pool)) {
     ShrinkPool(*pool);
   }
-  if (!std::exchange(pool->idle_check_scheduled, true)) {
+  if (is_direct && !std::exchange(pool->idle_check_scheduled, true)) {
     ScheduleTimer({net_.Now() + GetIdleTimeout(*pool), TimerKind::kIdleCheck, 0,
                    0, pool->entry.id});
   }
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::Abandon(uint64_t connection_id) {
   PooledConnection* connection = FindConnection(connection_id);
   if (connection == nullptr) {
@@ -177,7 +181,7 @@
                  {}});
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::CloseEndpointConnection(uint64_t connection_id) {
   const auto it = connections_.find(connection_id);
   if (it == connections_.end()) {
@@ -195,7 +199,7 @@
   net_.CloseEndpoint(connection_id);
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::RetirePool(EndpointPool& pool) {
   pool.removed = true;
   const std::vector<uint64_t> ids = pool.connections;
@@ -211,7 +215,7 @@
   }
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandleEndpointFailure(EndpointPool& pool,
                                               EndpointCondition condition) {
   const TimePoint now = net_.Now();
@@ -227,7 +231,7 @@
       {now + kConnectTimeout / 4, TimerKind::kPoolRetry, 0, 0, pool.entry.id});
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::RerouteReads(EndpointPool& pool) {
   // Queued reads are sent to other endpoints; statements that require this
   // primary stay.
@@ -244,7 +248,7 @@
   }
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::RecordFreshness(EndpointPool& pool,
                                         std::optional<StatementError> error) {
   // Other errors don't show how far the replica has applied its log.
@@ -253,7 +257,7 @@
   }
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandlePrimaryConfirmed(EndpointPool& pool,
                                                TimePoint requested_at,
                                                LogPoint point) {
@@ -281,7 +285,7 @@
   }
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandleNotPrimary(EndpointPool& pool) {
   const TimePoint now = net_.Now();
   if (GetService(pool.entry.service)
@@ -292,7 +296,7 @@
   }
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandleConnectionLoss(uint64_t connection_id,
                                              std::string_view reason) {
   PooledConnection* found = FindConnection(connection_id);
@@ -340,11 +344,14 @@
     return;
   }
   // A read, or the first statement of a transaction, which was not committed.
-  RetryElsewhere(*session, lost.endpoint, StatementError::kAborted,
-                 Duration(0));
+  // The loss of a holder says nothing about the endpoint.
+  RetryElsewhere(
+      *session, lost.endpoint,
+      lost.IsForwarded() ? StatementError::kBusy : StatementError::kAborted,
+      Duration(0));
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandleEndpointOpened(uint64_t id) {
   PooledConnection* connection = FindConnection(id);
   if (connection == nullptr) {
@@ -355,30 +362,38 @@
     CloseEndpointConnection(id);
     return;
   }
+  if (connection->IsForwarded()) {
+    D::AppendForwardingOpen(net_.GetEndpointBuffer(id),
+                            pool->entry.service.value, pool->entry.id.value);
+    ExpectReply(*connection, EndpointRequestKind::kOpen);
+    return;
+  }
   D::AppendOpen(net_.GetEndpointBuffer(id), pool->entry.service.value,
                 options_.vm, pool->entry.id.value);
   ExpectReply(*connection, EndpointRequestKind::kOpen);
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandleEndpointClosed(uint64_t id, std::error_code ec) {
   const PooledConnection* connection = FindConnection(id);
   if (connection == nullptr) {
     return;
   }
-  const EndpointId endpoint = connection->endpoint;
-  const bool was_opening = connection->state == ConnectionState::kOpening;
-  const bool was_idle = connection->state == ConnectionState::kIdle;
-  HandleConnectionLoss(id, ec.message());
-  EndpointPool* pool = FindPool(endpoint);
-  if (pool == nullptr) {
-    return;
+  const PooledConnection closed = *connection;
+  const bool was_idle = closed.state == ConnectionState::kIdle;
+  // The holder is not used again for the statement that the loss affects.
+  if (!was_idle && closed.IsForwarded()) {
+    RecordHolderFailure(closed.holder, ec.message());
   }
+  HandleConnectionLoss(id, ec.message());
   // An endpoint may close idle connections; any other close is a failure.
-  if (was_opening || !was_idle) {
+  if (EndpointPool* pool = FindPool(closed.endpoint);
+      pool != nullptr && !was_idle && !closed.IsForwarded()) {
     HandleEndpointFailure(*pool, EndpointCondition::kUnreachable);
   }
-  StartQueued(*pool);
+  if (EndpointPool* pool = FindPool(closed.endpoint)) {
+    StartQueued(*pool);
+  }
 }
 
 }  // namespace magnoliareel
--- a/libs/relay/core/traffic_core_control.h
+++ b/libs/relay/core/traffic_core_control.h
@@ -12,10 +12,9 @@
 
 namespace magnoliareel {
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::Apply(std::shared_ptr<const FleetView> view) {
   const bool new_routes = view->routes->version != view_->routes->version;
-  const bool shares_changed = view->live_vms != view_->live_vms;
   view_ = std::move(view);
   const TimePoint now = net_.Now();
   for (auto& [id, service] : services_) {
@@ -37,7 +36,11 @@
     if (!added && replaced) {
       const std::vector<uint64_t> ids = pool.connections;
       for (const uint64_t connection : ids) {
-        HandleConnectionLoss(connection, "the endpoint has started anew");
+        // A forwarded statement ends with the holder's reply.
+        if (const PooledConnection* found = FindConnection(connection);
+            found != nullptr && !found->IsForwarded()) {
+          HandleConnectionLoss(connection, "the endpoint has started anew");
+        }
       }
     }
     const bool resized = pool.entry.slots != it.slots;
@@ -49,8 +52,14 @@
       ScheduleTimer({*it.draining_since + options_.max_draining_use,
                      TimerKind::kDrainingUseLimit, 0, 0, it.id});
     }
-    if (added || resized || shares_changed) {
-      pool.ResetConcurrencyLimit(view_->live_vms);
+    const auto holders = view_->holders.find(it.id);
+    pool.holders = holders == view_->holders.end()
+                       ? std::nullopt
+                       : std::optional(holders->second);
+    CloseUnlistedHolders(pool);
+    pool.SetSharers(CountSharers(pool));
+    if (resized) {
+      pool.ResetConcurrencyLimit();
     }
   }
   std::vector<QueuedStatement> moved;
@@ -100,7 +109,7 @@
   }
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::RenewUnusedTransactions() {
   std::vector<uint64_t> begun;
   for (const auto& [id, connection] : connections_) {
@@ -114,7 +123,7 @@
   }
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::AnnouncePrimary(const ServiceId& service,
                                         const EndpointId& endpoint) {
   ServiceState& state = GetService(service);
--- a/libs/relay/core/traffic_core_dispatch.h
+++ b/libs/relay/core/traffic_core_dispatch.h
@@ -14,7 +14,7 @@
 
 namespace magnoliareel {
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::Dispatch(CallerSession& session) {
   ActiveStatement& statement = session.statement;
   // A read that waits for a primary is dispatched early if a freshness bound
@@ -24,6 +24,10 @@
     SendInTransaction(session);
     return;
   }
+  if (session.IsForwarded()) {
+    DispatchForwarded(session);
+    return;
+  }
   statement.requirement = statement.base_requirement;
   if (RequiresPrimary(statement.requirement)) {
     DispatchToPrimary(session);
@@ -32,7 +36,7 @@
   DispatchRead(session);
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::DispatchToPrimary(CallerSession& session) {
   ServiceState& service = GetService(session.route->service);
   EndpointPool* pool = FindPrimaryPool(service);
@@ -42,7 +46,7 @@
   }
   session.statement.queued_endpoint = {};
   service.statements_awaiting_primary.push_back(
-      {session.id, session.statement.id, session.route->priority,
+      {session.id, session.statement.id, session.statement.priority,
        session.statement.deadline});
   ScheduleTimer({net_.Now() + kPrimaryReviewInterval,
                  TimerKind::kPrimaryReview,
@@ -51,16 +55,16 @@
                  {}});
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::EnqueueStatement(EndpointPool& pool,
                                          CallerSession& session) {
   session.statement.queued_endpoint = pool.entry.id;
-  pool.Enqueue({session.id, session.statement.id, session.route->priority,
+  pool.Enqueue({session.id, session.statement.id, session.statement.priority,
                 session.statement.deadline});
   StartQueued(pool);
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::ScheduleRetry(CallerSession& session, Duration delay) {
   // The second attempt of a hedged read may still wait for an endpoint.
   RemoveFromQueues(session);
@@ -75,7 +79,7 @@
                  {}});
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::RemoveFromQueues(CallerSession& session) {
   if (!session.IsBusy()) {
     return;
@@ -93,14 +97,14 @@
   }
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 bool TrafficCore<D, N>::IsInProgress(uint64_t session_id,
                                      uint64_t statement_id) {
   const CallerSession* session = FindSession(session_id);
   return session != nullptr && session->statement.id == statement_id;
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::DispatchQueueAgain(EndpointPool& pool) {
   const std::deque<QueuedStatement> queue = std::exchange(pool.queue, {});
   for (const QueuedStatement& it : queue) {
@@ -110,7 +114,7 @@
   }
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::StartQueued(EndpointPool& pool) {
   while (!pool.queue.empty() && pool.running < pool.GetConcurrencyLimit()) {
     const QueuedStatement next = pool.queue.front();
@@ -130,7 +134,7 @@
   }
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::OpenConnections(EndpointPool& pool) {
   const TimePoint now = net_.Now();
   size_t opening = 0;
@@ -144,13 +148,19 @@
   const uint32_t share = GetMaxConnections(pool);
   while (opening < std::min(pool.queue.size(), kMaxOpeningConnections) &&
          pool.CanOpenConnection(share, now)) {
-    OpenConnection(pool);
+    const EndpointHolder* holder = ChooseHolder(pool);
+    if (holder == nullptr && pool.IsForwarding() &&
+        CountDirectConnections(pool) >= kMaxScarceConnections) {
+      return;
+    }
+    OpenConnection(pool, holder);
     ++opening;
   }
 }
 
-template <WireDialect D, class N>
-void TrafficCore<D, N>::OpenConnection(EndpointPool& pool) {
+template <ForwardingDialect D, class N>
+void TrafficCore<D, N>::OpenConnection(EndpointPool& pool,
+                                       const EndpointHolder* holder) {
   const TimePoint now = net_.Now();
   const uint64_t id = next_id_++;
   PooledConnection& connection = connections_[id];
@@ -158,19 +168,25 @@
   connection.endpoint = pool.entry.id;
   connection.last_used_at = now;
   pool.connections.push_back(id);
-  ++counters_.connections_opened;
   ScheduleTimer({now + kConnectTimeout, TimerKind::kConnectTimeout, id, 0, {}});
+  if (holder != nullptr) {
+    connection.holder = holder->vm;
+    net_.OpenEndpoint(id, holder->address);
+    return;
+  }
+  ++counters_.connections_opened;
   net_.OpenEndpoint(id, pool.entry.address);
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 PooledConnection* TrafficCore<D, N>::PickIdleConnection(
     EndpointPool& pool,
     const CallerSession& session) {
   PooledConnection* best = nullptr;
   for (const uint64_t it : pool.connections) {
     PooledConnection* connection = FindConnection(it);
-    if (connection == nullptr || connection->state != ConnectionState::kIdle) {
+    if (connection == nullptr || connection->state != ConnectionState::kIdle ||
+        (connection->IsForwarded() && IsHolderBackedOff(connection->holder))) {
       continue;
     }
     // A connection on which the session's values are set needs no preparation.
@@ -184,7 +200,7 @@
   return best;
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::StartStatement(PooledConnection& connection,
                                        CallerSession& session) {
   ActiveStatement& statement = session.statement;
@@ -199,16 +215,20 @@
   const bool needs_primary_transaction =
       statement.requirement == EndpointRequirement::kPrimaryRead ||
       statement.requirement == EndpointRequirement::kReadWriteTransaction;
+  const uint64_t config_version =
+      session.IsForwarded() ? statement.config_version : view_->routes->version;
   if (needs_primary_transaction && connection.HasUnusedTransaction() &&
-      same_values &&
-      connection.transaction_config_version == view_->routes->version) {
+      same_values && connection.transaction_config_version >= config_version) {
     SendStatement(connection, session);
     return;
   }
   RollBackOpenTransaction(connection);
   SyncValues(connection, session.values);
-  if (!needs_primary_transaction &&
-      statement.requirement != EndpointRequirement::kReadTransaction) {
+  const bool begins_transaction =
+      needs_primary_transaction ||
+      statement.requirement == EndpointRequirement::kReadTransaction;
+  // A holder begins the transaction itself.
+  if (!begins_transaction || connection.IsForwarded()) {
     SendStatement(connection, session);
     return;
   }
@@ -230,14 +250,15 @@
                  {}});
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::SendStatement(PooledConnection& connection,
                                       CallerSession& session) {
   ActiveStatement& statement = session.statement;
   const TimePoint now = net_.Now();
   std::string& out = net_.GetEndpointBuffer(connection.id);
   const std::optional<LogPoint> required_point =
-      statement.requirement == EndpointRequirement::kRead
+      statement.requirement == EndpointRequirement::kRead &&
+              !connection.IsForwarded()
           ? statement.required_point
           : std::nullopt;
   if (statement.kind == StatementKind::kExecute) {
@@ -247,12 +268,25 @@
                        statement.prepared.shape);
       ExpectReply(connection, EndpointRequestKind::kPrepare);
     }
+    if (connection.IsForwarded()) {
+      AppendForwardingHeader(connection, session);
+    }
     D::AppendExecute(out, statement.request_id, required_point, name,
                      statement.arguments);
   } else {
+    if (connection.IsForwarded()) {
+      AppendForwardingHeader(connection, session);
+    }
     D::AppendForward(out, statement.request_id, required_point, statement.text);
   }
   ExpectReply(connection, EndpointRequestKind::kStatement, statement.id);
+  if (connection.IsForwarded() &&
+      statement.requirement != EndpointRequirement::kOpenTransaction) {
+    connection.read_write_transaction =
+        statement.requirement == EndpointRequirement::kPrimaryRead ||
+        statement.requirement == EndpointRequirement::kReadWriteTransaction;
+  }
+  statement.holder_pinged_at = {};
   connection.state = ConnectionState::kRunning;
   connection.session = session.id;
   connection.rows.clear();
@@ -271,7 +305,7 @@
                  {}});
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::SendInTransaction(CallerSession& session) {
   PooledConnection* connection = FindConnection(session.connection);
   if (connection == nullptr) {
@@ -290,7 +324,7 @@
   SendStatement(*connection, session);
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandlePrimaryChange(ServiceState& service) {
   std::vector<QueuedStatement> moved(
       service.statements_awaiting_primary.begin(),
@@ -317,8 +351,15 @@
     }
   }
   for (const QueuedStatement& it : moved) {
-    if (IsInProgress(it.session, it.statement_id)) {
-      Dispatch(*FindSession(it.session));
+    if (!IsInProgress(it.session, it.statement_id)) {
+      continue;
+    }
+    CallerSession& session = *FindSession(it.session);
+    if (session.IsForwarded()) {
+      FailStatement(session, StatementError::kNotPrimary,
+                    "another endpoint is the primary");
+    } else {
+      Dispatch(session);
     }
   }
   EndpointPool* pool = FindPrimaryPool(service);
--- a/libs/relay/core/traffic_core_errors.h
+++ b/libs/relay/core/traffic_core_errors.h
@@ -12,7 +12,7 @@
 
 namespace magnoliareel {
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandleStatementError(PooledConnection& connection,
                                              CallerSession& session,
                                              StatementError error) {
@@ -38,6 +38,16 @@
                            error == StatementError::kBusy ||
                            error == StatementError::kNotPrimary ||
                            error == StatementError::kUnknownStatement;
+  // A holder has lost the endpoint, or does not use it.
+  const bool was_lost =
+      connection.IsForwarded() &&
+      (error == StatementError::kWrongEndpoint ||
+       (error == StatementError::kAborted && !statement.IsAutocommitWrite()));
+  if (was_lost) {
+    pool->RecordFailure(now);
+    ScheduleTimer({now + kConnectTimeout / 4, TimerKind::kPoolRetry, 0, 0,
+                   pool->entry.id});
+  }
   const std::string reason = connection.text;
   const uint64_t session_id = session.id;
   const uint64_t statement_id = statement.id;
@@ -45,7 +55,7 @@
   if (!IsInProgress(session_id, statement_id)) {
     return;
   }
-  if (!did_not_run) {
+  if (!did_not_run && !was_lost) {
     FailStatement(*FindSession(session_id), error, reason);
     return;
   }
@@ -56,7 +66,7 @@
   RetryElsewhere(*FindSession(session_id), endpoint, error, delay);
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandleErrorInTransaction(PooledConnection& connection,
                                                  CallerSession& session,
                                                  StatementError error) {
@@ -93,7 +103,7 @@
   FailStatement(session, error, reason);
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::RetryElsewhere(CallerSession& session,
                                        const EndpointId& failed,
                                        StatementError error,
@@ -105,7 +115,13 @@
     // The other attempt of a hedged read is still running.
     return;
   }
-  const bool awaits_primary = error == StatementError::kNotPrimary;
+  if (session.IsForwarded()) {
+    RetryForwarded(session, error, delay);
+    return;
+  }
+  const bool awaits_primary = error == StatementError::kNotPrimary ||
+                              (error == StatementError::kWrongEndpoint &&
+                               RequiresPrimary(statement.base_requirement));
   if (awaits_primary) {
     delay = kNotPrimaryBackoff;
   }
@@ -144,7 +160,7 @@
   ScheduleRetry(session, delay);
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::FailStatement(CallerSession& session,
                                       StatementError error,
                                       std::string_view reason) {
--- a/libs/relay/core/traffic_core_pool_sizes.h
+++ b/libs/relay/core/traffic_core_pool_sizes.h
@@ -12,60 +12,90 @@
 
 namespace magnoliareel {
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::CloseIdleConnections(EndpointPool& pool) {
   const TimePoint now = net_.Now();
   const Duration limit = GetIdleTimeout(pool);
-  const size_t kept = GetConnectionsPerVm(pool) < 1 ? 0 : 1;
+  const size_t kept =
+      GetConnectionsPerVm(pool) < 1 && !pool.IsHeldHere() ? 0 : 1;
+  size_t n = CountDirectConnections(pool);
   const std::vector<uint64_t> ids = pool.connections;
   for (const uint64_t it : ids) {
     const PooledConnection* connection = FindConnection(it);
-    if (pool.connections.size() > kept && connection != nullptr &&
+    if (n > kept && connection != nullptr && !connection->IsForwarded() &&
         connection->state == ConnectionState::kIdle &&
         now - connection->last_used_at >= limit) {
       CloseEndpointConnection(it);
+      --n;
     }
   }
-  pool.idle_check_scheduled = pool.connections.size() > kept;
+  pool.idle_check_scheduled = n > kept;
   if (pool.idle_check_scheduled) {
     ScheduleTimer({now + std::max(limit / 2, kMinIdleCheckInterval),
                    TimerKind::kIdleCheck, 0, 0, pool.entry.id});
   }
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 double TrafficCore<D, N>::GetConnectionsPerVm(const EndpointPool& pool) const {
   const auto it = services_.find(pool.entry.service);
   const uint32_t max_connections =
       it == services_.end() ? 0 : it->second.rules.max_connections;
-  const uint32_t usable = max_connections > kReservedConnections
-                              ? max_connections - kReservedConnections
-                              : 1;
-  return static_cast<double>(usable) / std::max(1U, view_->live_vms);
+  return magnoliareel::GetConnectionsPerVm(max_connections, view_->live_vms);
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
+uint32_t TrafficCore<D, N>::CountSharers(const EndpointPool& pool) const {
+  return pool.IsHeldHere()     ? kHoldersPerEndpoint
+         : pool.IsForwarding() ? 1
+                               : view_->live_vms;
+}
+
+template <ForwardingDialect D, class N>
+size_t TrafficCore<D, N>::CountDirectConnections(const EndpointPool& pool) {
+  return static_cast<size_t>(std::count_if(
+      pool.connections.begin(), pool.connections.end(), [this](uint64_t it) {
+        const PooledConnection* connection = FindConnection(it);
+        return connection != nullptr && !connection->IsForwarded();
+      }));
+}
+
+template <ForwardingDialect D, class N>
 uint32_t TrafficCore<D, N>::GetConnectionShare(const EndpointPool& pool) const {
-  return std::clamp(static_cast<uint32_t>(GetConnectionsPerVm(pool)), 1U,
+  const double connections_per_vm = GetConnectionsPerVm(pool);
+  if (pool.IsHeldHere()) {
+    return std::clamp(
+        static_cast<uint32_t>(connections_per_vm * view_->live_vms /
+                              (2 * kHoldersPerEndpoint)),
+        1U, kMaxHolderConnections);
+  }
+  if (pool.IsForwarding()) {
+    return kMaxIdleForwardedSessions;
+  }
+  return std::clamp(static_cast<uint32_t>(connections_per_vm), 1U,
                     kMaxConnectionsPerEndpoint);
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 uint32_t TrafficCore<D, N>::GetMaxConnections(const EndpointPool& pool) const {
-  return GetConnectionsPerVm(pool) < 1 ? kMaxScarceConnections
-                                       : GetConnectionShare(pool);
+  if (pool.IsForwarding()) {
+    return kMaxForwardedSessions;
+  }
+  return GetConnectionsPerVm(pool) < 1 && !pool.IsHeldHere()
+             ? kMaxScarceConnections
+             : GetConnectionShare(pool);
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 Duration TrafficCore<D, N>::GetIdleTimeout(const EndpointPool& pool) const {
   const double connections_per_vm = GetConnectionsPerVm(pool);
-  return connections_per_vm < 1
+  return connections_per_vm < 1 && !pool.IsHeldHere()
              ? std::min(pool.GetScaledIdleTimeout(connections_per_vm),
                         kIdleConnectionTimeout)
              : kIdleConnectionTimeout;
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::ShrinkPool(EndpointPool& pool) {
   const uint32_t share = GetConnectionShare(pool);
   const std::vector<uint64_t> ids = pool.connections;
--- a/libs/relay/core/traffic_core_reads.h
+++ b/libs/relay/core/traffic_core_reads.h
@@ -13,7 +13,7 @@
 
 namespace magnoliareel {
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::DispatchRead(CallerSession& session) {
   ActiveStatement& statement = session.statement;
   ServiceState& service = GetService(session.route->service);
@@ -33,9 +33,8 @@
       !std::exchange(statement.waited_for_bound, true)) {
     // One request to the primary allows all waiting reads to go to replicas.
     // Sending the reads to the primary would overload it after a restart.
-    service.reads_awaiting_bound.push_back({session.id, statement.id,
-                                            session.route->priority,
-                                            statement.deadline});
+    service.reads_awaiting_bound.push_back(
+        {session.id, statement.id, statement.priority, statement.deadline});
     ScheduleTimer({now + kBoundTimeout,
                    TimerKind::kStatementRetry,
                    session.id,
@@ -62,7 +61,7 @@
   EnqueueStatement(*pool, session);
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 EndpointPool* TrafficCore<D, N>::ChooseReadPool(const CallerSession& session,
                                                 const ServiceState& service) {
   const TimePoint now = net_.Now();
--- a/libs/relay/core/traffic_core_replies.h
+++ b/libs/relay/core/traffic_core_replies.h
@@ -11,13 +11,19 @@
 
 namespace magnoliareel {
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandleEndpointFrame(uint64_t id,
                                             std::string_view frame) {
   PooledConnection* connection = FindConnection(id);
   if (connection == nullptr) {
     return;
   }
+  if (connection->IsForwarded()) {
+    RecordHolderActivity(connection->holder);
+    if (D::IsPong(frame)) {
+      return;
+    }
+  }
   EndpointMessage message;
   if (connection->pending_replies.empty() ||
       !D::DecodeEndpoint(frame, message)) {
@@ -49,7 +55,7 @@
   }
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandleOpenError(PooledConnection& connection,
                                         const PendingReply& reply) {
   EndpointPool* pool = FindPool(connection.endpoint);
@@ -60,6 +66,13 @@
            {{"endpoint", connection.endpoint.value},
             {"refusal", std::string(StatementErrorName(*reply.error))},
             {"connections", std::to_string(pool->connections.size())}});
+  if (connection.IsForwarded()) {
+    const VmId holder = connection.holder;
+    CloseEndpointConnection(connection.id);
+    RecordHolderFailure(holder, "session refused");
+    StartQueued(*pool);
+    return;
+  }
   const TimePoint now = net_.Now();
   const bool full = *reply.error == StatementError::kTooManyConnections;
   const uint64_t id = connection.id;
@@ -78,7 +91,7 @@
       {pool->GetNextOpenTime(), TimerKind::kPoolRetry, 0, 0, pool->entry.id});
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandleReply(PooledConnection& connection,
                                     const EndpointMessage& ready) {
   const PendingReply reply = connection.pending_replies.front();
@@ -89,12 +102,16 @@
     CloseEndpointConnection(connection.id);
     return;
   }
+  // A holder may reply without the endpoint.
+  const bool from_endpoint = !connection.IsForwarded() || ready.log_end;
   const bool had_failures = pool->failures > 0;
-  pool->RecordActivity(net_.Now());
+  if (from_endpoint) {
+    pool->RecordActivity(net_.Now());
+  }
   if (ready.log_end) {
     pool->RecordAppliedPoint(*ready.log_end, net_.Now());
   }
-  if (had_failures) {
+  if (had_failures && from_endpoint) {
     net_.Report({pool->entry.id, EndpointCondition::kAnswering});
   }
   const uint64_t id = connection.id;
@@ -142,7 +159,7 @@
   }
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::Advance(PooledConnection& connection) {
   switch (connection.state) {
     case ConnectionState::kOpening:
@@ -178,7 +195,7 @@
   }
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandleBeginError(PooledConnection& connection) {
   CallerSession& session = *FindSession(connection.session);
   const EndpointId endpoint = connection.endpoint;
@@ -195,7 +212,7 @@
                  error == StatementError::kBusy ? kBusyBackoff : Duration(0));
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandleStatementReply(PooledConnection& connection,
                                              const PendingReply& reply,
                                              const EndpointMessage& ready) {
@@ -227,7 +244,7 @@
   HandleSuccess(connection, *session, ready);
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandleSuccess(PooledConnection& connection,
                                       CallerSession& session,
                                       const EndpointMessage& ready) {
@@ -276,6 +293,7 @@
   D::AppendComplete(out, connection.text);
   D::AppendReady(out, GetCallerTransactionStatus(session), ready.log_end);
   Observe(session, Outcome::kDone);
+  hedge_budget_.RecordSuccess();
   session.last_statement_id = statement.id;
   const TimePoint now = net_.Now();
   const bool unusual = statement.attempts > 1 || statement.hedged;
@@ -303,8 +321,12 @@
   }
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::Observe(const CallerSession& session, Outcome outcome) {
+  if (session.IsForwarded()) {
+    // The VM that has the caller's session records the statement.
+    return;
+  }
   const ActiveStatement& statement = session.statement;
   const TimePoint now = net_.Now();
   const TimePoint sent =
@@ -315,7 +337,7 @@
                 now - statement.received_at});
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::FinishStatement(CallerSession& session) {
   RemoveFromQueues(session);
   const std::vector<uint64_t> others = std::move(session.statement.connections);
@@ -329,7 +351,8 @@
   // Otherwise a caller that is never idle would delay the end of the process.
   if (CallerSession* it = FindSession(id);
       it != nullptr && close_idle_sessions_ && !it->IsBusy() &&
-      it->transaction == TransactionPhase::kNone && !net_.HasUnread(id)) {
+      !it->IsForwarded() && it->transaction == TransactionPhase::kNone &&
+      !net_.HasUnread(id)) {
     EndSession(*it);
   }
 }
--- a/libs/relay/core/traffic_core_sessions.h
+++ b/libs/relay/core/traffic_core_sessions.h
@@ -10,7 +10,7 @@
 
 namespace magnoliareel {
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 TrafficCore<D, N>::TrafficCore(N& net, TrafficOptions options)
     : net_(net),
       options_(std::move(options)),
@@ -19,20 +19,20 @@
   static_assert(TrafficNet<N>);
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 CallerSession* TrafficCore<D, N>::FindSession(uint64_t id) {
   const auto it = sessions_.find(id);
   return it == sessions_.end() ? nullptr : &it->second;
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::OpenSession(uint64_t id) {
   CallerSession& session = sessions_[id];
   session.id = id;
   session.last_active = net_.Now();
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandleCallerFrame(uint64_t id, std::string_view frame) {
   CallerSession* session = FindSession(id);
   if (session == nullptr || session->closing) {
@@ -65,7 +65,7 @@
   }
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::RejectCaller(uint64_t id,
                                      StatementError error,
                                      std::string_view reason) {
@@ -83,7 +83,7 @@
   EndSession(*session);
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::OpenDatabase(CallerSession& session,
                                      const CallerMessage& message) {
   if (session.opened) {
@@ -100,7 +100,7 @@
   AcceptSession(session);
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::AcceptSession(CallerSession& session) {
   if (!RefreshRoute(session)) {
     return;
@@ -110,7 +110,7 @@
                  {});
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 bool TrafficCore<D, N>::RefreshRoute(CallerSession& session) {
   session.route = view_->routes->Find(session.database);
   if (session.route != nullptr) {
@@ -129,7 +129,7 @@
   return false;
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandleStatement(CallerSession& session,
                                         const CallerMessage& message) {
   const ParsedStatement& parsed = message.statement;
@@ -169,6 +169,8 @@
     case StatementKind::kPrepareWrite:
       HandlePrepare(session, parsed);
       return;
+    case StatementKind::kReset:
+      return;
     case StatementKind::kDeallocate:
       HandleDeallocate(session, parsed.name);
       return;
@@ -181,7 +183,7 @@
   }
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandleBegin(CallerSession& session, bool reads_only) {
   if (session.transaction != TransactionPhase::kNone) {
     ReplyError(session, StatementError::kMalformed,
@@ -201,7 +203,7 @@
   ReplyLocally(session);
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandleRollback(CallerSession& session) {
   session.transaction = TransactionPhase::kNone;
   if (PooledConnection* connection =
@@ -212,7 +214,7 @@
   ReplyLocally(session);
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandlePrepare(CallerSession& session,
                                       const ParsedStatement& parsed) {
   session.prepared.insert_or_assign(
@@ -222,7 +224,7 @@
   ReplyLocally(session);
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandleDeallocate(CallerSession& session,
                                          std::string_view name) {
   const auto it = session.prepared.find(name);
@@ -234,23 +236,14 @@
   ReplyLocally(session);
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::SubmitStatement(CallerSession& session,
                                         const CallerMessage& message) {
-  const ParsedStatement& parsed = message.statement;
   ActiveStatement statement;
-  bool writes = parsed.kind == StatementKind::kWrite;
-  if (parsed.kind == StatementKind::kExecute) {
-    const auto it = session.prepared.find(parsed.name);
-    if (it == session.prepared.end()) {
-      ReplyError(session, StatementError::kUnknownStatement, parsed.name);
-      return;
-    }
-    statement.prepared = it->second;
-    statement.arguments = parsed.argument;
-    writes = it->second.writes;
+  if (!ParseStatement(session, message, statement)) {
+    return;
   }
-  const bool commits = parsed.kind == StatementKind::kCommit;
+  const bool commits = statement.kind == StatementKind::kCommit;
   if (session.transaction == TransactionPhase::kFailed) {
     session.transaction = TransactionPhase::kNone;
     ReplyError(session, StatementError::kAborted, "the transaction has failed");
@@ -264,36 +257,68 @@
       !RefreshRoute(session)) {
     return;
   }
-  if (writes && session.transaction_reads_only &&
+  if (statement.writes && session.transaction_reads_only &&
       session.transaction != TransactionPhase::kNone) {
     ReplyError(session, StatementError::kNotPrimary,
                "the transaction only reads");
     return;
   }
-  const TimePoint now = net_.Now();
-  statement.id = next_id_++;
-  statement.request_id = message.request_id;
-  statement.text = parsed.text;
-  statement.kind = parsed.kind;
-  statement.received_at = now;
-  statement.began_at = now;
-  statement.deadline = now + session.route->statement_timeout;
   const bool at_primary = session.route->consistency == Consistency::kPrimary;
   if (session.transaction == TransactionPhase::kOpen) {
-    statement.requirement = EndpointRequirement::kOpenTransaction;
+    statement.base_requirement = EndpointRequirement::kOpenTransaction;
   } else if (session.transaction == TransactionPhase::kDeferred) {
     statement.began_at = session.transaction_began_at;
-    statement.requirement = session.transaction_reads_only && !at_primary
-                                ? EndpointRequirement::kReadTransaction
-                                : EndpointRequirement::kReadWriteTransaction;
-  } else if (writes) {
-    statement.requirement = EndpointRequirement::kWrite;
+    statement.base_requirement =
+        session.transaction_reads_only && !at_primary
+            ? EndpointRequirement::kReadTransaction
+            : EndpointRequirement::kReadWriteTransaction;
+  } else if (statement.writes) {
+    statement.base_requirement = EndpointRequirement::kWrite;
   } else {
-    statement.requirement = at_primary ? EndpointRequirement::kPrimaryRead
-                                       : EndpointRequirement::kRead;
+    statement.base_requirement = at_primary ? EndpointRequirement::kPrimaryRead
+                                            : EndpointRequirement::kRead;
+  }
+  statement.priority = session.route->priority;
+  statement.config_version = view_->routes->version;
+  const Duration timeout = session.route->statement_timeout;
+  AcceptStatement(session, std::move(statement), timeout);
+}
+
+template <ForwardingDialect D, class N>
+bool TrafficCore<D, N>::ParseStatement(CallerSession& session,
+                                       const CallerMessage& message,
+                                       ActiveStatement& out) {
+  const ParsedStatement& parsed = message.statement;
+  out.request_id = message.request_id;
+  out.text = parsed.text;
+  out.kind = parsed.kind;
+  out.writes = parsed.kind == StatementKind::kWrite;
+  if (parsed.kind != StatementKind::kExecute) {
+    return true;
+  }
+  const auto it = session.prepared.find(parsed.name);
+  if (it == session.prepared.end()) {
+    ReplyError(session, StatementError::kUnknownStatement, parsed.name);
+    return false;
+  }
+  out.prepared = it->second;
+  out.arguments = parsed.argument;
+  out.writes = it->second.writes;
+  return true;
+}
+
+template <ForwardingDialect D, class N>
+void TrafficCore<D, N>::AcceptStatement(CallerSession& session,
+                                        ActiveStatement statement,
+                                        Duration timeout) {
+  const TimePoint now = net_.Now();
+  statement.id = next_id_++;
+  statement.received_at = now;
+  if (statement.began_at == TimePoint{}) {
+    statement.began_at = now;
   }
-  statement.base_requirement = statement.requirement;
-  statement.writes = writes;
+  statement.deadline = now + timeout;
+  statement.requirement = statement.base_requirement;
   session.statement = std::move(statement);
   ScheduleTimer({session.statement.deadline,
                  TimerKind::kStatementDeadline,
@@ -303,7 +328,7 @@
   Dispatch(session);
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 TransactionStatus TrafficCore<D, N>::GetCallerTransactionStatus(
     const CallerSession& session) const {
   switch (session.transaction) {
@@ -319,14 +344,14 @@
   return TransactionStatus::kIdle;
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::ReplyLocally(CallerSession& session) {
   std::string& out = net_.GetCallerBuffer(session.id);
   D::AppendComplete(out, "-");
   D::AppendReady(out, GetCallerTransactionStatus(session), {});
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::ReplyError(CallerSession& session,
                                    StatementError error,
                                    std::string_view reason) {
@@ -335,18 +360,22 @@
   D::AppendReady(out, GetCallerTransactionStatus(session), {});
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::RunBacklog(uint64_t id) {
   for (CallerSession* session = FindSession(id);
        session != nullptr && !session->IsBusy() && !session->backlog.empty();
        session = FindSession(id)) {
     const std::string frame = std::move(session->backlog.front());
     session->backlog.pop_front();
-    HandleCallerFrame(id, frame);
+    if (session->IsForwarded()) {
+      HandleForwardedFrame(id, frame);
+    } else {
+      HandleCallerFrame(id, frame);
+    }
   }
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::EndSession(CallerSession& session) {
   session.closing = true;
   const uint64_t id = session.id;
@@ -354,7 +383,7 @@
   CloseSession(id);
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::CloseSession(uint64_t id) {
   CallerSession* session = FindSession(id);
   if (session == nullptr) {
@@ -380,6 +409,9 @@
       CloseEndpointConnection(connection->id);
     }
   }
+  if (session->IsForwarded()) {
+    --forwarded_session_count_;
+  }
   std::erase(sessions_awaiting_config_, id);
   sessions_.erase(id);
 }
--- a/libs/relay/core/traffic_core_timers.h
+++ b/libs/relay/core/traffic_core_timers.h
@@ -12,7 +12,7 @@
 
 namespace magnoliareel {
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::ScheduleTimer(Timer timer) {
   const bool first = timers_.empty() || timer.at < timers_.top().at;
   const TimePoint at = timer.at;
@@ -22,7 +22,7 @@
   }
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandleWake() {
   const TimePoint now = net_.Now();
   while (!timers_.empty() && timers_.top().at <= now) {
@@ -39,7 +39,7 @@
   }
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 bool TrafficCore<D, N>::IsObsolete(const Timer& timer) {
   switch (timer.kind) {
     case TimerKind::kStatementDeadline:
@@ -71,7 +71,7 @@
   return false;
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandleTimer(const Timer& timer) {
   switch (timer.kind) {
     case TimerKind::kStatementDeadline:
@@ -96,12 +96,7 @@
     case TimerKind::kConnectTimeout:
       if (const PooledConnection* it = FindConnection(timer.subject);
           it != nullptr && it->state == ConnectionState::kOpening) {
-        const EndpointId endpoint = it->endpoint;
-        CloseEndpointConnection(timer.subject);
-        if (EndpointPool* pool = FindPool(endpoint)) {
-          HandleEndpointFailure(*pool, EndpointCondition::kUnreachable);
-          StartQueued(*pool);
-        }
+        HandleConnectTimeout(*it);
       }
       return;
     case TimerKind::kAbandonedTimeout:
@@ -161,7 +156,25 @@
   }
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
+void TrafficCore<D, N>::HandleConnectTimeout(
+    const PooledConnection& connection) {
+  const EndpointId endpoint = connection.endpoint;
+  const VmId holder = connection.holder;
+  CloseEndpointConnection(connection.id);
+  EndpointPool* pool = FindPool(endpoint);
+  if (pool == nullptr) {
+    return;
+  }
+  if (holder.IsEmpty()) {
+    HandleEndpointFailure(*pool, EndpointCondition::kUnreachable);
+  } else {
+    RecordHolderFailure(holder, "no session within the timeout");
+  }
+  StartQueued(*pool);
+}
+
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::CloseAndStartQueued(
     const PooledConnection& connection) {
   const EndpointId endpoint = connection.endpoint;
@@ -171,7 +184,7 @@
   }
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandleDeadline(CallerSession& session) {
   ActiveStatement& statement = session.statement;
   bool sent = false;
@@ -221,7 +234,7 @@
                 "no answer within the statement timeout");
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandleSlowStatement(CallerSession& session) {
   ActiveStatement& statement = session.statement;
   const TimePoint now = net_.Now();
@@ -245,6 +258,10 @@
                    {}});
     return;
   }
+  if (connection->IsForwarded()) {
+    HandleSlowForwarded(session, *connection, *pool);
+    return;
+  }
   const bool silent = pool->last_activity < sent_at;
   const bool commits =
       statement.IsAutocommitWrite() ||
@@ -265,17 +282,58 @@
     HandleConnectionLoss(id, "silent");
     return;
   }
-  if (statement.IsAutocommitRead() && !statement.hedged &&
-      connection->state == ConnectionState::kRunning) {
-    statement.hedged = true;
-    statement.avoided_endpoints.push_back(pool->entry.id);
-    ++counters_.hedged;
-    LogEvent(Event::kStatementHedged,
-             {{"request", statement.request_id},
-              {"endpoint", pool->entry.id.value},
-              {"silent", silent ? "yes" : "no"},
-              {"age_us", std::to_string((now - sent_at).count())}});
-    Dispatch(session);
+  const bool may_repeat = statement.IsAutocommitRead() && !statement.hedged &&
+                          connection->state == ConnectionState::kRunning &&
+                          (silent || hedge_budget_.Take());
+  if (may_repeat && session.IsForwarded()) {
+    // The VM that forwarded the read repeats it, elsewhere if it may.
+    FailStatement(session,
+                  silent ? StatementError::kAborted : StatementError::kBusy,
+                  "the endpoint's reply is overdue");
+    return;
+  }
+  if (may_repeat) {
+    HedgeRead(session, *pool, silent ? "yes" : "no", sent_at);
+    return;
+  }
+  ScheduleTimer({now + kSlowStatementThreshold,
+                 TimerKind::kSlowStatement,
+                 session.id,
+                 statement.id,
+                 {}});
+}
+
+template <ForwardingDialect D, class N>
+void TrafficCore<D, N>::HedgeRead(CallerSession& session,
+                                  const EndpointPool& pool,
+                                  std::string_view silent,
+                                  TimePoint sent_at) {
+  ActiveStatement& statement = session.statement;
+  statement.hedged = true;
+  statement.avoided_endpoints.push_back(pool.entry.id);
+  ++counters_.hedged;
+  LogEvent(Event::kStatementHedged,
+           {{"request", statement.request_id},
+            {"endpoint", pool.entry.id.value},
+            {"silent", std::string(silent)},
+            {"age_us", std::to_string((net_.Now() - sent_at).count())}});
+  Dispatch(session);
+}
+
+template <ForwardingDialect D, class N>
+void TrafficCore<D, N>::HandleSlowForwarded(CallerSession& session,
+                                            PooledConnection& connection,
+                                            EndpointPool& pool) {
+  // The holder notices a silent endpoint and an overdue reply. Whether the
+  // holder responds is found out here.
+  ActiveStatement& statement = session.statement;
+  const TimePoint now = net_.Now();
+  if (!CheckHolder(connection, statement) && statement.IsAutocommitRead() &&
+      !statement.hedged) {
+    const TimePoint sent_at = connection.pending_replies.empty()
+                                  ? now
+                                  : connection.pending_replies.back().sent_at;
+    HedgeRead(session, pool, "yes", sent_at);
     return;
   }
   ScheduleTimer({now + kSlowStatementThreshold,
@@ -285,7 +343,7 @@
                  {}});
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandleIdleTransaction(CallerSession& session) {
   LogEvent(Event::kTransactionRolledBack,
            {{"transaction", std::to_string(session.connection)},
@@ -297,7 +355,7 @@
   session.transaction = TransactionPhase::kLost;
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandleDrainingUseLimit(EndpointPool& pool) {
   if (pool.removed || !IsPrimary(pool) ||
       !pool.HasDrained(options_.max_draining_use, net_.Now())) {
@@ -310,7 +368,7 @@
   DispatchQueueAgain(pool);
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::ReviewPrimaries() {
   const TimePoint now = net_.Now();
   bool waiting = false;
@@ -338,7 +396,7 @@
   }
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::BeginDrain(Duration transaction_grace_period,
                                    Duration statement_grace_period) {
   drain_began_at_ = net_.Now();
@@ -347,7 +405,7 @@
   HandleDrain();
 }
 
-template <WireDialect D, class N>
+template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandleDrain() {
   const TimePoint now = net_.Now();
   const Duration elapsed = now - drain_began_at_;
@@ -360,6 +418,11 @@
   std::vector<uint64_t> ending;
   std::vector<uint64_t> overdue;
   for (auto& [id, session] : sessions_) {
+    if (session.IsForwarded() && !session.IsBusy() &&
+        (session.transaction == TransactionPhase::kNone || !transactions_end)) {
+      // The other VM closes it when it knows that this one leaves.
+      continue;
+    }
     if (session.IsBusy() && elapsed >= statement_grace_period_) {
       overdue.push_back(id);
       continue;
--- a/libs/relay/core/traffic_limits.h
+++ b/libs/relay/core/traffic_limits.h
@@ -82,11 +82,26 @@
 /** Penalty of an endpoint that recently failed or refused the statement, as
     waiting time. */
 inline constexpr Duration kFailedEndpointPenalty = std::chrono::seconds(5);
-/** Connections of an endpoint that are reserved for health checks and for new
-    VMs. */
-inline constexpr uint32_t kReservedConnections = 2;
 /** Maximum connections of one VM to an endpoint, however large its share. */
 inline constexpr uint32_t kMaxConnectionsPerEndpoint = 8;
+/** Maximum connections of a holder to an endpoint. All holders together use at
+    most half of an endpoint's connections: while VMs join or leave, the holders
+    before and after the change have connections. */
+inline constexpr uint32_t kMaxHolderConnections = 16;
+/** Maximum sessions in which one VM forwards statements to an endpoint: each
+    carries one statement or transaction at a time. */
+inline constexpr uint32_t kMaxForwardedSessions = 8;
+/** Number of these sessions that are kept when they are idle. */
+inline constexpr uint32_t kMaxIdleForwardedSessions = 2;
+/** A holder rejects a statement this long before its deadline, so that the VM
+    that forwarded it learns in time that it did not run: a trip between
+    regions. */
+inline constexpr Duration kForwardingMargin = std::chrono::milliseconds(50);
+/** Initial and longest time for which a holder that failed is not used. The
+    longest one covers the time until a lost VM is no longer listed. */
+inline constexpr Duration kInitialHolderBackoff =
+    std::chrono::milliseconds(400);
+inline constexpr Duration kMaxHolderBackoff = std::chrono::seconds(3);
 /** Interval at which idle sessions are closed during a drain. */
 inline constexpr Duration kDrainInterval = std::chrono::milliseconds(100);
 /** Idle sessions are closed over this period during a drain, so that they don't
--- a/libs/relay/core/traffic_options.h
+++ b/libs/relay/core/traffic_options.h
@@ -30,6 +30,9 @@
   uint64_t retried = 0;
   uint64_t hedged = 0;
   uint64_t connections_opened = 0;
+  /** Statements sent to holders, and statements run for other VMs. */
+  uint64_t forwarded = 0;
+  uint64_t run_for_peers = 0;
   /** Connections that an endpoint refused because of its connection limit. */
   uint64_t connections_refused = 0;
   /** Statements that an endpoint refused because its slots and queue were
--- a/libs/relay/messages/caller_message.h
+++ b/libs/relay/messages/caller_message.h
@@ -19,6 +19,8 @@
   kPrepareWrite,
   kExecute,
   kDeallocate,
+  /** Resets values and prepared statements; sent by other VMs only. */
+  kReset,
 };
 
 /** A statement, parsed only as far as routing needs. The views refer to the
--- a/libs/relay/sessions/caller_session.cc
+++ b/libs/relay/messages/endpoint_requirement.cc
@@ -1,4 +1,4 @@
-#include "relay/sessions/caller_session.h"
+#include "relay/messages/endpoint_requirement.h"
 
 namespace magnoliareel {
 
--- a/libs/relay/sessions/caller_session.h
+++ b/libs/relay/sessions/caller_session.h
@@ -11,6 +11,7 @@
 #include "core/core.h"
 #include "directory/directory.h"
 #include "relay/messages/caller_message.h"
+#include "relay/messages/endpoint_requirement.h"
 #include "relay/messages/statement_error.h"
 #include "relay/sessions/session_values.h"
 
@@ -29,27 +30,6 @@
   kLost,
 };
 
-/** What a statement requires of the endpoint that runs it. */
-enum class EndpointRequirement {
-  /** A read at any endpoint that satisfies the freshness bound. */
-  kRead,
-  /** A read in a read-write transaction, which only the primary accepts. */
-  kPrimaryRead,
-  /** A write outside a transaction. */
-  kWrite,
-  /** The first statement of a transaction at the primary. */
-  kReadWriteTransaction,
-  /** The first statement of a transaction that only reads. */
-  kReadTransaction,
-  /** A later statement of an open transaction. */
-  kOpenTransaction,
-};
-
-/** @param requirement  any requirement
-    @returns             its name in logs
-*/
-std::string_view EndpointRequirementName(EndpointRequirement requirement);
-
 /** The statement of a session that is in progress, and the state of its
     attempts. */
 struct ActiveStatement {
@@ -76,6 +56,10 @@
   TimePoint received_at;
   /** Time at which the route's statement timeout expires. */
   TimePoint deadline;
+  /** Scheduling priority of its route. */
+  int priority = 0;
+  /** Configuration version that was in force when it was accepted. */
+  uint64_t config_version = 0;
   /** Log point that a replica must have applied; computed for each attempt. */
   std::optional<LogPoint> required_point;
   /** Endpoint in whose queue it waits; empty while it waits for a primary. */
@@ -98,6 +82,9 @@
   bool waited_for_bound = false;
   /** True if it was retried at a replica that was behind. */
   bool waited_for_replica = false;
+  /** Time at which the holder that runs it was asked for a sign of life; epoch
+      if it was not. */
+  TimePoint holder_pinged_at;
 
   /** @returns true if it neither waits in an endpoint's queue nor was sent to
                one without a reply yet */
@@ -115,14 +102,19 @@
   }
 };
 
-/** A caller's connection and the state of its session. */
+/** A caller's connection and the state of its session, or a session in which
+    another VM forwards statements to one endpoint. */
 struct CallerSession {
   uint64_t id = 0;
   bool opened = false;
   bool closing = false;
   std::string caller;
   std::string database;
-  /** Route of the current statement or transaction. */
+  /** Endpoint to which another VM forwards statements; empty if a caller opened
+      the session. */
+  EndpointId forwarded_to;
+  /** Route of the current statement or transaction. A forwarded session has one
+      that names only the service. */
   std::shared_ptr<const DatabaseRoute> route;
   SessionValues values;
   std::map<std::string, PreparedStatement, std::less<>> prepared;
@@ -145,6 +137,8 @@
 
   /** @returns true while a statement is in progress */
   bool IsBusy() const { return statement.id != 0; }
+  /** @returns true if another VM forwards statements in it */
+  bool IsForwarded() const { return !forwarded_to.IsEmpty(); }
 };
 
 }  // namespace magnoliareel
--- a/libs/relay/tests/relay_test.cc
+++ b/libs/relay/tests/relay_test.cc
@@ -140,7 +140,7 @@
 
 TEST(EndpointPool, AdaptsConcurrencyLimitToReplies) {
   EndpointPool pool(MakeEndpoint("db-1", true), Distance::kSameSite);
-  pool.ResetConcurrencyLimit(8);
+  pool.SetSharers(8);
   LONGS_EQUAL(1, pool.GetConcurrencyLimit());
   pool.Enqueue({1, 1, 1, AtMs(100)});
   for (int n = 0; n < 40; ++n) {
--- a/libs/telemetry/events/event.cc
+++ b/libs/telemetry/events/event.cc
@@ -93,6 +93,10 @@
     {kPrimaryDrained, kWarning, "primary.drained",
      "A primary is draining and has no successor in time; it gets no new "
      "statements. service, endpoint, queued"},
+    {kHolderFailureObserved, kWarning, "holder.trouble",
+     "A VM to which statements are forwarded is unreachable or does not "
+     "answer; "
+     "another one is used. vm, reason, failures"},
     {kConfigInForce, kInfo, "config.in_force",
      "A configuration version took effect. version, routes, source"},
     {kConfigRejected, kError, "config.rejected",
--- a/libs/telemetry/events/event.h
+++ b/libs/telemetry/events/event.h
@@ -45,6 +45,7 @@
   kEndpointFailureObserved = 5203,
   kPrimaryConfirmed = 5204,
   kPrimaryDrained = 5205,
+  kHolderFailureObserved = 5206,
   kConfigInForce = 5301,
   kConfigRejected = 5302,
   kDirectoryChanged = 5303,
--- a/tests/traffic/traffic_simulation.cc
+++ b/tests/traffic/traffic_simulation.cc
@@ -16,6 +16,10 @@
 }
 
 void SimulatedNet::OpenEndpoint(uint64_t id, const SocketAddress& address) {
+  if (address.port >= kFirstVmPort) {
+    simulation_.OpenPeerLink(vm_, id, address.port - kFirstVmPort);
+    return;
+  }
   const size_t member = address.port - kFirstMemberPort;
   const uint64_t link = simulation_.next_link_++;
   simulation_.links_[link] = {vm_, member, id, false, {}};
@@ -39,6 +43,12 @@
 }
 
 void SimulatedNet::CloseEndpoint(uint64_t id) {
+  if (const auto peer = simulation_.peer_sessions_.find({vm_, id});
+      peer != simulation_.peer_sessions_.end()) {
+    to_endpoints_.erase(id);
+    simulation_.ClosePeerLink(peer->second, false);
+    return;
+  }
   const auto it = simulation_.link_ids_.find({vm_, id});
   if (it == simulation_.link_ids_.end()) {
     return;
@@ -71,6 +81,12 @@
 
 void SimulatedNet::Flush() {
   for (auto& [id, buf] : to_endpoints_) {
+    if (const auto peer = simulation_.peer_sessions_.find({vm_, id});
+        peer != simulation_.peer_sessions_.end() && !buf.empty()) {
+      simulation_.ForwardLines(peer->second, buf);
+      buf.clear();
+      continue;
+    }
     const auto it = simulation_.link_ids_.find({vm_, id});
     if (buf.empty() || it == simulation_.link_ids_.end()) {
       buf.clear();
@@ -91,6 +107,9 @@
   std::set<uint64_t> closed;
   closed.swap(closed_callers_);
   for (const auto& [id, buf] : lines) {
+    if (simulation_.SendToPeer(vm_, id, buf)) {
+      continue;
+    }
     std::string_view rest = buf;
     for (size_t end = rest.find("\r\n"); end != std::string_view::npos;
          end = rest.find("\r\n")) {
@@ -99,6 +118,10 @@
     }
   }
   for (const uint64_t it : closed) {
+    if (simulation_.peer_links_.contains(it)) {
+      simulation_.ClosePeerLink(it, true);
+      continue;
+    }
     simulation_.output_(vm_, it, {});
   }
 }
@@ -129,6 +152,7 @@
                  : Distance::kRemote;
     };
     traffic.max_draining_use = GetMaxDrainingUse(kSimulatedDrainPeriod);
+    vm.holders = std::make_unique<HolderTable>(VmId{traffic.vm});
     vm.core = std::make_unique<Core>(*vm.net, std::move(traffic));
   }
   failover_ =
@@ -190,8 +214,28 @@
   view->routes = std::move(routes);
   view->endpoints = ListEndpoints();
   view->live_vms = static_cast<uint32_t>(vms_.size());
+  std::vector<HolderCandidate> candidates;
+  for (size_t it = 0; it < vms_.size(); ++it) {
+    if (!vms_[it].frozen) {
+      candidates.push_back(
+          {VmId{"vm-" + std::to_string(it)},
+           SiteId{"site-" + std::to_string(it % 3)},
+           {"127.0.0.1", static_cast<uint16_t>(kFirstVmPort + it)}});
+    }
+  }
+  const bool scarce =
+      GetConnectionsPerVm(options_.max_connections, view->live_vms) < 1;
   for (size_t it = 0; it < vms_.size(); ++it) {
-    RunOnVm(it, [&](Core& core) { core.Apply(view); });
+    std::shared_ptr<const FleetView> vm_view = view;
+    if (scarce) {
+      auto copy = std::make_shared<FleetView>(*view);
+      vms_[it].holders->SetCandidates(candidates);
+      for (const EndpointEntry& entry : copy->endpoints) {
+        copy->holders[entry.id] = vms_[it].holders->Find(entry);
+      }
+      vm_view = std::move(copy);
+    }
+    RunOnVm(it, [&](Core& core) { core.Apply(vm_view); });
   }
   failover_->Apply(*view);
 }
@@ -280,8 +324,121 @@
   queue_.After(2 * options_.promotion_delay, [this] { Publish(); });
 }
 
+void TrafficSimulation::OpenPeerLink(size_t from,
+                                     uint64_t connection,
+                                     size_t to) {
+  const uint64_t session = next_caller_++;
+  peer_links_[session] = {from, to, connection, session};
+  peer_sessions_[{from, connection}] = session;
+  queue_.After(GetPeerDelay(from, to), [this, session, from, connection, to] {
+    if (!peer_links_.contains(session)) {
+      return;
+    }
+    RunOnVm(to, [session](Core& core) { core.OpenForwardedSession(session); });
+    RunOnVm(from, [connection](Core& core) {
+      core.HandleEndpointOpened(connection);
+    });
+  });
+}
+
+void TrafficSimulation::ForwardLines(uint64_t session,
+                                     const std::string& bytes) {
+  const PeerLink link = peer_links_[session];
+  queue_.After(GetPeerDelay(link.from, link.to), [this, link, bytes] {
+    std::string_view rest = bytes;
+    for (size_t end = rest.find("\r\n"); end != std::string_view::npos;
+         end = rest.find("\r\n")) {
+      if (!peer_links_.contains(link.session)) {
+        return;
+      }
+      const std::string line(rest.substr(0, end));
+      RunOnVm(link.to, [link, line](Core& core) {
+        core.HandleForwardedFrame(link.session, line);
+      });
+      rest.remove_prefix(end + 2);
+    }
+  });
+}
+
+bool TrafficSimulation::SendToPeer(size_t vm,
+                                   uint64_t session,
+                                   const std::string& bytes) {
+  const auto found = peer_links_.find(session);
+  if (found == peer_links_.end()) {
+    return false;
+  }
+  const PeerLink link = found->second;
+  queue_.After(GetPeerDelay(vm, link.from), [this, link, bytes] {
+    std::string_view rest = bytes;
+    for (size_t end = rest.find("\r\n"); end != std::string_view::npos;
+         end = rest.find("\r\n")) {
+      if (!peer_links_.contains(link.session)) {
+        return;
+      }
+      const std::string line(rest.substr(0, end));
+      RunOnVm(link.from, [link, line](Core& core) {
+        core.HandleEndpointFrame(link.connection, line);
+      });
+      rest.remove_prefix(end + 2);
+    }
+  });
+  return true;
+}
+
+void TrafficSimulation::ClosePeerLink(uint64_t session, bool by_holder) {
+  const auto found = peer_links_.find(session);
+  if (found == peer_links_.end()) {
+    return;
+  }
+  const PeerLink link = found->second;
+  const Duration delay = GetPeerDelay(link.from, link.to);
+  // What was sent before the close arrives.
+  queue_.After(delay, [this, link, by_holder] {
+    if (peer_links_.erase(link.session) == 0) {
+      return;
+    }
+    peer_sessions_.erase({link.from, link.connection});
+    if (by_holder) {
+      RunOnVm(link.from, [link](Core& core) {
+        core.HandleEndpointClosed(
+            link.connection, std::make_error_code(std::errc::connection_reset));
+      });
+    } else {
+      RunOnVm(link.to, [link](Core& core) { core.CloseSession(link.session); });
+    }
+  });
+}
+
+void TrafficSimulation::ResetForwarding(size_t vm) {
+  const std::map<uint64_t, PeerLink> links = peer_links_;
+  for (const auto& [session, link] : links) {
+    if (link.to == vm && peer_links_.contains(session)) {
+      ClosePeerLink(session, true);
+      RunOnVm(vm,
+              [session = session](Core& core) { core.CloseSession(session); });
+    }
+  }
+}
+
+Duration TrafficSimulation::GetPeerDelay(size_t from, size_t to) const {
+  return Duration(from % 3 == to % 3 ? 120 : 4050);
+}
+
+void TrafficSimulation::SetFrozen(size_t vm, bool frozen) {
+  vms_[vm].frozen = frozen;
+  const std::vector<std::function<void()>> delayed =
+      std::exchange(vms_[vm].delayed, {});
+  for (const auto& it : delayed) {
+    it();
+  }
+}
+
 void TrafficSimulation::RunOnVm(size_t vm,
                                 const std::function<void(Core&)>& event) {
+  if (vms_[vm].frozen) {
+    vms_[vm].delayed.push_back([this, vm, event] { RunOnVm(vm, event); });
+    return;
+  }
   event(*vms_[vm].core);
   vms_[vm].net->Flush();
 }
--- a/tests/traffic/traffic_simulation.h
+++ b/tests/traffic/traffic_simulation.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "control/control.h"
+#include "forwarding/forwarding.h"
 #include "platform/platform.h"
 #include "relay/relay.h"
 #include "standins/group/group_model.h"
@@ -26,6 +27,8 @@
 inline constexpr uint64_t kFirstCommandConnection = 1ULL << 40;
 /** Member n listens on this port plus n. */
 inline constexpr uint16_t kFirstMemberPort = 9000;
+/** VM n accepts forwarded statements on this port plus n. */
+inline constexpr uint16_t kFirstVmPort = 20000;
 
 /** The network interface of one simulated VM. @see TrafficNet */
 class SimulatedNet {
@@ -97,7 +100,8 @@
     product's own FailoverControl. */
 class TrafficSimulation {
  public:
-  using Core = TrafficCore<platform::LineDialect, SimulatedNet>;
+  using Core =
+      TrafficCore<ForwardingCodec<platform::LineDialect>, SimulatedNet>;
   /** Called with each line that a caller receives, and with an empty line when
       its session ends. */
   using CallerOutput =
@@ -125,6 +129,11 @@
   /** Starts or ends a network partition between a VM and a member: bytes are
       dropped, but connections stay open. */
   void SetPartitioned(size_t vm, size_t member, bool partitioned);
+  /** Stops a VM from handling events, or lets it handle those that have arrived
+      meanwhile. */
+  void SetFrozen(size_t vm, bool frozen);
+  /** Resets all connections between VMs that lead to a VM. */
+  void ResetForwarding(size_t vm);
   /** Resets all connections of a VM to a member. */
   void ResetConnections(size_t vm, size_t member);
   /** Sets whether the directory reports a member as draining. */
@@ -168,7 +177,9 @@
   struct Vm {
     std::unique_ptr<SimulatedNet> net;
     std::unique_ptr<Core> core;
-    platform::LineFramer framer;
+    std::unique_ptr<HolderTable> holders;
+    bool frozen = false;
+    std::vector<std::function<void()>> delayed;
   };
   struct Link {
     size_t vm = 0;
@@ -177,6 +188,15 @@
     bool open = false;
     std::string received;
   };
+  /** A connection in which one VM forwards statements to another. */
+  struct PeerLink {
+    size_t from = 0;
+    size_t to = 0;
+    /** Number of the connection at the VM that opened it. */
+    uint64_t connection = 0;
+    /** Number of the session at the other VM. */
+    uint64_t session = 0;
+  };
   struct PendingEndpointCommand {
     std::string received;
     EndpointCommandCompletion done;
@@ -187,6 +207,12 @@
   void HandleGroupOutput(uint64_t connection, std::string bytes);
   void HandleCommandOutput(uint64_t connection, const std::string& bytes);
   void DeliverToVm(uint64_t connection, const std::string& bytes);
+  void OpenPeerLink(size_t from, uint64_t connection, size_t to);
+  /** @returns whether the session belongs to another VM */
+  bool SendToPeer(size_t vm, uint64_t session, const std::string& bytes);
+  void ClosePeerLink(uint64_t session, bool by_holder);
+  void ForwardLines(uint64_t session, const std::string& bytes);
+  Duration GetPeerDelay(size_t from, size_t to) const;
   void RunOnVm(size_t vm, const std::function<void(Core&)>& event);
   void RequestPeerBound(size_t vm, const FreshnessBoundQuery& query);
   void ForwardConditionReport(const ConditionReport& report);
@@ -204,6 +230,9 @@
   CallerOutput output_;
   std::map<uint64_t, Link> links_;
   std::map<std::pair<size_t, uint64_t>, uint64_t> link_ids_;
+  /** By the number of the session. */
+  std::map<uint64_t, PeerLink> peer_links_;
+  std::map<std::pair<size_t, uint64_t>, uint64_t> peer_sessions_;
   std::map<uint64_t, PendingEndpointCommand> pending_commands_;
   std::set<std::pair<size_t, size_t>> partitions_;
   uint64_t next_link_ = 1;
