--- a/libs/relay/tests/relay_test.cc
+++ b/libs/relay/tests/relay_test.cc
@@ -201,6 +201,20 @@
   CHECK(!pool.IsBehind(MakePoint(1, 11), AtMs(200)));
 }
 
+TEST_GROUP(HedgeBudget){};
+
+TEST(HedgeBudget, LimitsHedgesToAFractionOfTheSuccesses) {
+  HedgeBudget budget;
+  while (budget.Take()) {
+  }
+  int hedges = 0;
+  for (int n = 0; n < 1000; ++n) {
+    budget.RecordSuccess();
+    hedges += budget.Take() ? 1 : 0;
+  }
+  CHECK(hedges >= 49 && hedges <= 51);
+}
+
 TEST_GROUP(LogRateLimiter){};
 
 TEST(LogRateLimiter, LimitsLinesPerSecond) {
--- a/tests/fuzz/decoder_fuzz_test.cc
+++ b/tests/fuzz/decoder_fuzz_test.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "codec/codec.h"
+#include "forwarding/forwarding.h"
 #include "gossip/gossip.h"
 #include "platform/platform.h"
 
@@ -102,6 +103,12 @@
        platform::LineDialect::DecodeCaller(bytes, message);
        return true;
      }},
+    {"forwarded_lines",
+     [](std::string_view bytes) {
+       ForwardedMessage message;
+       ForwardingCodec<platform::LineDialect>::DecodeForwarded(bytes, message);
+       return true;
+     }},
     {"endpoint_lines",
      [](std::string_view bytes) {
        EndpointMessage message;
--- a/tests/traffic/traffic_simulation.cc
+++ b/tests/traffic/traffic_simulation.cc
@@ -235,7 +235,7 @@
       }
       vm_view = std::move(copy);
     }
-    RunOnVm(it, [&](Core& core) { core.Apply(vm_view); });
+    RunOnVm(it, [vm_view](Core& core) { core.Apply(vm_view); });
   }
   failover_->Apply(*view);
 }
@@ -246,7 +246,7 @@
   const TimePoint sent_at = queue_.Now();
   if (vm == 0) {
     queue_.After(Duration(0), [this, service = query.service] {
-      RunOnVm(0, [&](Core& core) { core.RequestPrimaryBound(service); });
+      RunOnVm(0, [service](Core& core) { core.RequestPrimaryBound(service); });
     });
     return;
   }
@@ -258,11 +258,11 @@
     return;
   }
   queue_.After(travel(), [this, vm, query, sent_at, travel] {
-    RunOnVm(0, [&](Core& core) {
+    RunOnVm(0, [this, vm, query, sent_at, travel](Core& core) {
       core.HandleBoundQuery(
           query, [this, vm, sent_at, travel](const FreshnessBound& bound) {
             queue_.After(travel(), [this, vm, sent_at, bound] {
-              RunOnVm(vm, [&](Core& core) {
+              RunOnVm(vm, [bound, sent_at](Core& core) {
                 core.RecordPeerBound(bound, sent_at);
               });
             });
@@ -318,7 +318,9 @@
                                         const EndpointId& endpoint) {
   for (size_t it = 0; it < vms_.size(); ++it) {
     queue_.After(Duration(5000), [this, it, service, endpoint] {
-      RunOnVm(it, [&](Core& core) { core.AnnouncePrimary(service, endpoint); });
+      RunOnVm(it, [service, endpoint](Core& core) {
+        core.AnnouncePrimary(service, endpoint);
+      });
     });
   }
   queue_.After(2 * options_.promotion_delay, [this] { Publish(); });
@@ -452,11 +454,13 @@
 void TrafficSimulation::Send(size_t vm,
                              uint64_t session,
                              const std::string& line) {
-  RunOnVm(vm, [&](Core& core) { core.HandleCallerFrame(session, line); });
+  RunOnVm(vm, [session, line](Core& core) {
+    core.HandleCallerFrame(session, line);
+  });
 }
 
 void TrafficSimulation::CloseCaller(size_t vm, uint64_t session) {
-  RunOnVm(vm, [&](Core& core) { core.CloseSession(session); });
+  RunOnVm(vm, [session](Core& core) { core.CloseSession(session); });
 }
 
 void TrafficSimulation::SetPartitioned(size_t vm,
@@ -478,7 +482,7 @@
   }
   for (const auto& [link, id] : matching_links) {
     group_.Close(link);
-    RunOnVm(vm, [&, id = id](Core& core) {
+    RunOnVm(vm, [id = id](Core& core) {
       core.HandleEndpointClosed(
           id, std::make_error_code(std::errc::connection_reset));
     });
@@ -520,7 +524,7 @@
   const size_t vm = it->second.vm;
   const uint64_t id = it->second.id;
   if (bytes.empty()) {
-    RunOnVm(vm, [&](Core& core) {
+    RunOnVm(vm, [id](Core& core) {
       core.HandleEndpointClosed(
           id, std::make_error_code(std::errc::connection_reset));
     });
@@ -539,7 +543,7 @@
     }
     const std::string line = received.substr(0, end);
     received.erase(0, end + 2);
-    RunOnVm(vm, [&](Core& core) { core.HandleEndpointFrame(id, line); });
+    RunOnVm(vm, [id, line](Core& core) { core.HandleEndpointFrame(id, line); });
   }
 }
 
--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -47,6 +47,9 @@
   /** Those of kMembership; besides, a replica leaves and another one receives
       nothing, and a new member joins while a promotion is ordered. */
   kJoiningMember,
+  /** Those of kTransient; besides, VMs freeze for a while, and the connections
+      in which others forward statements to a VM are reset. */
+  kHolders,
 };
 
 /** One simulated run: callers on all VMs, a period with random faults, and a
@@ -271,6 +274,18 @@
         });
   }
 
+  void InterruptHolder() {
+    const size_t vm = random_() % vms_;
+    if (random_() % 2 == 0) {
+      simulation_->ResetForwarding(vm);
+      return;
+    }
+    simulation_->SetFrozen(vm, true);
+    simulation_->GetQueue().After(
+        std::chrono::milliseconds(200 + random_() % 2500),
+        [this, vm] { simulation_->SetFrozen(vm, false); });
+  }
+
   void InjectFault(FaultSchedule schedule) {
     if (schedule == FaultSchedule::kLeavingPrimary && random_() % 2 == 0) {
       LetPrimaryLeaveWithoutSuccessor();
@@ -280,6 +295,10 @@
       LoseAcknowledgingReplicas();
       return;
     }
+    if (schedule == FaultSchedule::kHolders && random_() % 2 == 0) {
+      InterruptHolder();
+      return;
+    }
     GroupModel& group = simulation_->GetGroup();
     EventQueue& queue = simulation_->GetQueue();
     const size_t member = random_() % group.CountMembers();
@@ -491,6 +510,21 @@
   }
 }
 
+TEST(Traffic, KeepsGuaranteesWhileHoldersAreInterrupted) {
+  const uint64_t first = ReadNumber("MAGNOLIAREEL_SIM_FIRST_SEED", 1);
+  const uint64_t seeds =
+      ReadNumber("MAGNOLIAREEL_SIM_SEEDS", kDefaultSeedCount);
+  uint64_t forwarded = 0;
+  for (uint64_t seed = first; seed < first + seeds; ++seed) {
+    TrafficRun run(seed, 12, 18, 10);
+    RunWithFaults(run, seed, FaultSchedule::kHolders);
+    for (size_t vm = 0; vm < 12; ++vm) {
+      forwarded += run.GetSimulation().GetCore(vm).GetCounters().forwarded;
+    }
+  }
+  CHECK(forwarded > 1000 * seeds);
+}
+
 TEST(Traffic, KeepsGuaranteesUnderFaults) {
   const uint64_t first = ReadNumber("MAGNOLIAREEL_SIM_FIRST_SEED", 1);
   const uint64_t seeds =
