Soak with nodes that outnumber a database's connections

run-soak takes the number of nodes and of connections; nodes of the test cluster get a port for forwarded statements.

--- a/scripts/site-cluster.sh
+++ b/scripts/site-cluster.sh
@@ -36,8 +36,8 @@
 }
 
 # Prints the first port of a node. The site has base_port to base_port + 3. Node N
-# has base_port + 10 * N for callers and the next three for the readiness probe,
-# peers and metrics.
+# has base_port + 10 * N for callers and the next five for the readiness probe,
+# metrics, and, from the fourth on, peers and forwarded statements.
 node_port() { echo $((base_port + 10 * $1)); }
 
 start_site() {
@@ -50,9 +50,9 @@
   local n=$1 port
   port=$(node_port "$n")
   cat >"$log_dir/node-$n.json" <<EOF
-{"node-name": "node-$n", "zone": "site-$n",
+{"node-name": "node-$n", "zone": "site-$(((n - 1) % 3 + 1))",
  "zones": {"site-1": "north", "site-2": "north", "site-3": "north"},
- "ip": "127.0.0.1", "port-range": [$((port + 2)), $((port + 2))],
+ "ip": "127.0.0.1", "port-range": [$((port + 4)), $((port + 5))],
  "bind-addrs": {"frontend": "127.0.0.1:$port", "ready": "127.0.0.1:$((port + 1))"},
  "seed-nodes": ["127.0.0.1:1"], "bounds": {"grace-s": 4},
  "platform": {"address": "127.0.0.1:${platform_port:-$base_port}"},
--- a/standins/site/site_server.cc
+++ b/standins/site/site_server.cc
@@ -34,11 +34,21 @@
   }
 };
 
+namespace {
+
+GroupOptions MakeGroupOptions(const SiteSettings& settings) {
+  GroupOptions options;
+  options.max_connections = settings.max_connections;
+  return options;
+}
+
+}  // namespace
+
 SiteServer::SiteServer(EventLoop& loop, SiteSettings settings)
     : loop_(loop),
       settings_(std::move(settings)),
       group_(
-          GroupOptions{},
+          MakeGroupOptions(settings_),
           [this](uint64_t id, const std::string& bytes) {
             const auto it = connections_.find(id);
             if (it == connections_.end()) {
@@ -216,7 +226,7 @@
   }
   Json::Value service(Json::objectValue);
   service["name"] = std::string(kService);
-  service["max-conns"] = 32;
+  service["max-conns"] = settings_.max_connections;
   service["sync-replicas"] = 1;
   root["services"].append(std::move(service));
   root["limits"]["tx-idle-ms"] = 3000;
--- a/standins/site/site_server.h
+++ b/standins/site/site_server.h
@@ -21,6 +21,8 @@
       directory then lists the ports that follow it. 0 lists the databases' own
       ports. */
   int64_t advertised_base_port = 0;
+  /** Number of connections that each database accepts. */
+  uint32_t max_connections = 32;
 };
 
 /** Runs a whole users' site in one process: the platform's store and promotion
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -22,6 +22,8 @@
   flags.AddNumber("nodes", "number of nodes under test", 1, 9, settings.nodes);
   flags.AddNumber("callers", "number of callers of each node", 1, 100,
                   settings.callers_per_node);
+  flags.AddNumber("connections", "connections that each database accepts", 1,
+                  1000, settings.connections);
   flags.AddNumber("faults", "number of faults in the run", 0, 1000,
                   settings.fault_count);
   flags.AddNumber("faults-s", "length of the period with faults, in seconds", 1,
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -9,7 +9,7 @@
 
 // Staleness bound of the routes in SiteServer::PublishConfig().
 constexpr Duration kMaxStaleness = std::chrono::milliseconds(1500);
-// Enough for three nodes to start on a busy machine.
+// Enough for the nodes to start on a busy machine.
 constexpr Duration kStartTimeout = std::chrono::seconds(20);
 // Time from the end of the faults to the recovery check: enough for a killed
 // node to be ready again and for a lost primary to be replaced.
@@ -27,9 +27,9 @@
     : loop_(loop),
       settings_(settings),
       random_(static_cast<uint64_t>(settings.seed)),
-      site_(
-          loop,
-          {"127.0.0.1", settings.base_port, settings.base_port + kProxyCount}),
+      site_(loop,
+            {"127.0.0.1", settings.base_port, settings.base_port + kProxyCount,
+             static_cast<uint32_t>(settings.connections)}),
       connections_(
           loop,
           [&settings] {
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -24,6 +24,8 @@
   int64_t seed = 1;
   int64_t nodes = 3;
   int64_t callers_per_node = 3;
+  /** Number of connections that each database accepts. */
+  int64_t connections = 32;
   /** Seconds with faults; a period without faults follows. */
   int64_t fault_period_s = 10;
   /** Number of faults injected in that period; they may overlap. */
