--- a/libs/relay/core/traffic_core_control.h
+++ b/libs/relay/core/traffic_core_control.h
@@ -17,6 +17,10 @@
   const bool new_routes = view->routes->version != view_->routes->version;
   view_ = std::move(view);
   const TimePoint now = net_.Now();
+  std::erase_if(holder_states_, [now](const auto& row) {
+    return now - row.second.heard_at > kHolderStateRetention &&
+           now - row.second.backoff_until > kHolderStateRetention;
+  });
   for (auto& [id, service] : services_) {
     service.endpoints.clear();
   }
--- a/libs/relay/core/traffic_core_dispatch.h
+++ b/libs/relay/core/traffic_core_dispatch.h
@@ -24,7 +24,7 @@
     SendInTransaction(session);
     return;
   }
-  if (session.IsForwarded()) {
+  if (session.is_forwarded) {
     DispatchForwarded(session);
     return;
   }
@@ -216,7 +216,7 @@
       statement.requirement == EndpointRequirement::kPrimaryRead ||
       statement.requirement == EndpointRequirement::kReadWriteTransaction;
   const uint64_t config_version =
-      session.IsForwarded() ? statement.config_version : view_->routes->version;
+      session.is_forwarded ? statement.config_version : view_->routes->version;
   if (needs_primary_transaction && connection.HasUnusedTransaction() &&
       same_values && connection.transaction_config_version >= config_version) {
     SendStatement(connection, session);
@@ -355,7 +355,7 @@
       continue;
     }
     CallerSession& session = *FindSession(it.session);
-    if (session.IsForwarded()) {
+    if (session.is_forwarded) {
       FailStatement(session, StatementError::kNotPrimary,
                     "another endpoint is the primary");
     } else {
--- a/libs/relay/core/traffic_core_errors.h
+++ b/libs/relay/core/traffic_core_errors.h
@@ -43,7 +43,7 @@
       connection.IsForwarded() &&
       (error == StatementError::kWrongEndpoint ||
        (error == StatementError::kAborted && !statement.IsAutocommitWrite()));
-  if (was_lost) {
+  if (error == StatementError::kWrongEndpoint && was_lost) {
     pool->RecordFailure(now);
     ScheduleTimer({now + kConnectTimeout / 4, TimerKind::kPoolRetry, 0, 0,
                    pool->entry.id});
@@ -115,7 +115,7 @@
     // The other attempt of a hedged read is still running.
     return;
   }
-  if (session.IsForwarded()) {
+  if (session.is_forwarded) {
     RetryForwarded(session, error, delay);
     return;
   }
--- a/libs/relay/core/traffic_core_forwarding.h
+++ b/libs/relay/core/traffic_core_forwarding.h
@@ -19,8 +19,7 @@
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::OpenForwardedSession(uint64_t id) {
   OpenSession(id);
-  // Replaced by the endpoint's id when the session is opened.
-  FindSession(id)->forwarded_to.value = "unopened";
+  FindSession(id)->is_forwarded = true;
   ++forwarded_session_count_;
 }
 
@@ -274,7 +273,7 @@
          static_cast<size_t>(std::count_if(
              sessions_.begin(), sessions_.end(), [](const auto& row) {
                const CallerSession& session = row.second;
-               return session.IsForwarded() &&
+               return session.is_forwarded &&
                       (session.IsBusy() ||
                        session.transaction != TransactionPhase::kNone);
              }));
--- a/libs/relay/core/traffic_core_replies.h
+++ b/libs/relay/core/traffic_core_replies.h
@@ -323,7 +323,7 @@
 
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::Observe(const CallerSession& session, Outcome outcome) {
-  if (session.IsForwarded()) {
+  if (session.is_forwarded) {
     // The VM that has the caller's session records the statement.
     return;
   }
@@ -351,7 +351,7 @@
   // Otherwise a caller that is never idle would delay the end of the process.
   if (CallerSession* it = FindSession(id);
       it != nullptr && close_idle_sessions_ && !it->IsBusy() &&
-      !it->IsForwarded() && it->transaction == TransactionPhase::kNone &&
+      !it->is_forwarded && it->transaction == TransactionPhase::kNone &&
       !net_.HasUnread(id)) {
     EndSession(*it);
   }
--- a/libs/relay/core/traffic_core_sessions.h
+++ b/libs/relay/core/traffic_core_sessions.h
@@ -373,7 +373,7 @@
        session = FindSession(id)) {
     const std::string frame = std::move(session->backlog.front());
     session->backlog.pop_front();
-    if (session->IsForwarded()) {
+    if (session->is_forwarded) {
       HandleForwardedFrame(id, frame);
     } else {
       HandleCallerFrame(id, frame);
@@ -415,7 +415,7 @@
       CloseEndpointConnection(connection->id);
     }
   }
-  if (session->IsForwarded()) {
+  if (session->is_forwarded) {
     --forwarded_session_count_;
   }
   std::erase(sessions_awaiting_config_, id);
--- a/libs/relay/core/traffic_core_timers.h
+++ b/libs/relay/core/traffic_core_timers.h
@@ -285,7 +285,7 @@
   const bool may_repeat = statement.IsAutocommitRead() && !statement.hedged &&
                           connection->state == ConnectionState::kRunning &&
                           (silent || hedge_budget_.Take());
-  if (may_repeat && session.IsForwarded()) {
+  if (may_repeat && session.is_forwarded) {
     // The VM that forwarded the read repeats it, elsewhere if it may.
     FailStatement(session,
                   silent ? StatementError::kAborted : StatementError::kBusy,
@@ -418,7 +418,7 @@
   std::vector<uint64_t> ending;
   std::vector<uint64_t> overdue;
   for (auto& [id, session] : sessions_) {
-    if (session.IsForwarded() && !session.IsBusy() &&
+    if (session.is_forwarded && !session.IsBusy() &&
         (session.transaction == TransactionPhase::kNone || !transactions_end)) {
       // The other VM closes it when it knows that this one leaves.
       continue;
--- a/libs/relay/core/traffic_limits.h
+++ b/libs/relay/core/traffic_limits.h
@@ -100,6 +100,8 @@
 /** Time within which a holder gives a sign of life: several trips between
     regions. */
 inline constexpr Duration kHolderPingTimeout = std::chrono::milliseconds(300);
+/** Time after which a VM that is no longer used as a holder is forgotten. */
+inline constexpr Duration kHolderStateRetention = std::chrono::minutes(1);
 /** Initial and longest time for which a holder that failed is not used. The
     longest one covers the time until a lost VM is no longer listed. */
 inline constexpr Duration kInitialHolderBackoff =
--- a/libs/relay/sessions/caller_session.h
+++ b/libs/relay/sessions/caller_session.h
@@ -110,8 +110,9 @@
   bool closing = false;
   std::string caller;
   std::string database;
-  /** Endpoint to which another VM forwards statements; empty if a caller opened
-      the session. */
+  /** True if another VM forwards statements in it. */
+  bool is_forwarded = false;
+  /** Endpoint to which that VM forwards them; empty before it was named. */
   EndpointId forwarded_to;
   /** Route of the current statement or transaction. A forwarded session has one
       that names only the service. */
@@ -137,8 +138,6 @@
 
   /** @returns true while a statement is in progress */
   bool IsBusy() const { return statement.id != 0; }
-  /** @returns true if another VM forwards statements in it */
-  bool IsForwarded() const { return !forwarded_to.IsEmpty(); }
 };
 
 }  // namespace magnoliareel
