--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -275,15 +275,22 @@
   }
 
   void InterruptHolder() {
-    const size_t vm = random_() % vms_;
+    EventQueue& queue = simulation_->GetQueue();
     if (random_() % 2 == 0) {
-      simulation_->ResetForwarding(vm);
+      // A series, so that some statements are in progress at a holder.
+      for (int n = 0; n < 8; ++n) {
+        queue.After(std::chrono::milliseconds(n * 60), [this] {
+          for (size_t vm = 0; vm < vms_; ++vm) {
+            simulation_->ResetForwarding(vm);
+          }
+        });
+      }
       return;
     }
+    const size_t vm = random_() % vms_;
     simulation_->SetFrozen(vm, true);
-    simulation_->GetQueue().After(
-        std::chrono::milliseconds(200 + random_() % 2500),
-        [this, vm] { simulation_->SetFrozen(vm, false); });
+    queue.After(std::chrono::milliseconds(200 + random_() % 2500),
+                [this, vm] { simulation_->SetFrozen(vm, false); });
   }
 
   void InjectFault(FaultSchedule schedule) {
