--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -360,16 +360,18 @@
 }  // namespace magnoliareel
 
 // Definitions of the methods, by topic.
-#include "relay/core/traffic_core_bounds.h"       // IWYU pragma: export
-#include "relay/core/traffic_core_connections.h"  // IWYU pragma: export
-#include "relay/core/traffic_core_control.h"      // IWYU pragma: export
-#include "relay/core/traffic_core_dispatch.h"     // IWYU pragma: export
-#include "relay/core/traffic_core_errors.h"       // IWYU pragma: export
-#include "relay/core/traffic_core_forwarding.h"   // IWYU pragma: export
-#include "relay/core/traffic_core_pool_sizes.h"   // IWYU pragma: export
-#include "relay/core/traffic_core_reads.h"        // IWYU pragma: export
-#include "relay/core/traffic_core_replies.h"      // IWYU pragma: export
-#include "relay/core/traffic_core_sessions.h"     // IWYU pragma: export
-#include "relay/core/traffic_core_timers.h"       // IWYU pragma: export
+#include "relay/core/traffic_core_bounds.h"           // IWYU pragma: export
+#include "relay/core/traffic_core_connections.h"      // IWYU pragma: export
+#include "relay/core/traffic_core_control.h"          // IWYU pragma: export
+#include "relay/core/traffic_core_dispatch.h"         // IWYU pragma: export
+#include "relay/core/traffic_core_errors.h"           // IWYU pragma: export
+#include "relay/core/traffic_core_forwarding.h"       // IWYU pragma: export
+#include "relay/core/traffic_core_pool_sizes.h"       // IWYU pragma: export
+#include "relay/core/traffic_core_reads.h"            // IWYU pragma: export
+#include "relay/core/traffic_core_replies.h"          // IWYU pragma: export
+#include "relay/core/traffic_core_sessions.h"         // IWYU pragma: export
+#include "relay/core/traffic_core_slow_statements.h"  // IWYU pragma: export
+#include "relay/core/traffic_core_statements.h"       // IWYU pragma: export
+#include "relay/core/traffic_core_timers.h"           // IWYU pragma: export
 
 #endif  // MAGNOLIAREEL_RELAY_CORE_TRAFFIC_CORE_H_
