--- a/review/standin/lagging_site.cc
+++ b/review/standin/lagging_site.cc
@@ -53,7 +53,8 @@
         publish_timer_(loop, [this] { Publish(); }) {}
 
   std::error_code Start() {
-    if (const auto ec = http_.Listen({"127.0.0.1", port_})) return ec;
+    if (const auto ec = http_.Listen({"127.0.0.1", port_}))
+      return ec;
     store_.Put(
         "op", "config",
         R"({"version":1,"routes":[{"name":"entries","host":"entries",)"
@@ -99,7 +100,8 @@
 
   void Send(uint64_t id, const std::string& bytes) {
     const auto it = connections_.find(id);
-    if (it == connections_.end()) return;
+    if (it == connections_.end())
+      return;
     if (!bytes.empty()) {
       it->second->stream.Append(bytes);
       it->second->stream.Flush();
--- a/review/standin/large_answers.cc
+++ b/review/standin/large_answers.cc
@@ -51,13 +51,15 @@
       : loop_(loop),
         record_(record),
         port_(port),
-        http_(loop, [this](const net::Request& request,
-                           const net::HttpListener::Answer& answer) {
-          HandleRequest(request, answer);
-        }) {}
+        http_(loop,
+              [this](const net::Request& request,
+                     const net::HttpListener::Answer& answer) {
+                HandleRequest(request, answer);
+              }) {}
 
   std::error_code Start() {
-    if (const auto ec = http_.Listen({"127.0.0.1", port_})) return ec;
+    if (const auto ec = http_.Listen({"127.0.0.1", port_}))
+      return ec;
     store_.Put("op", "config",
                R"({"version":1,"routes":[{"name":"entries","host":"entries",)"
                R"("kind":"primary","service":"groyne-logs","timeout-ms":8000,)"
@@ -121,7 +123,8 @@
         out += Ready();
         return;
       }
-      if (word != "QUERY") return;
+      if (word != "QUERY")
+        return;
       const std::string request(take());
       std::string_view verb = take();
       if (verb == "AFTER") {
@@ -143,8 +146,10 @@
                      GetId(member).c_str(), request.c_str());
         std::fflush(owner->record_);
       } else {
-        if (verb == "BEGIN") status = 'T';
-        if (verb == "ROLLBACK" || verb == "COMMIT") status = 'I';
+        if (verb == "BEGIN")
+          status = 'T';
+        if (verb == "ROLLBACK" || verb == "COMMIT")
+          status = 'I';
         out += "COMPLETE -\r\n";
       }
       out += Ready();
@@ -210,15 +215,17 @@
   /** @returns the number of connections that ended inside an answer */
   int Run() {
     std::vector<std::thread> threads;
+    threads.reserve(kCallers);
     for (int it = 0; it < kCallers; ++it) {
       threads.emplace_back([this, it] {
         std::this_thread::sleep_for(kStagger * it);
         RunCaller(it);
       });
     }
-    for (std::thread& it : threads) it.join();
-    std::fprintf(record_, "whole answers: %d, cut answers: %d\n",
-                 whole_.load(), cut_.load());
+    for (std::thread& it : threads)
+      it.join();
+    std::fprintf(record_, "whole answers: %d, cut answers: %d\n", whole_.load(),
+                 cut_.load());
     return whole_ == 0 ? -1 : cut_.load();
   }
 
@@ -243,7 +250,8 @@
     std::vector<char> buf(kReadBytes);
     while (true) {
       const ssize_t got = recv(fd, buf.data(), buf.size(), 0);
-      if (got <= 0) return {n, false};
+      if (got <= 0)
+        return {n, false};
       n += static_cast<size_t>(got);
       tail.append(buf.data(), static_cast<size_t>(got));
       tail.erase(0, tail.size() - std::min<size_t>(tail.size(), 64));
@@ -313,7 +321,8 @@
   std::signal(SIGPIPE, SIG_IGN);
   EventLoop loop;
   std::FILE* record = std::fopen(path, "a");
-  if (record == nullptr) return 2;
+  if (record == nullptr)
+    return 2;
   Site site(loop, port, record);
   if (const auto ec = site.Start()) {
     std::fprintf(stderr, "cannot listen: %s\n", ec.message().c_str());
@@ -327,7 +336,8 @@
 int RunCallers(const char* address, const char* path, double seconds) {
   SocketAddress node;
   std::FILE* record = std::fopen(path, "a");
-  if (record == nullptr || !ParseSocketAddress(address, node)) return 2;
+  if (record == nullptr || !ParseSocketAddress(address, node))
+    return 2;
   sockaddr_in addr{};
   addr.sin_family = AF_INET;
   addr.sin_port = htons(node.port);
