--- a/review/build.sh
+++ b/review/build.sh
@@ -6,7 +6,7 @@
 cmake -S . -B target/review -DCMAKE_BUILD_TYPE=Release >/dev/null
 cmake --build target/review -j4 --target standin_site >/dev/null
 mapfile -t libs < <(find target/review -name '*.a')
-for name in large_answers lagging_site; do
+for name in large_answers small_site; do
   # shellcheck disable=SC2046
   g++ -std=c++20 -O2 -Wall -Wextra -I. -Ilibs "review/standin/$name.cc" \
     -o "target/review/${name//_/-}" \
--- a/review/standin/lagging_site.cc
+++ b/review/standin/small_site.cc
@@ -1,12 +1,11 @@
 // Stand-in of a small site with one service: the platform's store and three
-// databases, as the project's own stand-in has them, in two regions and with
-// replicas that lag.
+// databases, as the project's own stand-in has them, in two regions. The entry
+// of a database that is lost expires.
 //
-//   lagging-site PORT    store on 127.0.0.1:PORT, databases on the next three
+//   small-site PORT    store on 127.0.0.1:PORT, databases on the next three
 //
-// POST /fault/drain   the directory lists database 1 as draining
-// POST /fault/slow    replicas apply commits with 120 times the delay
-// GET /executed       the statements that the databases have run
+// POST /fault/gone   database 1 is lost for good, and its entry 3.6 s later
+// GET /executed      the statements that the databases have run
 
 #include <csignal>
 #include <cstdio>
@@ -130,12 +129,10 @@
     group_.SetNow(loop_.Now());
     if (request.target == "/promote") {
       HandlePromotion(request, answer);
-    } else if (request.target == "/fault/drain") {
-      draining_ = true;
-      Publish();
-      answer({200, {}});
-    } else if (request.target == "/fault/slow") {
-      group_.SetApplyDelayFactor(120);
+    } else if (request.target == "/fault/gone") {
+      group_.Crash(0, false);
+      RunLater(loop_, std::chrono::milliseconds(3600),
+               [this] { store_.Remove("servers", group_.GetId(0)); });
       answer({200, {}});
     } else if (request.target == "/executed") {
       std::string text;
@@ -180,13 +177,15 @@
 
   void Publish() {
     for (size_t it = 0; it < group_.CountMembers(); ++it) {
+      if (!group_.IsRunning(it)) {
+        continue;
+      }
       std::string value =
           R"({"service":"groyne-logs","address":"127.0.0.1:)" +
           std::to_string(Port(it)) + R"(","zone":"site-)" +
           std::to_string(it + 1) +
           R"(","version":"v1","capacity":5,"warmup-left-ms":0,"sequence":1,)"
-          R"("born":1700000000000,"state":")" +
-          (it == 0 && draining_ ? "draining" : "ready") + R"(","db-role":")" +
+          R"("born":1700000000000,"state":"ready","db-role":")" +
           (group_.HasPrimaryRole(it) ? "primary" : "replica") + "\"}";
       if (published_[it] != value) {
         published_[it] = value;
@@ -206,7 +205,6 @@
   std::vector<std::unique_ptr<Connection>> closing_;
   std::map<size_t, std::string> published_;
   uint64_t last_id_ = 0;
-  bool draining_ = false;
 };
 
 }  // namespace
