--- a/apps/fleet/fleet_reader.cc
+++ b/apps/fleet/fleet_reader.cc
@@ -53,8 +53,10 @@
   ListAllRows(store_, kDutyTable,
               [this](std::error_code ec, const StoredRows& rows) {
                 for (const StoredRow& it : rows.rows) {
-                  report_->duties.push_back(
-                      {ServiceId{it.key}, VmId{it.value}, it.version});
+                  if (DutyRow row; TextDutyRowCodec::Decode(it.value, row)) {
+                    report_->duties.push_back(
+                        {ServiceId{it.key}, std::move(row.holder), it.version});
+                  }
                 }
                 FinishCall(ec);
               });
--- a/apps/node/node_process.cc
+++ b/apps/node/node_process.cc
@@ -242,7 +242,7 @@
   status.directory_version = fleet_.GetEndpointsVersion();
   status.live_vms = peers_.GetPeers().CountLive();
   status.sessions = traffic_.CountSessions();
-  for (const auto& [service, token] : failover_.GetDuties()) {
+  for (const auto& [service, token] : failover_.ListDuties()) {
     status.duties.push_back({service, token});
   }
   for (const auto& [service, endpoint] : failover_.ListPrimaries()) {
@@ -253,8 +253,9 @@
 
 void NodeProcess::HandleStoreRestored(uint64_t era) {
   LogEvent(Event::kStoreRestored, {{"era", std::to_string(era)}});
-  // The registration may be younger than the copy.
+  // The registration and the duties' rows may be younger than the copy.
   RegisterVm();
+  failover_.HandleStoreRestored();
 }
 
 void NodeProcess::RegisterVm() {
@@ -306,7 +307,7 @@
                  fleet_.IsStoreConnected() ? 1 : 0);
       gauges.Add("live_vms", "VMs that are heard, this one included.", {},
                  peers_.GetPeers().CountLive());
-      for (const auto& [service, token] : failover_.GetDuties()) {
+      for (const auto& [service, token] : failover_.ListDuties()) {
         gauges.Add("duty_fencing_token", "Failover duties that this VM holds.",
                    {{"service", service.value}}, static_cast<double>(token));
       }
--- a/apps/node/node_process.h
+++ b/apps/node/node_process.h
@@ -50,6 +50,7 @@
   using Fleet =
       FleetControl<platform::StoreClient, platform::RowCodec, NodeProcess>;
   using Failover = FailoverControl<platform::StoreClient,
+                                   TextDutyRowCodec,
                                    platform::EndpointCommandClient,
                                    platform::PromotionClient,
                                    NodeProcess>;
--- a/libs/control/failover/departure_tracker.cc
+++ b/libs/control/failover/departure_tracker.cc
@@ -71,6 +71,26 @@
   return list;
 }
 
+std::vector<EndpointId> DepartureTracker::ListMembers(
+    const ServiceId& service,
+    std::span<const EndpointId> recorded) const {
+  std::set<EndpointId> members;
+  for (const auto& [id, entry] : listed_) {
+    if (entry.service == service) {
+      members.insert(id);
+    }
+  }
+  for (const EndpointId& it : recorded) {
+    if (!departures_.contains(it)) {
+      members.insert(it);
+    }
+  }
+  for (EndpointId& it : ListUnaccounted(service)) {
+    members.insert(std::move(it));
+  }
+  return {members.begin(), members.end()};
+}
+
 std::vector<DepartureNotice> DepartureTracker::ListNotices(
     TimePoint now) const {
   std::vector<DepartureNotice> list;
--- a/libs/control/failover/departure_tracker.h
+++ b/libs/control/failover/departure_tracker.h
@@ -69,6 +69,15 @@
       @returns         its departed endpoints that are not accounted for */
   std::vector<EndpointId> ListUnaccounted(const ServiceId& service) const;
 
+  /** @param service   the service to look up
+      @param recorded  endpoints of the service that were recorded earlier
+      @returns         ordered by id, its listed endpoints, the departed ones
+                       that are not accounted for, and the recorded ones of
+                       which nothing is known here */
+  std::vector<EndpointId> ListMembers(
+      const ServiceId& service,
+      std::span<const EndpointId> recorded) const;
+
   /** @param now  the current time
       @returns    what peers have to know: departures that are not accounted
                   for, and those that were within kNoticeRetention */
--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -69,6 +69,9 @@
 /** Delay between two audits of a service's departed replicas. */
 inline constexpr Duration kDepartureAuditInterval =
     std::chrono::milliseconds(200);
+/** Delay after a failed write of a GroupRecord. */
+inline constexpr Duration kGroupSaveRetryInterval =
+    std::chrono::milliseconds(700);
 /** Delay between two claims of one duty. */
 inline constexpr Duration kClaimRetryInterval = std::chrono::milliseconds(700);
 
@@ -78,11 +81,16 @@
     other VMs send their observations in heartbeats. Runs on the control thread.
 
     @tparam S  @see RowStore
+    @tparam R  @see DutyRowCodec
     @tparam C  @see EndpointCommandSender
     @tparam P  @see PromotionSender
     @tparam T  @see FailoverDelegate
 */
-template <RowStore S, EndpointCommandSender C, PromotionSender P, class T>
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
 class FailoverControl {
  public:
   /** @param store       must outlive this object
@@ -106,7 +114,7 @@
         peers_(peers),
         self_(std::move(self)),
         site_(std::move(site)),
-        claims_(store, self_.value),
+        claims_(store, self_),
         detector_(commands, delegate, [this] { HandleSuspicionsChanged(); }),
         resumer_(commands, delegate),
         started_at_(delegate.Now()) {
@@ -238,6 +246,7 @@
       if (!departed.empty() && IsCoordinator(service)) {
         AuditDepartures(service, departed, now);
       }
+      SaveGroup(service, now);
       if (reason && IsCoordinator(service)) {
         Replace(service, *reason, now);
       } else if (!reason) {
@@ -250,6 +259,13 @@
     }
   }
 
+  /** Writes again what has to outlast the loss of all VMs, because the store
+     was restored from a copy that may lack it. */
+  void HandleStoreRestored() {
+    claims_.HandleStoreRestored();
+    Review();
+  }
+
   /** Stops starting replacements and claiming unheld duties, because the
       process is shutting down. */
   void StopCoordinating() { leaving_ = true; }
@@ -258,7 +274,7 @@
     return primaries_.List();
   }
   /** @returns the duties that this VM holds, with their fencing tokens */
-  const std::map<ServiceId, uint64_t>& GetDuties() const {
+  std::vector<std::pair<ServiceId, uint64_t>> ListDuties() const {
     return claims_.List();
   }
 
@@ -269,6 +285,7 @@
     bool claiming = false;
     bool confirming = false;
     bool auditing = false;
+    bool saving = false;
     /** A promotion of this VM or of the previous holder may still be executed,
         because its answer was lost. */
     bool unsettled = false;
@@ -291,6 +308,8 @@
     TimePoint not_before;
     TimePoint claimed_at;
     TimePoint next_audit_at;
+    /** No GroupRecord is written before this time. */
+    TimePoint next_save_at;
     /** Why the latest audit failed; empty if it did not. */
     std::string_view audit_failure;
   };
@@ -364,7 +383,7 @@
                                               TimePoint now);
 
   /** @returns departed endpoints that must be accounted for before a promotion.
-      The primary is not one: replicas acknowledged its commits. */
+      The latest primary is not one: replicas acknowledged its commits. */
   std::vector<EndpointId> ListBlockingDepartures(
       const ServiceId& service) const;
 
@@ -376,6 +395,18 @@
                          std::span<const EndpointId> departed,
                          const DepartureAuditResult& result);
 
+  /** @param previous  record of the previous holder of the duty; empty for none
+      @returns         what this VM and that holder know of the service */
+  GroupRecord MakeGroupRecord(const ServiceId& service,
+                              const GroupRecord& previous) const;
+
+  /** Writes the service's record to the store if it has changed and this VM
+      holds the duty. */
+  void SaveGroup(const ServiceId& service, TimePoint now);
+
+  /** Applies the record of the previous holder of a duty. */
+  void ApplyGroupRecord(const ServiceId& service, const GroupRecord& record);
+
   /** @returns the highest fencing token of a live peer's claim, or 0 if no live
       peer holds the duty */
   uint64_t FindPeerToken(const ServiceId& service) const;
@@ -411,7 +442,7 @@
   const PeerGroup& peers_;
   const VmId self_;
   const SiteId site_;
-  DutyClaims<S> claims_;
+  DutyClaims<S, R> claims_;
   PrimaryRegistry primaries_;
   PrimaryFailureDetector<C, T> detector_;
   ReplicaResumer<C, T> resumer_;
@@ -437,6 +468,7 @@
 // Definitions of the methods, grouped by topic.
 #include "control/failover/failover_control_departures.h"  // IWYU pragma: export
 #include "control/failover/failover_control_duties.h"  // IWYU pragma: export
+#include "control/failover/failover_control_groups.h"  // IWYU pragma: export
 #include "control/failover/failover_control_replacement.h"  // IWYU pragma: export
 
 #endif  // MAGNOLIAREEL_CONTROL_FAILOVER_FAILOVER_CONTROL_H_
--- a/libs/control/failover/failover_control_departures.h
+++ b/libs/control/failover/failover_control_departures.h
@@ -15,8 +15,12 @@
 
 namespace magnoliareel {
 
-template <RowStore S, EndpointCommandSender C, PromotionSender P, class T>
-std::vector<EndpointId> FailoverControl<S, C, P, T>::ListBlockingDepartures(
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+std::vector<EndpointId> FailoverControl<S, R, C, P, T>::ListBlockingDepartures(
     const ServiceId& service) const {
   std::vector<EndpointId> list = departures_.ListUnaccounted(service);
   if (!list.empty()) {
@@ -27,8 +31,12 @@
   return list;
 }
 
-template <RowStore S, EndpointCommandSender C, PromotionSender P, class T>
-void FailoverControl<S, C, P, T>::AuditDepartures(
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+void FailoverControl<S, R, C, P, T>::AuditDepartures(
     const ServiceId& service,
     std::span<const EndpointId> departed,
     TimePoint now) {
@@ -46,8 +54,12 @@
       ->Start();
 }
 
-template <RowStore S, EndpointCommandSender C, PromotionSender P, class T>
-void FailoverControl<S, C, P, T>::HandleAuditResult(
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+void FailoverControl<S, R, C, P, T>::HandleAuditResult(
     const ServiceId& service,
     std::span<const EndpointId> departed,
     const DepartureAuditResult& result) {
--- a/libs/control/failover/failover_control_duties.h
+++ b/libs/control/failover/failover_control_duties.h
@@ -16,15 +16,23 @@
 
 namespace magnoliareel {
 
-template <RowStore S, EndpointCommandSender C, PromotionSender P, class T>
-uint64_t FailoverControl<S, C, P, T>::FindPeerToken(
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+uint64_t FailoverControl<S, R, C, P, T>::FindPeerToken(
     const ServiceId& service) const {
   const auto it = peer_tokens_.find(service);
   return it == peer_tokens_.end() ? 0 : it->second;
 }
 
-template <RowStore S, EndpointCommandSender C, PromotionSender P, class T>
-void FailoverControl<S, C, P, T>::RefreshPeerState() {
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+void FailoverControl<S, R, C, P, T>::RefreshPeerState() {
   peer_tokens_.clear();
   peer_suspicions_.clear();
   live_vms_.clear();
@@ -41,8 +49,12 @@
   }
 }
 
-template <RowStore S, EndpointCommandSender C, PromotionSender P, class T>
-bool FailoverControl<S, C, P, T>::IsRankedFirst(
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+bool FailoverControl<S, R, C, P, T>::IsRankedFirst(
     const ServiceId& service) const {
   if (live_vms_.empty()) {
     VmEntry& self = live_vms_.emplace_back();
@@ -58,8 +70,12 @@
   return !ranked.empty() && ranked.front() == self_;
 }
 
-template <RowStore S, EndpointCommandSender C, PromotionSender P, class T>
-bool FailoverControl<S, C, P, T>::IsCoordinator(
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+bool FailoverControl<S, R, C, P, T>::IsCoordinator(
     const ServiceId& service) const {
   if (leaving_) {
     return false;
@@ -72,9 +88,13 @@
   return IsRankedFirst(service);
 }
 
-template <RowStore S, EndpointCommandSender C, PromotionSender P, class T>
-void FailoverControl<S, C, P, T>::ClaimUnheldDuty(const ServiceId& service,
-                                                  TimePoint now) {
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+void FailoverControl<S, R, C, P, T>::ClaimUnheldDuty(const ServiceId& service,
+                                                     TimePoint now) {
   if (leaving_ || now - started_at_ < kUnheldDutyClaimDelay ||
       now < progress_[service].not_before || !delegate_.IsStoreConnected() ||
       claims_.GetToken(service) != 0 || FindPeerToken(service) != 0 ||
@@ -84,10 +104,14 @@
   Claim(service, now, [] {});
 }
 
-template <RowStore S, EndpointCommandSender C, PromotionSender P, class T>
-void FailoverControl<S, C, P, T>::Claim(const ServiceId& service,
-                                        TimePoint now,
-                                        std::function<void()> then) {
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+void FailoverControl<S, R, C, P, T>::Claim(const ServiceId& service,
+                                           TimePoint now,
+                                           std::function<void()> then) {
   Progress& progress = progress_[service];
   if (now - started_at_ < kFirstClaimDelay || progress.claiming ||
       now - progress.claimed_at < kClaimRetryInterval) {
@@ -95,31 +119,40 @@
   }
   progress.claiming = true;
   progress.claimed_at = now;
-  claims_.Claim(service, [this, service, then = std::move(then)](
-                             std::error_code ec, uint64_t) {
-    progress_[service].claiming = false;
-    if (ec) {
-      LogEvent(Event::kDutyRefused, {{"service", service.value},
-                                     {"fencing_token", "none"},
-                                     {"call", ec.message()}});
-      return;
-    }
-    progress_[service].unsettled = true;
-    delegate_.SendHeartbeats();
-    // The previous holder may have left replicas paused.
-    if (!progress_[service].running) {
-      for (const EndpointEntry& it : ListEndpoints(service)) {
-        resumer_.ResumeIfPaused(it);
-      }
-    }
-    then();
-    Review();
-  });
+  const auto merge = [this, service](const GroupRecord& previous) {
+    return MakeGroupRecord(service, previous);
+  };
+  claims_.Claim(service, merge,
+                [this, service, then = std::move(then)](
+                    std::error_code ec, uint64_t, const GroupRecord& previous) {
+                  progress_[service].claiming = false;
+                  if (ec) {
+                    LogEvent(Event::kDutyRefused, {{"service", service.value},
+                                                   {"fencing_token", "none"},
+                                                   {"call", ec.message()}});
+                    return;
+                  }
+                  progress_[service].unsettled = true;
+                  ApplyGroupRecord(service, previous);
+                  delegate_.SendHeartbeats();
+                  // The previous holder may have left replicas paused.
+                  if (!progress_[service].running) {
+                    for (const EndpointEntry& it : ListEndpoints(service)) {
+                      resumer_.ResumeIfPaused(it);
+                    }
+                  }
+                  then();
+                  Review();
+                });
 }
 
-template <RowStore S, EndpointCommandSender C, PromotionSender P, class T>
-void FailoverControl<S, C, P, T>::ConfirmPrimary(const ServiceId& service,
-                                                 TimePoint now) {
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+void FailoverControl<S, R, C, P, T>::ConfirmPrimary(const ServiceId& service,
+                                                    TimePoint now) {
   Progress& progress = progress_[service];
   const uint64_t token = claims_.GetToken(service);
   const auto primary = primaries_.Get(service, now);
@@ -146,9 +179,14 @@
                  });
 }
 
-template <RowStore S, EndpointCommandSender C, PromotionSender P, class T>
-void FailoverControl<S, C, P, T>::FinishConfirmation(const ServiceId& service,
-                                                     std::error_code ec) {
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+void FailoverControl<S, R, C, P, T>::FinishConfirmation(
+    const ServiceId& service,
+    std::error_code ec) {
   Progress& progress = progress_[service];
   progress.confirming = false;
   if (!ec) {
--- a/libs/control/failover/failover_control_replacement.h
+++ b/libs/control/failover/failover_control_replacement.h
@@ -16,8 +16,12 @@
 
 namespace magnoliareel {
 
-template <RowStore S, EndpointCommandSender C, PromotionSender P, class T>
-uint32_t FailoverControl<S, C, P, T>::CountVantagePoints(
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+uint32_t FailoverControl<S, R, C, P, T>::CountVantagePoints(
     const EndpointId& endpoint,
     EndpointCondition& condition) const {
   uint32_t n = 0;
@@ -36,8 +40,12 @@
   return n;
 }
 
-template <RowStore S, EndpointCommandSender C, PromotionSender P, class T>
-std::optional<ReplacementReason> FailoverControl<S, C, P, T>::FindReason(
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+std::optional<ReplacementReason> FailoverControl<S, R, C, P, T>::FindReason(
     const ServiceId& service,
     TimePoint now) {
   const auto primary = primaries_.Get(service, now);
@@ -88,10 +96,14 @@
              : ReplacementReason::kUnreachable;
 }
 
-template <RowStore S, EndpointCommandSender C, PromotionSender P, class T>
-void FailoverControl<S, C, P, T>::Replace(const ServiceId& service,
-                                          ReplacementReason reason,
-                                          TimePoint now) {
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+void FailoverControl<S, R, C, P, T>::Replace(const ServiceId& service,
+                                             ReplacementReason reason,
+                                             TimePoint now) {
   Progress& progress = progress_[service];
   if (progress.running || progress.claiming || progress.confirming ||
       now < progress.not_before) {
@@ -145,9 +157,13 @@
       ->Start();
 }
 
-template <RowStore S, EndpointCommandSender C, PromotionSender P, class T>
-void FailoverControl<S, C, P, T>::ResumePaused(const ServiceId& service,
-                                               TimePoint now) {
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+void FailoverControl<S, R, C, P, T>::ResumePaused(const ServiceId& service,
+                                                  TimePoint now) {
   Progress& progress = progress_[service];
   if (!IsCoordinator(service) && !progress.running) {
     // The current duty holder controls the pauses. Resuming one of its replicas
@@ -172,8 +188,12 @@
   progress.not_before = now + kReplicaCatchUpDelay;
 }
 
-template <RowStore S, EndpointCommandSender C, PromotionSender P, class T>
-void FailoverControl<S, C, P, T>::HandleReplacementResult(
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+void FailoverControl<S, R, C, P, T>::HandleReplacementResult(
     const ServiceId& service,
     TimePoint began_at,
     const ReplacementResult& result) {
--- a/libs/control/failover/primary_registry.cc
+++ b/libs/control/failover/primary_registry.cc
@@ -14,17 +14,14 @@
     if (record == primaries_.end()) {
       Record& fresh = primaries_[it.service];
       fresh.endpoint = it.id;
-      fresh.confirmed = true;
-      fresh.latest_confirmed = it.id;
+      RecordReportedRole(fresh);
     } else if (record->second.endpoint == it.id) {
-      record->second.confirmed = true;
-      record->second.latest_confirmed = it.id;
+      RecordReportedRole(record->second);
     } else if (record->second.missing_since) {
       // The recorded primary left the directory, and another endpoint reports
       // the role.
       record->second.endpoint = it.id;
-      record->second.confirmed = true;
-      record->second.latest_confirmed = it.id;
+      RecordReportedRole(record->second);
       record->second.promotion_ordered_at.reset();
       record->second.missing_since.reset();
     }
@@ -53,6 +50,13 @@
   }
 }
 
+void PrimaryRegistry::RecordReportedRole(Record& record) {
+  record.confirmed = true;
+  if (record.latest_confirmed.endpoint != record.endpoint) {
+    record.latest_confirmed = {record.endpoint, Term{}};
+  }
+}
+
 void PrimaryRegistry::RecordConfirmed(const ServiceId& service,
                                       const EndpointId& endpoint,
                                       Term term) {
@@ -66,7 +70,7 @@
   record.endpoint = endpoint;
   record.term = term;
   record.confirmed = true;
-  record.latest_confirmed = endpoint;
+  record.latest_confirmed = {endpoint, term};
   record.promotion_ordered_at.reset();
 }
 
@@ -108,9 +112,19 @@
 }
 
 bool PrimaryRegistry::IsLatestConfirmed(const EndpointId& endpoint) const {
-  return std::any_of(
-      primaries_.begin(), primaries_.end(),
-      [&](const auto& row) { return row.second.latest_confirmed == endpoint; });
+  return std::any_of(primaries_.begin(), primaries_.end(),
+                     [&](const auto& row) {
+                       return row.second.latest_confirmed.endpoint == endpoint;
+                     });
+}
+
+std::optional<PrimaryRegistry::ConfirmedPrimary>
+PrimaryRegistry::GetLatestConfirmed(const ServiceId& service) const {
+  const auto it = primaries_.find(service);
+  return it == primaries_.end() ||
+                 it->second.latest_confirmed.endpoint.IsEmpty()
+             ? std::nullopt
+             : std::optional(it->second.latest_confirmed);
 }
 
 std::vector<std::pair<ServiceId, EndpointId>> PrimaryRegistry::List() const {
--- a/libs/control/failover/primary_registry.h
+++ b/libs/control/failover/primary_registry.h
@@ -44,6 +44,14 @@
     bool demoted = false;
   };
 
+  /** The endpoint that was last known to act as primary. */
+  struct ConfirmedPrimary {
+    EndpointId endpoint;
+    /** Term in which it acted on a connection; 0 if only the directory reported
+        its role. */
+    Term term;
+  };
+
   /** Applies a listing of the endpoints in use.
 
       A reported primary replaces the recorded one only if that one is missing
@@ -91,6 +99,12 @@
       @returns          true if it was the latest confirmed primary of a
                         service, even if another promotion was ordered since */
   bool IsLatestConfirmed(const EndpointId& endpoint) const;
+  /** @param service  the service to look up
+      @returns        the endpoint that was confirmed as its primary last, even
+                      if another promotion was ordered since; none if there was
+                      no confirmation */
+  std::optional<ConfirmedPrimary> GetLatestConfirmed(
+      const ServiceId& service) const;
   /** @returns the recorded primaries, ordered by service */
   std::vector<std::pair<ServiceId, EndpointId>> List() const;
   /** @param service  the service to look up
@@ -102,7 +116,7 @@
  private:
   struct Record {
     EndpointId endpoint;
-    EndpointId latest_confirmed;
+    ConfirmedPrimary latest_confirmed;
     Term term;
     /** @see PrimaryState::confirmed */
     bool confirmed = false;
@@ -120,6 +134,9 @@
     std::optional<TimePoint> unreported_since;
   };
 
+  /** Records that the directory reports the role of the recorded primary. */
+  static void RecordReportedRole(Record& record);
+
   std::map<ServiceId, Record> primaries_;
 };
 
--- a/libs/control/tests/failover_control_test.cc
+++ b/libs/control/tests/failover_control_test.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "control/control.h"
+#include "coordination/tests/fake_duty_row_codec.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -13,6 +14,14 @@
 
 const ServiceId kService{"groyne-logs"};
 
+std::vector<EndpointId> MakeIds(std::span<const char* const> names) {
+  std::vector<EndpointId> ids;
+  for (const char* it : names) {
+    ids.emplace_back(it);
+  }
+  return ids;
+}
+
 /** Simulates the store, endpoints, platform, clock and node of one
     FailoverControl. */
 class FakeDeployment {
@@ -38,16 +47,26 @@
   void Get(std::string_view, std::string_view key, const RowsCompletion& done) {
     StoredRows rows;
     if (row_version_ > 0) {
-      rows.rows.push_back({std::string(key), "vm", row_version_, false});
+      rows.rows.push_back({std::string(key), row_value_, row_version_, false});
     }
     done({}, rows);
   }
   void Follow(std::string_view, uint64_t, Duration, const RowsCompletion&) {}
   void WriteIf(std::string_view,
                std::string_view,
-               std::string_view,
-               uint64_t,
+               std::string_view value,
+               uint64_t version,
                const RowsCompletion& done) {
+    if (is_store_down) {
+      done(Error::kStoreUnavailable, {});
+      return;
+    }
+    if (version != row_version_) {
+      done(Error::kVersionConflict, {});
+      return;
+    }
+    ++write_count;
+    row_value_ = value;
     StoredRows rows;
     rows.version = ++row_version_;
     done({}, rows);
@@ -155,7 +174,15 @@
     });
   }
 
+  /** @returns the value of the duty's row */
+  const std::string& GetRowValue() const { return row_value_; }
+  /** Removes the duty's row, as a restoration of the store may. */
+  void LoseRow() { row_version_ = 0; }
+
   std::string primary = "db-1";
+  bool is_store_down = false;
+  // Number of writes to the store.
+  int write_count = 0;
   uint64_t term = 1;
   int lost_promotion_replies = 0;
   // Number of promotions that the platform does not accept.
@@ -176,11 +203,13 @@
  private:
   FleetView view_;
   uint64_t row_version_ = 0;
+  std::string row_value_;
   TimePoint now_{std::chrono::seconds(100)};
   std::multimap<TimePoint, std::function<void()>> tasks_;
 };
 
 using Failover = FailoverControl<FakeDeployment,
+                                 FakeDutyRowCodec,
                                  FakeDeployment,
                                  FakeDeployment,
                                  FakeDeployment>;
@@ -404,7 +433,7 @@
   failover.Apply(fake.MakeView(""));
   fake.unresponsive = "db-1";
   RunWithReviews(8);
-  CHECK_EQUAL(1, failover.GetDuties().size());
+  CHECK_EQUAL(1, failover.ListDuties().size());
   failover.StopCoordinating();
   fake.unresponsive.clear();
   RunWithReviews(8);
@@ -496,6 +525,83 @@
   CHECK(fake.promotions.empty());
 }
 
+TEST(Departures, OutlastTheLossOfAllVms) {
+  // Guards against the promotion of a replica that is behind by a VM that
+  // started after the departure, when all others had been killed (LOST in
+  // review/2).
+  RunWithReviews(1);
+  failover.Apply(fake.MakeView(""));
+  RunWithReviews(5);
+  LoseTheOnlyReplicaThatIsUpToDate();
+  RunWithReviews(1);
+  fake.unresponsive = "db-1";
+  Failover started{fake, fake, fake, fake, peers, VmId{"vm"}, SiteId{"site"}};
+  const auto run = [&](int seconds) {
+    for (int n = 0; n < seconds; ++n) {
+      started.Apply(fake.GetView());
+      started.HandleConditionReport(
+          {EndpointId{"db-1"}, EndpointCondition::kUnreachable});
+      fake.Advance(std::chrono::seconds(1));
+    }
+  };
+  fake.promotions.clear();
+  run(6);
+  CHECK(fake.promotions.empty());
+  // Once the replica is back, the log of each endpoint is compared.
+  fake.Add("db-2");
+  run(3);
+  STRCMP_EQUAL("db-2", fake.primary.c_str());
+}
+
+TEST(Departures, OfWhichNoRecordCouldBeWrittenAreRecordedLater) {
+  failover.Apply(fake.MakeView(""));
+  RunWithReviews(5);
+  fake.is_store_down = true;
+  LoseTheOnlyReplicaThatIsUpToDate();
+  fake.Add("db-4");
+  fake.log_ends["db-4"] = 3;
+  failover.Apply(fake.MakeView(""));
+  RunWithReviews(3);
+  const int before = fake.write_count;
+  fake.is_store_down = false;
+  RunWithReviews(3);
+  LONGS_EQUAL(before + 1, fake.write_count);
+  DutyRow row;
+  CHECK(FakeDutyRowCodec::Decode(fake.GetRowValue(), row));
+  CHECK(row.group.members == MakeIds({{"db-1", "db-2", "db-3", "db-4"}}));
+}
+
+TEST(Departures, ThatAreAccountedForLeaveTheRecord) {
+  failover.Apply(fake.MakeView(""));
+  RunWithReviews(5);
+  fake.Remove("db-2");
+  failover.Apply(fake.MakeView(""));
+  RunWithReviews(3);
+  DutyRow row;
+  CHECK(FakeDutyRowCodec::Decode(fake.GetRowValue(), row));
+  CHECK(row.group.members == MakeIds({{"db-1", "db-3"}}));
+  STRCMP_EQUAL("db-1", row.group.primary.value.c_str());
+}
+
+TEST(Departures, AreNotRecordedAgainWhileNothingChanges) {
+  failover.Apply(fake.MakeView(""));
+  RunWithReviews(5);
+  const int before = fake.write_count;
+  RunWithReviews(20);
+  LONGS_EQUAL(before, fake.write_count);
+}
+
+TEST(Departures, AreRecordedAgainAfterTheStoreWasRestored) {
+  failover.Apply(fake.MakeView(""));
+  RunWithReviews(5);
+  fake.LoseRow();
+  failover.HandleStoreRestored();
+  RunWithReviews(3);
+  DutyRow row;
+  CHECK(FakeDutyRowCodec::Decode(fake.GetRowValue(), row));
+  CHECK(row.group.members == MakeIds({{"db-1", "db-2", "db-3"}}));
+}
+
 TEST(Departures, OfAnEndpointThatReturnsAreWithdrawn) {
   LoseTheOnlyReplicaThatIsUpToDate();
   const std::vector<DepartureNotice> notices = {
--- a/libs/coordination/coordination.h
+++ b/libs/coordination/coordination.h
@@ -5,13 +5,15 @@
     @brief Module coordination: agreement between VMs through rows of a shared
     store, and tracking of its changes.
 
-    Depends on core and telemetry. It contains no message encoding; the store is
-    a template parameter.
+    Depends on core and telemetry. It contains no encoding; the store and its
+   rows are template parameters.
 
     Topics: rows/ (concept of the store, listing of a table), watches/
-    (following a table), duties/ (which VM may order a promotion).
+    (following a table), duties/ (which VM may order a promotion, and what it
+    has to know).
 */
 #include "coordination/duties/duty_claims.h"
+#include "coordination/duties/duty_row.h"
 #include "coordination/rows/list_all_rows.h"
 #include "coordination/rows/row_store.h"
 #include "coordination/watches/table_watch.h"
--- a/libs/coordination/duties/duty_claims.h
+++ b/libs/coordination/duties/duty_claims.h
@@ -1,67 +1,141 @@
 #ifndef MAGNOLIAREEL_COORDINATION_DUTIES_DUTY_CLAIMS_H_
 #define MAGNOLIAREEL_COORDINATION_DUTIES_DUTY_CLAIMS_H_
 
+#include <cassert>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
+#include "coordination/duties/duty_row.h"
 #include "coordination/rows/row_store.h"
 #include "core/core.h"
 #include "telemetry/telemetry.h"
 
 namespace magnoliareel {
 
-/** Table with the holder of each service's failover duty. */
+/** Table with the holder of each service's failover duty, and what that holder
+    knows of the service's endpoints. */
 inline constexpr std::string_view kDutyTable = "magnoliareel-duties";
 
-/** Claims failover duties by conditional writes.
+/** Claims failover duties by conditional writes, and keeps the GroupRecord of
+    each claimed service in the duty's row.
 
     The version that the store assigns to a claim's write is the fencing token.
     Versions grow, also when the store is restored from a copy, so each holder's
     token is higher than its predecessor's.
 
+    A claim reads the record of the previous holder and writes it again under
+    the condition that the row has not changed, so a claim that succeeds is
+    never based on an outdated record.
+
     @tparam S  @see RowStore
+    @tparam R  @see DutyRowCodec
 */
-template <RowStore S>
+template <RowStore S, DutyRowCodec R>
 class DutyClaims {
  public:
-  /** Called with the result of a claim: the fencing token, or an error. */
-  using Completion = std::function<void(std::error_code, uint64_t token)>;
+  /** Called with the result of a claim: the fencing token and the record of the
+      previous holder, or an error. */
+  using ClaimCompletion = std::function<
+      void(std::error_code, uint64_t token, const GroupRecord& previous)>;
+  /** Returns the record to write with a claim, given that of the previous
+      holder. */
+  using RecordMerge = std::function<GroupRecord(const GroupRecord& previous)>;
+  /** Called with the result of a write of a record. */
+  using SaveCompletion = std::function<void(std::error_code)>;
 
   /** @param store  must outlive this object
       @param vm     name of this VM
   */
-  DutyClaims(S& store, std::string_view vm) : store_(store), vm_(vm) {}
+  DutyClaims(S& store, VmId vm) : store_(store), vm_(std::move(vm)) {}
 
   /** Claims a service's duty, even if another VM holds it.
 
       @param service  the service
-      @param done     receives the token, or Error::kVersionConflict if another
-                      VM claimed the duty at the same time
+      @param merge    returns the record to write
+      @param done     receives the token and the previous record, or
+                      Error::kVersionConflict if another VM claimed the duty at
+                      the same time
   */
-  void Claim(const ServiceId& service, Completion done) {
+  void Claim(const ServiceId& service,
+             RecordMerge merge,
+             ClaimCompletion done) {
     // Reads the row first, as its version is the condition of the write.
-    store_.Get(kDutyTable, service.value,
-               [this, service, done = std::move(done)](std::error_code ec,
-                                                       StoredRows answer) {
-                 if (ec) {
-                   done(ec, 0);
-                   return;
-                 }
-                 Write(service,
-                       answer.rows.empty() ? 0 : answer.rows.front().version,
-                       done);
-               });
+    ReadRow(service,
+            [this, service, merge = std::move(merge), done = std::move(done)](
+                std::error_code ec, uint64_t version, const DutyRow& row) {
+              if (ec) {
+                done(ec, 0, {});
+                return;
+              }
+              WriteClaim(service, version, merge(row.group), row.group, done);
+            });
+  }
+
+  /** Writes a service's record, unless another VM has claimed the duty.
+
+      @param service  a service whose duty this VM holds
+      @param group    the record
+      @param done     receives success; Error::kSuperseded if another VM has
+                      claimed the duty, which is then not held here any more; or
+                      another error, after which the write may be repeated
+  */
+  void Save(const ServiceId& service, GroupRecord group, SaveCompletion done) {
+    assert(claims_.contains(service));
+    const uint64_t version = claims_[service].row_version;
+    const uint64_t token = claims_[service].token;
+    std::string value = R::Encode({vm_, group});
+    store_.WriteIf(
+        kDutyTable, service.value, value, version,
+        [this, service, token, group = std::move(group),
+         done = std::move(done)](std::error_code ec, const StoredRows& answer) {
+          const auto it = claims_.find(service);
+          if (it == claims_.end() || it->second.token != token) {
+            done(Error::kSuperseded);
+          } else if (ec == Error::kVersionConflict) {
+            // An earlier write of this VM may have been executed without an
+            // answer.
+            RefreshRowVersion(service, token, done);
+          } else if (ec) {
+            done(ec);
+          } else {
+            it->second.row_version = answer.version;
+            it->second.saved = group;
+            done({});
+          }
+        });
   }
 
   /** @param service  the service
       @returns         the token of this VM's claim, or 0 if it has none
   */
   uint64_t GetToken(const ServiceId& service) const {
-    const auto it = tokens_.find(service);
-    return it == tokens_.end() ? 0 : it->second;
+    const auto it = claims_.find(service);
+    return it == claims_.end() ? 0 : it->second.token;
+  }
+
+  /** @param service  the service
+      @param group    a record
+      @returns        whether the row of a duty that this VM holds is known to
+                      hold the record
+  */
+  bool IsSaved(const ServiceId& service, const GroupRecord& group) const {
+    const auto it = claims_.find(service);
+    return it != claims_.end() && it->second.saved == group;
+  }
+
+  /** Assumes that no row is as this VM has written it, because the store was
+      restored from a copy. */
+  void HandleStoreRestored() {
+    for (auto& [service, claim] : claims_) {
+      claim.saved.reset();
+      // The store may have given the version of that write out again.
+      claim.row_version = 0;
+    }
   }
 
   /** Drops this VM's claim. It is not released in the store.
@@ -71,32 +145,96 @@
 
       @param service  the service
   */
-  void Forget(const ServiceId& service) { tokens_.erase(service); }
-
-  /** @returns the tokens of all duties that this VM holds, by service */
-  const std::map<ServiceId, uint64_t>& List() const { return tokens_; }
+  void Forget(const ServiceId& service) { claims_.erase(service); }
+
+  /** @returns the duties that this VM holds with their tokens, ordered by
+               service */
+  std::vector<std::pair<ServiceId, uint64_t>> List() const {
+    std::vector<std::pair<ServiceId, uint64_t>> list;
+    for (const auto& [service, claim] : claims_) {
+      list.emplace_back(service, claim.token);
+    }
+    return list;
+  }
 
  private:
-  void Write(const ServiceId& service, uint64_t version, Completion done) {
-    store_.WriteIf(kDutyTable, service.value, vm_, version,
-                   [this, service, done = std::move(done)](std::error_code ec,
-                                                           StoredRows answer) {
+  struct HeldClaim {
+    uint64_t token = 0;
+    /** Version of the row at this VM's latest write. */
+    uint64_t row_version = 0;
+    /** The record in the row; none if it is not known. */
+    std::optional<GroupRecord> saved;
+  };
+  /** Called with the row and its version; the version is 0 if there is none. */
+  using RowCompletion =
+      std::function<void(std::error_code, uint64_t version, const DutyRow&)>;
+
+  void ReadRow(const ServiceId& service, RowCompletion done) {
+    store_.Get(
+        kDutyTable, service.value,
+        [service, done = std::move(done)](std::error_code ec,
+                                          const StoredRows& answer) {
+          DutyRow row;
+          if (ec || answer.rows.empty()) {
+            done(ec, 0, row);
+            return;
+          }
+          const StoredRow& stored = answer.rows.front();
+          if (!R::Decode(stored.value, row)) {
+            LogEvent(Event::kDutyRowRejected, {{"service", service.value}});
+            row = {};
+          }
+          done({}, stored.version, row);
+        });
+  }
+
+  void WriteClaim(const ServiceId& service,
+                  uint64_t version,
+                  GroupRecord group,
+                  const GroupRecord& previous,
+                  const ClaimCompletion& done) {
+    std::string value = R::Encode({vm_, group});
+    store_.WriteIf(kDutyTable, service.value, value, version,
+                   [this, service, group = std::move(group), previous, done](
+                       std::error_code ec, const StoredRows& answer) {
                      if (ec) {
-                       done(ec, 0);
+                       done(ec, 0, {});
                        return;
                      }
-                     tokens_[service] = answer.version;
+                     claims_[service] = {answer.version, answer.version, group};
                      LogEvent(
                          Event::kDutyClaimed,
                          {{"service", service.value},
                           {"fencing_token", std::to_string(answer.version)}});
-                     done({}, answer.version);
+                     done({}, answer.version, previous);
                    });
   }
 
+  void RefreshRowVersion(const ServiceId& service,
+                         uint64_t token,
+                         const SaveCompletion& done) {
+    ReadRow(service,
+            [this, service, token, done](std::error_code ec, uint64_t version,
+                                         const DutyRow& row) {
+              const auto it = claims_.find(service);
+              if (it == claims_.end() || it->second.token != token) {
+                done(Error::kSuperseded);
+              } else if (ec) {
+                done(ec);
+              } else if (row.holder != vm_) {
+                claims_.erase(it);
+                done(Error::kSuperseded);
+              } else {
+                it->second.row_version = version;
+                it->second.saved = row.group;
+                done(Error::kVersionConflict);
+              }
+            });
+  }
+
   S& store_;
-  const std::string vm_;
-  std::map<ServiceId, uint64_t> tokens_;
+  const VmId vm_;
+  std::map<ServiceId, HeldClaim> claims_;
 };
 
 }  // namespace magnoliareel
--- a/libs/coordination/tests/coordination_test.cc
+++ b/libs/coordination/tests/coordination_test.cc
@@ -5,6 +5,8 @@
 #include <string>
 #include <vector>
 
+#include "coordination/tests/fake_duty_row_codec.h"
+
 #include <CppUTest/TestHarness.h>
 
 namespace magnoliareel {
@@ -28,9 +30,10 @@
   }
   void WriteIf(std::string_view,
                std::string_view key,
-               std::string_view,
+               std::string_view value,
                uint64_t version,
                RowsCompletion done) {
+    last_value = value;
     Ask("write " + std::string(key) + " " + std::to_string(version),
         std::move(done));
   }
@@ -47,6 +50,8 @@
   }
 
   std::string last;
+  // Value of the latest write.
+  std::string last_value;
   // Long-poll timeout of the latest request for changes.
   Duration last_wait{};
 
@@ -193,17 +198,29 @@
 
 TEST_GROUP(Duties) {
   FakeStore store;
-  DutyClaims<FakeStore> claims{store, "vm-1"};
+  DutyClaims<FakeStore, FakeDutyRowCodec> claims{store, VmId{"vm-1"}};
+  const GroupRecord group{EndpointId{"db-1"}, Term{3}, {EndpointId{"db-1"}}};
+
+  static GroupRecord Keep(const GroupRecord& previous) {
+    return previous;
+  }
+
+  void Claim() {
+    claims.Claim(service, Keep, [](std::error_code, uint64_t, const auto&) {});
+    store.Answer({}, {});
+    store.Answer({}, Rows({}, 41));
+  }
   const ServiceId service{"groyne-logs"};
 };
 
 TEST(Duties, TheTokenIsTheVersionOfTheConditionalWrite) {
   std::error_code code = Error::kNotFound;
   uint64_t token = 0;
-  claims.Claim(service, [&](std::error_code ec, uint64_t given) {
-    code = ec;
-    token = given;
-  });
+  claims.Claim(service, Keep,
+               [&](std::error_code ec, uint64_t given, const GroupRecord&) {
+                 code = ec;
+                 token = given;
+               });
   STRCMP_EQUAL("get groyne-logs", store.last.c_str());
   store.Answer({}, Rows({"groyne-logs"}, 33));
   STRCMP_EQUAL("write groyne-logs 33", store.last.c_str());
@@ -215,7 +232,9 @@
 
 TEST(Duties, AClaimFailsIfAnotherVmWasFaster) {
   std::error_code code;
-  claims.Claim(service, [&](std::error_code ec, uint64_t) { code = ec; });
+  claims.Claim(
+      service, Keep,
+      [&](std::error_code ec, uint64_t, const GroupRecord&) { code = ec; });
   store.Answer({}, {});
   STRCMP_EQUAL("write groyne-logs 0", store.last.c_str());
   store.Answer(Error::kVersionConflict, {});
@@ -223,6 +242,81 @@
   LONGS_EQUAL(0, claims.GetToken(service));
 }
 
+TEST(Duties, AClaimKeepsTheRecordOfThePreviousHolder) {
+  // Guards against what is forgotten when all VMs are lost (LOST in review/2).
+  GroupRecord previous;
+  claims.Claim(service, Keep,
+               [&](std::error_code, uint64_t, const GroupRecord& read) {
+                 previous = read;
+               });
+  StoredRows stored = Rows({"groyne-logs"}, 33);
+  stored.rows.front().value = FakeDutyRowCodec::Encode({VmId{"vm-2"}, group});
+  store.Answer({}, stored);
+  DutyRow written;
+  CHECK(FakeDutyRowCodec::Decode(store.last_value, written));
+  CHECK(written.group == group);
+  STRCMP_EQUAL("vm-1", written.holder.value.c_str());
+  store.Answer({}, Rows({}, 41));
+  CHECK(previous == group);
+  CHECK(claims.IsSaved(service, group));
+}
+
+TEST(Duties, ARecordIsWrittenUnderTheVersionOfTheLatestWrite) {
+  Claim();
+  std::error_code code = Error::kNotFound;
+  claims.Save(service, group, [&](std::error_code ec) { code = ec; });
+  STRCMP_EQUAL("write groyne-logs 41", store.last.c_str());
+  CHECK(!claims.IsSaved(service, group));
+  store.Answer({}, Rows({}, 45));
+  CHECK(!code);
+  CHECK(claims.IsSaved(service, group));
+  // The fencing token stays.
+  LONGS_EQUAL(41, claims.GetToken(service));
+  claims.Save(service, {}, [](std::error_code) {});
+  STRCMP_EQUAL("write groyne-logs 45", store.last.c_str());
+}
+
+TEST(Duties, AnEarlierWriteWithoutAnAnswerIsNotTakenForAnotherClaim) {
+  Claim();
+  claims.Save(service, group, [](std::error_code) {});
+  store.Answer(Error::kAnswerLost, {});
+  std::error_code code;
+  claims.Save(service, group, [&](std::error_code ec) { code = ec; });
+  STRCMP_EQUAL("write groyne-logs 41", store.last.c_str());
+  store.Answer(Error::kVersionConflict, {});
+  StoredRows stored = Rows({"groyne-logs"}, 44);
+  stored.rows.front().value = FakeDutyRowCodec::Encode({VmId{"vm-1"}, group});
+  store.Answer({}, stored);
+  CHECK(code == Error::kVersionConflict);
+  CHECK(claims.IsSaved(service, group));
+  LONGS_EQUAL(41, claims.GetToken(service));
+  claims.Save(service, {}, [](std::error_code) {});
+  STRCMP_EQUAL("write groyne-logs 44", store.last.c_str());
+}
+
+TEST(Duties, ARecordIsNotWrittenOverANewerClaim) {
+  Claim();
+  std::error_code code;
+  claims.Save(service, group, [&](std::error_code ec) { code = ec; });
+  store.Answer(Error::kVersionConflict, {});
+  StoredRows stored = Rows({"groyne-logs"}, 50);
+  stored.rows.front().value = FakeDutyRowCodec::Encode({VmId{"vm-2"}, {}});
+  store.Answer({}, stored);
+  CHECK(code == Error::kSuperseded);
+  LONGS_EQUAL(0, claims.GetToken(service));
+}
+
+TEST(Duties, RecordsAreWrittenAgainAfterTheStoreWasRestored) {
+  // A version of the lost state may be given out again for another claim.
+  Claim();
+  claims.Save(service, group, [](std::error_code) {});
+  store.Answer({}, Rows({}, 45));
+  claims.HandleStoreRestored();
+  CHECK(!claims.IsSaved(service, group));
+  claims.Save(service, group, [](std::error_code) {});
+  STRCMP_EQUAL("write groyne-logs 0", store.last.c_str());
+}
+
 TEST_GROUP(ListAllRows){};
 
 TEST(ListAllRows, ReturnsTheRowsOfAllPages) {
--- a/libs/gossip/tests/gossip_test.cc
+++ b/libs/gossip/tests/gossip_test.cc
@@ -47,6 +47,32 @@
   }
 }
 
+TEST(Gossip, DecodesEncodedDutyRows) {
+  const GroupRecord with_primary{
+      EndpointId{"db-1"}, Term{3}, {EndpointId{"db-1"}, EndpointId{"db-2"}}};
+  for (const GroupRecord& it : {GroupRecord{}, with_primary}) {
+    DutyRow read;
+    CHECK(TextDutyRowCodec::Decode(TextDutyRowCodec::Encode({VmId{"vm-1"}, it}),
+                                   read));
+    CHECK(read.holder == VmId{"vm-1"} && read.group == it);
+  }
+}
+
+TEST(Gossip, DecodesDutyRowsOfEarlierVersions) {
+  DutyRow read;
+  CHECK(TextDutyRowCodec::Decode("vm-1", read));
+  CHECK(read.holder == VmId{"vm-1"} && read.group == GroupRecord{});
+}
+
+TEST(Gossip, RejectsMalformedDutyRows) {
+  for (const char* it :
+       {"", " mrg1 db-1 3", "vm-1 mrg2 db-1 3", "vm-1 mrg1", "vm-1 mrg1 db-1",
+        "vm-1 mrg1 db-1 x", "vm-1 mrg1 db-1 3 db-1  db-2", "vm-1 mrg1  3"}) {
+    DutyRow read;
+    CHECK_TEXT(!TextDutyRowCodec::Decode(it, read), it);
+  }
+}
+
 TEST(Gossip, DecodesEncodedFreshnessBoundMessages) {
   const FreshnessBoundRequest sent{
       7,
--- a/libs/telemetry/events/event.cc
+++ b/libs/telemetry/events/event.cc
@@ -146,6 +146,12 @@
     {kDepartureAccounted, kInfo, "departure.accounted",
      "A replica holds every commit that departed ones can have acknowledged. "
      "service, departed"},
+    {kGroupRestored, kWarning, "group.restored",
+     "This VM claimed a duty and learned from earlier holders of endpoints "
+     "that have left. service, departed"},
+    {kDutyRowRejected, kError, "duty.row_rejected",
+     "The row of a failover duty could not be decoded; what earlier holders "
+     "knew of the service is lost. service"},
     {kReadinessChanged, kInfo, "process.readiness",
      "The process changed its answer to the platform's readiness probe. ready, "
      "reason"},
--- a/libs/telemetry/events/event.h
+++ b/libs/telemetry/events/event.h
@@ -64,6 +64,8 @@
   kReplacementAbandoned = 5507,
   kReplacementWaiting = 5508,
   kDepartureAccounted = 5509,
+  kGroupRestored = 5510,
+  kDutyRowRejected = 5511,
   kReadinessChanged = 5601,
   kSettingsReloaded = 5602,
   kDrainProgress = 5603,
--- /dev/null
+++ b/tests/traffic/simulated_control.h
@@ -0,0 +1,102 @@
+#ifndef MAGNOLIAREEL_TESTS_TRAFFIC_SIMULATED_CONTROL_H_
+#define MAGNOLIAREEL_TESTS_TRAFFIC_SIMULATED_CONTROL_H_
+
+#include <functional>
+#include <string_view>
+#include <utility>
+
+#include "control/control.h"
+#include "gossip/gossip.h"
+
+namespace magnoliareel {
+
+class SimulatedServices;
+class TrafficSimulation;
+
+/** The store, the platform and the members as one control thread reaches them.
+
+    After Kill(), nothing is sent and nothing is answered any more, while what
+    was sent before still arrives.
+
+    @see RowStore, EndpointCommandSender, PromotionSender
+*/
+class ControlServices {
+ public:
+  /** @param services  must outlive this object */
+  explicit ControlServices(SimulatedServices& services) : services_(services) {}
+
+  void Kill() { is_killed_ = true; }
+  bool IsKilled() const { return is_killed_; }
+
+  void List(std::string_view, std::string_view, const RowsCompletion&) {}
+  void Get(std::string_view table, std::string_view key, RowsCompletion done);
+  void Follow(std::string_view, uint64_t, Duration, const RowsCompletion&) {}
+  void WriteIf(std::string_view table,
+               std::string_view key,
+               std::string_view value,
+               uint64_t version,
+               RowsCompletion done);
+  void Put(std::string_view,
+           std::string_view,
+           std::string_view,
+           const RowsCompletion&) {}
+  void Send(const EndpointEntry& endpoint,
+            const EndpointCommand& command,
+            Duration timeout,
+            EndpointCommandCompletion done);
+  void Promote(const ServiceId& service,
+               const EndpointId& endpoint,
+               uint64_t fencing_token,
+               std::function<void(std::error_code)> done);
+
+  /** @returns a function that calls another one unless Kill() was called
+               meanwhile */
+  template <class F>
+  auto CallWhileAlive(F function) {
+    return [this, function = std::move(function)](auto&&... arguments) {
+      if (!is_killed_) {
+        function(std::forward<decltype(arguments)>(arguments)...);
+      }
+    };
+  }
+
+ private:
+  SimulatedServices& services_;
+  bool is_killed_ = false;
+};
+
+/** The control thread of the simulated VMs, from their start until they are
+    killed; one stands for all of them. @see FailoverDelegate */
+class SimulatedControl {
+ public:
+  using Failover = FailoverControl<ControlServices,
+                                   TextDutyRowCodec,
+                                   ControlServices,
+                                   ControlServices,
+                                   SimulatedControl>;
+
+  /** @param simulation  must outlive this object
+      @param services    must outlive this object
+  */
+  SimulatedControl(TrafficSimulation& simulation, SimulatedServices& services);
+
+  Failover& GetFailover() { return failover_; }
+  void Kill() { services_.Kill(); }
+  bool IsAlive() const { return !services_.IsKilled(); }
+
+  TimePoint Now() const;
+  void After(Duration pause, std::function<void()> task);
+  void AnnouncePrimary(const ServiceId& service, const EndpointId& endpoint);
+  void SendHeartbeats() {}
+  bool IsStoreConnected() const { return true; }
+
+ private:
+  TrafficSimulation& simulation_;
+  ControlServices services_;
+  PeerGroup peers_{SocketAddress{"127.0.0.1", 1}};
+  Failover failover_;
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_TESTS_TRAFFIC_SIMULATED_CONTROL_H_
--- a/tests/traffic/simulated_services.cc
+++ b/tests/traffic/simulated_services.cc
@@ -4,31 +4,38 @@
 
 namespace magnoliareel {
 
-void SimulatedServices::Get(std::string_view,
+void SimulatedServices::Get(std::string_view table,
                             std::string_view key,
                             RowsCompletion done) {
-  StoredRows rows;
-  if (row_version_ > 0) {
-    rows.rows.push_back({std::string(key), "holder", row_version_, false});
+  StoredRows answer;
+  answer.version = version_;
+  if (const auto it = rows_.find({std::string(table), std::string(key)});
+      it != rows_.end()) {
+    answer.rows.push_back(it->second);
   }
   simulation_.After(Duration(4000),
-                    [rows, done = std::move(done)] { done({}, rows); });
+                    [answer, done = std::move(done)] { done({}, answer); });
 }
 
-void SimulatedServices::WriteIf(std::string_view,
-                                std::string_view,
-                                std::string_view,
+void SimulatedServices::WriteIf(std::string_view table,
+                                std::string_view key,
+                                std::string_view value,
                                 uint64_t version,
                                 RowsCompletion done) {
-  simulation_.After(Duration(4000), [this, version, done = std::move(done)] {
-    if (version != row_version_) {
-      done(Error::kVersionConflict, {});
-      return;
-    }
-    StoredRows rows;
-    rows.version = ++row_version_;
-    done({}, rows);
-  });
+  simulation_.After(
+      Duration(4000),
+      [this, id = std::pair(std::string(table), std::string(key)),
+       value = std::string(value), version, done = std::move(done)] {
+        StoredRow& row = rows_[id];
+        if (version != row.version) {
+          done(Error::kVersionConflict, {});
+          return;
+        }
+        row = {id.second, value, ++version_, false};
+        StoredRows answer;
+        answer.version = version_;
+        done({}, answer);
+      });
 }
 
 void SimulatedServices::Send(const EndpointEntry& endpoint,
--- a/tests/traffic/traffic_simulation.cc
+++ b/tests/traffic/traffic_simulation.cc
@@ -155,9 +155,7 @@
     vm.holders = std::make_unique<HolderTable>(VmId{traffic.vm});
     vm.core = std::make_unique<Core>(*vm.net, std::move(traffic));
   }
-  failover_ =
-      std::make_unique<Failover>(services_, services_, services_, *this, peers_,
-                                 VmId{"vm-0"}, SiteId{"site-0"});
+  controls_.push_back(std::make_unique<SimulatedControl>(*this, services_));
   PublishPeriodically();
 }
 
@@ -237,7 +235,9 @@
     }
     RunOnVm(it, [vm_view](Core& core) { core.Apply(vm_view); });
   }
-  failover_->Apply(*view);
+  if (controls_.back()->IsAlive()) {
+    controls_.back()->GetFailover().Apply(*view);
+  }
 }
 
 void TrafficSimulation::RequestPeerBound(size_t vm,
@@ -435,6 +435,23 @@
   }
 }
 
+void TrafficSimulation::KillVms(Duration downtime) {
+  controls_.back()->Kill();
+  for (size_t vm = 0; vm < vms_.size(); ++vm) {
+    for (size_t member = 0; member < group_.CountMembers(); ++member) {
+      ResetConnections(vm, member);
+    }
+    SetFrozen(vm, true);
+  }
+  queue_.After(downtime, [this] {
+    controls_.push_back(std::make_unique<SimulatedControl>(*this, services_));
+    for (size_t vm = 0; vm < vms_.size(); ++vm) {
+      SetFrozen(vm, false);
+    }
+    Publish();
+  });
+}
+
 void TrafficSimulation::RunOnVm(size_t vm,
                                 const std::function<void(Core&)>& event) {
   if (vms_[vm].frozen) {
@@ -548,14 +565,19 @@
 }
 
 void TrafficSimulation::ForwardConditionReport(const ConditionReport& report) {
-  queue_.After(Duration(100),
-               [this, report] { failover_->HandleConditionReport(report); });
+  queue_.After(Duration(100), [this, report] {
+    if (controls_.back()->IsAlive()) {
+      controls_.back()->GetFailover().HandleConditionReport(report);
+    }
+  });
 }
 
 void TrafficSimulation::ForwardPrimaryConfirmation(const EndpointId& endpoint,
                                                    Term term) {
   queue_.After(Duration(100), [this, endpoint, term] {
-    failover_->HandlePrimaryConfirmed(endpoint, term);
+    if (controls_.back()->IsAlive()) {
+      controls_.back()->GetFailover().HandlePrimaryConfirmed(endpoint, term);
+    }
   });
 }
 
--- a/tests/traffic/traffic_simulation.h
+++ b/tests/traffic/traffic_simulation.h
@@ -14,6 +14,7 @@
 #include "relay/relay.h"
 #include "standins/group/group_model.h"
 #include "tests/traffic/event_queue.h"
+#include "tests/traffic/simulated_control.h"
 
 namespace magnoliareel {
 
@@ -69,18 +70,12 @@
   explicit SimulatedServices(TrafficSimulation& simulation)
       : simulation_(simulation) {}
 
-  void List(std::string_view, std::string_view, RowsCompletion) {}
   void Get(std::string_view table, std::string_view key, RowsCompletion done);
-  void Follow(std::string_view, uint64_t, Duration, RowsCompletion) {}
   void WriteIf(std::string_view table,
                std::string_view key,
                std::string_view value,
                uint64_t version,
                RowsCompletion done);
-  void Put(std::string_view,
-           std::string_view,
-           std::string_view,
-           RowsCompletion) {}
   void Send(const EndpointEntry& endpoint,
             const EndpointCommand& command,
             Duration timeout,
@@ -92,7 +87,9 @@
 
  private:
   TrafficSimulation& simulation_;
-  uint64_t row_version_ = 0;
+  /** Rows by table and key. */
+  std::map<std::pair<std::string, std::string>, StoredRow> rows_;
+  uint64_t version_ = 0;
 };
 
 /** Simulates several VMs in front of one group of databases under virtual time,
@@ -132,6 +129,12 @@
   /** Stops a VM from handling events, or lets it handle those that have arrived
       meanwhile. */
   void SetFrozen(size_t vm, bool frozen);
+  /** Kills all VMs: their connections end, and what their control threads know
+      is lost.
+
+      @param downtime  time until they start again
+  */
+  void KillVms(Duration downtime);
   /** Resets all connections between VMs that lead to a VM. */
   void ResetForwarding(size_t vm);
   /** Resets all connections of a VM to a member. */
@@ -152,16 +155,9 @@
     promotion_observer_ = std::move(observer);
   }
 
-  /** @see FailoverDelegate */
   TimePoint Now() const { return queue_.Now(); }
-  /** @see FailoverDelegate */
+  /** Announces a promotion to the traffic threads of all VMs. */
   void AnnouncePrimary(const ServiceId& service, const EndpointId& endpoint);
-  /** @see FailoverDelegate */
-  void SendHeartbeats() {}
-  /** @see FailoverDelegate */
-  bool IsStoreConnected() const { return true; }
-
-  /** @see FleetDelegate */
   void After(Duration pause, std::function<void()> task) {
     queue_.After(pause, std::move(task));
   }
@@ -169,11 +165,6 @@
  private:
   friend class SimulatedNet;
   friend class SimulatedServices;
-  using Failover = FailoverControl<SimulatedServices,
-                                   SimulatedServices,
-                                   SimulatedServices,
-                                   TrafficSimulation>;
-
   struct Vm {
     std::unique_ptr<SimulatedNet> net;
     std::unique_ptr<Core> core;
@@ -250,9 +241,9 @@
   std::map<std::string, std::vector<Drain>> past_drains_;
   std::set<size_t> unlisted_;
   std::mt19937_64 random_;
-  PeerGroup peers_{SocketAddress{"127.0.0.1", 1}};
   SimulatedServices services_{*this};
-  std::unique_ptr<Failover> failover_;
+  /** The last one is running unless the VMs are down. */
+  std::vector<std::unique_ptr<SimulatedControl>> controls_;
 };
 
 }  // namespace magnoliareel
--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -50,6 +50,8 @@
   /** Those of kTransient; besides, VMs freeze for a while, and the connections
       in which others forward statements to a VM are reset. */
   kHolders,
+  /** All VMs are killed while a member is down whose entry has expired. */
+  kLossOfAllVms,
 };
 
 /** One simulated run: callers on all VMs, a period with random faults, and a
@@ -96,6 +98,13 @@
       if (schedule == FaultSchedule::kNone) {
         return;
       }
+      if (schedule == FaultSchedule::kLossOfAllVms) {
+        simulation_->GetQueue().After(
+            kUnheldDutyClaimDelay +
+                std::chrono::milliseconds(200 + random_() % 300),
+            [this] { LoseVmsWhileAMemberIsDown(); });
+        return;
+      }
       if (schedule == FaultSchedule::kJoiningMember) {
         simulation_->SetPromotionObserver([this] { JoinBehindPromotion(); });
       }
@@ -130,6 +139,15 @@
     queue.RunUntil(start + std::chrono::seconds(14));
   }
 
+  /** Kills all VMs and starts them again later. */
+  void KillVms(Duration downtime) {
+    for (const auto& it : callers_) {
+      simulation_->CloseCaller(it->GetVm(), it->GetSession());
+      it->HandleLine({});
+    }
+    simulation_->KillVms(downtime);
+  }
+
   TrafficSimulation& GetSimulation() { return *simulation_; }
 
   /** @returns the violated guarantees. @see CheckTraffic */
@@ -274,6 +292,46 @@
         });
   }
 
+  // Lets a member be down until its entry expires, while another one receives
+  // nothing. All VMs are killed then, and the primary is down for a while.
+  void LoseVmsWhileAMemberIsDown() {
+    using std::chrono::milliseconds;
+    GroupModel& group = simulation_->GetGroup();
+    EventQueue& queue = simulation_->GetQueue();
+    const std::optional<size_t> primary = FindPrimary();
+    if (!primary || is_member_down_ || is_replica_deaf_) {
+      return;
+    }
+    is_member_down_ = true;
+    is_replica_deaf_ = true;
+    const size_t deaf = (*primary + 1) % group.CountMembers();
+    const size_t lost = (*primary + 2) % group.CountMembers();
+    const auto at = [&queue](int64_t delay, std::function<void()> task) {
+      queue.After(milliseconds(delay), std::move(task));
+    };
+    const auto jitter = [this] {
+      return static_cast<int64_t>(random_() % 300);
+    };
+    group.SetReplicationCut(deaf, true);
+    at(300, [this, lost] { simulation_->GetGroup().Crash(lost, true); });
+    at(700, [this, lost] { simulation_->SetListed(lost, false); });
+    at(900 + jitter(), [this] { KillVms(milliseconds(300)); });
+    at(1300 + jitter(),
+       [this, it = *primary] { simulation_->GetGroup().Crash(it, true); });
+    at(3800 + jitter(), [this, deaf] {
+      simulation_->GetGroup().SetReplicationCut(deaf, false);
+    });
+    at(4500 + jitter(), [this, lost] {
+      simulation_->GetGroup().Restart(lost);
+      simulation_->SetListed(lost, true);
+    });
+    at(6000 + jitter(), [this, it = *primary] {
+      simulation_->GetGroup().Restart(it);
+      is_member_down_ = false;
+      is_replica_deaf_ = false;
+    });
+  }
+
   void InterruptHolder() {
     EventQueue& queue = simulation_->GetQueue();
     if (random_() % 2 == 0) {
@@ -565,6 +623,16 @@
   }
 }
 
+TEST(Traffic, KeepsGuaranteesWhenAllVmsAreKilled) {
+  const uint64_t first = ReadNumber("MAGNOLIAREEL_SIM_FIRST_SEED", 1);
+  const uint64_t seeds =
+      ReadNumber("MAGNOLIAREEL_SIM_SEEDS", kDefaultSeedCount);
+  for (uint64_t seed = first; seed < first + seeds; ++seed) {
+    TrafficRun run(seed);
+    RunWithFaults(run, seed, FaultSchedule::kLossOfAllVms);
+  }
+}
+
 TEST(Traffic, KeepsGuaranteesWhilePrimariesLeaveWithoutSuccessor) {
   const uint64_t first = ReadNumber("MAGNOLIAREEL_SIM_FIRST_SEED", 1);
   const uint64_t seeds =
@@ -609,6 +677,43 @@
   CHECK_TEXT(run.GetFinalSuccessCount() > 60, run.DescribePools().c_str());
 }
 
+TEST(Traffic, KeepsCommitsOfADepartedReplicaWhenAllVmsAreKilled) {
+  // Guards against departures that are forgotten when all VMs are killed. A
+  // replica that had received nothing was promoted, while those with the
+  // acknowledged commits were down (LOST in review/2).
+  using std::chrono::milliseconds;
+  TrafficRun run(1);
+  run.Run([&run] {
+    TrafficSimulation& simulation = run.GetSimulation();
+    EventQueue& queue = simulation.GetQueue();
+    queue.After(milliseconds(3300), [&simulation] {
+      simulation.GetGroup().SetReplicationCut(2, true);
+    });
+    queue.After(milliseconds(3600), [&simulation] {
+      simulation.GetGroup().Crash(1, false);
+      simulation.SetListed(1, false);
+    });
+    queue.After(milliseconds(4200), [&run] { run.KillVms(milliseconds(300)); });
+    queue.After(milliseconds(4900),
+                [&simulation] { simulation.GetGroup().Crash(0, false); });
+    queue.After(milliseconds(7000), [&simulation] {
+      simulation.GetGroup().SetReplicationCut(2, false);
+    });
+    queue.After(milliseconds(7300), [&simulation] {
+      simulation.GetGroup().Restart(1);
+      simulation.SetListed(1, true);
+    });
+    queue.After(milliseconds(8500),
+                [&simulation] { simulation.GetGroup().Restart(0); });
+  });
+  std::string violations;
+  for (const std::string& it : run.Check()) {
+    violations += it + "\n";
+  }
+  CHECK_TEXT(violations.empty(), violations.c_str());
+  CHECK_TEXT(run.GetFinalSuccessCount() > 60, run.DescribePools().c_str());
+}
+
 TEST(Traffic, KeepsCommitsThatAMemberAcknowledgesWhichJoinsBehindAPromotion) {
   // Guards against the promotion of a replica that lacks what a new member has
   // acknowledged: it joined after the replicas were compared, and the old
