Count a former primary that has left like any other departed endpoint

Cause: endpoints that reported the role of the primary when they left were not counted as departures, since replicas had acknowledged their commits. That is true while no other endpoint leads. For the successor, the former primary is the second copy of its log.

Change: every departure counts but that of the latest confirmed primary. It is accounted for as soon as a replica holds the successor's log, usually within a round trip. The test OfAPrimaryThatWasReplacedAfterItsCrashDoNotMatter stated the fault as the rule; two tests that are as strict replace it: the successor stays until a replica holds its log, and the departure of the primary itself delays nothing. In the simulation, a member that is down no longer reports its role to the directory; until now the simulation hid this fault.

--- a/libs/control/failover/departure_tracker.cc
+++ b/libs/control/failover/departure_tracker.cc
@@ -7,14 +7,14 @@
 
 void DepartureTracker::Apply(std::span<const EndpointEntry> endpoints,
                              TimePoint now) {
-  std::map<EndpointId, Listed> listed;
+  std::map<EndpointId, ServiceId> listed;
   for (const EndpointEntry& it : endpoints) {
-    listed.emplace(it.id, Listed{it.service, it.claims_primary});
+    listed.emplace(it.id, it.service);
     departures_.erase(it.id);
   }
-  for (const auto& [id, entry] : listed_) {
-    if (!listed.contains(id) && !entry.claims_primary) {
-      departures_.try_emplace(id, Departure{entry.service, std::nullopt});
+  for (const auto& [id, service] : listed_) {
+    if (!listed.contains(id)) {
+      departures_.try_emplace(id, Departure{service, std::nullopt});
     }
   }
   listed_ = std::move(listed);
@@ -29,8 +29,8 @@
     return std::find(services.begin(), services.end(), service) ==
            services.end();
   };
-  std::erase_if(
-      listed_, [&](const auto& row) { return is_removed(row.second.service); });
+  std::erase_if(listed_,
+                [&](const auto& row) { return is_removed(row.second); });
   std::erase_if(departures_, [&](const auto& row) {
     return is_removed(row.second.service);
   });
@@ -75,8 +75,8 @@
     const ServiceId& service,
     std::span<const EndpointId> recorded) const {
   std::set<EndpointId> members;
-  for (const auto& [id, entry] : listed_) {
-    if (entry.service == service) {
+  for (const auto& [id, listed_service] : listed_) {
+    if (listed_service == service) {
       members.insert(id);
     }
   }
--- a/libs/control/failover/departure_tracker.h
+++ b/libs/control/failover/departure_tracker.h
@@ -16,12 +16,11 @@
 /** Tracks endpoints that have left the directory and may have been the only
     replica that held an acknowledged commit.
 
-    A replica that leaves takes its log along, so the replicas that remain prove
-    nothing about the commits that it acknowledged. A departure is accounted for
-    once a remaining replica holds the log that the primary had after it. An
-    endpoint that reported the role of the primary until it left is not tracked:
-    replicas acknowledged its commits, and it acknowledged none of a successor,
-    because it reports at once that it has become a replica.
+    An endpoint that leaves takes its log along, so the replicas that remain
+    prove nothing about the commits that it held. A departure is accounted for
+    once a remaining replica holds the log that the primary had after it. That
+    applies to a former primary as well: the log of its successor may be the
+    only other one with its commits.
 
     @see DepartureAudit
 */
@@ -89,12 +88,8 @@
     std::optional<TimePoint> accounted_at;
   };
 
-  struct Listed {
-    ServiceId service;
-    bool claims_primary = false;
-  };
-
-  std::map<EndpointId, Listed> listed_;
+  /** Services of the listed endpoints. */
+  std::map<EndpointId, ServiceId> listed_;
   std::map<EndpointId, Departure> departures_;
 };
 
--- a/libs/control/tests/failover_control_test.cc
+++ b/libs/control/tests/failover_control_test.cc
@@ -614,21 +614,43 @@
   CHECK(failover.ListDepartureNotices().empty());
 }
 
-TEST(Departures, OfAPrimaryThatWasReplacedAfterItsCrashDoNotMatter) {
-  // It was never a replica of the new primary, so it acknowledged nothing for
-  // it. The new primary can be replaced although its commits stall.
+TEST(Departures, OfAFormerPrimaryKeepItsSuccessorUntilAReplicaHoldsItsLog) {
+  // Guards against the demotion of a primary that alone holds commits which its
+  // predecessor has acknowledged through it, once that one has left (LOST in
+  // review/1).
   failover.Apply(fake.MakeView(""));
+  fake.log_ends["db-3"] = 3;
   fake.unresponsive = "db-1";
   failover.HandleConditionReport(
       {EndpointId{"db-1"}, EndpointCondition::kUnreachable});
   RunWithReviews(3);
-  const std::string first = fake.primary;
-  CHECK(first != "db-1");
-  failover.HandlePrimaryConfirmed(EndpointId{first}, Term{fake.term});
+  STRCMP_EQUAL("db-2", fake.primary.c_str());
+  failover.HandlePrimaryConfirmed(EndpointId{"db-2"}, Term{fake.term});
+  // The entry of db-1 claims the role of the primary until it expires.
   fake.Remove("db-1");
-  fake.unresponsive.clear();
   failover.Apply(fake.GetView());
-  CHECK(failover.ListDepartureNotices().empty());
+  failover.Apply(fake.MakeView(""));
+  for (int n = 0; n < 5; ++n) {
+    failover.HandleConditionReport(
+        {EndpointId{"db-2"}, EndpointCondition::kCommitsStalled});
+    RunWithReviews(1);
+  }
+  STRCMP_EQUAL("db-2", fake.primary.c_str());
+  CHECK(!failover.ListDepartureNotices().empty());
+  fake.log_ends["db-3"] = 7;
+  ReplaceDraining("db-2");
+  STRCMP_EQUAL("db-3", fake.primary.c_str());
+}
+
+TEST(Departures, OfThePrimaryDoNotDelayItsReplacement) {
+  // Replicas acknowledged its commits, so their logs decide.
+  failover.Apply(fake.MakeView(""));
+  RunWithReviews(5);
+  fake.unresponsive = "db-1";
+  fake.Remove("db-1");
+  failover.Apply(fake.GetView());
+  RunWithReviews(2);
+  CHECK(fake.primary == "db-2" || fake.primary == "db-3");
 }
 
 TEST(Departures, DoNotMatterWhereTheReplicasAcknowledgeNothing) {
--- a/tests/traffic/traffic_simulation.cc
+++ b/tests/traffic/traffic_simulation.cc
@@ -159,13 +159,20 @@
   PublishPeriodically();
 }
 
-std::vector<EndpointEntry> TrafficSimulation::ListEndpoints() const {
+std::vector<EndpointEntry> TrafficSimulation::ListEndpoints() {
   std::vector<EndpointEntry> entries;
   for (size_t it = 0; it < group_.CountMembers(); ++it) {
     if (group_.HasLeft(it) || unlisted_.contains(it)) {
       continue;
     }
-    EndpointEntry entry;
+    if (const auto last = reported_.find(group_.GetId(it));
+        last != reported_.end() && !group_.IsRunning(it)) {
+      // A member that is down reports nothing.
+      entries.push_back(last->second);
+      continue;
+    }
+    EndpointEntry& entry = reported_[group_.GetId(it)];
+    entry = {};
     entry.id.value = group_.GetId(it);
     entry.service.value = options_.service;
     entry.address = {"127.0.0.1", static_cast<uint16_t>(kFirstMemberPort + it)};
@@ -177,7 +184,7 @@
       entry.draining_since = drain->second;
     }
     entry.started_at_ms = group_.GetStartedAt(it);
-    entries.push_back(std::move(entry));
+    entries.push_back(entry);
   }
   std::sort(entries.begin(), entries.end(),
             [](const EndpointEntry& left, const EndpointEntry& right) {
--- a/tests/traffic/traffic_simulation.h
+++ b/tests/traffic/traffic_simulation.h
@@ -212,7 +212,7 @@
   bool IsPartitioned(size_t vm, size_t member) const {
     return partitions_.contains({vm, member});
   }
-  std::vector<EndpointEntry> ListEndpoints() const;
+  std::vector<EndpointEntry> ListEndpoints();
 
   EventQueue queue_;
   GroupOptions options_;
@@ -240,6 +240,8 @@
   std::map<size_t, TimePoint> draining_;
   std::map<std::string, std::vector<Drain>> past_drains_;
   std::set<size_t> unlisted_;
+  /** What each member has reported to the directory last, by its id. */
+  std::map<std::string, EndpointEntry> reported_;
   std::mt19937_64 random_;
   SimulatedServices services_{*this};
   /** The last one is running unless the VMs are down. */
--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -714,6 +714,40 @@
   CHECK_TEXT(run.GetFinalSuccessCount() > 60, run.DescribePools().c_str());
 }
 
+TEST(Traffic, KeepsCommitsOfADepartedPrimaryThatOnlyItsSuccessorHolds) {
+  // Guards against the demotion of a primary for a replica that is behind, once
+  // the entry of its predecessor, whose log was the only other one with the
+  // acknowledged commits, has expired (LOST in review/1).
+  using std::chrono::milliseconds;
+  TrafficRun run(1);
+  run.Run([&run] {
+    TrafficSimulation& simulation = run.GetSimulation();
+    EventQueue& queue = simulation.GetQueue();
+    queue.After(milliseconds(3300), [&simulation] {
+      simulation.GetGroup().SetReplicationCut(2, true);
+    });
+    queue.After(milliseconds(3600),
+                [&simulation] { simulation.GetGroup().Crash(0, false); });
+    queue.After(milliseconds(4800), [&simulation] {
+      CHECK(simulation.GetGroup().HasPrimaryRole(1));
+      simulation.SetListed(0, false);
+    });
+    queue.After(milliseconds(7000), [&simulation] {
+      simulation.GetGroup().SetReplicationCut(2, false);
+    });
+    queue.After(milliseconds(7500), [&simulation] {
+      simulation.GetGroup().Restart(0);
+      simulation.SetListed(0, true);
+    });
+  });
+  std::string violations;
+  for (const std::string& it : run.Check()) {
+    violations += it + "\n";
+  }
+  CHECK_TEXT(violations.empty(), violations.c_str());
+  CHECK_TEXT(run.GetFinalSuccessCount() > 60, run.DescribePools().c_str());
+}
+
 TEST(Traffic, KeepsCommitsThatAMemberAcknowledgesWhichJoinsBehindAPromotion) {
   // Guards against the promotion of a replica that lacks what a new member has
   // acknowledged: it joined after the replicas were compared, and the old
