Replace a primary that was lost together with all VMs

Cause: a VM knew of a primary only if an endpoint reported the role, or acted in it, in the VM's own lifetime. VMs that start when the primary's entry has expired saw replicas only and had no reason to replace anything.

Change: a VM that claims a duty takes the latest primary from the duty's row if it knows none. It counts as gone once it has not been listed for 2.5 s (its entry may have expired in an outage of the store), and as demoted if it is listed and no endpoint leads for 2 s.

--- a/libs/control/failover/failover_control_groups.h
+++ b/libs/control/failover/failover_control_groups.h
@@ -81,9 +81,14 @@
       departed += (departed.empty() ? "" : ",") + it.value;
     }
   }
-  if (!departed.empty()) {
+  const bool has_restored_primary =
+      !record.primary.IsEmpty() &&
+      primaries_.Restore(service, record.primary, record.term, now);
+  if (has_restored_primary || !departed.empty()) {
     LogEvent(Event::kGroupRestored,
-             {{"service", service.value}, {"departed", departed}});
+             {{"service", service.value},
+              {"primary", has_restored_primary ? record.primary.value : ""},
+              {"departed", departed}});
   }
 }
 
--- a/libs/control/failover/primary_registry.cc
+++ b/libs/control/failover/primary_registry.cc
@@ -7,10 +7,13 @@
 void PrimaryRegistry::Apply(std::span<const EndpointEntry> endpoints,
                             TimePoint now) {
   for (const EndpointEntry& it : endpoints) {
+    const auto record = primaries_.find(it.service);
+    if (record == primaries_.end()) {
+      leaderless_since_.try_emplace(it.service, now);
+    }
     if (!it.claims_primary) {
       continue;
     }
-    const auto record = primaries_.find(it.service);
     if (record == primaries_.end()) {
       Record& fresh = primaries_[it.service];
       fresh.endpoint = it.id;
@@ -44,6 +47,7 @@
         [&primary](const EndpointEntry& it) { return it.id == primary; });
     if (listed) {
       record.missing_since.reset();
+      record.delisted_grace_period = kDelistedGracePeriod;
     } else if (!record.missing_since) {
       record.missing_since = now;
     }
@@ -105,6 +109,26 @@
   return true;
 }
 
+bool PrimaryRegistry::Restore(const ServiceId& service,
+                              const EndpointId& endpoint,
+                              Term term,
+                              TimePoint now) {
+  if (primaries_.contains(service)) {
+    return false;
+  }
+  const auto listed_since = leaderless_since_.try_emplace(service, now).first;
+  Record& record = primaries_[service];
+  record.endpoint = endpoint;
+  record.term = term;
+  record.latest_confirmed = {endpoint, term};
+  record.latest_reported = endpoint;
+  record.unreported_since = listed_since->second;
+  // Apply() withdraws this if the directory lists the endpoint.
+  record.missing_since = listed_since->second;
+  record.delisted_grace_period = kUnseenGracePeriod;
+  return true;
+}
+
 bool PrimaryRegistry::IsPrimary(const EndpointId& endpoint) const {
   return std::any_of(
       primaries_.begin(), primaries_.end(),
@@ -147,7 +171,7 @@
   primary.endpoint = record.endpoint;
   primary.confirmed = record.confirmed;
   primary.gone = record.missing_since &&
-                 now - *record.missing_since >= kDelistedGracePeriod;
+                 now - *record.missing_since >= record.delisted_grace_period;
   primary.demoted = record.latest_reported == record.endpoint &&
                     !record.missing_since && record.unreported_since &&
                     now - *record.unreported_since >= kConfirmationTimeout &&
--- a/libs/control/failover/primary_registry.h
+++ b/libs/control/failover/primary_registry.h
@@ -29,13 +29,17 @@
       primary's own removal. */
   static constexpr Duration kDelistedGracePeriod =
       std::chrono::milliseconds(300);
+  /** The same for a primary that this VM has never seen in the directory. Its
+      entry may have expired in an outage of the store. */
+  static constexpr Duration kUnseenGracePeriod =
+      EndpointRegistry::kRemovalGracePeriod;
 
   /** State of one service's primary. */
   struct PrimaryState {
     EndpointId endpoint;
     /** The endpoint acted as primary on a connection, or reports that role. */
     bool confirmed = false;
-    /** The directory has not listed it for kDelistedGracePeriod. */
+    /** The directory has not listed it for its grace period. */
     bool gone = false;
     /** Its promotion was ordered and not confirmed in time. */
     bool promotion_failed = false;
@@ -92,6 +96,20 @@
                        uint64_t fencing_token,
                        TimePoint now);
 
+  /** Records the primary that VMs knew before this one started; ignored if this
+      VM knows a primary of the service.
+
+      @param service   its service
+      @param endpoint  the endpoint
+      @param term      term in which it was confirmed
+      @param now       the current time
+      @returns         true if it was recorded
+  */
+  bool Restore(const ServiceId& service,
+               const EndpointId& endpoint,
+               Term term,
+               TimePoint now);
+
   /** @param endpoint  the endpoint to look up
       @returns          true if it is the recorded primary of a service */
   bool IsPrimary(const EndpointId& endpoint) const;
@@ -128,6 +146,8 @@
     /** Endpoint of the latest order; a repeated order changes nothing. */
     EndpointId promotion_endpoint;
     std::optional<TimePoint> missing_since;
+    /** Time after which it counts as gone if it is missing. */
+    Duration delisted_grace_period = kDelistedGracePeriod;
     /** Endpoint that reported the role of the primary last. */
     EndpointId latest_reported;
     /** Time since which no endpoint reports it. */
@@ -138,6 +158,9 @@
   static void RecordReportedRole(Record& record);
 
   std::map<ServiceId, Record> primaries_;
+  /** Time since which the endpoints of a service without a recorded primary are
+      listed. */
+  std::map<ServiceId, TimePoint> leaderless_since_;
 };
 
 }  // namespace magnoliareel
--- a/libs/control/tests/control_test.cc
+++ b/libs/control/tests/control_test.cc
@@ -449,6 +449,47 @@
   CHECK(registry.Get(kService, After(1300))->gone);
 }
 
+TEST(Primaries, OfTheTimeBeforeTheStartAreGoneUnlessTheyReturn) {
+  // The entry of a primary that runs may have expired in an outage of the
+  // store; it is back within 2 s.
+  PrimaryRegistry registry;
+  const std::vector<EndpointEntry> replicas = {MakeEntry("db-2"),
+                                               MakeEntry("db-3")};
+  registry.Apply(replicas, kStart);
+  CHECK(!registry.Get(kService, After(9000)));
+  CHECK(registry.Restore(kService, EndpointId{"db-1"}, Term{4}, After(1000)));
+  CHECK(!registry.Get(kService, After(2400))->gone);
+  CHECK(registry.Get(kService, After(2500))->gone);
+  CHECK(registry.IsLatestConfirmed(EndpointId{"db-1"}));
+  EndpointEntry returned = MakeEntry("db-1");
+  returned.claims_primary = true;
+  registry.Apply(std::vector{returned}, After(2400));
+  CHECK(!registry.Get(kService, After(9000))->gone);
+  CHECK(registry.Get(kService, After(9000))->confirmed);
+}
+
+TEST(Primaries, OfTheTimeBeforeTheStartAreDemotedIfNoEndpointLeads) {
+  // A VM may have demoted a primary and been lost before it ordered a
+  // promotion.
+  PrimaryRegistry registry;
+  const std::vector<EndpointEntry> replicas = {MakeEntry("db-1"),
+                                               MakeEntry("db-2")};
+  registry.Apply(replicas, kStart);
+  registry.Restore(kService, EndpointId{"db-1"}, Term{4}, After(1000));
+  registry.Apply(replicas, After(1100));
+  CHECK(!registry.Get(kService, After(1900))->demoted);
+  CHECK(registry.Get(kService, After(2000))->demoted);
+  CHECK(!registry.Get(kService, After(9000))->gone);
+}
+
+TEST(Primaries, ThatThisVmKnowsAreNotReplacedByEarlierOnes) {
+  PrimaryRegistry registry;
+  registry.RecordConfirmed(kService, EndpointId{"db-2"}, Term{5});
+  CHECK(!registry.Restore(kService, EndpointId{"db-1"}, Term{4}, kStart));
+  STRCMP_EQUAL("db-2", registry.Get(kService, kStart)->endpoint.value.c_str());
+  LONGS_EQUAL(5, registry.GetLatestConfirmed(kService)->term.value);
+}
+
 TEST_GROUP(Peers){};
 
 TEST(Peers, AreLiveWhileHeartbeatsArrive) {
--- a/libs/telemetry/events/event.cc
+++ b/libs/telemetry/events/event.cc
@@ -147,8 +147,9 @@
      "A replica holds every commit that departed ones can have acknowledged. "
      "service, departed"},
     {kGroupRestored, kWarning, "group.restored",
-     "This VM claimed a duty and learned from earlier holders of endpoints "
-     "that have left. service, departed"},
+     "This VM claimed a duty and learned what earlier holders knew: a primary "
+     "that is not known here, and endpoints that have left. service, primary, "
+     "departed"},
     {kDutyRowRejected, kError, "duty.row_rejected",
      "The row of a failover duty could not be decoded; what earlier holders "
      "knew of the service is lost. service"},
--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -50,7 +50,8 @@
   /** Those of kTransient; besides, VMs freeze for a while, and the connections
       in which others forward statements to a VM are reset. */
   kHolders,
-  /** All VMs are killed while a member is down whose entry has expired. */
+  /** All VMs are killed while a member is down whose entry has expired, or
+      together with a primary that is lost for good. */
   kLossOfAllVms,
 };
 
@@ -102,7 +103,13 @@
         simulation_->GetQueue().After(
             kUnheldDutyClaimDelay +
                 std::chrono::milliseconds(200 + random_() % 300),
-            [this] { LoseVmsWhileAMemberIsDown(); });
+            [this, with_primary = random_() % 2 == 0] {
+              if (with_primary) {
+                LosePrimaryAndVms();
+              } else {
+                LoseVmsWhileAMemberIsDown();
+              }
+            });
         return;
       }
       if (schedule == FaultSchedule::kJoiningMember) {
@@ -332,6 +339,19 @@
     });
   }
 
+  // Ends the primary for good and kills all VMs in the same moment, so that no
+  // VM sees a primary after the start.
+  void LosePrimaryAndVms() {
+    const std::optional<size_t> primary = FindPrimary();
+    if (!primary || std::exchange(is_member_down_, true)) {
+      return;
+    }
+    KillVms(std::chrono::milliseconds(100 + random_() % 400));
+    simulation_->GetGroup().Leave(*primary);
+    simulation_->GetQueue().After(std::chrono::milliseconds(8500),
+                                  [this, it = *primary] { JoinIfLeft(it); });
+  }
+
   void InterruptHolder() {
     EventQueue& queue = simulation_->GetQueue();
     if (random_() % 2 == 0) {
@@ -623,6 +643,26 @@
   }
 }
 
+TEST(Traffic, ServesAgainAfterThePrimaryWasLostTogetherWithAllVms) {
+  // Guards against a service that is never served again because no VM has seen
+  // its primary since the start (RECOVER in review/3).
+  using std::chrono::milliseconds;
+  TrafficRun run(1);
+  run.Run([&run] {
+    EventQueue& queue = run.GetSimulation().GetQueue();
+    queue.After(milliseconds(3300), [&run] {
+      run.KillVms(milliseconds(300));
+      run.GetSimulation().GetGroup().Leave(0);
+    });
+  });
+  std::string violations;
+  for (const std::string& it : run.Check()) {
+    violations += it + "\n";
+  }
+  CHECK_TEXT(violations.empty(), violations.c_str());
+  CHECK_TEXT(run.GetFinalSuccessCount() > 60, run.DescribePools().c_str());
+}
+
 TEST(Traffic, KeepsGuaranteesWhenAllVmsAreKilled) {
   const uint64_t first = ReadNumber("MAGNOLIAREEL_SIM_FIRST_SEED", 1);
   const uint64_t seeds =
