--- a/standins/site/site_server.cc
+++ b/standins/site/site_server.cc
@@ -248,10 +248,11 @@
   root["warmup-left-ms"] = 0;
   root["db-role"] = group_.HasPrimaryRole(member) ? "primary" : "replica";
   root["born"] = Json::Int64{group_.GetStartedAt(member)};
-  std::string value = FormatJson(root);
-  if (published_endpoints_[member] != value) {
-    published_endpoints_[member] = value;
-    store_.Put("servers", group_.GetId(member), std::move(value));
+  if (std::string content = FormatJson(root);
+      published_endpoints_[member] != content) {
+    published_endpoints_[member] = std::move(content);
+    root["sequence"] = Json::UInt64{++report_count_};
+    store_.Put("servers", group_.GetId(member), FormatJson(root));
   }
 }
 
--- a/standins/site/site_server.h
+++ b/standins/site/site_server.h
@@ -93,7 +93,9 @@
   std::vector<std::unique_ptr<StreamListener>> databases_;
   std::map<uint64_t, std::unique_ptr<Connection>> connections_;
   std::vector<std::unique_ptr<Connection>> closing_connections_;
+  /** The entries of the databases without their report numbers. */
   std::map<size_t, std::string> published_endpoints_;
+  uint64_t report_count_ = 0;
   std::map<size_t, bool> draining_;
   LoopTimer publish_timer_;
   uint64_t next_connection_ = 1;
