Take only the commit of a transaction that wrote as proof of the lead

Cause: HandleStatementReply() took every successful statement of a read-write transaction as proof that its endpoint leads, and the position in the reply as the end of the log at that time. PROTOCOL.md lets an endpoint that has lost the lead commit a transaction that wrote nothing.

Change: a COMMIT is proof only if its transaction wrote; reads and writes inside the transaction stay proof, since such an endpoint refuses them.

Evidence: traffic_tests TheCommitOfATransactionThatOnlyReadIsNoProofOfTheLead returned the old row on the code before; passes.

--- a/libs/relay/core/traffic_core_replies.h
+++ b/libs/relay/core/traffic_core_replies.h
@@ -232,8 +232,12 @@
     return;
   }
   std::erase(session->statement.connections, connection.id);
+  // An endpoint that has lost the lead still commits a transaction that wrote
+  // nothing.
   const bool confirms_primary =
-      connection.read_write_transaction || session->statement.writes;
+      session->statement.kind == StatementKind::kCommit
+          ? session->transaction_wrote
+          : connection.read_write_transaction || session->statement.writes;
   if (!reply.error && confirms_primary && ready.log_end) {
     HandlePrimaryConfirmed(*pool, reply.sent_at, *ready.log_end);
   }
--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -913,6 +913,46 @@
   LONGS_EQUAL(0, count("late"));
 }
 
+TEST(Traffic, TheCommitOfATransactionThatOnlyReadIsNoProofOfTheLead) {
+  // Guards against a stale read at a VM whose latest reply from a primary is
+  // such a commit, which an endpoint accepts that has lost the lead (sixth
+  // fault of review/REPORT.md, STALE).
+  using std::chrono::milliseconds;
+  constexpr size_t kReader = 2;
+  TrafficSimulation simulation(3, GroupOptions{});
+  std::string answers;
+  simulation.SetCallerOutput([&](size_t, uint64_t, std::string_view line) {
+    answers += std::string(line) + "\n";
+  });
+  EventQueue& queue = simulation.GetQueue();
+  queue.RunUntil(queue.Now() + std::chrono::seconds(8));
+  const uint64_t open = simulation.OpenCaller(kReader);
+  simulation.Send(kReader, open, "STARTUP entries caller");
+  simulation.Send(kReader, open, "QUERY b1 BEGIN");
+  simulation.Send(kReader, open, "QUERY r0 READ groyne-1");
+  queue.RunUntil(queue.Now() + milliseconds(100));
+  simulation.SetDraining(0, true);
+  queue.RunUntil(queue.Now() + milliseconds(1000));
+  CHECK(simulation.GetGroup().HasPrimaryRole(1));
+  simulation.GetGroup().SetApplyDelayFactor(500);
+  const uint64_t writer = simulation.OpenCaller(0);
+  simulation.Send(0, writer, "STARTUP entries caller");
+  simulation.Send(0, writer, "QUERY w1 WRITE groyne-1 new");
+  queue.RunUntil(queue.Now() + milliseconds(300));
+  CHECK_TEXT(answers.find("COMPLETE proof-w1") != std::string::npos,
+             answers.c_str());
+  simulation.Send(kReader, open, "QUERY c1 COMMIT");
+  queue.RunUntil(queue.Now() + kMaxStaleness - milliseconds(200));
+  CHECK_TEXT(answers.find("COMPLETE proof-c1") != std::string::npos,
+             answers.c_str());
+  answers.clear();
+  const uint64_t reader = simulation.OpenCaller(kReader);
+  simulation.Send(kReader, reader, "STARTUP lookups caller");
+  simulation.Send(kReader, reader, "QUERY r1 READ groyne-1");
+  queue.RunUntil(queue.Now() + milliseconds(500));
+  CHECK_TEXT(answers.find("ROW new") != std::string::npos, answers.c_str());
+}
+
 TEST(Traffic, ReadsThatWaitForAReplicaLeaveItWhenItDrains) {
   // Guards against reads that wait for a replica when it announces its end, and
   // are still sent to it afterwards.
