--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -579,6 +579,17 @@
 
 namespace {
 
+/** Checks that a run violated no guarantee and that its callers were served at
+    the end. */
+void CheckGuaranteesAndService(const TrafficRun& run) {
+  std::string violations;
+  for (const std::string& it : run.Check()) {
+    violations += it + "\n";
+  }
+  CHECK_TEXT(violations.empty(), violations.c_str());
+  CHECK_TEXT(run.GetFinalSuccessCount() > 60, run.DescribePools().c_str());
+}
+
 void RunWithFaults(TrafficRun& run,
                    uint64_t seed,
                    FaultSchedule schedule = FaultSchedule::kTransient) {
@@ -662,12 +673,7 @@
       run.GetSimulation().GetGroup().Leave(0);
     });
   });
-  std::string violations;
-  for (const std::string& it : run.Check()) {
-    violations += it + "\n";
-  }
-  CHECK_TEXT(violations.empty(), violations.c_str());
-  CHECK_TEXT(run.GetFinalSuccessCount() > 60, run.DescribePools().c_str());
+  CheckGuaranteesAndService(run);
 }
 
 TEST(Traffic, KeepsGuaranteesWhenAllVmsAreKilled) {
@@ -716,12 +722,7 @@
       simulation.Publish();
     });
   });
-  std::string violations;
-  for (const std::string& it : run.Check()) {
-    violations += it + "\n";
-  }
-  CHECK_TEXT(violations.empty(), violations.c_str());
-  CHECK_TEXT(run.GetFinalSuccessCount() > 60, run.DescribePools().c_str());
+  CheckGuaranteesAndService(run);
 }
 
 TEST(Traffic, KeepsCommitsOfADepartedReplicaWhenAllVmsAreKilled) {
@@ -753,12 +754,7 @@
     queue.After(milliseconds(8500),
                 [&simulation] { simulation.GetGroup().Restart(0); });
   });
-  std::string violations;
-  for (const std::string& it : run.Check()) {
-    violations += it + "\n";
-  }
-  CHECK_TEXT(violations.empty(), violations.c_str());
-  CHECK_TEXT(run.GetFinalSuccessCount() > 60, run.DescribePools().c_str());
+  CheckGuaranteesAndService(run);
 }
 
 TEST(Traffic, KeepsCommitsOfADepartedPrimaryThatOnlyItsSuccessorHolds) {
@@ -787,12 +783,7 @@
       simulation.SetListed(0, true);
     });
   });
-  std::string violations;
-  for (const std::string& it : run.Check()) {
-    violations += it + "\n";
-  }
-  CHECK_TEXT(violations.empty(), violations.c_str());
-  CHECK_TEXT(run.GetFinalSuccessCount() > 60, run.DescribePools().c_str());
+  CheckGuaranteesAndService(run);
 }
 
 TEST(Traffic, KeepsCommitsThatAMemberAcknowledgesWhichJoinsBehindAPromotion) {
@@ -821,12 +812,7 @@
     });
   });
   CHECK(!run.GetSimulation().GetGroup().HasLeft(1));
-  std::string violations;
-  for (const std::string& it : run.Check()) {
-    violations += it + "\n";
-  }
-  CHECK_TEXT(violations.empty(), violations.c_str());
-  CHECK_TEXT(run.GetFinalSuccessCount() > 60, run.DescribePools().c_str());
+  CheckGuaranteesAndService(run);
 }
 
 TEST(Traffic, NoStatementReachesALeavingPrimaryAfterItsDrainPeriod) {
