Log: what a replacement knew, what it used, and when its order took effect

Cause: the log of a promotion that lost commits does not tell whether a replica left or a pause was undone between survey and effect, whether an answer of an earlier lifetime or term was used, or whether the service had members that the VM did not know. No decision changes.

- replacement.started: members, departed, endpoints_version, endpoints_age_ms, store.
FleetView carries the version of the directory and the time of the latest change of its endpoints.
- replacement.step: command_term, paused_at, born, after_ms.
- replacement.done: received, fencing_token, demotion, log_end.
- promotion.confirmed (E5512): an endpoint whose promotion this VM ordered has proved a term above that of the former primary; after_ms since the order was sent first.

Names and order of the existing fields stay.

--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -96,6 +96,8 @@
   */
   void Apply(const FleetView& view) {
     endpoints_ = view.endpoints;
+    endpoints_version_ = view.endpoints_version;
+    endpoints_changed_at_ = view.endpoints_changed_at;
     services_.clear();
     for (const auto& [id, rules] : view.routes->services) {
       services_.push_back(id);
@@ -127,6 +129,7 @@
   void HandlePrimaryConfirmed(const EndpointId& endpoint, Term term) {
     if (const EndpointEntry* entry = FindEndpoint(endpoint)) {
       primaries_.RecordConfirmed(entry->service, endpoint, term);
+      LogPromotionConfirmed(entry->service, endpoint, term);
       PruneSuspicions();
     }
   }
@@ -247,6 +250,13 @@
 
  private:
   using Replacement = PrimaryReplacement<C, P, T>;
+  /** A promotion that this VM has ordered. */
+  struct PromotionOrder {
+    EndpointId endpoint;
+    TimePoint sent_at;
+    /** Term of the latest confirmed primary at that time. */
+    Term former_term;
+  };
   struct Progress {
     bool running = false;
     bool claiming = false;
@@ -272,6 +282,9 @@
     DemotedPrimary demoted_primary;
     /** No promotion was ordered since that demotion. */
     bool awaits_promotion = false;
+    /** This VM's latest order until it is seen to take effect; for log lines
+        only. */
+    std::optional<PromotionOrder> unconfirmed_order;
     TimePoint not_before;
     TimePoint claimed_at;
     TimePoint next_audit_at;
@@ -410,6 +423,12 @@
 
   void FinishConfirmation(const ServiceId& service, std::error_code ec);
 
+  /** Logs that the order of this VM has taken effect, if the primary's proof is
+      the first one since. */
+  void LogPromotionConfirmed(const ServiceId& service,
+                             const EndpointId& endpoint,
+                             Term term);
+
   void ResumePaused(const ServiceId& service, TimePoint now);
   void Replace(const ServiceId& service,
                ReplacementReason reason,
@@ -431,6 +450,10 @@
   ReplicaResumer<C, T> resumer_;
   DepartureTracker departures_;
   std::vector<EndpointEntry> endpoints_;
+  /** @see FleetView::endpoints_version */
+  uint64_t endpoints_version_ = 0;
+  /** @see FleetView::endpoints_changed_at */
+  TimePoint endpoints_changed_at_;
   std::vector<ServiceId> services_;
   std::map<ServiceId, Progress> progress_;
   std::map<EndpointId, uint32_t> last_levels_;
--- a/libs/control/failover/failover_control_replacement.h
+++ b/libs/control/failover/failover_control_replacement.h
@@ -130,10 +130,17 @@
                              now - *progress.confirmed_at < kPromotionTimeout);
   plan.has_unaccounted_departures = has_unaccounted_departures;
   plan.list_endpoints = [this, service] { return ListEndpoints(service); };
+  plan.record_order = [this, service](const EndpointId& endpoint) {
+    const auto former = primaries_.GetLatestConfirmed(service);
+    progress_[service].unconfirmed_order = {endpoint, delegate_.Now(),
+                                            former ? former->term : Term{}};
+  };
   if (now < progress.pending_until) {
     plan.pending_promotion = progress.pending_promotion;
   }
+  std::vector<EndpointId> members;
   for (const EndpointEntry& it : ListEndpoints(service)) {
+    members.push_back(it.id);
     // An endpoint whose promotion failed counts as a replica: the old primary
     // may still acknowledge commits through it.
     if (it.id == plan.primary_id && !primary.promotion_failed) {
@@ -148,7 +155,15 @@
            {{"service", service.value},
             {"primary", plan.primary_id.value},
             {"reason", std::string(GetReplacementReasonName(reason))},
-            {"fencing_token", std::to_string(plan.fencing_token)}});
+            {"fencing_token", std::to_string(plan.fencing_token)},
+            {"members", JoinIds(members)},
+            {"departed", has_unaccounted_departures
+                             ? JoinIds(ListBlockingDepartures(service))
+                             : "none"},
+            {"endpoints_version", std::to_string(endpoints_version_)},
+            {"endpoints_age_ms",
+             std::to_string((now - endpoints_changed_at_).count() / 1000)},
+            {"store", delegate_.IsStoreConnected() ? "connected" : "lost"}});
   std::make_shared<Replacement>(
       commands_, promotions_, delegate_, std::move(plan),
       [this, service, now](const ReplacementResult& result) {
@@ -157,6 +172,29 @@
       ->Start();
 }
 
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+void FailoverControl<S, R, C, P, T>::LogPromotionConfirmed(
+    const ServiceId& service,
+    const EndpointId& endpoint,
+    Term term) {
+  std::optional<PromotionOrder>& order = progress_[service].unconfirmed_order;
+  // An endpoint that is promoted again may have proved its former term late.
+  if (!order || order->endpoint != endpoint || term <= order->former_term) {
+    return;
+  }
+  const Duration age = delegate_.Now() - order->sent_at;
+  LogEvent(Event::kPromotionConfirmed,
+           {{"service", service.value},
+            {"endpoint", endpoint.value},
+            {"term", std::to_string(term.value)},
+            {"after_ms", std::to_string(age.count() / 1000)}});
+  order.reset();
+}
+
 template <RowStore S,
           DutyRowCodec R,
           EndpointCommandSender C,
@@ -200,6 +238,10 @@
   const TimePoint now = delegate_.Now();
   Progress& progress = progress_[service];
   progress.running = false;
+  if (result.outcome != ReplacementOutcome::kPromoted &&
+      !result.promotion_reply_lost) {
+    progress.unconfirmed_order.reset();
+  }
   if (result.has_unsettled_orders) {
     ConfirmPrimary(service, now);
   }
@@ -231,10 +273,19 @@
           PromotionNotice{service, result.primary, result.fencing_token}, now);
       primaries_.RecordPromotion(service, result.primary, result.fencing_token,
                                  now);
-      LogEvent(Event::kReplacementDone,
-               {{"service", service.value},
-                {"endpoint", result.primary.value},
-                {"took_ms", std::to_string((now - began_at).count() / 1000)}});
+      LogEvent(
+          Event::kReplacementDone,
+          {{"service", service.value},
+           {"endpoint", result.primary.value},
+           {"took_ms", std::to_string((now - began_at).count() / 1000)},
+           {"received", result.promoted_received
+                            ? FormatLogPoint(*result.promoted_received)
+                            : "none"},
+           {"fencing_token", std::to_string(result.fencing_token)},
+           {"demotion", std::string(GetPrimaryDemotionName(result.demotion))},
+           {"log_end", result.demoted_primary && result.demoted_primary->log_end
+                           ? FormatLogPoint(*result.demoted_primary->log_end)
+                           : "none"}});
       if (result.outcome == ReplacementOutcome::kUncertain) {
         progress.pending_promotion = result.primary;
         progress.pending_until = now + kLostPromotionRetention;
--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -59,7 +59,7 @@
 
     @tparam C  @see EndpointCommandSender
     @tparam P  @see PromotionSender
-    @tparam T  provides After(), @see FailoverDelegate
+    @tparam T  provides Now() and After(), @see FailoverDelegate
 */
 template <EndpointCommandSender C, PromotionSender P, class T>
 class PrimaryReplacement
@@ -83,7 +83,8 @@
         promotions_(promotions),
         timing_(timing),
         plan_(std::move(plan)),
-        done_(std::move(done)) {
+        done_(std::move(done)),
+        began_at_(timing.Now()) {
     for (const EndpointEntry& it : plan_.replicas) {
       replicas_.push_back({it, std::nullopt});
     }
@@ -112,12 +113,14 @@
       CompleteCall(&PrimaryReplacement::FinishSurvey);
       return;
     }
+    was_primary_asked_ = true;
     auto self = this->shared_from_this();
     commands_.Send(*plan_.primary, {EndpointCommandKind::kReport, {}},
                    kEndpointCommandTimeout / 2,
                    [self](std::error_code ec, const ReplicationStatus& status) {
-                     self->LogStep(self->plan_.primary_id,
-                                   EndpointCommandKind::kReport, ec, status);
+                     self->LogStep(*self->plan_.primary,
+                                   {EndpointCommandKind::kReport, {}}, ec,
+                                   status);
                      self->primary_is_busy_ = ec == Error::kOverloaded;
                      if (!ec) {
                        self->primary_status_ = status;
@@ -143,8 +146,7 @@
                                 });
             return;
           }
-          self->LogStep(self->replicas_[index].entry.id, command.kind, ec,
-                        status);
+          self->LogStep(self->replicas_[index].entry, command, ec, status);
           self->replicas_[index].status.reset();
           if (!ec) {
             self->replicas_[index].status = status;
@@ -383,6 +385,9 @@
   }
 
   void Promote() {
+    if (lost_promotion_replies_ == 0) {
+      plan_.record_order(replicas_[candidate_].entry.id);
+    }
     auto self = this->shared_from_this();
     promotions_.Promote(
         plan_.service, replicas_[candidate_].entry.id, plan_.fencing_token,
@@ -414,18 +419,32 @@
            "the answer to the promotion was lost");
   }
 
-  void LogStep(const EndpointId& endpoint,
-               EndpointCommandKind kind,
+  void LogStep(const EndpointEntry& endpoint,
+               const EndpointCommand& command,
                std::error_code ec,
                const ReplicationStatus& status) const {
     LogEvent(Event::kReplacementStep,
              {{"service", plan_.service.value},
-              {"endpoint", endpoint.value},
-              {"step", std::string(GetEndpointCommandName(kind))},
+              {"endpoint", endpoint.id.value},
+              {"step", std::string(GetEndpointCommandName(command.kind))},
               {"role", status.is_primary ? "primary" : "replica"},
               {"term", std::to_string(status.term.value)},
               {"received", FormatLogPoint(status.received)},
-              {"error", ec ? ec.message() : "none"}});
+              {"error", ec ? ec.message() : "none"},
+              {"command_term", std::to_string(command.term.value)},
+              {"paused_at", std::to_string(status.paused_at.value)},
+              {"born", std::to_string(endpoint.started_at_ms)},
+              {"after_ms",
+               std::to_string((timing_.Now() - began_at_).count() / 1000)}});
+  }
+
+  /** @returns what became of the primary in this attempt, for log lines */
+  PrimaryDemotion GetDemotion() const {
+    if (demoted_primary_ && demoted_primary_->log_end) {
+      return PrimaryDemotion::kDemoted;
+    }
+    return was_primary_asked_ && !primary_status_ ? PrimaryDemotion::kNoAnswer
+                                                  : PrimaryDemotion::kNotAsked;
   }
 
   void Finish(ReplacementOutcome outcome,
@@ -441,6 +460,13 @@
     result.possibly_paused = possibly_paused_;
     result.demoted_primary = demoted_primary_;
     result.has_unsettled_orders = has_unsettled_orders_;
+    result.demotion = GetDemotion();
+    if (outcome == ReplacementOutcome::kPromoted ||
+        outcome == ReplacementOutcome::kUncertain) {
+      if (const auto& status = replicas_[candidate_].status) {
+        result.promoted_received = status->received;
+      }
+    }
     done_(result);
   }
 
@@ -449,9 +475,11 @@
   T& timing_;
   const ReplacementPlan plan_;
   const Completion done_;
+  const TimePoint began_at_;
   std::vector<SurveyedEndpoint> replicas_;
   std::optional<ReplicationStatus> primary_status_;
   bool primary_is_busy_ = false;
+  bool was_primary_asked_ = false;
   std::vector<EndpointEntry> possibly_paused_;
   size_t pending_ = 0;
   size_t candidate_ = 0;
--- a/libs/control/failover/primary_replacement_demotion.h
+++ b/libs/control/failover/primary_replacement_demotion.h
@@ -31,7 +31,8 @@
           });
           return;
         }
-        self->LogStep(self->plan_.primary_id, EndpointCommandKind::kDemote, ec,
+        self->LogStep(*self->plan_.primary,
+                      {EndpointCommandKind::kDemote, self->pause_term_}, ec,
                       status);
         self->FinishDemotion(ec, status);
       });
--- a/libs/control/failover/replacement_plan.h
+++ b/libs/control/failover/replacement_plan.h
@@ -80,6 +80,9 @@
   bool has_unaccounted_departures = false;
   /** Lists the service's endpoints in use at the time of the call. */
   std::function<std::vector<EndpointEntry>()> list_endpoints;
+  /** Called when the promotion of an endpoint is ordered for the first time. */
+  std::function<void(const EndpointId&)> record_order = [](const EndpointId&) {
+  };
 };
 
 /** Result of a replacement attempt. */
@@ -98,6 +101,31 @@
   kUncertain,
 };
 
+/** What an attempt did with the primary before the promotion. */
+enum class PrimaryDemotion {
+  /** It confirmed its demotion. */
+  kDemoted,
+  /** It did not answer the survey, so that its demotion was not requested. */
+  kNoAnswer,
+  /** It was not surveyed, or is the endpoint that is promoted. */
+  kNotAsked,
+};
+
+/** @param demotion  what was done
+    @returns         its name in logs
+*/
+constexpr std::string_view GetPrimaryDemotionName(PrimaryDemotion demotion) {
+  switch (demotion) {
+    case PrimaryDemotion::kDemoted:
+      return "demoted";
+    case PrimaryDemotion::kNoAnswer:
+      return "no_answer";
+    case PrimaryDemotion::kNotAsked:
+      return "not_asked";
+  }
+  return "not_asked";
+}
+
 /** Result of a replacement attempt. */
 struct ReplacementResult {
   ReplacementOutcome outcome = ReplacementOutcome::kAbandoned;
@@ -118,6 +146,11 @@
   bool has_unsettled_orders = false;
   /** Set if the attempt has demoted the primary, or may have. */
   std::optional<DemotedPrimary> demoted_primary;
+  /** What became of the primary in this attempt. */
+  PrimaryDemotion demotion = PrimaryDemotion::kNotAsked;
+  /** End of the log that the endpoint whose promotion was ordered has reported
+      last; none if the outcome is neither kPromoted nor kUncertain. */
+  std::optional<LogPoint> promoted_received;
 };
 
 /** A replica and the status that it reported; none if it did not answer. */
--- a/libs/control/fleet/fleet_control.h
+++ b/libs/control/fleet/fleet_control.h
@@ -162,7 +162,7 @@
       changed = ApplyEndpointRow(it, "store") || changed;
     }
     if (changed) {
-      Publish();
+      PublishEndpoints();
     }
   }
 
@@ -283,7 +283,7 @@
       ApplyEndpointRow(row, source);
     }
     if (changed) {
-      Publish();
+      PublishEndpoints();
     }
   }
 
@@ -300,14 +300,21 @@
       endpoints_.ExtendGracePeriods(now);
     }
     if (!endpoints_.Sweep(now).empty()) {
-      Publish();
+      PublishEndpoints();
     }
   }
 
+  void PublishEndpoints() {
+    endpoints_changed_at_ = delegate_.Now();
+    Publish();
+  }
+
   void Publish() {
     auto view = std::make_shared<FleetView>();
     view->routes = routes_.Get();
     view->endpoints = endpoints_.List();
+    view->endpoints_version = endpoints_version_;
+    view->endpoints_changed_at = endpoints_changed_at_;
     view->live_vms = live_vms_;
     // A VM that has heard of few others would choose holders of its own.
     const bool knows_holders = 2 * holders_.CountCandidates() >= live_vms_;
@@ -328,6 +335,7 @@
   StoredRow config_row_;
   std::map<std::string, StoredRow> endpoint_rows_;
   uint64_t endpoints_version_ = 0;
+  TimePoint endpoints_changed_at_;
   uint32_t live_vms_ = 1;
   TableWatch<S, FleetControl> config_watch_;
   TableWatch<S, FleetControl> endpoint_watch_;
--- a/libs/control/tests/control_test.cc
+++ b/libs/control/tests/control_test.cc
@@ -1,4 +1,5 @@
 #include "control/control.h"
+#include "control/tests/captured_log.h"
 
 #include <functional>
 #include <map>
@@ -79,6 +80,7 @@
                                    : promotion_reply;
     done(ec);
   }
+  static TimePoint Now() { return kStart; }
   void After(Duration, const std::function<void()>& task) { task(); }
 
   ReplacementResult Replace(ReplacementReason reason,
@@ -358,6 +360,41 @@
   CHECK(!result.possibly_paused.empty());
 }
 
+TEST(Replacement, LogsTermPauseLifetimeAndTimeOfEachStep) {
+  // Without these, the log of a promotion that lost commits does not show
+  // whether a pause was in force and whose answer was used.
+  CapturedLog log;
+  group.statuses = {{"db-1", MakeStatus(true, 1, 7)},
+                    {"db-2", MakeStatus(false, 1, 5)},
+                    {"db-3", MakeStatus(false, 1, 7)}};
+  std::vector<EndpointEntry> restarted = replicas;
+  restarted[0].started_at_ms = 4711;
+  group.Replace(ReplacementReason::kDraining, restarted);
+  const std::vector<std::string> steps = log.ListLines("replacement.step");
+  LONGS_EQUAL(6, steps.size());
+  CheckFields(steps[0],
+              "endpoint=db-2 step=report command_term=0 paused_at=0 born=4711 "
+              "after_ms=0");
+  CheckFields(steps[3],
+              "endpoint=db-2 step=pause command_term=2 paused_at=2 born=4711");
+  CheckFields(steps[5], "endpoint=db-1 step=demote command_term=2 born=0");
+}
+
+TEST(Replacement, TellsWhetherThePrimaryWasDemoted) {
+  group.statuses = {{"db-1", MakeStatus(true, 1, 7)},
+                    {"db-2", MakeStatus(false, 1, 5)},
+                    {"db-3", MakeStatus(false, 1, 7)}};
+  const ReplacementResult demoted =
+      group.Replace(ReplacementReason::kDraining, replicas);
+  CHECK(demoted.demotion == PrimaryDemotion::kDemoted);
+  CHECK(demoted.promoted_received == LogPoint(Term{1}, LogPosition{7}));
+  group.statuses.erase("db-1");
+  CHECK(group.Replace(ReplacementReason::kUnreachable, replicas).demotion ==
+        PrimaryDemotion::kNoAnswer);
+  CHECK(group.Replace(ReplacementReason::kGone, replicas).demotion ==
+        PrimaryDemotion::kNotAsked);
+}
+
 TEST_GROUP(Shutdown){};
 
 TEST(Shutdown, KeepsRunningWhileCallersMayStillConnect) {
--- a/libs/control/tests/failover_control_test.cc
+++ b/libs/control/tests/failover_control_test.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "control/control.h"
+#include "control/tests/captured_log.h"
 #include "coordination/tests/fake_duty_row_codec.h"
 
 #include <CppUTest/TestHarness.h>
@@ -161,6 +162,11 @@
   }
   /** @returns the view with the roles that the endpoints reported last */
   const FleetView& GetView() const { return view_; }
+  /** Sets the version of the directory that the view shows. */
+  void SetEndpointsVersion(uint64_t version) {
+    view_.endpoints_version = version;
+    view_.endpoints_changed_at = now_;
+  }
   /** Adds an endpoint to the directory. */
   void Add(const std::string& endpoint) {
     EndpointEntry entry;
@@ -259,6 +265,36 @@
   }
 }
 
+TEST(Failover, LogsWhatAReplacementKnewAndWhenItsOrderTookEffect) {
+  // Without these, the log of a promotion that lost commits does not show
+  // whether the VM knew every member, and when the order was in force.
+  CapturedLog log;
+  SettleOrders();
+  log.Clear();
+  fake.SetEndpointsVersion(31);
+  failover.Apply(fake.MakeView("db-1"));
+  fake.Advance(std::chrono::milliseconds(1600));
+  const std::string second = fake.primary;
+  CHECK(second != "db-1");
+  failover.HandlePrimaryConfirmed(EndpointId{"db-1"}, Term{1});
+  failover.HandlePrimaryConfirmed(EndpointId{second}, Term{fake.term});
+  failover.HandlePrimaryConfirmed(EndpointId{second}, Term{fake.term});
+  const auto started = log.ListLines("replacement.started");
+  LONGS_EQUAL(1, started.size());
+  CheckFields(started[0],
+              "members=db-1,db-2,db-3 departed=none endpoints_version=31 "
+              "endpoints_age_ms=0 store=connected");
+  const auto done = log.ListLines("replacement.done");
+  LONGS_EQUAL(1, done.size());
+  CheckFields(done[0], "endpoint=" + second +
+                           " received=1.7 demotion=demoted log_end=1.7");
+  CHECK(done[0].find(" fencing_token=") != std::string::npos);
+  const auto confirmed = log.ListLines("promotion.confirmed");
+  LONGS_EQUAL(1, confirmed.size());
+  CheckFields(confirmed[0], "endpoint=" + second + " term=" +
+                                std::to_string(fake.term) + " after_ms=1600");
+}
+
 TEST(Failover, HeartbeatAnnouncesOnlyTheLatestPromotion) {
   failover.Apply(fake.MakeView("db-1"));
   fake.Advance(std::chrono::seconds(2));
--- a/libs/control/tests/fleet_control_test.cc
+++ b/libs/control/tests/fleet_control_test.cc
@@ -100,6 +100,8 @@
     done(ec, std::move(rows));
   }
 
+  const FleetView& GetView() const { return *view_; }
+
   const EndpointEntry& GetEndpoint(const std::string& id) const {
     const EndpointEntry* entry = fleet.GetEndpoints().Find(EndpointId{id});
     CHECK_TEXT(entry != nullptr, id.c_str());
@@ -133,6 +135,17 @@
   CHECK(node.GetEndpoint("db-1").draining_since == node.Now());
 }
 
+TEST(Fleet, AViewTellsTheVersionOfItsEndpointsAndWhenTheyChanged) {
+  TestNode node;
+  TestNode::Answer(node.store.polls, "endpoints", {},
+                   MakeRows(5, {{"db-1", "1 ready", 5, false}}));
+  const TimePoint changed_at = node.Now();
+  node.Advance(seconds(1));
+  node.fleet.SetLiveVms(2, {});
+  LONGS_EQUAL(5, node.GetView().endpoints_version);
+  CHECK(node.GetView().endpoints_changed_at == changed_at);
+}
+
 TEST(Fleet, DrainCountsFromTheStartOfTheOutageInWhichItBecameKnown) {
   // Guards against a VM that was cut off from the store and uses a leaving
   // primary for longer than the others (DRAIN).
--- a/libs/directory/model/fleet_view.h
+++ b/libs/directory/model/fleet_view.h
@@ -22,6 +22,10 @@
   std::shared_ptr<const RouteTable> routes = std::make_shared<RouteTable>();
   /** Endpoints in use, ordered by id. */
   std::vector<EndpointEntry> endpoints;
+  /** Newest version of any row of the directory when this view was made. */
+  uint64_t endpoints_version = 0;
+  /** Time of the latest change of `endpoints`. */
+  TimePoint endpoints_changed_at;
   /** Number of live VMs, including this one. */
   uint32_t live_vms = 1;
   /** Holders of the endpoints whose connections VMs outnumber. */
--- a/libs/telemetry/events/event.cc
+++ b/libs/telemetry/events/event.cc
@@ -131,12 +131,18 @@
      "withdrawn. service, endpoint, condition, vantage_points, live"},
     {kReplacementStarted, kWarning, "replacement.started",
      "This VM started to replace a primary. service, primary, reason, "
-     "fencing_token"},
+     "fencing_token, members, departed (not accounted for), endpoints_version "
+     "(of the directory), endpoints_age_ms (since their latest change), store"},
     {kReplacementStep, kInfo, "replacement.step",
      "An endpoint answered a step of a replacement. service, endpoint, step, "
-     "role, term, received, error"},
+     "role, term, received, error, command_term, paused_at (0: not paused), "
+     "born (start of the listed endpoint), after_ms (since the start of the "
+     "replacement)"},
     {kReplacementDone, kInfo, "replacement.done",
-     "The platform accepted a promotion. service, endpoint, took_ms"},
+     "The platform accepted a promotion. service, endpoint, took_ms, received "
+     "(last reported by the endpoint), fencing_token, demotion (of the former "
+     "primary: demoted, no_answer or not_asked), log_end (of the demoted "
+     "primary)"},
     {kReplacementAbandoned, kWarning, "replacement.abandoned",
      "A replacement was abandoned and will be retried if it is still needed. "
      "service, reason"},
@@ -153,6 +159,9 @@
     {kDutyRowRejected, kError, "duty.row_rejected",
      "The row of a failover duty could not be decoded; what earlier holders "
      "knew of the service is lost. service"},
+    {kPromotionConfirmed, kInfo, "promotion.confirmed",
+     "An endpoint whose promotion this VM ordered proved that it is the "
+     "primary. service, endpoint, term, after_ms (since the order was sent)"},
     {kReadinessChanged, kInfo, "process.readiness",
      "The process changed its answer to the platform's readiness probe. ready, "
      "reason"},
--- a/libs/telemetry/events/event.h
+++ b/libs/telemetry/events/event.h
@@ -66,6 +66,7 @@
   kDepartureAccounted = 5509,
   kGroupRestored = 5510,
   kDutyRowRejected = 5511,
+  kPromotionConfirmed = 5512,
   kReadinessChanged = 5601,
   kSettingsReloaded = 5602,
   kDrainProgress = 5603,
