Known red: commits of a primary that only other VMs reach

Callers lose acknowledged writes: the VM that replaces the primary does not reach it and promotes a replica at once, while the primary, which other VMs use, acknowledges through a member that joins.

The simulation knew one control thread that reached every member and counted as the only VM. It now has the heartbeats of the other VMs, which report the same suspicions, and SetControlPartitioned cuts the VM that decides from a member.

--- a/tests/traffic/simulated_control.cc
+++ b/tests/traffic/simulated_control.cc
@@ -1,20 +1,56 @@
 #include "tests/traffic/simulated_control.h"
 
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "membership/membership.h"
+
 #include "tests/traffic/traffic_simulation.h"
 
 namespace magnoliareel {
+namespace {
+
+/** @returns the VMs in the order in which they claim a service's duty */
+std::vector<VmId> RankVms(size_t count, std::string_view service) {
+  std::vector<VmEntry> entries(count);
+  for (size_t it = 0; it < count; ++it) {
+    entries[it].vm.value = "vm-" + std::to_string(it);
+  }
+  return RankOwners(entries, {}, service, count);
+}
+
+}  // namespace
 
 SimulatedControl::SimulatedControl(TrafficSimulation& simulation,
                                    SimulatedServices& services)
     : simulation_(simulation),
-      services_(services),
+      services_(simulation, services),
+      vms_(RankVms(simulation.CountVms(), simulation.GetService())),
       failover_(services_,
                 services_,
                 services_,
                 *this,
                 peers_,
-                VmId{"vm-0"},
-                SiteId{"site-0"}) {}
+                vms_.front(),
+                SiteId{"site-0"}) {
+  RecordPeerHeartbeats();
+}
+
+void SimulatedControl::RecordPeerHeartbeats() {
+  Heartbeat heartbeat;
+  failover_.FillHeartbeat(heartbeat);
+  heartbeat.duties.clear();
+  heartbeat.promotions.clear();
+  for (size_t it = 1; it < vms_.size(); ++it) {
+    heartbeat.vm = vms_[it];
+    heartbeat.site.value = "site-0";
+    heartbeat.address = {"127.0.0.1",
+                         static_cast<uint16_t>(kFirstVmPort + it)};
+    peers_.RecordHeartbeat(heartbeat, Now());
+  }
+}
 
 void ControlServices::Get(std::string_view table,
                           std::string_view key,
@@ -39,9 +75,17 @@
                            const EndpointCommand& command,
                            Duration timeout,
                            EndpointCommandCompletion done) {
-  if (!is_killed_) {
-    services_.Send(endpoint, command, timeout, CallWhileAlive(std::move(done)));
+  if (is_killed_) {
+    return;
+  }
+  if (const size_t member = endpoint.address.port - kFirstMemberPort;
+      simulation_.control_partitions_.contains(member)) {
+    simulation_.After(timeout, CallWhileAlive([done = std::move(done)] {
+                        done(Error::kUnreachable, {});
+                      }));
+    return;
   }
+  services_.Send(endpoint, command, timeout, CallWhileAlive(std::move(done)));
 }
 
 void ControlServices::Promote(const ServiceId& service,
--- a/tests/traffic/simulated_control.h
+++ b/tests/traffic/simulated_control.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "control/control.h"
 #include "gossip/gossip.h"
@@ -22,8 +23,11 @@
 */
 class ControlServices {
  public:
-  /** @param services  must outlive this object */
-  explicit ControlServices(SimulatedServices& services) : services_(services) {}
+  /** @param simulation  must outlive this object
+      @param services    must outlive this object
+  */
+  ControlServices(TrafficSimulation& simulation, SimulatedServices& services)
+      : simulation_(simulation), services_(services) {}
 
   void Kill() { is_killed_ = true; }
   bool IsKilled() const { return is_killed_; }
@@ -61,12 +65,14 @@
   }
 
  private:
+  TrafficSimulation& simulation_;
   SimulatedServices& services_;
   bool is_killed_ = false;
 };
 
-/** The control thread of the simulated VMs, from their start until they are
-    killed; one stands for all of them. @see FailoverDelegate */
+/** The control threads of the simulated VMs, from their start until they are
+    killed. That of the VM which holds the duty is the product's; the others
+    report the same suspicions. @see FailoverDelegate */
 class SimulatedControl {
  public:
   using Failover = FailoverControl<ControlServices,
@@ -87,13 +93,18 @@
   TimePoint Now() const;
   void After(Duration pause, std::function<void()> task);
   void AnnouncePrimary(const ServiceId& service, const EndpointId& endpoint);
-  void SendHeartbeats() {}
+  void SendHeartbeats() { RecordPeerHeartbeats(); }
   bool IsStoreConnected() const { return true; }
 
  private:
+  /** Records heartbeats of all other VMs, with the suspicions of this one. */
+  void RecordPeerHeartbeats();
+
   TrafficSimulation& simulation_;
   ControlServices services_;
   PeerGroup peers_{SocketAddress{"127.0.0.1", 1}};
+  /** All VMs; the first one holds the duty. */
+  const std::vector<VmId> vms_;
   Failover failover_;
 };
 
--- a/tests/traffic/traffic_simulation.cc
+++ b/tests/traffic/traffic_simulation.cc
@@ -497,6 +497,15 @@
   }
 }
 
+void TrafficSimulation::SetControlPartitioned(size_t member,
+                                              bool partitioned) {
+  if (partitioned) {
+    control_partitions_.insert(member);
+  } else {
+    control_partitions_.erase(member);
+  }
+}
+
 void TrafficSimulation::ResetConnections(size_t vm, size_t member) {
   std::vector<std::pair<uint64_t, uint64_t>> matching_links;
   for (const auto& [link, it] : links_) {
--- a/tests/traffic/traffic_simulation.h
+++ b/tests/traffic/traffic_simulation.h
@@ -144,6 +144,9 @@
   /** Starts or ends a network partition between a VM and a member: bytes are
       dropped, but connections stay open. */
   void SetPartitioned(size_t vm, size_t member, bool partitioned);
+  /** Starts or ends a network partition between the VM that decides on
+      promotions and a member. The other VMs reach the member. */
+  void SetControlPartitioned(size_t member, bool partitioned);
   /** Stops a VM from handling events, or lets it handle those that have arrived
       meanwhile. */
   void SetFrozen(size_t vm, bool frozen);
@@ -178,6 +181,8 @@
   }
 
   TimePoint Now() const { return queue_.Now(); }
+  size_t CountVms() const { return vms_.size(); }
+  const std::string& GetService() const { return options_.service; }
   /** Announces a promotion to the traffic threads of all VMs. */
   void AnnouncePrimary(const ServiceId& service, const EndpointId& endpoint);
   void After(Duration pause, std::function<void()> task) {
@@ -187,6 +192,7 @@
  private:
   friend class SimulatedNet;
   friend class SimulatedServices;
+  friend class ControlServices;
   struct Vm {
     std::unique_ptr<SimulatedNet> net;
     std::unique_ptr<Core> core;
@@ -248,6 +254,8 @@
   std::map<std::pair<size_t, uint64_t>, uint64_t> peer_sessions_;
   std::map<uint64_t, PendingEndpointCommand> pending_commands_;
   std::set<std::pair<size_t, size_t>> partitions_;
+  /** Members that the VM which decides on promotions does not reach. */
+  std::set<size_t> control_partitions_;
   uint64_t next_link_ = 1;
   uint64_t next_caller_ = 1;
   double promotion_loss_ = 0;
--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -815,6 +815,37 @@
   CheckGuaranteesAndService(run);
 }
 
+TEST(Traffic, KeepsCommitsOfAPrimaryThatOnlyOtherVmsReach) {
+  // Guards against the promotion of a replica while the primary, which the VM
+  // that decides does not reach, acknowledges commits through a member that
+  // joins (LOST in primary-cut-while-joining).
+  using std::chrono::milliseconds;
+  TrafficRun run(1);
+  run.Run([&run] {
+    TrafficSimulation& simulation = run.GetSimulation();
+    EventQueue& queue = simulation.GetQueue();
+    simulation.GetGroup().Leave(1);
+    simulation.Publish();
+    queue.After(milliseconds(2000), [&simulation] {
+      simulation.GetGroup().SetReplicationCut(2, true);
+      simulation.SetControlPartitioned(0, true);
+    });
+    simulation.SetPromotionObserver([&simulation, &queue] {
+      queue.After(milliseconds(20), [&simulation] {
+        if (simulation.GetGroup().HasLeft(1)) {
+          simulation.GetGroup().Join(1);
+        }
+      });
+    });
+    queue.After(milliseconds(6000), [&simulation] {
+      simulation.GetGroup().SetReplicationCut(2, false);
+      simulation.SetControlPartitioned(0, false);
+    });
+  });
+  CHECK(!run.GetSimulation().GetGroup().HasLeft(1));
+  CheckGuaranteesAndService(run);
+}
+
 TEST(Traffic, NoStatementReachesALeavingPrimaryAfterItsDrainPeriod) {
   // Guards against a primary that is used for as long as it has no successor,
   // beyond the time that it serves after it has announced its end (DRAIN).
