Demote a primary through another VM if the one that replaces it is cut off

What callers saw: commits that were acknowledged are missing from the log of the replica that was promoted (LOST).

Cause: PrimaryReplacement demotes a primary that answers, so that no member that joins can acknowledge for it, and compares the logs. A primary that did not answer the VM with the duty counted as one that nobody uses: the replica was promoted at once. Other VMs reached it, and it acknowledged through a member that had joined.

Change: a report or a demotion that is not answered directly is also sent by other VMs (CommandForwarder), at once if the endpoint is suspected. The first answer counts. So a primary that any VM reaches is demoted before a promotion, and its log compared; the order that has earlier ones refused is confirmed in the same way. If every VM is refused, the attempt goes on without waiting for the timeout. Only reports and demotions are forwarded: they can be repeated, while a late copy of a pause or a resume could not be undone.

--- a/apps/node/node_process.cc
+++ b/apps/node/node_process.cc
@@ -139,6 +139,30 @@
   return fleet_.IsStoreConnected();
 }
 
+void NodeProcess::ForwardCommand(const SocketAddress& to,
+                                 const ForwardedCommand& command) {
+  peers_.SendDatagram(to, EncodeForwardedCommand(command));
+}
+
+void NodeProcess::AnswerForwardedCommand(
+    const SocketAddress& to,
+    const ForwardedCommandResponse& response) {
+  peers_.SendDatagram(to, EncodeForwardedCommandResponse(response));
+}
+
+void NodeProcess::HandleOtherDatagram(std::string_view bytes) {
+  if (ForwardedCommand command; DecodeForwardedCommand(bytes, command)) {
+    failover_.HandleForwardedCommand(command);
+    return;
+  }
+  if (ForwardedCommandResponse response;
+      DecodeForwardedCommandResponse(bytes, response)) {
+    failover_.HandleForwardedCommandResponse(response);
+    return;
+  }
+  bound_exchange_.HandleDatagram(bytes);
+}
+
 PeerExchange::Callbacks NodeProcess::MakePeerExchangeCallbacks() {
   PeerExchange::Callbacks callbacks;
   callbacks.fill_heartbeat = [this](Heartbeat& heartbeat) {
@@ -180,7 +204,7 @@
                           state.endpoints, state.endpoints_version);
   };
   callbacks.handle_other_datagram = [this](std::string_view bytes) {
-    bound_exchange_.HandleDatagram(bytes);
+    HandleOtherDatagram(bytes);
   };
   callbacks.on_peers_changed = [this] {
     if (!std::exchange(peer_review_scheduled_, true)) {
--- a/apps/node/node_process.h
+++ b/apps/node/node_process.h
@@ -45,6 +45,11 @@
   void SendHeartbeats();
   /** @see FailoverDelegate */
   bool IsStoreConnected() const;
+  /** @see ForwardedCommandChannel */
+  void ForwardCommand(const SocketAddress& to, const ForwardedCommand& command);
+  /** @see ForwardedCommandChannel */
+  void AnswerForwardedCommand(const SocketAddress& to,
+                              const ForwardedCommandResponse& response);
 
  private:
   using Fleet =
@@ -57,6 +62,7 @@
 
   PeerExchange::Callbacks MakePeerExchangeCallbacks();
   std::vector<HolderCandidate> ListHolderCandidates() const;
+  void HandleOtherDatagram(std::string_view bytes);
   FreshnessBoundExchange::Callbacks MakeBoundExchangeCallbacks();
   NodeStatus MakeStatus() const;
   void HandleStoreRestored(uint64_t era);
--- a/libs/control/control.h
+++ b/libs/control/control.h
@@ -13,10 +13,12 @@
     (detection of failed primaries, failover duties, replacement of a
     primary).
 */
+#include "control/failover/command_forwarder.h"
 #include "control/failover/departure_audit.h"
 #include "control/failover/departure_tracker.h"
 #include "control/failover/endpoint_commands.h"
 #include "control/failover/failover_control.h"
+#include "control/failover/forwarded_command.h"
 #include "control/failover/primary_replacement.h"
 #include "control/failover/replacement_plan.h"
 #include "control/fleet/fleet_control.h"
--- /dev/null
+++ b/libs/control/failover/command_forwarder.h
@@ -0,0 +1,308 @@
+#ifndef MAGNOLIAREEL_CONTROL_FAILOVER_COMMAND_FORWARDER_H_
+#define MAGNOLIAREEL_CONTROL_FAILOVER_COMMAND_FORWARDER_H_
+
+#include <algorithm>
+#include <cassert>
+#include <functional>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "control/failover/endpoint_commands.h"
+#include "control/failover/forwarded_command.h"
+#include "control/peers/peer_group.h"
+#include "core/core.h"
+#include "directory/directory.h"
+#include "telemetry/telemetry.h"
+
+namespace magnoliareel {
+
+/** Time that an endpoint which is not suspected has to answer directly before
+    its command is forwarded. It covers a status query between regions on an
+    open connection. */
+inline constexpr Duration kForwardingDelay = std::chrono::milliseconds(60);
+/** Interval at which VMs that have not responded are sent the command again,
+    because datagrams may be lost. */
+inline constexpr Duration kForwardedCommandRetryInterval =
+    std::chrono::milliseconds(100);
+/** Maximum number of VMs that a command is forwarded to. Each may open a
+    connection to the endpoint. */
+inline constexpr size_t kMaxForwardingVms = 8;
+
+/** Sends commands to endpoints that this VM may not reach while others do: a
+    command that is not answered directly is also sent by other VMs. The first
+    answer of the endpoint counts.
+
+    Only commands that can be repeated are accepted, since several VMs send the
+    same one: reports, and demotions, which a newer term makes void.
+
+    @see EndpointCommandSender
+    @tparam C  sends commands from this VM, @see EndpointCommandSender
+    @tparam T  provides Now() and After(), and is a ForwardedCommandChannel
+*/
+template <EndpointCommandSender C, class T>
+class CommandForwarder {
+ public:
+  /** Returns whether this VM has found that it does not reach an endpoint. */
+  using SuspicionQuery = std::function<bool(const EndpointId&)>;
+
+  /** @param commands      must outlive the forwarder
+      @param delegate      must outlive the forwarder
+      @param peers         the other VMs; must outlive the forwarder
+      @param self          this VM
+      @param is_suspected  endpoints for which it returns true are sent commands
+                           by other VMs without a delay
+  */
+  CommandForwarder(C& commands,
+                   T& delegate,
+                   const PeerGroup& peers,
+                   VmId self,
+                   SuspicionQuery is_suspected)
+      : commands_(commands),
+        delegate_(delegate),
+        peers_(peers),
+        self_(std::move(self)),
+        is_suspected_(std::move(is_suspected)),
+        // Differs from the numbers of an earlier process at the same address,
+        // whose responses may still arrive.
+        next_id_(
+            static_cast<uint64_t>(delegate.Now().time_since_epoch().count())) {}
+
+  /** Sends a report or a demotion.
+
+      @param endpoint  the endpoint
+      @param command   the command
+      @param timeout   longest time until `done` is called
+      @param done      receives the endpoint's first answer; Error::kUnreachable
+                       if no VM has sent the command; Error::kAnswerLost if the
+                       endpoint may still execute it
+  */
+  void Send(const EndpointEntry& endpoint,
+            const EndpointCommand& command,
+            Duration timeout,
+            EndpointCommandCompletion done) {
+    assert(command.kind == EndpointCommandKind::kReport ||
+           command.kind == EndpointCommandKind::kDemote);
+    const uint64_t id = next_id_++;
+    Call& call = calls_[id];
+    call.endpoint = endpoint.id;
+    call.command = command;
+    call.deadline = delegate_.Now() + timeout;
+    call.done = std::move(done);
+    commands_.Send(endpoint, command, timeout,
+                   [this, id](std::error_code ec, const auto& status) {
+                     HandleDirectResult(id, ec, status);
+                   });
+    if (!calls_.contains(id)) {
+      return;
+    }
+    delegate_.After(timeout, [this, id] { HandleDeadline(id); });
+    if (is_suspected_(endpoint.id)) {
+      Forward(id);
+    } else {
+      delegate_.After(kForwardingDelay, [this, id] { Forward(id); });
+    }
+  }
+
+  /** Sends a command on behalf of another VM, and answers it.
+
+      @param request   the other VM's request
+      @param endpoint  the endpoint's entry here; null if it is not listed, in
+                       which case nothing is sent
+  */
+  void HandleForwardedCommand(const ForwardedCommand& request,
+                              const EndpointEntry* endpoint) {
+    if (endpoint == nullptr) {
+      Answer(request, ForwardedCommandResult::kNotSent, {});
+      return;
+    }
+    commands_.Send(
+        *endpoint, request.command, request.timeout,
+        [this, request](std::error_code ec, const ReplicationStatus& status) {
+          Answer(request,
+                 !ec                        ? ForwardedCommandResult::kAnswered
+                 : ec == Error::kOverloaded ? ForwardedCommandResult::kBusy
+                 : ec == Error::kAnswerLost
+                     ? ForwardedCommandResult::kAnswerLost
+                     : ForwardedCommandResult::kNotSent,
+                 status);
+        });
+  }
+
+  /** Handles another VM's response; ignored if its command has ended. */
+  void HandleResponse(const ForwardedCommandResponse& response) {
+    const auto it = calls_.find(response.id);
+    if (it == calls_.end()) {
+      return;
+    }
+    Call& call = it->second;
+    if (std::erase_if(call.waiting, [&](const Forwarded& forwarded) {
+          return forwarded.vm == response.vm;
+        }) == 0) {
+      return;
+    }
+    LogEvent(Event::kCommandForwarded,
+             {{"endpoint", call.endpoint.value},
+              {"step", std::string(GetEndpointCommandName(call.command.kind))},
+              {"via", response.vm.value},
+              {"result", std::string(GetName(response.result))}});
+    switch (response.result) {
+      case ForwardedCommandResult::kAnswered:
+        Finish(response.id, {}, response.status);
+        return;
+      case ForwardedCommandResult::kBusy:
+        Finish(response.id, Error::kOverloaded, {});
+        return;
+      case ForwardedCommandResult::kAnswerLost:
+        call.may_be_executed = true;
+        break;
+      case ForwardedCommandResult::kNotSent:
+        break;
+    }
+    FinishIfUnanswered(response.id);
+  }
+
+ private:
+  /** A VM that has not responded. */
+  struct Forwarded {
+    VmId vm;
+    SocketAddress address;
+  };
+  struct Call {
+    EndpointId endpoint;
+    EndpointCommand command;
+    TimePoint deadline;
+    EndpointCommandCompletion done;
+    bool is_forwarded = false;
+    /** Result of this VM's own attempt; none before it has ended. */
+    std::optional<std::error_code> direct_result;
+    bool may_be_executed = false;
+    std::vector<Forwarded> waiting;
+  };
+
+  static constexpr std::string_view GetName(ForwardedCommandResult result) {
+    switch (result) {
+      case ForwardedCommandResult::kAnswered:
+        return "answered";
+      case ForwardedCommandResult::kBusy:
+        return "busy";
+      case ForwardedCommandResult::kNotSent:
+        return "not_sent";
+      case ForwardedCommandResult::kAnswerLost:
+        return "answer_lost";
+    }
+    return "not_sent";
+  }
+
+  void HandleDirectResult(uint64_t id,
+                          std::error_code ec,
+                          const ReplicationStatus& status) {
+    const auto it = calls_.find(id);
+    if (it == calls_.end()) {
+      return;
+    }
+    if (!ec || ec == Error::kOverloaded) {
+      Finish(id, ec, status);
+      return;
+    }
+    it->second.direct_result = ec;
+    it->second.may_be_executed |= ec == Error::kAnswerLost;
+    Forward(id);
+    FinishIfUnanswered(id);
+  }
+
+  /** Sends the command to other VMs, unless that was done before or the command
+      has ended. */
+  void Forward(uint64_t id) {
+    const auto it = calls_.find(id);
+    if (it == calls_.end() || std::exchange(it->second.is_forwarded, true)) {
+      return;
+    }
+    it->second.waiting = ChooseVms(it->second.endpoint);
+    SendToWaiting(id);
+  }
+
+  void SendToWaiting(uint64_t id) {
+    const auto it = calls_.find(id);
+    if (it == calls_.end() || it->second.waiting.empty()) {
+      return;
+    }
+    const Call& call = it->second;
+    const Duration remaining = call.deadline - delegate_.Now();
+    for (const Forwarded& forwarded : call.waiting) {
+      delegate_.ForwardCommand(forwarded.address,
+                               {id, peers_.GetSelfAddress(), call.endpoint,
+                                call.command, remaining});
+    }
+    delegate_.After(kForwardedCommandRetryInterval,
+                    [this, id] { SendToWaiting(id); });
+  }
+
+  /** @returns the VMs that are most likely to reach the endpoint: those that
+              observe its commits, then those that do not suspect it */
+  std::vector<Forwarded> ChooseVms(const EndpointId& endpoint) const {
+    std::vector<const PeerGroup::Peer*> live = peers_.ListLive();
+    const auto get_rank = [&endpoint](const PeerGroup::Peer* peer) {
+      for (const ConditionReport& it : peer->last.suspicions) {
+        if (it.endpoint == endpoint) {
+          return it.condition == EndpointCondition::kCommitsStalled ? 0 : 2;
+        }
+      }
+      return 1;
+    };
+    std::stable_sort(live.begin(), live.end(),
+                     [&](const auto* left, const auto* right) {
+                       return get_rank(left) < get_rank(right);
+                     });
+    live.resize(std::min(live.size(), kMaxForwardingVms));
+    std::vector<Forwarded> chosen;
+    for (const PeerGroup::Peer* it : live) {
+      chosen.push_back({it->last.vm, it->last.address});
+    }
+    return chosen;
+  }
+
+  void FinishIfUnanswered(uint64_t id) {
+    const auto it = calls_.find(id);
+    if (it != calls_.end() && it->second.direct_result &&
+        it->second.waiting.empty()) {
+      Finish(
+          id,
+          it->second.may_be_executed ? Error::kAnswerLost : Error::kUnreachable,
+          {});
+    }
+  }
+
+  void HandleDeadline(uint64_t id) {
+    // A VM that has not responded may still send the command.
+    Finish(id, Error::kAnswerLost, {});
+  }
+
+  void Finish(uint64_t id,
+              std::error_code ec,
+              const ReplicationStatus& status) {
+    if (auto node = calls_.extract(id)) {
+      node.mapped().done(ec, status);
+    }
+  }
+
+  void Answer(const ForwardedCommand& request,
+              ForwardedCommandResult result,
+              const ReplicationStatus& status) {
+    delegate_.AnswerForwardedCommand(request.reply_to,
+                                     {request.id, self_, result, status});
+  }
+
+  C& commands_;
+  T& delegate_;
+  const PeerGroup& peers_;
+  const VmId self_;
+  const SuspicionQuery is_suspected_;
+  std::map<uint64_t, Call> calls_;
+  uint64_t next_id_;
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_CONTROL_FAILOVER_COMMAND_FORWARDER_H_
--- a/libs/control/failover/endpoint_commands.h
+++ b/libs/control/failover/endpoint_commands.h
@@ -48,6 +48,8 @@
   EndpointCommandKind kind = EndpointCommandKind::kReport;
   /** Term of kPause and kDemote, above every term that the endpoint knows. */
   Term term;
+
+  bool operator==(const EndpointCommand&) const = default;
 };
 
 /** Called with the result of a command: the endpoint's status, or
--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -11,10 +11,12 @@
 #include <utility>
 #include <vector>
 
+#include "control/failover/command_forwarder.h"
 #include "control/failover/departure_audit.h"
 #include "control/failover/departure_tracker.h"
 #include "control/failover/endpoint_commands.h"
 #include "control/failover/failover_limits.h"
+#include "control/failover/forwarded_command.h"
 #include "control/failover/primary_failure_detector.h"
 #include "control/failover/primary_registry.h"
 #include "control/failover/primary_replacement.h"
@@ -28,11 +30,12 @@
 
 /** Interface through which FailoverControl reaches the node that owns it. */
 template <class T>
-concept FailoverDelegate = requires(T& delegate,
-                                    Duration delay,
-                                    std::function<void()> task,
-                                    const ServiceId& service,
-                                    const EndpointId& endpoint) {
+concept FailoverDelegate = ForwardedCommandChannel<T> &&
+    requires(T& delegate,
+             Duration delay,
+             std::function<void()> task,
+             const ServiceId& service,
+             const EndpointId& endpoint) {
   { delegate.Now() } -> std::same_as<TimePoint>;
   delegate.After(delay, task);
   /** Called when a promotion was ordered or a new primary was found. */
@@ -84,6 +87,15 @@
         claims_(store, self_),
         detector_(commands, delegate, [this] { HandleSuspicionsChanged(); }),
         resumer_(commands, delegate),
+        forwarder_(commands,
+                   delegate,
+                   peers,
+                   self_,
+                   [this](const EndpointId& endpoint) {
+                     const auto condition = detector_.Get(endpoint);
+                     return condition &&
+                            *condition != EndpointCondition::kCommitsStalled;
+                   }),
         started_at_(delegate.Now()) {
     // Checked here because T is incomplete where it declares its
     // FailoverControl member.
@@ -179,6 +191,23 @@
     }
   }
 
+  /** Sends a command to an endpoint on behalf of a peer.
+
+      @param request  the peer's request
+  */
+  void HandleForwardedCommand(const ForwardedCommand& request) {
+    forwarder_.HandleForwardedCommand(request, FindEndpoint(request.endpoint));
+  }
+
+  /** Handles a peer's response to a command that this VM has forwarded.
+
+      @param response  the response
+  */
+  void HandleForwardedCommandResponse(
+      const ForwardedCommandResponse& response) {
+    forwarder_.HandleResponse(response);
+  }
+
   /** @returns what the other VMs have to know about departed endpoints */
   std::vector<DepartureNotice> ListDepartureNotices() const {
     return departures_.ListNotices(delegate_.Now());
@@ -249,7 +278,8 @@
   }
 
  private:
-  using Replacement = PrimaryReplacement<C, P, T>;
+  using Forwarder = CommandForwarder<C, T>;
+  using Replacement = PrimaryReplacement<C, Forwarder, P, T>;
   /** A promotion that this VM has ordered. */
   struct PromotionOrder {
     EndpointId endpoint;
@@ -448,6 +478,7 @@
   PrimaryRegistry primaries_;
   PrimaryFailureDetector<C, T> detector_;
   ReplicaResumer<C, T> resumer_;
+  Forwarder forwarder_;
   DepartureTracker departures_;
   std::vector<EndpointEntry> endpoints_;
   /** @see FleetView::endpoints_version */
--- a/libs/control/failover/failover_control_duties.h
+++ b/libs/control/failover/failover_control_duties.h
@@ -174,19 +174,19 @@
     return;
   }
   progress.confirming = true;
-  commands_.Send(*entry, {EndpointCommandKind::kReport, {}},
-                 kEndpointCommandTimeout,
-                 [this, service, token, id = entry->id](
-                     std::error_code ec, const ReplicationStatus& status) {
-                   if (ec || !status.is_primary || leaving_) {
-                     FinishConfirmation(service, Error::kUnreachable);
-                     return;
-                   }
-                   promotions_.Promote(service, id, token,
-                                       [this, service](std::error_code end) {
-                                         FinishConfirmation(service, end);
-                                       });
-                 });
+  forwarder_.Send(*entry, {EndpointCommandKind::kReport, {}},
+                  kEndpointCommandTimeout,
+                  [this, service, token, id = entry->id](
+                      std::error_code ec, const ReplicationStatus& status) {
+                    if (ec || !status.is_primary || leaving_) {
+                      FinishConfirmation(service, Error::kUnreachable);
+                      return;
+                    }
+                    promotions_.Promote(service, id, token,
+                                        [this, service](std::error_code end) {
+                                          FinishConfirmation(service, end);
+                                        });
+                  });
 }
 
 template <RowStore S,
--- a/libs/control/failover/failover_control_replacement.h
+++ b/libs/control/failover/failover_control_replacement.h
@@ -165,7 +165,7 @@
              std::to_string((now - endpoints_changed_at_).count() / 1000)},
             {"store", delegate_.IsStoreConnected() ? "connected" : "lost"}});
   std::make_shared<Replacement>(
-      commands_, promotions_, delegate_, std::move(plan),
+      commands_, forwarder_, promotions_, delegate_, std::move(plan),
       [this, service, now](const ReplacementResult& result) {
         HandleReplacementResult(service, now, result);
       })
--- /dev/null
+++ b/libs/control/failover/forwarded_command.h
@@ -0,0 +1,67 @@
+#ifndef MAGNOLIAREEL_CONTROL_FAILOVER_FORWARDED_COMMAND_H_
+#define MAGNOLIAREEL_CONTROL_FAILOVER_FORWARDED_COMMAND_H_
+
+#include <concepts>
+#include <cstdint>
+
+#include "control/failover/endpoint_commands.h"
+#include "core/core.h"
+#include "directory/directory.h"
+#include "settings/settings.h"
+
+namespace magnoliareel {
+
+/** Asks another VM to send a command to an endpoint. It may arrive more than
+    once, so only commands that can be repeated are forwarded. */
+struct ForwardedCommand {
+  /** Number that the sender assigns, to match the response. */
+  uint64_t id = 0;
+  /** Address for the response. */
+  SocketAddress reply_to;
+  EndpointId endpoint;
+  EndpointCommand command;
+  /** Time that the other VM waits for the endpoint. */
+  Duration timeout{};
+
+  bool operator==(const ForwardedCommand&) const = default;
+};
+
+/** How a forwarded command ended at the other VM.
+    @see EndpointCommandCompletion */
+enum class ForwardedCommandResult {
+  /** The endpoint answered with its status. */
+  kAnswered,
+  /** The endpoint had no free slot. */
+  kBusy,
+  /** Nothing was sent. */
+  kNotSent,
+  /** The endpoint may still execute the command. */
+  kAnswerLost,
+};
+
+/** Answers a ForwardedCommand. */
+struct ForwardedCommandResponse {
+  /** @see ForwardedCommand::id */
+  uint64_t id = 0;
+  /** The VM that sends the response. */
+  VmId vm;
+  ForwardedCommandResult result = ForwardedCommandResult::kNotSent;
+  /** Valid for kAnswered. */
+  ReplicationStatus status;
+};
+
+/** Sends forwarded commands and their responses to other VMs. Messages may be
+    lost, late or repeated. */
+template <class N>
+concept ForwardedCommandChannel =
+    requires(N& channel,
+             const SocketAddress& to,
+             const ForwardedCommand& command,
+             const ForwardedCommandResponse& response) {
+  channel.ForwardCommand(to, command);
+  channel.AnswerForwardedCommand(to, response);
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_CONTROL_FAILOVER_FORWARDED_COMMAND_H_
--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -57,29 +57,37 @@
     demoted primary is promoted again, and the next attempt includes the new
     replica. A primary that does not answer is replaced without a demotion.
 
-    @tparam C  @see EndpointCommandSender
+    @tparam C  sends commands to replicas, @see EndpointCommandSender
+    @tparam F  sends commands to the primary, through other VMs if this one does
+               not reach it, @see EndpointCommandSender
     @tparam P  @see PromotionSender
     @tparam T  provides Now() and After(), @see FailoverDelegate
 */
-template <EndpointCommandSender C, PromotionSender P, class T>
+template <EndpointCommandSender C,
+          EndpointCommandSender F,
+          PromotionSender P,
+          class T>
 class PrimaryReplacement
-    : public std::enable_shared_from_this<PrimaryReplacement<C, P, T>> {
+    : public std::enable_shared_from_this<PrimaryReplacement<C, F, P, T>> {
  public:
   /** Called once with the result. */
   using Completion = std::function<void(const ReplacementResult&)>;
 
   /** @param commands    must outlive the attempt
+      @param primary_commands  must outlive the attempt
       @param promotions  must outlive the attempt
       @param timing      must outlive the attempt
       @param plan        the service, its endpoints and the fencing token
       @param done        called once with the result
   */
   PrimaryReplacement(C& commands,
+                     F& primary_commands,
                      P& promotions,
                      T& timing,
                      ReplacementPlan plan,
                      Completion done)
       : commands_(commands),
+        primary_commands_(primary_commands),
         promotions_(promotions),
         timing_(timing),
         plan_(std::move(plan)),
@@ -115,18 +123,18 @@
     }
     was_primary_asked_ = true;
     auto self = this->shared_from_this();
-    commands_.Send(*plan_.primary, {EndpointCommandKind::kReport, {}},
-                   kEndpointCommandTimeout / 2,
-                   [self](std::error_code ec, const ReplicationStatus& status) {
-                     self->LogStep(*self->plan_.primary,
-                                   {EndpointCommandKind::kReport, {}}, ec,
-                                   status);
-                     self->primary_is_busy_ = ec == Error::kOverloaded;
-                     if (!ec) {
-                       self->primary_status_ = status;
-                     }
-                     self->CompleteCall(&PrimaryReplacement::FinishSurvey);
-                   });
+    primary_commands_.Send(
+        *plan_.primary, {EndpointCommandKind::kReport, {}},
+        kEndpointCommandTimeout / 2,
+        [self](std::error_code ec, const ReplicationStatus& status) {
+          self->LogStep(*self->plan_.primary,
+                        {EndpointCommandKind::kReport, {}}, ec, status);
+          self->primary_is_busy_ = ec == Error::kOverloaded;
+          if (!ec) {
+            self->primary_status_ = status;
+          }
+          self->CompleteCall(&PrimaryReplacement::FinishSurvey);
+        });
   }
 
   void SendCommand(size_t index,
@@ -471,6 +479,7 @@
   }
 
   C& commands_;
+  F& primary_commands_;
   P& promotions_;
   T& timing_;
   const ReplacementPlan plan_;
--- a/libs/control/failover/primary_replacement_demotion.h
+++ b/libs/control/failover/primary_replacement_demotion.h
@@ -13,15 +13,18 @@
 
 namespace magnoliareel {
 
-template <EndpointCommandSender C, PromotionSender P, class T>
-void PrimaryReplacement<C, P, T>::DemotePrimary(int attempt) {
+template <EndpointCommandSender C,
+          EndpointCommandSender F,
+          PromotionSender P,
+          class T>
+void PrimaryReplacement<C, F, P, T>::DemotePrimary(int attempt) {
   if (!primary_status_) {
     Promote();
     return;
   }
   // One that has reported that it is a replica may lead since.
   auto self = this->shared_from_this();
-  commands_.Send(
+  primary_commands_.Send(
       *plan_.primary, {EndpointCommandKind::kDemote, pause_term_},
       kEndpointCommandTimeout,
       [self, attempt](std::error_code ec, const ReplicationStatus& status) {
@@ -38,8 +41,11 @@
       });
 }
 
-template <EndpointCommandSender C, PromotionSender P, class T>
-void PrimaryReplacement<C, P, T>::FinishDemotion(
+template <EndpointCommandSender C,
+          EndpointCommandSender F,
+          PromotionSender P,
+          class T>
+void PrimaryReplacement<C, F, P, T>::FinishDemotion(
     std::error_code ec,
     const ReplicationStatus& status) {
   if (ec == Error::kAnswerLost) {
@@ -55,8 +61,11 @@
   CompareWithPrimary();
 }
 
-template <EndpointCommandSender C, PromotionSender P, class T>
-void PrimaryReplacement<C, P, T>::CompareWithPrimary() {
+template <EndpointCommandSender C,
+          EndpointCommandSender F,
+          PromotionSender P,
+          class T>
+void PrimaryReplacement<C, F, P, T>::CompareWithPrimary() {
   const std::optional<ReplicationStatus>& status = replicas_[candidate_].status;
   if (status && status->received >= primary_status_->received) {
     Promote();
@@ -75,8 +84,11 @@
   });
 }
 
-template <EndpointCommandSender C, PromotionSender P, class T>
-void PrimaryReplacement<C, P, T>::FinishMembershipCheck() {
+template <EndpointCommandSender C,
+          EndpointCommandSender F,
+          PromotionSender P,
+          class T>
+void PrimaryReplacement<C, F, P, T>::FinishMembershipCheck() {
   const std::vector<EndpointEntry> listed = plan_.list_endpoints();
   const bool is_known =
       std::all_of(listed.begin(), listed.end(), [&](const auto& entry) {
@@ -93,8 +105,11 @@
       "a replica that has joined may hold the end of the log");
 }
 
-template <EndpointCommandSender C, PromotionSender P, class T>
-void PrimaryReplacement<C, P, T>::PromotePrimaryAgainOrAbandon(
+template <EndpointCommandSender C,
+          EndpointCommandSender F,
+          PromotionSender P,
+          class T>
+void PrimaryReplacement<C, F, P, T>::PromotePrimaryAgainOrAbandon(
     std::string_view reason) {
   const std::optional<LogPoint>& log_end =
       demoted_primary_ ? demoted_primary_->log_end
--- a/libs/control/peers/peer_group.h
+++ b/libs/control/peers/peer_group.h
@@ -42,6 +42,9 @@
   /** @param self  the address at which peers reach this VM */
   explicit PeerGroup(SocketAddress self) : self_(std::move(self)) {}
 
+  /** @returns the address at which peers reach this VM */
+  const SocketAddress& GetSelfAddress() const { return self_; }
+
   /** Adds an address to which heartbeats are sent.
 
       @param address  address of a VM that may exist
--- a/libs/control/tests/control_test.cc
+++ b/libs/control/tests/control_test.cc
@@ -109,8 +109,9 @@
     plan.has_unsettled_orders = has_unsettled_orders;
     plan.fencing_token = 9;
     ReplacementResult result;
-    std::make_shared<PrimaryReplacement<FakeGroup, FakeGroup, FakeGroup>>(
-        *this, *this, *this, std::move(plan),
+    std::make_shared<
+        PrimaryReplacement<FakeGroup, FakeGroup, FakeGroup, FakeGroup>>(
+        *this, *this, *this, *this, std::move(plan),
         [&](const ReplacementResult& ended) { result = ended; })
         ->Start();
     return result;
--- a/libs/control/tests/failover_control_test.cc
+++ b/libs/control/tests/failover_control_test.cc
@@ -142,6 +142,9 @@
   void AnnouncePrimary(const ServiceId&, const EndpointId&) {}
   void SendHeartbeats() {}
   bool IsStoreConnected() const { return true; }
+  void ForwardCommand(const SocketAddress&, const ForwardedCommand&) {}
+  void AnswerForwardedCommand(const SocketAddress&,
+                              const ForwardedCommandResponse&) {}
 
   void Advance(Duration span) {
     const TimePoint end = now_ + span;
--- a/libs/gossip/bounds/bound_codec.cc
+++ b/libs/gossip/bounds/bound_codec.cc
@@ -1,5 +1,7 @@
 #include "gossip/bounds/bound_codec.h"
 
+#include "gossip/fields/datagram_fields.h"
+
 namespace magnoliareel {
 namespace {
 
@@ -7,32 +9,12 @@
 constexpr std::string_view kRequestMagic = "mrq1";
 constexpr std::string_view kResponseMagic = "mra1";
 
-std::string Join(std::initializer_list<std::string_view> fields) {
-  std::string out;
-  for (const std::string_view it : fields) {
-    if (!out.empty()) {
-      out.push_back(' ');
-    }
-    out.append(it);
-  }
-  return out;
-}
-
-bool DecodeDuration(std::string_view text, Duration& out) {
-  uint64_t microseconds = 0;
-  if (!ParseDecimal(text, microseconds)) {
-    return false;
-  }
-  out = Duration(static_cast<Duration::rep>(microseconds));
-  return out >= Duration(0);
-}
-
 }  // namespace
 
 std::string EncodeFreshnessBoundRequest(const FreshnessBoundRequest& request) {
-  return Join({kRequestMagic, std::to_string(request.id),
-               request.address.Format(), request.query.service.value,
-               std::to_string(request.query.max_bound_age.count())});
+  return JoinFields({kRequestMagic, std::to_string(request.id),
+                     request.address.Format(), request.query.service.value,
+                     std::to_string(request.query.max_bound_age.count())});
 }
 
 bool DecodeFreshnessBoundRequest(std::string_view bytes,
@@ -50,10 +32,11 @@
 std::string EncodeFreshnessBoundResponse(
     const FreshnessBoundResponse& response) {
   const FreshnessBound& bound = response.bound;
-  return Join({kResponseMagic, std::to_string(response.id), bound.service.value,
-               std::to_string(bound.point.term.value),
-               std::to_string(bound.point.position.value),
-               std::to_string(bound.age.count())});
+  return JoinFields({kResponseMagic, std::to_string(response.id),
+                     bound.service.value,
+                     std::to_string(bound.point.term.value),
+                     std::to_string(bound.point.position.value),
+                     std::to_string(bound.age.count())});
 }
 
 bool DecodeFreshnessBoundResponse(std::string_view bytes,
--- /dev/null
+++ b/libs/gossip/commands/forwarded_command_codec.cc
@@ -0,0 +1,90 @@
+#include "gossip/commands/forwarded_command_codec.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+
+#include "gossip/fields/datagram_fields.h"
+
+namespace magnoliareel {
+namespace {
+
+// First field of each datagram. It changes with the layout of the other fields.
+constexpr std::string_view kCommandMagic = "mrc1";
+constexpr std::string_view kResponseMagic = "mrs1";
+
+constexpr auto kResults = std::to_array(
+    {ForwardedCommandResult::kAnswered, ForwardedCommandResult::kBusy,
+     ForwardedCommandResult::kNotSent, ForwardedCommandResult::kAnswerLost});
+
+bool DecodeFlag(std::string_view text, bool& out) {
+  out = text == "1";
+  return out || text == "0";
+}
+
+}  // namespace
+
+std::string EncodeForwardedCommand(const ForwardedCommand& command) {
+  const bool is_demotion = command.command.kind == EndpointCommandKind::kDemote;
+  const Duration timeout = std::max(Duration(0), command.timeout);
+  return JoinFields({kCommandMagic, std::to_string(command.id),
+                     command.reply_to.Format(), command.endpoint.value,
+                     is_demotion ? "d" : "r",
+                     std::to_string(command.command.term.value),
+                     std::to_string(timeout.count())});
+}
+
+bool DecodeForwardedCommand(std::string_view bytes, ForwardedCommand& out) {
+  if (TakeField(bytes) != kCommandMagic ||
+      !ParseDecimal(TakeField(bytes), out.id) ||
+      !ParseSocketAddress(std::string(TakeField(bytes)), out.reply_to)) {
+    return false;
+  }
+  out.endpoint.value = TakeField(bytes);
+  const std::string_view kind = TakeField(bytes);
+  out.command.kind =
+      kind == "d" ? EndpointCommandKind::kDemote : EndpointCommandKind::kReport;
+  return !out.endpoint.IsEmpty() && (kind == "d" || kind == "r") &&
+         ParseDecimal(TakeField(bytes), out.command.term.value) &&
+         DecodeDuration(TakeField(bytes), out.timeout) && bytes.empty();
+}
+
+std::string EncodeForwardedCommandResponse(
+    const ForwardedCommandResponse& response) {
+  const ReplicationStatus& status = response.status;
+  const auto result =
+      std::find(kResults.begin(), kResults.end(), response.result) -
+      kResults.begin();
+  return JoinFields(
+      {kResponseMagic, std::to_string(response.id), response.vm.value,
+       std::to_string(result), status.is_primary ? "1" : "0",
+       std::to_string(status.term.value),
+       std::to_string(status.received.term.value),
+       std::to_string(status.received.position.value),
+       std::to_string(status.paused_at.value),
+       std::to_string(std::max(Duration(0), status.lag).count())});
+}
+
+bool DecodeForwardedCommandResponse(std::string_view bytes,
+                                    ForwardedCommandResponse& out) {
+  uint64_t result = 0;
+  if (TakeField(bytes) != kResponseMagic ||
+      !ParseDecimal(TakeField(bytes), out.id)) {
+    return false;
+  }
+  out.vm.value = TakeField(bytes);
+  if (out.vm.IsEmpty() || !ParseDecimal(TakeField(bytes), result) ||
+      result >= kResults.size()) {
+    return false;
+  }
+  out.result = kResults[result];
+  ReplicationStatus& status = out.status;
+  return DecodeFlag(TakeField(bytes), status.is_primary) &&
+         ParseDecimal(TakeField(bytes), status.term.value) &&
+         ParseDecimal(TakeField(bytes), status.received.term.value) &&
+         ParseDecimal(TakeField(bytes), status.received.position.value) &&
+         ParseDecimal(TakeField(bytes), status.paused_at.value) &&
+         DecodeDuration(TakeField(bytes), status.lag) && bytes.empty();
+}
+
+}  // namespace magnoliareel
--- a/libs/gossip/gossip.h
+++ b/libs/gossip/gossip.h
@@ -8,11 +8,12 @@
     Depends on codec (JSON texts), control, coordination, core, relay and
     jsoncpp.
 
-    Topics: heartbeats/, departures/ and bounds/ (datagrams), duties/ (rows that
+    Topics: heartbeats/, departures/, commands/ and bounds/ (datagrams), duties/ (rows that
     VMs leave in the store for each other), state/ (configuration and directory
     for a VM that cannot reach the store, and the status of a node).
 */
 #include "gossip/bounds/bound_codec.h"
+#include "gossip/commands/forwarded_command_codec.h"
 #include "gossip/departures/departure_codec.h"
 #include "gossip/duties/duty_row_codec.h"
 #include "gossip/heartbeats/heartbeat_codec.h"
--- a/libs/gossip/tests/gossip_test.cc
+++ b/libs/gossip/tests/gossip_test.cc
@@ -47,6 +47,52 @@
   }
 }
 
+TEST(Gossip, DecodesEncodedForwardedCommands) {
+  for (const EndpointCommand& it :
+       {EndpointCommand{EndpointCommandKind::kReport, {}},
+        EndpointCommand{EndpointCommandKind::kDemote, Term{4}}}) {
+    const ForwardedCommand sent{
+        8, {"10.1.0.8", 7440}, EndpointId{"db-1"}, it, Duration(300'000)};
+    ForwardedCommand read;
+    CHECK(DecodeForwardedCommand(EncodeForwardedCommand(sent), read));
+    CHECK(read == sent);
+  }
+  // A pause is not forwarded: a late copy of it could not be undone.
+  for (const char* it :
+       {"", "mrc1 8", "mrc1 8 10.1.0.8:7440 db-1 p 4 300000",
+        "mrc1 8 10.1.0.8:7440  r 0 300000", "mrc1 8 10.1.0.8:7440 db-1 r 0",
+        "mrc1 8 10.1.0.8:7440 db-1 r 0 -5",
+        "mrc1 8 10.1.0.8:7440 db-1 r 0 5 6"}) {
+    ForwardedCommand read;
+    CHECK_TEXT(!DecodeForwardedCommand(it, read), it);
+  }
+}
+
+TEST(Gossip, DecodesEncodedForwardedCommandResponses) {
+  ForwardedCommandResponse sent;
+  sent.id = 8;
+  sent.vm.value = "vm-1";
+  sent.result = ForwardedCommandResult::kAnswered;
+  sent.status.is_primary = true;
+  sent.status.term = Term{3};
+  sent.status.received = {Term{3}, LogPosition{1207}};
+  sent.status.paused_at = Term{2};
+  sent.status.lag = Duration(5000);
+  ForwardedCommandResponse read;
+  CHECK(DecodeForwardedCommandResponse(EncodeForwardedCommandResponse(sent),
+                                       read));
+  CHECK(read.id == 8 && read.vm == sent.vm && read.result == sent.result);
+  CHECK(read.status.is_primary && read.status.term == sent.status.term);
+  CHECK(read.status.received == sent.status.received);
+  CHECK(read.status.paused_at == sent.status.paused_at);
+  CHECK(read.status.lag == sent.status.lag);
+  for (const char* it : {"", "mrs1 8 vm-1", "mrs1 8 vm-1 4 1 3 3 1207 2 5000",
+                         "mrs1 8 vm-1 0 2 3 3 1207 2 5000",
+                         "mrs1 8 vm-1 0 1 3 3 1207 2 5000 1"}) {
+    CHECK_TEXT(!DecodeForwardedCommandResponse(it, read), it);
+  }
+}
+
 TEST(Gossip, DecodesEncodedDutyRows) {
   const GroupRecord with_primary{
       EndpointId{"db-1"}, Term{3}, {EndpointId{"db-1"}, EndpointId{"db-2"}}};
--- a/libs/telemetry/events/event.cc
+++ b/libs/telemetry/events/event.cc
@@ -156,6 +156,9 @@
      "This VM claimed a duty and learned what earlier holders knew: a primary "
      "that is not known here, and endpoints that have left. service, primary, "
      "departed"},
+    {kCommandForwarded, kInfo, "command.forwarded",
+     "Another VM sent a command to an endpoint that did not answer this VM. "
+     "endpoint, step, via, result"},
     {kDutyRowRejected, kError, "duty.row_rejected",
      "The row of a failover duty could not be decoded; what earlier holders "
      "knew of the service is lost. service"},
--- a/libs/telemetry/events/event.h
+++ b/libs/telemetry/events/event.h
@@ -65,6 +65,7 @@
   kReplacementWaiting = 5508,
   kDepartureAccounted = 5509,
   kGroupRestored = 5510,
+  kCommandForwarded = 5513,
   kDutyRowRejected = 5511,
   kPromotionConfirmed = 5512,
   kReadinessChanged = 5601,
--- a/tests/fuzz/decoder_fuzz_test.cc
+++ b/tests/fuzz/decoder_fuzz_test.cc
@@ -71,6 +71,25 @@
   return true;
 }
 
+bool ReencodeForwardedCommand(std::string_view bytes, std::string& out) {
+  ForwardedCommand command;
+  if (!DecodeForwardedCommand(bytes, command)) {
+    return false;
+  }
+  out = EncodeForwardedCommand(command);
+  return true;
+}
+
+bool ReencodeForwardedCommandResponse(std::string_view bytes,
+                                      std::string& out) {
+  ForwardedCommandResponse response;
+  if (!DecodeForwardedCommandResponse(bytes, response)) {
+    return false;
+  }
+  out = EncodeForwardedCommandResponse(response);
+  return true;
+}
+
 /** Decodes, and compares the encoding of the result with that of a second
     decoding. */
 template <bool (*kReencode)(std::string_view, std::string&)>
@@ -149,6 +168,9 @@
     {"departures", SurvivesEncoding<ReencodeDepartures>},
     {"bound_requests", SurvivesEncoding<ReencodeBoundRequest>},
     {"bound_responses", SurvivesEncoding<ReencodeBoundResponse>},
+    {"forwarded_commands", SurvivesEncoding<ReencodeForwardedCommand>},
+    {"forwarded_command_responses",
+     SurvivesEncoding<ReencodeForwardedCommandResponse>},
     {"fleet_states",
      [](std::string_view bytes) {
        FleetState state;
--- a/tests/traffic/simulated_control.cc
+++ b/tests/traffic/simulated_control.cc
@@ -12,6 +12,9 @@
 namespace magnoliareel {
 namespace {
 
+// Time that a message between VMs of two sites travels.
+constexpr Duration kPeerDelay = std::chrono::milliseconds(4);
+
 /** @returns the VMs in the order in which they claim a service's duty */
 std::vector<VmId> RankVms(size_t count, std::string_view service) {
   std::vector<VmEntry> entries(count);
@@ -26,6 +29,7 @@
 SimulatedControl::SimulatedControl(TrafficSimulation& simulation,
                                    SimulatedServices& services)
     : simulation_(simulation),
+      peer_services_(services),
       services_(simulation, services),
       vms_(RankVms(simulation.CountVms(), simulation.GetService())),
       failover_(services_,
@@ -52,6 +56,31 @@
   }
 }
 
+void SimulatedControl::ForwardCommand(const SocketAddress& to,
+                                      const ForwardedCommand& command) {
+  const VmId& vm = vms_[to.port - kFirstVmPort];
+  for (const EndpointEntry& it : simulation_.ListEndpoints()) {
+    if (it.id != command.endpoint) {
+      continue;
+    }
+    After(kPeerDelay, [this, vm, command, endpoint = it] {
+      peer_services_.Send(
+          endpoint, command.command, command.timeout,
+          [this, vm, id = command.id](std::error_code ec,
+                                      const ReplicationStatus& status) {
+            const ForwardedCommandResponse response{
+                id, vm,
+                ec ? ForwardedCommandResult::kAnswerLost
+                   : ForwardedCommandResult::kAnswered,
+                status};
+            After(kPeerDelay, [this, response] {
+              failover_.HandleForwardedCommandResponse(response);
+            });
+          });
+    });
+  }
+}
+
 void ControlServices::Get(std::string_view table,
                           std::string_view key,
                           RowsCompletion done) {
--- a/tests/traffic/simulated_control.h
+++ b/tests/traffic/simulated_control.h
@@ -95,12 +95,17 @@
   void AnnouncePrimary(const ServiceId& service, const EndpointId& endpoint);
   void SendHeartbeats() { RecordPeerHeartbeats(); }
   bool IsStoreConnected() const { return true; }
+  /** Lets another VM, which reaches every member, send the command. */
+  void ForwardCommand(const SocketAddress& to, const ForwardedCommand& command);
+  void AnswerForwardedCommand(const SocketAddress&,
+                              const ForwardedCommandResponse&) {}
 
  private:
   /** Records heartbeats of all other VMs, with the suspicions of this one. */
   void RecordPeerHeartbeats();
 
   TrafficSimulation& simulation_;
+  SimulatedServices& peer_services_;
   ControlServices services_;
   PeerGroup peers_{SocketAddress{"127.0.0.1", 1}};
   /** All VMs; the first one holds the duty. */
--- a/tests/traffic/traffic_simulation.h
+++ b/tests/traffic/traffic_simulation.h
@@ -193,6 +193,7 @@
   friend class SimulatedNet;
   friend class SimulatedServices;
   friend class ControlServices;
+  friend class SimulatedControl;
   struct Vm {
     std::unique_ptr<SimulatedNet> net;
     std::unique_ptr<Core> core;
