Prove by a read of the store that no replica has joined

Cause: a candidate that lacks the end of the demoted primary's log is promoted if no replica has joined, and the listing showed none. It was from before the outage of the store. A listing that is merely old, because the watch lags, had the same effect.

Change: the check reads the directory from the store. If that fails, or the store was away within the last two seconds (endpoints need that long to register), the demoted primary is promoted again, which holds everything. If the store is away when commits stall and no replica holds the end of the log, a primary that answers is not demoted at all, since nothing could follow.

--- a/apps/node/node_process.cc
+++ b/apps/node/node_process.cc
@@ -139,6 +139,10 @@
   return fleet_.IsStoreConnected();
 }
 
+void NodeProcess::ReadDirectory(std::function<void(std::error_code)> done) {
+  fleet_.ReadEndpoints(std::move(done));
+}
+
 void NodeProcess::ForwardCommand(const SocketAddress& to,
                                  const ForwardedCommand& command) {
   peers_.SendDatagram(to, EncodeForwardedCommand(command));
--- a/apps/node/node_process.h
+++ b/apps/node/node_process.h
@@ -45,6 +45,8 @@
   void SendHeartbeats();
   /** @see FailoverDelegate */
   bool IsStoreConnected() const;
+  /** @see FailoverDelegate */
+  void ReadDirectory(std::function<void(std::error_code)> done);
   /** @see ForwardedCommandChannel */
   void ForwardCommand(const SocketAddress& to, const ForwardedCommand& command);
   /** @see ForwardedCommandChannel */
--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <system_error>
 #include <utility>
 #include <vector>
 
@@ -34,6 +35,7 @@
     requires(T& delegate,
              Duration delay,
              std::function<void()> task,
+             std::function<void(std::error_code)> done,
              const ServiceId& service,
              const EndpointId& endpoint) {
   { delegate.Now() } -> std::same_as<TimePoint>;
@@ -43,6 +45,9 @@
   /** Called when the content of FillHeartbeat() has changed. */
   delegate.SendHeartbeats();
   { delegate.IsStoreConnected() } -> std::same_as<bool>;
+  /** Reads the directory from the store, applies it and calls the function. An
+      error means that an endpoint which has joined may not be listed. */
+  delegate.ReadDirectory(done);
 };
 
 /** Decides when a primary is replaced, and runs the replacement.
--- a/libs/control/failover/failover_control_replacement.h
+++ b/libs/control/failover/failover_control_replacement.h
@@ -130,6 +130,10 @@
                              now - *progress.confirmed_at < kPromotionTimeout);
   plan.has_unaccounted_departures = has_unaccounted_departures;
   plan.list_endpoints = [this, service] { return ListEndpoints(service); };
+  plan.is_store_connected = delegate_.IsStoreConnected();
+  plan.read_directory = [this](std::function<void(std::error_code)> done) {
+    delegate_.ReadDirectory(std::move(done));
+  };
   plan.record_order = [this, service](const EndpointId& endpoint) {
     const auto former = primaries_.GetLatestConfirmed(service);
     progress_[service].unconfirmed_order = {endpoint, delegate_.Now(),
--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -223,6 +223,16 @@
       return;
     }
     candidate_ = *next;
+    if (!plan_.is_store_connected && primary_status_ &&
+        replicas_[candidate_].status->received < primary_status_->received &&
+        plan_.reason == ReplacementReason::kCommitsStalled) {
+      // The membership check could not succeed, and a demotion would only
+      // interrupt the service.
+      PromotePrimaryAgainOrAbandon(
+          "no replica holds the end of the log, and the directory cannot be "
+          "read");
+      return;
+    }
     pause_term_ = newest_term.Next();
     PauseOthers();
   }
@@ -375,8 +385,11 @@
       primary; otherwise continues with FinishMembershipCheck() later. */
   void CompareWithPrimary();
   /** Promotes the candidate unless a replica has joined, which may have
-      acknowledged what the candidate lacks. */
-  void FinishMembershipCheck();
+      acknowledged what the candidate lacks.
+
+      @param ec  result of reading the directory
+  */
+  void FinishMembershipCheck(std::error_code ec);
   /** Promotes the demoted primary, which holds every acknowledged commit, so
       that the service has a primary again.
 
--- a/libs/control/failover/primary_replacement_demotion.h
+++ b/libs/control/failover/primary_replacement_demotion.h
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <optional>
 #include <string_view>
+#include <system_error>
 #include <vector>
 
 #include "control/failover/primary_replacement.h"
@@ -80,7 +81,8 @@
     return;
   }
   timing_.After(kMembershipDelay, [self = this->shared_from_this()] {
-    self->FinishMembershipCheck();
+    self->plan_.read_directory(
+        [self](std::error_code ec) { self->FinishMembershipCheck(ec); });
   });
 }
 
@@ -88,7 +90,13 @@
           EndpointCommandSender F,
           PromotionSender P,
           class T>
-void PrimaryReplacement<C, F, P, T>::FinishMembershipCheck() {
+void PrimaryReplacement<C, F, P, T>::FinishMembershipCheck(std::error_code ec) {
+  if (ec) {
+    // What is listed may be older than a replica that has joined.
+    PromotePrimaryAgainOrAbandon(
+        "the directory cannot be read, so that joined replicas are not known");
+    return;
+  }
   const std::vector<EndpointEntry> listed = plan_.list_endpoints();
   const bool is_known =
       std::all_of(listed.begin(), listed.end(), [&](const auto& entry) {
--- a/libs/control/failover/replacement_plan.h
+++ b/libs/control/failover/replacement_plan.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <span>
 #include <string_view>
+#include <system_error>
 #include <vector>
 
 #include "core/core.h"
@@ -80,6 +81,12 @@
   bool has_unaccounted_departures = false;
   /** Lists the service's endpoints in use at the time of the call. */
   std::function<std::vector<EndpointEntry>()> list_endpoints;
+  /** The store answered when the attempt began. */
+  bool is_store_connected = true;
+  /** Reads the directory. Success means that list_endpoints then returns every
+      endpoint that had joined some time before the call, and an error that this
+      is not known. @see FailoverDelegate */
+  std::function<void(std::function<void(std::error_code)>)> read_directory;
   /** Called when the promotion of an endpoint is ordered for the first time. */
   std::function<void(const EndpointId&)> record_order = [](const EndpointId&) {
   };
--- a/libs/control/fleet/fleet_control.h
+++ b/libs/control/fleet/fleet_control.h
@@ -65,7 +65,8 @@
       @param self      this VM
   */
   FleetControl(S& store, D& delegate, VmId self)
-      : delegate_(delegate),
+      : store_(store),
+        delegate_(delegate),
         holders_(std::move(self)),
         config_watch_(store, *this, C::GetConfigTable()),
         endpoint_watch_(store, *this, C::GetEndpointTable()),
@@ -105,6 +106,29 @@
   /** @returns the newest version of any row of the directory */
   uint64_t GetEndpointsVersion() const { return endpoints_version_; }
 
+  /** Reads the directory from the store and applies it.
+
+      @param done  receives success if it then lists every endpoint that had
+                   registered before the call; Error::kStoreUnavailable also if
+                   the store was away a moment ago, since endpoints register
+                   again, or for the first time, within kStoreSettlePeriod
+  */
+  void ReadEndpoints(std::function<void(std::error_code)> done) {
+    ListAllRows(
+        store_, C::GetEndpointTable(),
+        [this, done = std::move(done)](std::error_code ec,
+                                       const StoredRows& listing) {
+          if (!ec) {
+            HandleEndpointListing(listing.rows, listing.version, "store");
+          }
+          const bool is_settled =
+              !store_lost_ &&
+              delegate_.Now() - regained_at_ >= kStoreSettlePeriod;
+          done(ec || !is_settled ? make_error_code(Error::kStoreUnavailable)
+                                 : std::error_code{});
+        });
+  }
+
   /** Sets the live VMs in the published view.
 
       @param live        number of live VMs, including this one
@@ -328,6 +352,7 @@
     delegate_.Publish(std::move(view));
   }
 
+  S& store_;
   D& delegate_;
   HolderTable holders_;
   ActiveRouteTable routes_;
--- a/libs/control/tests/control_test.cc
+++ b/libs/control/tests/control_test.cc
@@ -106,6 +106,8 @@
   ReplacementResult Run(ReplacementPlan plan) {
     plan.service = kService;
     plan.list_endpoints = [this] { return listed; };
+    plan.is_store_connected = is_store_connected;
+    plan.read_directory = [this](auto done) { done(directory_error); };
     plan.has_unsettled_orders = has_unsettled_orders;
     plan.fencing_token = 9;
     ReplacementResult result;
@@ -123,6 +125,9 @@
   std::vector<EndpointEntry> listed;
   // Called when an endpoint has been demoted.
   std::function<void()> on_demotion = [] {};
+  /** Result of reading the directory. */
+  std::error_code directory_error;
+  bool is_store_connected = true;
   bool loses_demotion_reply = false;
   bool has_unsettled_orders = false;
   // Endpoint that does not answer a pause; empty for none.
@@ -232,6 +237,30 @@
   CHECK(group.trace.ends_with("demote db-1;report db-2;promote db-2 9;"));
 }
 
+TEST(Replacement, PromotesTheDemotedPrimaryAgainIfTheDirectoryCannotBeRead) {
+  // A listing from before an outage of the store does not show that no replica
+  // has joined.
+  group.statuses = {{"db-1", MakeStatus(true, 1, 9)},
+                    {"db-2", MakeStatus(false, 1, 7)},
+                    {"db-3", MakeStatus(false, 1, 7)}};
+  group.listed = {MakeEntry("db-1"), MakeEntry("db-2"), MakeEntry("db-3")};
+  group.directory_error = Error::kStoreUnavailable;
+  const ReplacementResult result =
+      group.Replace(ReplacementReason::kCommitsStalled, replicas);
+  STRCMP_EQUAL("db-1", result.primary.value.c_str());
+}
+
+TEST(Replacement, LeavesThePrimaryAsItIsWhileItsGroupCannotBeKnown) {
+  group.statuses = {{"db-1", MakeStatus(true, 1, 9)},
+                    {"db-2", MakeStatus(false, 1, 7)},
+                    {"db-3", MakeStatus(false, 1, 7)}};
+  group.is_store_connected = false;
+  const ReplacementResult result =
+      group.Replace(ReplacementReason::kCommitsStalled, replicas);
+  CHECK(result.outcome == ReplacementOutcome::kAbandoned);
+  CHECK(group.trace.find("demote") == std::string::npos);
+}
+
 TEST(Replacement, PromotesTheDemotedPrimaryAgainIfAReplicaHasJoined) {
   // What the candidate lacks may have been acknowledged by the new replica.
   group.statuses = {{"db-1", MakeStatus(true, 1, 9)},
--- a/libs/control/tests/failover_control_test.cc
+++ b/libs/control/tests/failover_control_test.cc
@@ -142,6 +142,10 @@
   void AnnouncePrimary(const ServiceId&, const EndpointId&) {}
   void SendHeartbeats() {}
   bool IsStoreConnected() const { return true; }
+  void ReadDirectory(const std::function<void(std::error_code)>& done) {
+    done(is_store_down ? make_error_code(Error::kStoreUnavailable)
+                       : std::error_code{});
+  }
   void ForwardCommand(const SocketAddress&, const ForwardedCommand&) {}
   void AnswerForwardedCommand(const SocketAddress&,
                               const ForwardedCommandResponse&) {}
--- a/libs/control/tests/fleet_control_test.cc
+++ b/libs/control/tests/fleet_control_test.cc
@@ -1,6 +1,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -146,6 +147,43 @@
   CHECK(node.GetView().endpoints_changed_at == changed_at);
 }
 
+TEST(Fleet, AReadOfTheDirectoryListsWhatHasRegistered) {
+  TestNode node;
+  std::optional<std::error_code> result;
+  const auto read = [&] {
+    node.fleet.ReadEndpoints([&](std::error_code ec) { result = ec; });
+  };
+  read();
+  TestNode::Answer(node.store.listings, "endpoints", {},
+                   {{{"db-1", "1 ready", 5, false}}, 5, false});
+  CHECK(result && !*result);
+  CHECK(!node.GetEndpoint("db-1").draining);
+  read();
+  TestNode::Answer(node.store.listings, "endpoints", Error::kStoreUnavailable,
+                   {});
+  CHECK(result && *result == Error::kStoreUnavailable);
+}
+
+TEST(Fleet, AReadOfTheDirectoryAfterAnOutageProvesNothingAtFirst) {
+  // Endpoints that joined in the outage register up to two seconds after it.
+  TestNode node;
+  std::optional<std::error_code> result;
+  const auto read = [&] {
+    node.fleet.ReadEndpoints([&](std::error_code ec) { result = ec; });
+    TestNode::Answer(node.store.listings, "endpoints", {}, {});
+  };
+  TestNode::Answer(node.store.polls, "endpoints", Error::kStoreUnavailable, {});
+  read();
+  CHECK(*result == Error::kStoreUnavailable);
+  node.Advance(seconds(1));
+  TestNode::Answer(node.store.polls, "endpoints", {}, {});
+  read();
+  CHECK(*result == Error::kStoreUnavailable);
+  node.Advance(seconds(2));
+  read();
+  CHECK(!*result);
+}
+
 TEST(Fleet, DrainCountsFromTheStartOfTheOutageInWhichItBecameKnown) {
   // Guards against a VM that was cut off from the store and uses a leaving
   // primary for longer than the others (DRAIN).
--- a/tests/traffic/simulated_control.cc
+++ b/tests/traffic/simulated_control.cc
@@ -50,12 +50,24 @@
   for (size_t it = 1; it < vms_.size(); ++it) {
     heartbeat.vm = vms_[it];
     heartbeat.site.value = "site-0";
-    heartbeat.address = {"127.0.0.1",
-                         static_cast<uint16_t>(kFirstVmPort + it)};
+    heartbeat.address = {"127.0.0.1", static_cast<uint16_t>(kFirstVmPort + it)};
     peers_.RecordHeartbeat(heartbeat, Now());
   }
 }
 
+bool SimulatedControl::IsStoreConnected() const {
+  return !simulation_.IsStoreDown();
+}
+
+void SimulatedControl::ReadDirectory(
+    const std::function<void(std::error_code)>& done) {
+  After(kPeerDelay, [this, done] {
+    simulation_.Publish();
+    done(IsStoreConnected() ? std::error_code{}
+                            : make_error_code(Error::kStoreUnavailable));
+  });
+}
+
 void SimulatedControl::ForwardCommand(const SocketAddress& to,
                                       const ForwardedCommand& command) {
   const VmId& vm = vms_[to.port - kFirstVmPort];
@@ -107,6 +119,7 @@
   if (is_killed_) {
     return;
   }
+  simulation_.command_observer_(command.kind);
   if (const size_t member = endpoint.address.port - kFirstMemberPort;
       simulation_.control_partitions_.contains(member)) {
     simulation_.After(timeout, CallWhileAlive([done = std::move(done)] {
--- a/tests/traffic/simulated_control.h
+++ b/tests/traffic/simulated_control.h
@@ -94,7 +94,8 @@
   void After(Duration pause, std::function<void()> task);
   void AnnouncePrimary(const ServiceId& service, const EndpointId& endpoint);
   void SendHeartbeats() { RecordPeerHeartbeats(); }
-  bool IsStoreConnected() const { return true; }
+  bool IsStoreConnected() const;
+  void ReadDirectory(const std::function<void(std::error_code)>& done);
   /** Lets another VM, which reaches every member, send the command. */
   void ForwardCommand(const SocketAddress& to, const ForwardedCommand& command);
   void AnswerForwardedCommand(const SocketAddress&,
--- a/tests/traffic/traffic_simulation.cc
+++ b/tests/traffic/traffic_simulation.cc
@@ -199,6 +199,9 @@
 }
 
 void TrafficSimulation::Publish() {
+  if (is_store_down_) {
+    return;
+  }
   auto routes = std::make_shared<RouteTable>();
   routes->version = 1;
   for (const auto& [name, consistency] :
@@ -497,8 +500,7 @@
   }
 }
 
-void TrafficSimulation::SetControlPartitioned(size_t member,
-                                              bool partitioned) {
+void TrafficSimulation::SetControlPartitioned(size_t member, bool partitioned) {
   if (partitioned) {
     control_partitions_.insert(member);
   } else {
--- a/tests/traffic/traffic_simulation.h
+++ b/tests/traffic/traffic_simulation.h
@@ -180,6 +180,16 @@
     promotion_observer_ = std::move(observer);
   }
 
+  /** Sets a function that is called whenever the VM that decides on promotions
+      sends a command. */
+  void SetCommandObserver(std::function<void(EndpointCommandKind)> observer) {
+    command_observer_ = std::move(observer);
+  }
+  /** Starts or ends an outage of the store: while it lasts, no VM learns of a
+      change of the directory. */
+  void SetStoreDown(bool is_down) { is_store_down_ = is_down; }
+  bool IsStoreDown() const { return is_store_down_; }
+
   TimePoint Now() const { return queue_.Now(); }
   size_t CountVms() const { return vms_.size(); }
   const std::string& GetService() const { return options_.service; }
@@ -261,6 +271,9 @@
   uint64_t next_caller_ = 1;
   double promotion_loss_ = 0;
   std::function<void()> promotion_observer_ = [] {};
+  std::function<void(EndpointCommandKind)> command_observer_ =
+      [](EndpointCommandKind) {};
+  bool is_store_down_ = false;
   /** A time in which the directory lists a member as draining. */
   struct Drain {
     TimePoint since;
--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -846,6 +846,34 @@
   CheckGuaranteesAndService(run);
 }
 
+TEST(Traffic, KeepsCommitsOfAMemberThatJoinsWhileTheStoreIsAway) {
+  // Guards against a listing from before an outage of the store that is taken
+  // for proof that no member has joined (LOST in joined-while-store-away).
+  using std::chrono::milliseconds;
+  TrafficRun run(1);
+  run.Run([&run] {
+    TrafficSimulation& simulation = run.GetSimulation();
+    EventQueue& queue = simulation.GetQueue();
+    simulation.GetGroup().Leave(1);
+    simulation.Publish();
+    queue.After(milliseconds(5500), [&simulation] {
+      simulation.SetStoreDown(true);
+      simulation.GetGroup().SetReplicationCut(2, true);
+      simulation.SetCommandObserver([&simulation](EndpointCommandKind) {
+        if (simulation.GetGroup().HasLeft(1)) {
+          simulation.GetGroup().Join(1);
+        }
+      });
+    });
+    queue.After(milliseconds(8000), [&simulation] {
+      simulation.SetStoreDown(false);
+      simulation.GetGroup().SetReplicationCut(2, false);
+    });
+  });
+  CHECK(!run.GetSimulation().GetGroup().HasLeft(1));
+  CheckGuaranteesAndService(run);
+}
+
 TEST(Traffic, NoStatementReachesALeavingPrimaryAfterItsDrainPeriod) {
   // Guards against a primary that is used for as long as it has no successor,
   // beyond the time that it serves after it has announced its end (DRAIN).
