Ask a primary that is not listed any more, and the store about its group

Cause: the reason "gone" stood for "dead": the primary was neither asked nor demoted. And a primary that answered no VM was replaced by the replicas that were listed when the attempt began.

Change: an attempt asks a primary that has left the directory at its last address, through other VMs, too, and demotes it if it answers. Before a primary that answers no VM is replaced, the directory is read: if it lists a replica that was not asked, the next attempt includes it. If commits stalled a moment ago, that is done after the time by which a joined replica is listed.

TellsWhetherThePrimaryWasDemoted expected "not asked" for every primary that is gone; it now does so for one that was never listed.

Evidence: control_tests DemotesAPrimaryThatIsNotListedAnyMore, red on the parent.

--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -122,6 +122,7 @@
     departures_.RetainServices(services_);
     primaries_.Apply(endpoints_, delegate_.Now());
     departures_.Apply(ListAcknowledgingEndpoints(view), delegate_.Now());
+    RememberPrimaries();
     PruneSuspicions();
     Review();
   }
@@ -201,7 +202,9 @@
       @param request  the peer's request
   */
   void HandleForwardedCommand(const ForwardedCommand& request) {
-    forwarder_.HandleForwardedCommand(request, FindEndpoint(request.endpoint));
+    const EndpointEntry* entry = FindEndpoint(request.endpoint);
+    forwarder_.HandleForwardedCommand(
+        request, entry != nullptr ? entry : FindFormerEntry(request.endpoint));
   }
 
   /** Handles a peer's response to a command that this VM has forwarded.
@@ -338,6 +341,28 @@
     return nullptr;
   }
 
+  /** Keeps the entries of the primaries, which may run on after the directory
+      has ceased to list them. */
+  void RememberPrimaries() {
+    std::erase_if(primary_entries_,
+                  [this](const auto& row) { return !IsKnown(row.first); });
+    for (const EndpointEntry& it : endpoints_) {
+      if (primaries_.IsPrimary(it.id)) {
+        primary_entries_[it.service] = it;
+      }
+    }
+  }
+
+  /** @returns the last entry of a primary; null if it was none */
+  const EndpointEntry* FindFormerEntry(const EndpointId& id) const {
+    for (const auto& [service, entry] : primary_entries_) {
+      if (entry.id == id) {
+        return &entry;
+      }
+    }
+    return nullptr;
+  }
+
   void ScheduleReview() {
     if (!std::exchange(review_scheduled_, true)) {
       delegate_.After(kFailoverReviewInterval, [this] {
@@ -491,6 +516,8 @@
   /** @see FleetView::endpoints_changed_at */
   TimePoint endpoints_changed_at_;
   std::vector<ServiceId> services_;
+  /** Last entry of each service's latest primary that was listed. */
+  std::map<ServiceId, EndpointEntry> primary_entries_;
   std::map<ServiceId, Progress> progress_;
   std::map<EndpointId, uint32_t> last_levels_;
   std::vector<std::pair<PromotionNotice, TimePoint>> promotion_notices_;
--- a/libs/control/failover/failover_control_replacement.h
+++ b/libs/control/failover/failover_control_replacement.h
@@ -153,6 +153,11 @@
       plan.replicas.push_back(it);
     }
   }
+  if (const EndpointEntry* former = FindFormerEntry(plan.primary_id);
+      former != nullptr && FindEndpoint(plan.primary_id) == nullptr) {
+    // It may only be cut off from the store.
+    plan.primary = *former;
+  }
   progress.running = true;
   progress.pending_resumes = resumer_.Cancel(plan.replicas);
   LogEvent(Event::kReplacementStarted,
--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -55,7 +55,8 @@
     log compared with the candidate's. If the candidate lacks the end of it,
     only a replica that has joined can have acknowledged that; if one has, the
     demoted primary is promoted again, and the next attempt includes the new
-    replica. A primary that does not answer is replaced without a demotion.
+    replica. A primary that answers no VM is replaced without a demotion if the
+    directory lists no replica that the attempt does not know.
 
     @tparam C  sends commands to replicas, @see EndpointCommandSender
     @tparam F  sends commands to the primary, through other VMs if this one does
@@ -117,7 +118,7 @@
   using Step = void (PrimaryReplacement::*)();
 
   void SurveyPrimary() {
-    if (!plan_.primary || plan_.reason == ReplacementReason::kGone) {
+    if (!plan_.primary) {
       CompleteCall(&PrimaryReplacement::FinishSurvey);
       return;
     }
@@ -189,7 +190,8 @@
       Finish(ReplacementOutcome::kNotNeeded, plan_.primary_id, "");
       return;
     }
-    if (plan_.has_unsettled_orders && primary_status_ &&
+    const bool is_gone = plan_.reason == ReplacementReason::kGone;
+    if (plan_.has_unsettled_orders && !is_gone && primary_status_ &&
         primary_status_->is_primary) {
       // The order changes nothing while the primary leads, but would undo its
       // demotion.
@@ -198,7 +200,8 @@
              "an order for the primary may still take effect");
       return;
     }
-    if (IsPrimaryDemoted() && plan_.reason != ReplacementReason::kDemoted) {
+    if (IsPrimaryDemoted() && !is_gone &&
+        plan_.reason != ReplacementReason::kDemoted) {
       // The VM that demoted it may have ordered a promotion.
       Finish(ReplacementOutcome::kAbandoned, {},
              "another VM has demoted the primary");
@@ -373,13 +376,17 @@
     DemotePrimary(0);
   }
 
-  /** Demotes the primary and continues with CompareWithPrimary(). If it did not
-      answer the survey, promotes the candidate at once.
+  /** Demotes the primary and continues with CompareWithPrimary(). If no VM had
+      an answer of it, continues with CheckMembersOfUnreachedPrimary().
 
       @param attempt  number of times that the primary had no free slot for the
                       command
   */
   void DemotePrimary(int attempt);
+  /** Continues with FinishMembershipCheck(): at once if the primary seems to be
+      dead; with a delay if its commits stalled a moment ago, since it may still
+      acknowledge them through a replica that has just joined. */
+  void CheckMembersOfUnreachedPrimary();
   void FinishDemotion(std::error_code ec, const ReplicationStatus& status);
   /** Promotes the candidate once it has received the whole log of the demoted
       primary; otherwise continues with FinishMembershipCheck() later. */
--- a/libs/control/failover/primary_replacement_demotion.h
+++ b/libs/control/failover/primary_replacement_demotion.h
@@ -20,7 +20,7 @@
           class T>
 void PrimaryReplacement<C, F, P, T>::DemotePrimary(int attempt) {
   if (!primary_status_) {
-    Promote();
+    CheckMembersOfUnreachedPrimary();
     return;
   }
   // One that has reported that it is a replica may lead since.
@@ -42,6 +42,24 @@
       });
 }
 
+template <EndpointCommandSender C,
+          EndpointCommandSender F,
+          PromotionSender P,
+          class T>
+void PrimaryReplacement<C, F, P, T>::CheckMembersOfUnreachedPrimary() {
+  const auto read = [self = this->shared_from_this()] {
+    self->plan_.read_directory(
+        [self](std::error_code ec) { self->FinishMembershipCheck(ec); });
+  };
+  if (plan_.reason == ReplacementReason::kCommitsStalled) {
+    timing_.After(kMembershipDelay, read);
+  } else if (plan_.is_store_connected) {
+    read();
+  } else {
+    FinishMembershipCheck({});
+  }
+}
+
 template <EndpointCommandSender C,
           EndpointCommandSender F,
           PromotionSender P,
@@ -91,7 +109,9 @@
           PromotionSender P,
           class T>
 void PrimaryReplacement<C, F, P, T>::FinishMembershipCheck(std::error_code ec) {
-  if (ec) {
+  const bool is_alive =
+      primary_status_ || plan_.reason == ReplacementReason::kCommitsStalled;
+  if (ec && is_alive) {
     // What is listed may be older than a replica that has joined.
     PromotePrimaryAgainOrAbandon(
         "the directory cannot be read, so that joined replicas are not known");
--- a/libs/control/failover/replacement_plan.h
+++ b/libs/control/failover/replacement_plan.h
@@ -58,8 +58,8 @@
 /** Input of one attempt to replace a primary. */
 struct ReplacementPlan {
   ServiceId service;
-  /** The primary's entry; none if the directory does not list it or its
-      promotion was never confirmed. */
+  /** The primary's entry, the last one if the directory does not list it any
+      more; none if it was never listed or its promotion was never confirmed. */
   std::optional<EndpointEntry> primary;
   EndpointId primary_id;
   ReplacementReason reason = ReplacementReason::kGone;
--- a/libs/control/tests/control_test.cc
+++ b/libs/control/tests/control_test.cc
@@ -421,7 +421,10 @@
   group.statuses.erase("db-1");
   CHECK(group.Replace(ReplacementReason::kUnreachable, replicas).demotion ==
         PrimaryDemotion::kNoAnswer);
-  CHECK(group.Replace(ReplacementReason::kGone, replicas).demotion ==
+  ReplacementPlan never_listed;
+  never_listed.primary_id.value = "db-1";
+  never_listed.replicas = replicas;
+  CHECK(group.Run(std::move(never_listed)).demotion ==
         PrimaryDemotion::kNotAsked);
 }
 
--- a/libs/control/tests/failover_control_test.cc
+++ b/libs/control/tests/failover_control_test.cc
@@ -83,6 +83,9 @@
             Duration,
             const EndpointCommandCompletion& done) {
     ReplicationStatus status;
+    if (command.kind == EndpointCommandKind::kDemote) {
+      demoted.push_back(endpoint.id.value);
+    }
     if (command.kind == EndpointCommandKind::kDemote &&
         endpoint.id.value == primary && endpoint.id.value != unresponsive) {
       primary.clear();
@@ -212,6 +215,8 @@
   // Endpoint that does not answer a pause; empty for none.
   std::string fails_pause;
   std::vector<std::pair<std::string, uint64_t>> promotions;
+  // Endpoints that were sent a demotion.
+  std::vector<std::string> demoted;
   // Paused endpoints with the term of the pause. At a real endpoint a promotion
   // ends the pauses below its term; here it ends none.
   std::map<std::string, Term> paused;
@@ -302,6 +307,19 @@
                                 std::to_string(fake.term) + " after_ms=1600");
 }
 
+TEST(Failover, DemotesAPrimaryThatIsNotListedAnyMore) {
+  // Guards against a primary that counts as dead because its entry expired,
+  // and that acknowledges commits through a member that joins (LOST).
+  SettleOrders();
+  fake.Remove("db-1");
+  failover.Apply(fake.GetView());
+  RunWithReviews(3);
+  CHECK(!fake.demoted.empty());
+  STRCMP_EQUAL("db-1", fake.demoted.front().c_str());
+  CHECK(!fake.promotions.empty());
+  CHECK(fake.promotions.front().first != "db-1");
+}
+
 TEST(Failover, HeartbeatAnnouncesOnlyTheLatestPromotion) {
   failover.Apply(fake.MakeView("db-1"));
   fake.Advance(std::chrono::seconds(2));
