Stand-in: a promotion takes effect only for the member it was ordered for

Cause: the step that puts a promotion in force kept the member's index. A member that left and was replaced by a new one within the promotion's delay had the new one promoted, with an empty or partial log, which no proxy could prevent. With 120 ms and the replacements of the tests so far this was not seen; with 300 to 1000 ms and members that join behind promotions it could happen.

Change: the step also keeps the id, and does nothing if it is another one.

--- a/standins/group/group_model.h
+++ b/standins/group/group_model.h
@@ -254,7 +254,7 @@
   void Replicate(size_t commit);
   void ReceiveCommit(size_t member, size_t commit, uint64_t incarnation);
   void SynchronizeLog(size_t member);
-  void ApplyPromotion(size_t member);
+  void ApplyPromotion(size_t member, const std::string& id);
   void Demote(size_t member);
   LogPoint GetLastPoint(const Member& member, bool applied) const;
   std::string FormatReady(const Connection& connection) const;
--- a/standins/group/group_replication.cc
+++ b/standins/group/group_replication.cc
@@ -73,14 +73,16 @@
   }
   highest_fencing_token_ = fencing_token;
   timer_(options_.promotion_delay,
-         [this, member = static_cast<size_t>(it - members_.begin())] {
-           ApplyPromotion(member);
-         });
+         [this, member = static_cast<size_t>(it - members_.begin()),
+          id = it->id] { ApplyPromotion(member, id); });
   return 200;
 }
 
-void GroupModel::ApplyPromotion(size_t index) {
-  if (!members_[index].is_up || members_[index].is_primary) {
+// A new member that has taken the place of the one to be promoted has another
+// id.
+void GroupModel::ApplyPromotion(size_t index, const std::string& id) {
+  if (members_[index].id != id || !members_[index].is_up ||
+      members_[index].is_primary) {
     return;
   }
   newest_term_ = newest_term_.Next();
