Soak: members that leave and join, and links of single nodes that are cut

Cause: the soak never brought the situation in which commits were lost at a promotion: the holder of the duty doesn't reach the primary, others do, the replicas receive nothing, and a new replica joins.

Change: a second schedule (--membership N, SOAK_MEMBERSHIP), with a generator of its own, so that the choices of the first one stay as they are. Replicas receive nothing for a while; replicas drain, leave and are replaced under new ids, also behind a promotion that was just ordered; single nodes don't reach a database (the proxy reads the node's name from the first line of each connection); promotions take 300 to 1000 ms. A member leaves only while it is a replica of a running primary and no other database is down or absent. The check is unchanged; it looks at each promotion. SOAK_FAULTS sets the number of the other faults.

--- a/standins/site/site_server.cc
+++ b/standins/site/site_server.cc
@@ -39,6 +39,7 @@
 GroupOptions MakeGroupOptions(const SiteSettings& settings) {
   GroupOptions options;
   options.max_connections = settings.max_connections;
+  options.promotion_delay = settings.promotion_delay;
   return options;
 }
 
@@ -157,6 +158,7 @@
     return;
   }
   group_.SetNow(loop_.Now());
+  promotion_observer_();
   answer({group_.Promote(body["id"].asString(), token), {}});
 }
 
@@ -177,7 +179,7 @@
   } else if (name == "crash" || name == "dark") {
     group_.Crash(member, name == "dark");
   } else if (name == "restart") {
-    if (!group_.IsRunning(member)) {
+    if (!group_.IsRunning(member) && !group_.HasLeft(member)) {
       group_.Restart(member);
     }
   } else if (name == "drain" || name == "stay") {
@@ -201,12 +203,37 @@
     group_.SetAnswerLossRate(name == "lose" ? 0.1 : 0);
   } else if (name == "slow" || name == "quick") {
     group_.SetApplyDelayFactor(name == "slow" ? 60 : 1);
+  } else {
+    return InjectMembershipFault(name, member);
+  }
+  return true;
+}
+
+bool SiteServer::InjectMembershipFault(std::string_view name, size_t member) {
+  if (name == "deaf" || name == "hear") {
+    group_.SetReplicationCut(member, name == "deaf");
+  } else if (name == "leave") {
+    RemoveMember(member);
+  } else if (name == "join") {
+    if (group_.HasLeft(member)) {
+      group_.Join(member);
+    }
   } else {
     return false;
   }
   return true;
 }
 
+void SiteServer::RemoveMember(size_t member) {
+  if (group_.HasLeft(member)) {
+    return;
+  }
+  group_.Leave(member);
+  draining_[member] = false;
+  published_endpoints_.erase(member);
+  store_.Remove("servers", group_.GetId(member));
+}
+
 void SiteServer::PublishConfig() {
   Json::Value root(Json::objectValue);
   root["version"] = Json::UInt64{config_version_};
--- a/standins/site/site_server.h
+++ b/standins/site/site_server.h
@@ -1,9 +1,12 @@
 #ifndef MAGNOLIAREEL_STANDINS_SITE_SITE_SERVER_H_
 #define MAGNOLIAREEL_STANDINS_SITE_SITE_SERVER_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "net/net.h"
@@ -23,6 +26,8 @@
   int64_t advertised_base_port = 0;
   /** Number of connections that each database accepts. */
   uint32_t max_connections = 32;
+  /** Time from the request for a promotion until it takes effect. */
+  Duration promotion_delay = GroupOptions{}.promotion_delay;
 };
 
 /** Runs a whole users' site in one process: the platform's store and promotion
@@ -36,6 +41,9 @@
       them open without an answer
     - restart-N: a stopped database starts again
     - drain-N, stay-N: the directory lists a database as draining, or as ready
+    - deaf-N, hear-N: a database neither receives nor sends commits, or does
+    - leave-N, join-N: a database ends for good and its entry is removed, or a
+      new one with an id and an entry of its own takes its place
     - forget: the store discards its history, so that reads of the feed from
       earlier versions fail
     - config: a new version of the configuration is published
@@ -66,6 +74,11 @@
   bool InjectFault(std::string_view fault);
   /** @returns the group of databases, for the checks of tests */
   const GroupModel& GetGroup() const { return group_; }
+  /** @param observer  called when a promotion is requested, before it takes
+                       effect */
+  void SetPromotionObserver(std::function<void()> observer) {
+    promotion_observer_ = std::move(observer);
+  }
 
  private:
   struct Database;
@@ -79,6 +92,8 @@
   void PublishConfig();
   void PublishEndpoint(size_t member);
   void PublishEndpoints();
+  bool InjectMembershipFault(std::string_view name, size_t member);
+  void RemoveMember(size_t member);
   void RunAfter(Duration pause, std::function<void()> task);
   uint16_t GetPort(size_t offset) const {
     return static_cast<uint16_t>(settings_.base_port +
@@ -97,6 +112,7 @@
   std::map<size_t, std::string> published_endpoints_;
   uint64_t report_count_ = 0;
   std::map<size_t, bool> draining_;
+  std::function<void()> promotion_observer_ = [] {};
   LoopTimer publish_timer_;
   uint64_t next_connection_ = 1;
   uint64_t config_version_ = 1;
--- a/tests/soak/link_proxy.cc
+++ b/tests/soak/link_proxy.cc
@@ -27,6 +27,10 @@
 
   LinkProxy* owner = nullptr;
   uint64_t id = 0;
+  /** The first bytes from the node, until they hold its name. */
+  std::string opening;
+  /** The name of the node, as its first line gives it; empty before. */
+  std::string vm;
   Side node;
   Side server;
   /** Time at which the last delayed bytes arrive; later bytes are not sent
@@ -63,6 +67,12 @@
 
 void LinkProxy::Forward(uint64_t link, bool to_server, std::string_view bytes) {
   Link& it = *links_.at(link);
+  if (to_server && it.vm.empty()) {
+    ReadVm(it, bytes);
+  }
+  if (cut_vms_.contains(it.vm)) {
+    return;
+  }
   const bool is_affected = IsSelected(link, faults_.connections);
   if (is_affected &&
       (to_server ? faults_.drops_requests : faults_.drops_answers)) {
@@ -82,6 +92,22 @@
            });
 }
 
+// The first line is STARTUP, the service, the node and the database's id.
+void LinkProxy::ReadVm(Link& link, std::string_view bytes) {
+  link.opening.append(bytes);
+  if (!link.opening.starts_with("STARTUP ") ||
+      link.opening.find("\r\n") == std::string::npos) {
+    return;
+  }
+  const size_t service_end = link.opening.find(' ', sizeof("STARTUP"));
+  if (service_end != std::string::npos) {
+    const size_t begin = service_end + 1;
+    link.vm = link.opening.substr(
+        begin, link.opening.find_first_of(" \r", begin) - begin);
+  }
+  link.opening.clear();
+}
+
 void LinkProxy::Deliver(uint64_t link, bool to_server, std::string_view bytes) {
   const auto it = links_.find(link);
   if (it == links_.end()) {
@@ -108,6 +134,27 @@
   }
 }
 
+void LinkProxy::ReconnectVm(std::string_view vm) {
+  if (cut_vms_.erase(std::string(vm)) == 0) {
+    return;
+  }
+  std::vector<uint64_t> selected;
+  for (const auto& [id, link] : links_) {
+    if (link->vm == vm) {
+      selected.push_back(id);
+    }
+  }
+  for (const uint64_t it : selected) {
+    CloseLink(it);
+  }
+}
+
+void LinkProxy::ReconnectVms() {
+  while (!cut_vms_.empty()) {
+    ReconnectVm(std::string(*cut_vms_.begin()));
+  }
+}
+
 void LinkProxy::CloseLink(uint64_t link) {
   const auto it = links_.find(link);
   if (it == links_.end()) {
--- a/tests/soak/link_proxy.h
+++ b/tests/soak/link_proxy.h
@@ -4,7 +4,9 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/core.h"
@@ -47,6 +49,21 @@
       @param connections  selects them; see LinkFaults::connections
   */
   void Reset(uint32_t connections);
+  /** Drops all bytes of the connections that one node opens, in both
+      directions, while the other nodes still reach the server. Only for a
+      server that speaks the session protocol, whose first line names the node.
+
+      @param vm  the node's name
+  */
+  void CutVm(std::string_view vm) { cut_vms_.emplace(vm); }
+  /** Ends CutVm() for a node and closes its connections, because dropped bytes
+      are never resent.
+
+      @param vm  the node's name
+  */
+  void ReconnectVm(std::string_view vm);
+  /** Ends CutVm() for all nodes. @see ReconnectVm */
+  void ReconnectVms();
 
  private:
   struct Link;
@@ -55,6 +72,7 @@
   void Forward(uint64_t link, bool to_server, std::string_view bytes);
   void Deliver(uint64_t link, bool to_server, std::string_view bytes);
   void CloseLink(uint64_t link);
+  static void ReadVm(Link& link, std::string_view bytes);
 
   EventLoop& loop_;
   const SocketAddress listen_;
@@ -63,6 +81,7 @@
   std::map<uint64_t, std::unique_ptr<Link>> links_;
   std::vector<std::unique_ptr<Link>> closed_links_;
   LinkFaults faults_;
+  std::set<std::string> cut_vms_;
   uint64_t next_link_ = 0;
 };
 
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -26,6 +26,9 @@
                   1000, settings.connections);
   flags.AddNumber("faults", "number of faults in the run", 0, 1000,
                   settings.fault_count);
+  flags.AddNumber("membership",
+                  "number of faults of the membership and of single links", 0,
+                  1000, settings.membership_fault_count);
   flags.AddNumber("faults-s", "length of the period with faults, in seconds", 1,
                   3600, settings.fault_period_s);
   Findings findings;
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -20,6 +20,33 @@
 // timeout.
 constexpr Duration kFinishPeriod = std::chrono::seconds(2);
 constexpr int64_t kProxyCount = 4;
+// With faults of the membership a promotion takes 300 to 1000 ms.
+constexpr int64_t kMinPromotionDelayMs = 300;
+constexpr int64_t kMaxPromotionDelayMs = 1000;
+
+Duration ChoosePromotionDelay(const SoakSettings& settings) {
+  if (settings.membership_fault_count == 0) {
+    return GroupOptions{}.promotion_delay;
+  }
+  std::mt19937_64 random(static_cast<uint64_t>(settings.seed));
+  return std::chrono::milliseconds(std::uniform_int_distribution<int64_t>(
+      kMinPromotionDelayMs, kMaxPromotionDelayMs)(random));
+}
+
+std::vector<std::unique_ptr<LinkProxy>> MakeProxies(
+    EventLoop& loop,
+    const SoakSettings& settings) {
+  const auto get_address = [&settings](int64_t offset) {
+    return SocketAddress{"127.0.0.1",
+                         static_cast<uint16_t>(settings.base_port + offset)};
+  };
+  std::vector<std::unique_ptr<LinkProxy>> proxies;
+  for (int64_t it = 0; it < kProxyCount; ++it) {
+    proxies.push_back(std::make_unique<LinkProxy>(
+        loop, get_address(kProxyCount + it), get_address(it)));
+  }
+  return proxies;
+}
 
 }  // namespace
 
@@ -29,7 +56,9 @@
       random_(static_cast<uint64_t>(settings.seed)),
       site_(loop,
             {"127.0.0.1", settings.base_port, settings.base_port + kProxyCount,
-             static_cast<uint32_t>(settings.connections)}),
+             static_cast<uint32_t>(settings.connections),
+             ChoosePromotionDelay(settings)}),
+      proxies_(MakeProxies(loop, settings)),
       connections_(
           loop,
           [&settings] {
@@ -47,11 +76,13 @@
                 return;
               }
             }
-          }) {
-  for (int64_t it = 0; it < kProxyCount; ++it) {
-    proxies_.push_back(std::make_unique<LinkProxy>(
-        loop_, GetAddress(kProxyCount + it), GetAddress(it)));
-  }
+          }),
+      membership_faults_(loop,
+                         site_,
+                         std::span(proxies_).subspan(1),
+                         static_cast<size_t>(settings.nodes),
+                         static_cast<uint64_t>(settings.seed),
+                         is_database_down_) {
   constexpr std::array<const char*, 3> kDatabases = {"entries", "lookups",
                                                      "timesheets"};
   const auto nodes = static_cast<size_t>(settings_.nodes);
@@ -63,10 +94,6 @@
   }
 }
 
-SocketAddress SoakRun::GetAddress(int64_t offset) const {
-  return {"127.0.0.1", static_cast<uint16_t>(settings_.base_port + offset)};
-}
-
 std::error_code SoakRun::Start() {
   if (const std::error_code ec = site_.Start()) {
     return ec;
@@ -110,6 +137,10 @@
     RunLater(loop_, std::chrono::milliseconds(random_() % duration),
              [this] { InjectFault(); });
   }
+  if (settings_.membership_fault_count > 0) {
+    membership_faults_.Schedule(settings_.membership_fault_count,
+                                std::chrono::milliseconds(duration));
+  }
   RunLater(loop_, std::chrono::milliseconds(duration), [this] { EndFaults(); });
 }
 
@@ -253,6 +284,7 @@
   if (std::exchange(have_faults_ended_, true)) {
     return;
   }
+  membership_faults_.End();
   for (const char* it : {"up", "keep", "quick"}) {
     RequestSiteFault(it, 0);
   }
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -11,6 +11,7 @@
 #include "standins/site/site_server.h"
 #include "tests/soak/caller_connections.h"
 #include "tests/soak/link_proxy.h"
+#include "tests/soak/membership_faults.h"
 #include "tests/traffic/traffic_caller.h"
 #include "tests/traffic/traffic_history.h"
 
@@ -30,6 +31,9 @@
   int64_t fault_period_s = 10;
   /** Number of faults injected in that period; they may overlap. */
   int64_t fault_count = 14;
+  /** Number of faults of the membership and of single links injected in the
+     same period; see MembershipFaults. The other faults don't depend on it. */
+  int64_t membership_fault_count = 0;
 };
 
 /** One run of the fault soak: callers use real nodes in front of a stand-in
@@ -59,7 +63,6 @@
   size_t CountOperations() const { return history_.size(); }
 
  private:
-  SocketAddress GetAddress(int64_t offset) const;
   LinkProxy& GetProxy(size_t member) { return *proxies_[member + 1]; }
   void WaitForCallers();
   void ScheduleFaults();
@@ -88,6 +91,7 @@
   TimePoint began_at_;
   bool is_database_down_ = false;
   bool have_faults_ended_ = false;
+  MembershipFaults membership_faults_;
 };
 
 }  // namespace magnoliareel
