--- a/libs/control/failover/primary_replacement_demotion.h
+++ b/libs/control/failover/primary_replacement_demotion.h
@@ -13,15 +13,18 @@
 
 namespace magnoliareel {
 
-template <EndpointCommandSender C, PromotionSender P, class T>
-void PrimaryReplacement<C, P, T>::DemotePrimary(int attempt) {
+template <EndpointCommandSender C,
+          EndpointCommandSender F,
+          PromotionSender P,
+          class T>
+void PrimaryReplacement<C, F, P, T>::DemotePrimary(int attempt) {
   if (!primary_status_) {
     Promote();
     return;
   }
   // One that has reported that it is a replica may lead since.
   auto self = this->shared_from_this();
-  commands_.Send(
+  primary_commands_.Send(
       *plan_.primary, {EndpointCommandKind::kDemote, pause_term_},
       kEndpointCommandTimeout,
       [self, attempt](std::error_code ec, const ReplicationStatus& status) {
@@ -31,14 +34,18 @@
           });
           return;
         }
-        self->LogStep(self->plan_.primary_id, EndpointCommandKind::kDemote, ec,
+        self->LogStep(*self->plan_.primary,
+                      {EndpointCommandKind::kDemote, self->pause_term_}, ec,
                       status);
         self->FinishDemotion(ec, status);
       });
 }
 
-template <EndpointCommandSender C, PromotionSender P, class T>
-void PrimaryReplacement<C, P, T>::FinishDemotion(
+template <EndpointCommandSender C,
+          EndpointCommandSender F,
+          PromotionSender P,
+          class T>
+void PrimaryReplacement<C, F, P, T>::FinishDemotion(
     std::error_code ec,
     const ReplicationStatus& status) {
   if (ec == Error::kAnswerLost) {
@@ -54,8 +61,11 @@
   CompareWithPrimary();
 }
 
-template <EndpointCommandSender C, PromotionSender P, class T>
-void PrimaryReplacement<C, P, T>::CompareWithPrimary() {
+template <EndpointCommandSender C,
+          EndpointCommandSender F,
+          PromotionSender P,
+          class T>
+void PrimaryReplacement<C, F, P, T>::CompareWithPrimary() {
   const std::optional<ReplicationStatus>& status = replicas_[candidate_].status;
   if (status && status->received >= primary_status_->received) {
     Promote();
@@ -74,8 +84,11 @@
   });
 }
 
-template <EndpointCommandSender C, PromotionSender P, class T>
-void PrimaryReplacement<C, P, T>::FinishMembershipCheck() {
+template <EndpointCommandSender C,
+          EndpointCommandSender F,
+          PromotionSender P,
+          class T>
+void PrimaryReplacement<C, F, P, T>::FinishMembershipCheck() {
   const std::vector<EndpointEntry> listed = plan_.list_endpoints();
   const bool is_known =
       std::all_of(listed.begin(), listed.end(), [&](const auto& entry) {
@@ -92,8 +105,11 @@
       "a replica that has joined may hold the end of the log");
 }
 
-template <EndpointCommandSender C, PromotionSender P, class T>
-void PrimaryReplacement<C, P, T>::PromotePrimaryAgainOrAbandon(
+template <EndpointCommandSender C,
+          EndpointCommandSender F,
+          PromotionSender P,
+          class T>
+void PrimaryReplacement<C, F, P, T>::PromotePrimaryAgainOrAbandon(
     std::string_view reason) {
   const std::optional<LogPoint>& log_end =
       demoted_primary_ ? demoted_primary_->log_end
