Tests: a search of interleavings over the decision code of the failover

Two VMs with a real FailoverControl each, one group of databases, the duty's row and the platform under virtual time. A path is a list of faults, each before one event; all paths with up to a number of faults are run from the start, and a run ends in a state that is known.

--- /dev/null
+++ b/tests/interleavings/fault.cc
@@ -0,0 +1,45 @@
+#include "tests/interleavings/fault.h"
+
+namespace magnoliareel {
+
+std::string DescribeFault(const Fault& fault) {
+  const std::string subject = std::to_string(fault.subject);
+  switch (fault.kind) {
+    case FaultKind::kCutVm:
+      return "cut of vm-" + subject + " from member " +
+             std::to_string(fault.object);
+    case FaultKind::kCutPeers:
+      return "the VMs no longer hear each other";
+    case FaultKind::kDeafen:
+      return "member " + subject + " receives nothing";
+    case FaultKind::kDeafenAll:
+      return "no present replica receives anything";
+    case FaultKind::kJoin:
+      return "a replica joins";
+    case FaultKind::kLeave:
+      return "member " + subject + " leaves with its log";
+    case FaultKind::kCrash:
+      return "member " + subject + " crashes";
+    case FaultKind::kDrain:
+      return "the primary reports that it drains";
+    case FaultKind::kLoseVms:
+      return "all VMs are lost and start anew";
+    case FaultKind::kDelayListing:
+      return "the next listing is late";
+    case FaultKind::kSlowOrder:
+      return "the next order takes 1 s to take effect";
+    case FaultKind::kLoseOrderAnswer:
+      return "the next order is executed 3 s late, its answer is lost";
+    case FaultKind::kLoseCommandAnswer:
+      return "the answer to the next command is lost";
+    case FaultKind::kDelayCommand:
+      return "the next command is executed 1 s late, its answer is lost";
+    case FaultKind::kLoseStoreAnswer:
+      return "the answer to the next write of the row is lost";
+    case FaultKind::kReturnUnderNewId:
+      return "member " + subject + " is back under another id";
+  }
+  return "";
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/tests/interleavings/fault.h
@@ -0,0 +1,72 @@
+#ifndef MAGNOLIAREEL_TESTS_INTERLEAVINGS_FAULT_H_
+#define MAGNOLIAREEL_TESTS_INTERLEAVINGS_FAULT_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/core.h"
+
+namespace magnoliareel {
+
+/** Kind of a deviation from the default run. */
+enum class FaultKind {
+  /** The VM `subject` and the endpoint `object` no longer reach each other. */
+  kCutVm,
+  /** The two VMs no longer hear each other. */
+  kCutPeers,
+  /** The replica `subject` receives nothing. */
+  kDeafen,
+  /** No present replica receives anything. */
+  kDeafenAll,
+  /** A replica joins; it is listed a moment later. */
+  kJoin,
+  /** The replica `subject` ends and its log is lost. */
+  kLeave,
+  /** The endpoint `subject` crashes; its entry expires. */
+  kCrash,
+  /** The primary reports that it will stop. */
+  kDrain,
+  /** All VMs are lost and start anew. */
+  kLoseVms,
+  /** The next listing reaches the VMs late. */
+  kDelayListing,
+  /** The next order takes 1 s to take effect. */
+  kSlowOrder,
+  /** The answer to the next order is lost; the order is executed 3 s later. */
+  kLoseOrderAnswer,
+  /** The answer to the next command is lost; the command is executed. */
+  kLoseCommandAnswer,
+  /** The next command is executed 1 s later, and its answer is lost. */
+  kDelayCommand,
+  /** The answer to the next write of the duty's row is lost. */
+  kLoseStoreAnswer,
+  /** The crashed endpoint `subject`, whose entry has expired, is back under
+      another id. */
+  kReturnUnderNewId,
+};
+
+/** One deviation from the default run. */
+struct Fault {
+  FaultKind kind = FaultKind::kJoin;
+  size_t subject = 0;
+  size_t object = 0;
+
+  bool operator==(const Fault&) const = default;
+};
+
+/** A fault that a test injects at a virtual time. */
+struct TimedFault {
+  /** From the start of the run. */
+  Duration at{};
+  Fault fault;
+};
+
+/** @returns the fault in words */
+std::string DescribeFault(const Fault& fault);
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_TESTS_INTERLEAVINGS_FAULT_H_
--- /dev/null
+++ b/tests/interleavings/member_group.h
@@ -0,0 +1,108 @@
+#ifndef MAGNOLIAREEL_TESTS_INTERLEAVINGS_MEMBER_GROUP_H_
+#define MAGNOLIAREEL_TESTS_INTERLEAVINGS_MEMBER_GROUP_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "control/control.h"
+
+namespace magnoliareel {
+
+/** A commit of the group. */
+struct GroupCommit {
+  Term term;
+  /** A VM could tell its caller that the commit succeeded. */
+  bool acknowledged = false;
+};
+
+/** State of one endpoint of the group. */
+struct GroupMember {
+  EndpointId id;
+  bool is_running = true;
+  /** Its log is lost for good. */
+  bool has_left = false;
+  bool is_primary = false;
+  bool is_draining = false;
+  /** Receives nothing from the primary. */
+  bool is_deaf = false;
+  Term term{1};
+  Term paused_at;
+  /** Indexes of commits. */
+  std::vector<uint32_t> log;
+};
+
+/** The endpoints of one service, which replicate a log: the rules of the page
+    of the databases, without connections, slots and times.
+
+    A replica receives a commit at once. A commit is acknowledged as soon as
+    one running replica has received it, the primary still leads and a VM
+    reaches it.
+*/
+class MemberGroup {
+ public:
+  /** Creates a primary with the given number of replicas. */
+  explicit MemberGroup(size_t replicas);
+
+  /** @returns the members, in the order in which they were added */
+  const std::vector<GroupMember>& GetMembers() const { return members_; }
+  /** @returns the member, for changes of its state */
+  GroupMember& Edit(size_t member) { return members_[member]; }
+  /** @returns index of the member that leads and runs; none if there is none */
+  std::optional<size_t> FindPrimary() const;
+  /** @returns index of the member with the id; none if it has left */
+  std::optional<size_t> Find(const EndpointId& id) const;
+  /** @returns every commit ever made */
+  const std::vector<GroupCommit>& GetCommits() const { return commits_; }
+
+  /** Adds a commit to the log of the primary.
+
+      @returns index of the commit */
+  uint32_t Commit();
+  /** Sends the log of the primary to its replicas.
+
+      @param is_observed  whether a VM reaches the primary, so that a commit can
+                          be acknowledged
+      @returns            number of commits that were acknowledged */
+  size_t Replicate(bool is_observed);
+  /** @returns whether the primary has a commit that is not acknowledged */
+  bool HasWaitingCommit() const;
+
+  /** Executes a command.
+
+      @returns the status after it */
+  ReplicationStatus Execute(size_t member, const EndpointCommand& command);
+  /** Puts a promotion in force; without effect at a member that leads already
+      or does not run.
+
+      @returns number of acknowledged commits that the new primary's log lacks;
+               none if the promotion had no effect */
+  std::optional<size_t> Promote(size_t member);
+  /** Adds a replica that copies the log of the primary.
+
+      @returns its index */
+  size_t Join();
+  /** Ends a member and its log. */
+  void Leave(size_t member);
+  /** Ends the process of a member; its log stays. */
+  void Crash(size_t member);
+  /** Starts a crashed member again. */
+  void Restart(size_t member);
+  /** Starts a crashed member again under an id of its own. */
+  void RestartUnderNewId(size_t member);
+
+ private:
+  EndpointId MakeId();
+  LogPoint GetLogEnd(const GroupMember& member) const;
+
+  std::vector<GroupMember> members_;
+  std::vector<GroupCommit> commits_;
+  Term newest_term_{1};
+  uint32_t id_count_ = 0;
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_TESTS_INTERLEAVINGS_MEMBER_GROUP_H_
--- /dev/null
+++ b/tests/interleavings/search_vm.cc
@@ -0,0 +1,240 @@
+#include "tests/interleavings/search_vm.h"
+
+#include "tests/interleavings/search_world.h"
+
+namespace magnoliareel {
+namespace {
+
+// Statements repeat their observation at least this often.
+constexpr Duration kReportInterval = std::chrono::milliseconds(300);
+constexpr Duration kHeartbeatDelay = std::chrono::milliseconds(5);
+
+uint64_t HashStatus(std::error_code ec, const ReplicationStatus& status) {
+  return StateHash()
+      .Add(static_cast<uint64_t>(ec.value()))
+      .Add(status.is_primary ? 1 : 0)
+      .Add(status.term.value)
+      .Add(status.received.term.value)
+      .Add(status.received.position.value)
+      .Add(status.paused_at.value)
+      .Get();
+}
+
+uint64_t HashView(const FleetView& view) {
+  StateHash hash;
+  for (const EndpointEntry& it : view.endpoints) {
+    hash.Add(it.id.value)
+        .Add((it.claims_primary ? 2U : 0U) + (it.draining ? 1U : 0U));
+  }
+  return hash.Get();
+}
+
+uint64_t HashHeartbeat(const Heartbeat& heartbeat,
+                       std::span<const DepartureNotice> departures) {
+  StateHash hash;
+  for (const ConditionReport& it : heartbeat.suspicions) {
+    hash.Add(it.endpoint.value).Add(static_cast<uint64_t>(it.condition));
+  }
+  for (const HeldDuty& it : heartbeat.duties) {
+    hash.Add(it.fencing_token);
+  }
+  for (const PromotionNotice& it : heartbeat.promotions) {
+    hash.Add(it.endpoint.value).Add(it.fencing_token);
+  }
+  for (const DepartureNotice& it : departures) {
+    hash.Add(it.endpoint.value).Add(it.accounted ? 1 : 0);
+  }
+  return hash.Get();
+}
+
+}  // namespace
+
+void VmServices::RecordInput(uint64_t content) {
+  history_.Add(static_cast<uint64_t>(world_.Now().time_since_epoch().count()))
+      .Add(content);
+}
+
+void VmServices::Get(std::string_view,
+                     std::string_view key,
+                     RowsCompletion done) {
+  world_.ReadRow(index_, [this, alive = alive_, key = std::string(key),
+                          done = std::move(done)](StoredRow row) {
+    if (!*alive) {
+      return;
+    }
+    RecordInput(row.version);
+    StoredRows rows;
+    rows.version = row.version;
+    if (row.version > 0) {
+      row.key = key;
+      rows.rows.push_back(std::move(row));
+    }
+    done({}, rows);
+  });
+}
+
+void VmServices::WriteIf(std::string_view,
+                         std::string_view,
+                         std::string_view value,
+                         uint64_t version,
+                         RowsCompletion done) {
+  world_.WriteRow(
+      index_, std::string(value), version,
+      [this, alive = alive_, done = std::move(done)](std::error_code ec,
+                                                     uint64_t written) {
+        if (!*alive) {
+          return;
+        }
+        RecordInput(written + (static_cast<uint64_t>(ec.value()) << 32U));
+        StoredRows rows;
+        rows.version = written;
+        done(ec, rows);
+      });
+}
+
+void VmServices::Send(const EndpointEntry& endpoint,
+                      const EndpointCommand& command,
+                      Duration timeout,
+                      EndpointCommandCompletion done) {
+  world_.SendCommand(index_, endpoint.id, command, timeout,
+                     [this, alive = alive_, done = std::move(done)](
+                         std::error_code ec, const ReplicationStatus& status) {
+                       if (*alive) {
+                         RecordInput(HashStatus(ec, status));
+                         done(ec, status);
+                       }
+                     });
+}
+
+void VmServices::Promote(const ServiceId&,
+                         const EndpointId& endpoint,
+                         uint64_t fencing_token,
+                         std::function<void(std::error_code)> done) {
+  world_.OrderPromotion(
+      index_, endpoint, fencing_token,
+      [this, alive = alive_, done = std::move(done)](std::error_code ec) {
+        if (*alive) {
+          RecordInput(static_cast<uint64_t>(ec.value()));
+          done(ec);
+        }
+      });
+}
+
+std::function<void()> VmServices::CallWhileAlive(
+    std::function<void()> task) const {
+  return [alive = alive_, task = std::move(task)] {
+    if (*alive) {
+      task();
+    }
+  };
+}
+
+SearchVm::SearchVm(SearchWorld& world, size_t index)
+    : world_(world),
+      index_(index),
+      address_{"127.0.0.1", static_cast<uint16_t>(index + 1)},
+      services_(world, index),
+      peers_(address_),
+      failover_(services_,
+                services_,
+                services_,
+                *this,
+                peers_,
+                VmId{"vm-" + std::to_string(index)},
+                SiteId{"site"}) {
+  services_.RecordInput(index);
+}
+
+TimePoint SearchVm::Now() const {
+  return world_.Now();
+}
+
+void SearchVm::After(Duration delay, std::function<void()> task) {
+  world_.After(delay, services_.CallWhileAlive(std::move(task)));
+}
+
+void SearchVm::AnnouncePrimary(const ServiceId&, const EndpointId& endpoint) {
+  target_ = endpoint;
+}
+
+void SearchVm::SendHeartbeats() {
+  if (!std::exchange(heartbeat_scheduled_, true)) {
+    After(kHeartbeatDelay, [this] {
+      heartbeat_scheduled_ = false;
+      world_.SendHeartbeat(index_);
+    });
+  }
+}
+
+void SearchVm::Apply(const FleetView& view) {
+  services_.RecordInput(HashView(view));
+  view_ = view;
+  failover_.Apply(view);
+}
+
+void SearchVm::HandleHeartbeat(const Heartbeat& heartbeat,
+                               std::span<const DepartureNotice> departures) {
+  services_.RecordInput(HashHeartbeat(heartbeat, departures));
+  const bool is_new = peers_.RecordHeartbeat(heartbeat, Now());
+  failover_.HandleHeartbeat(heartbeat);
+  failover_.HandleDepartureNotices(departures);
+  if (is_new) {
+    failover_.Review();
+  }
+}
+
+Heartbeat SearchVm::MakeHeartbeat() {
+  Heartbeat heartbeat;
+  heartbeat.vm = VmId{"vm-" + std::to_string(index_)};
+  heartbeat.site = SiteId{"site"};
+  heartbeat.address = address_;
+  failover_.FillHeartbeat(heartbeat);
+  return heartbeat;
+}
+
+void SearchVm::HandlePeriod() {
+  peers_.Sweep(Now());
+  failover_.Review();
+  world_.SendHeartbeat(index_);
+}
+
+void SearchVm::Report(EndpointCondition condition) {
+  if (Now() < next_report_at_) {
+    return;
+  }
+  next_report_at_ = Now() + kReportInterval;
+  services_.RecordInput(static_cast<uint64_t>(condition));
+  failover_.HandleConditionReport({target_, condition});
+}
+
+void SearchVm::ObserveTraffic() {
+  const auto use = [this](const EndpointId& id) {
+    const std::optional<Term> term = world_.FindLedTerm(index_, id);
+    if (!term) {
+      return false;
+    }
+    if (id != target_ || *term != confirmed_term_) {
+      target_ = id;
+      confirmed_term_ = *term;
+      services_.RecordInput(term->value);
+      failover_.HandlePrimaryConfirmed(id, *term);
+    }
+    return true;
+  };
+  if (use(target_)) {
+    if (world_.HasStalledCommit()) {
+      Report(EndpointCondition::kCommitsStalled);
+    }
+    return;
+  }
+  for (const EndpointEntry& it : view_.endpoints) {
+    if (it.claims_primary && use(it.id)) {
+      return;
+    }
+  }
+  if (!target_.IsEmpty() && !world_.Reaches(index_, target_)) {
+    Report(EndpointCondition::kUnreachable);
+  }
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/tests/interleavings/search_vm.h
@@ -0,0 +1,143 @@
+#ifndef MAGNOLIAREEL_TESTS_INTERLEAVINGS_SEARCH_VM_H_
+#define MAGNOLIAREEL_TESTS_INTERLEAVINGS_SEARCH_VM_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "control/control.h"
+#include "coordination/tests/fake_duty_row_codec.h"
+#include "tests/interleavings/state_hash.h"
+
+namespace magnoliareel {
+
+class SearchWorld;
+
+/** Store, endpoints and platform as one VM reaches them.
+
+    Keeps a hash of what has come in and when. The state of the decision code is
+    a function of that, so two runs whose VMs have equal hashes continue alike.
+*/
+class VmServices {
+ public:
+  /** @param world  must outlive this object
+      @param index  number of the VM */
+  VmServices(SearchWorld& world, size_t index) : world_(world), index_(index) {}
+
+  // RowStore
+  void List(std::string_view, std::string_view, const RowsCompletion&) {}
+  void Get(std::string_view, std::string_view key, RowsCompletion done);
+  void Follow(std::string_view, uint64_t, Duration, const RowsCompletion&) {}
+  void WriteIf(std::string_view,
+               std::string_view,
+               std::string_view value,
+               uint64_t version,
+               RowsCompletion done);
+  void Put(std::string_view,
+           std::string_view,
+           std::string_view,
+           const RowsCompletion&) {}
+  // EndpointCommandSender
+  void Send(const EndpointEntry& endpoint,
+            const EndpointCommand& command,
+            Duration timeout,
+            EndpointCommandCompletion done);
+  // PromotionSender
+  void Promote(const ServiceId& service,
+               const EndpointId& endpoint,
+               uint64_t fencing_token,
+               std::function<void(std::error_code)> done);
+
+  /** Adds something that the VM received to the hash. */
+  void RecordInput(uint64_t content);
+  /** Makes a function that calls another one while the VM is alive. */
+  std::function<void()> CallWhileAlive(std::function<void()> task) const;
+  /** Ends the VM; nothing reaches it any more. */
+  void Kill() { *alive_ = false; }
+  /** @returns a hash of everything that has come in */
+  uint64_t GetHistory() const { return history_.Get(); }
+
+ private:
+  SearchWorld& world_;
+  const size_t index_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  StateHash history_;
+};
+
+/** One VM: the product's FailoverControl, and a fake of the node around it.
+
+    Reaches everything else through the SearchWorld.
+*/
+class SearchVm {
+ public:
+  /** @param world  must outlive the VM
+      @param index  number of the VM */
+  SearchVm(SearchWorld& world, size_t index);
+  SearchVm(const SearchVm&) = delete;
+  SearchVm& operator=(const SearchVm&) = delete;
+
+  // FailoverDelegate
+  TimePoint Now() const;
+  void After(Duration delay, std::function<void()> task);
+  void AnnouncePrimary(const ServiceId& service, const EndpointId& endpoint);
+  void SendHeartbeats();
+  bool IsStoreConnected() const { return true; }
+  template <class F>
+  void ForwardCommand(const SocketAddress& to, const F& command);
+  template <class F>
+  void AnswerForwardedCommand(const SocketAddress& to, const F& response);
+
+  /** Applies a listing of the directory. */
+  void Apply(const FleetView& view);
+  /** Handles a heartbeat of the other VM. */
+  void HandleHeartbeat(const Heartbeat& heartbeat,
+                       std::span<const DepartureNotice> departures);
+  /** @returns the heartbeat that is due */
+  Heartbeat MakeHeartbeat();
+  /** @returns what the heartbeat tells of departed endpoints */
+  std::vector<DepartureNotice> ListDepartures() const {
+    return failover_.ListDepartureNotices();
+  }
+  /** Does what the node does in each heartbeat period. */
+  void HandlePeriod();
+  /** Reports what statements of the VM's callers observe. */
+  void ObserveTraffic();
+  /** Ends the VM; nothing reaches it any more. */
+  void Kill() { services_.Kill(); }
+
+  /** @returns a hash of everything that has come in */
+  uint64_t GetHistory() const { return services_.GetHistory(); }
+  /** @returns the VM's address at its peer */
+  const SocketAddress& GetAddress() const { return address_; }
+
+ private:
+  using Failover = FailoverControl<VmServices,
+                                   FakeDutyRowCodec,
+                                   VmServices,
+                                   VmServices,
+                                   SearchVm>;
+
+  void Report(EndpointCondition condition);
+
+  SearchWorld& world_;
+  const size_t index_;
+  const SocketAddress address_;
+  VmServices services_;
+  PeerGroup peers_;
+  Failover failover_;
+  FleetView view_;
+  bool heartbeat_scheduled_ = false;
+  /** Endpoint that the VM's statements use as primary. */
+  EndpointId target_;
+  /** Term of the confirmation that was reported last. */
+  Term confirmed_term_;
+  TimePoint next_report_at_;
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_TESTS_INTERLEAVINGS_SEARCH_VM_H_
--- /dev/null
+++ b/tests/interleavings/search_world.h
@@ -0,0 +1,238 @@
+#ifndef MAGNOLIAREEL_TESTS_INTERLEAVINGS_SEARCH_WORLD_H_
+#define MAGNOLIAREEL_TESTS_INTERLEAVINGS_SEARCH_WORLD_H_
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "control/control.h"
+#include "tests/interleavings/fault.h"
+#include "tests/interleavings/member_group.h"
+#include "tests/interleavings/search_vm.h"
+
+namespace magnoliareel {
+
+/** Bounds and times of a search. */
+struct SearchOptions {
+  /** Faults occur between these times. */
+  Duration faults_from = std::chrono::milliseconds(5000);
+  Duration faults_until = std::chrono::milliseconds(7400);
+  /** Delay of a listing that is late; below kMembershipDelay. */
+  Duration listing_delay = std::chrono::milliseconds(900);
+  /** Longest time from the end of all faults until a primary is found. */
+  Duration recovery_limit = std::chrono::seconds(12);
+  /** Highest number of faults on a path. */
+  size_t depth = 2;
+  /** A search that has made this many runs ends. */
+  size_t max_runs = 1000000;
+};
+
+/** Kind of an event before which faults may occur. */
+enum class PointKind {
+  /** No fault occurs before the event. */
+  kNone,
+  kCommit,
+  kCommand,
+  kOrder,
+  kOrderEffect,
+  kListing,
+  kRowWrite,
+};
+
+/** An event before which faults may occur. */
+struct ChoicePoint {
+  PointKind kind = PointKind::kNone;
+  /** VM that sent the command or order. */
+  size_t vm = 0;
+  /** Member that receives it. */
+  size_t member = 0;
+};
+
+/** How a run ended. */
+enum class RunOutcome {
+  /** No check failed. */
+  kClean,
+  /** The chooser has ended the run. */
+  kPruned,
+  /** A promotion took effect without an acknowledged commit. */
+  kLost,
+  /** No primary was found in time. */
+  kNoPrimary,
+  /** The same, after two ids had left for good. The service may then wait until
+      a person decides (KNOWN-RED.txt: a replica that returns under another
+      id). */
+  kWaitsForPerson,
+};
+
+/** Two VMs with the product's decision code before one group of replicated
+    databases, the duty's row and the platform, under virtual time.
+
+    A run is repeatable: it depends on the options and the faults only.
+*/
+class SearchWorld {
+ public:
+  static constexpr size_t kVms = 2;
+  /** Called before each event at which faults may occur. Returns the faults to
+      inject; none ends the run. */
+  using Chooser = std::function<std::optional<std::vector<Fault>>(
+      SearchWorld& world,
+      const ChoicePoint& point)>;
+
+  /** @param options  times
+      @param chooser  called at each point; may be empty
+      @param faults   injected at their times */
+  SearchWorld(const SearchOptions& options,
+              Chooser chooser,
+              std::span<const TimedFault> faults = {});
+  SearchWorld(const SearchWorld&) = delete;
+  SearchWorld& operator=(const SearchWorld&) = delete;
+
+  /** Runs to the end of the path, or to the first failed check. */
+  RunOutcome Run();
+  /** @returns the faults that make a difference before the event */
+  std::vector<Fault> ListFaults(const ChoicePoint& point) const;
+  /** @returns a hash of the state before the event */
+  uint64_t HashState(const ChoicePoint& point) const;
+  /** Keeps a line for each event from now on. */
+  void StartTimeline() { has_timeline_ = true; }
+  /** @returns the lines, each with its time */
+  const std::vector<std::string>& GetTimeline() const { return timeline_; }
+  /** @returns the time since the start of the run */
+  Duration GetElapsed() const { return now_ - kStart; }
+
+  // Interface of the VMs.
+  TimePoint Now() const { return now_; }
+  void After(Duration delay, std::function<void()> task) {
+    Schedule(now_ + delay, 0, {}, std::move(task));
+  }
+  void ReadRow(size_t vm, std::function<void(StoredRow)> done);
+  void WriteRow(size_t vm,
+                std::string value,
+                uint64_t version,
+                std::function<void(std::error_code, uint64_t)> done);
+  void SendCommand(size_t vm,
+                   const EndpointId& endpoint,
+                   const EndpointCommand& command,
+                   Duration timeout,
+                   EndpointCommandCompletion done);
+  void OrderPromotion(size_t vm,
+                      const EndpointId& endpoint,
+                      uint64_t fencing_token,
+                      std::function<void(std::error_code)> done);
+  void SendHeartbeat(size_t vm);
+  /** @returns the term in which the endpoint leads; none if it does not lead,
+               or the VM does not reach it */
+  std::optional<Term> FindLedTerm(size_t vm, const EndpointId& endpoint) const;
+  /** @returns whether the VM reaches the running endpoint */
+  bool Reaches(size_t vm, const EndpointId& endpoint) const;
+  /** @returns whether a commit has waited for long */
+  bool HasStalledCommit() const;
+
+ private:
+  static constexpr TimePoint kStart{std::chrono::seconds(100)};
+  struct Task {
+    /** Hash of the content; 0 for timers of the VMs, which follow from what
+        the VMs received. */
+    uint64_t tag = 0;
+    ChoicePoint point;
+    std::function<void()> run;
+  };
+  /** What the directory knows of a member. */
+  struct Registration {
+    TimePoint listed_at;
+    std::optional<TimePoint> expires_at;
+  };
+  /** A command on its way. */
+  struct SentCommand {
+    size_t vm = 0;
+    size_t member = 0;
+    EndpointCommand command;
+    TimePoint deadline;
+    uint64_t tag = 0;
+    EndpointCommandCompletion done;
+  };
+
+  void Schedule(TimePoint at,
+                uint64_t tag,
+                ChoicePoint point,
+                std::function<void()> task);
+  void Note(const std::string& text);
+  void StartVms();
+  void RunPeriods(size_t vm, SearchVm* instance);
+  void RunTraffic(size_t vm, SearchVm* instance);
+  void RunCommits();
+  void Replicate();
+  void PublishLater(Duration delay);
+  void Publish();
+  FleetView MakeView();
+  bool IsObserved() const;
+  bool Apply(const ChoicePoint& point);
+  void Inject(const Fault& fault);
+  void InjectAtMember(const Fault& fault);
+  void CrashMember(size_t member, bool leaves);
+  void StartDrain();
+  void LoseVms();
+  void Heal();
+  void RestartMembers();
+  bool HasSettled();
+  void AddMemberFaults(const ChoicePoint& point,
+                       size_t member,
+                       std::vector<Fault>& list) const;
+  void HandleCommand(const SentCommand& sent);
+  void AnswerCommand(const SentCommand& sent);
+  void HandleOrder(size_t vm,
+                   const EndpointId& endpoint,
+                   uint64_t fencing_token,
+                   const std::function<void(std::error_code)>& done);
+  void ApplyOrder(const EndpointId& endpoint);
+  void AddMembers(StateHash& hash) const;
+  void AddServices(StateHash& hash) const;
+
+  const SearchOptions options_;
+  const Chooser chooser_;
+  TimePoint now_ = kStart;
+  std::multimap<TimePoint, Task> tasks_;
+  MemberGroup group_{2};
+  std::vector<Registration> registrations_{3};
+  std::vector<EndpointEntry> directory_;
+  std::shared_ptr<RouteTable> routes_ = std::make_shared<RouteTable>();
+  std::vector<std::unique_ptr<SearchVm>> all_vms_;
+  std::array<SearchVm*, kVms> vms_{};
+  /** Pairs of a VM and a member that do not reach each other. */
+  std::set<std::pair<size_t, size_t>> cuts_;
+  bool are_peers_cut_ = false;
+  TimePoint listings_blocked_until_;
+  bool is_publication_scheduled_ = false;
+  bool is_order_slow_ = false;
+  bool is_order_answer_lost_ = false;
+  bool is_command_answer_lost_ = false;
+  bool is_command_delayed_ = false;
+  bool is_store_answer_lost_ = false;
+  bool has_joined_ = false;
+  bool has_drained_ = false;
+  bool has_lost_vms_ = false;
+  /** Number of ids that have left for good. */
+  size_t departures_ = 0;
+  size_t orders_in_transit_ = 0;
+  uint64_t highest_fencing_token_ = 0;
+  StoredRow row_;
+  uint64_t store_version_ = 0;
+  std::optional<TimePoint> waiting_since_;
+  std::optional<TimePoint> healed_at_;
+  size_t commits_at_heal_ = 0;
+  RunOutcome outcome_ = RunOutcome::kClean;
+  bool has_timeline_ = false;
+  std::vector<std::string> timeline_;
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_TESTS_INTERLEAVINGS_SEARCH_WORLD_H_
