--- a/tests/interleavings/fault.cc
+++ b/tests/interleavings/fault.cc
@@ -10,6 +10,8 @@
              std::to_string(fault.object);
     case FaultKind::kCutPeers:
       return "the VMs no longer hear each other";
+    case FaultKind::kStartThread:
+      return "a traffic thread of vm-" + subject + " starts";
     case FaultKind::kDeafen:
       return "member " + subject + " receives nothing";
     case FaultKind::kDeafenAll:
--- a/tests/interleavings/fault.h
+++ b/tests/interleavings/fault.h
@@ -17,6 +17,9 @@
   kCutVm,
   /** The two VMs no longer hear each other. */
   kCutPeers,
+  /** A traffic thread of the VM `subject` uses the service for the first time,
+      and reports the primary that it finds. */
+  kStartThread,
   /** The replica `subject` receives nothing. */
   kDeafen,
   /** No present replica receives anything. */
--- a/tests/interleavings/world_faults.cc
+++ b/tests/interleavings/world_faults.cc
@@ -60,6 +60,9 @@
   }
   if (is_commit) {
     list.push_back({FaultKind::kDeafenAll, 0, 0});
+    for (size_t vm = 0; vm < kVms; ++vm) {
+      list.push_back({FaultKind::kStartThread, vm, 0});
+    }
     if (!are_peers_cut_) {
       list.push_back({FaultKind::kCutPeers, 0, 0});
     }
@@ -128,6 +131,11 @@
     case FaultKind::kCutVm:
       cuts_.emplace(fault.subject, fault.object);
       return;
+    case FaultKind::kStartThread:
+      if (vms_[fault.subject] != nullptr) {
+        vms_[fault.subject]->StartTrafficThread();
+      }
+      return;
     case FaultKind::kDeafen:
       group_.Edit(fault.subject).is_deaf = true;
       return;
