--- a/tests/interleavings/fault.cc
+++ b/tests/interleavings/fault.cc
@@ -10,8 +10,8 @@
              std::to_string(fault.object);
     case FaultKind::kCutPeers:
       return "the VMs no longer hear each other";
-    case FaultKind::kStartThread:
-      return "a traffic thread of vm-" + subject + " starts";
+    case FaultKind::kFirstReply:
+      return "the first reply to a traffic thread of vm-" + subject;
     case FaultKind::kDeafen:
       return "member " + subject + " receives nothing";
     case FaultKind::kDeafenAll:
@@ -33,7 +33,7 @@
     case FaultKind::kLoseOrderAnswer:
       return "the next order is executed 3 s late, its answer is lost";
     case FaultKind::kLoseCommandAnswer:
-      return "the answer to the next command is lost";
+      return "the answer to the next command to member " + subject + " is lost";
     case FaultKind::kDelayCommand:
       return "the next command is executed 1 s late, its answer is lost";
     case FaultKind::kLoseStoreAnswer:
--- a/tests/interleavings/fault.h
+++ b/tests/interleavings/fault.h
@@ -17,9 +17,9 @@
   kCutVm,
   /** The two VMs no longer hear each other. */
   kCutPeers,
-  /** A traffic thread of the VM `subject` uses the service for the first time,
-      and reports the primary that it finds. */
-  kStartThread,
+  /** A traffic thread of the VM `subject` receives its first reply from the
+      primary. It may have sent the statement before a promotion was ordered. */
+  kFirstReply,
   /** The replica `subject` receives nothing. */
   kDeafen,
   /** No present replica receives anything. */
@@ -40,7 +40,8 @@
   kSlowOrder,
   /** The answer to the next order is lost; the order is executed 3 s later. */
   kLoseOrderAnswer,
-  /** The answer to the next command is lost; the command is executed. */
+  /** The answer to the next command to the member `subject` is lost; the
+     command is executed. */
   kLoseCommandAnswer,
   /** The next command is executed 1 s later, and its answer is lost. */
   kDelayCommand,
--- a/tests/interleavings/interleaving_test.cc
+++ b/tests/interleavings/interleaving_test.cc
@@ -159,6 +159,18 @@
   CHECK_TRUE(RunFaults(faults) != RunOutcome::kLost);
 }
 
+TEST(Interleavings, KeepCommitsWhenTheOldPrimaryIsConfirmedAfterAnOrder) {
+  // The confirmation comes from a traffic thread that uses the service for the
+  // first time. It passes for that of the promotion, and ends the pauses on
+  // which the promotion relies.
+  const TimedFault faults[] = {
+      MakeFault(4700, FaultKind::kDrain),
+      MakeFault(5255, FaultKind::kLoseCommandAnswer, 0),
+      MakeFault(5580, FaultKind::kFirstReply, 0),
+      MakeFault(5620, FaultKind::kDeafen, 1)};
+  CHECK_TRUE(RunFaults(faults) != RunOutcome::kLost);
+}
+
 TEST_GROUP(Recovery){};
 
 TEST(Recovery, FindsAPrimaryFromAQuietStart) {
--- a/tests/interleavings/search_vm.cc
+++ b/tests/interleavings/search_vm.cc
@@ -244,8 +244,14 @@
   }
 }
 
-void SearchVm::StartTrafficThread() {
-  confirmed_term_ = {};
+void SearchVm::ReceiveFirstReply() {
+  for (const EndpointEntry& it : view_.endpoints) {
+    if (const std::optional<Term> term = world_.FindLedTerm(index_, it.id)) {
+      services_.RecordInput(term->value);
+      failover_.HandlePrimaryConfirmed(it.id, *term);
+      return;
+    }
+  }
 }
 
 }  // namespace magnoliareel
--- a/tests/interleavings/search_vm.h
+++ b/tests/interleavings/search_vm.h
@@ -106,8 +106,9 @@
   void HandlePeriod();
   /** Reports what statements of the VM's callers observe. */
   void ObserveTraffic();
-  /** A traffic thread uses the service for the first time. */
-  void StartTrafficThread();
+  /** Reports the primary, as a traffic thread does with the first reply that it
+      receives from the service. */
+  void ReceiveFirstReply();
   /** Ends the VM; nothing reaches it any more. */
   void Kill() { services_.Kill(); }
 
--- a/tests/interleavings/search_world.h
+++ b/tests/interleavings/search_world.h
@@ -214,7 +214,8 @@
   bool is_publication_scheduled_ = false;
   bool is_order_slow_ = false;
   bool is_order_answer_lost_ = false;
-  bool is_command_answer_lost_ = false;
+  /** Member at which the answer to the next command is lost. */
+  std::optional<size_t> loses_answer_;
   bool is_command_delayed_ = false;
   bool is_store_answer_lost_ = false;
   bool has_joined_ = false;
--- a/tests/interleavings/world_faults.cc
+++ b/tests/interleavings/world_faults.cc
@@ -61,7 +61,7 @@
   if (is_commit) {
     list.push_back({FaultKind::kDeafenAll, 0, 0});
     for (size_t vm = 0; vm < kVms; ++vm) {
-      list.push_back({FaultKind::kStartThread, vm, 0});
+      list.push_back({FaultKind::kFirstReply, vm, 0});
     }
     if (!are_peers_cut_) {
       list.push_back({FaultKind::kCutPeers, 0, 0});
@@ -81,7 +81,7 @@
     list.push_back({FaultKind::kLoseOrderAnswer, 0, 0});
   }
   if (point.kind == PointKind::kCommand) {
-    list.push_back({FaultKind::kLoseCommandAnswer, 0, 0});
+    list.push_back({FaultKind::kLoseCommandAnswer, point.member, 0});
     list.push_back({FaultKind::kDelayCommand, 0, 0});
   }
   if (point.kind == PointKind::kRowWrite) {
@@ -112,7 +112,7 @@
       is_order_answer_lost_ = true;
       return;
     case FaultKind::kLoseCommandAnswer:
-      is_command_answer_lost_ = true;
+      loses_answer_ = fault.subject;
       return;
     case FaultKind::kDelayCommand:
       is_command_delayed_ = true;
@@ -131,9 +131,9 @@
     case FaultKind::kCutVm:
       cuts_.emplace(fault.subject, fault.object);
       return;
-    case FaultKind::kStartThread:
+    case FaultKind::kFirstReply:
       if (vms_[fault.subject] != nullptr) {
-        vms_[fault.subject]->StartTrafficThread();
+        vms_[fault.subject]->ReceiveFirstReply();
       }
       return;
     case FaultKind::kDeafen:
--- a/tests/interleavings/world_services.cc
+++ b/tests/interleavings/world_services.cc
@@ -54,7 +54,10 @@
     return;
   }
   const bool is_late = std::exchange(is_command_delayed_, false);
-  const bool is_lost = std::exchange(is_command_answer_lost_, false);
+  const bool is_lost = loses_answer_ == sent.member;
+  if (is_lost) {
+    loses_answer_.reset();
+  }
   if (is_late || is_lost) {
     Schedule(sent.deadline, sent.tag, {},
              [done = sent.done] { done(Error::kAnswerLost, {}); });
--- a/tests/interleavings/world_state.cc
+++ b/tests/interleavings/world_state.cc
@@ -42,19 +42,15 @@
   for (const auto& [vm, member] : cuts_) {
     hash.Add(vm).Add(member);
   }
-  const bool flags[] = {are_peers_cut_,
-                        is_publication_scheduled_,
-                        is_order_slow_,
-                        is_order_answer_lost_,
-                        is_command_answer_lost_,
-                        is_command_delayed_,
-                        is_store_answer_lost_,
-                        has_joined_,
-                        has_drained_,
+  const bool flags[] = {are_peers_cut_,      is_publication_scheduled_,
+                        is_order_slow_,      is_order_answer_lost_,
+                        is_command_delayed_, is_store_answer_lost_,
+                        has_joined_,         has_drained_,
                         has_lost_vms_};
   for (const bool it : flags) {
     hash.Add(it ? 1U : 0U);
   }
+  hash.Add(loses_answer_ ? *loses_answer_ + 1 : 0);
   hash.Add(departures_).Add(highest_fencing_token_).Add(row_.version);
   hash.Add(CountMicroseconds(listings_blocked_until_));
   hash.Add(CountMicroseconds(waiting_since_.value_or(TimePoint{})));
