--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -11,10 +11,12 @@
 #include <utility>
 #include <vector>
 
+#include "control/failover/command_forwarder.h"
 #include "control/failover/departure_audit.h"
 #include "control/failover/departure_tracker.h"
 #include "control/failover/endpoint_commands.h"
 #include "control/failover/failover_limits.h"
+#include "control/failover/forwarded_command.h"
 #include "control/failover/primary_failure_detector.h"
 #include "control/failover/primary_registry.h"
 #include "control/failover/primary_replacement.h"
@@ -28,11 +30,12 @@
 
 /** Interface through which FailoverControl reaches the node that owns it. */
 template <class T>
-concept FailoverDelegate = requires(T& delegate,
-                                    Duration delay,
-                                    std::function<void()> task,
-                                    const ServiceId& service,
-                                    const EndpointId& endpoint) {
+concept FailoverDelegate = ForwardedCommandChannel<T> &&
+    requires(T& delegate,
+             Duration delay,
+             std::function<void()> task,
+             const ServiceId& service,
+             const EndpointId& endpoint) {
   { delegate.Now() } -> std::same_as<TimePoint>;
   delegate.After(delay, task);
   /** Called when a promotion was ordered or a new primary was found. */
@@ -84,6 +87,15 @@
         claims_(store, self_),
         detector_(commands, delegate, [this] { HandleSuspicionsChanged(); }),
         resumer_(commands, delegate),
+        forwarder_(commands,
+                   delegate,
+                   peers,
+                   self_,
+                   [this](const EndpointId& endpoint) {
+                     const auto condition = detector_.Get(endpoint);
+                     return condition &&
+                            *condition != EndpointCondition::kCommitsStalled;
+                   }),
         started_at_(delegate.Now()) {
     // Checked here because T is incomplete where it declares its
     // FailoverControl member.
@@ -96,6 +108,8 @@
   */
   void Apply(const FleetView& view) {
     endpoints_ = view.endpoints;
+    endpoints_version_ = view.endpoints_version;
+    endpoints_changed_at_ = view.endpoints_changed_at;
     services_.clear();
     for (const auto& [id, rules] : view.routes->services) {
       services_.push_back(id);
@@ -127,6 +141,7 @@
   void HandlePrimaryConfirmed(const EndpointId& endpoint, Term term) {
     if (const EndpointEntry* entry = FindEndpoint(endpoint)) {
       primaries_.RecordConfirmed(entry->service, endpoint, term);
+      LogPromotionConfirmed(entry->service, endpoint, term);
       PruneSuspicions();
     }
   }
@@ -176,6 +191,23 @@
     }
   }
 
+  /** Sends a command to an endpoint on behalf of a peer.
+
+      @param request  the peer's request
+  */
+  void HandleForwardedCommand(const ForwardedCommand& request) {
+    forwarder_.HandleForwardedCommand(request, FindEndpoint(request.endpoint));
+  }
+
+  /** Handles a peer's response to a command that this VM has forwarded.
+
+      @param response  the response
+  */
+  void HandleForwardedCommandResponse(
+      const ForwardedCommandResponse& response) {
+    forwarder_.HandleResponse(response);
+  }
+
   /** @returns what the other VMs have to know about departed endpoints */
   std::vector<DepartureNotice> ListDepartureNotices() const {
     return departures_.ListNotices(delegate_.Now());
@@ -246,7 +278,15 @@
   }
 
  private:
-  using Replacement = PrimaryReplacement<C, P, T>;
+  using Forwarder = CommandForwarder<C, T>;
+  using Replacement = PrimaryReplacement<C, Forwarder, P, T>;
+  /** A promotion that this VM has ordered. */
+  struct PromotionOrder {
+    EndpointId endpoint;
+    TimePoint sent_at;
+    /** Term of the latest confirmed primary at that time. */
+    Term former_term;
+  };
   struct Progress {
     bool running = false;
     bool claiming = false;
@@ -272,6 +312,9 @@
     DemotedPrimary demoted_primary;
     /** No promotion was ordered since that demotion. */
     bool awaits_promotion = false;
+    /** This VM's latest order until it is seen to take effect; for log lines
+        only. */
+    std::optional<PromotionOrder> unconfirmed_order;
     TimePoint not_before;
     TimePoint claimed_at;
     TimePoint next_audit_at;
@@ -410,6 +453,12 @@
 
   void FinishConfirmation(const ServiceId& service, std::error_code ec);
 
+  /** Logs that the order of this VM has taken effect, if the primary's proof is
+      the first one since. */
+  void LogPromotionConfirmed(const ServiceId& service,
+                             const EndpointId& endpoint,
+                             Term term);
+
   void ResumePaused(const ServiceId& service, TimePoint now);
   void Replace(const ServiceId& service,
                ReplacementReason reason,
@@ -429,8 +478,13 @@
   PrimaryRegistry primaries_;
   PrimaryFailureDetector<C, T> detector_;
   ReplicaResumer<C, T> resumer_;
+  Forwarder forwarder_;
   DepartureTracker departures_;
   std::vector<EndpointEntry> endpoints_;
+  /** @see FleetView::endpoints_version */
+  uint64_t endpoints_version_ = 0;
+  /** @see FleetView::endpoints_changed_at */
+  TimePoint endpoints_changed_at_;
   std::vector<ServiceId> services_;
   std::map<ServiceId, Progress> progress_;
   std::map<EndpointId, uint32_t> last_levels_;
--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -57,33 +57,42 @@
     demoted primary is promoted again, and the next attempt includes the new
     replica. A primary that does not answer is replaced without a demotion.
 
-    @tparam C  @see EndpointCommandSender
+    @tparam C  sends commands to replicas, @see EndpointCommandSender
+    @tparam F  sends commands to the primary, through other VMs if this one does
+               not reach it, @see EndpointCommandSender
     @tparam P  @see PromotionSender
-    @tparam T  provides After(), @see FailoverDelegate
+    @tparam T  provides Now() and After(), @see FailoverDelegate
 */
-template <EndpointCommandSender C, PromotionSender P, class T>
+template <EndpointCommandSender C,
+          EndpointCommandSender F,
+          PromotionSender P,
+          class T>
 class PrimaryReplacement
-    : public std::enable_shared_from_this<PrimaryReplacement<C, P, T>> {
+    : public std::enable_shared_from_this<PrimaryReplacement<C, F, P, T>> {
  public:
   /** Called once with the result. */
   using Completion = std::function<void(const ReplacementResult&)>;
 
   /** @param commands    must outlive the attempt
+      @param primary_commands  must outlive the attempt
       @param promotions  must outlive the attempt
       @param timing      must outlive the attempt
       @param plan        the service, its endpoints and the fencing token
       @param done        called once with the result
   */
   PrimaryReplacement(C& commands,
+                     F& primary_commands,
                      P& promotions,
                      T& timing,
                      ReplacementPlan plan,
                      Completion done)
       : commands_(commands),
+        primary_commands_(primary_commands),
         promotions_(promotions),
         timing_(timing),
         plan_(std::move(plan)),
-        done_(std::move(done)) {
+        done_(std::move(done)),
+        began_at_(timing.Now()) {
     for (const EndpointEntry& it : plan_.replicas) {
       replicas_.push_back({it, std::nullopt});
     }
@@ -112,18 +121,20 @@
       CompleteCall(&PrimaryReplacement::FinishSurvey);
       return;
     }
+    was_primary_asked_ = true;
     auto self = this->shared_from_this();
-    commands_.Send(*plan_.primary, {EndpointCommandKind::kReport, {}},
-                   kEndpointCommandTimeout / 2,
-                   [self](std::error_code ec, const ReplicationStatus& status) {
-                     self->LogStep(self->plan_.primary_id,
-                                   EndpointCommandKind::kReport, ec, status);
-                     self->primary_is_busy_ = ec == Error::kOverloaded;
-                     if (!ec) {
-                       self->primary_status_ = status;
-                     }
-                     self->CompleteCall(&PrimaryReplacement::FinishSurvey);
-                   });
+    primary_commands_.Send(
+        *plan_.primary, {EndpointCommandKind::kReport, {}},
+        kEndpointCommandTimeout / 2,
+        [self](std::error_code ec, const ReplicationStatus& status) {
+          self->LogStep(*self->plan_.primary,
+                        {EndpointCommandKind::kReport, {}}, ec, status);
+          self->primary_is_busy_ = ec == Error::kOverloaded;
+          if (!ec) {
+            self->primary_status_ = status;
+          }
+          self->CompleteCall(&PrimaryReplacement::FinishSurvey);
+        });
   }
 
   void SendCommand(size_t index,
@@ -143,8 +154,7 @@
                                 });
             return;
           }
-          self->LogStep(self->replicas_[index].entry.id, command.kind, ec,
-                        status);
+          self->LogStep(self->replicas_[index].entry, command, ec, status);
           self->replicas_[index].status.reset();
           if (!ec) {
             self->replicas_[index].status = status;
@@ -383,6 +393,9 @@
   }
 
   void Promote() {
+    if (lost_promotion_replies_ == 0) {
+      plan_.record_order(replicas_[candidate_].entry.id);
+    }
     auto self = this->shared_from_this();
     promotions_.Promote(
         plan_.service, replicas_[candidate_].entry.id, plan_.fencing_token,
@@ -414,18 +427,32 @@
            "the answer to the promotion was lost");
   }
 
-  void LogStep(const EndpointId& endpoint,
-               EndpointCommandKind kind,
+  void LogStep(const EndpointEntry& endpoint,
+               const EndpointCommand& command,
                std::error_code ec,
                const ReplicationStatus& status) const {
     LogEvent(Event::kReplacementStep,
              {{"service", plan_.service.value},
-              {"endpoint", endpoint.value},
-              {"step", std::string(GetEndpointCommandName(kind))},
+              {"endpoint", endpoint.id.value},
+              {"step", std::string(GetEndpointCommandName(command.kind))},
               {"role", status.is_primary ? "primary" : "replica"},
               {"term", std::to_string(status.term.value)},
               {"received", FormatLogPoint(status.received)},
-              {"error", ec ? ec.message() : "none"}});
+              {"error", ec ? ec.message() : "none"},
+              {"command_term", std::to_string(command.term.value)},
+              {"paused_at", std::to_string(status.paused_at.value)},
+              {"born", std::to_string(endpoint.started_at_ms)},
+              {"after_ms",
+               std::to_string((timing_.Now() - began_at_).count() / 1000)}});
+  }
+
+  /** @returns what became of the primary in this attempt, for log lines */
+  PrimaryDemotion GetDemotion() const {
+    if (demoted_primary_ && demoted_primary_->log_end) {
+      return PrimaryDemotion::kDemoted;
+    }
+    return was_primary_asked_ && !primary_status_ ? PrimaryDemotion::kNoAnswer
+                                                  : PrimaryDemotion::kNotAsked;
   }
 
   void Finish(ReplacementOutcome outcome,
@@ -441,17 +468,27 @@
     result.possibly_paused = possibly_paused_;
     result.demoted_primary = demoted_primary_;
     result.has_unsettled_orders = has_unsettled_orders_;
+    result.demotion = GetDemotion();
+    if (outcome == ReplacementOutcome::kPromoted ||
+        outcome == ReplacementOutcome::kUncertain) {
+      if (const auto& status = replicas_[candidate_].status) {
+        result.promoted_received = status->received;
+      }
+    }
     done_(result);
   }
 
   C& commands_;
+  F& primary_commands_;
   P& promotions_;
   T& timing_;
   const ReplacementPlan plan_;
   const Completion done_;
+  const TimePoint began_at_;
   std::vector<SurveyedEndpoint> replicas_;
   std::optional<ReplicationStatus> primary_status_;
   bool primary_is_busy_ = false;
+  bool was_primary_asked_ = false;
   std::vector<EndpointEntry> possibly_paused_;
   size_t pending_ = 0;
   size_t candidate_ = 0;
