--- a/tests/interleavings/search_vm.cc
+++ b/tests/interleavings/search_vm.cc
@@ -168,6 +168,40 @@
   }
 }
 
+void SearchVm::ForwardCommand(const SocketAddress& to,
+                              const ForwardedCommand& command) {
+  world_.SendToVm(
+      to, [command](SearchVm& vm) { vm.HandleForwardedCommand(command); });
+}
+
+void SearchVm::AnswerForwardedCommand(
+    const SocketAddress& to,
+    const ForwardedCommandResponse& response) {
+  world_.SendToVm(to, [response](SearchVm& vm) {
+    vm.HandleForwardedCommandResponse(response);
+  });
+}
+
+void SearchVm::HandleForwardedCommand(const ForwardedCommand& command) {
+  services_.RecordInput(StateHash()
+                            .Add(command.id)
+                            .Add(command.endpoint.value)
+                            .Add(static_cast<uint64_t>(command.command.kind))
+                            .Add(command.command.term.value)
+                            .Get());
+  failover_.HandleForwardedCommand(command);
+}
+
+void SearchVm::HandleForwardedCommandResponse(
+    const ForwardedCommandResponse& response) {
+  services_.RecordInput(StateHash()
+                            .Add(response.id)
+                            .Add(static_cast<uint64_t>(response.result))
+                            .Add(HashStatus({}, response.status))
+                            .Get());
+  failover_.HandleForwardedCommandResponse(response);
+}
+
 void SearchVm::Apply(const FleetView& view) {
   services_.RecordInput(HashView(view));
   view_ = view;
--- a/tests/interleavings/search_vm.h
+++ b/tests/interleavings/search_vm.h
@@ -86,11 +86,14 @@
   void AnnouncePrimary(const ServiceId& service, const EndpointId& endpoint);
   void SendHeartbeats();
   bool IsStoreConnected() const { return true; }
-  template <class F>
-  void ForwardCommand(const SocketAddress& to, const F& command);
-  template <class F>
-  void AnswerForwardedCommand(const SocketAddress& to, const F& response);
-
+  void ForwardCommand(const SocketAddress& to, const ForwardedCommand& command);
+  void AnswerForwardedCommand(const SocketAddress& to,
+                              const ForwardedCommandResponse& response);
+
+  /** Handles a command of the other VM to an endpoint. */
+  void HandleForwardedCommand(const ForwardedCommand& command);
+  /** Handles the response of the other VM to such a command. */
+  void HandleForwardedCommandResponse(const ForwardedCommandResponse& response);
   /** Applies a listing of the directory. */
   void Apply(const FleetView& view);
   /** Handles a heartbeat of the other VM. */
--- a/tests/interleavings/search_world.cc
+++ b/tests/interleavings/search_world.cc
@@ -185,6 +185,18 @@
            });
 }
 
+void SearchWorld::SendToVm(const SocketAddress& to,
+                           std::function<void(SearchVm&)> message) {
+  Schedule(now_ + kHeartbeatLatency, StateHash().Add(17).Add(to.port).Get(), {},
+           [this, to, message = std::move(message)] {
+             for (SearchVm* it : vms_) {
+               if (!are_peers_cut_ && it != nullptr && it->GetAddress() == to) {
+                 message(*it);
+               }
+             }
+           });
+}
+
 void SearchWorld::PublishLater(Duration delay) {
   Schedule(now_ + delay, 5, {PointKind::kListing, 0, 0}, [this] { Publish(); });
 }
--- a/tests/interleavings/search_world.h
+++ b/tests/interleavings/search_world.h
@@ -129,6 +129,9 @@
                       uint64_t fencing_token,
                       std::function<void(std::error_code)> done);
   void SendHeartbeat(size_t vm);
+  /** Sends a message to the VM at an address, unless the VMs are cut off. */
+  void SendToVm(const SocketAddress& to,
+                std::function<void(SearchVm&)> message);
   /** @returns the term in which the endpoint leads; none if it does not lead,
                or the VM does not reach it */
   std::optional<Term> FindLedTerm(size_t vm, const EndpointId& endpoint) const;
