--- a/tests/interleavings/interleaving_test.cc
+++ b/tests/interleavings/interleaving_test.cc
@@ -171,6 +171,24 @@
   CHECK_TRUE(RunFaults(faults) != RunOutcome::kLost);
 }
 
+TEST(Interleavings, KeepCommitsOfAReplicaThatIsUnlistedWhenThePrimaryCrashes) {
+  // The replica that has joined holds the only copy, and the survey of the
+  // replicas ends before the directory lists it.
+  const TimedFault faults[] = {MakeFault(5000, FaultKind::kDeafenAll),
+                               MakeFault(5025, FaultKind::kJoin),
+                               MakeFault(5225, FaultKind::kCrash, 0)};
+  CHECK_TRUE(RunFaults(faults) != RunOutcome::kLost);
+}
+
+TEST(Interleavings, KeepCommitsOfAReplicaThatLeavesBeforeItIsListed) {
+  // The demoted primary holds the commits. No listing shows the replica, so the
+  // end of the primary's log passes for one that was not acknowledged.
+  const TimedFault faults[] = {MakeFault(5000, FaultKind::kDeafenAll),
+                               MakeFault(5220, FaultKind::kJoin),
+                               MakeFault(5225, FaultKind::kLeave, 3)};
+  CHECK_TRUE(RunFaults(faults) != RunOutcome::kLost);
+}
+
 TEST_GROUP(Recovery){};
 
 TEST(Recovery, FindsAPrimaryFromAQuietStart) {
