--- a/tests/interleavings/search_vm.cc
+++ b/tests/interleavings/search_vm.cc
@@ -7,6 +7,7 @@
 namespace {
 
 // Statements repeat their observation at least this often.
+constexpr Duration kStoreDelay = std::chrono::milliseconds(4);
 constexpr Duration kReportInterval = std::chrono::milliseconds(300);
 constexpr Duration kHeartbeatDelay = std::chrono::milliseconds(5);
 
@@ -168,6 +169,13 @@
   }
 }
 
+void SearchVm::ReadDirectory(const std::function<void(std::error_code)>& done) {
+  After(kStoreDelay, [this, done] {
+    Apply(world_.MakeView());
+    done({});
+  });
+}
+
 void SearchVm::ForwardCommand(const SocketAddress& to,
                               const ForwardedCommand& command) {
   world_.SendToVm(
--- a/tests/interleavings/search_world.h
+++ b/tests/interleavings/search_world.h
@@ -140,6 +140,9 @@
   /** @returns whether a commit has waited for long */
   bool HasStalledCommit() const;
 
+  /** @returns the directory as the store holds it now */
+  FleetView MakeView();
+
  private:
   static constexpr TimePoint kStart{std::chrono::seconds(100)};
   struct Task {
@@ -176,7 +179,6 @@
   void Replicate();
   void PublishLater(Duration delay);
   void Publish();
-  FleetView MakeView();
   bool IsObserved() const;
   bool Choose(const ChoicePoint& point);
   void InjectAtMember(const Fault& fault);
