Limit the time of the read that proves that no replica has joined

Cause: in an outage of the store that no VM had noticed, the read hung until the store was back, 4 s later, and listed the endpoints before the joined one had registered. The candidate without the end of the log was promoted (LOST), and the service had no primary meanwhile.

Change: a read that takes longer than kReadTimeout proves nothing; the demoted primary is promoted again.

Evidence: control_tests ALateReadOfTheDirectoryProvesNothing.

--- a/libs/control/fleet/fleet_control.h
+++ b/libs/control/fleet/fleet_control.h
@@ -59,6 +59,8 @@
   /** Time within which changes made during an outage of the store are known
       after it: the longest backoff, and a call. */
   static constexpr Duration kStoreSettlePeriod = std::chrono::seconds(2);
+  /** Longest wait for a read of the directory. */
+  static constexpr Duration kReadTimeout = std::chrono::milliseconds(500);
 
   /** @param store     must outlive this object
       @param delegate  must outlive this object
@@ -108,24 +110,35 @@
 
   /** Reads the directory from the store and applies it.
 
-      @param done  receives success if it then lists every endpoint that had
-                   registered before the call; Error::kStoreUnavailable also if
-                   the store was away a moment ago, since endpoints register
-                   again, or for the first time, within kStoreSettlePeriod
+      @param done  called once within kReadTimeout: success if the directory
+                   then lists every endpoint that had registered before the
+                   call; Error::kStoreUnavailable also if the store was away a
+                   moment ago, since endpoints register again, or for the first
+                   time, within kStoreSettlePeriod
   */
   void ReadEndpoints(std::function<void(std::error_code)> done) {
+    const auto pending =
+        std::make_shared<std::function<void(std::error_code)>>(std::move(done));
+    const auto finish = [pending](std::error_code ec) {
+      if (const auto call = std::exchange(*pending, nullptr)) {
+        call(ec);
+      }
+    };
+    // An answer that comes later was held up by an outage that may have kept
+    // endpoints from registering.
+    delegate_.After(kReadTimeout,
+                    [finish] { finish(Error::kStoreUnavailable); });
     ListAllRows(
         store_, C::GetEndpointTable(),
-        [this, done = std::move(done)](std::error_code ec,
-                                       const StoredRows& listing) {
+        [this, finish](std::error_code ec, const StoredRows& listing) {
           if (!ec) {
             HandleEndpointListing(listing.rows, listing.version, "store");
           }
           const bool is_settled =
               !store_lost_ &&
               delegate_.Now() - regained_at_ >= kStoreSettlePeriod;
-          done(ec || !is_settled ? make_error_code(Error::kStoreUnavailable)
-                                 : std::error_code{});
+          finish(ec || !is_settled ? make_error_code(Error::kStoreUnavailable)
+                                   : std::error_code{});
         });
   }
 
--- a/libs/control/tests/fleet_control_test.cc
+++ b/libs/control/tests/fleet_control_test.cc
@@ -164,6 +164,18 @@
   CHECK(result && *result == Error::kStoreUnavailable);
 }
 
+TEST(Fleet, ALateReadOfTheDirectoryProvesNothing) {
+  // Guards against a read that hangs in an outage which nobody has noticed, and
+  // is answered before the endpoints have registered again (LOST).
+  TestNode node;
+  std::vector<std::error_code> results;
+  node.fleet.ReadEndpoints([&](std::error_code ec) { results.push_back(ec); });
+  node.Advance(seconds(1));
+  TestNode::Answer(node.store.listings, "endpoints", {}, {});
+  LONGS_EQUAL(1, results.size());
+  CHECK(results.front() == Error::kStoreUnavailable);
+}
+
 TEST(Fleet, AReadOfTheDirectoryAfterAnOutageProvesNothingAtFirst) {
   // Endpoints that joined in the outage register up to two seconds after it.
   TestNode node;
