--- a/libs/gossip/gossip.h
+++ b/libs/gossip/gossip.h
@@ -8,9 +8,9 @@
     Depends on codec (JSON texts), control, coordination, core, relay and
     jsoncpp.
 
-    Topics: heartbeats/, departures/, commands/ and bounds/ (datagrams), duties/ (rows that
-    VMs leave in the store for each other), state/ (configuration and directory
-    for a VM that cannot reach the store, and the status of a node).
+    Topics: heartbeats/, departures/, commands/ and bounds/ (datagrams), duties/
+   (rows that VMs leave in the store for each other), state/ (configuration and
+   directory for a VM that cannot reach the store, and the status of a node).
 */
 #include "gossip/bounds/bound_codec.h"
 #include "gossip/commands/forwarded_command_codec.h"
