Keep rows that were added while the directory was read

A listing that the store gave before a followed change marked the newer row as removed. The endpoint vanished for the VM until its next report, and counted as departed, which blocks promotions.

control_tests AReadOfTheDirectoryDoesNotRemoveWhatWasAddedMeanwhile, red before.

--- a/libs/control/fleet/fleet_control.h
+++ b/libs/control/fleet/fleet_control.h
@@ -315,6 +315,10 @@
       known.erase(it.key);
     }
     for (auto& [key, row] : known) {
+      if (row.version > version) {
+        // Added by a change after the listing.
+        continue;
+      }
       row.removed = true;
       row.version = std::max(row.version, version);
       ApplyEndpointRow(row, source);
--- a/libs/control/tests/fleet_control_test.cc
+++ b/libs/control/tests/fleet_control_test.cc
@@ -164,6 +164,16 @@
   CHECK(result && *result == Error::kStoreUnavailable);
 }
 
+TEST(Fleet, AReadOfTheDirectoryDoesNotRemoveWhatWasAddedMeanwhile) {
+  TestNode node;
+  node.fleet.ReadEndpoints([](std::error_code) {});
+  TestNode::Answer(node.store.polls, "endpoints", {},
+                   {{{"db-1", "1 ready", 6, false}}, 6, false});
+  TestNode::Answer(node.store.listings, "endpoints", {}, {{}, 5, false});
+  node.Advance(seconds(4));
+  CHECK(!node.GetEndpoint("db-1").draining);
+}
+
 TEST(Fleet, ALateReadOfTheDirectoryProvesNothing) {
   // Guards against a read that hangs in an outage which nobody has noticed, and
   // is answered before the endpoints have registered again (LOST).
