Do not take a busy primary for a dead one

A primary without a free slot at the survey was replaced without a demotion, and went on to acknowledge commits. Several VMs that ask it at once make that likelier. Found in review.

Its report is asked again as that of a replica is; a VM that finds it busy ends only its own attempt; and a primary that is busy, or whose commits a VM has seen stall, is replaced only after the check of a living one. Repeated datagrams are sent to the endpoint once, and their timeout is limited.

control_tests ABusyPrimaryIsNotTakenForADeadOne, ABusyEndpointIsStillAskedByTheOtherVms and ARepeatedRequestIsSentOnce, red before.

--- a/libs/control/failover/command_forwarder.h
+++ b/libs/control/failover/command_forwarder.h
@@ -6,6 +6,8 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -117,8 +119,13 @@
       Answer(request, ForwardedCommandResult::kNotSent, {});
       return;
     }
+    if (!running_.emplace(request.reply_to, request.id).second) {
+      // A repeated datagram; the response to the first one answers it.
+      return;
+    }
     commands_.Send(
-        *endpoint, request.command, request.timeout,
+        *endpoint, request.command,
+        std::min(request.timeout, kEndpointCommandTimeout),
         [this, request](std::error_code ec, const ReplicationStatus& status) {
           Answer(request,
                  !ec                        ? ForwardedCommandResult::kAnswered
@@ -152,8 +159,8 @@
         Finish(response.id, {}, response.status);
         return;
       case ForwardedCommandResult::kBusy:
-        Finish(response.id, Error::kOverloaded, {});
-        return;
+        call.is_busy = true;
+        break;
       case ForwardedCommandResult::kAnswerLost:
         call.may_be_executed = true;
         break;
@@ -178,6 +185,8 @@
     /** Result of this VM's own attempt; none before it has ended. */
     std::optional<std::error_code> direct_result;
     bool may_be_executed = false;
+    /** The endpoint had no free slot for another VM's command. */
+    bool is_busy = false;
     std::vector<Forwarded> waiting;
   };
 
@@ -257,6 +266,7 @@
                      });
     live.resize(std::min(live.size(), kMaxForwardingVms));
     std::vector<Forwarded> chosen;
+    chosen.reserve(live.size());
     for (const PeerGroup::Peer* it : live) {
       chosen.push_back({it->last.vm, it->last.address});
     }
@@ -267,16 +277,26 @@
     const auto it = calls_.find(id);
     if (it != calls_.end() && it->second.direct_result &&
         it->second.waiting.empty()) {
-      Finish(
-          id,
-          it->second.may_be_executed ? Error::kAnswerLost : Error::kUnreachable,
-          {});
+      Finish(id, GetError(it->second), {});
     }
   }
 
   void HandleDeadline(uint64_t id) {
-    // A VM that has not responded may still send the command.
-    Finish(id, Error::kAnswerLost, {});
+    if (const auto it = calls_.find(id); it != calls_.end()) {
+      // A VM that has not responded may still send the command.
+      it->second.may_be_executed = true;
+      Finish(id, GetError(it->second), {});
+    }
+  }
+
+  /** @returns why a command was not answered. A report that found no free slot
+               shows that the endpoint is alive. */
+  static Error GetError(const Call& call) {
+    const bool is_report = call.command.kind == EndpointCommandKind::kReport;
+    if (call.may_be_executed && !(is_report && call.is_busy)) {
+      return Error::kAnswerLost;
+    }
+    return call.is_busy ? Error::kOverloaded : Error::kUnreachable;
   }
 
   void Finish(uint64_t id,
@@ -290,6 +310,7 @@
   void Answer(const ForwardedCommand& request,
               ForwardedCommandResult result,
               const ReplicationStatus& status) {
+    running_.erase({request.reply_to, request.id});
     delegate_.AnswerForwardedCommand(request.reply_to,
                                      {request.id, self_, result, status});
   }
@@ -300,6 +321,8 @@
   const VmId self_;
   const SuspicionQuery is_suspected_;
   std::map<uint64_t, Call> calls_;
+  /** Commands of other VMs that are in progress here. */
+  std::set<std::pair<SocketAddress, uint64_t>> running_;
   uint64_t next_id_;
 };
 
--- a/libs/control/failover/endpoint_commands.h
+++ b/libs/control/failover/endpoint_commands.h
@@ -12,6 +12,11 @@
 
 namespace magnoliareel {
 
+/** Timeout of a command to an endpoint. It covers a new connection and a
+    statement between regions, twice, with busy slots. */
+inline constexpr Duration kEndpointCommandTimeout =
+    std::chrono::milliseconds(600);
+
 /** Kind of a command to an endpoint. The endpoint answers each command with its
     replication status. */
 enum class EndpointCommandKind {
--- a/libs/control/failover/forwarded_command.h
+++ b/libs/control/failover/forwarded_command.h
@@ -20,7 +20,8 @@
   SocketAddress reply_to;
   EndpointId endpoint;
   EndpointCommand command;
-  /** Time that the other VM waits for the endpoint. */
+  /** Time that the other VM waits for the endpoint, at most
+      kEndpointCommandTimeout. */
   Duration timeout{};
 
   bool operator==(const ForwardedCommand&) const = default;
--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -16,10 +16,6 @@
 
 namespace magnoliareel {
 
-/** Timeout of a command to an endpoint. It covers a new connection and a
-    statement between regions, twice, with busy slots. */
-inline constexpr Duration kEndpointCommandTimeout =
-    std::chrono::milliseconds(600);
 /** Delay before a command that found no free slot is sent again. */
 inline constexpr Duration kBusyEndpointRetryInterval =
     std::chrono::milliseconds(25);
@@ -111,13 +107,14 @@
       SendCommand(it, {EndpointCommandKind::kReport, {}}, 0,
                   &PrimaryReplacement::FinishSurvey);
     }
-    SurveyPrimary();
+    SurveyPrimary(0);
   }
 
  private:
   using Step = void (PrimaryReplacement::*)();
 
-  void SurveyPrimary() {
+  /** @param attempt  number of times that the primary had no free slot */
+  void SurveyPrimary(int attempt) {
     if (!plan_.primary) {
       CompleteCall(&PrimaryReplacement::FinishSurvey);
       return;
@@ -127,7 +124,14 @@
     primary_commands_.Send(
         *plan_.primary, {EndpointCommandKind::kReport, {}},
         kEndpointCommandTimeout / 2,
-        [self](std::error_code ec, const ReplicationStatus& status) {
+        [self, attempt](std::error_code ec, const ReplicationStatus& status) {
+          if (ec == Error::kOverloaded && attempt < kMaxBusyEndpointRetries &&
+              self->plan_.reason != ReplacementReason::kCommitsStalled) {
+            self->timing_.After(kBusyEndpointRetryInterval, [self, attempt] {
+              self->SurveyPrimary(attempt + 1);
+            });
+            return;
+          }
           self->LogStep(*self->plan_.primary,
                         {EndpointCommandKind::kReport, {}}, ec, status);
           self->primary_is_busy_ = ec == Error::kOverloaded;
@@ -270,6 +274,12 @@
     });
   }
 
+  /** @returns whether a VM has had an answer of the primary lately, so that it
+               may acknowledge commits unless it was demoted */
+  bool IsPrimaryAlive() const {
+    return primary_status_ || primary_is_busy_ || plan_.answered_lately;
+  }
+
   bool IsPrimaryHealthy() const {
     if (plan_.reason == ReplacementReason::kDemoted) {
       return primary_status_ && primary_status_->is_primary;
--- a/libs/control/failover/primary_replacement_demotion.h
+++ b/libs/control/failover/primary_replacement_demotion.h
@@ -51,7 +51,7 @@
     self->plan_.read_directory(
         [self](std::error_code ec) { self->FinishMembershipCheck(ec); });
   };
-  if (plan_.reason == ReplacementReason::kCommitsStalled) {
+  if (IsPrimaryAlive()) {
     timing_.After(kMembershipDelay, read);
   } else if (plan_.is_store_connected) {
     read();
@@ -109,9 +109,7 @@
           PromotionSender P,
           class T>
 void PrimaryReplacement<C, F, P, T>::FinishMembershipCheck(std::error_code ec) {
-  const bool is_alive =
-      primary_status_ || plan_.reason == ReplacementReason::kCommitsStalled;
-  if (ec && is_alive) {
+  if (ec && IsPrimaryAlive()) {
     // What is listed may be older than a replica that has joined.
     PromotePrimaryAgainOrAbandon(
         "the directory cannot be read, so that joined replicas are not known");
--- a/libs/control/failover/replacement_plan.h
+++ b/libs/control/failover/replacement_plan.h
@@ -63,6 +63,8 @@
   std::optional<EndpointEntry> primary;
   EndpointId primary_id;
   ReplacementReason reason = ReplacementReason::kGone;
+  /** A VM has observed that the primary answers, but not commits. */
+  bool answered_lately = false;
   /** All other endpoints of the service, including one whose promotion
       failed. */
   std::vector<EndpointEntry> replicas;
--- a/libs/control/tests/command_forwarder_test.cc
+++ b/libs/control/tests/command_forwarder_test.cc
@@ -172,6 +172,35 @@
   CHECK(error == Error::kAnswerLost);
 }
 
+TEST(CommandForwarder, ABusyEndpointIsStillAskedByTheOtherVms) {
+  is_suspected = true;
+  Send();
+  Respond("vm-2", ForwardedCommandResult::kBusy);
+  LONGS_EQUAL(0, done_count);
+  Respond("vm-3", ForwardedCommandResult::kAnswered);
+  CHECK(!error && status.is_primary);
+}
+
+TEST(CommandForwarder, ABusyEndpointIsNotReportedAsUnreachable) {
+  is_suspected = true;
+  Send();
+  Respond("vm-2", ForwardedCommandResult::kBusy);
+  network.Advance(kTimeout);
+  LONGS_EQUAL(1, done_count);
+  CHECK(error == Error::kOverloaded);
+}
+
+TEST(CommandForwarder, ARepeatedRequestIsSentOnce) {
+  const ForwardedCommand request{
+      7, {"127.0.0.1", 5}, endpoint.id, {}, milliseconds(200)};
+  network.direct_delay = milliseconds(5);
+  forwarder.HandleForwardedCommand(request, &endpoint);
+  forwarder.HandleForwardedCommand(request, &endpoint);
+  network.Advance(milliseconds(5));
+  LONGS_EQUAL(1, network.direct_count);
+  LONGS_EQUAL(1, network.answers.size());
+}
+
 TEST(CommandForwarder, LostDatagramsAreRepeated) {
   is_suspected = true;
   Send();
--- a/libs/control/tests/control_test.cc
+++ b/libs/control/tests/control_test.cc
@@ -250,6 +250,17 @@
   STRCMP_EQUAL("db-1", result.primary.value.c_str());
 }
 
+TEST(Replacement, ABusyPrimaryIsNotTakenForADeadOne) {
+  // It may acknowledge commits through a replica that has joined.
+  group.statuses = {{"db-2", MakeStatus(false, 1, 7)},
+                    {"db-3", MakeStatus(false, 1, 7)}};
+  group.busy = {"db-1"};
+  group.directory_error = Error::kStoreUnavailable;
+  const ReplacementResult result =
+      group.Replace(ReplacementReason::kUnreachable, replicas);
+  CHECK(result.outcome == ReplacementOutcome::kAbandoned);
+}
+
 TEST(Replacement, LeavesThePrimaryAsItIsWhileItsGroupCannotBeKnown) {
   group.statuses = {{"db-1", MakeStatus(true, 1, 9)},
                     {"db-2", MakeStatus(false, 1, 7)},
