Keep the pauses of a promotion until its own proof arrives

A proof of the old primary that arrived after the order counted as that of its successor: the paused replicas received again before the order took effect, and the old primary could acknowledge through them.

The replicas are resumed once the primary has proved a newer term, or after the time in which an order takes effect.

control_tests AProofOfTheOldPrimaryDoesNotEndThePausesOfAPromotion, red before.

--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -147,7 +147,7 @@
   void HandlePrimaryConfirmed(const EndpointId& endpoint, Term term) {
     if (const EndpointEntry* entry = FindEndpoint(endpoint)) {
       primaries_.RecordConfirmed(entry->service, endpoint, term);
-      LogPromotionConfirmed(entry->service, endpoint, term);
+      RecordPromotionConfirmed(entry->service, endpoint, term);
       PruneSuspicions();
     }
   }
@@ -320,8 +320,7 @@
     DemotedPrimary demoted_primary;
     /** No promotion was ordered since that demotion. */
     bool awaits_promotion = false;
-    /** This VM's latest order until it is seen to take effect; for log lines
-        only. */
+    /** This VM's latest order until the primary proves a newer term. */
     std::optional<PromotionOrder> unconfirmed_order;
     TimePoint not_before;
     TimePoint claimed_at;
@@ -416,6 +415,10 @@
     Review();
   }
 
+  /** @returns whether a VM reports that the endpoint answers, but not commits
+   */
+  bool IsReportedStalled(const EndpointId& endpoint) const;
+
   uint32_t CountVantagePoints(const EndpointId& endpoint,
                               EndpointCondition& condition) const;
 
@@ -483,11 +486,11 @@
 
   void FinishConfirmation(const ServiceId& service, std::error_code ec);
 
-  /** Logs that the order of this VM has taken effect, if the primary's proof is
+  /** Records and logs that the order of this VM has taken effect, if the primary's proof is
       the first one since. */
-  void LogPromotionConfirmed(const ServiceId& service,
-                             const EndpointId& endpoint,
-                             Term term);
+  void RecordPromotionConfirmed(const ServiceId& service,
+                                const EndpointId& endpoint,
+                                Term term);
 
   void ResumePaused(const ServiceId& service, TimePoint now);
   void Replace(const ServiceId& service,
--- a/libs/control/failover/failover_control_replacement.h
+++ b/libs/control/failover/failover_control_replacement.h
@@ -40,6 +40,22 @@
   return n;
 }
 
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+bool FailoverControl<S, R, C, P, T>::IsReportedStalled(
+    const EndpointId& endpoint) const {
+  return detector_.Get(endpoint) == EndpointCondition::kCommitsStalled ||
+         std::any_of(peer_suspicions_.begin(), peer_suspicions_.end(),
+                     [&](const auto& row) {
+                       return row.second.endpoint == endpoint &&
+                              row.second.condition ==
+                                  EndpointCondition::kCommitsStalled;
+                     });
+}
+
 template <RowStore S,
           DutyRowCodec R,
           EndpointCommandSender C,
@@ -123,6 +139,7 @@
   const auto primary = *primaries_.Get(service, now);
   plan.primary_id = primary.endpoint;
   plan.reason = reason;
+  plan.answered_lately = IsReportedStalled(plan.primary_id);
   plan.fencing_token = claims_.GetToken(service);
   plan.demoted_primary = progress.demoted_primary;
   plan.has_unsettled_orders =
@@ -186,7 +203,7 @@
           EndpointCommandSender C,
           PromotionSender P,
           class T>
-void FailoverControl<S, R, C, P, T>::LogPromotionConfirmed(
+void FailoverControl<S, R, C, P, T>::RecordPromotionConfirmed(
     const ServiceId& service,
     const EndpointId& endpoint,
     Term term) {
@@ -220,8 +237,12 @@
     return;
   }
   const auto primary = primaries_.Get(service, now);
-  if (progress.paused_replicas.empty() || progress.running || !primary ||
-      !primary->confirmed) {
+  const bool is_awaited =
+      progress.unconfirmed_order &&
+      now - progress.unconfirmed_order->sent_at < kPromotionTimeout;
+  // A proof of the old primary may arrive after the order, when it still leads.
+  if (progress.paused_replicas.empty() || progress.running || is_awaited ||
+      !primary || !primary->confirmed) {
     return;
   }
   // The promotion is in force, so the old primary can no longer acknowledge
--- a/libs/control/tests/failover_control_test.cc
+++ b/libs/control/tests/failover_control_test.cc
@@ -307,6 +307,21 @@
                                 std::to_string(fake.term) + " after_ms=1600");
 }
 
+TEST(Failover, AProofOfTheOldPrimaryDoesNotEndThePausesOfAPromotion) {
+  // Guards against replicas that receive from the old primary again before the
+  // order for its successor has taken effect (LOST).
+  SettleOrders();
+  fake.ineffective_promotions = 1;
+  failover.Apply(fake.MakeView("db-1"));
+  fake.Advance(std::chrono::milliseconds(200));
+  CHECK(!fake.promotions.empty());
+  CHECK(!fake.paused.empty());
+  failover.HandlePrimaryConfirmed(EndpointId{"db-1"}, Term{fake.term});
+  failover.Review();
+  fake.Advance(std::chrono::milliseconds(500));
+  CHECK(!fake.paused.empty());
+}
+
 TEST(Failover, DemotesAPrimaryThatIsNotListedAnyMore) {
   // Guards against a primary that counts as dead because its entry expired,
   // and that acknowledges commits through a member that joins (LOST).
