--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -486,8 +486,8 @@
 
   void FinishConfirmation(const ServiceId& service, std::error_code ec);
 
-  /** Records and logs that the order of this VM has taken effect, if the primary's proof is
-      the first one since. */
+  /** Records and logs that the order of this VM has taken effect, if the
+     primary's proof is the first one since. */
   void RecordPromotionConfirmed(const ServiceId& service,
                                 const EndpointId& endpoint,
                                 Term term);
