Scenarios: wait for a killed process, and begin a new log in each run

A second run of scenario_withdrawn_key_lagging_pooler in one build folder failed ("only the first entry applied the old document"): the log of the run before was counted, too. Another run failed with process.cannot_listen: the killed entry still held its port when the next one started.

The runner truncates a process's log at its first start in a run, and waits for an earlier process of the same name. The check is unchanged.

--- a/tests/scenarios/runner/child_processes.cc
+++ b/tests/scenarios/runner/child_processes.cc
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr auto kExitPollInterval = std::chrono::milliseconds(2);
+constexpr double kRestartTimeoutSeconds = 5;
 
 }  // namespace
 
@@ -28,6 +29,8 @@
 
 bool ChildProcesses::Start(const std::string& name,
                            std::span<const std::string> arguments) {
+  // A killed process holds its port until it has ended.
+  WaitExit(name, kRestartTimeoutSeconds);
   std::vector<char*> argv;
   for (const std::string& it : arguments) {
     argv.push_back(const_cast<char*>(it.c_str()));
@@ -36,8 +39,10 @@
   const std::string log = log_dir_ + "/" + name + ".log";
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
+  // A restarted process appends to its log; that of an earlier run is dropped.
+  const int reset = started_.insert(name).second ? O_TRUNC : 0;
   posix_spawn_file_actions_addopen(&actions, 1, log.c_str(),
-                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
+                                   O_WRONLY | O_CREAT | O_APPEND | reset, 0644);
   posix_spawn_file_actions_adddup2(&actions, 1, 2);
   pid_t pid = 0;
   const int rc =
--- a/tests/scenarios/runner/child_processes.h
+++ b/tests/scenarios/runner/child_processes.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 
@@ -20,7 +21,7 @@
   ChildProcesses(const ChildProcesses&) = delete;
   ChildProcesses& operator=(const ChildProcesses&) = delete;
 
-  /** Starts a program.
+  /** Starts a program, once an earlier process of the same name has ended.
 
       @param name       the name of the process in later calls
       @param arguments  the path of the program and its arguments
@@ -42,6 +43,8 @@
  private:
   const std::string log_dir_;
   std::map<std::string, pid_t> running_;
+  /** Names of the processes that this run has started. */
+  std::set<std::string> started_;
 };
 
 }  // namespace magnoliareel::scenario
