Log who suspects, who relayed nothing and which pauses are ended

The log of a promotion that lost commits does not tell a primary that no VM reaches from one whose relays never respond, nor shows which VMs made up the quorum, whose pause a resume ended, and which check preceded the order.

- leader.suspected (E5503) names the VMs that suspect, each with its condition, and the number of known VMs beside the live ones.
- command.forwarding_ended (E5514): to how many VMs a command was forwarded, the results, and the VMs that did not respond.
- replica.resume (E5515): each RESUME and its answer, the pause that was found, the term of this VM's own latest pause, and the reason.
- replacement.step (E5505) has the candidate and its position, replacement.done (E5506) the check before the order.

No decision changes.

--- a/libs/control/failover/command_forwarder.h
+++ b/libs/control/failover/command_forwarder.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -90,7 +91,8 @@
     Call& call = calls_[id];
     call.endpoint = endpoint.id;
     call.command = command;
-    call.deadline = delegate_.Now() + timeout;
+    call.began_at = delegate_.Now();
+    call.deadline = call.began_at + timeout;
     call.done = std::move(done);
     commands_.Send(endpoint, command, timeout,
                    [this, id](std::error_code ec, const auto& status) {
@@ -154,6 +156,7 @@
               {"step", std::string(GetEndpointCommandName(call.command.kind))},
               {"via", response.vm.value},
               {"result", std::string(GetName(response.result))}});
+    ++call.result_counts[response.result];
     switch (response.result) {
       case ForwardedCommandResult::kAnswered:
         Finish(response.id, {}, response.status);
@@ -188,6 +191,10 @@
     /** The endpoint had no free slot for another VM's command. */
     bool is_busy = false;
     std::vector<Forwarded> waiting;
+    TimePoint began_at;
+    /** Number of VMs that the command was forwarded to. */
+    size_t forwarded_count = 0;
+    std::map<ForwardedCommandResult, int> result_counts;
   };
 
   static constexpr std::string_view GetName(ForwardedCommandResult result) {
@@ -211,11 +218,11 @@
     if (it == calls_.end()) {
       return;
     }
+    it->second.direct_result = ec;
     if (!ec || ec == Error::kOverloaded) {
       Finish(id, ec, status);
       return;
     }
-    it->second.direct_result = ec;
     it->second.may_be_executed |= ec == Error::kAnswerLost;
     Forward(id);
     FinishIfUnanswered(id);
@@ -229,6 +236,7 @@
       return;
     }
     it->second.waiting = ChooseVms(it->second.endpoint);
+    it->second.forwarded_count = it->second.waiting.size();
     SendToWaiting(id);
   }
 
@@ -303,10 +311,38 @@
               std::error_code ec,
               const ReplicationStatus& status) {
     if (auto node = calls_.extract(id)) {
+      if (node.mapped().is_forwarded) {
+        LogForwardingEnded(node.mapped(), ec);
+      }
       node.mapped().done(ec, status);
     }
   }
 
+  void LogForwardingEnded(Call& call, std::error_code ec) const {
+    std::string silent;
+    for (const Forwarded& it : call.waiting) {
+      silent += (silent.empty() ? "" : ",") + it.vm.value;
+    }
+    const auto count = [&call](ForwardedCommandResult result) {
+      return std::to_string(call.result_counts[result]);
+    };
+    const Duration age = delegate_.Now() - call.began_at;
+    LogEvent(Event::kForwardingEnded,
+             {{"endpoint", call.endpoint.value},
+              {"step", std::string(GetEndpointCommandName(call.command.kind))},
+              {"error", ec ? ec.message() : "none"},
+              {"direct", !call.direct_result   ? "not_ended"
+                         : *call.direct_result ? call.direct_result->message()
+                                               : "none"},
+              {"forwarded", std::to_string(call.forwarded_count)},
+              {"answered", count(ForwardedCommandResult::kAnswered)},
+              {"busy", count(ForwardedCommandResult::kBusy)},
+              {"not_sent", count(ForwardedCommandResult::kNotSent)},
+              {"answer_lost", count(ForwardedCommandResult::kAnswerLost)},
+              {"silent", silent.empty() ? "none" : silent},
+              {"after_ms", std::to_string(age.count() / 1000)}});
+  }
+
   void Answer(const ForwardedCommand& request,
               ForwardedCommandResult result,
               const ReplicationStatus& status) {
--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -310,6 +310,8 @@
     EndpointId pending_promotion;
     /** Time after which it is not executed any more. */
     TimePoint pending_until;
+    /** Term of this VM's latest pause; 0 if it sent none. */
+    Term pause_term;
     /** Replicas to resume once the promoted endpoint is confirmed. */
     std::vector<EndpointEntry> paused_replicas;
     /** Replicas that earlier attempts may have left paused when the running
@@ -415,6 +417,9 @@
     Review();
   }
 
+  /** @returns the VMs that suspect the endpoint, each with its condition, for
+              log lines */
+  std::string ListSuspectingVms(const EndpointId& endpoint) const;
   /** @returns whether a VM reports that the endpoint answers, but not commits
    */
   bool IsReportedStalled(const EndpointId& endpoint) const;
--- a/libs/control/failover/failover_control_replacement.h
+++ b/libs/control/failover/failover_control_replacement.h
@@ -40,6 +40,31 @@
   return n;
 }
 
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+std::string FailoverControl<S, R, C, P, T>::ListSuspectingVms(
+    const EndpointId& endpoint) const {
+  std::string text;
+  const auto add = [&text](const VmId& vm, EndpointCondition condition) {
+    text += (text.empty() ? "" : ",") + vm.value + ":" +
+            std::string(GetConditionName(condition));
+  };
+  if (const auto own = detector_.Get(endpoint)) {
+    add(self_, *own);
+  }
+  for (const PeerGroup::Peer* peer : peers_.ListLive()) {
+    for (const ConditionReport& it : peer->last.suspicions) {
+      if (it.endpoint == endpoint) {
+        add(peer->last.vm, it.condition);
+      }
+    }
+  }
+  return text.empty() ? "none" : text;
+}
+
 template <RowStore S,
           DutyRowCodec R,
           EndpointCommandSender C,
@@ -102,7 +127,9 @@
               {"endpoint", primary->endpoint.value},
               {"condition", std::string(GetConditionName(condition))},
               {"vantage_points", std::to_string(votes)},
-              {"live", std::to_string(live)}});
+              {"live", std::to_string(live)},
+              {"known", std::to_string(peers_.CountKnown())},
+              {"suspecting", ListSuspectingVms(primary->endpoint)}});
   }
   if (votes < needed) {
     return std::nullopt;
@@ -249,7 +276,8 @@
   // commits through the paused replicas.
   for (const EndpointEntry& it : progress.paused_replicas) {
     if (it.id != primary->endpoint) {
-      resumer_.ResumeIfPaused(it);
+      resumer_.ResumeIfPaused(
+          it, {ResumeReason::kPromotionConfirmed, progress.pause_term});
     }
   }
   progress.paused_replicas.clear();
@@ -268,6 +296,9 @@
   const TimePoint now = delegate_.Now();
   Progress& progress = progress_[service];
   progress.running = false;
+  if (result.pause_term > Term{}) {
+    progress.pause_term = result.pause_term;
+  }
   if (result.outcome != ReplacementOutcome::kPromoted &&
       !result.promotion_reply_lost) {
     progress.unconfirmed_order.reset();
@@ -315,7 +346,8 @@
            {"demotion", std::string(GetPrimaryDemotionName(result.demotion))},
            {"log_end", result.demoted_primary && result.demoted_primary->log_end
                            ? FormatLogPoint(*result.demoted_primary->log_end)
-                           : "none"}});
+                           : "none"},
+           {"check", std::string(GetPromotionCheckName(result.check))}});
       if (result.outcome == ReplacementOutcome::kUncertain) {
         progress.pending_promotion = result.primary;
         progress.pending_until = now + kLostPromotionRetention;
@@ -358,7 +390,8 @@
     }
   } else {
     for (const EndpointEntry& it : result.possibly_paused) {
-      resumer_.ScheduleResume(it);
+      resumer_.ScheduleResume(
+          it, {ResumeReason::kAbandonedAttempt, result.pause_term});
     }
     resumer_.Restore(progress.pending_resumes);
   }
--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -230,6 +230,7 @@
       return;
     }
     candidate_ = *next;
+    has_candidate_ = true;
     if (!plan_.is_store_connected && primary_status_ &&
         replicas_[candidate_].status->received < primary_status_->received &&
         plan_.reason == ReplacementReason::kCommitsStalled) {
@@ -461,6 +462,8 @@
                const EndpointCommand& command,
                std::error_code ec,
                const ReplicationStatus& status) const {
+    const SurveyedEndpoint* candidate =
+        has_candidate_ ? &replicas_[candidate_] : nullptr;
     LogEvent(Event::kReplacementStep,
              {{"service", plan_.service.value},
               {"endpoint", endpoint.id.value},
@@ -472,6 +475,11 @@
               {"command_term", std::to_string(command.term.value)},
               {"paused_at", std::to_string(status.paused_at.value)},
               {"born", std::to_string(endpoint.started_at_ms)},
+              {"candidate", candidate ? candidate->entry.id.value : "none"},
+              {"candidate_received",
+               candidate && candidate->status
+                   ? FormatLogPoint(candidate->status->received)
+                   : "none"},
               {"after_ms",
                std::to_string((timing_.Now() - began_at_).count() / 1000)}});
   }
@@ -499,6 +507,8 @@
     result.demoted_primary = demoted_primary_;
     result.has_unsettled_orders = has_unsettled_orders_;
     result.demotion = GetDemotion();
+    result.pause_term = possibly_paused_.empty() ? Term{} : pause_term_;
+    result.check = check_;
     if (outcome == ReplacementOutcome::kPromoted ||
         outcome == ReplacementOutcome::kUncertain) {
       if (const auto& status = replicas_[candidate_].status) {
@@ -522,6 +532,9 @@
   std::vector<EndpointEntry> possibly_paused_;
   size_t pending_ = 0;
   size_t candidate_ = 0;
+  /** The survey has ended with the choice of a candidate. */
+  bool has_candidate_ = false;
+  PromotionCheck check_ = PromotionCheck::kNone;
   Term pause_term_;
   int candidate_pauses_ = 0;
   int candidate_reports_ = 0;
--- a/libs/control/failover/primary_replacement_demotion.h
+++ b/libs/control/failover/primary_replacement_demotion.h
@@ -87,6 +87,7 @@
 void PrimaryReplacement<C, F, P, T>::CompareWithPrimary() {
   const std::optional<ReplicationStatus>& status = replicas_[candidate_].status;
   if (status && status->received >= primary_status_->received) {
+    check_ = PromotionCheck::kLogEnd;
     Promote();
     return;
   }
@@ -124,6 +125,7 @@
                    [&](const EndpointEntry& it) { return it.id == entry.id; });
       });
   if (is_known && replicas_[candidate_].status) {
+    check_ = PromotionCheck::kMembers;
     Promote();
     return;
   }
@@ -149,6 +151,7 @@
   }
   candidate_ = replicas_.size();
   replicas_.push_back({*plan_.primary, primary_status_});
+  check_ = PromotionCheck::kPromotedAgain;
   Promote();
 }
 
--- a/libs/control/failover/replacement_plan.h
+++ b/libs/control/failover/replacement_plan.h
@@ -135,6 +135,34 @@
   return "not_asked";
 }
 
+/** What preceded the order of a promotion. */
+enum class PromotionCheck {
+  kNone,
+  /** The candidate has received the whole log of the demoted primary. */
+  kLogEnd,
+  /** The directory lists no replica that the attempt does not know. */
+  kMembers,
+  /** The demoted primary is promoted again. */
+  kPromotedAgain,
+};
+
+/** @param check  what preceded the order
+    @returns      its name in logs
+*/
+constexpr std::string_view GetPromotionCheckName(PromotionCheck check) {
+  switch (check) {
+    case PromotionCheck::kNone:
+      return "none";
+    case PromotionCheck::kLogEnd:
+      return "log_end";
+    case PromotionCheck::kMembers:
+      return "members";
+    case PromotionCheck::kPromotedAgain:
+      return "promoted_again";
+  }
+  return "none";
+}
+
 /** Result of a replacement attempt. */
 struct ReplacementResult {
   ReplacementOutcome outcome = ReplacementOutcome::kAbandoned;
@@ -155,6 +183,10 @@
   bool has_unsettled_orders = false;
   /** Set if the attempt has demoted the primary, or may have. */
   std::optional<DemotedPrimary> demoted_primary;
+  /** Term of the pauses that the attempt sent; 0 if it sent none. */
+  Term pause_term;
+  /** What preceded the order, if a promotion was ordered. */
+  PromotionCheck check = PromotionCheck::kNone;
   /** What became of the primary in this attempt. */
   PrimaryDemotion demotion = PrimaryDemotion::kNotAsked;
   /** End of the log that the endpoint whose promotion was ordered has reported
--- a/libs/control/failover/replica_resumer.h
+++ b/libs/control/failover/replica_resumer.h
@@ -4,12 +4,15 @@
 #include <algorithm>
 #include <map>
 #include <span>
+#include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
 #include "control/failover/endpoint_commands.h"
 #include "core/core.h"
 #include "directory/directory.h"
+#include "telemetry/telemetry.h"
 
 namespace magnoliareel {
 
@@ -25,6 +28,38 @@
     documentation). */
 inline constexpr Duration kPausedReplicaWatchPeriod = std::chrono::seconds(14);
 
+/** Why a replica is resumed. */
+enum class ResumeReason {
+  /** The attempt that paused it was abandoned. */
+  kAbandonedAttempt,
+  /** The promotion that it was paused for is in force. */
+  kPromotionConfirmed,
+  /** An earlier holder of the duty may have left it paused. */
+  kDutyClaimed,
+};
+
+/** @param reason  why a replica is resumed
+    @returns       its name in logs
+*/
+constexpr std::string_view GetResumeReasonName(ResumeReason reason) {
+  switch (reason) {
+    case ResumeReason::kAbandonedAttempt:
+      return "abandoned_attempt";
+    case ResumeReason::kPromotionConfirmed:
+      return "promotion_confirmed";
+    case ResumeReason::kDutyClaimed:
+      return "duty_claimed";
+  }
+  return "abandoned_attempt";
+}
+
+/** Why a replica is resumed, and the latest pause of this VM, for log lines. */
+struct ResumeCause {
+  ResumeReason reason = ResumeReason::kAbandonedAttempt;
+  /** Term of this VM's latest pause; 0 if it sent none. */
+  Term own_pause;
+};
+
 /** Resumes replication on replicas that a replacement attempt has paused, or
     may still pause by a command whose answer was lost.
 
@@ -47,6 +82,7 @@
     TimePoint due_at;
     /** Time until which the replica is polled. */
     TimePoint watch_until;
+    ResumeCause cause;
   };
 
   /** Resumes a replica that an abandoned attempt may have paused, unless
@@ -55,11 +91,12 @@
       Polls the replica for kPausedReplicaWatchPeriod.
 
       @param replica  the replica
+      @param cause    why it is resumed
   */
-  void ScheduleResume(const EndpointEntry& replica) {
+  void ScheduleResume(const EndpointEntry& replica, const ResumeCause& cause) {
     const TimePoint now = timing_.Now();
-    Schedule(
-        {replica, now + kReplicaResumeDelay, now + kPausedReplicaWatchPeriod});
+    Schedule({replica, now + kReplicaResumeDelay,
+              now + kPausedReplicaWatchPeriod, cause});
   }
 
   /** Continues what Cancel() has ended, because the attempt was abandoned.
@@ -78,11 +115,12 @@
   /** Queries a replica at once and resumes it if it is paused.
 
       @param replica  the replica
+      @param cause    why it is resumed
   */
-  void ResumeIfPaused(const EndpointEntry& replica) {
+  void ResumeIfPaused(const EndpointEntry& replica, const ResumeCause& cause) {
     const TimePoint now = timing_.Now();
     const uint64_t generation = ++last_generation_;
-    entries_[replica.id] = {{replica, now, now}, generation};
+    entries_[replica.id] = {{replica, now, now, cause}, generation};
     SendCommand(replica, {EndpointCommandKind::kReport, {}}, generation);
   }
 
@@ -126,10 +164,14 @@
   void SendCommand(const EndpointEntry& replica,
                    EndpointCommand command,
                    uint64_t generation) {
+    const ResumeCause cause = entries_[replica.id].resume.cause;
     commands_.Send(
         replica, command, kPausedReplicaPollInterval,
-        [this, replica, kind = command.kind, generation](
+        [this, replica, kind = command.kind, generation, cause](
             std::error_code ec, const ReplicationStatus& status) {
+          if (kind == EndpointCommandKind::kResume) {
+            LogResume("answered", replica, cause, ec, status);
+          }
           if (!IsCurrent(replica.id, generation)) {
             return;
           }
@@ -150,14 +192,35 @@
                         : paused && kind == EndpointCommandKind::kReport
                             ? Duration(0)
                             : kPausedReplicaPollInterval,
-                        [this, replica, next, generation] {
-                          if (IsCurrent(replica.id, generation)) {
-                            SendCommand(replica, {next, {}}, generation);
+                        [this, replica, next, generation, cause, status] {
+                          if (!IsCurrent(replica.id, generation)) {
+                            return;
+                          }
+                          if (next == EndpointCommandKind::kResume) {
+                            LogResume("sent", replica, cause, {}, status);
                           }
+                          SendCommand(replica, {next, {}}, generation);
                         });
         });
   }
 
+  static void LogResume(std::string_view step,
+                        const EndpointEntry& replica,
+                        const ResumeCause& cause,
+                        std::error_code ec,
+                        const ReplicationStatus& status) {
+    LogEvent(Event::kReplicaResume,
+             {{"service", replica.service.value},
+              {"endpoint", replica.id.value},
+              {"step", std::string(step)},
+              {"reason", std::string(GetResumeReasonName(cause.reason))},
+              {"error", ec ? ec.message() : "none"},
+              {"paused_at", std::to_string(status.paused_at.value)},
+              {"own_pause", std::to_string(cause.own_pause.value)},
+              {"term", std::to_string(status.term.value)},
+              {"received", FormatLogPoint(status.received)}});
+  }
+
   C& commands_;
   T& timing_;
   std::map<EndpointId, Entry> entries_;
--- a/libs/control/peers/peer_group.cc
+++ b/libs/control/peers/peer_group.cc
@@ -109,6 +109,15 @@
   return CountLive() + static_cast<uint32_t>(unheard);
 }
 
+uint32_t PeerGroup::CountKnown() const {
+  const auto known =
+      std::count_if(peers_.begin(), peers_.end(), [&](const auto& row) {
+        return !row.second.last.leaving &&
+               addresses_.contains(row.second.last.address);
+      });
+  return 1 + static_cast<uint32_t>(known);
+}
+
 uint32_t PeerGroup::CountLive() const {
   return 1 + static_cast<uint32_t>(std::count_if(
                  peers_.begin(), peers_.end(),
--- a/libs/control/peers/peer_group.h
+++ b/libs/control/peers/peer_group.h
@@ -94,6 +94,10 @@
   std::vector<const Peer*> ListLive() const;
   /** @returns the number of live VMs, including this one */
   uint32_t CountLive() const;
+  /** @returns the number of VMs, including this one, that have sent a heartbeat
+              within kSilentPeerRetention and have not announced that they
+              leave */
+  uint32_t CountKnown() const;
   /** @param now  the current time
       @returns    CountLive() plus the number of addresses that were added less
                   than kPeerTimeout ago and have not sent a heartbeat yet */
--- a/libs/control/tests/command_forwarder_test.cc
+++ b/libs/control/tests/command_forwarder_test.cc
@@ -1,5 +1,7 @@
 #include "control/failover/command_forwarder.h"
 
+#include "control/tests/captured_log.h"
+
 #include <functional>
 #include <map>
 #include <optional>
@@ -142,6 +144,42 @@
   LONGS_EQUAL(1, done_count);
 }
 
+TEST(CommandForwarder, LogsTheVmsThatDidNotRespond) {
+  // Only responses were logged, so that a primary which other VMs could not
+  // reach and one whose relays never responded looked alike.
+  CapturedLog log;
+  AddPeer("vm-4", 4, {});
+  Send(EndpointCommandKind::kDemote);
+  network.Advance(kForwardingDelay);
+  Respond("vm-3", ForwardedCommandResult::kBusy);
+  network.Advance(kTimeout);
+  const auto ended = log.ListLines("command.forwarding_ended");
+  LONGS_EQUAL(1, ended.size());
+  CheckFields(ended[0],
+              "endpoint=db-1 step=demote forwarded=3 answered=0 busy=1 "
+              "not_sent=0 answer_lost=0 silent=vm-2,vm-4 after_ms=300");
+}
+
+TEST(CommandForwarder, LogsNoForwardingForAnEndpointThatAnswers) {
+  CapturedLog log;
+  network.direct_delay = milliseconds(40);
+  Send();
+  network.Advance(kTimeout);
+  CHECK(log.ListLines("command.forwarding_ended").empty());
+}
+
+TEST(CommandForwarder, LogsThatADirectAnswerEndedAForwarding) {
+  CapturedLog log;
+  network.direct_delay = milliseconds(90);
+  Send();
+  network.Advance(kTimeout);
+  const auto ended = log.ListLines("command.forwarding_ended");
+  LONGS_EQUAL(1, ended.size());
+  CheckFields(ended[0],
+              "step=report error=none direct=none forwarded=2 answered=0 "
+              "silent=vm-2,vm-3 after_ms=90");
+}
+
 TEST(CommandForwarder, ASuspectedEndpointIsAskedByOtherVmsAtOnce) {
   is_suspected = true;
   Send();
--- a/libs/control/tests/control_test.cc
+++ b/libs/control/tests/control_test.cc
@@ -421,6 +421,30 @@
   CheckFields(steps[5], "endpoint=db-1 step=demote command_term=2 born=0");
 }
 
+TEST(Replacement, LogsTheCandidateOfEachStepAndTheCheckBeforeTheOrder) {
+  // Without these, the log of a promotion that lost commits does not show
+  // whether the candidate's log or the list of members was trusted.
+  CapturedLog log;
+  group.statuses = {{"db-1", MakeStatus(true, 1, 7)},
+                    {"db-2", MakeStatus(false, 1, 5)},
+                    {"db-3", MakeStatus(false, 1, 7)}};
+  const ReplacementResult demoted =
+      group.Replace(ReplacementReason::kDraining, replicas);
+  const std::vector<std::string> steps = log.ListLines("replacement.step");
+  LONGS_EQUAL(6, steps.size());
+  CheckFields(steps[0], "candidate=none candidate_received=none");
+  CheckFields(steps[3], "step=pause candidate=db-3 candidate_received=1.7");
+  CheckFields(steps[5], "step=demote candidate=db-3 candidate_received=1.7");
+  CHECK(demoted.check == PromotionCheck::kLogEnd);
+  LONGS_EQUAL(2, demoted.pause_term.value);
+  group.statuses = {{"db-2", MakeStatus(false, 1, 5)},
+                    {"db-3", MakeStatus(false, 1, 7)}};
+  const ReplacementResult unreached =
+      group.Replace(ReplacementReason::kUnreachable, replicas);
+  CHECK(unreached.outcome == ReplacementOutcome::kPromoted);
+  CHECK(unreached.check == PromotionCheck::kMembers);
+}
+
 TEST(Replacement, TellsWhetherThePrimaryWasDemoted) {
   group.statuses = {{"db-1", MakeStatus(true, 1, 7)},
                     {"db-2", MakeStatus(false, 1, 5)},
--- a/libs/control/tests/failover_control_test.cc
+++ b/libs/control/tests/failover_control_test.cc
@@ -301,12 +301,58 @@
   CheckFields(done[0], "endpoint=" + second +
                            " received=1.7 demotion=demoted log_end=1.7");
   CHECK(done[0].find(" fencing_token=") != std::string::npos);
+  CheckFields(done[0], "check=log_end");
   const auto confirmed = log.ListLines("promotion.confirmed");
   LONGS_EQUAL(1, confirmed.size());
   CheckFields(confirmed[0], "endpoint=" + second + " term=" +
                                 std::to_string(fake.term) + " after_ms=1600");
 }
 
+TEST(Failover, LogsWhichVmsSuspectAPrimaryAndHowManyAreKnown) {
+  // Without these, the log does not show whether a VM counted its quorum among
+  // a few VMs that were cut off together with it.
+  CapturedLog log;
+  SettleOrders();
+  const auto add_peer = [this](const char* vm, uint16_t port,
+                               std::vector<ConditionReport> suspicions) {
+    Heartbeat heartbeat;
+    heartbeat.vm.value = vm;
+    heartbeat.address = {"127.0.0.1", port};
+    heartbeat.suspicions = std::move(suspicions);
+    peers.RecordHeartbeat(heartbeat, fake.Now());
+    failover.HandleHeartbeat(heartbeat);
+  };
+  add_peer("vm-lost", 2, {});
+  fake.Advance(kPeerTimeout);
+  LONGS_EQUAL(1, peers.Sweep(fake.Now()).size());
+  log.Clear();
+  add_peer("vm-a", 3, {{EndpointId{"db-1"}, EndpointCondition::kUnreachable}});
+  add_peer("vm-b", 4,
+           {{EndpointId{"db-1"}, EndpointCondition::kCommitsStalled}});
+  failover.Review();
+  const auto suspected = log.ListLines("leader.suspected");
+  CHECK(!suspected.empty());
+  CheckFields(
+      suspected.back(),
+      "endpoint=db-1 vantage_points=2 live=3 known=4 "
+      "suspecting=vm-a:" +
+          std::string(GetConditionName(EndpointCondition::kUnreachable)) +
+          ",vm-b:" +
+          std::string(GetConditionName(EndpointCondition::kCommitsStalled)));
+}
+
+TEST(Failover, LogsTheResumesAfterAConfirmedPromotion) {
+  CapturedLog log;
+  SettleOrders();
+  log.Clear();
+  ReplaceDraining("db-1");
+  const auto lines = log.ListLines("replica.resume");
+  CHECK(lines.size() >= 2);
+  CheckFields(lines[0],
+              "step=sent reason=promotion_confirmed paused_at=2 own_pause=2");
+  CheckFields(lines[1], "step=answered reason=promotion_confirmed paused_at=0");
+}
+
 TEST(Failover, AProofOfTheOldPrimaryDoesNotEndThePausesOfAPromotion) {
   // Guards against replicas that receive from the old primary again before the
   // order for its successor has taken effect (LOST).
--- a/libs/telemetry/events/event.cc
+++ b/libs/telemetry/events/event.cc
@@ -128,7 +128,8 @@
      "duty. service, fencing_token, call"},
     {kPrimarySuspected, kWarning, "leader.suspected",
      "The suspicion of a primary was raised, confirmed by enough VMs or "
-     "withdrawn. service, endpoint, condition, vantage_points, live"},
+     "withdrawn. service, endpoint, condition, vantage_points, live, known "
+     "(VMs that are live or were lately), suspecting (VM:condition)"},
     {kReplacementStarted, kWarning, "replacement.started",
      "This VM started to replace a primary. service, primary, reason, "
      "fencing_token, members, departed (not accounted for), endpoints_version "
@@ -136,13 +137,15 @@
     {kReplacementStep, kInfo, "replacement.step",
      "An endpoint answered a step of a replacement. service, endpoint, step, "
      "role, term, received, error, command_term, paused_at (0: not paused), "
-     "born (start of the listed endpoint), after_ms (since the start of the "
-     "replacement)"},
+     "born (start of the listed endpoint), candidate (none before the choice), "
+     "candidate_received (last reported by it), after_ms (since the start of "
+     "the replacement)"},
     {kReplacementDone, kInfo, "replacement.done",
      "The platform accepted a promotion. service, endpoint, took_ms, received "
      "(last reported by the endpoint), fencing_token, demotion (of the former "
      "primary: demoted, no_answer or not_asked), log_end (of the demoted "
-     "primary)"},
+     "primary), check (what preceded the order: log_end, members or "
+     "promoted_again)"},
     {kReplacementAbandoned, kWarning, "replacement.abandoned",
      "A replacement was abandoned and will be retried if it is still needed. "
      "service, reason"},
@@ -165,6 +168,18 @@
     {kPromotionConfirmed, kInfo, "promotion.confirmed",
      "An endpoint whose promotion this VM ordered proved that it is the "
      "primary. service, endpoint, term, after_ms (since the order was sent)"},
+    {kForwardingEnded, kInfo, "command.forwarding_ended",
+     "A command that was forwarded to other VMs ended. endpoint, step, error, "
+     "direct (result of this VM's own attempt), forwarded (number of VMs, as "
+     "the next ones), answered, busy, not_sent, answer_lost, silent (VMs that "
+     "did not respond), after_ms"},
+    {kReplicaResume, kInfo, "replica.resume",
+     "This VM ends the pause of a replica. service, endpoint, step (sent: "
+     "after "
+     "a report of the pause, or answered), reason (abandoned_attempt, "
+     "promotion_confirmed or duty_claimed), error, paused_at, own_pause (term "
+     "of "
+     "this VM's latest pause; 0: none), term, received"},
     {kReadinessChanged, kInfo, "process.readiness",
      "The process changed its answer to the platform's readiness probe. ready, "
      "reason"},
--- a/libs/telemetry/events/event.h
+++ b/libs/telemetry/events/event.h
@@ -68,6 +68,8 @@
   kCommandForwarded = 5513,
   kDutyRowRejected = 5511,
   kPromotionConfirmed = 5512,
+  kForwardingEnded = 5514,
+  kReplicaResume = 5515,
   kReadinessChanged = 5601,
   kSettingsReloaded = 5602,
   kDrainProgress = 5603,
