Let each VM report that a promotion lost a commit it has answered

A loss of acknowledged commits shows only to a check from outside that reads the databases after the run; the logs of the VMs don't tell at which change of the primary it happened.

The traffic core keeps, per service, the highest commit that it has answered and compares it with the first log point of a newer term: positions count on over terms, so T.N shows that the promoted log ended below N. If an answered commit lies at N or above, commits.lost (E5208, error) is logged and the metric commit_losses counts it; otherwise primary.changed (E5207). A former primary's late success is compared as well.

The end of the log in an answer can belong to commits of others that nobody has acknowledged. A loss is therefore proven by the end that was known when the commit was sent, above which the commit lies. A point or an end that is older or newer than the real one can hide a loss, not invent one.

No decision changes.

Tests: relay_tests (CommitLossDetector), traffic_tests (a promotion behind the control thread's back is reported, the same without a loss is not; the runs with faults fail on a report).

--- a/apps/node/traffic_thread.cc
+++ b/apps/node/traffic_thread.cc
@@ -194,6 +194,10 @@
     gauges.Add("statements_refused_busy",
                "Statements that full endpoints refused, since the start.", {},
                static_cast<double>(counters.refused_busy));
+    gauges.Add(
+        "commit_losses",
+        "Changes of a primary after which an answered commit was missing.", {},
+        static_cast<double>(counters.commit_losses));
     done(std::move(gauges));
   });
 }
--- a/libs/relay/connections/pooled_connection.h
+++ b/libs/relay/connections/pooled_connection.h
@@ -32,6 +32,8 @@
   TimePoint sent_at;
   /** Id of the caller's statement, for kStatement. */
   uint64_t statement_id = 0;
+  /** End of the endpoint's log that was known when the request was sent. */
+  LogPoint end_before;
   /** Set when the reply contains an error. */
   std::optional<StatementError> error;
 };
--- a/libs/relay/core/service_state.h
+++ b/libs/relay/core/service_state.h
@@ -10,6 +10,7 @@
 #include "relay/connections/endpoint_pool.h"
 #include "relay/freshness/freshness_bound.h"
 #include "relay/freshness/freshness_bound_history.h"
+#include "relay/primaries/commit_loss_detector.h"
 #include "relay/primaries/primary_tracker.h"
 
 namespace magnoliareel {
@@ -20,6 +21,7 @@
   /** Endpoints that the directory lists, ordered by id. */
   std::vector<EndpointId> endpoints;
   PrimaryTracker primary_tracker;
+  CommitLossDetector commit_losses;
   FreshnessBoundHistory bounds;
   /** Statements that wait until a primary is known. */
   std::deque<QueuedStatement> statements_awaiting_primary;
--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -258,6 +258,8 @@
   void HandlePrimaryConfirmed(EndpointPool& pool,
                               TimePoint requested_at,
                               LogPoint point);
+  void LogPrimaryChange(const EndpointPool& pool,
+                        const CommitLossDetector::Finding& finding);
 
   // traffic_core_pool_sizes.h: connection counts and idle timeouts.
   double GetConnectionsPerVm(const EndpointPool& pool) const;
@@ -279,7 +281,11 @@
                             const EndpointMessage& ready);
   void HandleSuccess(PooledConnection& connection,
                      CallerSession& session,
+                     const PendingReply& reply,
                      const EndpointMessage& ready);
+  void RecordAnsweredCommit(const EndpointId& endpoint,
+                            LogPoint end_before,
+                            LogPoint end);
   void HandleStatementError(PooledConnection& connection,
                             CallerSession& session,
                             StatementError error);
--- a/libs/relay/core/traffic_core_connections.h
+++ b/libs/relay/core/traffic_core_connections.h
@@ -51,8 +51,10 @@
 void TrafficCore<D, N>::ExpectReply(PooledConnection& connection,
                                     EndpointRequestKind request,
                                     uint64_t statement_id) {
+  const EndpointPool* pool = FindPool(connection.endpoint);
   connection.pending_replies.push_back(
-      {request, net_.Now(), statement_id, std::nullopt});
+      {request, net_.Now(), statement_id,
+       pool == nullptr ? LogPoint{} : pool->GetAppliedPoint(), std::nullopt});
 }
 
 template <ForwardingDialect D, class N>
@@ -266,6 +268,9 @@
     return;
   }
   service.bounds.Record(requested_at, point);
+  if (const auto finding = service.commit_losses.RecordPrimary(point)) {
+    LogPrimaryChange(pool, *finding);
+  }
   const bool is_new_term = point.term > service.primary_tracker.GetTerm();
   if (service.primary_tracker.RecordConfirmed(pool.entry.id, point.term)) {
     LogEvent(Event::kPrimaryConfirmed,
@@ -285,6 +290,28 @@
   }
 }
 
+template <ForwardingDialect D, class N>
+void TrafficCore<D, N>::LogPrimaryChange(
+    const EndpointPool& pool,
+    const CommitLossDetector::Finding& finding) {
+  if (finding.is_loss) {
+    ++counters_.commit_losses;
+  }
+  const auto format = [](const std::optional<LogPoint>& point) {
+    return point ? FormatLogPoint(*point) : std::string("none");
+  };
+  LogEvent(
+      finding.is_loss ? Event::kCommitsLost : Event::kPrimaryChanged,
+      {{"service", pool.entry.service.value},
+       {"endpoint", pool.entry.id.value},
+       {"term", std::to_string(finding.first_seen.term.value)},
+       {"first_seen", FormatLogPoint(finding.first_seen)},
+       {"last_answered", format(finding.last_answered)},
+       {"proven", format(finding.proven)},
+       {"sync_replicas",
+        std::to_string(GetService(pool.entry.service).rules.sync_replicas)}});
+}
+
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandleNotPrimary(EndpointPool& pool) {
   const TimePoint now = net_.Now();
--- a/libs/relay/core/traffic_core_replies.h
+++ b/libs/relay/core/traffic_core_replies.h
@@ -245,12 +245,13 @@
     HandleStatementError(connection, *session, *reply.error);
     return;
   }
-  HandleSuccess(connection, *session, ready);
+  HandleSuccess(connection, *session, reply, ready);
 }
 
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandleSuccess(PooledConnection& connection,
                                       CallerSession& session,
+                                      const PendingReply& reply,
                                       const EndpointMessage& ready) {
   ActiveStatement& statement = session.statement;
   const bool commits = statement.kind == StatementKind::kCommit;
@@ -286,6 +287,10 @@
     }
     const bool changed =
         in_transaction ? session.transaction_wrote : statement.writes;
+    if (changed && ready.log_end) {
+      RecordAnsweredCommit(connection.endpoint, reply.end_before,
+                           *ready.log_end);
+    }
     if (changed && ready.log_end &&
         (!session.last_commit || *session.last_commit < *ready.log_end)) {
       session.last_commit = ready.log_end;
@@ -325,6 +330,20 @@
   }
 }
 
+template <ForwardingDialect D, class N>
+void TrafficCore<D, N>::RecordAnsweredCommit(const EndpointId& endpoint,
+                                             LogPoint end_before,
+                                             LogPoint end) {
+  const EndpointPool* pool = FindPool(endpoint);
+  if (pool == nullptr) {
+    return;
+  }
+  ServiceState& service = GetService(pool->entry.service);
+  if (const auto loss = service.commit_losses.RecordAnswered(end_before, end)) {
+    LogPrimaryChange(*pool, *loss);
+  }
+}
+
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::Observe(const CallerSession& session, Outcome outcome) {
   if (session.is_forwarded) {
--- a/libs/relay/core/traffic_options.h
+++ b/libs/relay/core/traffic_options.h
@@ -40,6 +40,9 @@
   /** Statements that an endpoint refused because its slots and queue were
       full. */
   uint64_t refused_busy = 0;
+  /** Changes of a primary after which the log lacked a commit that this VM had
+      answered. */
+  uint64_t commit_losses = 0;
 };
 
 }  // namespace magnoliareel
--- a/libs/relay/tests/relay_test.cc
+++ b/libs/relay/tests/relay_test.cc
@@ -110,6 +110,74 @@
   CHECK(tracker.GetPrimary() == nullptr);
 }
 
+TEST_GROUP(CommitLossDetector){};
+
+TEST(CommitLossDetector, FindsAnAnsweredCommitThatTheNewTermReplaced) {
+  CommitLossDetector detector;
+  CHECK(!detector.RecordPrimary(MakePoint(7, 80)));
+  CHECK(!detector.RecordAnswered(MakePoint(7, 89), MakePoint(7, 90)));
+  const auto finding = detector.RecordPrimary(MakePoint(8, 90));
+  CHECK(finding && finding->is_loss);
+  CHECK(finding->first_seen == MakePoint(8, 90));
+  CHECK(finding->last_answered == MakePoint(7, 90));
+  CHECK(finding->proven == MakePoint(7, 90));
+  // The next term does not show the same loss again.
+  const auto next = detector.RecordPrimary(MakePoint(9, 90));
+  CHECK(next && !next->is_loss && !next->last_answered);
+}
+
+TEST(CommitLossDetector, ACommitBelowTheNewTermIsNotLost) {
+  CommitLossDetector detector;
+  detector.RecordPrimary(MakePoint(7, 80));
+  detector.RecordAnswered(MakePoint(7, 88), MakePoint(7, 89));
+  const auto finding = detector.RecordPrimary(MakePoint(8, 90));
+  CHECK(finding && !finding->is_loss);
+  CHECK(finding->last_answered == MakePoint(7, 89));
+  CHECK(!detector.RecordPrimary(MakePoint(8, 91)));
+}
+
+TEST(CommitLossDetector, RecordsBehindTheCommitInItsAnswerAreNoLoss) {
+  // The end of the log in an answer may belong to commits of others that nobody
+  // has acknowledged, and that a promotion may drop.
+  CommitLossDetector detector;
+  detector.RecordPrimary(MakePoint(7, 80));
+  detector.RecordAnswered(MakePoint(7, 88), MakePoint(7, 95));
+  const auto finding = detector.RecordPrimary(MakePoint(8, 90));
+  CHECK(finding && !finding->is_loss);
+  CHECK(finding->last_answered == MakePoint(7, 95));
+  CHECK(finding->proven == MakePoint(7, 89));
+}
+
+TEST(CommitLossDetector, AnEndOfAnotherTermProvesNothing) {
+  CommitLossDetector detector;
+  detector.RecordPrimary(MakePoint(7, 80));
+  detector.RecordAnswered(MakePoint(6, 99), MakePoint(7, 91));
+  const auto finding = detector.RecordPrimary(MakePoint(8, 90));
+  CHECK(finding && !finding->is_loss && !finding->proven);
+}
+
+TEST(CommitLossDetector, APointThatIsSeenLateHidesALossButALaterTermShowsIt) {
+  CommitLossDetector detector;
+  detector.RecordPrimary(MakePoint(7, 80));
+  detector.RecordAnswered(MakePoint(7, 94), MakePoint(7, 95));
+  CHECK(!detector.RecordPrimary(MakePoint(8, 100))->is_loss);
+  CHECK(detector.RecordPrimary(MakePoint(9, 93))->is_loss);
+}
+
+TEST(CommitLossDetector, FindsACommitThatAFormerPrimaryAnswersLate) {
+  CommitLossDetector detector;
+  detector.RecordPrimary(MakePoint(7, 80));
+  CHECK(!detector.RecordPrimary(MakePoint(8, 90))->is_loss);
+  CHECK(!detector.RecordAnswered(MakePoint(7, 88), MakePoint(7, 89)));
+  const auto late = detector.RecordAnswered(MakePoint(7, 92), MakePoint(7, 93));
+  CHECK(late && late->is_loss);
+  CHECK(late->first_seen == MakePoint(8, 90));
+  CHECK(late->proven == MakePoint(7, 93));
+  // Reported once for the term.
+  CHECK(!detector.RecordAnswered(MakePoint(7, 93), MakePoint(7, 94)));
+  CHECK(!detector.RecordAnswered(MakePoint(8, 95), MakePoint(8, 96)));
+}
+
 TEST_GROUP(EndpointPool){};
 
 TEST(EndpointPool, OrdersQueueByPriorityThenDeadline) {
--- a/libs/telemetry/events/event.h
+++ b/libs/telemetry/events/event.h
@@ -46,6 +46,8 @@
   kPrimaryConfirmed = 5204,
   kPrimaryDrained = 5205,
   kHolderFailureObserved = 5206,
+  kPrimaryChanged = 5207,
+  kCommitsLost = 5208,
   kConfigInForce = 5301,
   kConfigRejected = 5302,
   kDirectoryChanged = 5303,
--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -177,6 +177,12 @@
     for (std::string& it : simulation_->ListStatementsAfterDrain()) {
       violations.push_back(std::move(it));
     }
+    for (size_t vm = 0; vm < vms_; ++vm) {
+      if (simulation_->GetCore(vm).GetCounters().commit_losses > 0) {
+        violations.push_back("vm-" + std::to_string(vm) +
+                             " reports that answered commits are lost");
+      }
+    }
     return violations;
   }
 
@@ -1005,6 +1011,45 @@
   CHECK_TEXT(answers.find("ROW new") != std::string::npos, answers.c_str());
 }
 
+TEST(Traffic, AVmReportsThatAPromotionLostACommitWhichItHasAnswered) {
+  // Guards against losses that only a check from outside notices: a promotion
+  // behind the back of the control thread drops the end of the log.
+  using std::chrono::milliseconds;
+  for (const bool is_behind : {false, true}) {
+    TrafficSimulation simulation(1, GroupOptions{});
+    std::string answers;
+    simulation.SetCallerOutput([&](size_t, uint64_t, std::string_view line) {
+      answers += std::string(line) + "\n";
+    });
+    EventQueue& queue = simulation.GetQueue();
+    GroupModel& group = simulation.GetGroup();
+    queue.RunUntil(queue.Now() + std::chrono::seconds(8));
+    CHECK(group.HasPrimaryRole(0));
+    const uint64_t writer = simulation.OpenCaller(0);
+    simulation.Send(0, writer, "STARTUP entries caller");
+    const auto write = [&](const std::string& id) {
+      simulation.Send(0, writer, "QUERY " + id + " WRITE groyne-1 " + id);
+      queue.RunUntil(queue.Now() + milliseconds(300));
+      CHECK_TEXT(answers.find("COMPLETE proof-" + id) != std::string::npos,
+                 answers.c_str());
+    };
+    write("w1");
+    group.SetReplicationCut(2, is_behind);
+    for (const char* it : {"w2", "w3", "w4", "w5"}) {
+      write(it);
+    }
+    LONGS_EQUAL(200, group.Promote(group.GetId(2), 1000));
+    simulation.AnnouncePrimary(ServiceId{simulation.GetService()},
+                               EndpointId{group.GetId(2)});
+    queue.RunUntil(queue.Now() + milliseconds(1500));
+    CHECK(group.HasPrimaryRole(2));
+    group.SetReplicationCut(2, false);
+    write("w6");
+    LONGS_EQUAL(is_behind ? 1 : 0,
+                simulation.GetCore(0).GetCounters().commit_losses);
+  }
+}
+
 TEST(Traffic, ReadsThatWaitForAReplicaLeaveItWhenItDrains) {
   // Guards against reads that wait for a replica when it announces its end, and
   // are still sent to it afterwards.
