Do not take a silent primary for a dead one

What callers saw: acknowledged commits were gone after a promotion, a tail of up to 28 of them, on services whose primary answered late.

Cause: a primary that answered no VM within the 300 ms of the survey was replaced without a demotion. It lived, and acknowledged commits through a replica that joined between the read of the directory and the moment when the order took effect. Class of fault: absence of an answer was taken for evidence.

Change: a primary without an answer is sent demotions by all VMs, first two that time out early, then two that wait 2 s for a link that is late. It is replaced without an answer only if its host refuses connections (Error::kEndpointStopped) or a read of the directory confirms that it has ceased to be listed. From the order until its effect it is sent further demotions, since it may start again. Whoever orders needs no view of the other VMs for that, so a VM that is parted from them is covered, too.

Cost: a primary whose host is dark is replaced once its entry has expired, three intervals of its reports.

Tests that mean a primary which has crashed say so now: it refuses connections.

--- a/apps/node/node_process.cc
+++ b/apps/node/node_process.cc
@@ -139,6 +139,10 @@
   return fleet_.IsStoreConnected();
 }
 
+bool NodeProcess::IsListed(const EndpointId& endpoint) const {
+  return fleet_.IsListed(endpoint);
+}
+
 void NodeProcess::ReadDirectory(std::function<void(std::error_code)> done) {
   fleet_.ReadEndpoints(std::move(done));
 }
--- a/apps/node/node_process.h
+++ b/apps/node/node_process.h
@@ -46,6 +46,8 @@
   /** @see FailoverDelegate */
   bool IsStoreConnected() const;
   /** @see FailoverDelegate */
+  bool IsListed(const EndpointId& endpoint) const;
+  /** @see FailoverDelegate */
   void ReadDirectory(std::function<void(std::error_code)> done);
   /** @see ForwardedCommandChannel */
   void ForwardCommand(const SocketAddress& to, const ForwardedCommand& command);
--- a/libs/control/failover/command_forwarder.h
+++ b/libs/control/failover/command_forwarder.h
@@ -76,9 +76,11 @@
       @param endpoint  the endpoint
       @param command   the command
       @param timeout   longest time until `done` is called
-      @param done      receives the endpoint's first answer; Error::kUnreachable
-                       if no VM has sent the command; Error::kAnswerLost if the
-                       endpoint may still execute it
+      @param done      receives the endpoint's first answer;
+                       Error::kEndpointStopped if a VM has found that it does
+                       not run; Error::kUnreachable if no VM has sent the
+                       command; Error::kAnswerLost if the endpoint may still
+                       execute it
   */
   void Send(const EndpointEntry& endpoint,
             const EndpointCommand& command,
@@ -125,13 +127,15 @@
     }
     commands_.Send(
         *endpoint, request.command,
-        std::min(request.timeout, kEndpointCommandTimeout),
+        std::min(request.timeout, kLateDemotionTimeout),
         [this, request](std::error_code ec, const ReplicationStatus& status) {
           Answer(request,
                  !ec                        ? ForwardedCommandResult::kAnswered
                  : ec == Error::kOverloaded ? ForwardedCommandResult::kBusy
                  : ec == Error::kAnswerLost
                      ? ForwardedCommandResult::kAnswerLost
+                 : ec == Error::kEndpointStopped
+                     ? ForwardedCommandResult::kStopped
                      : ForwardedCommandResult::kNotSent,
                  status);
         });
@@ -164,6 +168,9 @@
       case ForwardedCommandResult::kAnswerLost:
         call.may_be_executed = true;
         break;
+      case ForwardedCommandResult::kStopped:
+        call.is_stopped = true;
+        break;
       case ForwardedCommandResult::kNotSent:
         break;
     }
@@ -187,6 +194,8 @@
     bool may_be_executed = false;
     /** The endpoint had no free slot for another VM's command. */
     bool is_busy = false;
+    /** A VM has found that the endpoint does not run. */
+    bool is_stopped = false;
     std::vector<Forwarded> waiting;
   };
 
@@ -200,6 +209,8 @@
         return "not_sent";
       case ForwardedCommandResult::kAnswerLost:
         return "answer_lost";
+      case ForwardedCommandResult::kStopped:
+        return "stopped";
     }
     return "not_sent";
   }
@@ -217,6 +228,7 @@
     }
     it->second.direct_result = ec;
     it->second.may_be_executed |= ec == Error::kAnswerLost;
+    it->second.is_stopped |= ec == Error::kEndpointStopped;
     Forward(id);
     FinishIfUnanswered(id);
   }
@@ -292,6 +304,9 @@
   /** @returns why a command was not answered. A report that found no free slot
                shows that the endpoint is alive. */
   static Error GetError(const Call& call) {
+    if (call.is_stopped && !call.is_busy) {
+      return Error::kEndpointStopped;
+    }
     const bool is_report = call.command.kind == EndpointCommandKind::kReport;
     if (call.may_be_executed && !(is_report && call.is_busy)) {
       return Error::kAnswerLost;
--- a/libs/control/failover/endpoint_commands.h
+++ b/libs/control/failover/endpoint_commands.h
@@ -17,6 +17,10 @@
 inline constexpr Duration kEndpointCommandTimeout =
     std::chrono::milliseconds(600);
 
+/** Longest timeout of a demotion of a primary that answers late. */
+inline constexpr Duration kLateDemotionTimeout =
+    std::chrono::milliseconds(2000);
+
 /** Kind of a command to an endpoint. The endpoint answers each command with its
     replication status. */
 enum class EndpointCommandKind {
@@ -58,9 +62,10 @@
 };
 
 /** Called with the result of a command: the endpoint's status, or
-    Error::kOverloaded if the endpoint had no free slot, Error::kUnreachable if
-    no connection could be opened, Error::kAnswerLost if the endpoint may still
-    execute the command later. */
+    Error::kOverloaded if the endpoint had no free slot, Error::kEndpointStopped
+    if its host refused the connection or another endpoint uses its address,
+    Error::kUnreachable if no connection could be opened, Error::kAnswerLost if
+    the endpoint may still execute the command later. */
 using EndpointCommandCompletion =
     std::function<void(std::error_code, const ReplicationStatus&)>;
 
--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -45,6 +45,9 @@
   /** Called when the content of FillHeartbeat() has changed. */
   delegate.SendHeartbeats();
   { delegate.IsStoreConnected() } -> std::same_as<bool>;
+  /** Returns whether the directory lists an endpoint at present. One that has
+      just ceased to be listed may still be in the FleetView. */
+  { delegate.IsListed(endpoint) } -> std::same_as<bool>;
   /** Reads the directory from the store, applies it and calls the function. An
       error means that an endpoint which has joined may not be listed. */
   delegate.ReadDirectory(done);
--- a/libs/control/failover/failover_control_replacement.h
+++ b/libs/control/failover/failover_control_replacement.h
@@ -147,6 +147,9 @@
                              now - *progress.confirmed_at < kPromotionTimeout);
   plan.has_unaccounted_departures = has_unaccounted_departures;
   plan.list_endpoints = [this, service] { return ListEndpoints(service); };
+  plan.is_primary_listed = [this, primary = plan.primary_id] {
+    return delegate_.IsListed(primary);
+  };
   plan.is_store_connected = delegate_.IsStoreConnected();
   plan.read_directory = [this](std::function<void(std::error_code)> done) {
     delegate_.ReadDirectory(std::move(done));
--- a/libs/control/failover/forwarded_command.h
+++ b/libs/control/failover/forwarded_command.h
@@ -21,7 +21,7 @@
   EndpointId endpoint;
   EndpointCommand command;
   /** Time that the other VM waits for the endpoint, at most
-      kEndpointCommandTimeout. */
+      kLateDemotionTimeout. */
   Duration timeout{};
 
   bool operator==(const ForwardedCommand&) const = default;
@@ -38,6 +38,8 @@
   kNotSent,
   /** The endpoint may still execute the command. */
   kAnswerLost,
+  /** The endpoint does not run. */
+  kStopped,
 };
 
 /** Answers a ForwardedCommand. */
--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -37,6 +37,19 @@
     joined before it. */
 inline constexpr Duration kMembershipDelay = std::chrono::milliseconds(1000);
 
+/** Number of demotions that are sent to a primary that does not answer, before
+    the attempt is abandoned. */
+inline constexpr int kMaxDemotionAttempts = 4;
+/** Number of them that time out early. They find a primary that answers on a
+    new connection; the later ones wait for one that answers late. */
+inline constexpr int kQuickDemotionAttempts = 2;
+/** Interval at which a primary that has not confirmed its demotion is sent
+    another one, from the order of a promotion until it takes effect. */
+inline constexpr Duration kLateDemotionInterval =
+    std::chrono::milliseconds(300);
+/** Maximum number of these demotions. Together they outlast a promotion. */
+inline constexpr int kMaxLateDemotions = 6;
+
 /** One attempt to replace a primary without losing an acknowledged commit.
 
     A commit is acknowledged once the primary and one replica hold it. The
@@ -51,8 +64,13 @@
     log compared with the candidate's. If the candidate lacks the end of it,
     only a replica that has joined can have acknowledged that; if one has, the
     demoted primary is promoted again, and the next attempt includes the new
-    replica. A primary that answers no VM is replaced without a demotion if the
-    directory lists no replica that the attempt does not know.
+    replica.
+
+    Silence does not show that a primary is dead. One that answers no VM is sent
+    demotions by all of them, and is replaced without an answer only if its host
+    refuses connections, or the directory does not list it any more. It is sent
+    further ones until the promotion takes effect, since it may have started
+    again.
 
     @tparam C  sends commands to replicas, @see EndpointCommandSender
     @tparam F  sends commands to the primary, through other VMs if this one does
@@ -386,13 +404,29 @@
     DemotePrimary(0);
   }
 
-  /** Demotes the primary and continues with CompareWithPrimary(). If no VM had
-      an answer of it, continues with CheckMembersOfUnreachedPrimary().
+  /** Demotes the primary and continues with CompareWithPrimary(). If no VM has
+      an answer of it, continues with HandleUnansweredDemotion().
 
       @param attempt  number of times that the primary had no free slot for the
                       command
   */
   void DemotePrimary(int attempt);
+  /** Continues with CheckMembersOfUnreachedPrimary() if the primary does not
+      run, with CheckMembersOfUnlistedPrimary() if the directory has ceased to
+      list it, and otherwise with DemotePrimary().
+
+      @param ec  result of the demotion
+  */
+  void HandleUnansweredDemotion(std::error_code ec);
+  /** Continues with FinishMembershipCheck() if a read of the directory confirms
+      that the primary is not listed. */
+  void CheckMembersOfUnlistedPrimary();
+  /** Demotes the primary unless it has confirmed its demotion, and again until
+      the promotion has taken effect.
+
+      @param attempt  number of demotions since the order
+  */
+  void DemoteUntilPromotion(int attempt);
   /** Continues with FinishMembershipCheck(): at once if the primary seems to be
       dead; with a delay if its commits stalled a moment ago, since it may still
       acknowledge them through a replica that has just joined. */
@@ -423,13 +457,17 @@
   }
 
   void Promote() {
-    if (lost_promotion_replies_ == 0) {
+    const bool is_first_order = lost_promotion_replies_ == 0;
+    if (is_first_order) {
       plan_.record_order(replicas_[candidate_].entry.id);
     }
     auto self = this->shared_from_this();
     promotions_.Promote(
         plan_.service, replicas_[candidate_].entry.id, plan_.fencing_token,
         [self](std::error_code ec) { self->FinishPromotion(ec); });
+    if (is_first_order) {
+      DemoteUntilPromotion(0);
+    }
   }
 
   void FinishPromotion(std::error_code ec) {
@@ -439,10 +477,12 @@
       return;
     }
     if (ec == Error::kSuperseded) {
+      is_order_refused_ = true;
       Finish(ReplacementOutcome::kSuperseded, {}, "superseded");
       return;
     }
     if (ec != Error::kAnswerLost) {
+      is_order_refused_ = lost_promotion_replies_ == 0;
       Finish(ReplacementOutcome::kAbandoned, {},
              "the platform did not accept the promotion");
       return;
@@ -525,6 +565,9 @@
   Term pause_term_;
   int candidate_pauses_ = 0;
   int candidate_reports_ = 0;
+  int unanswered_demotions_ = 0;
+  /** The platform has refused the order, so that no promotion takes effect. */
+  bool is_order_refused_ = false;
   std::optional<DemotedPrimary> demoted_primary_;
   bool has_unsettled_orders_ = false;
   int lost_promotion_replies_ = 0;
--- a/libs/control/failover/primary_replacement_demotion.h
+++ b/libs/control/failover/primary_replacement_demotion.h
@@ -19,15 +19,17 @@
           PromotionSender P,
           class T>
 void PrimaryReplacement<C, F, P, T>::DemotePrimary(int attempt) {
-  if (!primary_status_) {
+  if (!plan_.primary) {
     CheckMembersOfUnreachedPrimary();
     return;
   }
   // One that has reported that it is a replica may lead since.
   auto self = this->shared_from_this();
+  const Duration timeout = unanswered_demotions_ < kQuickDemotionAttempts
+                               ? kEndpointCommandTimeout
+                               : kLateDemotionTimeout;
   primary_commands_.Send(
-      *plan_.primary, {EndpointCommandKind::kDemote, pause_term_},
-      kEndpointCommandTimeout,
+      *plan_.primary, {EndpointCommandKind::kDemote, pause_term_}, timeout,
       [self, attempt](std::error_code ec, const ReplicationStatus& status) {
         if (ec == Error::kOverloaded && attempt < kMaxBusyEndpointRetries) {
           self->timing_.After(kBusyEndpointRetryInterval, [self, attempt] {
@@ -38,10 +40,79 @@
         self->LogStep(*self->plan_.primary,
                       {EndpointCommandKind::kDemote, self->pause_term_}, ec,
                       status);
+        if (ec && !self->primary_status_) {
+          self->HandleUnansweredDemotion(ec);
+          return;
+        }
         self->FinishDemotion(ec, status);
       });
 }
 
+template <EndpointCommandSender C,
+          EndpointCommandSender F,
+          PromotionSender P,
+          class T>
+void PrimaryReplacement<C, F, P, T>::HandleUnansweredDemotion(
+    std::error_code ec) {
+  if (ec == Error::kEndpointStopped) {
+    CheckMembersOfUnreachedPrimary();
+    return;
+  }
+  if (ec == Error::kAnswerLost) {
+    demoted_primary_ = {plan_.primary_id, std::nullopt};
+  }
+  if (!plan_.is_primary_listed()) {
+    CheckMembersOfUnlistedPrimary();
+    return;
+  }
+  if (++unanswered_demotions_ >= kMaxDemotionAttempts) {
+    Finish(ReplacementOutcome::kAbandoned, {},
+           "the primary is listed and does not confirm its demotion");
+    return;
+  }
+  DemotePrimary(0);
+}
+
+template <EndpointCommandSender C,
+          EndpointCommandSender F,
+          PromotionSender P,
+          class T>
+void PrimaryReplacement<C, F, P, T>::CheckMembersOfUnlistedPrimary() {
+  plan_.read_directory([self = this->shared_from_this()](std::error_code ec) {
+    if (ec || self->plan_.is_primary_listed()) {
+      self->Finish(ReplacementOutcome::kAbandoned, {},
+                   "it is not known whether the primary runs");
+      return;
+    }
+    self->FinishMembershipCheck({});
+  });
+}
+
+template <EndpointCommandSender C,
+          EndpointCommandSender F,
+          PromotionSender P,
+          class T>
+void PrimaryReplacement<C, F, P, T>::DemoteUntilPromotion(int attempt) {
+  const bool is_demoted = demoted_primary_ && demoted_primary_->log_end;
+  const bool leads_again = replicas_[candidate_].entry.id == plan_.primary_id;
+  if (!plan_.primary || is_demoted || leads_again || is_order_refused_ ||
+      attempt >= kMaxLateDemotions) {
+    return;
+  }
+  const EndpointCommand demotion{EndpointCommandKind::kDemote, pause_term_};
+  primary_commands_.Send(
+      *plan_.primary, demotion, kLateDemotionInterval,
+      [self = this->shared_from_this(), demotion, attempt](
+          std::error_code ec, const ReplicationStatus& status) {
+        self->LogStep(*self->plan_.primary, demotion, ec, status);
+        if (ec) {
+          self->timing_.After(kLateDemotionInterval, [self, attempt] {
+            self->DemoteUntilPromotion(attempt + 1);
+          });
+        }
+      });
+}
+
 template <EndpointCommandSender C,
           EndpointCommandSender F,
           PromotionSender P,
--- a/libs/control/failover/replacement_plan.h
+++ b/libs/control/failover/replacement_plan.h
@@ -85,6 +85,9 @@
   std::function<std::vector<EndpointEntry>()> list_endpoints;
   /** The store answered when the attempt began. */
   bool is_store_connected = true;
+  /** Returns whether the directory lists the primary, as far as this VM knows.
+      It ceases to some time after the primary has ceased to report. */
+  std::function<bool()> is_primary_listed;
   /** Reads the directory. Success means that list_endpoints then returns every
       endpoint that had joined some time before the call, and an error that this
       is not known. @see FailoverDelegate */
--- a/libs/control/fleet/fleet_control.h
+++ b/libs/control/fleet/fleet_control.h
@@ -105,6 +105,12 @@
   const std::map<std::string, StoredRow>& GetEndpointRows() const {
     return endpoint_rows_;
   }
+  /** @param endpoint  the endpoint to look up
+      @returns          whether the directory lists it at present, unlike one
+                        that GetEndpoints() keeps for a grace period */
+  bool IsListed(const EndpointId& endpoint) const {
+    return endpoint_rows_.contains(endpoint.value);
+  }
   /** @returns the newest version of any row of the directory */
   uint64_t GetEndpointsVersion() const { return endpoints_version_; }
 
--- a/libs/control/tests/command_forwarder_test.cc
+++ b/libs/control/tests/command_forwarder_test.cc
@@ -172,6 +172,27 @@
   CHECK(error == Error::kAnswerLost);
 }
 
+TEST(CommandForwarder, AnEndpointThatAVmFindsStoppedIsReportedAsStopped) {
+  network.direct_delay = milliseconds(1);
+  network.direct_error = Error::kAnswerLost;
+  Send(EndpointCommandKind::kDemote);
+  network.Advance(milliseconds(10));
+  Respond("vm-2", ForwardedCommandResult::kStopped);
+  LONGS_EQUAL(0, done_count);
+  Respond("vm-3", ForwardedCommandResult::kNotSent);
+  CHECK(error == Error::kEndpointStopped);
+}
+
+TEST(CommandForwarder, AnEndpointThatAnotherVmFindsBusyIsNotStopped) {
+  network.direct_delay = milliseconds(1);
+  network.direct_error = Error::kEndpointStopped;
+  Send(EndpointCommandKind::kDemote);
+  network.Advance(milliseconds(10));
+  Respond("vm-2", ForwardedCommandResult::kBusy);
+  Respond("vm-3", ForwardedCommandResult::kStopped);
+  CHECK(error == Error::kOverloaded);
+}
+
 TEST(CommandForwarder, ABusyEndpointIsStillAskedByTheOtherVms) {
   is_suspected = true;
   Send();
--- a/libs/core/errors/error.cc
+++ b/libs/core/errors/error.cc
@@ -63,6 +63,8 @@
     {Error::kUnreachable, "unreachable", "the peer cannot be reached"},
     {Error::kAnswerLost, "answer_lost",
      "the request was sent and its answer did not arrive"},
+    {Error::kEndpointStopped, "endpoint_stopped",
+     "the endpoint does not run at its address"},
     {Error::kAnswerTooLarge, "answer_too_large",
      "the answer exceeds the size limit"},
     {Error::kStatementFailed, "statement_failed",
--- a/libs/core/errors/error.h
+++ b/libs/core/errors/error.h
@@ -48,6 +48,7 @@
   kShuttingDown,
   kUnreachable,
   kAnswerLost,
+  kEndpointStopped,
   kAnswerTooLarge,
   kStatementFailed,
   kVersionConflict,
--- a/libs/gossip/commands/forwarded_command_codec.cc
+++ b/libs/gossip/commands/forwarded_command_codec.cc
@@ -15,7 +15,8 @@
 
 constexpr auto kResults = std::to_array(
     {ForwardedCommandResult::kAnswered, ForwardedCommandResult::kBusy,
-     ForwardedCommandResult::kNotSent, ForwardedCommandResult::kAnswerLost});
+     ForwardedCommandResult::kNotSent, ForwardedCommandResult::kAnswerLost,
+     ForwardedCommandResult::kStopped});
 
 bool DecodeFlag(std::string_view text, bool& out) {
   out = text == "1";
--- a/tests/interleavings/search_vm.cc
+++ b/tests/interleavings/search_vm.cc
@@ -169,6 +169,13 @@
   }
 }
 
+bool SearchVm::IsListed(const EndpointId& endpoint) const {
+  const std::vector<EndpointEntry> listed = world_.MakeView().endpoints;
+  return std::any_of(
+      listed.begin(), listed.end(),
+      [&](const EndpointEntry& it) { return it.id == endpoint; });
+}
+
 void SearchVm::ReadDirectory(const std::function<void(std::error_code)>& done) {
   After(kStoreDelay, [this, done] {
     Apply(world_.MakeView());
--- a/tests/interleavings/search_vm.h
+++ b/tests/interleavings/search_vm.h
@@ -86,6 +86,7 @@
   void AnnouncePrimary(const ServiceId& service, const EndpointId& endpoint);
   void SendHeartbeats();
   bool IsStoreConnected() const { return true; }
+  bool IsListed(const EndpointId& endpoint) const;
   void ReadDirectory(const std::function<void(std::error_code)>& done);
   void ForwardCommand(const SocketAddress& to, const ForwardedCommand& command);
   void AnswerForwardedCommand(const SocketAddress& to,
--- a/tests/traffic/simulated_control.cc
+++ b/tests/traffic/simulated_control.cc
@@ -59,6 +59,13 @@
   return !simulation_.IsStoreDown();
 }
 
+bool SimulatedControl::IsListed(const EndpointId& endpoint) const {
+  const std::vector<EndpointEntry> listed = simulation_.ListEndpoints();
+  return std::any_of(
+      listed.begin(), listed.end(),
+      [&](const EndpointEntry& it) { return it.id == endpoint; });
+}
+
 void SimulatedControl::ReadDirectory(
     const std::function<void(std::error_code)>& done) {
   After(kPeerDelay, [this, done] {
--- a/tests/traffic/simulated_control.h
+++ b/tests/traffic/simulated_control.h
@@ -95,6 +95,7 @@
   void AnnouncePrimary(const ServiceId& service, const EndpointId& endpoint);
   void SendHeartbeats() { RecordPeerHeartbeats(); }
   bool IsStoreConnected() const;
+  bool IsListed(const EndpointId& endpoint) const;
   void ReadDirectory(const std::function<void(std::error_code)>& done);
   /** Lets another VM, which reaches every member, send the command. */
   void ForwardCommand(const SocketAddress& to, const ForwardedCommand& command);
--- a/tests/traffic/simulated_services.cc
+++ b/tests/traffic/simulated_services.cc
@@ -73,6 +73,12 @@
   TrafficSimulation& simulation = simulation_;
   const uint64_t id = kFirstCommandConnection + simulation.next_link_++;
   const size_t member = endpoint.address.port - kFirstMemberPort;
+  if (!simulation.group_.IsRunning(member)) {
+    simulation.After(Duration(2000), [done = std::move(done)] {
+      done(Error::kEndpointStopped, {});
+    });
+    return;
+  }
   simulation.pending_commands_[id] = {{}, std::move(done), false};
   std::string bytes;
   platform::LineDialect::AppendOpen(bytes, endpoint.service.value, "driver",
