Check every replica again before a promotion

Callers lost acknowledged commits if a replica's pause ended between the survey and the demotion: it had started anew, or executed a resume that was sent before the pause. It received and acknowledged what the candidate lacked. After the demotion only the candidate was asked again. If it did not hold the end of the primary's log, it was promoted as long as the directory listed no further member.

Now the candidate is asked once more after the demotion, and all replicas if it does not hold the end of the log. Any replica that holds this end is promoted: a demoted primary has acknowledged nothing beyond it. A replica below it, or one whose primary is stopped or unlisted, is promoted only if, directly before the order, every replica answers, is still paused (the candidate excepted), has received no more than the candidate and has not started anew. Otherwise the demoted primary leads again, or the attempt is abandoned.

Red on the code before: the four new tests of Replacement; KeepCommitsOfAReplicaWhosePauseEndsBeforeTheDemotion (LOST 4) and KeepCommitsOfAReplicaThatALateResumeReaches (LOST 1). Green with it. The search has both kinds of fault now; it found no path from a quiet start, with a deaf replica, a draining primary or a VM that does not reach it, before and after.

Four tests pinned the exact sequence of commands. They pin it with the further reports now, and are as strict as before.

Weighed: promoting nothing below the end while the demoted primary answers. It would close the two known losses at replicas that all are deaf, but a primary that is cut from its replicas would be demoted and promoted again for as long as the cut lasts, and writes would fail meanwhile. Waiting for a listing closes neither: a replica that joins and leaves in between is never listed.

Cost: one report on each replacement, two if the primary is stopped or unlisted.

--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -59,12 +59,14 @@
     every paused replica, it also holds every commit acknowledged before the
     pause.
 
-    That does not hold for a replica that joins later, since nothing pauses it.
-    A primary that answers is therefore demoted before the promotion, and its
-    log compared with the candidate's. If the candidate lacks the end of it,
-    only a replica that has joined can have acknowledged that; if one has, the
-    demoted primary is promoted again, and the next attempt includes the new
-    replica.
+    That does not hold for a replica that joins later, since nothing pauses it,
+    nor for one whose pause ends: it has started anew, or has executed a resume
+    that was sent earlier. A primary that answers is therefore demoted before
+    the promotion. It acknowledges nothing beyond the end of its log from then
+    on, and a replica that holds this end can be promoted whatever became of the
+    others. If none does, and a replica has joined or may have received more
+    than the candidate, the demoted primary is promoted again, and the next
+    attempt includes that replica.
 
     Silence does not show that a primary is dead. One that answers no VM is sent
     demotions by all of them, and is replaced without an answer only if its host
@@ -358,7 +360,7 @@
       return;
     }
     if (HasReceivedMost(candidate_)) {
-      DemotePrimary(0);
+      DemotePrimaryFor(candidate_);
       return;
     }
     if (replicas_[candidate_].entry.id == plan_.pending_promotion) {
@@ -390,8 +392,7 @@
     }
     for (size_t it = 0; it < replicas_.size(); ++it) {
       if (HasReceivedMost(it) && !replicas_[it].entry.draining) {
-        candidate_ = it;
-        DemotePrimary(0);
+        DemotePrimaryFor(it);
         return;
       }
     }
@@ -402,6 +403,15 @@
         candidate_ = it;
       }
     }
+    DemotePrimaryFor(candidate_);
+  }
+
+  /** Chooses the candidate, and continues with DemotePrimary().
+
+      @param candidate  a replica that has received most */
+  void DemotePrimaryFor(size_t candidate) {
+    candidate_ = candidate;
+    compared_received_ = replicas_[candidate].status->received;
     DemotePrimary(0);
   }
 
@@ -433,15 +443,30 @@
       acknowledge them through a replica that has just joined. */
   void CheckMembersOfUnreachedPrimary();
   void FinishDemotion(std::error_code ec, const ReplicationStatus& status);
-  /** Promotes the candidate once it has received the whole log of the demoted
+  /** Asks all replicas for their status.
+
+      @param next  called when each has answered, or has failed to */
+  void ReportReplicas(Step next);
+  /** Promotes a replica once it has received the whole log of the demoted
       primary; otherwise continues with FinishMembershipCheck() later. */
   void CompareWithPrimary();
-  /** Promotes the candidate unless a replica has joined, which may have
-      acknowledged what the candidate lacks.
+  /** @returns the replica to promote, which has received the whole log of the
+               demoted primary; none if there is none, or the primary has not
+               confirmed its demotion */
+  std::optional<size_t> FindLogEndHolder() const;
+  /** Continues with FinishReplicaCheck() unless a replica has joined or started
+      anew, which may have acknowledged what the candidate lacks.
 
       @param ec  result of reading the directory
   */
   void FinishMembershipCheck(std::error_code ec);
+  /** @returns whether the directory lists no replica that was not compared */
+  bool AreMembersCompared() const;
+  /** Promotes a replica that holds the whole log of the demoted primary, or the
+      candidate if the others are still paused and behind it. */
+  void FinishReplicaCheck();
+  /** @returns whether no replica can have received more than the candidate */
+  bool IsCandidateAhead() const;
   /** Promotes the demoted primary, which holds every acknowledged commit, so
       that the service has a primary again.
 
@@ -450,11 +475,14 @@
   */
   void PromotePrimaryAgainOrAbandon(std::string_view reason);
 
+  /** @param index  a replica that has answered
+      @returns      whether none that has answered has received more */
   bool HasReceivedMost(size_t index) const {
-    return std::all_of(
-        replicas_.begin(), replicas_.end(), [&](const SurveyedEndpoint& it) {
-          return it.status->received <= replicas_[index].status->received;
-        });
+    const LogPoint received = replicas_[index].status->received;
+    return std::all_of(replicas_.begin(), replicas_.end(),
+                       [&](const SurveyedEndpoint& it) {
+                         return !it.status || it.status->received <= received;
+                       });
   }
 
   void Promote() {
@@ -576,6 +604,8 @@
   bool has_candidate_ = false;
   PromotionCheck check_ = PromotionCheck::kNone;
   Term pause_term_;
+  /** What the candidate had received when it was chosen. */
+  LogPoint compared_received_;
   int candidate_pauses_ = 0;
   int candidate_reports_ = 0;
   int unanswered_demotions_ = 0;
--- a/libs/control/failover/primary_replacement_demotion.h
+++ b/libs/control/failover/primary_replacement_demotion.h
@@ -148,7 +148,24 @@
   }
   primary_status_ = status;
   demoted_primary_ = {plan_.primary_id, status.received};
-  CompareWithPrimary();
+  // Earlier reports do not show what a replica holds now.
+  for (SurveyedEndpoint& it : replicas_) {
+    it.status.reset();
+  }
+  pending_ = 1;
+  SendCommand(candidate_, {EndpointCommandKind::kReport, {}}, 0,
+              &PrimaryReplacement::CompareWithPrimary);
+}
+
+template <EndpointCommandSender C,
+          EndpointCommandSender F,
+          PromotionSender P,
+          class T>
+void PrimaryReplacement<C, F, P, T>::ReportReplicas(Step next) {
+  pending_ = replicas_.size();
+  for (size_t it = 0; it < replicas_.size(); ++it) {
+    SendCommand(it, {EndpointCommandKind::kReport, {}}, 0, next);
+  }
 }
 
 template <EndpointCommandSender C,
@@ -156,14 +173,21 @@
           PromotionSender P,
           class T>
 void PrimaryReplacement<C, F, P, T>::CompareWithPrimary() {
-  const std::optional<ReplicationStatus>& status = replicas_[candidate_].status;
-  if (status && status->received >= primary_status_->received) {
+  if (const std::optional<size_t> holder = FindLogEndHolder()) {
+    candidate_ = *holder;
     check_ = PromotionCheck::kLogEnd;
     Promote();
     return;
   }
-  if (status && candidate_reports_++ < kMaxCandidateReports) {
+  const bool has_answered = replicas_[candidate_].status.has_value();
+  if (candidate_reports_ == 0 ||
+      (has_answered && candidate_reports_ < kMaxCandidateReports)) {
+    ++candidate_reports_;
     timing_.After(kCandidateReportInterval, [self = this->shared_from_this()] {
+      if (self->candidate_reports_ == 1) {
+        self->ReportReplicas(&PrimaryReplacement::CompareWithPrimary);
+        return;
+      }
       self->pending_ = 1;
       self->SendCommand(self->candidate_, {EndpointCommandKind::kReport, {}}, 0,
                         &PrimaryReplacement::CompareWithPrimary);
@@ -176,6 +200,34 @@
   });
 }
 
+template <EndpointCommandSender C,
+          EndpointCommandSender F,
+          PromotionSender P,
+          class T>
+std::optional<size_t> PrimaryReplacement<C, F, P, T>::FindLogEndHolder() const {
+  if (!demoted_primary_ || !demoted_primary_->log_end) {
+    return std::nullopt;
+  }
+  const auto holds_end = [&](size_t index) {
+    const std::optional<ReplicationStatus>& status = replicas_[index].status;
+    return status && status->received >= *demoted_primary_->log_end &&
+           HasReceivedMost(index);
+  };
+  if (holds_end(candidate_)) {
+    return candidate_;
+  }
+  if (!plan_.pending_promotion.IsEmpty()) {
+    return std::nullopt;
+  }
+  for (size_t it = 0; it < replicas_.size(); ++it) {
+    if (holds_end(it) && !replicas_[it].entry.draining &&
+        !replicas_[it].status->is_primary) {
+      return it;
+    }
+  }
+  return std::nullopt;
+}
+
 template <EndpointCommandSender C,
           EndpointCommandSender F,
           PromotionSender P,
@@ -187,21 +239,67 @@
         "the directory cannot be read, so that joined replicas are not known");
     return;
   }
+  if (!AreMembersCompared()) {
+    PromotePrimaryAgainOrAbandon(
+        "a replica that has joined may hold the end of the log");
+    return;
+  }
+  ReportReplicas(&PrimaryReplacement::FinishReplicaCheck);
+}
+
+template <EndpointCommandSender C,
+          EndpointCommandSender F,
+          PromotionSender P,
+          class T>
+bool PrimaryReplacement<C, F, P, T>::AreMembersCompared() const {
   const std::vector<EndpointEntry> listed = plan_.list_endpoints();
-  const bool is_known =
-      std::all_of(listed.begin(), listed.end(), [&](const auto& entry) {
-        return entry.id == plan_.primary_id ||
-               std::any_of(
-                   plan_.replicas.begin(), plan_.replicas.end(),
-                   [&](const EndpointEntry& it) { return it.id == entry.id; });
-      });
-  if (is_known && replicas_[candidate_].status) {
+  return std::all_of(listed.begin(), listed.end(), [&](const auto& entry) {
+    return entry.id == plan_.primary_id ||
+           std::any_of(plan_.replicas.begin(), plan_.replicas.end(),
+                       [&](const EndpointEntry& it) {
+                         return it.id == entry.id &&
+                                it.started_at_ms == entry.started_at_ms;
+                       });
+  });
+}
+
+template <EndpointCommandSender C,
+          EndpointCommandSender F,
+          PromotionSender P,
+          class T>
+void PrimaryReplacement<C, F, P, T>::FinishReplicaCheck() {
+  if (const std::optional<size_t> holder = FindLogEndHolder()) {
+    candidate_ = *holder;
+    check_ = PromotionCheck::kLogEnd;
+    Promote();
+    return;
+  }
+  if (IsCandidateAhead()) {
     check_ = PromotionCheck::kMembers;
     Promote();
     return;
   }
   PromotePrimaryAgainOrAbandon(
-      "a replica that has joined may hold the end of the log");
+      "a replica may have received more than the candidate");
+}
+
+template <EndpointCommandSender C,
+          EndpointCommandSender F,
+          PromotionSender P,
+          class T>
+bool PrimaryReplacement<C, F, P, T>::IsCandidateAhead() const {
+  const std::optional<ReplicationStatus>& status = replicas_[candidate_].status;
+  if (!status || status->received < compared_received_ ||
+      !HasReceivedMost(candidate_)) {
+    return false;
+  }
+  for (size_t it = 0; it < replicas_.size(); ++it) {
+    const std::optional<ReplicationStatus>& other = replicas_[it].status;
+    if (it != candidate_ && (!other || other->paused_at < pause_term_)) {
+      return false;
+    }
+  }
+  return true;
 }
 
 template <EndpointCommandSender C,
--- a/libs/control/tests/control_test.cc
+++ b/libs/control/tests/control_test.cc
@@ -116,7 +116,10 @@
     plan.list_endpoints = [this] { return listed; };
     plan.is_primary_listed = [this] { return is_primary_listed; };
     plan.is_store_connected = is_store_connected;
-    plan.read_directory = [this](auto done) { done(directory_error); };
+    plan.read_directory = [this](auto done) {
+      on_directory_read();
+      done(directory_error);
+    };
     plan.has_unsettled_orders = has_unsettled_orders;
     plan.fencing_token = 9;
     ReplacementResult result;
@@ -137,6 +140,8 @@
   std::vector<EndpointEntry> listed;
   // Called when an endpoint has been demoted.
   std::function<void()> on_demotion = [] {};
+  // Called when the directory is read.
+  std::function<void()> on_directory_read = [] {};
   // Called when an endpoint does not answer.
   std::function<void()> on_silence = [] {};
   // Called when a promotion was ordered, and before it takes effect.
@@ -171,7 +176,7 @@
   STRCMP_EQUAL("db-3", result.primary.value.c_str());
   STRCMP_EQUAL(
       "report db-2;report db-3;report db-1;pause db-2;report db-3;"
-      "demote db-1;promote db-3 9;"
+      "demote db-1;report db-2;report db-3;promote db-3 9;"
       "demote db-1;demote db-1;demote db-1;demote db-1;demote db-1;"
       "demote db-1;",
       group.trace.c_str());
@@ -293,7 +298,7 @@
   CHECK(result.outcome == ReplacementOutcome::kPromoted);
   STRCMP_EQUAL(
       "report db-2;report db-3;report db-1;pause db-3;report db-2;"
-      "demote db-1;promote db-2 9;",
+      "demote db-1;report db-2;promote db-2 9;",
       group.trace.c_str());
 }
 
@@ -310,6 +315,80 @@
   CHECK(group.trace.ends_with("demote db-1;report db-2;promote db-2 9;"));
 }
 
+TEST(Replacement, PromotesAnotherReplicaIfTheCandidateHasLostItsLog) {
+  // The candidate started anew, without its log, after it had been compared.
+  // It was promoted on its earlier report.
+  group.statuses = {{"db-1", MakeStatus(true, 1, 7)},
+                    {"db-2", MakeStatus(false, 1, 7)},
+                    {"db-3", MakeStatus(false, 1, 7)}};
+  group.on_demotion = [this] {
+    group.statuses["db-2"] = MakeStatus(false, 1, 0);
+  };
+  const ReplacementResult result =
+      group.Replace(ReplacementReason::kDraining, replicas);
+  STRCMP_EQUAL("db-3", result.primary.value.c_str());
+  CHECK(group.trace.find("promote db-2") == std::string::npos);
+}
+
+TEST(Replacement, PromotesWhicheverReplicaHoldsTheLogOfTheDemotedPrimary) {
+  // A replica that had been paused started again, received and acknowledged
+  // the end of the log; the candidate, which lacked it, was promoted (LOST).
+  group.statuses = {{"db-1", MakeStatus(true, 1, 9)},
+                    {"db-2", MakeStatus(false, 1, 8)},
+                    {"db-3", MakeStatus(false, 1, 7)}};
+  group.on_demotion = [this] {
+    group.statuses["db-3"] = MakeStatus(false, 1, 9);
+  };
+  group.listed = {MakeEntry("db-1"), MakeEntry("db-2"), MakeEntry("db-3")};
+  const ReplacementResult result =
+      group.Replace(ReplacementReason::kDraining, replicas);
+  STRCMP_EQUAL("db-3", result.primary.value.c_str());
+  CHECK(group.trace.find("promote db-2") == std::string::npos);
+}
+
+TEST(Replacement, PromotesTheDemotedPrimaryAgainIfAReplicaMayHaveReceivedMore) {
+  // Nothing shows then what was acknowledged beyond the candidate's log.
+  group.listed = {MakeEntry("db-1"), MakeEntry("db-2"), MakeEntry("db-3")};
+  const std::function<void()> changes[] = {
+      [this] { group.statuses["db-3"].paused_at = {}; },
+      [this] { group.statuses["db-3"].received.position.value = 8; },
+      [this] { group.statuses.erase("db-3"); },
+      [this] { group.statuses.erase("db-2"); },
+      [this] { group.listed[2].started_at_ms = 4711; }};
+  for (const auto& it : changes) {
+    group.statuses = {{"db-1", MakeStatus(true, 1, 9)},
+                      {"db-2", MakeStatus(false, 1, 7)},
+                      {"db-3", MakeStatus(false, 1, 7)}};
+    group.on_demotion = it;
+    group.trace.clear();
+    const ReplacementResult result =
+        group.Replace(ReplacementReason::kCommitsStalled, replicas);
+    STRCMP_EQUAL("db-1", result.primary.value.c_str());
+    CHECK(group.trace.find("promote db-2") == std::string::npos);
+    CHECK(group.trace.find("promote db-3") == std::string::npos);
+  }
+}
+
+TEST(Replacement, ChecksTheReplicasOfAStoppedPrimaryBeforeTheOrder) {
+  // Its log is not known, so that a replica that has received more than the
+  // candidate, or may have, may hold an acknowledged commit.
+  const std::function<void()> changes[] = {
+      [this] { group.statuses["db-3"].paused_at = {}; },
+      [this] { group.statuses["db-3"].received.position.value = 8; },
+      [this] { group.statuses.erase("db-3"); },
+      [this] { group.statuses["db-2"] = MakeStatus(false, 1, 0); }};
+  for (const auto& it : changes) {
+    group.statuses = {{"db-2", MakeStatus(false, 1, 7)},
+                      {"db-3", MakeStatus(false, 1, 7)}};
+    group.on_directory_read = it;
+    group.trace.clear();
+    const ReplacementResult result =
+        group.Replace(ReplacementReason::kUnreachable, replicas);
+    CHECK(result.outcome == ReplacementOutcome::kAbandoned);
+    CHECK(group.trace.find("promote") == std::string::npos);
+  }
+}
+
 TEST(Replacement, PromotesTheDemotedPrimaryAgainIfTheDirectoryCannotBeRead) {
   // A listing from before an outage of the store does not show that no replica
   // has joined.
@@ -384,7 +463,8 @@
                     {"db-2", MakeStatus(false, 2, 7)},
                     {"db-3", MakeStatus(false, 2, 7)}};
   group.Replace(ReplacementReason::kDemoted, replicas);
-  CHECK(group.trace.find("demote db-1;promote") != std::string::npos);
+  CHECK(group.trace.find("demote db-1;report db-2;promote") !=
+        std::string::npos);
 }
 
 TEST(Replacement, LeavesAPrimaryWhileAnOrderForItMayTakeEffect) {
@@ -485,13 +565,14 @@
   restarted[0].started_at_ms = 4711;
   group.Replace(ReplacementReason::kDraining, restarted);
   const std::vector<std::string> steps = log.ListLines("replacement.step");
-  LONGS_EQUAL(6, steps.size());
+  LONGS_EQUAL(7, steps.size());
   CheckFields(steps[0],
               "endpoint=db-2 step=report command_term=0 paused_at=0 born=4711 "
               "after_ms=0");
   CheckFields(steps[3],
               "endpoint=db-2 step=pause command_term=2 paused_at=2 born=4711");
   CheckFields(steps[5], "endpoint=db-1 step=demote command_term=2 born=0");
+  CheckFields(steps[6], "endpoint=db-3 step=report command_term=0");
 }
 
 TEST(Replacement, LogsTheCandidateOfEachStepAndTheCheckBeforeTheOrder) {
--- a/tests/interleavings/fault.cc
+++ b/tests/interleavings/fault.cc
@@ -40,6 +40,10 @@
       return "the answer to the next write of the row is lost";
     case FaultKind::kReturnUnderNewId:
       return "member " + subject + " is back under another id";
+    case FaultKind::kRestartPaused:
+      return "member " + subject + " starts again, which ends its pause";
+    case FaultKind::kLateResume:
+      return "an earlier resume is executed at member " + subject;
   }
   return "";
 }
--- a/tests/interleavings/fault.h
+++ b/tests/interleavings/fault.h
@@ -50,6 +50,12 @@
   /** The crashed endpoint `subject`, whose entry has expired, is back under
       another id. */
   kReturnUnderNewId,
+  /** The paused replica `subject` starts again with its log, and receives
+      again: a restart ends the pause. */
+  kRestartPaused,
+  /** A resume that was sent earlier is executed at the paused replica
+      `subject`. */
+  kLateResume,
 };
 
 /** One deviation from the default run. */
--- a/tests/interleavings/interleaving_test.cc
+++ b/tests/interleavings/interleaving_test.cc
@@ -189,6 +189,24 @@
   CHECK_TRUE(RunFaults(faults) != RunOutcome::kLost);
 }
 
+TEST(Interleavings, KeepCommitsOfAReplicaWhosePauseEndsBeforeTheDemotion) {
+  // It receives and acknowledges the end of the log. Only the candidate, which
+  // lacks it, was asked again, and was promoted.
+  const TimedFault faults[] = {MakeFault(5000, FaultKind::kDeafenAll),
+                               MakeFault(5300, FaultKind::kCutVm, 0, 0),
+                               MakeFault(5665, FaultKind::kRestartPaused, 2)};
+  CHECK_TRUE(RunFaults(faults) != RunOutcome::kLost);
+}
+
+TEST(Interleavings, KeepCommitsOfAReplicaThatALateResumeReaches) {
+  // The same, with a resume that was sent before the pause and is executed
+  // after it.
+  const TimedFault faults[] = {MakeFault(4666, FaultKind::kDrain),
+                               MakeFault(5227, FaultKind::kDeafen, 1),
+                               MakeFault(5231, FaultKind::kLateResume, 2)};
+  CHECK_TRUE(RunFaults(faults) != RunOutcome::kLost);
+}
+
 TEST_GROUP(Recovery){};
 
 TEST(Recovery, FindsAPrimaryFromAQuietStart) {
--- a/tests/interleavings/world_faults.cc
+++ b/tests/interleavings/world_faults.cc
@@ -31,6 +31,11 @@
     }
     return;
   }
+  if (member.paused_at > Term{} &&
+      (point.kind != PointKind::kCommand || is_addressed)) {
+    list.push_back({FaultKind::kRestartPaused, it, 0});
+    list.push_back({FaultKind::kLateResume, it, 0});
+  }
   for (size_t vm = 0; vm < kVms; ++vm) {
     if (((is_commit && member.is_primary) ||
          (is_addressed && point.vm == vm)) &&
@@ -163,6 +168,16 @@
       registrations_[fault.subject] = {now_ + kListingDelay, std::nullopt};
       PublishLater(kListingDelay);
       return;
+    case FaultKind::kRestartPaused:
+      group_.Crash(fault.subject);
+      group_.Restart(fault.subject);
+      group_.Edit(fault.subject).is_deaf = false;
+      Replicate();
+      return;
+    case FaultKind::kLateResume:
+      group_.Execute(fault.subject, {EndpointCommandKind::kResume, {}});
+      Replicate();
+      return;
     default:
       return;
   }
