Resume only the pauses of the VM's own attempts

A resume has no term. If another VM, or a later holder of the duty, had paused the replica since, the replica received again in the middle of that VM's attempt, which relies on the pause: what it then acknowledged could be lost.

A resume now carries the term of the pauses that it may end. A replica that reports a newer pause is left as it is. A new holder of the duty, which does not know the terms of the one before, ends the pause that each replica reports first. A promotion keeps the term of its pauses for the resumes that follow it.

Red before: DoesNotResumeAReplicaThatAnotherVmHasPausedSince. A resume that is already on its way can still arrive late; the check of all replicas before the order covers that.

--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -298,6 +298,12 @@
     /** Term of the latest confirmed primary at that time. */
     Term former_term;
   };
+  /** A replica that this VM has paused, or may have. */
+  struct PausedReplica {
+    EndpointEntry entry;
+    /** Newest term of the pauses; none if another VM has set them. */
+    std::optional<Term> pause_term;
+  };
   struct Progress {
     bool running = false;
     bool claiming = false;
@@ -313,10 +319,8 @@
     EndpointId pending_promotion;
     /** Time after which it is not executed any more. */
     TimePoint pending_until;
-    /** Term of this VM's latest pause; 0 if it sent none. */
-    Term pause_term;
     /** Replicas to resume once the promoted endpoint is confirmed. */
-    std::vector<EndpointEntry> paused_replicas;
+    std::vector<PausedReplica> paused_replicas;
     /** Replicas that earlier attempts may have left paused when the running
         attempt began. */
     std::vector<typename ReplicaResumer<C, T>::PendingResume> pending_resumes;
--- a/libs/control/failover/failover_control_duties.h
+++ b/libs/control/failover/failover_control_duties.h
@@ -151,8 +151,7 @@
   // The previous holder may have left replicas paused.
   if (!progress_[service].running) {
     for (const EndpointEntry& it : ListEndpoints(service)) {
-      resumer_.ResumeIfPaused(
-          it, {ResumeReason::kDutyClaimed, progress_[service].pause_term});
+      resumer_.ResumeIfPaused(it, {ResumeReason::kDutyClaimed, std::nullopt});
     }
   }
 }
--- a/libs/control/failover/failover_control_replacement.h
+++ b/libs/control/failover/failover_control_replacement.h
@@ -277,10 +277,10 @@
   }
   // The promotion is in force, so the old primary can no longer acknowledge
   // commits through the paused replicas.
-  for (const EndpointEntry& it : progress.paused_replicas) {
-    if (it.id != primary->endpoint) {
+  for (const PausedReplica& it : progress.paused_replicas) {
+    if (it.entry.id != primary->endpoint) {
       resumer_.ResumeIfPaused(
-          it, {ResumeReason::kPromotionConfirmed, progress.pause_term});
+          it.entry, {ResumeReason::kPromotionConfirmed, it.pause_term});
     }
   }
   progress.paused_replicas.clear();
@@ -299,9 +299,6 @@
   const TimePoint now = delegate_.Now();
   Progress& progress = progress_[service];
   progress.running = false;
-  if (result.pause_term > Term{}) {
-    progress.pause_term = result.pause_term;
-  }
   if (result.outcome != ReplacementOutcome::kPromoted &&
       !result.promotion_reply_lost) {
     progress.unconfirmed_order.reset();
@@ -387,9 +384,19 @@
   PruneSuspicions();
   if (result.outcome == ReplacementOutcome::kPromoted ||
       result.outcome == ReplacementOutcome::kUncertain) {
-    progress.paused_replicas = result.possibly_paused;
+    progress.paused_replicas.clear();
+    for (const EndpointEntry& it : result.possibly_paused) {
+      progress.paused_replicas.push_back({it, result.pause_term});
+    }
     for (const auto& it : progress.pending_resumes) {
-      progress.paused_replicas.push_back(it.replica);
+      // The pauses of this attempt are newer.
+      if (std::none_of(result.possibly_paused.begin(),
+                       result.possibly_paused.end(),
+                       [&](const EndpointEntry& paused) {
+                         return paused.id == it.replica.id;
+                       })) {
+        progress.paused_replicas.push_back({it.replica, it.cause.pause_term});
+      }
     }
   } else {
     for (const EndpointEntry& it : result.possibly_paused) {
--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -572,6 +572,7 @@
     result.promotion_reply_lost = lost_promotion_replies_ > 0;
     result.reason = reason;
     result.possibly_paused = possibly_paused_;
+    result.pause_term = pause_term_;
     result.demoted_primary = demoted_primary_;
     result.has_unsettled_orders = has_unsettled_orders_;
     result.demotion = GetDemotion();
--- a/libs/control/failover/replacement_plan.h
+++ b/libs/control/failover/replacement_plan.h
@@ -182,12 +182,12 @@
       in transit. After a promotion they must stay paused until it has taken
       effect. */
   std::vector<EndpointEntry> possibly_paused;
+  /** Term of these pauses. */
+  Term pause_term;
   /** The primary answers, but an order for it may still take effect. */
   bool has_unsettled_orders = false;
   /** Set if the attempt has demoted the primary, or may have. */
   std::optional<DemotedPrimary> demoted_primary;
-  /** Term of the pauses that the attempt sent; 0 if it sent none. */
-  Term pause_term;
   /** What preceded the order, if a promotion was ordered. */
   PromotionCheck check = PromotionCheck::kNone;
   /** What became of the primary in this attempt. */
--- a/libs/control/failover/replica_resumer.h
+++ b/libs/control/failover/replica_resumer.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -53,16 +54,21 @@
   return "abandoned_attempt";
 }
 
-/** Why a replica is resumed, and the latest pause of this VM, for log lines. */
+/** Why a replica is resumed, and which pauses may be ended. */
 struct ResumeCause {
   ResumeReason reason = ResumeReason::kAbandonedAttempt;
-  /** Term of this VM's latest pause; 0 if it sent none. */
-  Term own_pause;
+  /** Newest term of the pauses to end; none for the pause that the replica
+      reports first. */
+  std::optional<Term> pause_term;
 };
 
 /** Resumes replication on replicas that a replacement attempt has paused, or
     may still pause by a command whose answer was lost.
 
+    A resume has no term and ends every pause. A replica that another VM has
+    paused since, at a newer term, is therefore left as it is: that VM may be
+    about to order a promotion that relies on the pause.
+
     @tparam C  @see EndpointCommandSender
     @tparam T  provides Now() and After()
 */
@@ -78,11 +84,11 @@
   /** A replica that is to be resumed. */
   struct PendingResume {
     EndpointEntry replica;
+    ResumeCause cause;
     /** Time of the first query. */
     TimePoint due_at;
     /** Time until which the replica is polled. */
     TimePoint watch_until;
-    ResumeCause cause;
   };
 
   /** Resumes a replica that an abandoned attempt may have paused, unless
@@ -95,8 +101,8 @@
   */
   void ScheduleResume(const EndpointEntry& replica, const ResumeCause& cause) {
     const TimePoint now = timing_.Now();
-    Schedule({replica, now + kReplicaResumeDelay,
-              now + kPausedReplicaWatchPeriod, cause});
+    Schedule({replica, cause, now + kReplicaResumeDelay,
+              now + kPausedReplicaWatchPeriod});
   }
 
   /** Continues what Cancel() has ended, because the attempt was abandoned.
@@ -117,10 +123,15 @@
       @param replica  the replica
       @param cause    why it is resumed
   */
-  void ResumeIfPaused(const EndpointEntry& replica, const ResumeCause& cause) {
+  void ResumeIfPaused(const EndpointEntry& replica, ResumeCause cause) {
     const TimePoint now = timing_.Now();
     const uint64_t generation = ++last_generation_;
-    entries_[replica.id] = {{replica, now, now, cause}, generation};
+    Entry& entry = entries_[replica.id];
+    if (cause.pause_term) {
+      cause.pause_term =
+          std::max(entry.resume.cause.pause_term, cause.pause_term);
+    }
+    entry = {{replica, cause, now, now}, generation};
     SendCommand(replica, {EndpointCommandKind::kReport, {}}, generation);
   }
 
@@ -147,7 +158,11 @@
 
   void Schedule(const PendingResume& resume) {
     const uint64_t generation = ++last_generation_;
-    entries_[resume.replica.id] = {resume, generation};
+    Entry& entry = entries_[resume.replica.id];
+    const auto pause_term =
+        std::max(entry.resume.cause.pause_term, resume.cause.pause_term);
+    entry = {resume, generation};
+    entry.resume.cause.pause_term = pause_term;
     const Duration delay = std::max(Duration(0), resume.due_at - timing_.Now());
     timing_.After(delay, [this, replica = resume.replica, generation] {
       if (IsCurrent(replica.id, generation)) {
@@ -175,10 +190,15 @@
           if (!IsCurrent(replica.id, generation)) {
             return;
           }
-          const bool paused = !ec && status.paused_at > Term{};
-          const bool receiving = !ec && !paused;
-          if (receiving &&
-              timing_.Now() >= entries_[replica.id].resume.watch_until) {
+          PendingResume& resume = entries_[replica.id].resume;
+          std::optional<Term>& pause_term = resume.cause.pause_term;
+          if (!ec && status.paused_at > Term{} && !pause_term) {
+            pause_term = status.paused_at;
+          }
+          const bool paused = !ec && status.paused_at > Term{} &&
+                              status.paused_at <= *pause_term;
+          const bool is_settled = !ec && !paused;
+          if (is_settled && timing_.Now() >= resume.watch_until) {
             entries_.erase(replica.id);
             return;
           }
@@ -188,7 +208,7 @@
           const EndpointCommandKind next = paused
                                                ? EndpointCommandKind::kResume
                                                : EndpointCommandKind::kReport;
-          timing_.After(receiving ? 2 * kPausedReplicaPollInterval
+          timing_.After(is_settled ? 2 * kPausedReplicaPollInterval
                         : paused && kind == EndpointCommandKind::kReport
                             ? Duration(0)
                             : kPausedReplicaPollInterval,
@@ -209,16 +229,18 @@
                         const ResumeCause& cause,
                         std::error_code ec,
                         const ReplicationStatus& status) {
-    LogEvent(Event::kReplicaResume,
-             {{"service", replica.service.value},
-              {"endpoint", replica.id.value},
-              {"step", std::string(step)},
-              {"reason", std::string(GetResumeReasonName(cause.reason))},
-              {"error", ec ? ec.message() : "none"},
-              {"paused_at", std::to_string(status.paused_at.value)},
-              {"own_pause", std::to_string(cause.own_pause.value)},
-              {"term", std::to_string(status.term.value)},
-              {"received", FormatLogPoint(status.received)}});
+    LogEvent(
+        Event::kReplicaResume,
+        {{"service", replica.service.value},
+         {"endpoint", replica.id.value},
+         {"step", std::string(step)},
+         {"reason", std::string(GetResumeReasonName(cause.reason))},
+         {"error", ec ? ec.message() : "none"},
+         {"paused_at", std::to_string(status.paused_at.value)},
+         {"own_pause",
+          cause.pause_term ? std::to_string(cause.pause_term->value) : "none"},
+         {"term", std::to_string(status.term.value)},
+         {"received", FormatLogPoint(status.received)}});
   }
 
   C& commands_;
--- a/libs/control/tests/failover_control_test.cc
+++ b/libs/control/tests/failover_control_test.cc
@@ -504,6 +504,21 @@
   CHECK(fake.paused.contains("db-3"));
 }
 
+TEST(Failover, DoesNotResumeAReplicaThatAnotherVmHasPausedSince) {
+  // Guards against a replica that receives in the middle of an attempt of
+  // another VM, after an attempt of this one was abandoned (LOST).
+  SettleOrders();
+  fake.Add("db-4");
+  fake.fails_pause = "db-4";
+  failover.Apply(fake.MakeView("db-1"));
+  fake.Advance(std::chrono::milliseconds(100));
+  CHECK(fake.paused.contains("db-3"));
+  fake.unresponsive = "db-4";
+  fake.paused["db-3"] = Term{99};
+  RunWithReviews(8);
+  CHECK(fake.paused.contains("db-3"));
+}
+
 TEST(Failover, CountsAnEndpointWithAFailedPromotionAsReplica) {
   // If the next attempt leaves out the replica whose promotion failed, commits
   // can be lost: an old primary that returns under another id acknowledges
--- a/libs/control/tests/replica_resumer_test.cc
+++ b/libs/control/tests/replica_resumer_test.cc
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <utility>
 
 #include "control/tests/captured_log.h"
@@ -67,18 +68,26 @@
 };
 
 TEST(ReplicaResumer, LogsThePauseOfAnotherVmThatItEnds) {
-  // Without the term of this VM's own pause, a resume that defeats another VM's
-  // attempt cannot be told from one that ends a pause of this VM.
+  // A new holder of the duty ends the pauses of the one before. Without the
+  // terms, that cannot be told from the end of a pause of its own.
   fake.status.paused_at = Term{7};
-  resumer.ScheduleResume(entry, {ResumeReason::kAbandonedAttempt, Term{4}});
-  fake.Advance(kReplicaResumeDelay);
+  resumer.ResumeIfPaused(entry, {ResumeReason::kDutyClaimed, std::nullopt});
+  fake.Advance(Duration(0));
   const auto lines = log.ListLines("replica.resume");
   LONGS_EQUAL(2, lines.size());
   CheckFields(lines[0],
               "service=groyne-logs endpoint=db-2 step=sent "
-              "reason=abandoned_attempt error=none paused_at=7 own_pause=4 "
+              "reason=duty_claimed error=none paused_at=7 own_pause=none "
               "term=3 received=3.41");
-  CheckFields(lines[1], "step=answered error=none paused_at=0 own_pause=4");
+  CheckFields(lines[1], "step=answered error=none paused_at=0 own_pause=none");
+}
+
+TEST(ReplicaResumer, LeavesAPauseThatAnotherVmHasSetSince) {
+  fake.status.paused_at = Term{7};
+  resumer.ScheduleResume(entry, {ResumeReason::kAbandonedAttempt, Term{4}});
+  fake.Advance(kPausedReplicaWatchPeriod);
+  CHECK(log.ListLines("replica.resume").empty());
+  CHECK(fake.status.paused_at == Term{7});
 }
 
 TEST(ReplicaResumer, LogsAResumeThatMayTakeEffectLater) {
