Replace a silent primary at once while its group has all members

Cause: silence is dangerous only if the primary can gain a replica which is not compared. An endpoint joins in the place of one that has left.

A silent primary whose group has all members and whose commits are not reported as stalled is replaced after one unanswered demotion. The listing is checked once more after the last reports. A primary that is back under another id is found although earlier attempts have left pauses.

--- a/libs/control/control.h
+++ b/libs/control/control.h
@@ -21,6 +21,7 @@
 #include "control/failover/forwarded_command.h"
 #include "control/failover/primary_replacement.h"
 #include "control/failover/replacement_plan.h"
+#include "control/failover/vacancy_tracker.h"
 #include "control/fleet/fleet_control.h"
 #include "control/fleet/shutdown_sequence.h"
 #include "control/peers/departure_notice.h"
--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -22,6 +22,7 @@
 #include "control/failover/primary_registry.h"
 #include "control/failover/primary_replacement.h"
 #include "control/failover/replica_resumer.h"
+#include "control/failover/vacancy_tracker.h"
 #include "control/peers/peer_group.h"
 #include "coordination/coordination.h"
 #include "membership/membership.h"
@@ -125,6 +126,7 @@
     departures_.RetainServices(services_);
     primaries_.Apply(endpoints_, delegate_.Now());
     departures_.Apply(ListAcknowledgingEndpoints(view), delegate_.Now());
+    vacancies_.Apply(endpoints_, delegate_.Now());
     RememberPrimaries();
     PruneSuspicions();
     Review();
@@ -447,6 +449,11 @@
                        std::span<const EndpointId> departed,
                        TimePoint now);
 
+  /** @returns whether a replica may join the service in the place of one that
+               has left or is leaving */
+  bool MayGainReplica(const ServiceId& service,
+                      const EndpointId& primary) const;
+
   /** @returns the ids, separated by commas, for log lines */
   static std::string JoinIds(std::span<const EndpointId> ids) {
     std::string text;
@@ -525,6 +532,7 @@
   ReplicaResumer<C, T> resumer_;
   Forwarder forwarder_;
   DepartureTracker departures_;
+  VacancyTracker vacancies_;
   std::vector<EndpointEntry> endpoints_;
   /** @see FleetView::endpoints_version */
   uint64_t endpoints_version_ = 0;
--- a/libs/control/failover/failover_control_replacement.h
+++ b/libs/control/failover/failover_control_replacement.h
@@ -139,6 +139,22 @@
              : ReplacementReason::kUnreachable;
 }
 
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+bool FailoverControl<S, R, C, P, T>::MayGainReplica(
+    const ServiceId& service,
+    const EndpointId& primary) const {
+  const bool is_member_leaving =
+      std::any_of(endpoints_.begin(), endpoints_.end(), [&](const auto& it) {
+        return it.service == service && it.id != primary && it.draining;
+      });
+  return is_member_leaving ||
+         vacancies_.HasVacancy(service, primary, delegate_.Now());
+}
+
 template <RowStore S,
           DutyRowCodec R,
           EndpointCommandSender C,
@@ -174,6 +190,7 @@
                              now - *progress.confirmed_at < kPromotionTimeout);
   plan.has_unaccounted_departures = has_unaccounted_departures;
   plan.list_endpoints = [this, service] { return ListEndpoints(service); };
+  plan.may_gain_replica = MayGainReplica(service, plan.primary_id);
   plan.is_primary_listed = [this, primary = plan.primary_id] {
     return delegate_.IsListed(primary);
   };
@@ -219,6 +236,7 @@
             {"endpoints_version", std::to_string(endpoints_version_)},
             {"endpoints_age_ms",
              std::to_string((now - endpoints_changed_at_).count() / 1000)},
+            {"may_gain_replica", plan.may_gain_replica ? "yes" : "no"},
             {"store", delegate_.IsStoreConnected() ? "connected" : "lost"}});
   std::make_shared<Replacement>(
       commands_, forwarder_, promotions_, delegate_, std::move(plan),
--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -2,6 +2,7 @@
 #define MAGNOLIAREEL_CONTROL_FAILOVER_PRIMARY_REPLACEMENT_H_
 
 #include <algorithm>
+#include <array>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -37,12 +38,14 @@
     joined before it. */
 inline constexpr Duration kMembershipDelay = std::chrono::milliseconds(1000);
 
-/** Number of demotions that are sent to a primary that does not answer, before
-    the attempt is abandoned. */
-inline constexpr int kMaxDemotionAttempts = 4;
-/** Number of them that time out early. They find a primary that answers on a
-    new connection; the later ones wait for one that answers late. */
-inline constexpr int kQuickDemotionAttempts = 2;
+/** Timeouts of the demotions that are sent to a primary that does not answer,
+    one after the other. The later ones wait for one that answers late. */
+inline constexpr std::array<Duration, 4> kDemotionTimeouts = {
+    kEndpointCommandTimeout / 2, kEndpointCommandTimeout, kLateDemotionTimeout,
+    kLateDemotionTimeout};
+/** A primary that is not listed any more counts as dead after this many of
+    them, one of which has waited for a late answer. */
+inline constexpr size_t kMinDemotionsOfUnlistedPrimary = 3;
 /** Interval at which a primary that has not confirmed its demotion is sent
     another one, from the order of a promotion until it takes effect. */
 inline constexpr Duration kLateDemotionInterval =
@@ -69,10 +72,12 @@
     attempt includes that replica.
 
     Silence does not show that a primary is dead. One that answers no VM is sent
-    demotions by all of them, and is replaced without an answer only if its host
-    refuses connections, or the directory does not list it any more. It is sent
-    further ones until the promotion takes effect, since it may have started
-    again.
+    demotions by all of them. It is replaced without an answer if its host
+    refuses connections, or if its group has all of its members: the compared
+    replicas are then the only ones through which it can acknowledge commits.
+    While a replica may join in the place of one that has left, it is replaced
+    only once the directory does not list it any more. It is sent further
+    demotions until the promotion takes effect, since it may have started again.
 
     @tparam C  sends commands to replicas, @see EndpointCommandSender
     @tparam F  sends commands to the primary, through other VMs if this one does
@@ -202,13 +207,10 @@
             std::max({newest_term, it.status->term, it.status->paused_at});
       }
     }
-    for (const SurveyedEndpoint& it : replicas_) {
-      if (it.status && it.status->is_primary &&
-          it.status->term >= newest_term) {
-        pause_term_ = it.status->term;
-        Finish(ReplacementOutcome::kAlreadyReplaced, it.entry.id, "");
-        return;
-      }
+    if (const SurveyedEndpoint* leader = FindLeader(newest_term)) {
+      pause_term_ = leader->status->term;
+      Finish(ReplacementOutcome::kAlreadyReplaced, leader->entry.id, "");
+      return;
     }
     if (IsPrimaryHealthy()) {
       Finish(ReplacementOutcome::kNotNeeded, plan_.primary_id, "");
@@ -265,6 +267,31 @@
     PauseOthers();
   }
 
+  /** @param newest_term  newest term that an endpoint leads or is paused at
+      @returns            the endpoint that leads in place of the primary; null
+                          if there is none */
+  const SurveyedEndpoint* FindLeader(Term newest_term) const {
+    // A primary that is gone may be back under another id, in its old term. The
+    // pauses of earlier attempts don't count then.
+    const bool may_have_returned = plan_.reason == ReplacementReason::kGone &&
+                                   plan_.primary && !primary_status_ &&
+                                   plan_.pending_promotion.IsEmpty();
+    if (may_have_returned) {
+      newest_term = {};
+      for (const SurveyedEndpoint& it : replicas_) {
+        newest_term =
+            it.status ? std::max(newest_term, it.status->term) : newest_term;
+      }
+    }
+    const auto found = std::find_if(replicas_.begin(), replicas_.end(),
+                                    [newest_term](const SurveyedEndpoint& it) {
+                                      return it.status &&
+                                             it.status->is_primary &&
+                                             it.status->term >= newest_term;
+                                    });
+    return found == replicas_.end() ? nullptr : &*found;
+  }
+
   /** @returns whether the primary has reported that it is a replica */
   bool IsPrimaryDemoted() const {
     return primary_status_ && !primary_status_->is_primary;
@@ -423,8 +450,8 @@
   */
   void DemotePrimary(int attempt);
   /** Continues with CheckMembersOfUnreachedPrimary() if the primary does not
-      run, with CheckMembersOfUnlistedPrimary() if the directory has ceased to
-      list it, and otherwise with DemotePrimary().
+      run or cannot gain a replica, with CheckMembersOfUnlistedPrimary() if the
+      directory has ceased to list it, and otherwise with DemotePrimary().
 
       @param ec  result of the demotion
   */
@@ -495,6 +522,7 @@
         plan_.service, replicas_[candidate_].entry.id, plan_.fencing_token,
         [self](std::error_code ec) { self->FinishPromotion(ec); });
     if (is_first_order) {
+      ordered_at_ = timing_.Now();
       DemoteUntilPromotion(0);
     }
   }
@@ -609,7 +637,9 @@
   LogPoint compared_received_;
   int candidate_pauses_ = 0;
   int candidate_reports_ = 0;
-  int unanswered_demotions_ = 0;
+  size_t unanswered_demotions_ = 0;
+  /** Time of the first order. */
+  TimePoint ordered_at_;
   /** The platform has refused the order, so that no promotion takes effect. */
   bool is_order_refused_ = false;
   std::optional<DemotedPrimary> demoted_primary_;
--- a/libs/control/failover/primary_replacement_demotion.h
+++ b/libs/control/failover/primary_replacement_demotion.h
@@ -25,9 +25,9 @@
   }
   // One that has reported that it is a replica may lead since.
   auto self = this->shared_from_this();
-  const Duration timeout = unanswered_demotions_ < kQuickDemotionAttempts
+  const Duration timeout = primary_status_
                                ? kEndpointCommandTimeout
-                               : kLateDemotionTimeout;
+                               : kDemotionTimeouts.at(unanswered_demotions_);
   primary_commands_.Send(
       *plan_.primary, {EndpointCommandKind::kDemote, pause_term_}, timeout,
       [self, attempt](std::error_code ec, const ReplicationStatus& status) {
@@ -61,11 +61,17 @@
   if (ec == Error::kAnswerLost) {
     demoted_primary_ = {plan_.primary_id, std::nullopt};
   }
-  if (!plan_.is_primary_listed()) {
+  if (!plan_.may_gain_replica && !IsPrimaryAlive()) {
+    CheckMembersOfUnreachedPrimary();
+    return;
+  }
+  ++unanswered_demotions_;
+  if (unanswered_demotions_ >= kMinDemotionsOfUnlistedPrimary &&
+      !plan_.is_primary_listed()) {
     CheckMembersOfUnlistedPrimary();
     return;
   }
-  if (++unanswered_demotions_ >= kMaxDemotionAttempts) {
+  if (unanswered_demotions_ == kDemotionTimeouts.size()) {
     Finish(ReplacementOutcome::kAbandoned, {},
            "the primary is listed and does not confirm its demotion");
     return;
@@ -96,12 +102,13 @@
   const bool is_demoted = demoted_primary_ && demoted_primary_->log_end;
   const bool leads_again = replicas_[candidate_].entry.id == plan_.primary_id;
   if (!plan_.primary || is_demoted || leads_again || is_order_refused_ ||
-      attempt >= kMaxLateDemotions) {
+      attempt >= kMaxLateDemotions ||
+      timing_.Now() - ordered_at_ >= kLateDemotionTimeout) {
     return;
   }
   const EndpointCommand demotion{EndpointCommandKind::kDemote, pause_term_};
   primary_commands_.Send(
-      *plan_.primary, demotion, kLateDemotionInterval,
+      *plan_.primary, demotion, kLateDemotionTimeout,
       [self = this->shared_from_this(), demotion, attempt](
           std::error_code ec, const ReplicationStatus& status) {
         self->LogStep(*self->plan_.primary, demotion, ec, status);
@@ -274,7 +281,8 @@
     Promote();
     return;
   }
-  if (IsCandidateAhead()) {
+  // The directory may have listed another one while the replicas were asked.
+  if (IsCandidateAhead() && AreMembersCompared()) {
     check_ = PromotionCheck::kMembers;
     Promote();
     return;
--- a/libs/control/failover/replacement_plan.h
+++ b/libs/control/failover/replacement_plan.h
@@ -85,6 +85,9 @@
   std::function<std::vector<EndpointEntry>()> list_endpoints;
   /** The store answered when the attempt began. */
   bool is_store_connected = true;
+  /** A member has left or is leaving, so that a replica may join in its place.
+   */
+  bool may_gain_replica = true;
   /** Returns whether the directory lists the primary, as far as this VM knows.
       It ceases to some time after the primary has ceased to report. */
   std::function<bool()> is_primary_listed;
