Stand-in site: crashed databases refuse connections, and their entries expire

A database that crashed used to accept connections and close them, and its entry stayed in the directory for good. On the users' platform its host refuses connections, and the entry expires after three intervals of its reports.

--- a/standins/site/site_server.cc
+++ b/standins/site/site_server.cc
@@ -13,6 +13,8 @@
 constexpr std::string_view kService = "groyne-logs";
 // Longest time until a change of a database's role appears in the directory.
 constexpr Duration kEndpointPublishInterval = std::chrono::milliseconds(100);
+// A database that has stopped is listed for three intervals of its reports.
+constexpr Duration kEntryRetention = std::chrono::milliseconds(3600);
 
 }  // namespace
 
@@ -177,11 +179,9 @@
   if (name == "down" || name == "up") {
     store_.SetDown(name == "down");
   } else if (name == "crash" || name == "dark") {
-    group_.Crash(member, name == "dark");
+    StopMember(member, name == "dark");
   } else if (name == "restart") {
-    if (!group_.IsRunning(member) && !group_.HasLeft(member)) {
-      group_.Restart(member);
-    }
+    return RestartMember(member);
   } else if (name == "drain" || name == "stay") {
     draining_[member] = name == "drain";
   } else if (name == "config") {
@@ -217,6 +217,8 @@
   } else if (name == "join") {
     if (group_.HasLeft(member)) {
       group_.Join(member);
+      stopped_at_.erase(member);
+      return Listen(member);
     }
   } else {
     return false;
@@ -224,6 +226,31 @@
   return true;
 }
 
+void SiteServer::StopMember(size_t member, bool is_silent) {
+  group_.Crash(member, is_silent);
+  stopped_at_.try_emplace(member, loop_.Now());
+  if (!is_silent) {
+    // The host refuses connections.
+    databases_[member]->Stop();
+  }
+}
+
+bool SiteServer::RestartMember(size_t member) {
+  if (group_.IsRunning(member) || group_.HasLeft(member)) {
+    return true;
+  }
+  group_.Restart(member);
+  stopped_at_.erase(member);
+  // Its entry may have expired.
+  published_endpoints_.erase(member);
+  return Listen(member);
+}
+
+bool SiteServer::Listen(size_t member) {
+  databases_[member]->Stop();
+  return !databases_[member]->Listen({settings_.host, GetPort(member + 1)});
+}
+
 void SiteServer::RemoveMember(size_t member) {
   if (group_.HasLeft(member)) {
     return;
@@ -287,6 +314,11 @@
   for (size_t it = 0; it < group_.CountMembers(); ++it) {
     if (group_.IsRunning(it)) {
       PublishEndpoint(it);
+    } else if (const auto stopped = stopped_at_.find(it);
+               stopped != stopped_at_.end() &&
+               loop_.Now() - stopped->second >= kEntryRetention &&
+               published_endpoints_.erase(it) > 0) {
+      store_.Remove("servers", group_.GetId(it));
     }
   }
 }
--- a/standins/site/site_server.h
+++ b/standins/site/site_server.h
@@ -37,8 +37,8 @@
     POST /fault/NAME injects a fault or ends it. N is the index of a database:
 
     - down, up: the store answers every request with 503, or serves again
-    - crash-N, dark-N: a database stops and closes its connections, or leaves
-      them open without an answer
+    - crash-N, dark-N: a database stops, and closes its connections and refuses
+      new ones, or leaves them open without an answer; its entry expires
     - restart-N: a stopped database starts again
     - drain-N, stay-N: the directory lists a database as draining, or as ready
     - deaf-N, hear-N: a database neither receives nor sends commits, or does
@@ -93,6 +93,10 @@
   void PublishEndpoint(size_t member);
   void PublishEndpoints();
   bool InjectMembershipFault(std::string_view name, size_t member);
+  void StopMember(size_t member, bool is_silent);
+  bool RestartMember(size_t member);
+  /** @returns false if the database's address cannot be used */
+  bool Listen(size_t member);
   void RemoveMember(size_t member);
   void RunAfter(Duration pause, std::function<void()> task);
   uint16_t GetPort(size_t offset) const {
@@ -112,6 +116,8 @@
   std::map<size_t, std::string> published_endpoints_;
   uint64_t report_count_ = 0;
   std::map<size_t, bool> draining_;
+  /** When the members that have crashed stopped. */
+  std::map<size_t, TimePoint> stopped_at_;
   std::function<void()> promotion_observer_ = [] {};
   LoopTimer publish_timer_;
   uint64_t next_connection_ = 1;
