Soak: series of faults around a promotion whose primary lives

SOAK_PROMOTIONS=N adds a third schedule with random choices of its own, so that the runs of old seeds keep theirs. Each series provokes a promotion: the replicas receive nothing, and the primary answers 0.3 to 1.2 s late to all nodes or is cut off some of them. Behind the order a replica joins or restarts, which ends its pause, and lets the primary acknowledge commits again. SOAK_SECONDS sets the length of the period with faults, SOAK_NODE_BINARY the node under test.

The proxy of a database that has crashed or left refuses connections, as its host would; that of a silent one leaves them open without an answer.

--- a/tests/soak/link_proxy.cc
+++ b/tests/soak/link_proxy.cc
@@ -49,6 +49,7 @@
 LinkProxy::~LinkProxy() = default;
 
 std::error_code LinkProxy::Start() {
+  listener_.Stop();
   return listener_.Listen(listen_);
 }
 
@@ -79,8 +80,9 @@
     return;
   }
   const TimePoint now = loop_.Now();
-  const TimePoint due = std::max(
-      it.arrives_at, now + (is_affected ? faults_.delay : Duration(0)));
+  const Duration delay = std::max(is_affected ? faults_.delay : Duration(0),
+                                  to_server ? Duration(0) : answer_delay_);
+  const TimePoint due = std::max(it.arrives_at, now + delay);
   if (due <= now) {
     Deliver(link, to_server, bytes);
     return;
--- a/tests/soak/link_proxy.h
+++ b/tests/soak/link_proxy.h
@@ -42,6 +42,15 @@
       @returns the system's error if the address cannot be used
   */
   std::error_code Start();
+  /** Refuses new connections until Start() is called again, as the host of a
+      server that has ended. Open connections stay. */
+  void Stop() { listener_.Stop(); }
+  /** Delays all bytes from the server, on every connection and beside
+      SetFaults().
+
+      @param delay  zero ends the delay
+  */
+  void SetAnswerDelay(Duration delay) { answer_delay_ = delay; }
   /** Sets the faults from now on. */
   void SetFaults(const LinkFaults& faults) { faults_ = faults; }
   /** Closes connections on both sides at once.
@@ -81,6 +90,7 @@
   std::map<uint64_t, std::unique_ptr<Link>> links_;
   std::vector<std::unique_ptr<Link>> closed_links_;
   LinkFaults faults_;
+  Duration answer_delay_{};
   std::set<std::string> cut_vms_;
   uint64_t next_link_ = 0;
 };
--- a/tests/soak/membership_faults.cc
+++ b/tests/soak/membership_faults.cc
@@ -16,12 +16,14 @@
 MembershipFaults::MembershipFaults(
     EventLoop& loop,
     SiteServer& site,
+    DatabaseFaults& databases,
     std::span<const std::unique_ptr<LinkProxy>> proxies,
     size_t node_count,
     uint64_t seed,
     bool& is_database_down)
     : loop_(loop),
       site_(site),
+      databases_(databases),
       proxies_(proxies),
       node_count_(node_count),
       random_(seed),
@@ -73,17 +75,13 @@
   }
 }
 
-void MembershipFaults::InjectSiteFault(std::string_view fault, size_t member) {
-  site_.InjectFault(std::string(fault) + "-" + std::to_string(member));
-}
-
 void MembershipFaults::StopReplication(size_t member, Duration duration) {
   if (has_ended_) {
     return;
   }
-  InjectSiteFault("deaf", member);
+  databases_.Inject("deaf", member);
   RunLater(loop_, duration,
-           [this, member] { InjectSiteFault("hear", member); });
+           [this, member] { databases_.Inject("hear", member); });
 }
 
 void MembershipFaults::CutLink(size_t node, size_t member, Duration duration) {
@@ -96,7 +94,6 @@
            [this, vm, member] { proxies_[member]->ReconnectVm(vm); });
 }
 
-// At least one node still reaches the member. Half of the cuts leave only one.
 void MembershipFaults::CutFromSomeNodes(size_t member, Duration duration) {
   const size_t reaching = Choose(node_count_);
   const bool cuts_all_others = Choose(2) == 0;
@@ -107,15 +104,13 @@
   }
 }
 
-// Drains a member and ends it once it is a replica, then calls `left`. A new
-// member takes its place after the absence.
 void MembershipFaults::ReplaceMember(size_t member,
                                      Duration absence,
                                      std::function<void()> left) {
   if (has_ended_ || std::exchange(is_replacing_, true)) {
     return;
   }
-  InjectSiteFault("drain", member);
+  databases_.Inject("drain", member);
   RunLater(loop_, ChooseDuration(200, 800),
            [this, member, absence, left = std::move(left)] {
              EndDrainedMember(member, absence, left);
@@ -137,7 +132,7 @@
     return;
   }
   is_database_down_ = true;
-  InjectSiteFault("leave", member);
+  databases_.Inject("leave", member);
   left();
   RunLater(loop_, absence, [this, member] { JoinIfLeft(member); });
 }
@@ -146,13 +141,11 @@
   if (!site_.GetGroup().HasLeft(member)) {
     return;
   }
-  InjectSiteFault("join", member);
+  databases_.Inject("join", member);
   is_database_down_ = false;
   is_replacing_ = false;
 }
 
-// Starts a new member in the place of one that has left, before the promotion
-// that was just ordered takes effect.
 void MembershipFaults::JoinBehindPromotion() {
   const Duration delay = ChooseDuration(0, 300);
   for (size_t it = 0; it < proxies_.size(); ++it) {
@@ -195,7 +188,7 @@
 void MembershipFaults::End() {
   has_ended_ = true;
   for (size_t it = 0; it < proxies_.size(); ++it) {
-    InjectSiteFault("hear", it);
+    databases_.Inject("hear", it);
     JoinIfLeft(it);
     proxies_[it]->ReconnectVms();
   }
--- a/tests/soak/membership_faults.h
+++ b/tests/soak/membership_faults.h
@@ -11,6 +11,7 @@
 
 #include "net/net.h"
 #include "standins/site/site_server.h"
+#include "tests/soak/database_faults.h"
 #include "tests/soak/link_proxy.h"
 
 namespace magnoliareel {
@@ -28,6 +29,7 @@
  public:
   /** @param loop              schedules the faults; outlives this object
       @param site              the site with the databases
+      @param databases         injects faults into the databases
       @param proxies           the proxy of each database
       @param node_count        number of nodes
       @param seed              seed of every random choice
@@ -36,6 +38,7 @@
   */
   MembershipFaults(EventLoop& loop,
                    SiteServer& site,
+                   DatabaseFaults& databases,
                    std::span<const std::unique_ptr<LinkProxy>> proxies,
                    size_t node_count,
                    uint64_t seed,
@@ -49,29 +52,42 @@
   void Schedule(int64_t count, Duration period);
   /** Ends all faults; a new member takes the place of one that has left. */
   void End();
-
- private:
-  size_t Choose(size_t count) { return random_() % count; }
-  Duration ChooseDuration(int64_t min_ms, int64_t max_ms);
+  /** @returns the index of the running primary, or none */
   std::optional<size_t> FindPrimary() const;
-  void InjectFault();
-  void InjectSiteFault(std::string_view fault, size_t member);
+  /** Disconnects a member from replication for a while. */
   void StopReplication(size_t member, Duration duration);
-  void CutLink(size_t node, size_t member, Duration duration);
+  /** Cuts some of the nodes off a database for a while. At least one node still
+      reaches it; half of the cuts leave only one. */
   void CutFromSomeNodes(size_t member, Duration duration);
+  /** Drains a member and ends it once it is a replica. A new member takes its
+      place after the absence. Does nothing while another is being replaced.
+
+      @param member   index of the member
+      @param absence  time until the new member starts
+      @param left     called once the member has ended
+  */
   void ReplaceMember(size_t member,
                      Duration absence,
                      std::function<void()> left);
+  /** Starts a new member in the place of one that has left, before the
+      promotion that was just ordered takes effect. */
+  void JoinBehindPromotion();
+
+ private:
+  size_t Choose(size_t count) { return random_() % count; }
+  Duration ChooseDuration(int64_t min_ms, int64_t max_ms);
+  void InjectFault();
+  void CutLink(size_t node, size_t member, Duration duration);
   void EndDrainedMember(size_t member,
                         Duration absence,
                         std::function<void()> left);
   void JoinIfLeft(size_t member);
-  void JoinBehindPromotion();
   void CutPrimaryWhileReplicaJoins();
   void StallCommitsBehindCut(size_t absent);
 
   EventLoop& loop_;
   SiteServer& site_;
+  DatabaseFaults& databases_;
   const std::span<const std::unique_ptr<LinkProxy>> proxies_;
   const size_t node_count_;
   std::mt19937_64 random_;
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -25,7 +25,8 @@
 constexpr int64_t kMaxPromotionDelayMs = 1000;
 
 Duration ChoosePromotionDelay(const SoakSettings& settings) {
-  if (settings.membership_fault_count == 0) {
+  if (settings.membership_fault_count == 0 &&
+      settings.promotion_fault_count == 0) {
     return GroupOptions{}.promotion_delay;
   }
   std::mt19937_64 random(static_cast<uint64_t>(settings.seed));
@@ -77,12 +78,21 @@
               }
             }
           }),
+      database_faults_(site_, std::span(proxies_).subspan(1)),
       membership_faults_(loop,
                          site_,
+                         database_faults_,
                          std::span(proxies_).subspan(1),
                          static_cast<size_t>(settings.nodes),
                          static_cast<uint64_t>(settings.seed),
-                         is_database_down_) {
+                         is_database_down_),
+      promotion_faults_(loop,
+                        site_,
+                        database_faults_,
+                        std::span(proxies_).subspan(1),
+                        membership_faults_,
+                        static_cast<uint64_t>(settings.seed),
+                        is_database_down_) {
   constexpr std::array<const char*, 3> kDatabases = {"entries", "lookups",
                                                      "timesheets"};
   const auto nodes = static_cast<size_t>(settings_.nodes);
@@ -141,6 +151,10 @@
     membership_faults_.Schedule(settings_.membership_fault_count,
                                 std::chrono::milliseconds(duration));
   }
+  if (settings_.promotion_fault_count > 0) {
+    promotion_faults_.Schedule(settings_.promotion_fault_count,
+                               std::chrono::milliseconds(duration));
+  }
   RunLater(loop_, std::chrono::milliseconds(duration), [this] { EndFaults(); });
 }
 
@@ -261,9 +275,9 @@
 }
 
 void SoakRun::RequestSiteFault(std::string_view fault, size_t member) {
-  const std::string name = std::string(fault) + "-" + std::to_string(member);
-  if (!site_.InjectFault(name)) {
-    failures_.push_back("the site has no fault named " + name);
+  if (!database_faults_.Inject(fault, member)) {
+    failures_.push_back("the site did not inject the fault " +
+                        std::string(fault) + "-" + std::to_string(member));
   }
 }
 
@@ -285,6 +299,7 @@
     return;
   }
   membership_faults_.End();
+  promotion_faults_.End();
   for (const char* it : {"up", "keep", "quick"}) {
     RequestSiteFault(it, 0);
   }
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -10,8 +10,10 @@
 #include "net/net.h"
 #include "standins/site/site_server.h"
 #include "tests/soak/caller_connections.h"
+#include "tests/soak/database_faults.h"
 #include "tests/soak/link_proxy.h"
 #include "tests/soak/membership_faults.h"
+#include "tests/soak/promotion_faults.h"
 #include "tests/traffic/traffic_caller.h"
 #include "tests/traffic/traffic_history.h"
 
@@ -34,6 +36,9 @@
   /** Number of faults of the membership and of single links injected in the
      same period; see MembershipFaults. The other faults don't depend on it. */
   int64_t membership_fault_count = 0;
+  /** Number of series of faults around a promotion in the same period; see
+      PromotionFaults. The other faults don't depend on it. */
+  int64_t promotion_fault_count = 0;
 };
 
 /** One run of the fault soak: callers use real nodes in front of a stand-in
@@ -91,7 +96,9 @@
   TimePoint began_at_;
   bool is_database_down_ = false;
   bool have_faults_ended_ = false;
+  DatabaseFaults database_faults_;
   MembershipFaults membership_faults_;
+  PromotionFaults promotion_faults_;
 };
 
 }  // namespace magnoliareel
