--- a/tests/soak/database_faults.cc
+++ b/tests/soak/database_faults.cc
@@ -2,6 +2,8 @@
 
 #include <string>
 
+#include "tests/soak/action_output.h"
+
 namespace magnoliareel {
 
 DatabaseFaults::DatabaseFaults(
@@ -13,6 +15,7 @@
   if (!site_.InjectFault(std::string(fault) + "-" + std::to_string(member))) {
     return false;
   }
+  PrintAction("fault " + std::string(fault), member);
   LinkProxy& proxy = *proxies_[member];
   if (fault == "crash" || fault == "leave") {
     proxy.Stop();
--- a/tests/soak/membership_faults.cc
+++ b/tests/soak/membership_faults.cc
@@ -3,6 +3,8 @@
 #include <string>
 #include <utility>
 
+#include "tests/soak/action_output.h"
+
 namespace magnoliareel {
 namespace {
 
@@ -90,8 +92,11 @@
   }
   const std::string vm = "node-" + std::to_string(node + 1);
   proxies_[member]->CutVm(vm);
-  RunLater(loop_, duration,
-           [this, vm, member] { proxies_[member]->ReconnectVm(vm); });
+  PrintAction("fault cut-" + vm, member);
+  RunLater(loop_, duration, [this, vm, member] {
+    proxies_[member]->ReconnectVm(vm);
+    PrintAction("fault reconnect-" + vm, member);
+  });
 }
 
 void MembershipFaults::CutFromSomeNodes(size_t member, Duration duration) {
--- a/tests/soak/promotion_faults.cc
+++ b/tests/soak/promotion_faults.cc
@@ -3,6 +3,8 @@
 #include <optional>
 #include <utility>
 
+#include "tests/soak/action_output.h"
+
 namespace magnoliareel {
 namespace {
 
@@ -96,8 +98,11 @@
     return;
   }
   proxies_[member]->SetAnswerDelay(ChooseDuration(300, 1200));
-  RunLater(loop_, duration,
-           [this, member] { proxies_[member]->SetAnswerDelay({}); });
+  PrintAction("fault late", member);
+  RunLater(loop_, duration, [this, member] {
+    proxies_[member]->SetAnswerDelay({});
+    PrintAction("fault prompt", member);
+  });
 }
 
 void PromotionFaults::HandleOrder() {
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -1,9 +1,10 @@
 #include "tests/soak/soak_run.h"
 
 #include <algorithm>
-#include <cstdio>
 #include <utility>
 
+#include "tests/soak/action_output.h"
+
 namespace magnoliareel {
 namespace {
 
@@ -290,8 +291,7 @@
 }
 
 void SoakRun::RequestNodeAction(std::string_view action, size_t node) const {
-  std::printf("%s %zu\n", std::string(action).c_str(), node + 1);
-  std::fflush(stdout);
+  PrintAction(action, node + 1);
 }
 
 void SoakRun::EndFaults() {
