--- a/tests/soak/promotion_faults.cc
+++ b/tests/soak/promotion_faults.cc
@@ -47,7 +47,9 @@
   }
 }
 
-// In half of the series a replica is replaced, in the others one restarts.
+// In half of the series a replica is replaced. In the others one restarts,
+// which ends its pause: behind the next order, or at a time that may lie before
+// it.
 void PromotionFaults::BeginSeries() {
   const std::optional<size_t> primary = membership_.FindPrimary();
   if (has_ended_ || !primary) {
@@ -59,7 +61,12 @@
                               [this] { StallCommits(); });
     return;
   }
-  restarts_behind_order_ = true;
+  if (Choose(3) == 0) {
+    RunLater(loop_, ChooseDuration(800, 4000),
+             [this, replica] { RestartReplica(replica); });
+  } else {
+    restarts_behind_order_ = true;
+  }
   StallCommits();
 }
 
--- a/tests/soak/promotion_faults.h
+++ b/tests/soak/promotion_faults.h
@@ -15,10 +15,10 @@
 
 /** Injects series of faults, each of which provokes a promotion while the
     primary lives: its replicas receive nothing, so that commits stall, and it
-    answers late to all nodes or is cut off some of them. Behind the order a
-    replica receives again: one that joins, or one that restarts, which ends its
-    pause. Such a primary may acknowledge commits until the promotion takes
-    effect.
+    answers late to all nodes or is cut off some of them. Behind the order, or
+    shortly before it, a replica receives again: one that joins, or one that
+    restarts, which ends its pause. Such a primary may acknowledge commits until
+   the promotion takes effect.
 
     No database is down or absent beside a restarting or leaving replica, so
     each acknowledged commit stays on a database that exists.
