--- a/standins/group/group_model.h
+++ b/standins/group/group_model.h
@@ -166,6 +166,10 @@
   }
   /** @returns whether the member is running */
   bool IsRunning(size_t member) const { return members_[member].is_up; }
+  /** @returns whether a PAUSE has stopped the member's replication */
+  bool IsPaused(size_t member) const {
+    return members_[member].paused_at_term > Term{};
+  }
   /** @returns whether the member has left */
   bool HasLeft(size_t member) const { return members_[member].has_left; }
   /** @returns the number of members */
