--- a/libs/control/failover/command_forwarder.h
+++ b/libs/control/failover/command_forwarder.h
@@ -354,6 +354,7 @@
               {"busy", count(ForwardedCommandResult::kBusy)},
               {"not_sent", count(ForwardedCommandResult::kNotSent)},
               {"answer_lost", count(ForwardedCommandResult::kAnswerLost)},
+              {"stopped", count(ForwardedCommandResult::kStopped)},
               {"silent", silent.empty() ? "none" : silent},
               {"after_ms", std::to_string(age.count() / 1000)}});
   }
--- a/libs/control/tests/command_forwarder_test.cc
+++ b/libs/control/tests/command_forwarder_test.cc
@@ -157,7 +157,8 @@
   LONGS_EQUAL(1, ended.size());
   CheckFields(ended[0],
               "endpoint=db-1 step=demote forwarded=3 answered=0 busy=1 "
-              "not_sent=0 answer_lost=0 silent=vm-2,vm-4 after_ms=300");
+              "not_sent=0 answer_lost=0 stopped=0 silent=vm-2,vm-4 "
+              "after_ms=300");
 }
 
 TEST(CommandForwarder, LogsNoForwardingForAnEndpointThatAnswers) {
