--- a/libs/telemetry/events/event.cc
+++ b/libs/telemetry/events/event.cc
@@ -146,7 +146,8 @@
     {kReplacementStarted, kWarning, "replacement.started",
      "This VM started to replace a primary. service, primary, reason, "
      "fencing_token, members, departed (not accounted for), endpoints_version "
-     "(of the directory), endpoints_age_ms (since their latest change), store"},
+     "(of the directory), endpoints_age_ms (since their latest change), "
+     "may_gain_replica (a member has left or is leaving), store"},
     {kReplacementStep, kInfo, "replacement.step",
      "An endpoint answered a step of a replacement. service, endpoint, step, "
      "role, term, received, error, command_term, paused_at (0: not paused), "
@@ -184,15 +185,14 @@
     {kForwardingEnded, kInfo, "command.forwarding_ended",
      "A command that was forwarded to other VMs ended. endpoint, step, error, "
      "direct (result of this VM's own attempt), forwarded (number of VMs, as "
-     "the next ones), answered, busy, not_sent, answer_lost, silent (VMs that "
-     "did not respond), after_ms"},
+     "the next ones), answered, busy, not_sent, answer_lost, stopped, silent "
+     "(VMs that did not respond), after_ms"},
     {kReplicaResume, kInfo, "replica.resume",
      "This VM ends the pause of a replica. service, endpoint, step (sent: "
-     "after "
-     "a report of the pause, or answered), reason (abandoned_attempt, "
-     "promotion_confirmed or duty_claimed), error, paused_at, own_pause (term "
-     "of "
-     "this VM's latest pause; 0: none), term, received"},
+     "after a report of the pause, or answered), reason (abandoned_attempt, "
+     "promotion_confirmed or duty_claimed), error, paused_at, own_pause "
+     "(newest term of the pauses that it may end; none: the one reported "
+     "first), term, received"},
     {kReadinessChanged, kInfo, "process.readiness",
      "The process changed its answer to the platform's readiness probe. ready, "
      "reason"},
