Wait for a silent primary that accepts connections

Cause: the primary answered 0.3 to 0.7 s late, its group had all members, so it was replaced after one unanswered demotion. A paused replica started anew 0.2 s after the order, and the primary acknowledged 5.925 to 5.927 through it; the promoted log ended at 5.924. The late demotion was answered 0.7 s after the order.

Change: a group with all members is enough only if no VM can open a connection to the primary. One that accepts a connection runs, and is waited for like one whose group has a free place. Other VMs give up 60 ms before the deadline, so that what they found arrives in time; their missing responses count as a sign of life.

Test, red before: DoesNotReplaceAPrimaryThatAcceptsConnectionsAndAnswersLate. LostDatagramsAreRepeated pins the timeout of a repeated request; it is 60 ms less.

--- a/libs/control/failover/command_forwarder.h
+++ b/libs/control/failover/command_forwarder.h
@@ -29,6 +29,10 @@
     because datagrams may be lost. */
 inline constexpr Duration kForwardedCommandRetryInterval =
     std::chrono::milliseconds(100);
+/** Time that another VM's response takes. A VM gives up so much earlier that
+    its response arrives before the deadline. */
+inline constexpr Duration kForwardedResponseTime =
+    std::chrono::milliseconds(60);
 /** Maximum number of VMs that a command is forwarded to. Each may open a
     connection to the endpoint. */
 inline constexpr size_t kMaxForwardingVms = 8;
@@ -258,7 +262,8 @@
       return;
     }
     const Call& call = it->second;
-    const Duration remaining = call.deadline - delegate_.Now();
+    const Duration remaining =
+        call.deadline - delegate_.Now() - kForwardedResponseTime;
     for (const Forwarded& forwarded : call.waiting) {
       delegate_.ForwardCommand(forwarded.address,
                                {id, peers_.GetSelfAddress(), call.endpoint,
--- a/libs/control/failover/endpoint_commands.h
+++ b/libs/control/failover/endpoint_commands.h
@@ -65,7 +65,8 @@
     Error::kOverloaded if the endpoint had no free slot, Error::kEndpointStopped
     if its host refused the connection or another endpoint uses its address,
     Error::kUnreachable if no connection could be opened, Error::kAnswerLost if
-    the endpoint may still execute the command later. */
+    it was opened and the endpoint did not answer in time: it runs, and may
+    still execute the command. */
 using EndpointCommandCompletion =
     std::function<void(std::error_code, const ReplicationStatus&)>;
 
--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -73,11 +73,12 @@
 
     Silence does not show that a primary is dead. One that answers no VM is sent
     demotions by all of them. It is replaced without an answer if its host
-    refuses connections, or if its group has all of its members: the compared
-    replicas are then the only ones through which it can acknowledge commits.
-    While a replica may join in the place of one that has left, it is replaced
-    only once the directory does not list it any more. It is sent further
-    demotions until the promotion takes effect, since it may have started again.
+    refuses connections, or if no VM can open one and its group has all of its
+    members: the compared replicas are then the only ones through which it can
+    acknowledge commits. While it accepts connections, or a replica may join in
+    the place of one that has left, it is replaced only once the directory does
+    not list it any more. It is sent further demotions until the promotion takes
+    effect, since it may have started again.
 
     @tparam C  sends commands to replicas, @see EndpointCommandSender
     @tparam F  sends commands to the primary, through other VMs if this one does
--- a/libs/control/tests/command_forwarder_test.cc
+++ b/libs/control/tests/command_forwarder_test.cc
@@ -267,7 +267,7 @@
   network.Advance(kForwardedCommandRetryInterval);
   LONGS_EQUAL(4, network.forwarded.size());
   CHECK(network.forwarded.back().second.timeout ==
-        kTimeout - kForwardedCommandRetryInterval);
+        kTimeout - kForwardedCommandRetryInterval - kForwardedResponseTime);
   LONGS_EQUAL(network.forwarded.front().second.id,
               network.forwarded.back().second.id);
 }
--- a/libs/control/tests/control_test.cc
+++ b/libs/control/tests/control_test.cc
@@ -62,7 +62,7 @@
     }
     if (it == statuses.end() || (command.kind == EndpointCommandKind::kPause &&
                                  endpoint.id.value == fails_pause)) {
-      done(Error::kAnswerLost, {});
+      done(silence, {});
       return;
     }
     if (command.kind == EndpointCommandKind::kPause) {
@@ -137,6 +137,8 @@
   /** Endpoints that run and do not answer. An endpoint without a status that is
       none of these does not run. */
   std::set<std::string> silent;
+  /** Result of a command without an answer. */
+  std::error_code silence = Error::kAnswerLost;
   // Endpoints that the directory lists after the demotion.
   std::vector<EndpointEntry> listed;
   // Called when an endpoint has been demoted.
@@ -240,16 +242,28 @@
   CHECK(group.trace.find("promote") == std::string::npos);
 }
 
-TEST(Replacement, ReplacesASilentPrimaryWhoseGroupHasAllMembers) {
+TEST(Replacement, ReplacesAPrimaryThatNoVmReachesIfItsGroupHasAllMembers) {
   // It can acknowledge commits through the compared replicas only.
   group.statuses = {{"db-2", MakeStatus(false, 1, 7)},
                     {"db-3", MakeStatus(false, 1, 7)}};
   group.silent = {"db-1"};
   group.may_gain_replica = false;
+  group.silence = Error::kUnreachable;
   CHECK(group.Replace(ReplacementReason::kUnreachable, replicas).outcome ==
         ReplacementOutcome::kPromoted);
 }
 
+TEST(Replacement, DoesNotReplaceAPrimaryThatAcceptsConnectionsAndAnswersLate) {
+  // A paused replica that started anew behind the order let it acknowledge
+  // commits (soak, seed 45005).
+  group.statuses = {{"db-2", MakeStatus(false, 1, 7)},
+                    {"db-3", MakeStatus(false, 1, 7)}};
+  group.silent = {"db-1"};
+  group.may_gain_replica = false;
+  CHECK(group.Replace(ReplacementReason::kUnreachable, replicas).outcome ==
+        ReplacementOutcome::kAbandoned);
+}
+
 TEST(Replacement, FindsAPrimaryThatIsBackUnderAnotherId) {
   // The pauses of an earlier attempt hid it: it leads in its old term, and each
   // attempt ended because it confirmed no pause.
