--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -451,8 +451,9 @@
   */
   void DemotePrimary(int attempt);
   /** Continues with CheckMembersOfUnreachedPrimary() if the primary does not
-      run or cannot gain a replica, with CheckMembersOfUnlistedPrimary() if the
-      directory has ceased to list it, and otherwise with DemotePrimary().
+      run, or if no VM reaches it and it cannot gain a replica; with
+      CheckMembersOfUnlistedPrimary() if the directory has ceased to list it;
+      otherwise with the next DemotePrimary().
 
       @param ec  result of the demotion
   */
