Leave a primary that is listed again

Cause: a primary that is silent for a while is waited for, so the attempt went on when its reason, that the primary is gone, did not hold any more.

Change: an attempt for a primary that is gone ends before the demotion if the directory lists it again.

--- a/libs/control/failover/primary_replacement_demotion.h
+++ b/libs/control/failover/primary_replacement_demotion.h
@@ -23,6 +23,11 @@
     CheckMembersOfUnreachedPrimary();
     return;
   }
+  if (plan_.reason == ReplacementReason::kGone && !primary_status_ &&
+      plan_.is_primary_listed()) {
+    Finish(ReplacementOutcome::kAbandoned, {}, "the primary is listed again");
+    return;
+  }
   // One that has reported that it is a replica may lead since.
   auto self = this->shared_from_this();
   const Duration timeout = primary_status_
--- a/libs/control/tests/control_test.cc
+++ b/libs/control/tests/control_test.cc
@@ -264,6 +264,16 @@
         ReplacementOutcome::kAbandoned);
 }
 
+TEST(Replacement, LeavesAPrimaryThatIsListedAgain) {
+  // It is not gone, and a demotion would interrupt the statements that it runs.
+  group.statuses = {{"db-2", MakeStatus(false, 1, 7)},
+                    {"db-3", MakeStatus(false, 1, 7)}};
+  group.silent = {"db-1"};
+  CHECK(group.Replace(ReplacementReason::kGone, replicas).outcome ==
+        ReplacementOutcome::kAbandoned);
+  CHECK(group.trace.find("demote") == std::string::npos);
+}
+
 TEST(Replacement, FindsAPrimaryThatIsBackUnderAnotherId) {
   // The pauses of an earlier attempt hid it: it leads in its old term, and each
   // attempt ended because it confirmed no pause.
