Split the replacement by its steps; mends from reading the diff

Moves only: the methods of PrimaryReplacement that survey, pause and order have files of their own, as has the decision of FailoverControl to replace a primary.

--- a/libs/control/failover/command_forwarder.h
+++ b/libs/control/failover/command_forwarder.h
@@ -264,6 +264,9 @@
     const Call& call = it->second;
     const Duration remaining =
         call.deadline - delegate_.Now() - kForwardedResponseTime;
+    if (remaining <= Duration(0)) {
+      return;
+    }
     for (const Forwarded& forwarded : call.waiting) {
       delegate_.ForwardCommand(forwarded.address,
                                {id, peers_.GetSelfAddress(), call.endpoint,
--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -559,8 +559,9 @@
 
 // Definitions of the methods, grouped by topic.
 #include "control/failover/failover_control_departures.h"  // IWYU pragma: export
-#include "control/failover/failover_control_duties.h"  // IWYU pragma: export
-#include "control/failover/failover_control_groups.h"  // IWYU pragma: export
+#include "control/failover/failover_control_duties.h"   // IWYU pragma: export
+#include "control/failover/failover_control_groups.h"   // IWYU pragma: export
+#include "control/failover/failover_control_reasons.h"  // IWYU pragma: export
 #include "control/failover/failover_control_replacement.h"  // IWYU pragma: export
 
 #endif  // MAGNOLIAREEL_CONTROL_FAILOVER_FAILOVER_CONTROL_H_
--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -140,33 +140,7 @@
   using Step = void (PrimaryReplacement::*)();
 
   /** @param attempt  number of times that the primary had no free slot */
-  void SurveyPrimary(int attempt) {
-    if (!plan_.primary) {
-      CompleteCall(&PrimaryReplacement::FinishSurvey);
-      return;
-    }
-    was_primary_asked_ = true;
-    auto self = this->shared_from_this();
-    primary_commands_.Send(
-        *plan_.primary, {EndpointCommandKind::kReport, {}},
-        kEndpointCommandTimeout / 2,
-        [self, attempt](std::error_code ec, const ReplicationStatus& status) {
-          if (ec == Error::kOverloaded && attempt < kMaxBusyEndpointRetries &&
-              self->plan_.reason != ReplacementReason::kCommitsStalled) {
-            self->timing_.After(kBusyEndpointRetryInterval, [self, attempt] {
-              self->SurveyPrimary(attempt + 1);
-            });
-            return;
-          }
-          self->LogStep(*self->plan_.primary,
-                        {EndpointCommandKind::kReport, {}}, ec, status);
-          self->primary_is_busy_ = ec == Error::kOverloaded;
-          if (!ec) {
-            self->primary_status_ = status;
-          }
-          self->CompleteCall(&PrimaryReplacement::FinishSurvey);
-        });
-  }
+  void SurveyPrimary(int attempt);
 
   void SendCommand(size_t index,
                    EndpointCommand command,
@@ -200,128 +174,19 @@
     }
   }
 
-  void FinishSurvey() {
-    Term newest_term = primary_status_ ? primary_status_->term : Term{};
-    for (const SurveyedEndpoint& it : replicas_) {
-      if (it.status) {
-        newest_term =
-            std::max({newest_term, it.status->term, it.status->paused_at});
-      }
-    }
-    if (const SurveyedEndpoint* leader = FindLeader(newest_term)) {
-      pause_term_ = leader->status->term;
-      Finish(ReplacementOutcome::kAlreadyReplaced, leader->entry.id, "");
-      return;
-    }
-    if (IsPrimaryHealthy()) {
-      Finish(ReplacementOutcome::kNotNeeded, plan_.primary_id, "");
-      return;
-    }
-    const bool is_gone = plan_.reason == ReplacementReason::kGone;
-    if (plan_.has_unsettled_orders && !is_gone && primary_status_ &&
-        primary_status_->is_primary) {
-      // The order changes nothing while the primary leads, but would undo its
-      // demotion.
-      has_unsettled_orders_ = true;
-      Finish(ReplacementOutcome::kAbandoned, {},
-             "an order for the primary may still take effect");
-      return;
-    }
-    if (IsPrimaryDemoted() && !is_gone &&
-        plan_.reason != ReplacementReason::kDemoted) {
-      // The VM that demoted it may have ordered a promotion.
-      Finish(ReplacementOutcome::kAbandoned, {},
-             "another VM has demoted the primary");
-      return;
-    }
-    SetActingPrimaryAside();
-    if (plan_.has_unaccounted_departures) {
-      PromotePrimaryAgainOrAbandon("a departed replica is unaccounted for");
-      return;
-    }
-    if (std::any_of(replicas_.begin(), replicas_.end(),
-                    [](const SurveyedEndpoint& it) { return !it.status; })) {
-      // It may be the only replica that holds an acknowledged commit. The
-      // others go on receiving, or commits would stall while it is silent.
-      PromotePrimaryAgainOrAbandon("a replica does not answer");
-      return;
-    }
-    const std::optional<size_t> next =
-        ChoosePromotionCandidate(replicas_, plan_.pending_promotion);
-    if (!next) {
-      PromotePrimaryAgainOrAbandon("no replica is eligible for promotion");
-      return;
-    }
-    candidate_ = *next;
-    has_candidate_ = true;
-    if (!plan_.is_store_connected && primary_status_ &&
-        replicas_[candidate_].status->received < primary_status_->received &&
-        plan_.reason == ReplacementReason::kCommitsStalled) {
-      // The membership check could not succeed, and a demotion would only
-      // interrupt the service.
-      PromotePrimaryAgainOrAbandon(
-          "no replica holds the end of the log, and the directory cannot be "
-          "read");
-      return;
-    }
-    pause_term_ = newest_term.Next();
-    PauseOthers();
-  }
+  void FinishSurvey();
 
   /** @param newest_term  newest term that an endpoint leads or is paused at
       @returns            the endpoint that leads in place of the primary; null
                           if there is none */
-  const SurveyedEndpoint* FindLeader(Term newest_term) const {
-    // A primary that is gone may be back under another id, in its old term. The
-    // pauses of earlier attempts don't count then.
-    const bool may_have_returned = plan_.reason == ReplacementReason::kGone &&
-                                   plan_.primary && !primary_status_ &&
-                                   plan_.pending_promotion.IsEmpty();
-    if (may_have_returned) {
-      newest_term = {};
-      for (const SurveyedEndpoint& it : replicas_) {
-        newest_term =
-            it.status ? std::max(newest_term, it.status->term) : newest_term;
-      }
-    }
-    const auto found = std::find_if(replicas_.begin(), replicas_.end(),
-                                    [newest_term](const SurveyedEndpoint& it) {
-                                      return it.status &&
-                                             it.status->is_primary &&
-                                             it.status->term >= newest_term;
-                                    });
-    return found == replicas_.end() ? nullptr : &*found;
-  }
+  const SurveyedEndpoint* FindLeader(Term newest_term) const;
 
   /** @returns whether the primary has reported that it is a replica */
   bool IsPrimaryDemoted() const {
     return primary_status_ && !primary_status_->is_primary;
   }
 
-  // While a promotion that was ordered has not taken effect, the old primary
-  // may be listed among the replicas. What it holds beyond the candidate's log
-  // was acknowledged by nobody.
-  void SetActingPrimaryAside() {
-    if (plan_.pending_promotion.IsEmpty()) {
-      return;
-    }
-    if (const EndpointId& demoted = plan_.demoted_primary.id;
-        demoted != plan_.pending_promotion) {
-      std::erase_if(replicas_, [&demoted](const SurveyedEndpoint& it) {
-        return it.entry.id == demoted;
-      });
-    }
-    Term newest_term;
-    for (const SurveyedEndpoint& it : replicas_) {
-      if (it.status) {
-        newest_term = std::max(newest_term, it.status->term);
-      }
-    }
-    std::erase_if(replicas_, [newest_term](const SurveyedEndpoint& it) {
-      return it.status && it.status->is_primary &&
-             it.status->term == newest_term;
-    });
-  }
+  void SetActingPrimaryAside();
 
   /** @returns whether a VM has had an answer of the primary lately, so that it
                may acknowledge commits unless it was demoted */
@@ -329,119 +194,20 @@
     return primary_status_ || primary_is_busy_ || plan_.answered_lately;
   }
 
-  bool IsPrimaryHealthy() const {
-    if (plan_.reason == ReplacementReason::kDemoted) {
-      return primary_status_ && primary_status_->is_primary;
-    }
-    if (plan_.reason != ReplacementReason::kCommitsStalled) {
-      return false;
-    }
-    // Commits stall if no replica has received the end of the primary's log.
-    // A primary without a free slot is only busy: its commits wait for slots,
-    // too.
-    return primary_is_busy_ ||
-           (primary_status_ &&
-            std::any_of(replicas_.begin(), replicas_.end(),
-                        [&](const SurveyedEndpoint& it) {
-                          return it.status && it.status->received >=
-                                                  primary_status_->received;
-                        }));
-  }
+  bool IsPrimaryHealthy() const;
 
-  void PauseOthers() {
-    std::vector<size_t> others;
-    for (size_t it = 0; it < replicas_.size(); ++it) {
-      if (it != candidate_) {
-        others.push_back(it);
-      }
-    }
-    pending_ = others.size() + 1;
-    for (const size_t it : others) {
-      possibly_paused_.push_back(replicas_[it].entry);
-      SendCommand(it, {EndpointCommandKind::kPause, pause_term_}, 0,
-                  &PrimaryReplacement::FinishPause);
-    }
-    CompleteCall(&PrimaryReplacement::FinishPause);
-  }
+  void PauseOthers();
 
-  void FinishPause() {
-    for (size_t it = 0; it < replicas_.size(); ++it) {
-      const bool accounted =
-          it == candidate_ || (replicas_[it].status &&
-                               replicas_[it].status->paused_at >= pause_term_);
-      if (!accounted) {
-        // This replica may be the only one that holds an acknowledged commit.
-        Finish(ReplacementOutcome::kAbandoned, {},
-               "a replica did not confirm its pause");
-        return;
-      }
-    }
-    pending_ = 1;
-    SendCommand(candidate_, {EndpointCommandKind::kReport, {}}, 0,
-                &PrimaryReplacement::FinishComparison);
-  }
+  void FinishPause();
 
-  void FinishComparison() {
-    if (!replicas_[candidate_].status) {
-      Finish(ReplacementOutcome::kAbandoned, {},
-             "the candidate did not report its status");
-      return;
-    }
-    if (HasReceivedMost(candidate_)) {
-      DemotePrimaryFor(candidate_);
-      return;
-    }
-    if (replicas_[candidate_].entry.id == plan_.pending_promotion) {
-      Finish(ReplacementOutcome::kAbandoned, {},
-             "an earlier promotion of a replica that is behind may still be "
-             "executed");
-      return;
-    }
-    if (++candidate_pauses_ > 1) {
-      Finish(ReplacementOutcome::kAbandoned, {},
-             "no replica holds every commit");
-      return;
-    }
-    // Another replica has received more. With the candidate paused as well, no
-    // further commit is acknowledged, and the replica that has received most
-    // holds every acknowledged commit.
-    possibly_paused_.push_back(replicas_[candidate_].entry);
-    pending_ = 1;
-    SendCommand(candidate_, {EndpointCommandKind::kPause, pause_term_}, 0,
-                &PrimaryReplacement::FinishCandidatePause);
-  }
+  void FinishComparison();
 
-  void FinishCandidatePause() {
-    const auto& status = replicas_[candidate_].status;
-    if (!status || status->paused_at < pause_term_) {
-      Finish(ReplacementOutcome::kAbandoned, {},
-             "the candidate did not confirm its pause");
-      return;
-    }
-    for (size_t it = 0; it < replicas_.size(); ++it) {
-      if (HasReceivedMost(it) && !replicas_[it].entry.draining) {
-        DemotePrimaryFor(it);
-        return;
-      }
-    }
-    // Only a draining replica holds every commit. It is promoted and is primary
-    // until the next attempt replaces it.
-    for (size_t it = 0; it < replicas_.size(); ++it) {
-      if (HasReceivedMost(it)) {
-        candidate_ = it;
-      }
-    }
-    DemotePrimaryFor(candidate_);
-  }
+  void FinishCandidatePause();
 
   /** Chooses the candidate, and continues with DemotePrimary().
 
       @param candidate  a replica that has received most */
-  void DemotePrimaryFor(size_t candidate) {
-    candidate_ = candidate;
-    compared_received_ = replicas_[candidate].status->received;
-    DemotePrimary(0);
-  }
+  void DemotePrimaryFor(size_t candidate);
 
   /** Demotes the primary and continues with CompareWithPrimary(). If no VM has
       an answer of it, continues with HandleUnansweredDemotion().
@@ -514,73 +280,14 @@
                        });
   }
 
-  void Promote() {
-    const bool is_first_order = lost_promotion_replies_ == 0;
-    if (is_first_order) {
-      plan_.record_order(replicas_[candidate_].entry.id);
-    }
-    auto self = this->shared_from_this();
-    promotions_.Promote(
-        plan_.service, replicas_[candidate_].entry.id, plan_.fencing_token,
-        [self](std::error_code ec) { self->FinishPromotion(ec); });
-    if (is_first_order) {
-      ordered_at_ = timing_.Now();
-      DemoteUntilPromotion(0);
-    }
-  }
+  void Promote();
 
-  void FinishPromotion(std::error_code ec) {
-    const EndpointId primary = replicas_[candidate_].entry.id;
-    if (!ec) {
-      Finish(ReplacementOutcome::kPromoted, primary, "");
-      return;
-    }
-    if (ec == Error::kSuperseded) {
-      is_order_refused_ = true;
-      Finish(ReplacementOutcome::kSuperseded, {}, "superseded");
-      return;
-    }
-    if (ec != Error::kAnswerLost) {
-      is_order_refused_ = lost_promotion_replies_ == 0;
-      Finish(ReplacementOutcome::kAbandoned, {},
-             "the platform did not accept the promotion");
-      return;
-    }
-    if (++lost_promotion_replies_ < kMaxPromotionAttempts) {
-      // Repeating the same order is safe: each copy names the same endpoint,
-      // whichever of them is executed, and whenever.
-      Promote();
-      return;
-    }
-    Finish(ReplacementOutcome::kUncertain, primary,
-           "the answer to the promotion was lost");
-  }
+  void FinishPromotion(std::error_code ec);
 
   void LogStep(const EndpointEntry& endpoint,
                const EndpointCommand& command,
                std::error_code ec,
-               const ReplicationStatus& status) const {
-    const SurveyedEndpoint* candidate =
-        has_candidate_ ? &replicas_[candidate_] : nullptr;
-    LogEvent(Event::kReplacementStep,
-             {{"service", plan_.service.value},
-              {"endpoint", endpoint.id.value},
-              {"step", std::string(GetEndpointCommandName(command.kind))},
-              {"role", status.is_primary ? "primary" : "replica"},
-              {"term", std::to_string(status.term.value)},
-              {"received", FormatLogPoint(status.received)},
-              {"error", ec ? ec.message() : "none"},
-              {"command_term", std::to_string(command.term.value)},
-              {"paused_at", std::to_string(status.paused_at.value)},
-              {"born", std::to_string(endpoint.started_at_ms)},
-              {"candidate", candidate ? candidate->entry.id.value : "none"},
-              {"candidate_received",
-               candidate && candidate->status
-                   ? FormatLogPoint(candidate->status->received)
-                   : "none"},
-              {"after_ms",
-               std::to_string((timing_.Now() - began_at_).count() / 1000)}});
-  }
+               const ReplicationStatus& status) const;
 
   /** @returns what became of the primary in this attempt, for log lines */
   PrimaryDemotion GetDemotion() const {
@@ -593,29 +300,7 @@
 
   void Finish(ReplacementOutcome outcome,
               EndpointId primary,
-              std::string_view reason) {
-    ReplacementResult result;
-    result.outcome = outcome;
-    result.primary = std::move(primary);
-    result.term = pause_term_;
-    result.fencing_token = plan_.fencing_token;
-    result.promotion_reply_lost = lost_promotion_replies_ > 0;
-    result.reason = reason;
-    result.possibly_paused = possibly_paused_;
-    result.pause_term = pause_term_;
-    result.demoted_primary = demoted_primary_;
-    result.has_unsettled_orders = has_unsettled_orders_;
-    result.demotion = GetDemotion();
-    result.pause_term = possibly_paused_.empty() ? Term{} : pause_term_;
-    result.check = check_;
-    if (outcome == ReplacementOutcome::kPromoted ||
-        outcome == ReplacementOutcome::kUncertain) {
-      if (const auto& status = replicas_[candidate_].status) {
-        result.promoted_received = status->received;
-      }
-    }
-    done_(result);
-  }
+              std::string_view reason);
 
   C& commands_;
   F& primary_commands_;
@@ -635,7 +320,7 @@
   bool has_candidate_ = false;
   PromotionCheck check_ = PromotionCheck::kNone;
   Term pause_term_;
-  /** What the candidate had received when it was chosen. */
+  /** End of the candidate's log before the demotion. */
   LogPoint compared_received_;
   int candidate_pauses_ = 0;
   int candidate_reports_ = 0;
@@ -651,6 +336,10 @@
 
 }  // namespace magnoliareel
 
+// Definitions of the methods, in the order of the steps.
 #include "control/failover/primary_replacement_demotion.h"  // IWYU pragma: export
+#include "control/failover/primary_replacement_order.h"   // IWYU pragma: export
+#include "control/failover/primary_replacement_pauses.h"  // IWYU pragma: export
+#include "control/failover/primary_replacement_survey.h"  // IWYU pragma: export
 
 #endif  // MAGNOLIAREEL_CONTROL_FAILOVER_PRIMARY_REPLACEMENT_H_
--- a/libs/control/failover/primary_replacement_demotion.h
+++ b/libs/control/failover/primary_replacement_demotion.h
@@ -66,8 +66,8 @@
   if (ec == Error::kAnswerLost) {
     demoted_primary_ = {plan_.primary_id, std::nullopt};
   }
-  const bool is_dark = ec == Error::kUnreachable && !IsPrimaryAlive();
-  if (is_dark && !plan_.may_gain_replica) {
+  const bool is_unreachable = ec == Error::kUnreachable && !IsPrimaryAlive();
+  if (is_unreachable && !plan_.may_gain_replica) {
     CheckMembersOfUnreachedPrimary();
     return;
   }
--- a/libs/control/failover/vacancy_tracker.cc
+++ b/libs/control/failover/vacancy_tracker.cc
@@ -18,25 +18,32 @@
       }
     }
   }
-  for (const auto& [service, ids] : listed) {
-    std::vector<Vacancy>& vacancies = vacancies_[service];
+  for (auto& [service, vacancies] : vacancies_) {
+    TakePlaces(listed[service], listed_[service], vacancies);
     std::erase_if(vacancies, [now](const Vacancy& it) {
       return now - it.since >= kRetention;
     });
-    for (const EndpointId& it : ids) {
-      const auto own = std::find_if(
-          vacancies.begin(), vacancies.end(),
-          [&](const Vacancy& vacancy) { return vacancy.former == it; });
-      if (own != vacancies.end()) {
-        vacancies.erase(own);
-      } else if (!listed_[service].contains(it) && !vacancies.empty()) {
-        vacancies.erase(vacancies.begin());
-      }
-    }
   }
+  std::erase_if(vacancies_, [](const auto& row) { return row.second.empty(); });
+  std::erase_if(listed, [](const auto& row) { return row.second.empty(); });
   listed_ = std::move(listed);
 }
 
+void VacancyTracker::TakePlaces(const std::set<EndpointId>& listed,
+                                const std::set<EndpointId>& listed_before,
+                                std::vector<Vacancy>& vacancies) {
+  for (const EndpointId& id : listed) {
+    const auto own = std::find_if(
+        vacancies.begin(), vacancies.end(),
+        [&](const Vacancy& vacancy) { return vacancy.former == id; });
+    if (own != vacancies.end()) {
+      vacancies.erase(own);
+    } else if (!listed_before.contains(id) && !vacancies.empty()) {
+      vacancies.erase(vacancies.begin());
+    }
+  }
+}
+
 bool VacancyTracker::HasVacancy(const ServiceId& service,
                                 const EndpointId& except,
                                 TimePoint now) const {
--- a/libs/control/failover/vacancy_tracker.h
+++ b/libs/control/failover/vacancy_tracker.h
@@ -43,6 +43,12 @@
     TimePoint since;
   };
 
+  /** Removes the places that listed endpoints have taken since the last
+      listing. */
+  static void TakePlaces(const std::set<EndpointId>& listed,
+                         const std::set<EndpointId>& listed_before,
+                         std::vector<Vacancy>& vacancies);
+
   std::map<ServiceId, std::set<EndpointId>> listed_;
   /** The free places of each service, the oldest first. */
   std::map<ServiceId, std::vector<Vacancy>> vacancies_;
--- a/libs/control/tests/command_forwarder_test.cc
+++ b/libs/control/tests/command_forwarder_test.cc
@@ -272,6 +272,21 @@
               network.forwarded.back().second.id);
 }
 
+TEST(CommandForwarder, NoVmIsAskedWhoseResponseWouldComeLate) {
+  network.direct_delay = kTimeout - milliseconds(10);
+  network.direct_error = Error::kUnreachable;
+  is_suspected = false;
+  Send();
+  network.Advance(kForwardingDelay);
+  const size_t asked = network.forwarded.size();
+  network.Advance(kTimeout - kForwardingDelay - kForwardedResponseTime -
+                  milliseconds(1));
+  const size_t asked_in_time = network.forwarded.size();
+  CHECK(asked_in_time > asked);
+  network.Advance(kTimeout);
+  LONGS_EQUAL(asked_in_time, network.forwarded.size());
+}
+
 TEST(CommandForwarder, ResponsesOfAnEarlierProcessAreIgnored) {
   network.Advance(milliseconds(1));
   CommandForwarder<FakeNetwork, FakeNetwork> later{
--- a/libs/control/tests/control_test.cc
+++ b/libs/control/tests/control_test.cc
@@ -48,6 +48,9 @@
             const EndpointCommandCompletion& done) {
     trace += std::string(GetEndpointCommandName(command.kind)) + " " +
              endpoint.id.value + ";";
+    if (command.kind == EndpointCommandKind::kReport) {
+      on_report();
+    }
     if (busy.contains(endpoint.id.value)) {
       done(Error::kOverloaded, {});
       return;
@@ -145,6 +148,8 @@
   std::function<void()> on_demotion = [] {};
   // Called when the directory is read.
   std::function<void()> on_directory_read = [] {};
+  // Called before an endpoint reports its status.
+  std::function<void()> on_report = [] {};
   // Called when an endpoint does not answer.
   std::function<void()> on_silence = [] {};
   // Called when a promotion was ordered, and before it takes effect.
@@ -264,6 +269,22 @@
         ReplacementOutcome::kAbandoned);
 }
 
+TEST(Replacement, AbandonsIfAReplicaIsListedWhileTheOthersAreAsked) {
+  // It may have acknowledged commits of the primary that has stopped.
+  group.statuses = {{"db-2", MakeStatus(false, 1, 7)},
+                    {"db-3", MakeStatus(false, 1, 7)}};
+  int reports = 0;
+  group.on_report = [&] {
+    // The survey and the comparison take four.
+    if (++reports == 5) {
+      group.listed = {MakeEntry("db-2"), MakeEntry("db-3"), MakeEntry("db-4")};
+    }
+  };
+  CHECK(group.Replace(ReplacementReason::kUnreachable, replicas).outcome ==
+        ReplacementOutcome::kAbandoned);
+  CHECK(reports >= 5);
+}
+
 TEST(Replacement, LeavesAPrimaryThatIsListedAgain) {
   // It is not gone, and a demotion would interrupt the statements that it runs.
   group.statuses = {{"db-2", MakeStatus(false, 1, 7)},
--- a/libs/control/tests/fleet_control_test.cc
+++ b/libs/control/tests/fleet_control_test.cc
@@ -136,6 +136,20 @@
   CHECK(node.GetEndpoint("db-1").draining_since == node.Now());
 }
 
+TEST(Fleet, AnEndpointIsNotListedWhileItIsOnlyKept) {
+  // A silent primary that the directory has ceased to list is replaced without
+  // the grace period of its entry.
+  TestNode node;
+  TestNode::Answer(node.store.polls, "endpoints", {},
+                   MakeRows(5, {{"db-1", "1 ready", 5, false}}));
+  CHECK(node.fleet.IsListed(EndpointId{"db-1"}));
+  node.Advance(seconds(1));
+  TestNode::Answer(node.store.polls, "endpoints", {},
+                   MakeRows(6, {{"db-1", "", 6, true}}));
+  CHECK(!node.fleet.IsListed(EndpointId{"db-1"}));
+  CHECK(node.GetEndpoint("db-1").id == EndpointId{"db-1"});
+}
+
 TEST(Fleet, AViewTellsTheVersionOfItsEndpointsAndWhenTheyChanged) {
   TestNode node;
   TestNode::Answer(node.store.polls, "endpoints", {},
--- a/libs/relay/primaries/commit_loss_detector.h
+++ b/libs/relay/primaries/commit_loss_detector.h
@@ -39,12 +39,11 @@
 
   /** Records that a commit was answered with success.
 
-      @param end_before  end of the endpoint's log that was known when the
-     commit was sent to it
+      @param end_before  end of the endpoint's log, as known before the commit
+                         was sent to it
       @param end         end of the log in the endpoint's answer
-      @returns           a loss: the commit is of an older term than the present
-                         primary's, whose log lacks it; none if there is none,
-     or if one was returned for the term before
+      @returns           a loss, if the log of a newer term's primary lacks the
+                         commit; none if one was returned for that term already
   */
   std::optional<Finding> RecordAnswered(LogPoint end_before, LogPoint end);
   /** Records that an endpoint proved that it is the primary.
--- a/libs/telemetry/events/event.cc
+++ b/libs/telemetry/events/event.cc
@@ -100,17 +100,15 @@
      "another one is used. vm, reason, failures"},
     {kPrimaryChanged, kInfo, "primary.changed",
      "An endpoint proved that it is the primary of a newer term, and no "
-     "answered "
-     "commit is known to be lost. service, endpoint, term, first_seen (first "
-     "point of the term seen here), last_answered (highest log end in an "
-     "answer "
-     "to a commit of an older term), proven (lowest point that this commit can "
-     "have), sync_replicas"},
+     "answered commit is known to be lost. service, endpoint, term, first_seen "
+     "(first point of the term seen here), last_answered (highest log end in "
+     "an answer to a commit of an older term), proven (lowest point that this "
+     "commit can have), sync_replicas"},
     {kCommitsLost, kError, "commits.lost",
      "A commit that this VM answered with success is missing in the log of the "
      "service's new primary. service, endpoint, term, first_seen, "
-     "last_answered, "
-     "proven, sync_replicas (0: commits are acknowledged without a replica)"},
+     "last_answered, proven, sync_replicas (0: commits are acknowledged "
+     "without a replica)"},
     {kConfigInForce, kInfo, "config.in_force",
      "A configuration version took effect. version, routes, source"},
     {kConfigRejected, kError, "config.rejected",
--- a/tests/interleavings/fault.cc
+++ b/tests/interleavings/fault.cc
@@ -22,6 +22,8 @@
       return "member " + subject + " leaves with its log";
     case FaultKind::kCrash:
       return "member " + subject + " crashes";
+    case FaultKind::kGoDown:
+      return "the host of member " + subject + " goes down";
     case FaultKind::kDrain:
       return "the primary reports that it drains";
     case FaultKind::kLoseVms:
--- a/tests/interleavings/fault.h
+++ b/tests/interleavings/fault.h
@@ -30,6 +30,9 @@
   kLeave,
   /** The endpoint `subject` crashes; its entry expires. */
   kCrash,
+  /** The host of the endpoint `subject` goes down: connections to it time out.
+   */
+  kGoDown,
   /** The primary reports that it will stop. */
   kDrain,
   /** All VMs are lost and start anew. */
--- a/tests/interleavings/search_world.h
+++ b/tests/interleavings/search_world.h
@@ -214,6 +214,8 @@
   std::array<SearchVm*, kVms> vms_{};
   /** Pairs of a VM and a member that do not reach each other. */
   std::set<std::pair<size_t, size_t>> cuts_;
+  /** Members whose hosts are down. */
+  std::set<size_t> hosts_down_;
   bool are_peers_cut_ = false;
   TimePoint listings_blocked_until_;
   bool is_publication_scheduled_ = false;
--- a/tests/interleavings/world_faults.cc
+++ b/tests/interleavings/world_faults.cc
@@ -48,6 +48,9 @@
   }
   if (is_commit || is_addressed) {
     list.push_back({FaultKind::kCrash, it, 0});
+    if (member.is_primary) {
+      list.push_back({FaultKind::kGoDown, it, 0});
+    }
     if (!member.is_primary && departures_ < kMaxDepartures) {
       list.push_back({FaultKind::kLeave, it, 0});
     }
@@ -162,8 +165,13 @@
     case FaultKind::kCrash:
       CrashMember(fault.subject, false);
       return;
+    case FaultKind::kGoDown:
+      hosts_down_.insert(fault.subject);
+      CrashMember(fault.subject, false);
+      return;
     case FaultKind::kReturnUnderNewId:
       ++departures_;
+      hosts_down_.erase(fault.subject);
       group_.RestartUnderNewId(fault.subject);
       registrations_[fault.subject] = {now_ + kListingDelay, std::nullopt};
       PublishLater(kListingDelay);
@@ -263,6 +271,7 @@
       continue;
     }
     group_.Restart(it);
+    hosts_down_.erase(it);
     registrations_[it] = {now_ + kListingDelay, std::nullopt};
     PublishLater(kListingDelay);
   }
--- a/tests/interleavings/world_services.cc
+++ b/tests/interleavings/world_services.cc
@@ -43,7 +43,8 @@
 }
 
 void SearchWorld::HandleCommand(const SentCommand& sent) {
-  if (cuts_.contains({sent.vm, sent.member})) {
+  if (cuts_.contains({sent.vm, sent.member}) ||
+      hosts_down_.contains(sent.member)) {
     Schedule(sent.deadline, sent.tag, {},
              [done = sent.done] { done(Error::kUnreachable, {}); });
     return;
--- a/tests/interleavings/world_state.cc
+++ b/tests/interleavings/world_state.cc
@@ -19,7 +19,8 @@
     hash.Add(member.id.value)
         .Add((member.is_running ? 1U : 0U) + (member.has_left ? 2U : 0U) +
              (member.is_primary ? 4U : 0U) + (member.is_draining ? 8U : 0U) +
-             (member.is_deaf ? 16U : 0U))
+             (member.is_deaf ? 16U : 0U) +
+             (hosts_down_.contains(it) ? 32U : 0U))
         .Add(member.term.value)
         .Add(member.paused_at.value)
         .Add(member.log.size())
