Interface: hold commits while a primary is being replaced

A notice in heartbeats, two calls of the failover's delegate and two of the traffic core. They have no effect yet.

Every commit of a caller passes through a VM, so the VMs can hold it where no command reaches the database.

--- a/apps/node/node_process.cc
+++ b/apps/node/node_process.cc
@@ -131,6 +131,15 @@
   traffic_.AnnouncePrimary(service, endpoint);
 }
 
+void NodeProcess::HoldCommits(const ServiceId& service,
+                              const EndpointId& successor) {
+  traffic_.HoldCommits(service, successor);
+}
+
+void NodeProcess::ReleaseCommits(const ServiceId& service) {
+  traffic_.ReleaseCommits(service);
+}
+
 void NodeProcess::SendHeartbeats() {
   peers_.ScheduleHeartbeat();
 }
--- a/apps/node/node_process.h
+++ b/apps/node/node_process.h
@@ -42,6 +42,10 @@
   /** @see FailoverDelegate */
   void AnnouncePrimary(const ServiceId& service, const EndpointId& endpoint);
   /** @see FailoverDelegate */
+  void HoldCommits(const ServiceId& service, const EndpointId& successor);
+  /** @see FailoverDelegate */
+  void ReleaseCommits(const ServiceId& service);
+  /** @see FailoverDelegate */
   void SendHeartbeats();
   /** @see FailoverDelegate */
   bool IsStoreConnected() const;
--- a/apps/node/traffic_thread.cc
+++ b/apps/node/traffic_thread.cc
@@ -119,6 +119,16 @@
       [this, service, endpoint] { core_.AnnouncePrimary(service, endpoint); });
 }
 
+void TrafficThread::HoldCommits(const ServiceId& service,
+                                const EndpointId& successor) {
+  mailbox_.Post(
+      [this, service, successor] { core_.HoldCommits(service, successor); });
+}
+
+void TrafficThread::ReleaseCommits(const ServiceId& service) {
+  mailbox_.Post([this, service] { core_.ReleaseCommits(service); });
+}
+
 void TrafficThread::HandleBoundQuery(
     const FreshnessBoundQuery& query,
     std::function<void(const FreshnessBound&)> answer) {
--- a/apps/node/traffic_thread.h
+++ b/apps/node/traffic_thread.h
@@ -65,6 +65,10 @@
   void Publish(std::shared_ptr<const FleetView> view);
   /** Informs the core that the promotion of an endpoint was requested. */
   void AnnouncePrimary(const ServiceId& service, const EndpointId& endpoint);
+  /** Calls TrafficCore::HoldCommits on the traffic thread. */
+  void HoldCommits(const ServiceId& service, const EndpointId& successor);
+  /** Calls TrafficCore::ReleaseCommits on the traffic thread. */
+  void ReleaseCommits(const ServiceId& service);
   /** Calls TrafficCore::HandleBoundQuery on the traffic thread, where `answer`
       is called as well. */
   void HandleBoundQuery(const FreshnessBoundQuery& query,
--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -43,6 +43,12 @@
   delegate.After(delay, task);
   /** Called when a promotion was ordered or a new primary was found. */
   delegate.AnnouncePrimary(service, endpoint);
+  /** Called when no endpoint of the service but the successor may be sent
+      writes and commits for kCommitHoldPeriod; repeated while that holds. The
+      successor is empty while none is chosen. */
+  delegate.HoldCommits(service, endpoint);
+  /** Called when a hold ends early because the replacement was given up. */
+  delegate.ReleaseCommits(service);
   /** Called when the content of FillHeartbeat() has changed. */
   delegate.SendHeartbeats();
   { delegate.IsStoreConnected() } -> std::same_as<bool>;
--- a/libs/control/peers/heartbeat.h
+++ b/libs/control/peers/heartbeat.h
@@ -30,6 +30,18 @@
   bool operator==(const PromotionNotice&) const = default;
 };
 
+/** Announces that the primary of a service is being replaced: no endpoint but
+    the successor may be sent writes and commits. */
+struct ReplacementNotice {
+  ServiceId service;
+  /** The endpoint that becomes the primary; empty while none is chosen. */
+  EndpointId successor;
+  /** Token of the duty's holder; a higher token is newer. */
+  uint64_t fencing_token = 0;
+
+  bool operator==(const ReplacementNotice&) const = default;
+};
+
 /** State that VMs send each other every kHeartbeatPeriod, and at once when it
     changes. */
 struct Heartbeat {
@@ -49,6 +61,9 @@
   std::vector<HeldDuty> duties;
   /** Promotions ordered within kPromotionNoticeRetention. */
   std::vector<PromotionNotice> promotions;
+  /** Replacements of this VM from the demotion of the primary until the
+      successor leads. */
+  std::vector<ReplacementNotice> replacements;
   /** Addresses of other VMs, sent to a VM that joins. */
   std::vector<SocketAddress> others;
 };
--- a/libs/control/tests/failover_control_test.cc
+++ b/libs/control/tests/failover_control_test.cc
@@ -147,6 +147,8 @@
     tasks_.emplace(now_ + pause, std::move(task));
   }
   void AnnouncePrimary(const ServiceId&, const EndpointId&) {}
+  void HoldCommits(const ServiceId&, const EndpointId&) {}
+  void ReleaseCommits(const ServiceId&) {}
   void SendHeartbeats() {}
   bool IsStoreConnected() const { return true; }
   bool IsListed(const EndpointId& endpoint) const {
--- a/libs/gossip/heartbeats/heartbeat_codec.cc
+++ b/libs/gossip/heartbeats/heartbeat_codec.cc
@@ -10,6 +10,9 @@
 // First field of each datagram. It changes with the layout of the other fields.
 constexpr std::string_view kMagic = "mr1";
 
+// Stands for a successor that is not chosen.
+constexpr std::string_view kNone = "-";
+
 constexpr auto kConditions =
     std::to_array({EndpointCondition::kUnreachable, EndpointCondition::kSilent,
                    EndpointCondition::kCommitsStalled});
@@ -20,8 +23,8 @@
 }
 
 // Decodes one repeated entry. The letter gives its kind: s suspicion, d duty,
-// l ordered promotion, o address of another VM, f port for forwarded
-// statements.
+// l ordered promotion, r replacement, o address of another VM, f port for
+// forwarded statements.
 bool DecodeEntry(char letter, std::string_view& rest, Heartbeat& out) {
   const std::string first(TakeField(rest));
   if (letter == 'o') {
@@ -59,6 +62,15 @@
       out.promotions.push_back(
           {ServiceId{first}, EndpointId{std::string(second)}, number});
       return !second.empty();
+    case 'r': {
+      if (!ParseDecimal(TakeField(rest), number)) {
+        return false;
+      }
+      const std::string_view successor = second == kNone ? "" : second;
+      out.replacements.push_back(
+          {ServiceId{first}, EndpointId{std::string(successor)}, number});
+      return !second.empty();
+    }
     default:
       return false;
   }
@@ -99,6 +111,12 @@
     AppendField(out, it.endpoint.value);
     AppendField(out, std::to_string(it.fencing_token));
   }
+  for (const ReplacementNotice& it : heartbeat.replacements) {
+    AppendField(out, "r");
+    AppendField(out, it.service.value);
+    AppendField(out, it.successor.IsEmpty() ? kNone : it.successor.value);
+    AppendField(out, std::to_string(it.fencing_token));
+  }
   for (const SocketAddress& it : heartbeat.others) {
     AppendField(out, "o");
     AppendField(out, it.Format());
--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -54,6 +54,17 @@
       @param endpoint  the endpoint that becomes primary
   */
   void AnnouncePrimary(const ServiceId& service, const EndpointId& endpoint);
+  /** Sends no write and no commit to an endpoint of the service other than the
+      successor, for kCommitHoldPeriod or until the successor proves a term that
+      is newer than all before.
+
+      @param service    service whose primary is being replaced
+      @param successor  the endpoint that becomes primary; empty while none is
+                        chosen
+  */
+  void HoldCommits(const ServiceId& service, const EndpointId& successor);
+  /** Ends the effect of HoldCommits(), because the replacement was given up. */
+  void ReleaseCommits(const ServiceId& service);
   /** Replies to another VM's query for a freshness bound, immediately or when
       the next bound is known.
 
--- a/libs/relay/core/traffic_core_control.h
+++ b/libs/relay/core/traffic_core_control.h
@@ -136,6 +136,12 @@
   }
 }
 
+template <ForwardingDialect D, class N>
+void TrafficCore<D, N>::HoldCommits(const ServiceId&, const EndpointId&) {}
+
+template <ForwardingDialect D, class N>
+void TrafficCore<D, N>::ReleaseCommits(const ServiceId&) {}
+
 }  // namespace magnoliareel
 
 #endif  // MAGNOLIAREEL_RELAY_CORE_TRAFFIC_CORE_CONTROL_H_
--- a/tests/interleavings/search_vm.cc
+++ b/tests/interleavings/search_vm.cc
@@ -160,6 +160,10 @@
   keeps_target_until_ = Now() + PrimaryTracker::kPromotionGracePeriod;
 }
 
+void SearchVm::HoldCommits(const ServiceId&, const EndpointId&) {}
+
+void SearchVm::ReleaseCommits(const ServiceId&) {}
+
 void SearchVm::SendHeartbeats() {
   if (!std::exchange(heartbeat_scheduled_, true)) {
     After(kHeartbeatDelay, [this] {
--- a/tests/interleavings/search_vm.h
+++ b/tests/interleavings/search_vm.h
@@ -84,6 +84,8 @@
   TimePoint Now() const;
   void After(Duration delay, std::function<void()> task);
   void AnnouncePrimary(const ServiceId& service, const EndpointId& endpoint);
+  void HoldCommits(const ServiceId& service, const EndpointId& successor);
+  void ReleaseCommits(const ServiceId& service);
   void SendHeartbeats();
   bool IsStoreConnected() const { return true; }
   bool IsListed(const EndpointId& endpoint) const;
--- a/tests/traffic/simulated_control.cc
+++ b/tests/traffic/simulated_control.cc
@@ -160,4 +160,8 @@
   simulation_.AnnouncePrimary(service, endpoint);
 }
 
+void SimulatedControl::HoldCommits(const ServiceId&, const EndpointId&) {}
+
+void SimulatedControl::ReleaseCommits(const ServiceId&) {}
+
 }  // namespace magnoliareel
--- a/tests/traffic/simulated_control.h
+++ b/tests/traffic/simulated_control.h
@@ -93,6 +93,8 @@
   TimePoint Now() const;
   void After(Duration pause, std::function<void()> task);
   void AnnouncePrimary(const ServiceId& service, const EndpointId& endpoint);
+  void HoldCommits(const ServiceId& service, const EndpointId& successor);
+  void ReleaseCommits(const ServiceId& service);
   void SendHeartbeats() { RecordPeerHeartbeats(); }
   bool IsStoreConnected() const;
   bool IsListed(const EndpointId& endpoint) const;
