--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -454,6 +454,16 @@
   bool MayGainReplica(const ServiceId& service,
                       const EndpointId& primary) const;
 
+  /** @returns the entries' ids, separated by commas, for log lines */
+  static std::string JoinEntryIds(std::span<const EndpointEntry> entries) {
+    std::vector<EndpointId> ids;
+    ids.reserve(entries.size());
+    for (const EndpointEntry& it : entries) {
+      ids.push_back(it.id);
+    }
+    return ids.empty() ? "none" : JoinIds(ids);
+  }
+
   /** @returns the ids, separated by commas, for log lines */
   static std::string JoinIds(std::span<const EndpointId> ids) {
     std::string text;
--- a/libs/control/failover/failover_control_replacement.h
+++ b/libs/control/failover/failover_control_replacement.h
@@ -199,6 +199,7 @@
     progress.awaits_promotion = true;
     primaries_.RecordDemoted(service, result.demoted_primary->id);
   }
+  const auto former = primaries_.GetLatestConfirmed(service);
   switch (result.outcome) {
     case ReplacementOutcome::kPromoted:
     case ReplacementOutcome::kUncertain:
@@ -226,7 +227,13 @@
            {"log_end", result.demoted_primary && result.demoted_primary->log_end
                            ? FormatLogPoint(*result.demoted_primary->log_end)
                            : "none"},
-           {"check", std::string(GetPromotionCheckName(result.check))}});
+           {"check", std::string(GetPromotionCheckName(result.check))},
+           {"former", former ? former->endpoint.value : "none"},
+           {"answer", result.promotion_reply_lost ? "lost" : "accepted"},
+           {"pause_term", std::to_string(result.pause_term.value)},
+           {"paused", JoinEntryIds(result.possibly_paused)},
+           {"duty_ms",
+            std::to_string((now - progress.claimed_at).count() / 1000)}});
       if (result.outcome == ReplacementOutcome::kUncertain) {
         progress.pending_promotion = result.primary;
         progress.pending_until = now + kLostPromotionRetention;
--- a/libs/control/tests/failover_control_test.cc
+++ b/libs/control/tests/failover_control_test.cc
@@ -312,7 +312,8 @@
   CheckFields(done[0], "endpoint=" + second +
                            " received=1.7 demotion=demoted log_end=1.7");
   CHECK(done[0].find(" fencing_token=") != std::string::npos);
-  CheckFields(done[0], "check=log_end");
+  CheckFields(done[0], "check=log_end former=db-1 answer=accepted");
+  CHECK(done[0].find(" warning ") != std::string::npos);
   const auto confirmed = log.ListLines("promotion.confirmed");
   LONGS_EQUAL(1, confirmed.size());
   CheckFields(confirmed[0], "endpoint=" + second + " term=" +
--- a/libs/relay/core/service_state.h
+++ b/libs/relay/core/service_state.h
@@ -3,6 +3,7 @@
 
 #include <deque>
 #include <functional>
+#include <optional>
 #include <vector>
 
 #include "core/core.h"
@@ -15,6 +16,12 @@
 
 namespace magnoliareel {
 
+/** An endpoint and the time at which something was observed of it. */
+struct TimedEndpoint {
+  EndpointId endpoint;
+  TimePoint at;
+};
+
 /** State of a service in the traffic core. */
 struct ServiceState {
   ServiceRules rules;
@@ -22,6 +29,10 @@
   std::vector<EndpointId> endpoints;
   PrimaryTracker primary_tracker;
   CommitLossDetector commit_losses;
+  /** Endpoint of the latest commit that was answered with success. */
+  std::optional<TimedEndpoint> last_answered_commit;
+  /** Endpoint of the latest promotion that was announced. */
+  std::optional<TimedEndpoint> last_ordered_promotion;
   FreshnessBoundHistory bounds;
   /** Statements that wait until a primary is known. */
   std::deque<QueuedStatement> statements_awaiting_primary;
--- a/libs/relay/core/traffic_core_connections.h
+++ b/libs/relay/core/traffic_core_connections.h
@@ -300,16 +300,25 @@
   const auto format = [](const std::optional<LogPoint>& point) {
     return point ? FormatLogPoint(*point) : std::string("none");
   };
-  LogEvent(
-      finding.is_loss ? Event::kCommitsLost : Event::kPrimaryChanged,
-      {{"service", pool.entry.service.value},
-       {"endpoint", pool.entry.id.value},
-       {"term", std::to_string(finding.first_seen.term.value)},
-       {"first_seen", FormatLogPoint(finding.first_seen)},
-       {"last_answered", format(finding.last_answered)},
-       {"proven", format(finding.proven)},
-       {"sync_replicas",
-        std::to_string(GetService(pool.entry.service).rules.sync_replicas)}});
+  const ServiceState& service = GetService(pool.entry.service);
+  const std::optional<TimedEndpoint>& answered = service.last_answered_commit;
+  const std::optional<TimedEndpoint>& ordered = service.last_ordered_promotion;
+  const auto get_age_ms = [this](const std::optional<TimedEndpoint>& it) {
+    return it ? std::to_string((net_.Now() - it->at).count() / 1000)
+              : std::string("none");
+  };
+  LogEvent(finding.is_loss ? Event::kCommitsLost : Event::kPrimaryChanged,
+           {{"service", pool.entry.service.value},
+            {"endpoint", pool.entry.id.value},
+            {"term", std::to_string(finding.first_seen.term.value)},
+            {"first_seen", FormatLogPoint(finding.first_seen)},
+            {"last_answered", format(finding.last_answered)},
+            {"proven", format(finding.proven)},
+            {"sync_replicas", std::to_string(service.rules.sync_replicas)},
+            {"answered_by", answered ? answered->endpoint.value : "none"},
+            {"answered_ms", get_age_ms(answered)},
+            {"ordered", ordered ? ordered->endpoint.value : "none"},
+            {"ordered_ms", get_age_ms(ordered)}});
 }
 
 template <ForwardingDialect D, class N>
--- a/libs/relay/core/traffic_core_control.h
+++ b/libs/relay/core/traffic_core_control.h
@@ -131,6 +131,7 @@
 void TrafficCore<D, N>::AnnouncePrimary(const ServiceId& service,
                                         const EndpointId& endpoint) {
   ServiceState& state = GetService(service);
+  state.last_ordered_promotion = {endpoint, net_.Now()};
   if (state.primary_tracker.RecordAnnouncedPromotion(endpoint, net_.Now())) {
     HandlePrimaryChange(state);
   }
--- a/libs/relay/core/traffic_core_replies.h
+++ b/libs/relay/core/traffic_core_replies.h
@@ -342,6 +342,7 @@
   if (const auto loss = service.commit_losses.RecordAnswered(end_before, end)) {
     LogPrimaryChange(*pool, *loss);
   }
+  service.last_answered_commit = {endpoint, net_.Now()};
 }
 
 template <ForwardingDialect D, class N>
--- a/libs/telemetry/events/event.cc
+++ b/libs/telemetry/events/event.cc
@@ -103,12 +103,15 @@
      "answered commit is known to be lost. service, endpoint, term, first_seen "
      "(first point of the term seen here), last_answered (highest log end in "
      "an answer to a commit of an older term), proven (lowest point that this "
-     "commit can have), sync_replicas"},
+     "commit can have), sync_replicas, answered_by, answered_ms, ordered, "
+     "ordered_ms (see commits.lost)"},
     {kCommitsLost, kError, "commits.lost",
      "A commit that this VM answered with success is missing in the log of the "
      "service's new primary. service, endpoint, term, first_seen, "
      "last_answered, proven, sync_replicas (0: commits are acknowledged "
-     "without a replica)"},
+     "without a replica), answered_by (endpoint of the last commit that this "
+     "VM answered before), answered_ms (since then), ordered (endpoint of the "
+     "last promotion that this VM heard of), ordered_ms (since then)"},
     {kConfigInForce, kInfo, "config.in_force",
      "A configuration version took effect. version, routes, source"},
     {kConfigRejected, kError, "config.rejected",
@@ -152,12 +155,14 @@
      "born (start of the listed endpoint), candidate (none before the choice), "
      "candidate_received (last reported by it), after_ms (since the start of "
      "the replacement)"},
-    {kReplacementDone, kInfo, "replacement.done",
+    {kReplacementDone, kWarning, "replacement.done",
      "The platform accepted a promotion. service, endpoint, took_ms, received "
      "(last reported by the endpoint), fencing_token, demotion (of the former "
      "primary: demoted, no_answer or not_asked), log_end (of the demoted "
      "primary), check (what preceded the order: log_end, members or "
-     "promoted_again)"},
+     "promoted_again), former (endpoint confirmed as primary before), answer "
+     "(of the platform: accepted or lost), pause_term, paused (replicas), "
+     "duty_ms (since this VM claimed the duty)"},
     {kReplacementAbandoned, kWarning, "replacement.abandoned",
      "A replacement was abandoned and will be retried if it is still needed. "
      "service, reason"},
@@ -177,7 +182,7 @@
     {kDutyRowRejected, kError, "duty.row_rejected",
      "The row of a failover duty could not be decoded; what earlier holders "
      "knew of the service is lost. service"},
-    {kPromotionConfirmed, kInfo, "promotion.confirmed",
+    {kPromotionConfirmed, kWarning, "promotion.confirmed",
      "An endpoint whose promotion this VM ordered proved that it is the "
      "primary. service, endpoint, term, after_ms (since the order was sent)"},
     {kForwardingEnded, kInfo, "command.forwarding_ended",
@@ -185,7 +190,7 @@
      "direct (result of this VM's own attempt), forwarded (number of VMs, as "
      "the next ones), answered, busy, not_sent, answer_lost, stopped, silent "
      "(VMs that did not respond), after_ms"},
-    {kReplicaResume, kInfo, "replica.resume",
+    {kReplicaResume, kWarning, "replica.resume",
      "This VM ends the pause of a replica. service, endpoint, step (sent: "
      "after a report of the pause, or answered), reason (abandoned_attempt, "
      "promotion_confirmed or duty_claimed), error, paused_at, own_pause "
