Search around promotions: orders whose premises break before they take effect

Its world let an order take effect 0.3 s later, handed the ordered endpoint every commit on the way, refused no connection to one VM alone, and lost all VMs or none.

Change, each offered where it makes a difference: - a demoted primary crashes and leads its old term again, as nothing else was promoted; a primary is back 0.4 s after its crash; - an endpoint refuses the connections of one VM; - an endpoint has no free slot for 0.5 s; - the VM that has just ordered is lost, or stands still for 4 s, which is longer than kPeerTimeout; what has come in meanwhile reaches it afterwards; - all orders of 4.5 s are executed 3 s late without an answer, so that the repeated ones are as well; the fence is checked when they are executed, as before for a single one; - the ordered endpoint receives nothing from the order on; - four starts with orders of 1 s whose endpoints receive nothing until they lead; - VMs that hold commits make and observe none at other endpoints than the successor for 2 s. A commit on its way when the hold begins is not acknowledged either; nothing calls the hold yet.

--- a/tests/interleavings/fault.h
+++ b/tests/interleavings/fault.h
@@ -15,6 +15,9 @@
 enum class FaultKind {
   /** The VM `subject` and the endpoint `object` no longer reach each other. */
   kCutVm,
+  /** The host of the endpoint `object` refuses the connections of the VM
+      `subject`. */
+  kRefuseVm,
   /** The two VMs no longer hear each other. */
   kCutPeers,
   /** A traffic thread of the VM `subject` receives its first reply from the
@@ -37,17 +40,30 @@
   kDrain,
   /** All VMs are lost and start anew. */
   kLoseVms,
+  /** The VM `subject` is lost and starts anew. */
+  kLoseVm,
+  /** The VM `subject` stands still for 4 s, after which all that has come in
+      reaches it. */
+  kFreezeVm,
   /** The next listing reaches the VMs late. */
   kDelayListing,
   /** The next order takes 1 s to take effect. */
   kSlowOrder,
+  /** Every order takes 1 s to take effect. */
+  kSlowOrders,
+  /** The endpoint of each order receives nothing until it leads. */
+  kDeafenOrdered,
   /** The answer to the next order is lost; the order is executed 3 s later. */
   kLoseOrderAnswer,
+  /** The same for all orders that reach the platform in the next 4.5 s. */
+  kLoseOrderAnswers,
   /** The answer to the next command to the member `subject` is lost; the
      command is executed. */
   kLoseCommandAnswer,
   /** The next command is executed 1 s later, and its answer is lost. */
   kDelayCommand,
+  /** The endpoint `subject` has no free slot for a command for 0.5 s. */
+  kOverload,
   /** The answer to the next write of the duty's row is lost. */
   kLoseStoreAnswer,
   /** The crashed endpoint `subject`, whose entry has expired, is back under
@@ -59,6 +75,11 @@
   /** A resume that was sent earlier is executed at the paused replica
       `subject`. */
   kLateResume,
+  /** The demoted endpoint `subject` crashes and is back at once. No other one
+      was promoted, so it leads its term again. */
+  kLeadAgain,
+  /** The primary `subject` crashes and is back as the primary 0.4 s later. */
+  kCrashBriefly,
 };
 
 /** One deviation from the default run. */
--- a/tests/interleavings/interleaving_test.cc
+++ b/tests/interleavings/interleaving_test.cc
@@ -49,7 +49,22 @@
           {"all replicas deaf", {MakeFault(5000, FaultKind::kDeafenAll)}},
           {"a draining primary", {MakeFault(4700, FaultKind::kDrain)}},
           {"a VM that does not reach the primary",
-           {MakeFault(4900, FaultKind::kCutVm, 0, 0)}}};
+           {MakeFault(4900, FaultKind::kCutVm, 0, 0)}},
+          {"slow orders, whose endpoints receive nothing meanwhile",
+           {MakeFault(0, FaultKind::kSlowOrders),
+            MakeFault(0, FaultKind::kDeafenOrdered)}},
+          {"a draining primary and such orders",
+           {MakeFault(0, FaultKind::kSlowOrders),
+            MakeFault(0, FaultKind::kDeafenOrdered),
+            MakeFault(4700, FaultKind::kDrain)}},
+          {"a VM that does not reach the primary and such orders",
+           {MakeFault(0, FaultKind::kSlowOrders),
+            MakeFault(0, FaultKind::kDeafenOrdered),
+            MakeFault(4900, FaultKind::kCutVm, 0, 0)}},
+          {"all replicas deaf and such orders",
+           {MakeFault(0, FaultKind::kSlowOrders),
+            MakeFault(0, FaultKind::kDeafenOrdered),
+            MakeFault(5000, FaultKind::kDeafenAll)}}};
 }
 
 SearchOptions ReadOptions() {
@@ -150,6 +165,22 @@
   CHECK_TRUE(KeepsCommits(4));
 }
 
+TEST(Interleavings, KeepCommitsWhileOrdersAreSlow) {
+  CHECK_TRUE(KeepsCommits(5));
+}
+
+TEST(Interleavings, KeepCommitsWhileOrdersAreSlowAndThePrimaryDrains) {
+  CHECK_TRUE(KeepsCommits(6));
+}
+
+TEST(Interleavings, KeepCommitsWhileOrdersAreSlowAndAVmIsCutOff) {
+  CHECK_TRUE(KeepsCommits(7));
+}
+
+TEST(Interleavings, KeepCommitsWhileOrdersAreSlowAndAllReplicasAreDeaf) {
+  CHECK_TRUE(KeepsCommits(8));
+}
+
 TEST(Interleavings, KeepsCommitsOfAPrimaryThatTheDutyHolderDoesNotReach) {
   // A primary without a report was replaced without a demotion, and went on to
   // acknowledge through a replica that joined behind the survey.
@@ -207,6 +238,99 @@
   CHECK_TRUE(RunFaults(faults) != RunOutcome::kLost);
 }
 
+TEST(Interleavings, KeepCommitsWhenADemotedPrimaryLeadsAgainAsAReplicaJoins) {
+  // It crashes behind the order, before another endpoint is promoted.
+  const TimedFault faults[] = {MakeFault(5000, FaultKind::kDeafenAll),
+                               MakeFault(6430, FaultKind::kJoin),
+                               MakeFault(6614, FaultKind::kLeadAgain, 0)};
+  CHECK_TRUE(RunFaults(faults) != RunOutcome::kLost);
+}
+
+TEST(Interleavings, KeepCommitsWhenADemotedPrimaryLeadsAgainAsAPauseEnds) {
+  // The replica whose pause ends is not the one that was ordered.
+  const TimedFault faults[] = {MakeFault(5000, FaultKind::kDeafenAll),
+                               MakeFault(5430, FaultKind::kLeadAgain, 0),
+                               MakeFault(6614, FaultKind::kRestartPaused, 2)};
+  CHECK_TRUE(RunFaults(faults) != RunOutcome::kLost);
+}
+
+TEST(Interleavings, KeepCommitsWhenANewHolderEndsThePausesOfAnOrder) {
+  // The first holder took the refusal of its own connections for the end of
+  // the primary. The second one resumes what is paused before the effect.
+  const TimedFault faults[] = {MakeFault(0, FaultKind::kSlowOrders),
+                               MakeFault(0, FaultKind::kDeafenOrdered),
+                               MakeFault(5630, FaultKind::kRefuseVm, 0, 0),
+                               MakeFault(5830, FaultKind::kCutPeers)};
+  CHECK_TRUE(RunFaults(faults) != RunOutcome::kLost);
+}
+
+TEST(Interleavings, KeepCommitsOfAPrimaryThatRefusesOnlyOneVm) {
+  // It was replaced without a demotion, and went on to acknowledge through a
+  // replica that joined.
+  const TimedFault faults[] = {MakeFault(0, FaultKind::kSlowOrders),
+                               MakeFault(0, FaultKind::kDeafenOrdered),
+                               MakeFault(4700, FaultKind::kDrain),
+                               MakeFault(5000, FaultKind::kCutPeers),
+                               MakeFault(5030, FaultKind::kRefuseVm, 0, 0),
+                               MakeFault(5630, FaultKind::kJoin)};
+  CHECK_TRUE(RunFaults(faults) != RunOutcome::kLost);
+}
+
+TEST(Interleavings, KeepCommitsWhenAConfirmationOfThePrimaryIsInFlight) {
+  // The confirmation of one VM undoes the demotion by the other one.
+  const TimedFault faults[] = {MakeFault(0, FaultKind::kSlowOrders),
+                               MakeFault(0, FaultKind::kDeafenOrdered),
+                               MakeFault(4700, FaultKind::kDrain),
+                               MakeFault(6030, FaultKind::kCutPeers),
+                               MakeFault(6430, FaultKind::kRefuseVm, 0, 1)};
+  CHECK_TRUE(RunFaults(faults) != RunOutcome::kLost);
+}
+
+TEST(Interleavings, KeepCommitsWhenTheOrderOfALostVmIsInFlight) {
+  // It takes effect behind the demotion by the next holder, whose own order
+  // follows.
+  const TimedFault faults[] = {MakeFault(0, FaultKind::kSlowOrders),
+                               MakeFault(0, FaultKind::kDeafenOrdered),
+                               MakeFault(5000, FaultKind::kDeafenAll),
+                               MakeFault(5425, FaultKind::kRefuseVm, 0, 1),
+                               MakeFault(6469, FaultKind::kLoseOrderAnswer),
+                               MakeFault(6610, FaultKind::kLoseVm, 0)};
+  CHECK_TRUE(RunFaults(faults) != RunOutcome::kLost);
+}
+
+TEST(Interleavings, KeepCommitsWhenTheOrderOfAnUnheardVmIsInFlight) {
+  // Its endpoint leads until the order of the other VM takes effect.
+  const TimedFault faults[] = {
+      MakeFault(0, FaultKind::kSlowOrders),
+      MakeFault(0, FaultKind::kDeafenOrdered),
+      MakeFault(4700, FaultKind::kDrain),
+      MakeFault(5000, FaultKind::kCutPeers),
+      MakeFault(5260, FaultKind::kLoseCommandAnswer, 2),
+      MakeFault(5430, FaultKind::kDeafen, 1)};
+  CHECK_TRUE(RunFaults(faults) != RunOutcome::kLost);
+}
+
+TEST(Interleavings, KeepCommitsWhenACrashedPrimaryIsBackBeforeTheEffect) {
+  // It acknowledges through a replica that joined, until the next demotion.
+  const TimedFault faults[] = {MakeFault(0, FaultKind::kSlowOrders),
+                               MakeFault(0, FaultKind::kDeafenOrdered),
+                               MakeFault(4700, FaultKind::kDrain),
+                               MakeFault(5030, FaultKind::kCrashBriefly, 0),
+                               MakeFault(5052, FaultKind::kJoin)};
+  CHECK_TRUE(RunFaults(faults) != RunOutcome::kLost);
+}
+
+TEST(Interleavings, KeepCommitsWhenAVmThatStoodStillOrders) {
+  // Its order is accepted while the next holder checks the group.
+  const TimedFault faults[] = {MakeFault(0, FaultKind::kSlowOrders),
+                               MakeFault(0, FaultKind::kDeafenOrdered),
+                               MakeFault(5000, FaultKind::kDeafenAll),
+                               MakeFault(5409, FaultKind::kOverload, 1),
+                               MakeFault(6077, FaultKind::kJoin),
+                               MakeFault(6610, FaultKind::kFreezeVm, 0)};
+  CHECK_TRUE(RunFaults(faults) != RunOutcome::kLost);
+}
+
 TEST_GROUP(Recovery){};
 
 TEST(Recovery, FindsAPrimaryFromAQuietStart) {
--- a/tests/interleavings/member_group.cc
+++ b/tests/interleavings/member_group.cc
@@ -9,6 +9,7 @@
     members_.emplace_back().id = MakeId();
   }
   members_.front().is_primary = true;
+  members_.front().led_term = newest_term_;
 }
 
 EndpointId MemberGroup::MakeId() {
@@ -122,6 +123,7 @@
   GroupMember& primary = members_[index];
   primary.is_primary = true;
   primary.term = newest_term_;
+  primary.led_term = newest_term_;
   size_t lost = 0;
   for (uint32_t it = 0; it < commits_.size(); ++it) {
     const bool is_held = std::find(primary.log.begin(), primary.log.end(),
@@ -160,6 +162,18 @@
   member.is_primary = member.is_primary && member.term == newest_term_;
 }
 
+bool MemberGroup::MayLeadAgain(size_t index) const {
+  const GroupMember& member = members_[index];
+  return member.is_running && !member.is_primary &&
+         member.led_term == newest_term_;
+}
+
+void MemberGroup::LeadAgain(size_t index) {
+  Crash(index);
+  Restart(index);
+  members_[index].is_primary = true;
+}
+
 void MemberGroup::RestartUnderNewId(size_t index) {
   Restart(index);
   members_[index].id = MakeId();
--- a/tests/interleavings/member_group.h
+++ b/tests/interleavings/member_group.h
@@ -29,6 +29,8 @@
   /** Receives nothing from the primary. */
   bool is_deaf = false;
   Term term{1};
+  /** Term in which it led last; none if it never did. */
+  Term led_term;
   Term paused_at;
   /** Indexes of commits. */
   std::vector<uint32_t> log;
@@ -90,6 +92,11 @@
   void Crash(size_t member);
   /** Starts a crashed member again. */
   void Restart(size_t member);
+  /** @returns whether the member would lead again if it crashed and came back:
+               it was demoted, and no other one was promoted since */
+  bool MayLeadAgain(size_t member) const;
+  /** Ends the process of such a member and starts it again. */
+  void LeadAgain(size_t member);
   /** Starts a crashed member again under an id of its own. */
   void RestartUnderNewId(size_t member);
 
--- a/tests/interleavings/search_vm.cc
+++ b/tests/interleavings/search_vm.cc
@@ -10,6 +10,7 @@
 constexpr Duration kStoreDelay = std::chrono::milliseconds(4);
 constexpr Duration kReportInterval = std::chrono::milliseconds(300);
 constexpr Duration kHeartbeatDelay = std::chrono::milliseconds(5);
+constexpr Duration kCommitHold = std::chrono::seconds(2);
 
 uint64_t HashStatus(std::error_code ec, const ReplicationStatus& status) {
   return StateHash()
@@ -43,6 +44,9 @@
   for (const PromotionNotice& it : heartbeat.promotions) {
     hash.Add(it.endpoint.value).Add(it.fencing_token);
   }
+  for (const ReplacementNotice& it : heartbeat.replacements) {
+    hash.Add(it.successor.value).Add(it.fencing_token);
+  }
   for (const DepartureNotice& it : departures) {
     hash.Add(it.endpoint.value).Add(it.accounted ? 1 : 0);
   }
@@ -56,22 +60,35 @@
       .Add(content);
 }
 
+void VmServices::Deliver(std::function<void()> task) {
+  if (!is_alive_) {
+    return;
+  }
+  if (const Duration delay = frozen_until_ - world_.Now();
+      delay > Duration(0)) {
+    // What has come in is a function of the state at this time.
+    RecordInput(world_.HashState({}));
+    world_.After(delay, [this, task = std::move(task)] { Deliver(task); });
+    return;
+  }
+  task();
+}
+
 void VmServices::Get(std::string_view,
                      std::string_view key,
                      RowsCompletion done) {
-  world_.ReadRow(index_, [this, alive = alive_, key = std::string(key),
-                          done = std::move(done)](StoredRow row) {
-    if (!*alive) {
-      return;
-    }
-    RecordInput(row.version);
-    StoredRows rows;
-    rows.version = row.version;
-    if (row.version > 0) {
-      row.key = key;
-      rows.rows.push_back(std::move(row));
-    }
-    done({}, rows);
+  world_.ReadRow(index_, [this, key = std::string(key),
+                          done = std::move(done)](const StoredRow& read) {
+    Deliver([this, key, done, row = read]() mutable {
+      RecordInput(row.version);
+      StoredRows rows;
+      rows.version = row.version;
+      if (row.version > 0) {
+        row.key = key;
+        rows.rows.push_back(std::move(row));
+      }
+      done({}, rows);
+    });
   });
 }
 
@@ -82,15 +99,13 @@
                          RowsCompletion done) {
   world_.WriteRow(
       index_, std::string(value), version,
-      [this, alive = alive_, done = std::move(done)](std::error_code ec,
-                                                     uint64_t written) {
-        if (!*alive) {
-          return;
-        }
-        RecordInput(written + (static_cast<uint64_t>(ec.value()) << 32U));
-        StoredRows rows;
-        rows.version = written;
-        done(ec, rows);
+      [this, done = std::move(done)](std::error_code ec, uint64_t written) {
+        Deliver([this, done, ec, written] {
+          RecordInput(written + (static_cast<uint64_t>(ec.value()) << 32U));
+          StoredRows rows;
+          rows.version = written;
+          done(ec, rows);
+        });
       });
 }
 
@@ -99,12 +114,12 @@
                       Duration timeout,
                       EndpointCommandCompletion done) {
   world_.SendCommand(index_, endpoint.id, command, timeout,
-                     [this, alive = alive_, done = std::move(done)](
+                     [this, done = std::move(done)](
                          std::error_code ec, const ReplicationStatus& status) {
-                       if (*alive) {
+                       Deliver([this, done, ec, status] {
                          RecordInput(HashStatus(ec, status));
                          done(ec, status);
-                       }
+                       });
                      });
 }
 
@@ -112,23 +127,13 @@
                          const EndpointId& endpoint,
                          uint64_t fencing_token,
                          std::function<void(std::error_code)> done) {
-  world_.OrderPromotion(
-      index_, endpoint, fencing_token,
-      [this, alive = alive_, done = std::move(done)](std::error_code ec) {
-        if (*alive) {
-          RecordInput(static_cast<uint64_t>(ec.value()));
-          done(ec);
-        }
-      });
-}
-
-std::function<void()> VmServices::CallWhileAlive(
-    std::function<void()> task) const {
-  return [alive = alive_, task = std::move(task)] {
-    if (*alive) {
-      task();
-    }
-  };
+  world_.OrderPromotion(index_, endpoint, fencing_token,
+                        [this, done = std::move(done)](std::error_code ec) {
+                          Deliver([this, done, ec] {
+                            RecordInput(static_cast<uint64_t>(ec.value()));
+                            done(ec);
+                          });
+                        });
 }
 
 SearchVm::SearchVm(SearchWorld& world, size_t index)
@@ -152,7 +157,8 @@
 }
 
 void SearchVm::After(Duration delay, std::function<void()> task) {
-  world_.After(delay, services_.CallWhileAlive(std::move(task)));
+  world_.After(delay,
+               [this, task = std::move(task)] { services_.Deliver(task); });
 }
 
 void SearchVm::AnnouncePrimary(const ServiceId&, const EndpointId& endpoint) {
@@ -160,9 +166,13 @@
   keeps_target_until_ = Now() + PrimaryTracker::kPromotionGracePeriod;
 }
 
-void SearchVm::HoldCommits(const ServiceId&, const EndpointId&) {}
+void SearchVm::HoldCommits(const ServiceId&, const EndpointId& successor) {
+  hold_ = {successor, Now() + kCommitHold};
+}
 
-void SearchVm::ReleaseCommits(const ServiceId&) {}
+void SearchVm::ReleaseCommits(const ServiceId&) {
+  hold_.reset();
+}
 
 void SearchVm::SendHeartbeats() {
   if (!std::exchange(heartbeat_scheduled_, true)) {
@@ -270,13 +280,20 @@
   target_ = id;
   // A traffic thread reports each term once.
   if (*term > confirmed_term_) {
-    confirmed_term_ = *term;
-    services_.RecordInput(term->value);
-    failover_.HandlePrimaryConfirmed(id, *term);
+    RecordConfirmed(id, *term);
   }
   return true;
 }
 
+void SearchVm::RecordConfirmed(const EndpointId& id, Term term) {
+  if (hold_ && hold_->successor == id && term > confirmed_term_) {
+    hold_.reset();
+  }
+  confirmed_term_ = std::max(confirmed_term_, term);
+  services_.RecordInput(term.value);
+  failover_.HandlePrimaryConfirmed(id, term);
+}
+
 void SearchVm::ObserveTraffic() {
   if (UsePrimary(target_)) {
     if (world_.HasStalledCommit()) {
--- a/tests/interleavings/search_vm.h
+++ b/tests/interleavings/search_vm.h
@@ -3,7 +3,7 @@
 
 #include <cstdint>
 #include <functional>
-#include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -54,17 +54,21 @@
 
   /** Adds something that the VM received to the hash. */
   void RecordInput(uint64_t content);
-  /** Makes a function that calls another one while the VM is alive. */
-  std::function<void()> CallWhileAlive(std::function<void()> task) const;
+  /** Calls a function: now, or once the VM no longer stands still; never if it
+      has ended. */
+  void Deliver(std::function<void()> task);
+  /** The VM stands still until then. */
+  void FreezeUntil(TimePoint time) { frozen_until_ = time; }
   /** Ends the VM; nothing reaches it any more. */
-  void Kill() { *alive_ = false; }
+  void Kill() { is_alive_ = false; }
   /** @returns a hash of everything that has come in */
   uint64_t GetHistory() const { return history_.Get(); }
 
  private:
   SearchWorld& world_;
   const size_t index_;
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  bool is_alive_ = true;
+  TimePoint frozen_until_;
   StateHash history_;
 };
 
@@ -118,6 +122,16 @@
   void ReceiveFirstReply();
   /** Ends the VM; nothing reaches it any more. */
   void Kill() { services_.Kill(); }
+  /** @see VmServices */
+  void Deliver(std::function<void()> task) {
+    services_.Deliver(std::move(task));
+  }
+  /** The VM stands still until then. */
+  void FreezeUntil(TimePoint time) { services_.FreezeUntil(time); }
+  /** @returns whether the VM sends commits to the endpoint */
+  bool MayCommitAt(const EndpointId& endpoint) const {
+    return !hold_ || hold_->successor == endpoint || Now() >= hold_->until;
+  }
 
   /** @returns a hash of everything that has come in */
   uint64_t GetHistory() const { return services_.GetHistory(); }
@@ -131,7 +145,14 @@
                                    VmServices,
                                    SearchVm>;
 
+  /** The VM sends commits to no endpoint but the successor. */
+  struct CommitHold {
+    EndpointId successor;
+    TimePoint until;
+  };
+
   void Report(EndpointCondition condition);
+  void RecordConfirmed(const EndpointId& id, Term term);
   /** Sends statements to an endpoint.
 
       @returns whether it leads and is reached */
@@ -151,6 +172,7 @@
   TimePoint keeps_target_until_;
   /** Highest term that was reported. */
   Term confirmed_term_;
+  std::optional<CommitHold> hold_;
   TimePoint next_report_at_;
 };
 
--- a/tests/interleavings/search_world.cc
+++ b/tests/interleavings/search_world.cc
@@ -29,7 +29,9 @@
     Schedule(kStart + it.at, StateHash().Add(DescribeFault(it.fault)).Get(), {},
              [this, fault = it.fault] { Inject(fault); });
   }
-  StartVms();
+  for (size_t it = 0; it < kVms; ++it) {
+    StartVm(it);
+  }
   PublishLater(Duration(0));
   Schedule(kStart + kFirstCommitDelay, 1, {PointKind::kCommit, 0, 0},
            [this] { RunCommits(); });
@@ -95,25 +97,23 @@
   return !may_fail || chooser_(*this, point);
 }
 
-void SearchWorld::StartVms() {
-  for (size_t it = 0; it < kVms; ++it) {
-    all_vms_.push_back(std::make_unique<SearchVm>(*this, it));
-    vms_[it] = all_vms_.back().get();
-    RunPeriods(it, vms_[it]);
-    RunTraffic(it, vms_[it]);
-  }
+void SearchWorld::StartVm(size_t vm) {
+  all_vms_.push_back(std::make_unique<SearchVm>(*this, vm));
+  vms_[vm] = all_vms_.back().get();
+  RunPeriods(vm, vms_[vm]);
+  RunTraffic(vm, vms_[vm]);
 }
 
 void SearchWorld::RunPeriods(size_t vm, SearchVm* instance) {
   if (vms_[vm] == instance) {
-    instance->HandlePeriod();
+    instance->Deliver([instance] { instance->HandlePeriod(); });
     After(kHeartbeatPeriod, [this, vm, instance] { RunPeriods(vm, instance); });
   }
 }
 
 void SearchWorld::RunTraffic(size_t vm, SearchVm* instance) {
   if (vms_[vm] == instance) {
-    instance->ObserveTraffic();
+    instance->Deliver([instance] { instance->ObserveTraffic(); });
     After(kTrafficInterval, [this, vm, instance] { RunTraffic(vm, instance); });
   }
 }
@@ -152,7 +152,8 @@
     return false;
   }
   for (size_t it = 0; it < kVms; ++it) {
-    if (vms_[it] != nullptr && !cuts_.contains({it, *primary})) {
+    if (vms_[it] != nullptr && IsConnected(it, *primary) &&
+        vms_[it]->MayCommitAt(group_.GetMembers()[*primary].id)) {
       return true;
     }
   }
@@ -162,7 +163,7 @@
 bool SearchWorld::Reaches(size_t vm, const EndpointId& endpoint) const {
   const std::optional<size_t> member = group_.Find(endpoint);
   return member && group_.GetMembers()[*member].is_running &&
-         !cuts_.contains({vm, *member});
+         IsConnected(vm, *member);
 }
 
 std::optional<Term> SearchWorld::FindLedTerm(size_t vm,
@@ -179,8 +180,10 @@
   const auto departures = vms_[vm]->ListDepartures();
   Schedule(now_ + kHeartbeatLatency, StateHash().Add(4).Add(vm).Get(), {},
            [this, peer = 1 - vm, heartbeat, departures] {
-             if (!are_peers_cut_ && vms_[peer] != nullptr) {
-               vms_[peer]->HandleHeartbeat(heartbeat, departures);
+             if (SearchVm* it = vms_[peer]; !are_peers_cut_ && it != nullptr) {
+               it->Deliver([it, heartbeat, departures] {
+                 it->HandleHeartbeat(heartbeat, departures);
+               });
              }
            });
 }
@@ -191,7 +194,7 @@
            [this, to, message = std::move(message)] {
              for (SearchVm* it : vms_) {
                if (!are_peers_cut_ && it != nullptr && it->GetAddress() == to) {
-                 message(*it);
+                 it->Deliver([it, message] { message(*it); });
                }
              }
            });
@@ -224,7 +227,7 @@
   Note("listed:" + text);
   for (SearchVm* it : vms_) {
     if (it != nullptr) {
-      it->Apply(view);
+      it->Deliver([it, view] { it->Apply(view); });
     }
   }
 }
--- a/tests/interleavings/search_world.h
+++ b/tests/interleavings/search_world.h
@@ -52,7 +52,7 @@
   PointKind kind = PointKind::kNone;
   /** VM that sent the command or order. */
   size_t vm = 0;
-  /** Member that receives it. */
+  /** Member that receives the command, or is to be promoted. */
   size_t member = 0;
 };
 
@@ -172,19 +172,27 @@
                 ChoicePoint point,
                 std::function<void()> task);
   void Note(const std::string& text);
-  void StartVms();
+  void StartVm(size_t vm);
   void RunPeriods(size_t vm, SearchVm* instance);
   void RunTraffic(size_t vm, SearchVm* instance);
   void RunCommits();
   void Replicate();
   void PublishLater(Duration delay);
   void Publish();
+  /** @returns whether a VM sends commits to the primary and reaches it */
   bool IsObserved() const;
+  /** @returns whether the VM has connections to the member */
+  bool IsConnected(size_t vm, size_t member) const {
+    return !cuts_.contains({vm, member}) && !refusals_.contains({vm, member});
+  }
   bool Choose(const ChoicePoint& point);
   void InjectAtMember(const Fault& fault);
   void CrashMember(size_t member, bool leaves);
+  /** Ends the process of a member, which stays listed, for a short time. */
+  void CrashBriefly(size_t member);
   void StartDrain();
-  void LoseVms();
+  void InjectAtVm(const Fault& fault);
+  void LoseVm(size_t vm);
   void Heal();
   void RestartMembers();
   bool HasSettled();
@@ -214,12 +222,20 @@
   std::array<SearchVm*, kVms> vms_{};
   /** Pairs of a VM and a member that do not reach each other. */
   std::set<std::pair<size_t, size_t>> cuts_;
+  /** Pairs of a VM and a member that refuses its connections. */
+  std::set<std::pair<size_t, size_t>> refusals_;
+  /** Time until which a member has no free slot. */
+  std::map<size_t, TimePoint> overloaded_until_;
   /** Members whose hosts are down. */
   std::set<size_t> hosts_down_;
   bool are_peers_cut_ = false;
   TimePoint listings_blocked_until_;
   bool is_publication_scheduled_ = false;
   bool is_order_slow_ = false;
+  bool are_orders_slow_ = false;
+  bool are_ordered_deaf_ = false;
+  /** Answers to orders are lost until then. */
+  TimePoint order_answers_lost_until_;
   bool is_order_answer_lost_ = false;
   /** Member at which the answer to the next command is lost. */
   std::optional<size_t> loses_answer_;
@@ -228,6 +244,8 @@
   bool has_joined_ = false;
   bool has_drained_ = false;
   bool has_lost_vms_ = false;
+  /** A VM was lost or has stood still. */
+  bool has_vm_failed_ = false;
   /** Number of ids that have left for good. */
   size_t departures_ = 0;
   size_t orders_in_transit_ = 0;
--- a/tests/interleavings/world_faults.cc
+++ b/tests/interleavings/world_faults.cc
@@ -1,6 +1,7 @@
 // Faults, and their end.
 
 #include <algorithm>
+#include <utility>
 
 #include "tests/interleavings/search_world.h"
 
@@ -13,6 +14,11 @@
 constexpr Duration kExpiry = std::chrono::milliseconds(8500);
 constexpr Duration kDrainTime = std::chrono::milliseconds(2500);
 constexpr Duration kVmRestartDelay = std::chrono::milliseconds(500);
+// Longer than kPeerTimeout, so that the other VM takes over.
+constexpr Duration kVmFreeze = std::chrono::seconds(4);
+constexpr Duration kBriefCrash = std::chrono::milliseconds(400);
+constexpr Duration kOverloadTime = std::chrono::milliseconds(500);
+constexpr Duration kLostOrderAnswers = std::chrono::milliseconds(4500);
 constexpr size_t kMaxDepartures = 2;
 
 }  // namespace
@@ -39,17 +45,27 @@
   for (size_t vm = 0; vm < kVms; ++vm) {
     if (((is_commit && member.is_primary) ||
          (is_addressed && point.vm == vm)) &&
-        !cuts_.contains({vm, it})) {
+        IsConnected(vm, it)) {
       list.push_back({FaultKind::kCutVm, vm, it});
+      list.push_back({FaultKind::kRefuseVm, vm, it});
     }
   }
-  if (is_commit && !member.is_primary && !member.is_deaf) {
+  if (is_addressed && !overloaded_until_.contains(it)) {
+    list.push_back({FaultKind::kOverload, it, 0});
+  }
+  if (group_.MayLeadAgain(it) && !member.is_draining &&
+      (point.kind != PointKind::kCommand || is_addressed)) {
+    list.push_back({FaultKind::kLeadAgain, it, 0});
+  }
+  const bool is_ordered = point.kind == PointKind::kOrder && point.member == it;
+  if ((is_commit || is_ordered) && !member.is_primary && !member.is_deaf) {
     list.push_back({FaultKind::kDeafen, it, 0});
   }
   if (is_commit || is_addressed) {
     list.push_back({FaultKind::kCrash, it, 0});
     if (member.is_primary) {
       list.push_back({FaultKind::kGoDown, it, 0});
+      list.push_back({FaultKind::kCrashBriefly, it, 0});
     }
     if (!member.is_primary && departures_ < kMaxDepartures) {
       list.push_back({FaultKind::kLeave, it, 0});
@@ -85,8 +101,15 @@
     list.push_back({FaultKind::kDelayListing, 0, 0});
   }
   if (point.kind == PointKind::kOrder) {
-    list.push_back({FaultKind::kSlowOrder, 0, 0});
+    if (!are_orders_slow_) {
+      list.push_back({FaultKind::kSlowOrder, 0, 0});
+    }
     list.push_back({FaultKind::kLoseOrderAnswer, 0, 0});
+    list.push_back({FaultKind::kLoseOrderAnswers, 0, 0});
+    if (!has_vm_failed_) {
+      list.push_back({FaultKind::kLoseVm, point.vm, 0});
+      list.push_back({FaultKind::kFreezeVm, point.vm, 0});
+    }
   }
   if (point.kind == PointKind::kCommand) {
     list.push_back({FaultKind::kLoseCommandAnswer, point.member, 0});
@@ -108,7 +131,10 @@
       StartDrain();
       return;
     case FaultKind::kLoseVms:
-      LoseVms();
+    case FaultKind::kLoseVm:
+    case FaultKind::kFreezeVm:
+    case FaultKind::kFirstReply:
+      InjectAtVm(fault);
       return;
     case FaultKind::kDelayListing:
       listings_blocked_until_ = now_ + options_.listing_delay;
@@ -116,6 +142,15 @@
     case FaultKind::kSlowOrder:
       is_order_slow_ = true;
       return;
+    case FaultKind::kSlowOrders:
+      are_orders_slow_ = true;
+      return;
+    case FaultKind::kDeafenOrdered:
+      are_ordered_deaf_ = true;
+      return;
+    case FaultKind::kLoseOrderAnswers:
+      order_answers_lost_until_ = now_ + kLostOrderAnswers;
+      return;
     case FaultKind::kLoseOrderAnswer:
       is_order_answer_lost_ = true;
       return;
@@ -134,15 +169,48 @@
   }
 }
 
+void SearchWorld::InjectAtVm(const Fault& fault) {
+  if (fault.kind == FaultKind::kLoseVms) {
+    has_lost_vms_ = true;
+    for (size_t it = 0; it < kVms; ++it) {
+      LoseVm(it);
+    }
+    return;
+  }
+  SearchVm* vm = vms_[fault.subject];
+  if (vm == nullptr) {
+    return;
+  }
+  switch (fault.kind) {
+    case FaultKind::kLoseVm:
+      has_vm_failed_ = true;
+      LoseVm(fault.subject);
+      return;
+    case FaultKind::kFreezeVm:
+      has_vm_failed_ = true;
+      vm->FreezeUntil(now_ + kVmFreeze);
+      return;
+    default:
+      vm->Deliver([vm] { vm->ReceiveFirstReply(); });
+      return;
+  }
+}
+
 void SearchWorld::InjectAtMember(const Fault& fault) {
   switch (fault.kind) {
     case FaultKind::kCutVm:
       cuts_.emplace(fault.subject, fault.object);
       return;
-    case FaultKind::kFirstReply:
-      if (vms_[fault.subject] != nullptr) {
-        vms_[fault.subject]->ReceiveFirstReply();
-      }
+    case FaultKind::kRefuseVm:
+      refusals_.emplace(fault.subject, fault.object);
+      return;
+    case FaultKind::kOverload:
+      overloaded_until_[fault.subject] = now_ + kOverloadTime;
+      return;
+    case FaultKind::kLeadAgain:
+      group_.LeadAgain(fault.subject);
+      PublishLater(kListingDelay);
+      Replicate();
       return;
     case FaultKind::kDeafen:
       group_.Edit(fault.subject).is_deaf = true;
@@ -169,6 +237,9 @@
       hosts_down_.insert(fault.subject);
       CrashMember(fault.subject, false);
       return;
+    case FaultKind::kCrashBriefly:
+      CrashBriefly(fault.subject);
+      return;
     case FaultKind::kReturnUnderNewId:
       ++departures_;
       hosts_down_.erase(fault.subject);
@@ -204,6 +275,17 @@
   Replicate();
 }
 
+void SearchWorld::CrashBriefly(size_t member) {
+  group_.Crash(member);
+  Schedule(now_ + kBriefCrash, 18 + (member << 8U), {}, [this, member] {
+    if (!group_.GetMembers()[member].has_left) {
+      group_.Restart(member);
+      PublishLater(kListingDelay);
+      Replicate();
+    }
+  });
+}
+
 void SearchWorld::StartDrain() {
   has_drained_ = true;
   const size_t member = *group_.FindPrimary();
@@ -228,24 +310,22 @@
   });
 }
 
-void SearchWorld::LoseVms() {
-  has_lost_vms_ = true;
-  for (SearchVm*& it : vms_) {
-    it->Kill();
-    it = nullptr;
+void SearchWorld::LoseVm(size_t vm) {
+  if (vms_[vm] == nullptr) {
+    return;
   }
-  Schedule(now_ + kVmRestartDelay, 16, {}, [this] {
-    StartVms();
+  std::exchange(vms_[vm], nullptr)->Kill();
+  Schedule(now_ + kVmRestartDelay, 16 + (vm << 8U), {}, [this, vm] {
+    StartVm(vm);
     FleetView view = MakeView();
     view.endpoints = directory_;
-    for (SearchVm* it : vms_) {
-      it->Apply(view);
-    }
+    vms_[vm]->Apply(view);
   });
 }
 
 void SearchWorld::Heal() {
   cuts_.clear();
+  refusals_.clear();
   are_peers_cut_ = false;
   bool is_crashed = false;
   for (size_t it = 0; it < group_.GetMembers().size(); ++it) {
--- a/tests/interleavings/world_services.cc
+++ b/tests/interleavings/world_services.cc
@@ -49,11 +49,18 @@
              [done = sent.done] { done(Error::kUnreachable, {}); });
     return;
   }
-  if (!group_.GetMembers()[sent.member].is_running) {
+  if (!group_.GetMembers()[sent.member].is_running ||
+      refusals_.contains({sent.vm, sent.member})) {
     Schedule(now_ + kLatency, sent.tag, {},
              [done = sent.done] { done(Error::kEndpointStopped, {}); });
     return;
   }
+  if (const auto it = overloaded_until_.find(sent.member);
+      it != overloaded_until_.end() && now_ < it->second) {
+    Schedule(now_ + kLatency, sent.tag, {},
+             [done = sent.done] { done(Error::kOverloaded, {}); });
+    return;
+  }
   const bool is_late = std::exchange(is_command_delayed_, false);
   const bool is_lost = loses_answer_ == sent.member;
   if (is_lost) {
@@ -121,9 +128,11 @@
   const uint64_t tag =
       StateHash().Add(8).Add(endpoint.value).Add(fencing_token).Get();
   ++orders_in_transit_;
-  Schedule(now_ + kPlatformLatency, tag, {PointKind::kOrder, vm, 0},
+  const size_t member = group_.Find(endpoint).value_or(0);
+  Schedule(now_ + kPlatformLatency, tag, {PointKind::kOrder, vm, member},
            [this, vm, endpoint, fencing_token, done = std::move(done), tag] {
-             if (!std::exchange(is_order_answer_lost_, false)) {
+             if (!std::exchange(is_order_answer_lost_, false) &&
+                 now_ >= order_answers_lost_until_) {
                HandleOrder(vm, endpoint, fencing_token, done);
                return;
              }
@@ -146,7 +155,11 @@
                            fencing_token >= highest_fencing_token_;
   if (is_accepted) {
     highest_fencing_token_ = fencing_token;
-    const bool is_slow = std::exchange(is_order_slow_, false);
+    if (are_ordered_deaf_) {
+      group_.Edit(*member).is_deaf = true;
+    }
+    const bool is_slow =
+        std::exchange(is_order_slow_, false) || are_orders_slow_;
     Schedule(now_ + (is_slow ? kSlowOrderTime : kOrderTime),
              StateHash().Add(9).Add(endpoint.value).Get(),
              {PointKind::kOrderEffect, vm, *member},
@@ -175,6 +188,9 @@
   if (!lost) {
     return;
   }
+  if (are_ordered_deaf_) {
+    group_.Edit(*member).is_deaf = false;
+  }
   Note("the promotion of " + endpoint.value + " takes effect" +
        (*lost > 0 ? "; LOST " + std::to_string(*lost) : ""));
   if (*lost > 0) {
--- a/tests/interleavings/world_state.cc
+++ b/tests/interleavings/world_state.cc
@@ -23,6 +23,7 @@
              (hosts_down_.contains(it) ? 32U : 0U))
         .Add(member.term.value)
         .Add(member.paused_at.value)
+        .Add(member.led_term.value)
         .Add(member.log.size())
         .Add(CountMicroseconds(registration.listed_at))
         .Add(CountMicroseconds(registration.expires_at.value_or(TimePoint{})));
@@ -43,17 +44,25 @@
   for (const auto& [vm, member] : cuts_) {
     hash.Add(vm).Add(member);
   }
+  for (const auto& [vm, member] : refusals_) {
+    hash.Add(vm).Add(member + 100);
+  }
+  for (const auto& [member, until] : overloaded_until_) {
+    hash.Add(member).Add(CountMicroseconds(until));
+  }
   const bool flags[] = {are_peers_cut_,      is_publication_scheduled_,
                         is_order_slow_,      is_order_answer_lost_,
                         is_command_delayed_, is_store_answer_lost_,
                         has_joined_,         has_drained_,
-                        has_lost_vms_};
+                        has_lost_vms_,       has_vm_failed_,
+                        are_orders_slow_,    are_ordered_deaf_};
   for (const bool it : flags) {
     hash.Add(it ? 1U : 0U);
   }
   hash.Add(loses_answer_ ? *loses_answer_ + 1 : 0);
   hash.Add(departures_).Add(highest_fencing_token_).Add(row_.version);
   hash.Add(CountMicroseconds(listings_blocked_until_));
+  hash.Add(CountMicroseconds(order_answers_lost_until_));
   hash.Add(CountMicroseconds(waiting_since_.value_or(TimePoint{})));
   DutyRow row;
   if (row_.version > 0 && FakeDutyRowCodec::Decode(row_.value, row)) {
