A crashed primary does not return when its successor leaves

Cause (traced from FindsAPrimaryFromAQuietStart): the entry of a crashed primary reports the role until it expires. When its successor, which had proved a newer term, drains and leaves, PrimaryRegistry took that entry for the primary, and for the latest confirmed one, of an unknown term. The successor then counted as a departed replica which no audit could account for: nobody leads, and a known term is needed to account for a former primary. The service waited for good.

Change: a claim that was listed before the recorded primary proved its newer term does not replace that primary if the endpoint has reported nothing since (same start, same number of the report) and the recorded one reported the role until it was missing. It is then the latest confirmed primary that has left, as it is when the first one's entry has expired. Endpoints that don't number their reports are taken as before. The search's endpoints now number theirs.

Commits: one that led before and leads again reports anew, so its claim counts; a successor that had become a replica doesn't report the role until it leaves.

The new test with fixed faults and the four search tests' first path failed before.

--- a/libs/control/failover/primary_registry.cc
+++ b/libs/control/failover/primary_registry.cc
@@ -20,7 +20,8 @@
       RecordReportedRole(fresh);
     } else if (record->second.endpoint == it.id) {
       RecordReportedRole(record->second);
-    } else if (record->second.missing_since) {
+    } else if (record->second.missing_since &&
+               !IsOutdatedClaim(record->second, it)) {
       // The recorded primary left the directory, and another endpoint reports
       // the role.
       record->second.endpoint = it.id;
@@ -50,10 +51,24 @@
       record.delisted_grace_period = kDelistedGracePeriod;
     } else if (!record.missing_since) {
       record.missing_since = now;
+      record.led_until_missing = record.claims.contains(primary);
+    }
+    record.claims.clear();
+    for (const EndpointEntry& it : endpoints) {
+      if (it.service == service && it.claims_primary) {
+        record.claims.emplace(it.id, GetReport(it));
+      }
     }
   }
 }
 
+bool PrimaryRegistry::IsOutdatedClaim(const Record& record,
+                                      const EndpointEntry& entry) {
+  const auto it = record.outdated_claims.find(entry.id);
+  return record.led_until_missing && it != record.outdated_claims.end() &&
+         it->second.number && it->second == GetReport(entry);
+}
+
 void PrimaryRegistry::RecordReportedRole(Record& record) {
   record.confirmed = true;
   if (record.latest_confirmed.endpoint != record.endpoint) {
@@ -71,6 +86,10 @@
   if (record.endpoint != endpoint) {
     record.missing_since.reset();
   }
+  if (term > record.term) {
+    record.outdated_claims = record.claims;
+    record.outdated_claims.erase(endpoint);
+  }
   record.endpoint = endpoint;
   record.term = term;
   record.confirmed = true;
--- a/libs/control/failover/primary_registry.h
+++ b/libs/control/failover/primary_registry.h
@@ -1,6 +1,7 @@
 #ifndef MAGNOLIAREEL_CONTROL_FAILOVER_PRIMARY_REGISTRY_H_
 #define MAGNOLIAREEL_CONTROL_FAILOVER_PRIMARY_REGISTRY_H_
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <span>
@@ -59,7 +60,8 @@
   /** Applies a listing of the endpoints in use.
 
       A reported primary replaces the recorded one only if that one is missing
-      from the directory.
+      from the directory, and not if its report is older than the proof of the
+      recorded one: an endpoint that has crashed does not withdraw its report.
 
       @param endpoints  every endpoint in use
       @param now        the current time
@@ -132,6 +134,13 @@
                                   TimePoint now) const;
 
  private:
+  /** Tells the reports of an endpoint apart. */
+  struct RoleReport {
+    int64_t started_at_ms = 0;
+    std::optional<uint64_t> number;
+
+    bool operator==(const RoleReport&) const = default;
+  };
   struct Record {
     EndpointId endpoint;
     ConfirmedPrimary latest_confirmed;
@@ -146,6 +155,12 @@
     /** Endpoint of the latest order; a repeated order changes nothing. */
     EndpointId promotion_endpoint;
     std::optional<TimePoint> missing_since;
+    /** It reported the role of the primary until it was missing. */
+    bool led_until_missing = false;
+    /** Reports of the role in the latest listing. */
+    std::map<EndpointId, RoleReport> claims;
+    /** Those that were listed before the newest term was proved. */
+    std::map<EndpointId, RoleReport> outdated_claims;
     /** Time after which it counts as gone if it is missing. */
     Duration delisted_grace_period = kDelistedGracePeriod;
     /** Endpoint that reported the role of the primary last. */
@@ -154,6 +169,12 @@
     std::optional<TimePoint> unreported_since;
   };
 
+  static RoleReport GetReport(const EndpointEntry& entry) {
+    return {entry.started_at_ms, entry.report_number};
+  }
+  /** @returns whether the endpoint has reported nothing since the missing
+               primary, which led to the end, proved a newer term */
+  static bool IsOutdatedClaim(const Record& record, const EndpointEntry& entry);
   /** Records that the directory reports the role of the recorded primary. */
   static void RecordReportedRole(Record& record);
 
--- a/libs/control/tests/control_test.cc
+++ b/libs/control/tests/control_test.cc
@@ -856,6 +856,46 @@
   LONGS_EQUAL(5, registry.GetLatestConfirmed(kService)->term.value);
 }
 
+TEST(Primaries, ThatCrashedDoNotReturnWhenTheirSuccessorLeaves) {
+  // The entry of one that has crashed reports the role until it expires.
+  std::vector<EndpointEntry> entries = {MakeEntry("db-1"), MakeEntry("db-2")};
+  for (EndpointEntry& it : entries) {
+    it.claims_primary = true;
+    it.report_number = 7;
+  }
+  PrimaryRegistry registry;
+  registry.Apply(std::span(entries).first(1), kStart);
+  registry.RecordPromotion(kService, EndpointId{"db-2"}, 5, After(100));
+  registry.RecordConfirmed(kService, EndpointId{"db-2"}, Term{2});
+  registry.Apply(entries, After(500));
+  registry.Apply(std::span(entries).first(1), After(1000));
+  registry.Apply(std::span(entries).first(1), After(1400));
+  STRCMP_EQUAL("db-2",
+               registry.Get(kService, After(1400))->endpoint.value.c_str());
+  CHECK(registry.Get(kService, After(1400))->gone);
+  CHECK(registry.IsLatestConfirmed(EndpointId{"db-2"}));
+  // A newer report may be that of a later promotion.
+  entries[0].report_number = 8;
+  registry.Apply(std::span(entries).first(1), After(1500));
+  STRCMP_EQUAL("db-1",
+               registry.Get(kService, After(1500))->endpoint.value.c_str());
+  CHECK(registry.Get(kService, After(1500))->confirmed);
+}
+
+TEST(Primaries, ReturnIfTheirSuccessorDidNotLeadUntilItLeft) {
+  // It may have become a replica of the one that led before.
+  std::vector<EndpointEntry> entries = {MakeEntry("db-1"), MakeEntry("db-2")};
+  entries[0].claims_primary = true;
+  entries[0].report_number = 7;
+  PrimaryRegistry registry;
+  registry.Apply(entries, kStart);
+  registry.RecordConfirmed(kService, EndpointId{"db-2"}, Term{2});
+  registry.Apply(std::span(entries).first(1), After(1000));
+  registry.Apply(std::span(entries).first(1), After(1400));
+  STRCMP_EQUAL("db-1",
+               registry.Get(kService, After(1400))->endpoint.value.c_str());
+}
+
 TEST_GROUP(Peers){};
 
 TEST(Peers, AreLiveWhileHeartbeatsArrive) {
--- a/tests/interleavings/interleaving_test.cc
+++ b/tests/interleavings/interleaving_test.cc
@@ -353,4 +353,12 @@
   CHECK_TRUE(FindsPrimaries(4));
 }
 
+TEST(Recovery, FindsAPrimaryWhenTheSuccessorOfACrashedOneDrains) {
+  // The entry of the crashed one still reports the role when the successor
+  // leaves.
+  const TimedFault faults[] = {MakeFault(5030, FaultKind::kCrash, 0),
+                               MakeFault(5430, FaultKind::kDrain)};
+  CHECK_TRUE(RunFaults(faults) == RunOutcome::kClean);
+}
+
 }  // namespace magnoliareel
--- a/tests/interleavings/search_world.cc
+++ b/tests/interleavings/search_world.cc
@@ -238,7 +238,7 @@
   view.live_vms = kVms;
   const auto& members = group_.GetMembers();
   for (size_t it = 0; it < members.size(); ++it) {
-    const Registration& registration = registrations_[it];
+    Registration& registration = registrations_[it];
     if (now_ < registration.listed_at ||
         (registration.expires_at && now_ >= *registration.expires_at)) {
       continue;
@@ -248,6 +248,15 @@
     entry.service = kService;
     entry.draining = members[it].is_draining;
     entry.claims_primary = members[it].is_primary;
+    if (members[it].is_running &&
+        (registration.report == 0 ||
+         registration.reports_primary != entry.claims_primary ||
+         registration.reports_draining != entry.draining)) {
+      registration.reports_primary = entry.claims_primary;
+      registration.reports_draining = entry.draining;
+      registration.report = ++report_count_;
+    }
+    entry.report_number = registration.report;
     if (!members[it].is_running) {
       // A crashed endpoint reports nothing; its entry stays as it is.
       const auto old = std::find_if(
--- a/tests/interleavings/search_world.h
+++ b/tests/interleavings/search_world.h
@@ -156,6 +156,10 @@
   struct Registration {
     TimePoint listed_at;
     std::optional<TimePoint> expires_at;
+    /** Number of the report that the directory lists. */
+    uint64_t report = 0;
+    bool reports_primary = false;
+    bool reports_draining = false;
   };
   /** A command on its way. */
   struct SentCommand {
@@ -246,6 +250,8 @@
   bool has_lost_vms_ = false;
   /** A VM was lost or has stood still. */
   bool has_vm_failed_ = false;
+  /** Number of reports to the directory. */
+  uint64_t report_count_ = 0;
   /** Number of ids that have left for good. */
   size_t departures_ = 0;
   size_t orders_in_transit_ = 0;
