Search: a commit on its way is acknowledged in spite of a hold

Cause: the model let a hold stop the answer to a commit that was sent before it. The hold is on sending, so that was kinder than the product. It also gave such an answer to any VM that reaches the primary, even after a crash had ended the connections.

Change: each commit knows the VMs that sent it. It is acknowledged if one of them still reaches the primary, whether or not it holds commits now. A crash of an endpoint that led, and the loss of a VM, end the connections.

--- a/tests/interleavings/member_group.cc
+++ b/tests/interleavings/member_group.cc
@@ -34,15 +34,21 @@
   return std::nullopt;
 }
 
-uint32_t MemberGroup::Commit() {
+uint32_t MemberGroup::Commit(uint32_t senders) {
   GroupMember& primary = members_[*FindPrimary()];
   const auto commit = static_cast<uint32_t>(commits_.size());
-  commits_.push_back({primary.term, false});
+  commits_.push_back({primary.term, false, senders});
   primary.log.push_back(commit);
   return commit;
 }
 
-size_t MemberGroup::Replicate(bool is_observed) {
+void MemberGroup::ForgetSender(size_t vm) {
+  for (GroupCommit& it : commits_) {
+    it.senders &= ~(1U << vm);
+  }
+}
+
+size_t MemberGroup::Replicate(uint32_t observers) {
   const std::optional<size_t> leader = FindPrimary();
   if (!leader) {
     return 0;
@@ -59,10 +65,12 @@
     is_received = true;
   }
   size_t n = 0;
-  if (is_received && is_observed) {
-    for (const uint32_t it : primary.log) {
-      n += commits_[it].acknowledged ? 0 : 1;
-      commits_[it].acknowledged = true;
+  for (const uint32_t it : primary.log) {
+    GroupCommit& commit = commits_[it];
+    if (is_received && !commit.acknowledged &&
+        (commit.senders & observers) != 0) {
+      commit.acknowledged = true;
+      ++n;
     }
   }
   return n;
@@ -70,8 +78,11 @@
 
 bool MemberGroup::HasWaitingCommit() const {
   const std::optional<size_t> leader = FindPrimary();
-  return leader && !members_[*leader].log.empty() &&
-         !commits_[members_[*leader].log.back()].acknowledged;
+  if (!leader || members_[*leader].log.empty()) {
+    return false;
+  }
+  const GroupCommit& latest = commits_[members_[*leader].log.back()];
+  return !latest.acknowledged && latest.senders != 0;
 }
 
 LogPoint MemberGroup::GetLogEnd(const GroupMember& member) const {
@@ -98,7 +109,7 @@
     case EndpointCommandKind::kDemote:
       if (member.is_primary && command.term > member.term) {
         // The replicas receive what was sent before; nothing is acknowledged.
-        Replicate(false);
+        Replicate(0);
         member.is_primary = false;
       }
       break;
@@ -152,8 +163,15 @@
 }
 
 void MemberGroup::Crash(size_t index) {
-  members_[index].is_running = false;
-  members_[index].paused_at = {};
+  GroupMember& member = members_[index];
+  member.is_running = false;
+  member.paused_at = {};
+  if (member.is_primary || member.led_term == newest_term_) {
+    // Its connections end, and with them the answers to its commits.
+    for (const uint32_t it : member.log) {
+      commits_[it].senders = 0;
+    }
+  }
 }
 
 void MemberGroup::Restart(size_t index) {
--- a/tests/interleavings/member_group.h
+++ b/tests/interleavings/member_group.h
@@ -16,6 +16,8 @@
   Term term;
   /** A VM could tell its caller that the commit succeeded. */
   bool acknowledged = false;
+  /** VMs that have sent it and can still receive its answer, a bit for each. */
+  uint32_t senders = 0;
 };
 
 /** State of one endpoint of the group. */
@@ -41,7 +43,7 @@
 
     A replica receives a commit at once. A commit is acknowledged as soon as
     one running replica has received it, the primary still leads and a VM
-    reaches it.
+    that has sent it reaches it.
 */
 class MemberGroup {
  public:
@@ -61,15 +63,18 @@
 
   /** Adds a commit to the log of the primary.
 
-      @returns index of the commit */
-  uint32_t Commit();
+      @param senders  VMs that send it, a bit for each
+      @returns        index of the commit */
+  uint32_t Commit(uint32_t senders);
+  /** The VM is lost, and receives no answer. */
+  void ForgetSender(size_t vm);
   /** Sends the log of the primary to its replicas.
 
-      @param is_observed  whether a VM reaches the primary, so that a commit can
-                          be acknowledged
-      @returns            number of commits that were acknowledged */
-  size_t Replicate(bool is_observed);
-  /** @returns whether the primary has a commit that is not acknowledged */
+      @param observers  VMs that reach the primary, a bit for each
+      @returns          number of commits that were acknowledged */
+  size_t Replicate(uint32_t observers);
+  /** @returns whether a VM waits for the acknowledgement of the primary's
+     latest commit */
   bool HasWaitingCommit() const;
 
   /** Executes a command.
--- a/tests/interleavings/search_world.cc
+++ b/tests/interleavings/search_world.cc
@@ -119,8 +119,8 @@
 }
 
 void SearchWorld::RunCommits() {
-  if (IsObserved()) {
-    const uint32_t commit = group_.Commit();
+  if (const uint32_t vms = ListCommitters(); vms != 0) {
+    const uint32_t commit = group_.Commit(vms);
     Note("commit " + std::to_string(commit) + " runs at member " +
          std::to_string(*group_.FindPrimary()));
     Replicate();
@@ -130,7 +130,7 @@
 }
 
 void SearchWorld::Replicate() {
-  const size_t n = group_.Replicate(IsObserved());
+  const size_t n = group_.Replicate(ListObservers());
   if (n > 0) {
     Note(std::to_string(n) + " commit(s) acknowledged by member " +
          std::to_string(*group_.FindPrimary()));
@@ -146,18 +146,24 @@
   return waiting_since_ && now_ - *waiting_since_ >= kStallThreshold;
 }
 
-bool SearchWorld::IsObserved() const {
+uint32_t SearchWorld::ListObservers() const {
   const std::optional<size_t> primary = group_.FindPrimary();
-  if (!primary) {
-    return false;
+  uint32_t vms = 0;
+  for (size_t it = 0; primary && it < kVms; ++it) {
+    vms |= vms_[it] != nullptr && IsConnected(it, *primary) ? 1U << it : 0U;
   }
+  return vms;
+}
+
+uint32_t SearchWorld::ListCommitters() const {
+  uint32_t vms = ListObservers();
   for (size_t it = 0; it < kVms; ++it) {
-    if (vms_[it] != nullptr && IsConnected(it, *primary) &&
-        vms_[it]->MayCommitAt(group_.GetMembers()[*primary].id)) {
-      return true;
+    if ((vms >> it & 1U) != 0 &&
+        !vms_[it]->MayCommitAt(group_.GetMembers()[*group_.FindPrimary()].id)) {
+      vms &= ~(1U << it);
     }
   }
-  return false;
+  return vms;
 }
 
 bool SearchWorld::Reaches(size_t vm, const EndpointId& endpoint) const {
--- a/tests/interleavings/search_world.h
+++ b/tests/interleavings/search_world.h
@@ -183,8 +183,10 @@
   void Replicate();
   void PublishLater(Duration delay);
   void Publish();
-  /** @returns whether a VM sends commits to the primary and reaches it */
-  bool IsObserved() const;
+  /** @returns the VMs that reach the primary, a bit for each */
+  uint32_t ListObservers() const;
+  /** @returns those that send commits to it */
+  uint32_t ListCommitters() const;
   /** @returns whether the VM has connections to the member */
   bool IsConnected(size_t vm, size_t member) const {
     return !cuts_.contains({vm, member}) && !refusals_.contains({vm, member});
--- a/tests/interleavings/world_faults.cc
+++ b/tests/interleavings/world_faults.cc
@@ -315,6 +315,7 @@
     return;
   }
   std::exchange(vms_[vm], nullptr)->Kill();
+  group_.ForgetSender(vm);
   Schedule(now_ + kVmRestartDelay, 16 + (vm << 8U), {}, [this, vm] {
     StartVm(vm);
     FleetView view = MakeView();
--- a/tests/interleavings/world_state.cc
+++ b/tests/interleavings/world_state.cc
@@ -32,7 +32,7 @@
     }
   }
   for (const GroupCommit& it : group_.GetCommits()) {
-    hash.Add(it.term.value * 2 + (it.acknowledged ? 1U : 0U));
+    hash.Add(it.term.value * 2 + (it.acknowledged ? 1U : 0U)).Add(it.senders);
   }
   for (const EndpointEntry& it : directory_) {
     hash.Add(it.id.value)
