Hold commits back while a primary is being replaced

The former primary led and acknowledged from about the order to its effect, a second later, and VMs sent it statements as the primary at their first attempt.

Cause: what a promotion relies on is checked before its order, and may cease to hold before it takes effect; no command reaches a database by then that no VM reaches with one.

HoldCommits() and ReleaseCommits() of the traffic core take effect. While a hold is in force, the successor is the presumed primary, whatever other endpoints prove or claim; without one, work that requires the primary waits as it does without a primary. Writes and commits of transactions that wrote and are open elsewhere are answered with ABORTED at once, and rolled back; nothing of them was committed, since the check precedes the sending of each statement. Other VMs' statements are refused as "not primary", which lets the VM with the caller's session wait. What was sent before is answered. A hold ends by the successor's proof of a newer term, by release or after kCommitHoldPeriod; CommitHold decides this on values and times.

Reads that require the primary go to the successor as well: the former primary may answer them from commits that the promotion rolls back. Reads of open transactions and commits of transactions that wrote nothing go on where they are.

Each hold is logged (E5209), and commits_held counts its statements. What concerns the presumed primary moves to a file of its own, timers as well.

--- a/apps/node/traffic_thread.cc
+++ b/apps/node/traffic_thread.cc
@@ -208,6 +208,10 @@
         "commit_losses",
         "Changes of a primary after which an answered commit was missing.", {},
         static_cast<double>(counters.commit_losses));
+    gauges.Add("commits_held",
+               "Statements that waited or were not run because their primary "
+               "was being replaced.",
+               {}, static_cast<double>(counters.commits_held));
     done(std::move(gauges));
   });
 }
--- a/libs/relay/core/service_state.h
+++ b/libs/relay/core/service_state.h
@@ -11,6 +11,7 @@
 #include "relay/connections/endpoint_pool.h"
 #include "relay/freshness/freshness_bound.h"
 #include "relay/freshness/freshness_bound_history.h"
+#include "relay/primaries/commit_hold.h"
 #include "relay/primaries/commit_loss_detector.h"
 #include "relay/primaries/primary_tracker.h"
 
@@ -29,6 +30,7 @@
   std::vector<EndpointId> endpoints;
   PrimaryTracker primary_tracker;
   CommitLossDetector commit_losses;
+  CommitHold commit_hold;
   /** Endpoint of the latest commit that was answered with success. */
   std::optional<TimedEndpoint> last_answered_commit;
   /** Endpoint of the latest promotion that was announced. */
--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -22,6 +22,7 @@
 #include "relay/core/service_state.h"
 #include "relay/core/traffic_net.h"
 #include "relay/core/traffic_options.h"
+#include "relay/core/traffic_timer.h"
 #include "relay/messages/forwarding_dialect.h"
 #include "relay/sessions/caller_session.h"
 #include "telemetry/telemetry.h"
@@ -139,32 +140,6 @@
   const TrafficCounters& GetCounters() const { return counters_; }
 
  private:
-  enum class TimerKind {
-    kStatementDeadline,
-    kSlowStatement,
-    kStatementRetry,
-    kConnectTimeout,
-    kAbandonedTimeout,
-    kReturnTimeout,
-    kIdleCheck,
-    kTransactionIdle,
-    kPoolRetry,
-    kPrimaryReview,
-    kPeerBoundTimeout,
-    kDrainingUseLimit,
-    kDrain,
-  };
-  struct Timer {
-    TimePoint at;
-    TimerKind kind = TimerKind::kStatementDeadline;
-    /** Id of the session or connection, or 0. */
-    uint64_t subject = 0;
-    /** Id of the statement, or 0. */
-    uint64_t statement_id = 0;
-    EndpointId endpoint;
-    bool operator>(const Timer& other) const { return at > other.at; }
-  };
-
   /** What is known of a VM to which statements are forwarded. */
   struct HolderState {
     TimePoint heard_at;
@@ -240,7 +215,6 @@
   void StartStatement(PooledConnection& connection, CallerSession& session);
   void SendStatement(PooledConnection& connection, CallerSession& session);
   void SendInTransaction(CallerSession& session);
-  void HandlePrimaryChange(ServiceState& service);
 
   // traffic_core_bounds.h: requests for freshness bounds.
   void RefreshBounds(ServiceState& service, Duration max_bound_age);
@@ -264,13 +238,34 @@
   void RetirePool(EndpointPool& pool);
   void HandleEndpointFailure(EndpointPool& pool, EndpointCondition condition);
   void RerouteReads(EndpointPool& pool);
-  void HandleNotPrimary(EndpointPool& pool);
   void RecordFreshness(EndpointPool& pool, std::optional<StatementError> error);
+
+  // traffic_core_primaries.h: which endpoint is presumably the primary.
+  const EndpointId* GetPresumedPrimary(const ServiceState& service) const;
+  EndpointPool* FindPrimaryPool(const ServiceState& service);
+  bool IsPrimary(const EndpointPool& pool);
+  /** @returns whether an endpoint gets new statements; those of transactions
+      that are open there go on */
+  bool TakesNewStatements(const EndpointPool& pool);
+  void HandlePrimaryChange(ServiceState& service);
   void HandlePrimaryConfirmed(EndpointPool& pool,
                               TimePoint requested_at,
                               LogPoint point);
   void LogPrimaryChange(const EndpointPool& pool,
                         const CommitLossDetector::Finding& finding);
+  void HandleNotPrimary(EndpointPool& pool);
+
+  // traffic_core_holds.h: writes that wait for a primary's successor.
+  void EndExpiredCommitHolds();
+  Term FindNewestTerm(const ServiceState& service);
+  /** @returns whether the session's statement must not be sent to an endpoint,
+               because a successor of the primary is to run it */
+  bool IsHeldBack(const CallerSession& session, const EndpointId& endpoint);
+  void AbortHeldBackTransaction(CallerSession& session,
+                                PooledConnection& connection);
+  void LogCommitHoldEnd(const ServiceId& id,
+                        const CommitHold::Ended& hold,
+                        std::string_view reason);
 
   // traffic_core_pool_sizes.h: connection counts and idle timeouts.
   double GetConnectionsPerVm(const EndpointPool& pool) const;
@@ -336,17 +331,12 @@
   CallerSession* FindSession(uint64_t id);
   PooledConnection* FindConnection(uint64_t id);
   EndpointPool* FindPool(const EndpointId& id);
-  EndpointPool* FindPrimaryPool(const ServiceState& service);
-  /** @returns whether an endpoint gets new statements; those of transactions
-      that are open there go on */
-  bool TakesNewStatements(const EndpointPool& pool);
   ServiceState& GetService(const ServiceId& id) { return services_[id]; }
   bool RequiresPrimary(EndpointRequirement requirement) const {
     return requirement == EndpointRequirement::kPrimaryRead ||
            requirement == EndpointRequirement::kWrite ||
            requirement == EndpointRequirement::kReadWriteTransaction;
   }
-  bool IsPrimary(const EndpointPool& pool);
   bool IsInProgress(uint64_t session, uint64_t statement_id);
 
   N& net_;
@@ -383,7 +373,9 @@
 #include "relay/core/traffic_core_dispatch.h"         // IWYU pragma: export
 #include "relay/core/traffic_core_errors.h"           // IWYU pragma: export
 #include "relay/core/traffic_core_forwarding.h"       // IWYU pragma: export
+#include "relay/core/traffic_core_holds.h"            // IWYU pragma: export
 #include "relay/core/traffic_core_pool_sizes.h"       // IWYU pragma: export
+#include "relay/core/traffic_core_primaries.h"        // IWYU pragma: export
 #include "relay/core/traffic_core_reads.h"            // IWYU pragma: export
 #include "relay/core/traffic_core_replies.h"          // IWYU pragma: export
 #include "relay/core/traffic_core_sessions.h"         // IWYU pragma: export
--- a/libs/relay/core/traffic_core_connections.h
+++ b/libs/relay/core/traffic_core_connections.h
@@ -24,29 +24,6 @@
   return it == pools_.end() ? nullptr : &it->second;
 }
 
-template <ForwardingDialect D, class N>
-EndpointPool* TrafficCore<D, N>::FindPrimaryPool(const ServiceState& service) {
-  const EndpointId* primary = service.primary_tracker.GetPrimary();
-  return primary == nullptr ? nullptr : FindPool(*primary);
-}
-
-template <ForwardingDialect D, class N>
-bool TrafficCore<D, N>::IsPrimary(const EndpointPool& pool) {
-  const EndpointId* primary =
-      GetService(pool.entry.service).primary_tracker.GetPrimary();
-  return primary != nullptr && *primary == pool.entry.id;
-}
-
-template <ForwardingDialect D, class N>
-bool TrafficCore<D, N>::TakesNewStatements(const EndpointPool& pool) {
-  if (pool.removed) {
-    return false;
-  }
-  return !pool.entry.draining ||
-         (IsPrimary(pool) &&
-          !pool.HasDrained(options_.max_draining_use, net_.Now()));
-}
-
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::ExpectReply(PooledConnection& connection,
                                     EndpointRequestKind request,
@@ -259,79 +236,6 @@
   }
 }
 
-template <ForwardingDialect D, class N>
-void TrafficCore<D, N>::HandlePrimaryConfirmed(EndpointPool& pool,
-                                               TimePoint requested_at,
-                                               LogPoint point) {
-  ServiceState& service = GetService(pool.entry.service);
-  if (point.term < service.primary_tracker.GetTerm()) {
-    return;
-  }
-  service.bounds.Record(requested_at, point);
-  if (const auto finding = service.commit_losses.RecordPrimary(point)) {
-    LogPrimaryChange(pool, *finding);
-  }
-  const bool is_new_term = point.term > service.primary_tracker.GetTerm();
-  if (service.primary_tracker.RecordConfirmed(pool.entry.id, point.term)) {
-    LogEvent(Event::kPrimaryConfirmed,
-             {{"service", pool.entry.service.value},
-              {"endpoint", pool.entry.id.value},
-              {"term", std::to_string(point.term.value)}});
-    HandlePrimaryChange(service);
-  }
-  if (is_new_term) {
-    net_.OnPrimaryConfirmed(pool.entry.id, point.term);
-  }
-  if (!service.pending_bound_queries.empty()) {
-    ReplyToBoundQueries(pool.entry.service, service);
-  }
-  if (!service.reads_awaiting_bound.empty()) {
-    DispatchReadsAwaitingBound(service);
-  }
-}
-
-template <ForwardingDialect D, class N>
-void TrafficCore<D, N>::LogPrimaryChange(
-    const EndpointPool& pool,
-    const CommitLossDetector::Finding& finding) {
-  if (finding.is_loss) {
-    ++counters_.commit_losses;
-  }
-  const auto format = [](const std::optional<LogPoint>& point) {
-    return point ? FormatLogPoint(*point) : std::string("none");
-  };
-  const ServiceState& service = GetService(pool.entry.service);
-  const std::optional<TimedEndpoint>& answered = service.last_answered_commit;
-  const std::optional<TimedEndpoint>& ordered = service.last_ordered_promotion;
-  const auto get_age_ms = [this](const std::optional<TimedEndpoint>& it) {
-    return it ? std::to_string((net_.Now() - it->at).count() / 1000)
-              : std::string("none");
-  };
-  LogEvent(finding.is_loss ? Event::kCommitsLost : Event::kPrimaryChanged,
-           {{"service", pool.entry.service.value},
-            {"endpoint", pool.entry.id.value},
-            {"term", std::to_string(finding.first_seen.term.value)},
-            {"first_seen", FormatLogPoint(finding.first_seen)},
-            {"last_answered", format(finding.last_answered)},
-            {"proven", format(finding.proven)},
-            {"sync_replicas", std::to_string(service.rules.sync_replicas)},
-            {"answered_by", answered ? answered->endpoint.value : "none"},
-            {"answered_ms", get_age_ms(answered)},
-            {"ordered", ordered ? ordered->endpoint.value : "none"},
-            {"ordered_ms", get_age_ms(ordered)}});
-}
-
-template <ForwardingDialect D, class N>
-void TrafficCore<D, N>::HandleNotPrimary(EndpointPool& pool) {
-  const TimePoint now = net_.Now();
-  if (GetService(pool.entry.service)
-          .primary_tracker.RecordNotPrimary(pool.entry.id, now)) {
-    net_.Report({pool.entry.id, EndpointCondition::kRefusedAsReplica});
-    ScheduleTimer(
-        {now + kPrimaryReviewInterval, TimerKind::kPrimaryReview, 0, 0, {}});
-  }
-}
-
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandleConnectionLoss(uint64_t connection_id,
                                              std::string_view reason) {
--- a/libs/relay/core/traffic_core_control.h
+++ b/libs/relay/core/traffic_core_control.h
@@ -127,22 +127,6 @@
   }
 }
 
-template <ForwardingDialect D, class N>
-void TrafficCore<D, N>::AnnouncePrimary(const ServiceId& service,
-                                        const EndpointId& endpoint) {
-  ServiceState& state = GetService(service);
-  state.last_ordered_promotion = {endpoint, net_.Now()};
-  if (state.primary_tracker.RecordAnnouncedPromotion(endpoint, net_.Now())) {
-    HandlePrimaryChange(state);
-  }
-}
-
-template <ForwardingDialect D, class N>
-void TrafficCore<D, N>::HoldCommits(const ServiceId&, const EndpointId&) {}
-
-template <ForwardingDialect D, class N>
-void TrafficCore<D, N>::ReleaseCommits(const ServiceId&) {}
-
 }  // namespace magnoliareel
 
 #endif  // MAGNOLIAREEL_RELAY_CORE_TRAFFIC_CORE_CONTROL_H_
--- a/libs/relay/core/traffic_core_dispatch.h
+++ b/libs/relay/core/traffic_core_dispatch.h
@@ -39,6 +39,10 @@
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::DispatchToPrimary(CallerSession& session) {
   ServiceState& service = GetService(session.route->service);
+  if (service.commit_hold.IsInForce(net_.Now()) &&
+      !std::exchange(session.statement.was_held, true)) {
+    ++counters_.commits_held;
+  }
   EndpointPool* pool = FindPrimaryPool(service);
   if (pool != nullptr && TakesNewStatements(*pool)) {
     EnqueueStatement(*pool, session);
@@ -314,6 +318,10 @@
                   "the transaction's connection is gone");
     return;
   }
+  if (IsHeldBack(session, connection->endpoint)) {
+    AbortHeldBackTransaction(session, *connection);
+    return;
+  }
   ++session.statement.attempts;
   if (connection->values != session.values) {
     // Values are only added: a session never removes a value, and a reset would
@@ -324,58 +332,6 @@
   SendStatement(*connection, session);
 }
 
-template <ForwardingDialect D, class N>
-void TrafficCore<D, N>::HandlePrimaryChange(ServiceState& service) {
-  std::vector<QueuedStatement> moved(
-      service.statements_awaiting_primary.begin(),
-      service.statements_awaiting_primary.end());
-  if (EndpointPool* primary = FindPrimaryPool(service);
-      primary != nullptr && TakesNewStatements(*primary)) {
-    service.statements_awaiting_primary.clear();
-  } else {
-    moved.clear();
-  }
-  for (const EndpointId& id : service.endpoints) {
-    EndpointPool* pool = FindPool(id);
-    if (pool == nullptr || IsPrimary(*pool)) {
-      continue;
-    }
-    const std::deque<QueuedStatement> queue = pool->queue;
-    for (const QueuedStatement& it : queue) {
-      const CallerSession* session = FindSession(it.session);
-      if (session != nullptr &&
-          RequiresPrimary(session->statement.requirement)) {
-        pool->Remove(it.statement_id);
-        moved.push_back(it);
-      }
-    }
-  }
-  for (const QueuedStatement& it : moved) {
-    if (!IsInProgress(it.session, it.statement_id)) {
-      continue;
-    }
-    CallerSession& session = *FindSession(it.session);
-    if (session.is_forwarded) {
-      FailStatement(session, StatementError::kNotPrimary,
-                    "another endpoint is the primary");
-    } else {
-      Dispatch(session);
-    }
-  }
-  EndpointPool* pool = FindPrimaryPool(service);
-  if (pool == nullptr) {
-    return;
-  }
-  const std::vector<uint64_t> ids = pool->connections;
-  for (const uint64_t it : ids) {
-    PooledConnection* connection = FindConnection(it);
-    if (connection != nullptr && connection->state == ConnectionState::kIdle &&
-        connection->status == TransactionStatus::kIdle) {
-      ReturnToPool(*connection);
-    }
-  }
-}
-
 }  // namespace magnoliareel
 
 #endif  // MAGNOLIAREEL_RELAY_CORE_TRAFFIC_CORE_DISPATCH_H_
--- a/libs/relay/core/traffic_core_forwarding.h
+++ b/libs/relay/core/traffic_core_forwarding.h
@@ -131,6 +131,12 @@
                   "the endpoint is not in use");
     return;
   }
+  if (IsHeldBack(session, session.forwarded_to)) {
+    ++counters_.commits_held;
+    FailStatement(session, StatementError::kNotPrimary,
+                  "the primary is being replaced");
+    return;
+  }
   // A read can go to another endpoint; a statement that requires the primary
   // waits for this one or for its successor.
   if (pool->IsBackedOff(net_.Now()) &&
--- a/libs/relay/core/traffic_core_replies.h
+++ b/libs/relay/core/traffic_core_replies.h
@@ -185,6 +185,11 @@
         HandleBeginError(connection);
         return;
       }
+      if (IsHeldBack(*session, connection.endpoint)) {
+        connection.begin_error = StatementError::kNotPrimary;
+        HandleBeginError(connection);
+        return;
+      }
       SendStatement(connection, *session);
       return;
     }
--- a/libs/relay/core/traffic_core_timers.h
+++ b/libs/relay/core/traffic_core_timers.h
@@ -65,6 +65,7 @@
     case TimerKind::kPrimaryReview:
     case TimerKind::kPeerBoundTimeout:
     case TimerKind::kDrainingUseLimit:
+    case TimerKind::kCommitHoldEnd:
     case TimerKind::kDrain:
       return false;
   }
@@ -150,6 +151,9 @@
         HandleDrainingUseLimit(*pool);
       }
       return;
+    case TimerKind::kCommitHoldEnd:
+      EndExpiredCommitHolds();
+      return;
     case TimerKind::kDrain:
       HandleDrain();
       return;
--- a/libs/relay/core/traffic_limits.h
+++ b/libs/relay/core/traffic_limits.h
@@ -30,6 +30,10 @@
 /** Maximum attempts of one statement; further ones would mostly add load to
     endpoints that refuse it. */
 inline constexpr uint32_t kMaxStatementAttempts = 12;
+/** Time for which a hold of commits lasts unless it is repeated: twice the
+    longest promotion, and longer than a heartbeat period with one lost
+    datagram. */
+inline constexpr Duration kCommitHoldPeriod = std::chrono::milliseconds(2000);
 /** Interval at which services without a primary are checked. */
 inline constexpr Duration kPrimaryReviewInterval =
     std::chrono::milliseconds(50);
--- a/libs/relay/core/traffic_options.h
+++ b/libs/relay/core/traffic_options.h
@@ -43,6 +43,9 @@
   /** Changes of a primary after which the log lacked a commit that this VM had
       answered. */
   uint64_t commit_losses = 0;
+  /** Statements that waited for the successor of a primary, or were not run,
+      because the primary was being replaced. */
+  uint64_t commits_held = 0;
 };
 
 }  // namespace magnoliareel
--- a/libs/relay/relay.h
+++ b/libs/relay/relay.h
@@ -24,6 +24,7 @@
 #include "relay/messages/endpoint_message.h"
 #include "relay/messages/statement_error.h"
 #include "relay/messages/wire_dialect.h"
+#include "relay/primaries/commit_hold.h"
 #include "relay/primaries/commit_loss_detector.h"
 #include "relay/primaries/primary_tracker.h"
 #include "relay/sessions/caller_session.h"
--- a/libs/relay/sessions/caller_session.h
+++ b/libs/relay/sessions/caller_session.h
@@ -80,6 +80,8 @@
   bool hedged = false;
   /** True if it has waited for a freshness bound. */
   bool waited_for_bound = false;
+  /** True if it was counted as one that waits for a primary's successor. */
+  bool was_held = false;
   /** True if it was retried at a replica that was behind. */
   bool waited_for_replica = false;
   /** Time at which the holder that runs it was asked for a sign of life; epoch
--- a/libs/relay/tests/relay_test.cc
+++ b/libs/relay/tests/relay_test.cc
@@ -110,6 +110,76 @@
   CHECK(tracker.GetPrimary() == nullptr);
 }
 
+TEST_GROUP(CommitHold){};
+
+TEST(CommitHold, ExcludesAllButTheSuccessorUntilItsPeriodEnds) {
+  const EndpointId former{"db-1"};
+  const EndpointId next{"db-2"};
+  CommitHold hold;
+  CHECK(!hold.Excludes(former, kStart));
+  CHECK(hold.Begin({}, Term{4}, kStart));
+  CHECK(hold.Excludes(former, kStart));
+  CHECK(hold.Excludes(next, kStart));
+  CHECK(hold.GetSuccessor(kStart) == nullptr);
+  CHECK(hold.Begin(next, Term{4}, AtMs(500)));
+  CHECK(hold.Excludes(former, AtMs(2400)));
+  CHECK(!hold.Excludes(next, AtMs(2400)));
+  STRCMP_EQUAL("db-2", hold.GetSuccessor(AtMs(2400))->value.c_str());
+  CHECK(!hold.TakeExpired(AtMs(2499)));
+  CHECK(!hold.Excludes(former, AtMs(2500)));
+  const auto ended = hold.TakeExpired(AtMs(2500));
+  STRCMP_EQUAL("db-2", ended->successor.value.c_str());
+  CHECK(ended->began == kStart);
+  CHECK(!hold.TakeExpired(AtMs(2500)));
+}
+
+TEST(CommitHold, IsContinuedByRepetitionAndEndedByRelease) {
+  const EndpointId former{"db-1"};
+  const EndpointId next{"db-2"};
+  CommitHold hold;
+  CHECK(hold.Begin(next, Term{4}, kStart));
+  CHECK(!hold.Begin(next, Term{4}, AtMs(1500)));
+  CHECK(hold.Excludes(former, AtMs(3400)));
+  CHECK(hold.Release(AtMs(3400)).has_value());
+  CHECK(!hold.Excludes(former, AtMs(3400)));
+  CHECK(!hold.Release(AtMs(3400)));
+  CHECK(hold.Begin(next, Term{4}, AtMs(3410)));
+  CHECK(hold.Excludes(former, AtMs(3410)));
+}
+
+TEST(CommitHold, EndsByANewerTermOfTheSuccessorOnly) {
+  // Guards against a hold that ends by the effect of an older order, or by what
+  // the successor answered in a term that it led before.
+  const EndpointId former{"db-1"};
+  const EndpointId next{"db-2"};
+  const EndpointId other{"db-3"};
+  CommitHold hold;
+  CHECK(hold.Begin(next, Term{4}, kStart));
+  CHECK(!hold.RecordConfirmed(former, Term{4}, AtMs(10)));
+  CHECK(!hold.RecordConfirmed(other, Term{5}, AtMs(20)));
+  CHECK(!hold.RecordConfirmed(next, Term{4}, AtMs(30)));
+  CHECK(hold.Excludes(former, AtMs(30)));
+  CHECK(hold.Excludes(other, AtMs(30)));
+  CHECK(hold.RecordConfirmed(next, Term{6}, AtMs(40)).has_value());
+  CHECK(!hold.Excludes(former, AtMs(40)));
+}
+
+TEST(CommitHold, ANoticeBehindTheProofOfItsSuccessorBeginsNoHold) {
+  const EndpointId former{"db-1"};
+  const EndpointId next{"db-2"};
+  CommitHold hold;
+  CHECK(hold.Begin(next, Term{4}, kStart));
+  CHECK(hold.RecordConfirmed(next, Term{5}, AtMs(500)).has_value());
+  CHECK(!hold.Begin(next, Term{5}, AtMs(600)));
+  CHECK(!hold.IsInForce(AtMs(600)));
+  // The next replacement, of this successor.
+  CHECK(hold.Begin({}, Term{5}, AtMs(700)));
+  CHECK(hold.Excludes(next, AtMs(700)));
+  CHECK(hold.Begin(former, Term{5}, AtMs(800)));
+  CHECK(hold.Begin(next, Term{5}, AtMs(900)));
+  CHECK(hold.Excludes(former, AtMs(900)));
+}
+
 TEST_GROUP(CommitLossDetector){};
 
 TEST(CommitLossDetector, FindsAnAnsweredCommitThatTheNewTermReplaced) {
--- a/libs/telemetry/events/event.cc
+++ b/libs/telemetry/events/event.cc
@@ -112,6 +112,12 @@
      "without a replica), answered_by (endpoint of the last commit that this "
      "VM answered before), answered_ms (since then), ordered (endpoint of the "
      "last promotion that this VM heard of), ordered_ms (since then)"},
+    {kCommitHoldChanged, kInfo, "commits.hold",
+     "Writes, commits and primary reads are sent to no endpoint but the "
+     "successor of a primary that is being replaced; or this has ended. "
+     "service, successor (none: they wait), state (begun, successor_changed, "
+     "ended), reason (proof of the successor, release, or period without a "
+     "repetition), held_ms"},
     {kConfigInForce, kInfo, "config.in_force",
      "A configuration version took effect. version, routes, source"},
     {kConfigRejected, kError, "config.rejected",
--- a/libs/telemetry/events/event.h
+++ b/libs/telemetry/events/event.h
@@ -48,6 +48,7 @@
   kHolderFailureObserved = 5206,
   kPrimaryChanged = 5207,
   kCommitsLost = 5208,
+  kCommitHoldChanged = 5209,
   kConfigInForce = 5301,
   kConfigRejected = 5302,
   kDirectoryChanged = 5303,
--- a/tests/traffic/simulated_control.cc
+++ b/tests/traffic/simulated_control.cc
@@ -160,8 +160,13 @@
   simulation_.AnnouncePrimary(service, endpoint);
 }
 
-void SimulatedControl::HoldCommits(const ServiceId&, const EndpointId&) {}
+void SimulatedControl::HoldCommits(const ServiceId& service,
+                                   const EndpointId& successor) {
+  simulation_.HoldCommits(service, successor);
+}
 
-void SimulatedControl::ReleaseCommits(const ServiceId&) {}
+void SimulatedControl::ReleaseCommits(const ServiceId& service) {
+  simulation_.ReleaseCommits(service);
+}
 
 }  // namespace magnoliareel
--- a/tests/traffic/traffic_simulation.cc
+++ b/tests/traffic/traffic_simulation.cc
@@ -8,6 +8,8 @@
 
 // The directory shows a change of a member's role after at most this time.
 constexpr Duration kDirectoryPeriod = std::chrono::milliseconds(250);
+// A notice reaches all VMs after this time.
+constexpr Duration kNoticeDelay = std::chrono::milliseconds(5);
 
 }  // namespace
 
@@ -326,14 +328,27 @@
 
 void TrafficSimulation::AnnouncePrimary(const ServiceId& service,
                                         const EndpointId& endpoint) {
+  RunOnNotice([service, endpoint](Core& core) {
+    core.AnnouncePrimary(service, endpoint);
+  });
+  queue_.After(2 * options_.promotion_delay, [this] { Publish(); });
+}
+
+void TrafficSimulation::HoldCommits(const ServiceId& service,
+                                    const EndpointId& successor) {
+  RunOnNotice([service, successor](Core& core) {
+    core.HoldCommits(service, successor);
+  });
+}
+
+void TrafficSimulation::ReleaseCommits(const ServiceId& service) {
+  RunOnNotice([service](Core& core) { core.ReleaseCommits(service); });
+}
+
+void TrafficSimulation::RunOnNotice(const std::function<void(Core&)>& event) {
   for (size_t it = 0; it < vms_.size(); ++it) {
-    queue_.After(Duration(5000), [this, it, service, endpoint] {
-      RunOnVm(it, [service, endpoint](Core& core) {
-        core.AnnouncePrimary(service, endpoint);
-      });
-    });
+    queue_.After(kNoticeDelay, [this, it, event] { RunOnVm(it, event); });
   }
-  queue_.After(2 * options_.promotion_delay, [this] { Publish(); });
 }
 
 void TrafficSimulation::OpenPeerLink(size_t from,
--- a/tests/traffic/traffic_simulation.h
+++ b/tests/traffic/traffic_simulation.h
@@ -195,6 +195,9 @@
   const std::string& GetService() const { return options_.service; }
   /** Announces a promotion to the traffic threads of all VMs. */
   void AnnouncePrimary(const ServiceId& service, const EndpointId& endpoint);
+  /** Holds commits back at the traffic threads of all VMs, or ends that. */
+  void HoldCommits(const ServiceId& service, const EndpointId& successor);
+  void ReleaseCommits(const ServiceId& service);
   void After(Duration pause, std::function<void()> task) {
     queue_.After(pause, std::move(task));
   }
@@ -244,6 +247,9 @@
   void ForwardLines(uint64_t session, const std::string& bytes);
   Duration GetPeerDelay(size_t from, size_t to) const;
   void RunOnVm(size_t vm, const std::function<void(Core&)>& event);
+  /** Runs an event on each VM when a notice of the VM that decides on
+      promotions reaches it. */
+  void RunOnNotice(const std::function<void(Core&)>& event);
   void RequestPeerBound(size_t vm, const FreshnessBoundQuery& query);
   void ForwardConditionReport(const ConditionReport& report);
   void ForwardPrimaryConfirmation(const EndpointId& endpoint, Term term);
