Test the round trip of replacement notices

Evidence: without the mapping of "-" to no successor the test fails at the comparison of the replacements. No fault was found.

--- a/libs/gossip/tests/gossip_test.cc
+++ b/libs/gossip/tests/gossip_test.cc
@@ -21,6 +21,8 @@
   sent.suspicions = {{EndpointId{"db-1"}, EndpointCondition::kSilent}};
   sent.duties = {{ServiceId{"logs"}, 5}};
   sent.promotions = {{ServiceId{"logs"}, EndpointId{"db-2"}, 6}};
+  sent.replacements = {{ServiceId{"logs"}, EndpointId{}, 6},
+                       {ServiceId{"books"}, EndpointId{"db-3"}, 7}};
   sent.others = {{"10.1.0.9", 7440}};
   Heartbeat read;
   CHECK(DecodeHeartbeat(EncodeHeartbeat(sent), read));
@@ -31,6 +33,7 @@
   CHECK(read.suspicions.front().endpoint.value == "db-1");
   CHECK(read.suspicions.front().condition == EndpointCondition::kSilent);
   CHECK(read.duties == sent.duties && read.promotions == sent.promotions);
+  CHECK(read.replacements == sent.replacements);
   CHECK(read.others == sent.others);
 }
 
