Let no former primary overrule an announced promotion

VMs that had heard of the order sent it statements all the same.

Cause: an answer of the former primary, in its unchanged term, to a transaction that was open there counted more than the announced promotion: the statements behind it went back to the endpoint that was being replaced.

In kPromotionGracePeriod, only a newer term takes precedence over the endpoint whose promotion was announced. If the promotion takes no effect, the former primary is presumed again after that period, as it was when nobody used it.

--- a/libs/relay/core/traffic_core_primaries.h
+++ b/libs/relay/core/traffic_core_primaries.h
@@ -66,7 +66,7 @@
     LogCommitHoldEnd(pool.entry.service, *ended_hold, "proof");
   }
   const bool changed =
-      service.primary_tracker.RecordConfirmed(pool.entry.id, point.term);
+      service.primary_tracker.RecordConfirmed(pool.entry.id, point.term, now);
   if (changed) {
     LogEvent(Event::kPrimaryConfirmed,
              {{"service", pool.entry.service.value},
--- a/libs/relay/primaries/primary_tracker.cc
+++ b/libs/relay/primaries/primary_tracker.cc
@@ -4,15 +4,20 @@
 
 namespace magnoliareel {
 
-bool PrimaryTracker::RecordConfirmed(const EndpointId& id, Term term) {
+bool PrimaryTracker::RecordConfirmed(const EndpointId& id,
+                                     Term term,
+                                     TimePoint now) {
   if (term < term_) {
     return false;
   }
+  const bool is_former_primary = term == term_ && announced_ != id &&
+                                 primary_ == announced_ &&
+                                 now - announced_at_ < kPromotionGracePeriod;
   term_ = term;
   if (not_primary_ == id) {
     not_primary_.reset();
   }
-  if (primary_ == id) {
+  if (primary_ == id || is_former_primary) {
     return false;
   }
   primary_ = id;
--- a/libs/relay/primaries/primary_tracker.h
+++ b/libs/relay/primaries/primary_tracker.h
@@ -13,7 +13,9 @@
 
     An endpoint that accepted a read-write transaction takes precedence over one
     whose promotion the control thread announced, and that one over the
-    endpoints' own claims in the directory. The result is a hint: a statement
+    endpoints' own claims in the directory. A former primary leads on until the
+    promotion takes effect; in kPromotionGracePeriod, only a newer term takes
+    precedence over the announced endpoint. The result is a hint: a statement
     that requires the primary confirms the role on the connection that it
     uses.
 */
@@ -33,9 +35,10 @@
 
       @param id    the endpoint
       @param term  the term of its log
+      @param now   the current time
       @returns     true if the presumed primary changed
   */
-  bool RecordConfirmed(const EndpointId& id, Term term);
+  bool RecordConfirmed(const EndpointId& id, Term term, TimePoint now);
   /** Records that an endpoint refused a request because it is not the primary.
 
       @param id   the endpoint
--- a/libs/relay/tests/relay_test.cc
+++ b/libs/relay/tests/relay_test.cc
@@ -83,9 +83,9 @@
   PrimaryTracker tracker;
   CHECK(tracker.UpdateFromDirectory(entries, kStart));
   STRCMP_EQUAL("db-1", tracker.GetPrimary()->value.c_str());
-  CHECK(tracker.RecordConfirmed(promoted.id, Term{2}));
+  CHECK(tracker.RecordConfirmed(promoted.id, Term{2}, kStart));
   CHECK(!tracker.UpdateFromDirectory(entries, kStart));
-  CHECK(!tracker.RecordConfirmed(previous.id, Term{1}));
+  CHECK(!tracker.RecordConfirmed(previous.id, Term{1}, kStart));
   STRCMP_EQUAL("db-2", tracker.GetPrimary()->value.c_str());
 }
 
@@ -110,6 +110,28 @@
   CHECK(tracker.GetPrimary() == nullptr);
 }
 
+TEST(PrimaryTracker, AFormerPrimaryOverrulesNoAnnouncedPromotion) {
+  // Guards against statements that go back to the former primary, which leads
+  // and acknowledges until the promotion takes effect.
+  PrimaryTracker tracker;
+  const EndpointId former{"db-1"};
+  const EndpointId next{"db-2"};
+  const EndpointId other{"db-3"};
+  CHECK(tracker.RecordConfirmed(former, Term{4}, kStart));
+  CHECK(tracker.RecordAnnouncedPromotion(next, kStart));
+  CHECK(!tracker.RecordConfirmed(former, Term{4}, AtMs(1900)));
+  STRCMP_EQUAL("db-2", tracker.GetPrimary()->value.c_str());
+  // A promotion that took no effect.
+  CHECK(tracker.RecordConfirmed(former, Term{4}, AtMs(2100)));
+  STRCMP_EQUAL("db-1", tracker.GetPrimary()->value.c_str());
+  CHECK(tracker.RecordAnnouncedPromotion(next, AtMs(3000)));
+  CHECK(tracker.RecordConfirmed(other, Term{5}, AtMs(3100)));
+  STRCMP_EQUAL("db-3", tracker.GetPrimary()->value.c_str());
+  CHECK(tracker.RecordNotPrimary(other, AtMs(3200)));
+  CHECK(tracker.RecordConfirmed(other, Term{5}, AtMs(3300)));
+  STRCMP_EQUAL("db-3", tracker.GetPrimary()->value.c_str());
+}
+
 TEST_GROUP(CommitHold){};
 
 TEST(CommitHold, ExcludesAllButTheSuccessorUntilItsPeriodEnds) {
--- a/tests/traffic/hold_test.cc
+++ b/tests/traffic/hold_test.cc
@@ -322,4 +322,26 @@
   }
 }
 
+TEST(CommitHolds, AnAnnouncedPromotionIsNotOverruledByTheFormerPrimary) {
+  // Guards against writes that follow the answer to a transaction which is open
+  // at the former primary, until the announced promotion takes effect.
+  HeldService service(1);
+  const uint64_t open = service.Open(0);
+  const uint64_t writer = service.Open(0);
+  service.Send(open, "b", "BEGIN");
+  service.Run(open, "w0", "WRITE groyne-1 x");
+  service.Promote(kSuccessor);
+  service.GetSimulation().AnnouncePrimary(
+      ServiceId{service.GetSimulation().GetService()},
+      EndpointId{service.GetGroup().GetId(kSuccessor)});
+  service.Advance(kNoticePeriod);
+  service.Run(open, "w1", "WRITE groyne-1 y");
+  service.Send(writer, "w2", "WRITE groyne-1 z");
+  service.Advance(milliseconds(1200));
+  LONGS_EQUAL(1, service.CountAtFormer("w1"));
+  LONGS_EQUAL(0, service.CountAtFormer("w2"));
+  CHECK_TEXT(service.HasAnswer(writer, "COMPLETE proof-w2"),
+             service.GetAnswers(writer).c_str());
+}
+
 }  // namespace magnoliareel
