Tell all VMs of a replacement before its order

Callers lost acknowledged commits at promotions: the former primary led, and acknowledged through a listed member, from about the order to its effect.

Cause: the other VMs learned of a promotion from the answer to its order, and sent commits to the former primary until then, and after.

The VM that replaces a primary calls HoldCommits and puts a notice into its heartbeats from the confirmed demotion, and at the latest before the order. It sends them at once and again after 100 ms, and repeats the local call at each review while the order is open. A proof of a newer term, a refusal and the end of an attempt without an order end the hold. Other VMs follow the notices of the newest token, and end a hold once the heartbeats of its VM lack it. That is two heartbeats to all VMs for each of the two notices, none at a review.

Evidence: with the calls of BeginHold and ApplyReplacementNotices removed, all tests of the group CommitHold fail. They check the order of the steps.

--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -176,6 +176,7 @@
         detector_.Verify(*entry, it.condition);
       }
     }
+    ApplyReplacementNotices(heartbeat);
     for (const PromotionNotice& it : heartbeat.promotions) {
       if (primaries_.RecordPromotion(it.service, it.endpoint, it.fencing_token,
                                      delegate_.Now())) {
@@ -234,7 +235,8 @@
 
   /** Writes this VM's part of the failover state to a heartbeat.
 
-      @param heartbeat  receives suspicions, duties and promotions
+      @param heartbeat  receives suspicions, duties, promotions and
+                        replacements
   */
   void FillHeartbeat(Heartbeat& heartbeat) {
     heartbeat.suspicions = detector_.List();
@@ -248,6 +250,11 @@
     for (const auto& [notice, at] : promotion_notices_) {
       heartbeat.promotions.push_back(notice);
     }
+    for (const auto& [service, progress] : progress_) {
+      if (progress.hold) {
+        heartbeat.replacements.push_back(*progress.hold);
+      }
+    }
   }
 
   /** Evaluates every service and starts replacements, claims and
@@ -259,7 +266,8 @@
     for (const ServiceId& service : services_) {
       const std::optional<ReplacementReason> reason = FindReason(service, now);
       const std::vector<EndpointId> departed = ListBlockingDepartures(service);
-      unsettled = unsettled || reason.has_value() || !departed.empty();
+      unsettled = ReviewHold(service, now) || unsettled || reason.has_value() ||
+                  !departed.empty();
       ResumePaused(service, now);
       if (!departed.empty() && IsCoordinator(service)) {
         AuditDepartures(service, departed, now);
@@ -312,6 +320,11 @@
     /** Newest term of the pauses; none if another VM has set them. */
     std::optional<Term> pause_term;
   };
+  /** A hold that another VM has announced. */
+  struct PeerHold {
+    VmId vm;
+    ReplacementNotice notice;
+  };
   struct Progress {
     bool running = false;
     bool claiming = false;
@@ -339,6 +352,8 @@
     bool awaits_promotion = false;
     /** This VM's latest order until the primary proves a newer term. */
     std::optional<PromotionOrder> unconfirmed_order;
+    /** What this VM tells the others while it replaces the primary. */
+    std::optional<ReplacementNotice> hold;
     TimePoint not_before;
     TimePoint claimed_at;
     TimePoint next_audit_at;
@@ -521,6 +536,36 @@
 
   void FinishConfirmation(const ServiceId& service, std::error_code ec);
 
+  /** Lets no VM send commits to an endpoint but the successor, from the
+      demotion of the primary or the order until the successor leads.
+
+      @param service        the service
+      @param successor      the endpoint that becomes the primary; empty while
+                            none is chosen
+      @param fencing_token  token of this VM's claim
+  */
+  void BeginHold(const ServiceId& service,
+                 const EndpointId& successor,
+                 uint64_t fencing_token);
+
+  void EndHold(const ServiceId& service);
+
+  /** Repeats the hold of this VM, or ends it if no order is open.
+
+      @returns whether it goes on */
+  bool ReviewHold(const ServiceId& service, TimePoint now);
+
+  /** Applies the holds of another VM, and ends those that it does not announce
+      any more. */
+  void ApplyReplacementNotices(const Heartbeat& heartbeat);
+
+  /** @returns whether the promotion that was ordered last is neither confirmed
+               nor overdue */
+  static bool IsOrderOpen(const Progress& progress, TimePoint now) {
+    return progress.unconfirmed_order &&
+           now - progress.unconfirmed_order->sent_at < kPromotionTimeout;
+  }
+
   /** Records and logs that the order of this VM has taken effect, if the
      primary's proof is the first one since. */
   void RecordPromotionConfirmed(const ServiceId& service,
@@ -558,6 +603,8 @@
   /** Last entry of each service's latest primary that was listed. */
   std::map<ServiceId, EndpointEntry> primary_entries_;
   std::map<ServiceId, Progress> progress_;
+  /** Holds that other VMs announce; one whose VM is lost ends on its own. */
+  std::map<ServiceId, PeerHold> peer_holds_;
   std::map<EndpointId, uint32_t> last_levels_;
   std::vector<std::pair<PromotionNotice, TimePoint>> promotion_notices_;
   const TimePoint started_at_;
@@ -577,6 +624,7 @@
 #include "control/failover/failover_control_departures.h"  // IWYU pragma: export
 #include "control/failover/failover_control_duties.h"   // IWYU pragma: export
 #include "control/failover/failover_control_groups.h"   // IWYU pragma: export
+#include "control/failover/failover_control_holds.h"    // IWYU pragma: export
 #include "control/failover/failover_control_reasons.h"  // IWYU pragma: export
 #include "control/failover/failover_control_replacement.h"  // IWYU pragma: export
 
--- /dev/null
+++ b/libs/control/failover/failover_control_holds.h
@@ -0,0 +1,106 @@
+#ifndef MAGNOLIAREEL_CONTROL_FAILOVER_FAILOVER_CONTROL_HOLDS_H_
+#define MAGNOLIAREEL_CONTROL_FAILOVER_FAILOVER_CONTROL_HOLDS_H_
+
+// Methods of FailoverControl that keep all VMs from sending commits to a
+// primary that is being replaced. Included by failover_control.h.
+
+#include <algorithm>
+
+#include "control/failover/failover_control.h"
+
+namespace magnoliareel {
+
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+void FailoverControl<S, R, C, P, T>::BeginHold(const ServiceId& service,
+                                               const EndpointId& successor,
+                                               uint64_t fencing_token) {
+  std::optional<ReplacementNotice>& hold = progress_[service].hold;
+  const ReplacementNotice notice{service, successor, fencing_token};
+  if (hold != notice) {
+    hold = notice;
+    delegate_.SendHeartbeats();
+    // A datagram may be lost.
+    delegate_.After(kHoldNoticeRepeatDelay, [this, service, notice] {
+      if (progress_[service].hold == notice) {
+        delegate_.SendHeartbeats();
+      }
+    });
+  }
+  delegate_.HoldCommits(service, successor);
+  ScheduleReview();
+}
+
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+void FailoverControl<S, R, C, P, T>::EndHold(const ServiceId& service) {
+  if (const auto ended = std::exchange(progress_[service].hold, std::nullopt)) {
+    const auto it = peer_holds_.find(service);
+    if (it == peer_holds_.end() ||
+        it->second.notice.fencing_token < ended->fencing_token) {
+      delegate_.ReleaseCommits(service);
+    }
+    delegate_.SendHeartbeats();
+  }
+}
+
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+bool FailoverControl<S, R, C, P, T>::ReviewHold(const ServiceId& service,
+                                                TimePoint now) {
+  const Progress& progress = progress_[service];
+  if (!progress.hold) {
+    return false;
+  }
+  if ((!progress.running && !IsOrderOpen(progress, now)) ||
+      FindPeerToken(service) > progress.hold->fencing_token) {
+    EndHold(service);
+    return false;
+  }
+  delegate_.HoldCommits(service, progress.hold->successor);
+  return true;
+}
+
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+void FailoverControl<S, R, C, P, T>::ApplyReplacementNotices(
+    const Heartbeat& heartbeat) {
+  for (const ReplacementNotice& it : heartbeat.replacements) {
+    const auto known = peer_holds_.find(it.service);
+    const uint64_t newest = std::max(
+        {claims_.GetToken(it.service), FindPeerToken(it.service),
+         known == peer_holds_.end() ? 0 : known->second.notice.fencing_token});
+    if (IsKnown(it.service) && it.fencing_token >= newest) {
+      peer_holds_[it.service] = {heartbeat.vm, it};
+      delegate_.HoldCommits(it.service, it.successor);
+    }
+  }
+  std::erase_if(peer_holds_, [&](const auto& row) {
+    const auto& [service, held] = row;
+    const bool has_ended =
+        held.vm == heartbeat.vm &&
+        std::none_of(
+            heartbeat.replacements.begin(), heartbeat.replacements.end(),
+            [&](const ReplacementNotice& it) { return it.service == service; });
+    if (has_ended && !progress_[service].hold) {
+      delegate_.ReleaseCommits(service);
+    }
+    return has_ended;
+  });
+}
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_CONTROL_FAILOVER_FAILOVER_CONTROL_HOLDS_H_
--- a/libs/control/failover/failover_control_replacement.h
+++ b/libs/control/failover/failover_control_replacement.h
@@ -59,10 +59,15 @@
   plan.read_directory = [this](std::function<void(std::error_code)> done) {
     delegate_.ReadDirectory(std::move(done));
   };
-  plan.record_order = [this, service](const EndpointId& endpoint) {
+  plan.record_demotion = [this, service, token = plan.fencing_token] {
+    BeginHold(service, {}, token);
+  };
+  plan.record_order = [this, service,
+                       token = plan.fencing_token](const EndpointId& endpoint) {
     const auto former = primaries_.GetLatestConfirmed(service);
     progress_[service].unconfirmed_order = {endpoint, delegate_.Now(),
                                             former ? former->term : Term{}};
+    BeginHold(service, endpoint, token);
   };
   if (now < progress.pending_until) {
     plan.pending_promotion = progress.pending_promotion;
@@ -128,6 +133,7 @@
             {"term", std::to_string(term.value)},
             {"after_ms", std::to_string(age.count() / 1000)}});
   order.reset();
+  EndHold(service);
 }
 
 template <RowStore S,
@@ -247,6 +253,7 @@
     case ReplacementOutcome::kAlreadyReplaced:
       progress.awaits_promotion = false;
       primaries_.RecordConfirmed(service, result.primary, result.term);
+      RecordPromotionConfirmed(service, result.primary, result.term);
       delegate_.AnnouncePrimary(service, result.primary);
       break;
     case ReplacementOutcome::kSuperseded:
@@ -268,6 +275,7 @@
       break;
   }
   PruneSuspicions();
+  ReviewHold(service, now);
   if (result.outcome == ReplacementOutcome::kPromoted ||
       result.outcome == ReplacementOutcome::kUncertain) {
     progress.paused_replicas.clear();
--- a/libs/control/failover/failover_limits.h
+++ b/libs/control/failover/failover_limits.h
@@ -24,6 +24,9 @@
 inline constexpr Duration kLostPromotionRetention = std::chrono::seconds(14);
 /** Time for which heartbeats announce a promotion. */
 inline constexpr Duration kPromotionNoticeRetention = std::chrono::seconds(4);
+/** Delay after which other VMs are told again that commits are to be held. */
+inline constexpr Duration kHoldNoticeRepeatDelay =
+    std::chrono::milliseconds(100);
 /** No duty is claimed earlier than this after the start. It is longer than
     kHeartbeatPeriod, so that a VM that has just started knows the holders. */
 inline constexpr Duration kFirstClaimDelay = std::chrono::milliseconds(1300);
--- a/libs/control/failover/primary_replacement_demotion.h
+++ b/libs/control/failover/primary_replacement_demotion.h
@@ -161,6 +161,7 @@
   }
   primary_status_ = status;
   demoted_primary_ = {plan_.primary_id, status.received};
+  plan_.record_demotion();
   // Earlier reports do not show what a replica holds now.
   for (SurveyedEndpoint& it : replicas_) {
     it.status.reset();
--- a/libs/control/failover/replacement_plan.h
+++ b/libs/control/failover/replacement_plan.h
@@ -95,7 +95,10 @@
       endpoint that had joined some time before the call, and an error that this
       is not known. @see FailoverDelegate */
   std::function<void(std::function<void(std::error_code)>)> read_directory;
-  /** Called when the promotion of an endpoint is ordered for the first time. */
+  /** Called when the primary has confirmed its demotion. */
+  std::function<void()> record_demotion = [] {};
+  /** Called before the promotion of an endpoint is ordered for the first time.
+   */
   std::function<void(const EndpointId&)> record_order = [](const EndpointId&) {
   };
 };
--- /dev/null
+++ b/libs/control/tests/commit_hold_test.cc
@@ -0,0 +1,117 @@
+#include <string>
+#include <vector>
+
+#include "control/tests/fake_deployment.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace magnoliareel {
+
+TEST_GROUP_BASE(CommitHold,
+                FailoverGroup){std::string JoinSteps() const {std::string text;
+for (const std::string& it : fake.hold_steps) {
+  text += it + ";";
+}
+return text;
+}  // namespace magnoliareel
+
+std::vector<ReplacementNotice> ListNotices() {
+  Heartbeat heartbeat;
+  failover.FillHeartbeat(heartbeat);
+  return heartbeat.replacements;
+}
+
+void Begin() {
+  SettleOrders();
+  fake.hold_steps.clear();
+  fake.hold_count = 0;
+}
+
+Heartbeat MakeHeartbeat(const char* vm, uint64_t token) const {
+  Heartbeat heartbeat;
+  heartbeat.vm.value = vm;
+  heartbeat.address = {"127.0.0.1", static_cast<uint16_t>(token)};
+  heartbeat.replacements = {{kFakeService, EndpointId{"db-2"}, token}};
+  return heartbeat;
+}
+
+void Receive(const Heartbeat& heartbeat) {
+  peers.RecordHeartbeat(heartbeat, fake.Now());
+  failover.HandleHeartbeat(heartbeat);
+}
+}
+;
+
+TEST(CommitHold, IsAnnouncedBeforeTheOrderAndRepeated) {
+  // Guards against commits that a VM without the news sends to the former
+  // primary between the order and its effect (LOST).
+  Begin();
+  fake.ineffective_promotions = 1;
+  failover.Apply(fake.MakeView("db-1"));
+  CHECK(!fake.promotions.empty());
+  const std::string next = fake.promotions.back().first;
+  STRCMP_EQUAL(("heartbeat;hold ;heartbeat;hold " + next + ";promote " + next +
+                ";heartbeat;")
+                   .c_str(),
+               JoinSteps().c_str());
+  LONGS_EQUAL(1, ListNotices().size());
+  STRCMP_EQUAL(next.c_str(), ListNotices()[0].successor.value.c_str());
+  CHECK_EQUAL(fake.promotions.back().second, ListNotices()[0].fencing_token);
+  fake.hold_steps.clear();
+  fake.Advance(kHoldNoticeRepeatDelay);
+  CHECK(JoinSteps().find("heartbeat;") != std::string::npos);
+  const int before = fake.hold_count;
+  fake.Advance(std::chrono::seconds(1));
+  CHECK(fake.hold_count - before >= 9);
+  LONGS_EQUAL(1, std::count(fake.hold_steps.begin(), fake.hold_steps.end(),
+                            std::string("heartbeat")));
+}
+
+TEST(CommitHold, EndsWithAProofOfTheNewTerm) {
+  Begin();
+  failover.Apply(fake.MakeView("db-1"));
+  fake.hold_steps.clear();
+  failover.HandlePrimaryConfirmed(EndpointId{"db-1"}, Term{1});
+  LONGS_EQUAL(1, ListNotices().size());
+  failover.HandlePrimaryConfirmed(EndpointId{fake.primary}, Term{fake.term});
+  STRCMP_EQUAL("release;heartbeat;", JoinSteps().c_str());
+  CHECK(ListNotices().empty());
+}
+
+TEST(CommitHold, EndsWithARefusedOrder) {
+  // Commits would have nowhere to go until the next attempt.
+  Begin();
+  fake.rejected_promotions = 1;
+  failover.Apply(fake.MakeView("db-1"));
+  CHECK(JoinSteps().ends_with("release;heartbeat;"));
+  CHECK(ListNotices().empty());
+}
+
+TEST(CommitHold, FollowsTheNoticesOfAnotherVm) {
+  Begin();
+  Receive(MakeHeartbeat("vm-2", 50));
+  STRCMP_EQUAL("hold db-2;", JoinSteps().c_str());
+  Receive(MakeHeartbeat("vm-2", 50));
+  LONGS_EQUAL(2, fake.hold_count);
+  Heartbeat ended = MakeHeartbeat("vm-3", 51);
+  ended.replacements.clear();
+  Receive(ended);
+  STRCMP_EQUAL("hold db-2;", JoinSteps().c_str());
+  ended.vm.value = "vm-2";
+  Receive(ended);
+  STRCMP_EQUAL("hold db-2;release;", JoinSteps().c_str());
+}
+
+TEST(CommitHold, IgnoresTheNoticeOfAFormerHolder) {
+  // It would hold the commits of a primary that the present holder has ordered.
+  Begin();
+  Receive(MakeHeartbeat("vm-2", 50));
+  STRCMP_EQUAL("hold db-2;", JoinSteps().c_str());
+  fake.hold_steps.clear();
+  Heartbeat former = MakeHeartbeat("vm-3", 49);
+  former.replacements[0].successor.value = "db-3";
+  Receive(former);
+  CHECK(fake.hold_steps.empty());
+}
+
+}  // namespace magnoliareel
--- a/libs/control/tests/fake_deployment.h
+++ b/libs/control/tests/fake_deployment.h
@@ -119,6 +119,7 @@
                uint64_t token,
                const std::function<void(std::error_code)>& done) {
     promotions.emplace_back(endpoint.value, token);
+    RecordHoldStep("promote " + endpoint.value);
     if (rejected_promotions > 0) {
       --rejected_promotions;
       done(Error::kUnreachable);
@@ -144,9 +145,11 @@
     tasks_.emplace(now_ + pause, std::move(task));
   }
   void AnnouncePrimary(const ServiceId&, const EndpointId&) {}
-  void HoldCommits(const ServiceId&, const EndpointId&) {}
-  void ReleaseCommits(const ServiceId&) {}
-  void SendHeartbeats() {}
+  void HoldCommits(const ServiceId&, const EndpointId& successor) {
+    RecordHoldStep("hold " + successor.value);
+  }
+  void ReleaseCommits(const ServiceId&) { RecordHoldStep("release"); }
+  void SendHeartbeats() { RecordHoldStep("heartbeat"); }
   bool IsStoreConnected() const { return true; }
   bool IsListed(const EndpointId& endpoint) const {
     return std::any_of(
@@ -230,8 +233,21 @@
   // Paused endpoints with the term of the pause. At a real endpoint a promotion
   // ends the pauses below its term; here it ends none.
   std::map<std::string, Term> paused;
+  // Holds, their ends, heartbeats and orders; repeated holds are left out.
+  std::vector<std::string> hold_steps;
+  // Number of holds.
+  int hold_count = 0;
 
  private:
+  void RecordHoldStep(const std::string& step) {
+    const bool is_hold = step.starts_with("hold");
+    hold_count += is_hold ? 1 : 0;
+    if (!is_hold || std::find(hold_steps.begin(), hold_steps.end(), step) ==
+                        hold_steps.end()) {
+      hold_steps.push_back(step);
+    }
+  }
+
   FleetView view_;
   uint64_t row_version_ = 0;
   std::string row_value_;
