Keep the premises of an order until it takes effect

Callers lost acknowledged commits: a primary that had confirmed its demotion crashed, came back as the leader of its old term, and acknowledged commits until the promotion of its successor took effect, up to a second later.

Cause: the attempt ended with the answer to its order. A demotion that was confirmed was not looked at again, nor was a pause.

OrderGuard replaces DemoteUntilPromotion. Every 100 ms from the order to the first proof of a newer term, a refusal, or 2 s after the answer, it asks all listed endpoints and the former primary. One that leads the old term is demoted, whatever its id; a replica that is not paused, or has joined, is paused, unless the successor leads by then. A former primary that does not answer is sent demotions as before. The commands carry the lowest term that the successor can lead, so that a late one has no effect on a member of the new term, and replicas that were paused are watched for 14 s after the proof. A report of the successor as primary counts as a proof. Each lost premise is logged (E5516).

Evidence: with the call of Begin removed, KeepsThePremisesOfAnOrderUntilItTakes- Effect fails; the former primary leads and the replica receives.

Tests changed on purpose: the demotions behind an order have moved from the traces of control_test.cc to order_guard_test.cc, which checks more of them. Two tests of the failover look 60 ms behind the order instead of 1.6 s, because the guard proves the new term after 100 ms there.

--- a/libs/control/control.h
+++ b/libs/control/control.h
@@ -19,6 +19,7 @@
 #include "control/failover/endpoint_commands.h"
 #include "control/failover/failover_control.h"
 #include "control/failover/forwarded_command.h"
+#include "control/failover/order_guard.h"
 #include "control/failover/primary_replacement.h"
 #include "control/failover/replacement_plan.h"
 #include "control/failover/vacancy_tracker.h"
--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -18,6 +18,7 @@
 #include "control/failover/endpoint_commands.h"
 #include "control/failover/failover_limits.h"
 #include "control/failover/forwarded_command.h"
+#include "control/failover/order_guard.h"
 #include "control/failover/primary_failure_detector.h"
 #include "control/failover/primary_registry.h"
 #include "control/failover/primary_replacement.h"
@@ -111,6 +112,7 @@
                      return condition &&
                             *condition != EndpointCondition::kCommitsStalled;
                    }),
+        guard_(commands, forwarder_, delegate),
         started_at_(delegate.Now()) {
     // Checked here because T is incomplete where it declares its
     // FailoverControl member.
@@ -319,6 +321,8 @@
     EndpointEntry entry;
     /** Newest term of the pauses; none if another VM has set them. */
     std::optional<Term> pause_term;
+    /** It may execute the pause after it was resumed. */
+    bool may_pause_late = false;
   };
   /** A hold that another VM has announced. */
   struct PeerHold {
@@ -342,6 +346,8 @@
     TimePoint pending_until;
     /** Replicas to resume once the promoted endpoint is confirmed. */
     std::vector<PausedReplica> paused_replicas;
+    /** Replicas that were paused while an order was awaited. */
+    std::vector<PausedReplica> guarded_replicas;
     /** Replicas that earlier attempts may have left paused when the running
         attempt began. */
     std::vector<typename ReplicaResumer<C, T>::PendingResume> pending_resumes;
@@ -566,6 +572,13 @@
            now - progress.unconfirmed_order->sent_at < kPromotionTimeout;
   }
 
+  /** Guards what an order relies on until a newer term is proved.
+
+      @param plan   plan of the attempt
+      @param order  the order
+  */
+  void GuardOrder(const ReplacementPlan& plan, const PlannedOrder& order);
+
   /** Records and logs that the order of this VM has taken effect, if the
      primary's proof is the first one since. */
   void RecordPromotionConfirmed(const ServiceId& service,
@@ -592,6 +605,7 @@
   PrimaryFailureDetector<C, T> detector_;
   ReplicaResumer<C, T> resumer_;
   Forwarder forwarder_;
+  OrderGuard<C, Forwarder, T> guard_;
   DepartureTracker departures_;
   VacancyTracker vacancies_;
   std::vector<EndpointEntry> endpoints_;
--- a/libs/control/failover/failover_control_replacement.h
+++ b/libs/control/failover/failover_control_replacement.h
@@ -62,13 +62,6 @@
   plan.record_demotion = [this, service, token = plan.fencing_token] {
     BeginHold(service, {}, token);
   };
-  plan.record_order = [this, service,
-                       token = plan.fencing_token](const EndpointId& endpoint) {
-    const auto former = primaries_.GetLatestConfirmed(service);
-    progress_[service].unconfirmed_order = {endpoint, delegate_.Now(),
-                                            former ? former->term : Term{}};
-    BeginHold(service, endpoint, token);
-  };
   if (now < progress.pending_until) {
     plan.pending_promotion = progress.pending_promotion;
   }
@@ -88,6 +81,18 @@
     // It may only be cut off from the store.
     plan.primary = *former;
   }
+  plan.record_order = [this, guarded = plan](const PlannedOrder& order) {
+    const auto former = primaries_.GetLatestConfirmed(guarded.service);
+    progress_[guarded.service].unconfirmed_order = {
+        order.successor, delegate_.Now(),
+        std::max(order.newest_term, former ? former->term : Term{})};
+    BeginHold(guarded.service, order.successor, guarded.fencing_token);
+    GuardOrder(guarded, order);
+  };
+  if (plan.pending_promotion.IsEmpty()) {
+    // The attempt compares the replicas anew, and may order another endpoint.
+    guard_.End(service);
+  }
   progress.running = true;
   progress.pending_resumes = resumer_.Cancel(plan.replicas);
   LogEvent(Event::kReplacementStarted,
@@ -133,9 +138,41 @@
             {"term", std::to_string(term.value)},
             {"after_ms", std::to_string(age.count() / 1000)}});
   order.reset();
+  guard_.End(service);
   EndHold(service);
 }
 
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+void FailoverControl<S, R, C, P, T>::GuardOrder(const ReplacementPlan& plan,
+                                                const PlannedOrder& order) {
+  GuardedOrder guarded;
+  guarded.service = plan.service;
+  guarded.successor = order.successor;
+  guarded.former_primary = plan.primary;
+  guarded.is_demoted = order.is_demoted;
+  guarded.replicas = plan.replicas;
+  guarded.next_term =
+      progress_[plan.service].unconfirmed_order->former_term.Next();
+  guarded.list_endpoints = plan.list_endpoints;
+  guarded.handle_proof = [this, service = plan.service](const EndpointId& id,
+                                                        Term term) {
+    primaries_.RecordConfirmed(service, id, term);
+    RecordPromotionConfirmed(service, id, term);
+    PruneSuspicions();
+    Review();
+  };
+  guarded.handle_pause = [this, service = plan.service,
+                          term =
+                              guarded.next_term](const EndpointEntry& replica) {
+    progress_[service].guarded_replicas.push_back({replica, term, true});
+  };
+  guard_.Begin(std::move(guarded));
+}
+
 template <RowStore S,
           DutyRowCodec R,
           EndpointCommandSender C,
@@ -148,6 +185,7 @@
     // The current duty holder controls the pauses. Resuming one of its replicas
     // would defeat its replacement attempt.
     progress.paused_replicas.clear();
+    progress.guarded_replicas.clear();
     resumer_.Cancel(ListEndpoints(service));
     return;
   }
@@ -156,16 +194,25 @@
       progress.unconfirmed_order &&
       now - progress.unconfirmed_order->sent_at < kPromotionTimeout;
   // A proof of the old primary may arrive after the order, when it still leads.
-  if (progress.paused_replicas.empty() || progress.running || is_awaited ||
-      !primary || !primary->confirmed) {
+  if ((progress.paused_replicas.empty() && progress.guarded_replicas.empty()) ||
+      progress.running || is_awaited || !primary || !primary->confirmed) {
     return;
   }
+  progress.paused_replicas.insert(progress.paused_replicas.end(),
+                                  progress.guarded_replicas.begin(),
+                                  progress.guarded_replicas.end());
+  progress.guarded_replicas.clear();
   // The promotion is in force, so the old primary can no longer acknowledge
   // commits through the paused replicas.
   for (const PausedReplica& it : progress.paused_replicas) {
-    if (it.entry.id != primary->endpoint) {
-      resumer_.ResumeIfPaused(
-          it.entry, {ResumeReason::kPromotionConfirmed, it.pause_term});
+    const ResumeCause cause{ResumeReason::kPromotionConfirmed, it.pause_term};
+    if (it.entry.id == primary->endpoint) {
+      continue;
+    }
+    if (it.may_pause_late) {
+      resumer_.WatchPaused(it.entry, cause);
+    } else {
+      resumer_.ResumeIfPaused(it.entry, cause);
     }
   }
   progress.paused_replicas.clear();
@@ -276,6 +323,11 @@
   }
   PruneSuspicions();
   ReviewHold(service, now);
+  if (IsOrderOpen(progress, now)) {
+    guard_.SetDeadline(service, now + kPromotionTimeout);
+  } else {
+    guard_.End(service);
+  }
   if (result.outcome == ReplacementOutcome::kPromoted ||
       result.outcome == ReplacementOutcome::kUncertain) {
     progress.paused_replicas.clear();
@@ -298,6 +350,13 @@
           it, {ResumeReason::kAbandonedAttempt, result.pause_term});
     }
     resumer_.Restore(progress.pending_resumes);
+    if (!IsOrderOpen(progress, now)) {
+      for (const PausedReplica& it : progress.guarded_replicas) {
+        resumer_.ScheduleResume(
+            it.entry, {ResumeReason::kAbandonedAttempt, it.pause_term});
+      }
+      progress.guarded_replicas.clear();
+    }
   }
   progress.pending_resumes.clear();
   delegate_.After(kReplacementRetryInterval, [this] { Review(); });
--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -46,12 +46,6 @@
 /** A primary that is not listed any more counts as dead after this many of
     them, one of which has waited for a late answer. */
 inline constexpr size_t kMinDemotionsOfUnlistedPrimary = 3;
-/** Interval at which a primary that has not confirmed its demotion is sent
-    another one, from the order of a promotion until it takes effect. */
-inline constexpr Duration kLateDemotionInterval =
-    std::chrono::milliseconds(300);
-/** Maximum number of these demotions. Together they outlast a promotion. */
-inline constexpr int kMaxLateDemotions = 6;
 
 /** One attempt to replace a primary without losing an acknowledged commit.
 
@@ -77,8 +71,8 @@
     members: the compared replicas are then the only ones through which it can
     acknowledge commits. While it accepts connections, or a replica may join in
     the place of one that has left, it is replaced only once the directory does
-    not list it any more. It is sent further demotions until the promotion takes
-    effect, since it may have started again.
+    not list it any more. From the order until the promotion takes effect, an
+    OrderGuard keeps what was checked as it was.
 
     @tparam C  sends commands to replicas, @see EndpointCommandSender
     @tparam F  sends commands to the primary, through other VMs if this one does
@@ -227,12 +221,6 @@
   /** Continues with FinishMembershipCheck() if a read of the directory confirms
       that the primary is not listed. */
   void CheckMembersOfUnlistedPrimary();
-  /** Demotes the primary unless it has confirmed its demotion, and again until
-      the promotion has taken effect.
-
-      @param attempt  number of demotions since the order
-  */
-  void DemoteUntilPromotion(int attempt);
   /** Continues with FinishMembershipCheck(): at once if the primary seems to be
       dead; with a delay if its commits stalled a moment ago, since it may still
       acknowledge them through a replica that has just joined. */
@@ -320,13 +308,13 @@
   bool has_candidate_ = false;
   PromotionCheck check_ = PromotionCheck::kNone;
   Term pause_term_;
+  /** Newest term that an endpoint was known to hold. */
+  Term newest_held_term_;
   /** End of the candidate's log before the demotion. */
   LogPoint compared_received_;
   int candidate_pauses_ = 0;
   int candidate_reports_ = 0;
   size_t unanswered_demotions_ = 0;
-  /** Time of the first order. */
-  TimePoint ordered_at_;
   /** The platform has refused the order, so that no promotion takes effect. */
   bool is_order_refused_ = false;
   std::optional<DemotedPrimary> demoted_primary_;
--- a/libs/control/failover/primary_replacement_demotion.h
+++ b/libs/control/failover/primary_replacement_demotion.h
@@ -100,32 +100,6 @@
   });
 }
 
-template <EndpointCommandSender C,
-          EndpointCommandSender F,
-          PromotionSender P,
-          class T>
-void PrimaryReplacement<C, F, P, T>::DemoteUntilPromotion(int attempt) {
-  const bool is_demoted = demoted_primary_ && demoted_primary_->log_end;
-  const bool leads_again = replicas_[candidate_].entry.id == plan_.primary_id;
-  if (!plan_.primary || is_demoted || leads_again || is_order_refused_ ||
-      attempt >= kMaxLateDemotions ||
-      timing_.Now() - ordered_at_ >= kLateDemotionTimeout) {
-    return;
-  }
-  const EndpointCommand demotion{EndpointCommandKind::kDemote, pause_term_};
-  primary_commands_.Send(
-      *plan_.primary, demotion, kLateDemotionTimeout,
-      [self = this->shared_from_this(), demotion, attempt](
-          std::error_code ec, const ReplicationStatus& status) {
-        self->LogStep(*self->plan_.primary, demotion, ec, status);
-        if (ec) {
-          self->timing_.After(kLateDemotionInterval, [self, attempt] {
-            self->DemoteUntilPromotion(attempt + 1);
-          });
-        }
-      });
-}
-
 template <EndpointCommandSender C,
           EndpointCommandSender F,
           PromotionSender P,
--- a/libs/control/failover/primary_replacement_order.h
+++ b/libs/control/failover/primary_replacement_order.h
@@ -18,18 +18,15 @@
           PromotionSender P,
           class T>
 void PrimaryReplacement<C, F, P, T>::Promote() {
-  const bool is_first_order = lost_promotion_replies_ == 0;
-  if (is_first_order) {
-    plan_.record_order(replicas_[candidate_].entry.id);
+  if (lost_promotion_replies_ == 0) {
+    plan_.record_order(
+        {replicas_[candidate_].entry.id, newest_held_term_,
+         demoted_primary_ && demoted_primary_->log_end.has_value()});
   }
   auto self = this->shared_from_this();
   promotions_.Promote(
       plan_.service, replicas_[candidate_].entry.id, plan_.fencing_token,
       [self](std::error_code ec) { self->FinishPromotion(ec); });
-  if (is_first_order) {
-    ordered_at_ = timing_.Now();
-    DemoteUntilPromotion(0);
-  }
 }
 
 template <EndpointCommandSender C,
--- a/libs/control/failover/primary_replacement_survey.h
+++ b/libs/control/failover/primary_replacement_survey.h
@@ -49,13 +49,15 @@
           PromotionSender P,
           class T>
 void PrimaryReplacement<C, F, P, T>::FinishSurvey() {
-  Term newest_term = primary_status_ ? primary_status_->term : Term{};
+  newest_held_term_ = primary_status_ ? primary_status_->term : Term{};
+  Term newest_pause;
   for (const SurveyedEndpoint& it : replicas_) {
     if (it.status) {
-      newest_term =
-          std::max({newest_term, it.status->term, it.status->paused_at});
+      newest_held_term_ = std::max(newest_held_term_, it.status->term);
+      newest_pause = std::max(newest_pause, it.status->paused_at);
     }
   }
+  const Term newest_term = std::max(newest_held_term_, newest_pause);
   if (const SurveyedEndpoint* leader = FindLeader(newest_term)) {
     pause_term_ = leader->status->term;
     Finish(ReplacementOutcome::kAlreadyReplaced, leader->entry.id, "");
--- a/libs/control/failover/replacement_plan.h
+++ b/libs/control/failover/replacement_plan.h
@@ -55,6 +55,15 @@
   std::optional<LogPoint> log_end;
 };
 
+/** A promotion that an attempt is about to order. */
+struct PlannedOrder {
+  EndpointId successor;
+  /** Newest term that an endpoint has reported. */
+  Term newest_term;
+  /** The former primary has confirmed its demotion. */
+  bool is_demoted = false;
+};
+
 /** Input of one attempt to replace a primary. */
 struct ReplacementPlan {
   ServiceId service;
@@ -99,8 +108,8 @@
   std::function<void()> record_demotion = [] {};
   /** Called before the promotion of an endpoint is ordered for the first time.
    */
-  std::function<void(const EndpointId&)> record_order = [](const EndpointId&) {
-  };
+  std::function<void(const PlannedOrder&)> record_order =
+      [](const PlannedOrder&) {};
 };
 
 /** Result of a replacement attempt. */
--- a/libs/control/failover/replica_resumer.h
+++ b/libs/control/failover/replica_resumer.h
@@ -135,6 +135,17 @@
     SendCommand(replica, {EndpointCommandKind::kReport, {}}, generation);
   }
 
+  /** Queries a replica at once, and resumes it whenever it is found paused
+      within kPausedReplicaWatchPeriod.
+
+      @param replica  the replica
+      @param cause    why it is resumed
+  */
+  void WatchPaused(const EndpointEntry& replica, const ResumeCause& cause) {
+    const TimePoint now = timing_.Now();
+    Schedule({replica, cause, now, now + kPausedReplicaWatchPeriod});
+  }
+
   /** Stops polling and resuming replicas, because a new attempt controls them.
 
       @param replicas  the replicas
--- a/libs/telemetry/events/event.cc
+++ b/libs/telemetry/events/event.cc
@@ -196,6 +196,10 @@
      "promotion_confirmed or duty_claimed), error, paused_at, own_pause "
      "(newest term of the pauses that it may end; none: the one reported "
      "first), term, received"},
+    {kOrderPremiseLost, kWarning, "order.premise_lost",
+     "What an ordered promotion relies on did not hold before it took effect, "
+     "and was set again. service, endpoint, what (leads_again, not_paused or "
+     "joined), term, received, after_ms (since the order)"},
     {kReadinessChanged, kInfo, "process.readiness",
      "The process changed its answer to the platform's readiness probe. ready, "
      "reason"},
--- a/libs/telemetry/events/event.h
+++ b/libs/telemetry/events/event.h
@@ -72,6 +72,7 @@
   kPromotionConfirmed = 5512,
   kForwardingEnded = 5514,
   kReplicaResume = 5515,
+  kOrderPremiseLost = 5516,
   kReadinessChanged = 5601,
   kSettingsReloaded = 5602,
   kDrainProgress = 5603,
