Do not take a primary with open connections for a stopped one

Cause: its host refuses connections, so all VMs report that it does not run, and it was replaced without a demotion. It went on to acknowledge through a replica that had joined 68 ms before the order and was not listed. Eight of eight VMs found it stopped, so a quorum among them would not have helped.

A VM whose traffic threads have an open connection to the endpoint reports that it runs. A crash closes these connections, so it is found as fast as before; a host that was dark and is back keeps them until the keep-alive ends them, which delays its replacement by 2.5 s at most.

--- a/apps/node/node_process.cc
+++ b/apps/node/node_process.cc
@@ -55,7 +55,8 @@
                       settings_,
                       peers_.GetPeers(),
                       MakeBoundExchangeCallbacks()),
-      commands_(loop_, settings_.vm.value),
+      command_client_(loop_, settings_.vm.value),
+      commands_(command_client_, *this),
       promotions_(loop_, settings_.promotion_address, settings_.vm.value),
       failover_(store_,
                 commands_,
@@ -156,6 +157,14 @@
   fleet_.ReadEndpoints(std::move(done));
 }
 
+void NodeProcess::QueryOpenConnection(const EndpointId& endpoint,
+                                      std::function<void(bool)> done) {
+  traffic_.QueryOpenConnection(
+      endpoint, [this, done = std::move(done)](bool is_open) {
+        mailbox_.Post([done, is_open] { done(is_open); });
+      });
+}
+
 void NodeProcess::ForwardCommand(const SocketAddress& to,
                                  const ForwardedCommand& command) {
   peers_.SendDatagram(to, EncodeForwardedCommand(command));
--- a/apps/node/node_process.h
+++ b/apps/node/node_process.h
@@ -53,6 +53,9 @@
   bool IsListed(const EndpointId& endpoint) const;
   /** @see FailoverDelegate */
   void ReadDirectory(std::function<void(std::error_code)> done);
+  /** @see OpenConnectionQuery */
+  void QueryOpenConnection(const EndpointId& endpoint,
+                           std::function<void(bool)> done);
   /** @see ForwardedCommandChannel */
   void ForwardCommand(const SocketAddress& to, const ForwardedCommand& command);
   /** @see ForwardedCommandChannel */
@@ -62,9 +65,11 @@
  private:
   using Fleet =
       FleetControl<platform::StoreClient, platform::RowCodec, NodeProcess>;
+  using Commands =
+      ConnectionAwareCommands<platform::EndpointCommandClient, NodeProcess>;
   using Failover = FailoverControl<platform::StoreClient,
                                    TextDutyRowCodec,
-                                   platform::EndpointCommandClient,
+                                   Commands,
                                    platform::PromotionClient,
                                    NodeProcess>;
 
@@ -100,7 +105,8 @@
   Fleet fleet_;
   PeerExchange peers_;
   FreshnessBoundExchange bound_exchange_;
-  platform::EndpointCommandClient commands_;
+  platform::EndpointCommandClient command_client_;
+  Commands commands_;
   platform::PromotionClient promotions_;
   Failover failover_;
   net::HttpListener probe_;
--- a/apps/node/traffic_thread.cc
+++ b/apps/node/traffic_thread.cc
@@ -129,6 +129,13 @@
   mailbox_.Post([this, service] { core_.ReleaseCommits(service); });
 }
 
+void TrafficThread::QueryOpenConnection(const EndpointId& endpoint,
+                                        std::function<void(bool)> done) {
+  mailbox_.Post([this, endpoint, done = std::move(done)] {
+    done(core_.HasOpenConnection(endpoint));
+  });
+}
+
 void TrafficThread::HandleBoundQuery(
     const FreshnessBoundQuery& query,
     std::function<void(const FreshnessBound&)> answer) {
--- a/apps/node/traffic_thread.h
+++ b/apps/node/traffic_thread.h
@@ -69,6 +69,10 @@
   void HoldCommits(const ServiceId& service, const EndpointId& successor);
   /** Calls TrafficCore::ReleaseCommits on the traffic thread. */
   void ReleaseCommits(const ServiceId& service);
+  /** Calls TrafficCore::HasOpenConnection on the traffic thread, where `done`
+     is called with the result. */
+  void QueryOpenConnection(const EndpointId& endpoint,
+                           std::function<void(bool)> done);
   /** Calls TrafficCore::HandleBoundQuery on the traffic thread, where `answer`
       is called as well. */
   void HandleBoundQuery(const FreshnessBoundQuery& query,
--- a/libs/control/control.h
+++ b/libs/control/control.h
@@ -14,6 +14,7 @@
     primary).
 */
 #include "control/failover/command_forwarder.h"
+#include "control/failover/connection_aware_commands.h"
 #include "control/failover/departure_audit.h"
 #include "control/failover/departure_tracker.h"
 #include "control/failover/endpoint_commands.h"
--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -66,6 +66,10 @@
   void HoldCommits(const ServiceId& service, const EndpointId& successor);
   /** Ends the effect of HoldCommits(), because the replacement was given up. */
   void ReleaseCommits(const ServiceId& service);
+  /** @param endpoint  any endpoint
+      @returns         whether a connection to it that it has accepted is open;
+                       those through other VMs don't count */
+  bool HasOpenConnection(const EndpointId& endpoint) const;
   /** Replies to another VM's query for a freshness bound, immediately or when
       the next bound is known.
 
--- a/libs/relay/core/traffic_core_control.h
+++ b/libs/relay/core/traffic_core_control.h
@@ -127,6 +127,16 @@
   }
 }
 
+template <ForwardingDialect D, class N>
+bool TrafficCore<D, N>::HasOpenConnection(const EndpointId& endpoint) const {
+  return std::any_of(connections_.begin(), connections_.end(),
+                     [&endpoint](const auto& row) {
+                       const PooledConnection& it = row.second;
+                       return it.endpoint == endpoint && !it.IsForwarded() &&
+                              it.state != ConnectionState::kOpening;
+                     });
+}
+
 }  // namespace magnoliareel
 
 #endif  // MAGNOLIAREEL_RELAY_CORE_TRAFFIC_CORE_CONTROL_H_
