--- a/tests/interleavings/search_world.h
+++ b/tests/interleavings/search_world.h
@@ -257,6 +257,8 @@
   /** Number of ids that have left for good. */
   size_t departures_ = 0;
   size_t orders_in_transit_ = 0;
+  /** Commands that were sent since the latest order. */
+  std::set<uint64_t> commands_behind_order_;
   uint64_t highest_fencing_token_ = 0;
   StoredRow row_;
   uint64_t store_version_ = 0;
--- a/tests/interleavings/world_faults.cc
+++ b/tests/interleavings/world_faults.cc
@@ -30,6 +30,8 @@
   const bool is_commit = point.kind == PointKind::kCommit;
   const bool is_addressed =
       point.kind == PointKind::kCommand && point.member == it;
+  // A primary that drains is sent commands, at which the same is offered.
+  const bool is_noticed = is_addressed || !has_drained_;
   if (!member.is_running) {
     const auto& expiry = registrations_[it].expires_at;
     if (is_commit && !member.has_left && expiry && now_ >= *expiry) {
@@ -47,7 +49,9 @@
          (is_addressed && point.vm == vm)) &&
         IsConnected(vm, it)) {
       list.push_back({FaultKind::kCutVm, vm, it});
-      list.push_back({FaultKind::kRefuseVm, vm, it});
+      if (is_noticed) {
+        list.push_back({FaultKind::kRefuseVm, vm, it});
+      }
     }
   }
   if (is_addressed && !overloaded_until_.contains(it)) {
@@ -65,7 +69,9 @@
     list.push_back({FaultKind::kCrash, it, 0});
     if (member.is_primary) {
       list.push_back({FaultKind::kGoDown, it, 0});
-      list.push_back({FaultKind::kCrashBriefly, it, 0});
+      if (is_noticed) {
+        list.push_back({FaultKind::kCrashBriefly, it, 0});
+      }
     }
     if (!member.is_primary && departures_ < kMaxDepartures) {
       list.push_back({FaultKind::kLeave, it, 0});
--- a/tests/interleavings/world_state.cc
+++ b/tests/interleavings/world_state.cc
@@ -59,6 +59,9 @@
   for (const bool it : flags) {
     hash.Add(it ? 1U : 0U);
   }
+  for (const uint64_t it : commands_behind_order_) {
+    hash.Add(it);
+  }
   hash.Add(loses_answer_ ? *loses_answer_ + 1 : 0);
   hash.Add(departures_).Add(highest_fencing_token_).Add(row_.version);
   hash.Add(CountMicroseconds(listings_blocked_until_));
