Test holds at random times, and what the log says of them

KeepsGuaranteesWhileCommitsAreHeld lets VMs hold commits back at random times, for a successor that may never lead or for none, some without one VM knowing, in every second run with VMs that outnumber connections.

The fields of commits.lost that name who answered the last commit and which promotion the VM had heard of, and the line of a hold, are checked in a captured log.

--- /dev/null
+++ b/tests/traffic/hold_log_test.cc
@@ -0,0 +1,133 @@
+#include <cstdint>
+#include <cstdio>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "telemetry/telemetry.h"
+#include "tests/traffic/held_service.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace magnoliareel {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr size_t kSuccessor = 2;
+
+/** Collects the lines of the log until it is destroyed. */
+class CapturedLog {
+ public:
+  CapturedLog() : buffer_(kCapacity), file_(std::tmpfile()) {
+    CHECK(file_ != nullptr);
+    StartBufferedLog(buffer_, "simulated");
+  }
+  ~CapturedLog() {
+    // The log outlives this object.
+    static LogBuffer discarded(0);
+    StartBufferedLog(discarded, "simulated");
+    std::fclose(file_);
+  }
+  CapturedLog(const CapturedLog&) = delete;
+  CapturedLog& operator=(const CapturedLog&) = delete;
+
+  /** @returns the last line that contains a text; empty if none does */
+  std::string FindLast(std::string_view text) {
+    buffer_.Drain(fileno(file_));
+    std::rewind(file_);
+    std::string lines;
+    for (int next = std::fgetc(file_); next != EOF; next = std::fgetc(file_)) {
+      lines += static_cast<char>(next);
+    }
+    const size_t found = lines.rfind(text);
+    if (found == std::string::npos) {
+      return {};
+    }
+    const size_t begin = lines.rfind('\n', found) + 1;
+    return lines.substr(begin, lines.find('\n', found) - begin);
+  }
+
+ private:
+  static constexpr size_t kCapacity = 1 << 20;
+
+  LogBuffer buffer_;
+  std::FILE* const file_;
+};
+
+/** @returns the number in a field of a log line; -1 if it has none */
+int64_t ReadField(const std::string& line, const std::string& name) {
+  const size_t found = line.find(" " + name + "=");
+  return found == std::string::npos
+             ? -1
+             : std::stoll(line.substr(found + name.size() + 2));
+}
+
+bool HasField(const std::string& line, const std::string& field) {
+  return (line + " ").find(" " + field + " ") != std::string::npos;
+}
+
+}  // namespace
+
+TEST_GROUP(CommitHoldLog){};
+
+TEST(CommitHoldLog, ALossNamesWhoAnsweredAndWhichPromotionWasKnown) {
+  // Guards against a record from which nobody can tell whether the VM had heard
+  // of the promotion when it answered the commits that were lost.
+  CapturedLog log;
+  HeldService service(1);
+  const uint64_t writer = service.Open(0);
+  service.GetGroup().SetReplicationCut(kSuccessor, true);
+  for (const char* it : {"w1", "w2", "w3"}) {
+    service.Run(writer, it, "WRITE groyne-1 x");
+  }
+  service.Promote(kSuccessor);
+  service.GetSimulation().AnnouncePrimary(
+      ServiceId{service.GetSimulation().GetService()},
+      EndpointId{service.GetGroup().GetId(kSuccessor)});
+  service.Advance(milliseconds(1500));
+  service.GetGroup().SetReplicationCut(kSuccessor, false);
+  service.Run(writer, "w4", "WRITE groyne-1 x");
+  const std::string line = log.FindLast(" commits.lost ");
+  CHECK_TEXT(HasField(line, "answered_by=" + service.GetGroup().GetId(kFormer)),
+             line.c_str());
+  CHECK_TEXT(HasField(line, "ordered=" + service.GetGroup().GetId(kSuccessor)),
+             line.c_str());
+  const int64_t ordered_ms = ReadField(line, "ordered_ms");
+  const int64_t answered_ms = ReadField(line, "answered_ms");
+  CHECK_TEXT(ordered_ms >= 900 && ordered_ms <= 1800, line.c_str());
+  // Each write has 300 ms, and most of them are left behind its answer.
+  CHECK_TEXT(answered_ms >= ordered_ms + 200 && answered_ms <= ordered_ms + 310,
+             line.c_str());
+}
+
+TEST(CommitHoldLog, AHoldIsLoggedFromItsBeginningToTheProof) {
+  // Guards against callers that wait without a line that says for what.
+  CapturedLog log;
+  HeldService service(1);
+  const std::string& successor = service.GetGroup().GetId(kSuccessor);
+  const uint64_t writer = service.Open(0);
+  service.Run(writer, "w1", "WRITE groyne-1 x");
+  STRCMP_EQUAL("", log.FindLast(" commits.hold ").c_str());
+  service.Hold(std::nullopt);
+  std::string line = log.FindLast(" commits.hold ");
+  CHECK_TEXT(HasField(line, "successor=none") && HasField(line, "state=begun"),
+             line.c_str());
+  service.Hold(kSuccessor);
+  line = log.FindLast(" commits.hold ");
+  CHECK_TEXT(HasField(line, "successor=" + successor) &&
+                 HasField(line, "state=successor_changed"),
+             line.c_str());
+  service.Promote(kSuccessor);
+  service.Advance(milliseconds(900));
+  service.Run(writer, "w2", "WRITE groyne-1 x");
+  line = log.FindLast(" commits.hold ");
+  CHECK_TEXT(HasField(line, "successor=" + successor) &&
+                 HasField(line, "state=ended") &&
+                 HasField(line, "reason=proof"),
+             line.c_str());
+  const int64_t held_ms = ReadField(line, "held_ms");
+  CHECK_TEXT(held_ms >= 1000 && held_ms <= 1200, line.c_str());
+}
+
+}  // namespace magnoliareel
--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -50,6 +50,9 @@
   /** Those of kTransient; besides, VMs freeze for a while, and the connections
       in which others forward statements to a VM are reset. */
   kHolders,
+  /** Those of kTransient; besides, VMs hold commits back for a replica that may
+      never lead, or for none, and some don't hear of it. */
+  kCommitHolds,
   /** All VMs are killed while a member is down whose entry has expired, or
       together with a primary that is lost for good. */
   kLossOfAllVms,
@@ -257,6 +260,25 @@
     }
   }
 
+  // Lets VMs hold commits back; in half of the cases for less than the period.
+  void HoldCommits() {
+    GroupModel& group = simulation_->GetGroup();
+    const ServiceId service{simulation_->GetService()};
+    const size_t successor = random_() % group.CountMembers();
+    const EndpointId named{random_() % 3 == 0 ? "" : group.GetId(successor)};
+    const size_t unaware_vm = random_() % (2 * vms_);
+    for (size_t vm = 0; vm < vms_; ++vm) {
+      if (vm != unaware_vm) {
+        simulation_->GetCore(vm).HoldCommits(service, named);
+      }
+    }
+    if (random_() % 2 == 0) {
+      simulation_->GetQueue().After(
+          std::chrono::milliseconds(random_() % 1500),
+          [this, service] { simulation_->ReleaseCommits(service); });
+    }
+  }
+
   // Starts a new member in the place of one that has left before the promotion
   // that was just ordered takes effect.
   void JoinBehindPromotion() {
@@ -397,6 +419,10 @@
       InterruptHolder();
       return;
     }
+    if (schedule == FaultSchedule::kCommitHolds && random_() % 2 == 0) {
+      HoldCommits();
+      return;
+    }
     GroupModel& group = simulation_->GetGroup();
     EventQueue& queue = simulation_->GetQueue();
     const size_t member = random_() % group.CountMembers();
@@ -634,6 +660,26 @@
   CHECK(forwarded > 1000 * seeds);
 }
 
+TEST(Traffic, KeepsGuaranteesWhileCommitsAreHeld) {
+  // Guards against a promise that is not true, a statement that runs twice or is
+  // never answered, when a hold begins or ends at any time.
+  const uint64_t first = ReadNumber("MAGNOLIAREEL_SIM_FIRST_SEED", 1);
+  const uint64_t seeds =
+      ReadNumber("MAGNOLIAREEL_SIM_SEEDS", kDefaultSeedCount);
+  uint64_t held = 0;
+  for (uint64_t seed = first; seed < first + seeds; ++seed) {
+    // In every second run, VMs outnumber the connections of a member.
+    const bool is_scarce = seed % 2 == 0;
+    TrafficRun run(seed, is_scarce ? 12 : kVmCount, is_scarce ? 18 : 12,
+                   is_scarce ? 10 : kMemberConnections);
+    RunWithFaults(run, seed, FaultSchedule::kCommitHolds);
+    for (size_t vm = 0; vm < (is_scarce ? 12 : kVmCount); ++vm) {
+      held += run.GetSimulation().GetCore(vm).GetCounters().commits_held;
+    }
+  }
+  CHECK(held > 10 * seeds);
+}
+
 TEST(Traffic, KeepsGuaranteesUnderFaults) {
   const uint64_t first = ReadNumber("MAGNOLIAREEL_SIM_FIRST_SEED", 1);
   const uint64_t seeds =
