--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -661,8 +661,8 @@
 }
 
 TEST(Traffic, KeepsGuaranteesWhileCommitsAreHeld) {
-  // Guards against a promise that is not true, a statement that runs twice or is
-  // never answered, when a hold begins or ends at any time.
+  // Guards against a promise that is not true, a statement that runs twice or
+  // is never answered, when a hold begins or ends at any time.
   const uint64_t first = ReadNumber("MAGNOLIAREEL_SIM_FIRST_SEED", 1);
   const uint64_t seeds =
       ReadNumber("MAGNOLIAREEL_SIM_SEEDS", kDefaultSeedCount);
