Soak: seeded faults around the orders of promotions

Cause: the stand-in was kinder than PROTOCOL.md. Promotion calls were always answered and carried out at once, a demotion held for good, and nothing counted what a former primary acknowledges between an order and its effect; only the rarer lost commit showed.

Change: GroupOptions lets a demoted primary that restarts lead its old term again (demoted_lead_again), and lets an ordered member receive nothing (ordered_receive_nothing). The site takes its group's options as a whole and can carry out a promotion call later and without an answer. The group records each acknowledgement between an order and its effect of a commit that the ordered member lacks; the soak prints them as "premise broken" and counts them in its result line. They are no violation unless the commit is lost. Defaults are unchanged.

--- a/standins/group/group_model.h
+++ b/standins/group/group_model.h
@@ -39,6 +39,12 @@
   Duration promotion_delay = std::chrono::milliseconds(120);
   /** Fraction of statements whose answer is dropped after they ran. */
   double answer_loss_rate = 0;
+  /** Whether a demoted primary that crashes and restarts leads its old term
+      again, if no other member was promoted meanwhile. */
+  bool demoted_lead_again = false;
+  /** Whether a member receives nothing from the request for its promotion until
+      the promotion takes effect. */
+  bool ordered_receive_nothing = false;
   uint64_t seed = 1;
 };
 
@@ -62,6 +68,20 @@
   std::vector<size_t> log;
 };
 
+/** An acknowledgement between the request for a promotion and its effect, by
+    another member than the one to be promoted, of a commit that this one lacks
+    at that time. It is lost unless the promotion has no effect. */
+struct EarlyAcknowledgement {
+  /** Id of the member to be promoted. */
+  std::string ordered;
+  uint64_t fencing_token = 0;
+  TimePoint ordered_at;
+  /** Id of the member that acknowledged the commit. */
+  std::string endpoint;
+  /** Index into GetCommits(). */
+  size_t commit = 0;
+};
+
 /** A statement that a member executed, recorded for the checks of tests. */
 struct ExecutedStatement {
   std::string request;
@@ -170,6 +190,11 @@
   bool IsPaused(size_t member) const {
     return members_[member].paused_at_term > Term{};
   }
+  /** @returns whether the member is a replica since a DEMOTE, and has neither
+               ended since nor was another promoted */
+  bool IsDemoted(size_t member) const {
+    return members_[member].is_up && members_[member].is_demoted;
+  }
   /** @returns whether the member has left */
   bool HasLeft(size_t member) const { return members_[member].has_left; }
   /** @returns the number of members */
@@ -190,6 +215,11 @@
   const std::vector<AppliedPromotion>& GetPromotions() const {
     return promotions_;
   }
+  /** @returns the acknowledgements of commits that a member lacked whose
+               promotion was requested, in their order */
+  const std::vector<EarlyAcknowledgement>& GetEarlyAcknowledgements() const {
+    return early_acknowledgements_;
+  }
   /** @returns the executed statements, in order of execution */
   const std::vector<ExecutedStatement>& GetExecutedStatements() const {
     return executed_statements_;
@@ -202,6 +232,7 @@
     bool is_silent = false;
     bool has_left = false;
     bool is_primary = false;
+    bool is_demoted = false;
     bool is_replication_cut = false;
     Term term;
     /** Term for which a PAUSE stopped replication; zero if none did. */
@@ -215,6 +246,13 @@
     /** Handshakes and statements that run or wait for a slot. */
     uint32_t active_count = 0;
   };
+  /** An accepted request for a promotion that has not taken effect. */
+  struct PendingPromotion {
+    size_t member = 0;
+    std::string id;
+    uint64_t fencing_token = 0;
+    TimePoint ordered_at;
+  };
   struct Connection {
     size_t member = 0;
     uint64_t incarnation = 0;
@@ -259,6 +297,8 @@
   void ReceiveCommit(size_t member, size_t commit, uint64_t incarnation);
   void SynchronizeLog(size_t member);
   void ApplyPromotion(size_t member, const std::string& id);
+  bool IsOrdered(size_t member) const;
+  void RecordEarlyAcknowledgement(size_t member, size_t commit);
   void Demote(size_t member);
   LogPoint GetLastPoint(const Member& member, bool applied) const;
   std::string FormatReady(const Connection& connection) const;
@@ -279,7 +319,10 @@
   std::vector<Member> members_;
   std::map<uint64_t, Connection> connections_;
   std::vector<CommitRecord> commits_;
+  /** In the order in which they take effect. */
+  std::vector<PendingPromotion> pending_promotions_;
   std::vector<AppliedPromotion> promotions_;
+  std::vector<EarlyAcknowledgement> early_acknowledgements_;
   std::vector<ExecutedStatement> executed_statements_;
   Term newest_term_{1};
   uint64_t highest_fencing_token_ = 0;
--- a/standins/group/group_replication.cc
+++ b/standins/group/group_replication.cc
@@ -40,7 +40,8 @@
       });
   if (!member.is_up || member.is_primary || primary == members_.end() ||
       member.paused_at_term > Term{} || member.is_replication_cut ||
-      primary->is_replication_cut) {
+      primary->is_replication_cut ||
+      (options_.ordered_receive_nothing && IsOrdered(index))) {
     return;
   }
   member.term = primary->term;
@@ -72,22 +73,26 @@
     return 409;
   }
   highest_fencing_token_ = fencing_token;
+  const auto index = static_cast<size_t>(it - members_.begin());
+  pending_promotions_.push_back({index, it->id, fencing_token, now_});
   timer_(options_.promotion_delay,
-         [this, member = static_cast<size_t>(it - members_.begin()),
-          id = it->id] { ApplyPromotion(member, id); });
+         [this, index, id = it->id] { ApplyPromotion(index, id); });
   return 200;
 }
 
 // A new member that has taken the place of the one to be promoted has another
 // id.
 void GroupModel::ApplyPromotion(size_t index, const std::string& id) {
+  pending_promotions_.erase(
+      std::find_if(pending_promotions_.begin(), pending_promotions_.end(),
+                   [&](const PendingPromotion& it) { return it.id == id; }));
   if (members_[index].id != id || !members_[index].is_up ||
       members_[index].is_primary) {
     return;
   }
   newest_term_ = newest_term_.Next();
   for (Member& it : members_) {
-    it.is_primary = false;
+    it.is_primary = it.is_demoted = false;
   }
   Member& primary = members_[index];
   primary.is_primary = true;
@@ -102,13 +107,32 @@
   }
 }
 
+bool GroupModel::IsOrdered(size_t index) const {
+  return std::any_of(
+      pending_promotions_.begin(), pending_promotions_.end(),
+      [&](const PendingPromotion& it) { return it.id == members_[index].id; });
+}
+
+void GroupModel::RecordEarlyAcknowledgement(size_t index, size_t commit) {
+  for (const PendingPromotion& it : pending_promotions_) {
+    const Member& member = members_[it.member];
+    if (it.member != index && it.id == member.id &&
+        std::find(member.log.begin(), member.log.end(), commit) ==
+            member.log.end()) {
+      early_acknowledgements_.push_back(
+          {it.id, it.fencing_token, it.ordered_at, members_[index].id, commit});
+    }
+  }
+}
+
 // The replicas receive what the primary has sent before. Commits that wait for
 // a replica are not acknowledged any more.
 void GroupModel::Demote(size_t index) {
   for (size_t it = 0; it < members_.size(); ++it) {
     SynchronizeLog(it);
   }
-  members_[index].is_primary = false;
+  Member& member = members_[index];
+  member.is_demoted = std::exchange(member.is_primary, false);
 }
 
 void GroupModel::Crash(size_t index, bool is_silent) {
@@ -138,7 +162,10 @@
   member.is_silent = false;
   ++member.started_at;
   // A former primary comes back as a replica if another was promoted meanwhile.
-  member.is_primary = member.is_primary && member.term == newest_term_;
+  const bool was_demoted = std::exchange(member.is_demoted, false);
+  member.is_primary =
+      (member.is_primary || (was_demoted && options_.demoted_lead_again)) &&
+      member.term == newest_term_;
   member.applied_count = member.log.size();
   SynchronizeLog(index);
 }
@@ -147,7 +174,7 @@
   Crash(index, false);
   Member& member = members_[index];
   member.has_left = true;
-  member.is_primary = false;
+  member.is_primary = member.is_demoted = false;
   member.is_replication_cut = false;
   member.log.clear();
   member.applied_count = 0;
--- a/standins/group/group_statements.cc
+++ b/standins/group/group_statements.cc
@@ -96,6 +96,7 @@
   }
   commits_[commit].acknowledged = true;
   commits_[commit].acknowledged_at = now_;
+  RecordEarlyAcknowledgement(it->member, commit);
   Complete(id, "", "proof-" + request);
 }
 
--- a/standins/site/site_server.cc
+++ b/standins/site/site_server.cc
@@ -36,22 +36,11 @@
   }
 };
 
-namespace {
-
-GroupOptions MakeGroupOptions(const SiteSettings& settings) {
-  GroupOptions options;
-  options.max_connections = settings.max_connections;
-  options.promotion_delay = settings.promotion_delay;
-  return options;
-}
-
-}  // namespace
-
 SiteServer::SiteServer(EventLoop& loop, SiteSettings settings)
     : loop_(loop),
       settings_(std::move(settings)),
       group_(
-          MakeGroupOptions(settings_),
+          settings_.group,
           [this](uint64_t id, const std::string& bytes) {
             const auto it = connections_.find(id);
             if (it == connections_.end()) {
@@ -149,19 +138,27 @@
                                  const net::HttpListener::Answer& answer) {
   Findings findings;
   const Json::Value body = ParseJsonObject(request.body, findings);
-  uint64_t token = 0;
+  PromotionCall call;
   for (const auto& [name, value] : request.headers) {
     if (name == "Fencing-Token") {
-      token = std::strtoull(value.c_str(), nullptr, 10);
+      call.fencing_token = std::strtoull(value.c_str(), nullptr, 10);
+    } else if (name == "Holder") {
+      call.holder = value;
     }
   }
-  if (token == 0 || !findings.IsEmpty()) {
+  if (call.fencing_token == 0 || !findings.IsEmpty()) {
     answer({400, {}});
     return;
   }
+  call.endpoint = body["id"].asString();
   group_.SetNow(loop_.Now());
-  promotion_observer_();
-  answer({group_.Promote(body["id"].asString(), token), {}});
+  if (const Duration delay = promotion_observer_(call); delay > Duration{}) {
+    RunAfter(delay, [this, call = std::move(call)] {
+      group_.Promote(call.endpoint, call.fencing_token);
+    });
+    return;
+  }
+  answer({group_.Promote(call.endpoint, call.fencing_token), {}});
 }
 
 bool SiteServer::InjectFault(std::string_view fault) {
@@ -280,7 +277,7 @@
   }
   Json::Value service(Json::objectValue);
   service["name"] = std::string(kService);
-  service["max-conns"] = settings_.max_connections;
+  service["max-conns"] = settings_.group.max_connections;
   service["sync-replicas"] = 1;
   root["services"].append(std::move(service));
   root["limits"]["tx-idle-ms"] = 3000;
--- a/standins/site/site_server.h
+++ b/standins/site/site_server.h
@@ -24,10 +24,17 @@
       directory then lists the ports that follow it. 0 lists the databases' own
       ports. */
   int64_t advertised_base_port = 0;
-  /** Number of connections that each database accepts. */
-  uint32_t max_connections = 32;
-  /** Time from the request for a promotion until it takes effect. */
-  Duration promotion_delay = GroupOptions{}.promotion_delay;
+  /** The databases; those of the service groyne-logs. */
+  GroupOptions group;
+};
+
+/** A call that requests a promotion. */
+struct PromotionCall {
+  /** Name of the node that holds the duty. */
+  std::string holder;
+  /** Id of the database to be promoted. */
+  std::string endpoint;
+  uint64_t fencing_token = 0;
 };
 
 /** Runs a whole users' site in one process: the platform's store and promotion
@@ -74,9 +81,11 @@
   bool InjectFault(std::string_view fault);
   /** @returns the group of databases, for the checks of tests */
   const GroupModel& GetGroup() const { return group_; }
-  /** @param observer  called when a promotion is requested, before it takes
-                       effect */
-  void SetPromotionObserver(std::function<void()> observer) {
+  /** @param observer  called with each call for a promotion before it is
+                       carried out. Returns 0, or the time after which the call
+                       is carried out without an answer. */
+  void SetPromotionObserver(
+      std::function<Duration(const PromotionCall&)> observer) {
     promotion_observer_ = std::move(observer);
   }
 
@@ -118,7 +127,8 @@
   std::map<size_t, bool> draining_;
   /** When the members that have crashed stopped. */
   std::map<size_t, TimePoint> stopped_at_;
-  std::function<void()> promotion_observer_ = [] {};
+  std::function<Duration(const PromotionCall&)> promotion_observer_ =
+      [](const PromotionCall&) { return Duration{}; };
   LoopTimer publish_timer_;
   uint64_t next_connection_ = 1;
   uint64_t config_version_ = 1;
--- a/tests/soak/link_proxy.cc
+++ b/tests/soak/link_proxy.cc
@@ -71,6 +71,10 @@
   if (to_server && it.vm.empty()) {
     ReadVm(it, bytes);
   }
+  if (refused_vms_.contains(it.vm)) {
+    CloseLink(link);
+    return;
+  }
   if (cut_vms_.contains(it.vm)) {
     return;
   }
@@ -136,10 +140,19 @@
   }
 }
 
+void LinkProxy::RefuseVm(std::string_view vm) {
+  refused_vms_.emplace(vm);
+  CloseLinks(vm);
+}
+
 void LinkProxy::ReconnectVm(std::string_view vm) {
-  if (cut_vms_.erase(std::string(vm)) == 0) {
-    return;
+  refused_vms_.erase(std::string(vm));
+  if (cut_vms_.erase(std::string(vm)) != 0) {
+    CloseLinks(vm);
   }
+}
+
+void LinkProxy::CloseLinks(std::string_view vm) {
   std::vector<uint64_t> selected;
   for (const auto& [id, link] : links_) {
     if (link->vm == vm) {
@@ -152,6 +165,7 @@
 }
 
 void LinkProxy::ReconnectVms() {
+  refused_vms_.clear();
   while (!cut_vms_.empty()) {
     ReconnectVm(std::string(*cut_vms_.begin()));
   }
--- a/tests/soak/link_proxy.h
+++ b/tests/soak/link_proxy.h
@@ -65,13 +65,19 @@
       @param vm  the node's name
   */
   void CutVm(std::string_view vm) { cut_vms_.emplace(vm); }
-  /** Ends CutVm() for a node and closes its connections, because dropped bytes
-      are never resent.
+  /** Closes the connections of one node, and each new one once its first line
+      names the node, while the other nodes still reach the server.
+
+      @param vm  the node's name
+  */
+  void RefuseVm(std::string_view vm);
+  /** Ends CutVm() or RefuseVm() for a node and closes its connections, because
+     dropped bytes are never resent.
 
       @param vm  the node's name
   */
   void ReconnectVm(std::string_view vm);
-  /** Ends CutVm() for all nodes. @see ReconnectVm */
+  /** Ends CutVm() and RefuseVm() for all nodes. @see ReconnectVm */
   void ReconnectVms();
 
  private:
@@ -81,6 +87,7 @@
   void Forward(uint64_t link, bool to_server, std::string_view bytes);
   void Deliver(uint64_t link, bool to_server, std::string_view bytes);
   void CloseLink(uint64_t link);
+  void CloseLinks(std::string_view vm);
   static void ReadVm(Link& link, std::string_view bytes);
 
   EventLoop& loop_;
@@ -92,6 +99,7 @@
   LinkFaults faults_;
   Duration answer_delay_{};
   std::set<std::string> cut_vms_;
+  std::set<std::string> refused_vms_;
   uint64_t next_link_ = 0;
 };
 
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -1,6 +1,7 @@
 #include <csignal>
 #include <cstdio>
 #include <span>
+#include <string>
 
 #include "net/net.h"
 #include "process/process.h"
@@ -33,11 +34,22 @@
                   0, 1000, settings.promotion_fault_count);
   flags.AddNumber("faults-s", "length of the period with faults, in seconds", 1,
                   3600, settings.fault_period_s);
+  std::string orders;
+  flags.AddText("orders",
+                "faults around the order of a promotion, separated by commas: "
+                "late, holder, back, deaf, refuse, roll, small",
+                false, orders);
   Findings findings;
   if (const FlagResult result = flags.Parse(args, findings);
       result != FlagResult::kRun) {
     return ReportSettingsFindings(result, findings);
   }
+  const auto order_faults = ParseOrderFaultKinds(orders);
+  if (!order_faults) {
+    std::fprintf(stderr, "unknown word in --orders: %s\n", orders.c_str());
+    return kExitBadSettings;
+  }
+  settings.order_faults = *order_faults;
   std::signal(SIGPIPE, SIG_IGN);
   EventLoop loop;
   SoakRun run(loop, settings);
@@ -47,13 +59,18 @@
     return kExitCannotListen;
   }
   loop.Run();
+  const auto seed = static_cast<long long>(settings.seed);
+  const auto broken_premises = run.DescribeEarlyAcknowledgements();
   const auto violations = run.Check();
-  for (const std::string& it : violations) {
-    std::fprintf(stderr, "seed %lld: %s\n",
-                 static_cast<long long>(settings.seed), it.c_str());
+  for (const auto& lines : {broken_premises, violations}) {
+    for (const std::string& it : lines) {
+      std::fprintf(stderr, "seed %lld: %s\n", seed, it.c_str());
+    }
   }
-  std::fprintf(stderr, "seed %lld: %zu operations, %zu violations\n",
-               static_cast<long long>(settings.seed), run.CountOperations(),
+  std::fprintf(stderr,
+               "seed %lld: %zu operations, %zu acknowledgements between an "
+               "order and its effect, %zu violations\n",
+               seed, run.CountOperations(), broken_premises.size(),
                violations.size());
   return violations.empty() ? 0 : kExitViolations;
 }
--- a/tests/soak/membership_faults.cc
+++ b/tests/soak/membership_faults.cc
@@ -47,7 +47,6 @@
 }
 
 void MembershipFaults::Schedule(int64_t count, Duration period) {
-  site_.SetPromotionObserver([this] { JoinBehindPromotion(); });
   const int64_t period_ms =
       std::chrono::duration_cast<milliseconds>(period).count();
   for (int64_t n = 0; n < count; ++n) {
@@ -91,8 +90,14 @@
     return;
   }
   const std::string vm = "node-" + std::to_string(node + 1);
-  proxies_[member]->CutVm(vm);
-  PrintAction("fault cut-" + vm, member);
+  // Every second cut; random choices would change those that follow.
+  if (refuses_cut_nodes_ && ++cut_count_ % 2 == 0) {
+    proxies_[member]->RefuseVm(vm);
+    PrintAction("fault refuse-" + vm, member);
+  } else {
+    proxies_[member]->CutVm(vm);
+    PrintAction("fault cut-" + vm, member);
+  }
   RunLater(loop_, duration, [this, vm, member] {
     proxies_[member]->ReconnectVm(vm);
     PrintAction("fault reconnect-" + vm, member);
--- a/tests/soak/membership_faults.h
+++ b/tests/soak/membership_faults.h
@@ -50,6 +50,9 @@
       @param period  time within which they begin
   */
   void Schedule(int64_t count, Duration period);
+  /** Lets every second cut of a node close the node's connections instead of
+      leaving them open without an answer. */
+  void RefuseCutNodes() { refuses_cut_nodes_ = true; }
   /** Ends all faults; a new member takes the place of one that has left. */
   void End();
   /** @returns the index of the running primary, or none */
@@ -93,6 +96,8 @@
   std::mt19937_64 random_;
   bool& is_database_down_;
   bool is_replacing_ = false;
+  bool refuses_cut_nodes_ = false;
+  uint32_t cut_count_ = 0;
   bool has_ended_ = false;
 };
 
--- a/tests/soak/promotion_faults.cc
+++ b/tests/soak/promotion_faults.cc
@@ -42,7 +42,6 @@
 }
 
 void PromotionFaults::Schedule(int64_t count, Duration period) {
-  site_.SetPromotionObserver([this] { membership_.JoinBehindPromotion(); });
   const Duration share = period / count;
   const int64_t share_ms =
       std::chrono::duration_cast<milliseconds>(share).count();
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -35,6 +35,26 @@
       kMinPromotionDelayMs, kMaxPromotionDelayMs)(random));
 }
 
+// Two slots for each database, 27 ms for a new connection and 1000 ms for a
+// promotion: the slowest site that was described.
+GroupOptions MakeGroupOptions(const SoakSettings& settings) {
+  GroupOptions options;
+  options.max_connections = static_cast<uint32_t>(settings.connections);
+  options.promotion_delay = ChoosePromotionDelay(settings);
+  options.demoted_lead_again = settings.order_faults.demoted_lead_again;
+  options.ordered_receive_nothing =
+      settings.order_faults.ordered_receive_nothing;
+  if (settings.order_faults.has_small_databases) {
+    options.slots = 2;
+    options.queue = 4;
+    options.handshake_time = std::chrono::milliseconds(27);
+    options.mean_run_time = std::chrono::milliseconds(9);
+    options.mean_receive_delay = std::chrono::milliseconds(20);
+    options.promotion_delay = std::chrono::milliseconds(1000);
+  }
+  return options;
+}
+
 std::vector<std::unique_ptr<LinkProxy>> MakeProxies(
     EventLoop& loop,
     const SoakSettings& settings) {
@@ -58,8 +78,7 @@
       random_(static_cast<uint64_t>(settings.seed)),
       site_(loop,
             {"127.0.0.1", settings.base_port, settings.base_port + kProxyCount,
-             static_cast<uint32_t>(settings.connections),
-             ChoosePromotionDelay(settings)}),
+             MakeGroupOptions(settings)}),
       proxies_(MakeProxies(loop, settings)),
       connections_(
           loop,
@@ -93,7 +112,20 @@
                         std::span(proxies_).subspan(1),
                         membership_faults_,
                         static_cast<uint64_t>(settings.seed),
-                        is_database_down_) {
+                        is_database_down_),
+      order_faults_(loop,
+                    site_,
+                    database_faults_,
+                    settings.order_faults,
+                    static_cast<size_t>(settings.nodes),
+                    static_cast<uint64_t>(settings.seed)) {
+  site_.SetPromotionObserver([this](const PromotionCall& call) {
+    membership_faults_.JoinBehindPromotion();
+    return order_faults_.HandleCall(call);
+  });
+  if (settings_.order_faults.refuses_cut_nodes) {
+    membership_faults_.RefuseCutNodes();
+  }
   constexpr std::array<const char*, 3> kDatabases = {"entries", "lookups",
                                                      "timesheets"};
   const auto nodes = static_cast<size_t>(settings_.nodes);
@@ -156,6 +188,7 @@
     promotion_faults_.Schedule(settings_.promotion_fault_count,
                                std::chrono::milliseconds(duration));
   }
+  order_faults_.Begin();
   RunLater(loop_, std::chrono::milliseconds(duration), [this] { EndFaults(); });
 }
 
@@ -300,6 +333,7 @@
   }
   membership_faults_.End();
   promotion_faults_.End();
+  order_faults_.End();
   for (const char* it : {"up", "keep", "quick"}) {
     RequestSiteFault(it, 0);
   }
@@ -353,4 +387,21 @@
   return violations;
 }
 
+std::vector<std::string> SoakRun::DescribeEarlyAcknowledgements() const {
+  const GroupModel& group = site_.GetGroup();
+  std::vector<std::string> lines;
+  for (const EarlyAcknowledgement& it : group.GetEarlyAcknowledgements()) {
+    const CommitRecord& commit = group.GetCommits()[it.commit];
+    const auto delay = std::chrono::duration_cast<std::chrono::milliseconds>(
+        commit.acknowledged_at - it.ordered_at);
+    lines.push_back("premise broken: order " +
+                    std::to_string(it.fencing_token) + " of " + it.ordered +
+                    ", " + it.endpoint + " acknowledged " +
+                    std::to_string(commit.point.term.value) + "." +
+                    std::to_string(commit.point.position.value) + " " +
+                    std::to_string(delay.count()) + " ms after the order");
+  }
+  return lines;
+}
+
 }  // namespace magnoliareel
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -13,6 +13,7 @@
 #include "tests/soak/database_faults.h"
 #include "tests/soak/link_proxy.h"
 #include "tests/soak/membership_faults.h"
+#include "tests/soak/order_faults.h"
 #include "tests/soak/promotion_faults.h"
 #include "tests/traffic/traffic_caller.h"
 #include "tests/traffic/traffic_history.h"
@@ -39,6 +40,9 @@
   /** Number of series of faults around a promotion in the same period; see
       PromotionFaults. The other faults don't depend on it. */
   int64_t promotion_fault_count = 0;
+  /** Faults around the orders of promotions. The other faults don't depend on
+      them. */
+  OrderFaultKinds order_faults;
 };
 
 /** One run of the fault soak: callers use real nodes in front of a stand-in
@@ -64,6 +68,11 @@
   /** @returns one line for each violated guarantee, and for each node that did
       not serve its callers; valid once the loop has ended */
   std::vector<std::string> Check() const;
+  /** @returns one line for each acknowledgement of a commit between an order
+               and its effect that the database to be promoted lacked; valid
+               once the loop has ended. The commit may be lost, which Check()
+               reports. */
+  std::vector<std::string> DescribeEarlyAcknowledgements() const;
   /** @returns the number of operations that callers have finished */
   size_t CountOperations() const { return history_.size(); }
 
@@ -99,6 +108,7 @@
   DatabaseFaults database_faults_;
   MembershipFaults membership_faults_;
   PromotionFaults promotion_faults_;
+  OrderFaults order_faults_;
 };
 
 }  // namespace magnoliareel
