--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -37,7 +37,7 @@
   std::string orders;
   flags.AddText("orders",
                 "faults around the order of a promotion, separated by commas: "
-                "late, holder, back, deaf, refuse, roll, small",
+                "late, holder, back, deaf, refuse, drain, roll, small",
                 false, orders);
   Findings findings;
   if (const FlagResult result = flags.Parse(args, findings);
--- a/tests/soak/order_faults.cc
+++ b/tests/soak/order_faults.cc
@@ -21,17 +21,18 @@
 constexpr size_t kRevertedDemotions = 60;
 constexpr Duration kWatchInterval = milliseconds(5);
 // A little more than the grace period of a node.
-constexpr Duration kNodeRestartInterval = milliseconds(4500);
+constexpr Duration kGracePeriod = milliseconds(4500);
 
 }  // namespace
 
 std::optional<OrderFaultKinds> ParseOrderFaultKinds(std::string_view text) {
-  constexpr std::array<std::pair<std::string_view, bool OrderFaultKinds::*>, 7>
+  constexpr std::array<std::pair<std::string_view, bool OrderFaultKinds::*>, 8>
       kKinds = {{{"late", &OrderFaultKinds::has_late_orders},
                  {"holder", &OrderFaultKinds::interrupts_holders},
                  {"back", &OrderFaultKinds::demoted_lead_again},
                  {"deaf", &OrderFaultKinds::ordered_receive_nothing},
                  {"refuse", &OrderFaultKinds::refuses_cut_nodes},
+                 {"drain", &OrderFaultKinds::drains_primaries},
                  {"roll", &OrderFaultKinds::restarts_nodes},
                  {"small", &OrderFaultKinds::has_small_databases}}};
   OrderFaultKinds kinds;
@@ -52,12 +53,14 @@
 OrderFaults::OrderFaults(EventLoop& loop,
                          SiteServer& site,
                          DatabaseFaults& databases,
+                         MembershipFaults& membership,
                          const OrderFaultKinds& kinds,
                          size_t node_count,
                          uint64_t seed)
     : loop_(loop),
       site_(site),
       databases_(databases),
+      membership_(membership),
       kinds_(kinds),
       node_count_(node_count),
       random_(seed + kSeedOffset),
@@ -76,6 +79,9 @@
   if (kinds_.restarts_nodes) {
     RestartNode(Choose(node_count_) + 1);
   }
+  if (kinds_.drains_primaries) {
+    DrainPrimary();
+  }
 }
 
 // A node that has been told to stop serves its sessions for its grace period.
@@ -83,11 +89,25 @@
   if (has_ended_) {
     return;
   }
-  PrintAction("stop", node);
-  RunLater(loop_, kNodeRestartInterval, [this, node] {
-    PrintAction("start", node);
-    RestartNode(node % node_count_ + 1);
-  });
+  const bool is_killed = Choose(2) == 0;
+  PrintAction(is_killed ? "kill" : "stop", node);
+  RunLater(loop_, is_killed ? ChooseDuration(50, 500) : kGracePeriod,
+           [this, node] {
+             PrintAction("start", node);
+             RestartNode(node % node_count_ + 1);
+           });
+}
+
+void OrderFaults::DrainPrimary() {
+  if (has_ended_) {
+    return;
+  }
+  if (const std::optional<size_t> it = membership_.FindPrimary()) {
+    databases_.Inject("drain", *it);
+    RunLater(loop_, ChooseDuration(500, 1500),
+             [this, it] { databases_.Inject("stay", *it); });
+  }
+  RunLater(loop_, ChooseDuration(2000, 4000), [this] { DrainPrimary(); });
 }
 
 Duration OrderFaults::HandleCall(const PromotionCall& call) {
--- a/tests/soak/order_faults.h
+++ b/tests/soak/order_faults.h
@@ -9,6 +9,7 @@
 #include "net/net.h"
 #include "standins/site/site_server.h"
 #include "tests/soak/database_faults.h"
+#include "tests/soak/membership_faults.h"
 
 namespace magnoliareel {
 
@@ -25,15 +26,19 @@
   bool ordered_receive_nothing = false;
   /** Half of the cuts of single nodes close connections. */
   bool refuses_cut_nodes = false;
-  /** The nodes are told to stop, and start again, one after the other. */
+  /** The primary drains for a moment every 2 to 4 s, so that another database
+      is promoted. */
+  bool drains_primaries = false;
+  /** The nodes are told to stop or killed, and start again, one after the
+      other. */
   bool restarts_nodes = false;
   /** Databases have two slots, and new connections and promotions are slow. */
   bool has_small_databases = false;
 };
 
 /** @param text  words separated by commas: late, holder, back, deaf, refuse,
-                 roll, small, in the order of the members of OrderFaultKinds;
-   may be empty
+                 drain, roll, small, in the order of the members of
+   OrderFaultKinds; may be empty
     @returns     the kinds, or none if there is an unknown word */
 std::optional<OrderFaultKinds> ParseOrderFaultKinds(std::string_view text);
 
@@ -47,6 +52,7 @@
   /** @param loop       schedules the faults; outlives this object
       @param site       the site with the databases
       @param databases  injects faults into the databases
+      @param membership finds the primary
       @param kinds      the faults to inject
       @param node_count number of nodes
       @param seed       seed of every random choice
@@ -54,6 +60,7 @@
   OrderFaults(EventLoop& loop,
               SiteServer& site,
               DatabaseFaults& databases,
+              MembershipFaults& membership,
               const OrderFaultKinds& kinds,
               size_t node_count,
               uint64_t seed);
@@ -72,6 +79,7 @@
   Duration ChooseDuration(int64_t min_ms, int64_t max_ms);
   void InterruptHolder(size_t node);
   void RestartNode(size_t node);
+  void DrainPrimary();
   void WatchDemotions();
   void RevertDemotion();
   void Restart(size_t member);
@@ -79,6 +87,7 @@
   EventLoop& loop_;
   SiteServer& site_;
   DatabaseFaults& databases_;
+  MembershipFaults& membership_;
   const OrderFaultKinds kinds_;
   const size_t node_count_;
   std::mt19937_64 random_;
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -116,6 +116,7 @@
       order_faults_(loop,
                     site_,
                     database_faults_,
+                    membership_faults_,
                     settings.order_faults,
                     static_cast<size_t>(settings.nodes),
                     static_cast<uint64_t>(settings.seed)) {
