--- a/tests/soak/order_faults.h
+++ b/tests/soak/order_faults.h
@@ -34,6 +34,8 @@
   bool restarts_nodes = false;
   /** Databases have two slots, and new connections and promotions are slow. */
   bool has_small_databases = false;
+
+  bool operator==(const OrderFaultKinds&) const = default;
 };
 
 /** @param text  words separated by commas: late, holder, back, deaf, refuse,
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -21,13 +21,15 @@
 // timeout.
 constexpr Duration kFinishPeriod = std::chrono::seconds(2);
 constexpr int64_t kProxyCount = 4;
-// With faults of the membership a promotion takes 300 to 1000 ms.
+// With faults of the membership or around orders a promotion takes 300 to
+// 1000 ms.
 constexpr int64_t kMinPromotionDelayMs = 300;
 constexpr int64_t kMaxPromotionDelayMs = 1000;
 
 Duration ChoosePromotionDelay(const SoakSettings& settings) {
   if (settings.membership_fault_count == 0 &&
-      settings.promotion_fault_count == 0) {
+      settings.promotion_fault_count == 0 &&
+      settings.order_faults == OrderFaultKinds{}) {
     return GroupOptions{}.promotion_delay;
   }
   std::mt19937_64 random(static_cast<uint64_t>(settings.seed));
--- /dev/null
+++ b/tests/standins/site_server_test.cc
@@ -0,0 +1,95 @@
+#include "standins/site/site_server.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+#include "net/net.h"
+
+namespace magnoliareel {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr uint16_t kPort = 28950;
+
+// Sends one call and collects the answer.
+struct Caller {
+  Stream stream;
+  std::string answer;
+
+  void HandleOpened() {}
+  void HandleBytes(std::string_view bytes) { answer.append(bytes); }
+  void HandleClosed(std::error_code) {}
+};
+
+}  // namespace
+
+TEST_GROUP(SiteServer) {
+  void setup() override {
+    CHECK_FALSE(site_.Start());
+    site_.SetPromotionObserver([this](const PromotionCall& call) {
+      call_ = call;
+      return delay_;
+    });
+  }
+
+  // Calls for the promotion of the second database.
+  void CallPromotion(uint64_t token) {
+    const std::string body =
+        R"({"service":"groyne-logs","id":"groyne-logs-2"})";
+    caller_.stream.Connect(loop_, {"127.0.0.1", kPort}, caller_);
+    RunFor(milliseconds(50));
+    caller_.stream.Append(
+        "POST /promote HTTP/1.1\r\nHost: site\r\nHolder: node-3\r\n"
+        "Fencing-Token: " +
+        std::to_string(token) + "\r\nContent-Length: " +
+        std::to_string(body.size()) + "\r\n\r\n" + body);
+    caller_.stream.Flush();
+  }
+
+  void RunFor(Duration duration) {
+    RunLater(loop_, duration, [this] { loop_.Stop(); });
+    loop_.Run();
+  }
+
+  EventLoop loop_;
+  SiteServer site_{loop_, {"127.0.0.1", kPort, 0, {}}};
+  Caller caller_;
+  PromotionCall call_;
+  Duration delay_{};
+};
+
+TEST(SiteServer, CarriesOutAPromotionAndNamesItsHolder) {
+  CallPromotion(5);
+  RunFor(milliseconds(400));
+  CHECK_TRUE(caller_.answer.starts_with("HTTP/1.1 200"));
+  STRCMP_EQUAL("node-3", call_.holder.c_str());
+  STRCMP_EQUAL("groyne-logs-2", call_.endpoint.c_str());
+  LONGS_EQUAL(5, call_.fencing_token);
+  CHECK_TRUE(site_.GetGroup().HasPrimaryRole(1));
+}
+
+TEST(SiteServer, CarriesOutALatePromotionWithoutAnAnswer) {
+  delay_ = milliseconds(300);
+  CallPromotion(5);
+  RunFor(milliseconds(200));
+  CHECK_TRUE(site_.GetGroup().HasPrimaryRole(0));
+  RunFor(milliseconds(500));
+  CHECK_TRUE(site_.GetGroup().HasPrimaryRole(1));
+  CHECK_TRUE(caller_.answer.empty());
+}
+
+TEST(SiteServer, ChecksTheFenceOfALatePromotionWhenItIsCarriedOut) {
+  delay_ = milliseconds(300);
+  CallPromotion(5);
+  RunFor(milliseconds(100));
+  delay_ = {};
+  caller_.stream.Close();
+  CallPromotion(6);
+  RunFor(milliseconds(700));
+  CHECK_TRUE(caller_.answer.starts_with("HTTP/1.1 200"));
+  LONGS_EQUAL(1, site_.GetGroup().GetPromotions().size());
+}
+
+}  // namespace magnoliareel
