Keep the pauses while an order without an answer is open

Callers lost acknowledged commits when the platform carried out an order seconds after its answer was lost.

Cause: 2 s after an order a proof of the old primary ended the pauses, although an order without an answer may be carried out for 12 s. After an order that was not confirmed in time the former primary was listed among the replicas, so that the next order had nobody to demote.

An order of this VM is open until a newer term is proved, or the platform refuses it, or for 2 s after it was accepted, or for 14 s after its answer was lost, shortened to 2 s once the platform accepts a call under a newer token. No pause ends meanwhile, the guard and the hold go on, and pauses of attempts that are abandoned are kept. While a copy of an accepted order may still be carried out, its endpoint is the only one to promote, too. The former primary of an unconfirmed order is the next attempt's primary, unless it leads a newer term, and the endpoint of that order is a replica. If it does not answer, that attempt takes as long as any other against a silent primary.

Evidence: with the former condition in ResumePaused, OpenOrders' KeepThePauses- WhenTheOldPrimaryIsProved fails; with the former plan, ThatAreNotConfirmedLeave- TheFormerPrimaryToBeDemoted does: the second order is sent without a demotion.

--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -315,6 +315,11 @@
     TimePoint sent_at;
     /** Term of the latest confirmed primary at that time. */
     Term former_term;
+    /** Time after which it does not take effect any more; none while the
+        attempt that has ordered it runs. */
+    std::optional<TimePoint> open_until;
+    /** Time until which an order without an answer may be carried out. */
+    TimePoint lost_until;
   };
   /** A replica that this VM has paused, or may have. */
   struct PausedReplica {
@@ -358,6 +363,8 @@
     bool awaits_promotion = false;
     /** This VM's latest order until the primary proves a newer term. */
     std::optional<PromotionOrder> unconfirmed_order;
+    /** PromotionOrder::former_term of this VM's latest order. */
+    Term replaced_term;
     /** What this VM tells the others while it replaces the primary. */
     std::optional<ReplacementNotice> hold;
     TimePoint not_before;
@@ -383,18 +390,25 @@
   void RememberPrimaries() {
     std::erase_if(primary_entries_,
                   [this](const auto& row) { return !IsKnown(row.first); });
+    std::erase_if(confirmed_entries_,
+                  [this](const auto& row) { return !IsKnown(row.first); });
     for (const EndpointEntry& it : endpoints_) {
       if (primaries_.IsPrimary(it.id)) {
         primary_entries_[it.service] = it;
       }
+      if (primaries_.IsLatestConfirmed(it.id)) {
+        confirmed_entries_[it.service] = it;
+      }
     }
   }
 
   /** @returns the last entry of a primary; null if it was none */
   const EndpointEntry* FindFormerEntry(const EndpointId& id) const {
-    for (const auto& [service, entry] : primary_entries_) {
-      if (entry.id == id) {
-        return &entry;
+    for (const auto* entries : {&primary_entries_, &confirmed_entries_}) {
+      for (const auto& [service, entry] : *entries) {
+        if (entry.id == id) {
+          return &entry;
+        }
       }
     }
     return nullptr;
@@ -565,13 +579,33 @@
       any more. */
   void ApplyReplacementNotices(const Heartbeat& heartbeat);
 
-  /** @returns whether the promotion that was ordered last is neither confirmed
-               nor overdue */
+  /** @returns whether an order of this VM may still take effect */
   static bool IsOrderOpen(const Progress& progress, TimePoint now) {
-    return progress.unconfirmed_order &&
-           now - progress.unconfirmed_order->sent_at < kPromotionTimeout;
+    const std::optional<PromotionOrder>& order = progress.unconfirmed_order;
+    return order && (!order->open_until || now < *order->open_until);
   }
 
+  /** Records an order of this VM before it is sent, holds commits and guards
+      what the order relies on.
+
+      @param plan   plan of the attempt
+      @param order  the order
+  */
+  void RecordOrder(const ReplacementPlan& plan, const PlannedOrder& order);
+
+  /** Records whether the order of an attempt that has ended may still take
+      effect. */
+  void SettleOrder(const ServiceId& service, const ReplacementResult& result);
+
+  /** Keeps the pauses of an attempt that has ended while an order may still
+      take effect; otherwise they end after a while. */
+  void KeepOrEndPauses(const ServiceId& service,
+                       const ReplacementResult& result);
+
+  /** Records that the platform has accepted a call of this VM, and refuses
+      those under older tokens from now on. */
+  void HandleOrdersFenced(const ServiceId& service);
+
   /** Guards what an order relies on until a newer term is proved.
 
       @param plan   plan of the attempt
@@ -616,6 +650,8 @@
   std::vector<ServiceId> services_;
   /** Last entry of each service's latest primary that was listed. */
   std::map<ServiceId, EndpointEntry> primary_entries_;
+  /** The same of those that were confirmed. */
+  std::map<ServiceId, EndpointEntry> confirmed_entries_;
   std::map<ServiceId, Progress> progress_;
   /** Holds that other VMs announce; one whose VM is lost ends on its own. */
   std::map<ServiceId, PeerHold> peer_holds_;
@@ -639,6 +675,7 @@
 #include "control/failover/failover_control_duties.h"   // IWYU pragma: export
 #include "control/failover/failover_control_groups.h"   // IWYU pragma: export
 #include "control/failover/failover_control_holds.h"    // IWYU pragma: export
+#include "control/failover/failover_control_orders.h"   // IWYU pragma: export
 #include "control/failover/failover_control_reasons.h"  // IWYU pragma: export
 #include "control/failover/failover_control_replacement.h"  // IWYU pragma: export
 
--- a/libs/control/failover/failover_control_duties.h
+++ b/libs/control/failover/failover_control_duties.h
@@ -202,7 +202,7 @@
   if (!ec) {
     progress.unsettled = false;
     progress.confirmed_at = delegate_.Now();
-    progress.pending_promotion = {};
+    HandleOrdersFenced(service);
     return;
   }
   if (ec == Error::kSuperseded || ec == Error::kAnswerLost) {
--- a/libs/control/failover/failover_control_replacement.h
+++ b/libs/control/failover/failover_control_replacement.h
@@ -42,6 +42,15 @@
   plan.service = service;
   const auto primary = *primaries_.Get(service, now);
   plan.primary_id = primary.endpoint;
+  if (const auto former = primaries_.GetLatestConfirmed(service);
+      reason == ReplacementReason::kGone && former &&
+      former->endpoint != primary.endpoint) {
+    // The order for the recorded primary was not confirmed. The former one may
+    // lead, and is demoted like any other.
+    plan.primary_id = former->endpoint;
+    plan.unconfirmed_order_term =
+        std::max(former->term, progress.replaced_term);
+  }
   plan.reason = reason;
   plan.answered_lately = IsReportedStalled(plan.primary_id);
   plan.fencing_token = claims_.GetToken(service);
@@ -70,7 +79,8 @@
     members.push_back(it.id);
     // An endpoint whose promotion failed counts as a replica: the old primary
     // may still acknowledge commits through it.
-    if (it.id == plan.primary_id && !primary.promotion_failed) {
+    if (it.id == plan.primary_id &&
+        (!primary.promotion_failed || plan.unconfirmed_order_term)) {
       plan.primary = it;
     } else {
       plan.replicas.push_back(it);
@@ -81,13 +91,8 @@
     // It may only be cut off from the store.
     plan.primary = *former;
   }
-  plan.record_order = [this, guarded = plan](const PlannedOrder& order) {
-    const auto former = primaries_.GetLatestConfirmed(guarded.service);
-    progress_[guarded.service].unconfirmed_order = {
-        order.successor, delegate_.Now(),
-        std::max(order.newest_term, former ? former->term : Term{})};
-    BeginHold(guarded.service, order.successor, guarded.fencing_token);
-    GuardOrder(guarded, order);
+  plan.record_order = [this, ordered = plan](const PlannedOrder& order) {
+    RecordOrder(ordered, order);
   };
   if (plan.pending_promotion.IsEmpty()) {
     // The attempt compares the replicas anew, and may order another endpoint.
@@ -117,108 +122,6 @@
       ->Start();
 }
 
-template <RowStore S,
-          DutyRowCodec R,
-          EndpointCommandSender C,
-          PromotionSender P,
-          class T>
-void FailoverControl<S, R, C, P, T>::RecordPromotionConfirmed(
-    const ServiceId& service,
-    const EndpointId& endpoint,
-    Term term) {
-  std::optional<PromotionOrder>& order = progress_[service].unconfirmed_order;
-  // An endpoint that is promoted again may have proved its former term late.
-  if (!order || order->endpoint != endpoint || term <= order->former_term) {
-    return;
-  }
-  const Duration age = delegate_.Now() - order->sent_at;
-  LogEvent(Event::kPromotionConfirmed,
-           {{"service", service.value},
-            {"endpoint", endpoint.value},
-            {"term", std::to_string(term.value)},
-            {"after_ms", std::to_string(age.count() / 1000)}});
-  order.reset();
-  guard_.End(service);
-  EndHold(service);
-}
-
-template <RowStore S,
-          DutyRowCodec R,
-          EndpointCommandSender C,
-          PromotionSender P,
-          class T>
-void FailoverControl<S, R, C, P, T>::GuardOrder(const ReplacementPlan& plan,
-                                                const PlannedOrder& order) {
-  GuardedOrder guarded;
-  guarded.service = plan.service;
-  guarded.successor = order.successor;
-  guarded.former_primary = plan.primary;
-  guarded.is_demoted = order.is_demoted;
-  guarded.replicas = plan.replicas;
-  guarded.next_term =
-      progress_[plan.service].unconfirmed_order->former_term.Next();
-  guarded.list_endpoints = plan.list_endpoints;
-  guarded.handle_proof = [this, service = plan.service](const EndpointId& id,
-                                                        Term term) {
-    primaries_.RecordConfirmed(service, id, term);
-    RecordPromotionConfirmed(service, id, term);
-    PruneSuspicions();
-    Review();
-  };
-  guarded.handle_pause = [this, service = plan.service,
-                          term =
-                              guarded.next_term](const EndpointEntry& replica) {
-    progress_[service].guarded_replicas.push_back({replica, term, true});
-  };
-  guard_.Begin(std::move(guarded));
-}
-
-template <RowStore S,
-          DutyRowCodec R,
-          EndpointCommandSender C,
-          PromotionSender P,
-          class T>
-void FailoverControl<S, R, C, P, T>::ResumePaused(const ServiceId& service,
-                                                  TimePoint now) {
-  Progress& progress = progress_[service];
-  if (!IsCoordinator(service) && !progress.running) {
-    // The current duty holder controls the pauses. Resuming one of its replicas
-    // would defeat its replacement attempt.
-    progress.paused_replicas.clear();
-    progress.guarded_replicas.clear();
-    resumer_.Cancel(ListEndpoints(service));
-    return;
-  }
-  const auto primary = primaries_.Get(service, now);
-  const bool is_awaited =
-      progress.unconfirmed_order &&
-      now - progress.unconfirmed_order->sent_at < kPromotionTimeout;
-  // A proof of the old primary may arrive after the order, when it still leads.
-  if ((progress.paused_replicas.empty() && progress.guarded_replicas.empty()) ||
-      progress.running || is_awaited || !primary || !primary->confirmed) {
-    return;
-  }
-  progress.paused_replicas.insert(progress.paused_replicas.end(),
-                                  progress.guarded_replicas.begin(),
-                                  progress.guarded_replicas.end());
-  progress.guarded_replicas.clear();
-  // The promotion is in force, so the old primary can no longer acknowledge
-  // commits through the paused replicas.
-  for (const PausedReplica& it : progress.paused_replicas) {
-    const ResumeCause cause{ResumeReason::kPromotionConfirmed, it.pause_term};
-    if (it.entry.id == primary->endpoint) {
-      continue;
-    }
-    if (it.may_pause_late) {
-      resumer_.WatchPaused(it.entry, cause);
-    } else {
-      resumer_.ResumeIfPaused(it.entry, cause);
-    }
-  }
-  progress.paused_replicas.clear();
-  progress.not_before = now + kReplicaCatchUpDelay;
-}
-
 template <RowStore S,
           DutyRowCodec R,
           EndpointCommandSender C,
@@ -231,10 +134,6 @@
   const TimePoint now = delegate_.Now();
   Progress& progress = progress_[service];
   progress.running = false;
-  if (result.outcome != ReplacementOutcome::kPromoted &&
-      !result.promotion_reply_lost) {
-    progress.unconfirmed_order.reset();
-  }
   if (result.has_unsettled_orders) {
     ConfirmPrimary(service, now);
   }
@@ -287,12 +186,6 @@
            {"paused", JoinEntryIds(result.possibly_paused)},
            {"duty_ms",
             std::to_string((now - progress.claimed_at).count() / 1000)}});
-      if (result.outcome == ReplacementOutcome::kUncertain) {
-        progress.pending_promotion = result.primary;
-        progress.pending_until = now + kLostPromotionRetention;
-      } else {
-        progress.pending_promotion = {};
-      }
       delegate_.AnnouncePrimary(service, result.primary);
       delegate_.SendHeartbeats();
       delegate_.After(kPromotionTimeout, [this] { Review(); });
@@ -322,42 +215,8 @@
       break;
   }
   PruneSuspicions();
-  ReviewHold(service, now);
-  if (IsOrderOpen(progress, now)) {
-    guard_.SetDeadline(service, now + kPromotionTimeout);
-  } else {
-    guard_.End(service);
-  }
-  if (result.outcome == ReplacementOutcome::kPromoted ||
-      result.outcome == ReplacementOutcome::kUncertain) {
-    progress.paused_replicas.clear();
-    for (const EndpointEntry& it : result.possibly_paused) {
-      progress.paused_replicas.push_back({it, result.pause_term});
-    }
-    for (const auto& it : progress.pending_resumes) {
-      // The pauses of this attempt are newer.
-      if (std::none_of(result.possibly_paused.begin(),
-                       result.possibly_paused.end(),
-                       [&](const EndpointEntry& paused) {
-                         return paused.id == it.replica.id;
-                       })) {
-        progress.paused_replicas.push_back({it.replica, it.cause.pause_term});
-      }
-    }
-  } else {
-    for (const EndpointEntry& it : result.possibly_paused) {
-      resumer_.ScheduleResume(
-          it, {ResumeReason::kAbandonedAttempt, result.pause_term});
-    }
-    resumer_.Restore(progress.pending_resumes);
-    if (!IsOrderOpen(progress, now)) {
-      for (const PausedReplica& it : progress.guarded_replicas) {
-        resumer_.ScheduleResume(
-            it.entry, {ResumeReason::kAbandonedAttempt, it.pause_term});
-      }
-      progress.guarded_replicas.clear();
-    }
-  }
+  SettleOrder(service, result);
+  KeepOrEndPauses(service, result);
   progress.pending_resumes.clear();
   delegate_.After(kReplacementRetryInterval, [this] { Review(); });
 }
--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -315,8 +315,7 @@
   int candidate_pauses_ = 0;
   int candidate_reports_ = 0;
   size_t unanswered_demotions_ = 0;
-  /** The platform has refused the order, so that no promotion takes effect. */
-  bool is_order_refused_ = false;
+  bool has_ordered_ = false;
   std::optional<DemotedPrimary> demoted_primary_;
   bool has_unsettled_orders_ = false;
   int lost_promotion_replies_ = 0;
--- a/libs/control/failover/primary_replacement_demotion.h
+++ b/libs/control/failover/primary_replacement_demotion.h
@@ -24,7 +24,7 @@
     return;
   }
   if (plan_.reason == ReplacementReason::kGone && !primary_status_ &&
-      plan_.is_primary_listed()) {
+      !plan_.unconfirmed_order_term && plan_.is_primary_listed()) {
     Finish(ReplacementOutcome::kAbandoned, {}, "the primary is listed again");
     return;
   }
--- a/libs/control/failover/primary_replacement_order.h
+++ b/libs/control/failover/primary_replacement_order.h
@@ -18,7 +18,7 @@
           PromotionSender P,
           class T>
 void PrimaryReplacement<C, F, P, T>::Promote() {
-  if (lost_promotion_replies_ == 0) {
+  if (!std::exchange(has_ordered_, true)) {
     plan_.record_order(
         {replicas_[candidate_].entry.id, newest_held_term_,
          demoted_primary_ && demoted_primary_->log_end.has_value()});
@@ -40,12 +40,10 @@
     return;
   }
   if (ec == Error::kSuperseded) {
-    is_order_refused_ = true;
     Finish(ReplacementOutcome::kSuperseded, {}, "superseded");
     return;
   }
   if (ec != Error::kAnswerLost) {
-    is_order_refused_ = lost_promotion_replies_ == 0;
     Finish(ReplacementOutcome::kAbandoned, {},
            "the platform did not accept the promotion");
     return;
@@ -103,6 +101,7 @@
   result.primary = std::move(primary);
   result.term = pause_term_;
   result.fencing_token = plan_.fencing_token;
+  result.has_ordered = has_ordered_;
   result.promotion_reply_lost = lost_promotion_replies_ > 0;
   result.reason = reason;
   result.possibly_paused = possibly_paused_;
--- a/libs/control/failover/primary_replacement_survey.h
+++ b/libs/control/failover/primary_replacement_survey.h
@@ -63,6 +63,13 @@
     Finish(ReplacementOutcome::kAlreadyReplaced, leader->entry.id, "");
     return;
   }
+  if (plan_.unconfirmed_order_term > Term{} && primary_status_ &&
+      primary_status_->is_primary &&
+      primary_status_->term > *plan_.unconfirmed_order_term) {
+    pause_term_ = primary_status_->term;
+    Finish(ReplacementOutcome::kAlreadyReplaced, plan_.primary_id, "");
+    return;
+  }
   if (IsPrimaryHealthy()) {
     Finish(ReplacementOutcome::kNotNeeded, plan_.primary_id, "");
     return;
--- a/libs/control/failover/replacement_plan.h
+++ b/libs/control/failover/replacement_plan.h
@@ -74,6 +74,10 @@
   ReplacementReason reason = ReplacementReason::kGone;
   /** A VM has observed that the primary answers, but not commits. */
   bool answered_lately = false;
+  /** Term that the primary led before the promotion of a replica was ordered
+      that was not confirmed, 0 if it is not known; none if the primary was
+      confirmed last. */
+  std::optional<Term> unconfirmed_order_term;
   /** All other endpoints of the service, including one whose promotion
       failed. */
   std::vector<EndpointEntry> replicas;
@@ -189,6 +193,8 @@
   /** Term of the primary that kAlreadyReplaced refers to. */
   Term term;
   uint64_t fencing_token = 0;
+  /** The attempt has sent an order. */
+  bool has_ordered = false;
   /** A promotion under this token was not answered and may still be
       executed. */
   bool promotion_reply_lost = false;
