A refusal of one path and a full slot do not show a dead primary

Callers lost acknowledged commits: a primary that ran was replaced without a demotion, and went on to acknowledge.

Cause: one VM's refused connection outweighed the silence of all others, and the attempt went on without a demotion. BUSY is an answer: a primary without a free slot is alive.

An endpoint counts as stopped if a third of the asked VMs, at least two, have found that it does not run, and none has opened a connection to it or found it busy. VMs that could not connect, and those that did not respond, say nothing. A demotion that finds no free slot is repeated 40 times and then ends the attempt.

Evidence: with the former rules OneRefusedConnectionDoesNotShowThatAnEndpoint- Stopped, AnEndpointThatAcceptsAConnectionIsNotStopped and ABusyPrimaryIsNot- TakenForASilentOne fail.

Tests changed on purpose: AnEndpointThatAVmFindsStoppedIsReportedAsStopped expected the rule that is gone; AnEndpointThatAQuorumFindsStoppedIsReportedAs- Stopped takes its place. The peers of the simulated traffic called every error a lost answer, also of a crashed member; they now answer like the forwarder.

--- a/libs/control/failover/command_forwarder.h
+++ b/libs/control/failover/command_forwarder.h
@@ -82,10 +82,11 @@
       @param command   the command
       @param timeout   longest time until `done` is called
       @param done      receives the endpoint's first answer;
-                       Error::kEndpointStopped if a VM has found that it does
-                       not run; Error::kUnreachable if no VM has sent the
-                       command; Error::kAnswerLost if the endpoint may still
-                       execute it
+                       Error::kEndpointStopped if a third of the VMs have found
+                       that it does not run, and none that it does;
+                       Error::kOverloaded if it had no free slot;
+                       Error::kUnreachable if no VM has sent the command;
+     Error::kAnswerLost if the endpoint may still execute it
   */
   void Send(const EndpointEntry& endpoint,
             const EndpointCommand& command,
@@ -135,15 +136,7 @@
         *endpoint, request.command,
         std::min(request.timeout, kLateDemotionTimeout),
         [this, request](std::error_code ec, const ReplicationStatus& status) {
-          Answer(request,
-                 !ec                        ? ForwardedCommandResult::kAnswered
-                 : ec == Error::kOverloaded ? ForwardedCommandResult::kBusy
-                 : ec == Error::kAnswerLost
-                     ? ForwardedCommandResult::kAnswerLost
-                 : ec == Error::kEndpointStopped
-                     ? ForwardedCommandResult::kStopped
-                     : ForwardedCommandResult::kNotSent,
-                 status);
+          Answer(request, GetForwardedResult(ec), status);
         });
   }
 
@@ -159,11 +152,12 @@
         }) == 0) {
       return;
     }
-    LogEvent(Event::kCommandForwarded,
-             {{"endpoint", call.endpoint.value},
-              {"step", std::string(GetEndpointCommandName(call.command.kind))},
-              {"via", response.vm.value},
-              {"result", std::string(GetName(response.result))}});
+    LogEvent(
+        Event::kCommandForwarded,
+        {{"endpoint", call.endpoint.value},
+         {"step", std::string(GetEndpointCommandName(call.command.kind))},
+         {"via", response.vm.value},
+         {"result", std::string(GetForwardedResultName(response.result))}});
     ++call.result_counts[response.result];
     switch (response.result) {
       case ForwardedCommandResult::kAnswered:
@@ -174,9 +168,10 @@
         break;
       case ForwardedCommandResult::kAnswerLost:
         call.may_be_executed = true;
+        call.is_running = true;
         break;
       case ForwardedCommandResult::kStopped:
-        call.is_stopped = true;
+        ++call.stopped_count;
         break;
       case ForwardedCommandResult::kNotSent:
         break;
@@ -201,8 +196,10 @@
     bool may_be_executed = false;
     /** The endpoint had no free slot for another VM's command. */
     bool is_busy = false;
-    /** A VM has found that the endpoint does not run. */
-    bool is_stopped = false;
+    /** A connection was opened, and the endpoint did not answer. */
+    bool is_running = false;
+    /** Number of VMs that have found that the endpoint does not run. */
+    size_t stopped_count = 0;
     std::vector<Forwarded> waiting;
     TimePoint began_at;
     /** Number of VMs that the command was forwarded to. */
@@ -210,22 +207,6 @@
     std::map<ForwardedCommandResult, int> result_counts;
   };
 
-  static constexpr std::string_view GetName(ForwardedCommandResult result) {
-    switch (result) {
-      case ForwardedCommandResult::kAnswered:
-        return "answered";
-      case ForwardedCommandResult::kBusy:
-        return "busy";
-      case ForwardedCommandResult::kNotSent:
-        return "not_sent";
-      case ForwardedCommandResult::kAnswerLost:
-        return "answer_lost";
-      case ForwardedCommandResult::kStopped:
-        return "stopped";
-    }
-    return "not_sent";
-  }
-
   void HandleDirectResult(uint64_t id,
                           std::error_code ec,
                           const ReplicationStatus& status) {
@@ -239,7 +220,8 @@
       return;
     }
     it->second.may_be_executed |= ec == Error::kAnswerLost;
-    it->second.is_stopped |= ec == Error::kEndpointStopped;
+    it->second.is_running |= ec == Error::kAnswerLost;
+    it->second.stopped_count += ec == Error::kEndpointStopped ? 1 : 0;
     Forward(id);
     FinishIfUnanswered(id);
   }
@@ -319,8 +301,8 @@
 
   /** @returns why a command was not answered. A report that found no free slot
                shows that the endpoint is alive. */
-  static Error GetError(const Call& call) {
-    if (call.is_stopped && !call.is_busy) {
+  Error GetError(const Call& call) const {
+    if (IsStopped(call)) {
       return Error::kEndpointStopped;
     }
     const bool is_report = call.command.kind == EndpointCommandKind::kReport;
@@ -330,6 +312,16 @@
     return call.is_busy ? Error::kOverloaded : Error::kUnreachable;
   }
 
+  /** @returns whether a third of the VMs that are asked have found that the
+               endpoint does not run, and no VM has found that it does. What one
+               path refuses shows nothing of the others. */
+  bool IsStopped(const Call& call) const {
+    const size_t vms =
+        std::min<size_t>(peers_.CountLive(), kMaxForwardingVms + 1);
+    const size_t quorum = vms == 1 ? 1 : std::max<size_t>(2, (vms + 2) / 3);
+    return !call.is_running && !call.is_busy && call.stopped_count >= quorum;
+  }
+
   void Finish(uint64_t id,
               std::error_code ec,
               const ReplicationStatus& status) {
--- a/libs/control/failover/forwarded_command.h
+++ b/libs/control/failover/forwarded_command.h
@@ -3,6 +3,8 @@
 
 #include <concepts>
 #include <cstdint>
+#include <string_view>
+#include <system_error>
 
 #include "control/failover/endpoint_commands.h"
 #include "core/core.h"
@@ -42,6 +44,35 @@
   kStopped,
 };
 
+/** @param ec  result of a command
+    @returns    the same for the VM that has forwarded it */
+inline ForwardedCommandResult GetForwardedResult(const std::error_code& ec) {
+  return !ec                             ? ForwardedCommandResult::kAnswered
+         : ec == Error::kOverloaded      ? ForwardedCommandResult::kBusy
+         : ec == Error::kAnswerLost      ? ForwardedCommandResult::kAnswerLost
+         : ec == Error::kEndpointStopped ? ForwardedCommandResult::kStopped
+                                         : ForwardedCommandResult::kNotSent;
+}
+
+/** @param result  how a command ended
+    @returns        its name in logs */
+constexpr std::string_view GetForwardedResultName(
+    ForwardedCommandResult result) {
+  switch (result) {
+    case ForwardedCommandResult::kAnswered:
+      return "answered";
+    case ForwardedCommandResult::kBusy:
+      return "busy";
+    case ForwardedCommandResult::kNotSent:
+      return "not_sent";
+    case ForwardedCommandResult::kAnswerLost:
+      return "answer_lost";
+    case ForwardedCommandResult::kStopped:
+      return "stopped";
+  }
+  return "not_sent";
+}
+
 /** Answers a ForwardedCommand. */
 struct ForwardedCommandResponse {
   /** @see ForwardedCommand::id */
--- a/libs/control/failover/order_guard.h
+++ b/libs/control/failover/order_guard.h
@@ -210,7 +210,8 @@
     const GuardedOrder& order = watch->order;
     if (IsFormerPrimary(*watch, entry.id)) {
       watch->is_demoted = !ec;
-      if (ec && command.kind == EndpointCommandKind::kDemote) {
+      if (ec && ec != Error::kOverloaded &&
+          command.kind == EndpointCommandKind::kDemote) {
         watch->next_demotion_at = timing_.Now() + kLateDemotionInterval;
       }
     }
--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -23,6 +23,10 @@
 /** Maximum number of retries of a command that found no free slot. */
 inline constexpr int kMaxBusyEndpointRetries = 12;
 
+/** The same of a demotion. A primary without a free slot is alive, and the
+    attempt has to wait for its answer. */
+inline constexpr int kMaxBusyDemotionRetries = 40;
+
 /** Maximum number of times that a promotion is ordered if its answers are
     lost. */
 inline constexpr int kMaxPromotionAttempts = 4;
--- a/libs/control/failover/primary_replacement_demotion.h
+++ b/libs/control/failover/primary_replacement_demotion.h
@@ -36,7 +36,7 @@
   primary_commands_.Send(
       *plan_.primary, {EndpointCommandKind::kDemote, pause_term_}, timeout,
       [self, attempt](std::error_code ec, const ReplicationStatus& status) {
-        if (ec == Error::kOverloaded && attempt < kMaxBusyEndpointRetries) {
+        if (ec == Error::kOverloaded && attempt < kMaxBusyDemotionRetries) {
           self->timing_.After(kBusyEndpointRetryInterval, [self, attempt] {
             self->DemotePrimary(attempt + 1);
           });
@@ -45,6 +45,11 @@
         self->LogStep(*self->plan_.primary,
                       {EndpointCommandKind::kDemote, self->pause_term_}, ec,
                       status);
+        if (ec == Error::kOverloaded) {
+          self->Finish(ReplacementOutcome::kAbandoned, {},
+                       "the primary has no free slot");
+          return;
+        }
         if (ec && !self->primary_status_) {
           self->HandleUnansweredDemotion(ec);
           return;
--- a/libs/control/tests/command_forwarder_test.cc
+++ b/libs/control/tests/command_forwarder_test.cc
@@ -211,14 +211,49 @@
   CHECK(error == Error::kAnswerLost);
 }
 
-TEST(CommandForwarder, AnEndpointThatAVmFindsStoppedIsReportedAsStopped) {
+TEST(CommandForwarder, AnEndpointThatAQuorumFindsStoppedIsReportedAsStopped) {
   network.direct_delay = milliseconds(1);
-  network.direct_error = Error::kAnswerLost;
+  network.direct_error = Error::kUnreachable;
   Send(EndpointCommandKind::kDemote);
   network.Advance(milliseconds(10));
   Respond("vm-2", ForwardedCommandResult::kStopped);
   LONGS_EQUAL(0, done_count);
+  Respond("vm-3", ForwardedCommandResult::kStopped);
+  CHECK(error == Error::kEndpointStopped);
+}
+
+TEST(CommandForwarder, OneRefusedConnectionDoesNotShowThatAnEndpointStopped) {
+  // The refusal of one path outweighed the silence of all others, and a primary
+  // that ran was replaced without a demotion.
+  network.direct_delay = milliseconds(1);
+  network.direct_error = Error::kEndpointStopped;
+  Send(EndpointCommandKind::kDemote);
+  network.Advance(milliseconds(10));
+  Respond("vm-2", ForwardedCommandResult::kNotSent);
   Respond("vm-3", ForwardedCommandResult::kNotSent);
+  CHECK(error == Error::kUnreachable);
+}
+
+TEST(CommandForwarder, AnEndpointThatAcceptsAConnectionIsNotStopped) {
+  AddPeer("vm-4", 4, {});
+  network.direct_delay = milliseconds(1);
+  network.direct_error = Error::kEndpointStopped;
+  Send(EndpointCommandKind::kDemote);
+  network.Advance(milliseconds(10));
+  Respond("vm-2", ForwardedCommandResult::kStopped);
+  Respond("vm-3", ForwardedCommandResult::kStopped);
+  Respond("vm-4", ForwardedCommandResult::kAnswerLost);
+  CHECK(error == Error::kAnswerLost);
+}
+
+TEST(CommandForwarder, AVmThatDoesNotRespondIsNoReasonToWaitForItsOpinion) {
+  AddPeer("vm-4", 4, {});
+  network.direct_delay = milliseconds(1);
+  network.direct_error = Error::kEndpointStopped;
+  Send(EndpointCommandKind::kDemote);
+  network.Advance(milliseconds(10));
+  Respond("vm-2", ForwardedCommandResult::kStopped);
+  network.Advance(kTimeout);
   CHECK(error == Error::kEndpointStopped);
 }
 
--- a/libs/control/tests/control_test.cc
+++ b/libs/control/tests/control_test.cc
@@ -469,6 +469,20 @@
   CHECK(result.outcome == ReplacementOutcome::kAbandoned);
 }
 
+TEST(Replacement, ABusyPrimaryIsNotTakenForASilentOne) {
+  // Without a free slot it was counted as silent, and replaced without a
+  // demotion once the directory did not list it.
+  group.statuses = {{"db-2", MakeStatus(false, 1, 7)},
+                    {"db-3", MakeStatus(false, 1, 7)}};
+  group.busy = {"db-1"};
+  group.is_primary_listed = false;
+  const ReplacementResult result =
+      group.Replace(ReplacementReason::kUnreachable, replicas);
+  CHECK(result.outcome == ReplacementOutcome::kAbandoned);
+  CHECK(result.reason == "the primary has no free slot");
+  CHECK(group.trace.find("promote") == std::string::npos);
+}
+
 TEST(Replacement, LeavesThePrimaryAsItIsWhileItsGroupCannotBeKnown) {
   group.statuses = {{"db-1", MakeStatus(true, 1, 9)},
                     {"db-2", MakeStatus(false, 1, 7)},
--- a/tests/traffic/simulated_control.cc
+++ b/tests/traffic/simulated_control.cc
@@ -88,10 +88,7 @@
           [this, vm, id = command.id](std::error_code ec,
                                       const ReplicationStatus& status) {
             const ForwardedCommandResponse response{
-                id, vm,
-                ec ? ForwardedCommandResult::kAnswerLost
-                   : ForwardedCommandResult::kAnswered,
-                status};
+                id, vm, GetForwardedResult(ec), status};
             After(kPeerDelay, [this, response] {
               failover_.HandleForwardedCommandResponse(response);
             });
