A new holder waits for the former holder's order

Callers lost acknowledged commits when the holder of a duty was lost behind an accepted order.

Cause: the new holder resumed all replicas at its claim, although the order takes effect up to a second later, and could order another endpoint meanwhile. Two promotions then took effect one after the other, and what the first leader had acknowledged was lost.

The new holder leaves the pauses until a newer term is proved, or 2 s after the claim or after its own call under the new token was accepted. The endpoint of an order that it has heard of from another VM within 14 s is the only one that it promotes as long as that answers, until it has proved a newer term.

--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -159,6 +159,7 @@
   */
   void HandlePrimaryConfirmed(const EndpointId& endpoint, Term term) {
     if (const EndpointEntry* entry = FindEndpoint(endpoint)) {
+      HandlePeerOrderProved(entry->service, endpoint, term);
       primaries_.RecordConfirmed(entry->service, endpoint, term);
       RecordPromotionConfirmed(entry->service, endpoint, term);
       PruneSuspicions();
@@ -180,6 +181,7 @@
     }
     ApplyReplacementNotices(heartbeat);
     for (const PromotionNotice& it : heartbeat.promotions) {
+      RecordPeerOrder(it.service, it.endpoint, it.fencing_token);
       if (primaries_.RecordPromotion(it.service, it.endpoint, it.fencing_token,
                                      delegate_.Now())) {
         delegate_.AnnouncePrimary(it.service, it.endpoint);
@@ -271,6 +273,7 @@
       unsettled = ReviewHold(service, now) || unsettled || reason.has_value() ||
                   !departed.empty();
       ResumePaused(service, now);
+      ResumeInherited(service, now);
       if (!departed.empty() && IsCoordinator(service)) {
         AuditDepartures(service, departed, now);
       }
@@ -329,6 +332,21 @@
     /** It may execute the pause after it was resumed. */
     bool may_pause_late = false;
   };
+  /** The order of another VM that this one has heard of. */
+  struct PeerOrder {
+    EndpointId endpoint;
+    uint64_t fencing_token = 0;
+    TimePoint heard_at;
+    /** Term of the latest confirmed primary at that time. */
+    Term former_term;
+  };
+  /** A duty that this VM has taken over, whose former holder may have left
+      replicas paused for an order that is still to take effect. */
+  struct InheritedDuty {
+    TimePoint claimed_at;
+    /** Term of the latest confirmed primary at that time. */
+    Term former_term;
+  };
   /** A hold that another VM has announced. */
   struct PeerHold {
     VmId vm;
@@ -363,6 +381,11 @@
     bool awaits_promotion = false;
     /** This VM's latest order until the primary proves a newer term. */
     std::optional<PromotionOrder> unconfirmed_order;
+    /** The latest order of another VM until its endpoint proves a newer term.
+     */
+    std::optional<PeerOrder> peer_order;
+    /** Set from the claim until the replicas are resumed. */
+    std::optional<InheritedDuty> inherited;
     /** PromotionOrder::former_term of this VM's latest order. */
     Term replaced_term;
     /** What this VM tells the others while it replaces the primary. */
@@ -620,6 +643,26 @@
                                 Term term);
 
   void ResumePaused(const ServiceId& service, TimePoint now);
+
+  /** Resumes what the former holder of a duty has left paused, once its order
+      has taken effect or cannot any more. */
+  void ResumeInherited(const ServiceId& service, TimePoint now);
+
+  /** Records an order that another VM has announced. */
+  void RecordPeerOrder(const ServiceId& service,
+                       const EndpointId& endpoint,
+                       uint64_t fencing_token);
+
+  /** Forgets the order of another VM if its endpoint has proved a newer
+      term. */
+  void HandlePeerOrderProved(const ServiceId& service,
+                             const EndpointId& endpoint,
+                             Term term);
+
+  /** Takes over the order of the former holder of a duty, which may still take
+      effect. */
+  void InheritOrder(const ServiceId& service);
+
   void Replace(const ServiceId& service,
                ReplacementReason reason,
                TimePoint now);
@@ -678,5 +721,6 @@
 #include "control/failover/failover_control_orders.h"   // IWYU pragma: export
 #include "control/failover/failover_control_reasons.h"  // IWYU pragma: export
 #include "control/failover/failover_control_replacement.h"  // IWYU pragma: export
+#include "control/failover/failover_control_succession.h"  // IWYU pragma: export
 
 #endif  // MAGNOLIAREEL_CONTROL_FAILOVER_FAILOVER_CONTROL_H_
--- a/libs/control/failover/failover_control_duties.h
+++ b/libs/control/failover/failover_control_duties.h
@@ -148,12 +148,11 @@
   progress_[service].unsettled = true;
   ApplyGroupRecord(service, previous);
   delegate_.SendHeartbeats();
-  // The previous holder may have left replicas paused.
-  if (!progress_[service].running) {
-    for (const EndpointEntry& it : ListEndpoints(service)) {
-      resumer_.ResumeIfPaused(it, {ResumeReason::kDutyClaimed, std::nullopt});
-    }
-  }
+  const auto former = primaries_.GetLatestConfirmed(service);
+  progress_[service].inherited = {delegate_.Now(),
+                                  former ? former->term : Term{}};
+  InheritOrder(service);
+  delegate_.After(kPromotionTimeout, [this] { Review(); });
 }
 
 template <RowStore S,
--- a/libs/control/failover/failover_control_holds.h
+++ b/libs/control/failover/failover_control_holds.h
@@ -85,6 +85,7 @@
     if (IsKnown(it.service) && it.fencing_token >= newest) {
       peer_holds_[it.service] = {heartbeat.vm, it};
       delegate_.HoldCommits(it.service, it.successor);
+      RecordPeerOrder(it.service, it.successor, it.fencing_token);
     }
   }
   std::erase_if(peer_holds_, [&](const auto& row) {
--- /dev/null
+++ b/libs/control/failover/failover_control_succession.h
@@ -0,0 +1,109 @@
+#ifndef MAGNOLIAREEL_CONTROL_FAILOVER_FAILOVER_CONTROL_SUCCESSION_H_
+#define MAGNOLIAREEL_CONTROL_FAILOVER_FAILOVER_CONTROL_SUCCESSION_H_
+
+// Methods of FailoverControl that take over what the former holder of a duty
+// has left: paused replicas, and an order that is still to take effect.
+// Included by failover_control.h.
+
+#include <algorithm>
+
+#include "control/failover/failover_control.h"
+
+namespace magnoliareel {
+
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+void FailoverControl<S, R, C, P, T>::ResumeInherited(const ServiceId& service,
+                                                     TimePoint now) {
+  Progress& progress = progress_[service];
+  if (!progress.inherited) {
+    return;
+  }
+  if (!IsCoordinator(service) && !progress.running) {
+    progress.inherited.reset();
+    return;
+  }
+  if (progress.running || IsOrderOpen(progress, now)) {
+    return;
+  }
+  const auto primary = primaries_.GetLatestConfirmed(service);
+  const bool is_newer_term = primary &&
+                             primary->term > progress.inherited->former_term &&
+                             progress.inherited->former_term > Term{};
+  // An order that the platform has accepted takes effect within this time; it
+  // refuses those of the former holder once it has accepted a call of this VM.
+  const TimePoint fenced_at =
+      std::max(progress.inherited->claimed_at,
+               progress.confirmed_at.value_or(TimePoint{}));
+  if (!is_newer_term && now - fenced_at < kPromotionTimeout) {
+    return;
+  }
+  progress.inherited.reset();
+  for (const EndpointEntry& it : ListEndpoints(service)) {
+    resumer_.ResumeIfPaused(it, {ResumeReason::kDutyClaimed, std::nullopt});
+  }
+}
+
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+void FailoverControl<S, R, C, P, T>::RecordPeerOrder(const ServiceId& service,
+                                                     const EndpointId& endpoint,
+                                                     uint64_t fencing_token) {
+  if (!IsKnown(service) || endpoint.IsEmpty()) {
+    return;
+  }
+  std::optional<PeerOrder>& order = progress_[service].peer_order;
+  if (order && (fencing_token < order->fencing_token ||
+                (fencing_token == order->fencing_token &&
+                 (order->endpoint.IsEmpty() || endpoint == order->endpoint)))) {
+    return;
+  }
+  const auto former = primaries_.GetLatestConfirmed(service);
+  order = {endpoint, fencing_token, delegate_.Now(),
+           former ? former->term : Term{}};
+}
+
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+void FailoverControl<S, R, C, P, T>::HandlePeerOrderProved(
+    const ServiceId& service,
+    const EndpointId& endpoint,
+    Term term) {
+  std::optional<PeerOrder>& order = progress_[service].peer_order;
+  if (order && order->endpoint == endpoint && term > order->former_term) {
+    // The token stays, so that a repeated notice is known.
+    order->endpoint = {};
+  }
+}
+
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+void FailoverControl<S, R, C, P, T>::InheritOrder(const ServiceId& service) {
+  Progress& progress = progress_[service];
+  const std::optional<PeerOrder>& order = progress.peer_order;
+  const TimePoint now = delegate_.Now();
+  const bool has_own =
+      !progress.pending_promotion.IsEmpty() && now < progress.pending_until;
+  if (!order || order->endpoint.IsEmpty() || has_own ||
+      now - order->heard_at >= kLostPromotionRetention) {
+    return;
+  }
+  progress.pending_promotion = order->endpoint;
+  progress.pending_until = order->heard_at + kLostPromotionRetention;
+}
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_CONTROL_FAILOVER_FAILOVER_CONTROL_SUCCESSION_H_
