Resume nothing once another VM announces a replacement

Callers could lose acknowledged commits when two VMs had paused replicas at the same term: the resumer of an abandoned attempt, which polls for 14 s, took the other VM's pause for its own and ended it in the middle of that VM's attempt.

The pause term stays the next one, since a late pause above the new leader's term would stop replication under it. The resumer ends with the first notice of another VM's replacement, as it does with the first sign of a newer holder. Between that VM's pauses and its first notice, which follows the demotion, only its claim, announced in heartbeats, ends the resumer.

Evidence: without it LeavesThePausesOfAnotherVmsReplacement fails.

--- a/libs/control/failover/failover_control_holds.h
+++ b/libs/control/failover/failover_control_holds.h
@@ -86,6 +86,11 @@
       peer_holds_[it.service] = {heartbeat.vm, it};
       delegate_.HoldCommits(it.service, it.successor);
       RecordPeerOrder(it.service, it.successor, it.fencing_token);
+      if (!progress_[it.service].running) {
+        // That VM relies on its pauses. They may have the term of earlier ones
+        // of this VM.
+        resumer_.Cancel(ListEndpoints(it.service));
+      }
     }
   }
   std::erase_if(peer_holds_, [&](const auto& row) {
--- a/libs/control/tests/succession_test.cc
+++ b/libs/control/tests/succession_test.cc
@@ -46,6 +46,26 @@
   CHECK(fake.paused.empty());
 }
 
+TEST(Succession, LeavesThePausesOfAnotherVmsReplacement) {
+  // Attempts of two VMs may pause replicas at the same term. The one that was
+  // abandoned took the other's pause for its own and ended it (LOST).
+  SettleOrders();
+  fake.Add("db-4");
+  fake.fails_pause = "db-4";
+  failover.Apply(fake.MakeView("db-1"));
+  CHECK(fake.promotions.empty());
+  const Term term = fake.paused.at("db-3");
+  fake.unresponsive = "db-4";
+  Heartbeat heartbeat;
+  heartbeat.vm.value = "vm-2";
+  heartbeat.address = {"127.0.0.1", 2};
+  heartbeat.replacements = {{kFakeService, EndpointId{"db-2"}, 99}};
+  failover.HandleHeartbeat(heartbeat);
+  fake.paused["db-3"] = term;
+  RunWithReviews(3);
+  CHECK(fake.paused.contains("db-3"));
+}
+
 TEST(Succession, NamesTheEndpointOfTheFormerHoldersOrder) {
   // Two orders for two endpoints took effect one after the other, and what the
   // first leader acknowledged was lost.
