--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -17,6 +17,7 @@
 #include "control/failover/departure_tracker.h"
 #include "control/failover/endpoint_commands.h"
 #include "control/failover/failover_limits.h"
+#include "control/failover/failover_progress.h"
 #include "control/failover/forwarded_command.h"
 #include "control/failover/order_guard.h"
 #include "control/failover/primary_failure_detector.h"
@@ -312,92 +313,7 @@
  private:
   using Forwarder = CommandForwarder<C, T>;
   using Replacement = PrimaryReplacement<C, Forwarder, P, T>;
-  /** A promotion that this VM has ordered. */
-  struct PromotionOrder {
-    EndpointId endpoint;
-    TimePoint sent_at;
-    /** Term of the latest confirmed primary at that time. */
-    Term former_term;
-    /** Time after which it does not take effect any more; none while the
-        attempt that has ordered it runs. */
-    std::optional<TimePoint> open_until;
-    /** Time until which an order without an answer may be carried out. */
-    TimePoint lost_until;
-  };
-  /** A replica that this VM has paused, or may have. */
-  struct PausedReplica {
-    EndpointEntry entry;
-    /** Newest term of the pauses; none if another VM has set them. */
-    std::optional<Term> pause_term;
-    /** It may execute the pause after it was resumed. */
-    bool may_pause_late = false;
-  };
-  /** The order of another VM that this one has heard of. */
-  struct PeerOrder {
-    EndpointId endpoint;
-    uint64_t fencing_token = 0;
-    TimePoint heard_at;
-    /** Term of the latest confirmed primary at that time. */
-    Term former_term;
-  };
-  /** A duty that this VM has taken over, whose former holder may have left
-      replicas paused for an order that is still to take effect. */
-  struct InheritedDuty {
-    TimePoint claimed_at;
-    /** Term of the latest confirmed primary at that time. */
-    Term former_term;
-  };
-  /** A hold that another VM has announced. */
-  struct PeerHold {
-    VmId vm;
-    ReplacementNotice notice;
-  };
-  struct Progress {
-    bool running = false;
-    bool claiming = false;
-    bool confirming = false;
-    bool auditing = false;
-    bool saving = false;
-    /** A promotion of this VM or of the previous holder may still be executed,
-        because its answer was lost. */
-    bool unsettled = false;
-    /** Time of the answer to the latest confirmation of the primary. */
-    std::optional<TimePoint> confirmed_at;
-    /** Endpoint of this VM's promotion whose answer was lost; empty if none. */
-    EndpointId pending_promotion;
-    /** Time after which it is not executed any more. */
-    TimePoint pending_until;
-    /** Replicas to resume once the promoted endpoint is confirmed. */
-    std::vector<PausedReplica> paused_replicas;
-    /** Replicas that were paused while an order was awaited. */
-    std::vector<PausedReplica> guarded_replicas;
-    /** Replicas that earlier attempts may have left paused when the running
-        attempt began. */
-    std::vector<typename ReplicaResumer<C, T>::PendingResume> pending_resumes;
-    /** Primary that the latest attempt with a demotion has demoted, or may
-        have. */
-    DemotedPrimary demoted_primary;
-    /** No promotion was ordered since that demotion. */
-    bool awaits_promotion = false;
-    /** This VM's latest order until the primary proves a newer term. */
-    std::optional<PromotionOrder> unconfirmed_order;
-    /** The latest order of another VM until its endpoint proves a newer term.
-     */
-    std::optional<PeerOrder> peer_order;
-    /** Set from the claim until the replicas are resumed. */
-    std::optional<InheritedDuty> inherited;
-    /** PromotionOrder::former_term of this VM's latest order. */
-    Term replaced_term;
-    /** What this VM tells the others while it replaces the primary. */
-    std::optional<ReplacementNotice> hold;
-    TimePoint not_before;
-    TimePoint claimed_at;
-    TimePoint next_audit_at;
-    /** No GroupRecord is written before this time. */
-    TimePoint next_save_at;
-    /** Why the latest audit failed; empty if it did not. */
-    std::string_view audit_failure;
-  };
+  using Progress = FailoverProgress;
 
   const EndpointEntry* FindEndpoint(const EndpointId& id) const {
     for (const EndpointEntry& it : endpoints_) {
--- a/libs/control/failover/replica_resumer.h
+++ b/libs/control/failover/replica_resumer.h
@@ -62,6 +62,16 @@
   std::optional<Term> pause_term;
 };
 
+/** A replica that is to be resumed. */
+struct PendingResume {
+  EndpointEntry replica;
+  ResumeCause cause;
+  /** Time of the first query. */
+  TimePoint due_at;
+  /** Time until which the replica is polled. */
+  TimePoint watch_until;
+};
+
 /** Resumes replication on replicas that a replacement attempt has paused, or
     may still pause by a command whose answer was lost.
 
@@ -81,16 +91,6 @@
   ReplicaResumer(C& commands, T& timing)
       : commands_(commands), timing_(timing) {}
 
-  /** A replica that is to be resumed. */
-  struct PendingResume {
-    EndpointEntry replica;
-    ResumeCause cause;
-    /** Time of the first query. */
-    TimePoint due_at;
-    /** Time until which the replica is polled. */
-    TimePoint watch_until;
-  };
-
   /** Resumes a replica that an abandoned attempt may have paused, unless
       Cancel() is called first.
 
