--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -17,6 +17,7 @@
 #include "control/failover/departure_tracker.h"
 #include "control/failover/endpoint_commands.h"
 #include "control/failover/failover_limits.h"
+#include "control/failover/failover_progress.h"
 #include "control/failover/forwarded_command.h"
 #include "control/failover/order_guard.h"
 #include "control/failover/primary_failure_detector.h"
@@ -159,6 +160,7 @@
   */
   void HandlePrimaryConfirmed(const EndpointId& endpoint, Term term) {
     if (const EndpointEntry* entry = FindEndpoint(endpoint)) {
+      HandlePeerOrderProved(entry->service, endpoint, term);
       primaries_.RecordConfirmed(entry->service, endpoint, term);
       RecordPromotionConfirmed(entry->service, endpoint, term);
       PruneSuspicions();
@@ -180,6 +182,7 @@
     }
     ApplyReplacementNotices(heartbeat);
     for (const PromotionNotice& it : heartbeat.promotions) {
+      RecordPeerOrder(it.service, it.endpoint, it.fencing_token);
       if (primaries_.RecordPromotion(it.service, it.endpoint, it.fencing_token,
                                      delegate_.Now())) {
         delegate_.AnnouncePrimary(it.service, it.endpoint);
@@ -271,6 +274,7 @@
       unsettled = ReviewHold(service, now) || unsettled || reason.has_value() ||
                   !departed.empty();
       ResumePaused(service, now);
+      ResumeInherited(service, now);
       if (!departed.empty() && IsCoordinator(service)) {
         AuditDepartures(service, departed, now);
       }
@@ -309,65 +313,7 @@
  private:
   using Forwarder = CommandForwarder<C, T>;
   using Replacement = PrimaryReplacement<C, Forwarder, P, T>;
-  /** A promotion that this VM has ordered. */
-  struct PromotionOrder {
-    EndpointId endpoint;
-    TimePoint sent_at;
-    /** Term of the latest confirmed primary at that time. */
-    Term former_term;
-  };
-  /** A replica that this VM has paused, or may have. */
-  struct PausedReplica {
-    EndpointEntry entry;
-    /** Newest term of the pauses; none if another VM has set them. */
-    std::optional<Term> pause_term;
-    /** It may execute the pause after it was resumed. */
-    bool may_pause_late = false;
-  };
-  /** A hold that another VM has announced. */
-  struct PeerHold {
-    VmId vm;
-    ReplacementNotice notice;
-  };
-  struct Progress {
-    bool running = false;
-    bool claiming = false;
-    bool confirming = false;
-    bool auditing = false;
-    bool saving = false;
-    /** A promotion of this VM or of the previous holder may still be executed,
-        because its answer was lost. */
-    bool unsettled = false;
-    /** Time of the answer to the latest confirmation of the primary. */
-    std::optional<TimePoint> confirmed_at;
-    /** Endpoint of this VM's promotion whose answer was lost; empty if none. */
-    EndpointId pending_promotion;
-    /** Time after which it is not executed any more. */
-    TimePoint pending_until;
-    /** Replicas to resume once the promoted endpoint is confirmed. */
-    std::vector<PausedReplica> paused_replicas;
-    /** Replicas that were paused while an order was awaited. */
-    std::vector<PausedReplica> guarded_replicas;
-    /** Replicas that earlier attempts may have left paused when the running
-        attempt began. */
-    std::vector<typename ReplicaResumer<C, T>::PendingResume> pending_resumes;
-    /** Primary that the latest attempt with a demotion has demoted, or may
-        have. */
-    DemotedPrimary demoted_primary;
-    /** No promotion was ordered since that demotion. */
-    bool awaits_promotion = false;
-    /** This VM's latest order until the primary proves a newer term. */
-    std::optional<PromotionOrder> unconfirmed_order;
-    /** What this VM tells the others while it replaces the primary. */
-    std::optional<ReplacementNotice> hold;
-    TimePoint not_before;
-    TimePoint claimed_at;
-    TimePoint next_audit_at;
-    /** No GroupRecord is written before this time. */
-    TimePoint next_save_at;
-    /** Why the latest audit failed; empty if it did not. */
-    std::string_view audit_failure;
-  };
+  using Progress = FailoverProgress;
 
   const EndpointEntry* FindEndpoint(const EndpointId& id) const {
     for (const EndpointEntry& it : endpoints_) {
@@ -383,18 +329,25 @@
   void RememberPrimaries() {
     std::erase_if(primary_entries_,
                   [this](const auto& row) { return !IsKnown(row.first); });
+    std::erase_if(confirmed_entries_,
+                  [this](const auto& row) { return !IsKnown(row.first); });
     for (const EndpointEntry& it : endpoints_) {
       if (primaries_.IsPrimary(it.id)) {
         primary_entries_[it.service] = it;
       }
+      if (primaries_.IsLatestConfirmed(it.id)) {
+        confirmed_entries_[it.service] = it;
+      }
     }
   }
 
   /** @returns the last entry of a primary; null if it was none */
   const EndpointEntry* FindFormerEntry(const EndpointId& id) const {
-    for (const auto& [service, entry] : primary_entries_) {
-      if (entry.id == id) {
-        return &entry;
+    for (const auto* entries : {&primary_entries_, &confirmed_entries_}) {
+      for (const auto& [service, entry] : *entries) {
+        if (entry.id == id) {
+          return &entry;
+        }
       }
     }
     return nullptr;
@@ -565,13 +518,33 @@
       any more. */
   void ApplyReplacementNotices(const Heartbeat& heartbeat);
 
-  /** @returns whether the promotion that was ordered last is neither confirmed
-               nor overdue */
+  /** @returns whether an order of this VM may still take effect */
   static bool IsOrderOpen(const Progress& progress, TimePoint now) {
-    return progress.unconfirmed_order &&
-           now - progress.unconfirmed_order->sent_at < kPromotionTimeout;
+    const std::optional<PromotionOrder>& order = progress.unconfirmed_order;
+    return order && (!order->open_until || now < *order->open_until);
   }
 
+  /** Records an order of this VM before it is sent, holds commits and guards
+      what the order relies on.
+
+      @param plan   plan of the attempt
+      @param order  the order
+  */
+  void RecordOrder(const ReplacementPlan& plan, const PlannedOrder& order);
+
+  /** Records whether the order of an attempt that has ended may still take
+      effect. */
+  void SettleOrder(const ServiceId& service, const ReplacementResult& result);
+
+  /** Keeps the pauses of an attempt that has ended while an order may still
+      take effect; otherwise they end after a while. */
+  void KeepOrEndPauses(const ServiceId& service,
+                       const ReplacementResult& result);
+
+  /** Records that the platform has accepted a call of this VM, and refuses
+      those under older tokens from now on. */
+  void HandleOrdersFenced(const ServiceId& service);
+
   /** Guards what an order relies on until a newer term is proved.
 
       @param plan   plan of the attempt
@@ -586,6 +559,26 @@
                                 Term term);
 
   void ResumePaused(const ServiceId& service, TimePoint now);
+
+  /** Resumes what the former holder of a duty has left paused, once its order
+      has taken effect or cannot any more. */
+  void ResumeInherited(const ServiceId& service, TimePoint now);
+
+  /** Records an order that another VM has announced. */
+  void RecordPeerOrder(const ServiceId& service,
+                       const EndpointId& endpoint,
+                       uint64_t fencing_token);
+
+  /** Forgets the order of another VM if its endpoint has proved a newer
+      term. */
+  void HandlePeerOrderProved(const ServiceId& service,
+                             const EndpointId& endpoint,
+                             Term term);
+
+  /** Takes over the order of the former holder of a duty, which may still take
+      effect. */
+  void InheritOrder(const ServiceId& service);
+
   void Replace(const ServiceId& service,
                ReplacementReason reason,
                TimePoint now);
@@ -616,6 +609,8 @@
   std::vector<ServiceId> services_;
   /** Last entry of each service's latest primary that was listed. */
   std::map<ServiceId, EndpointEntry> primary_entries_;
+  /** The same of those that were confirmed. */
+  std::map<ServiceId, EndpointEntry> confirmed_entries_;
   std::map<ServiceId, Progress> progress_;
   /** Holds that other VMs announce; one whose VM is lost ends on its own. */
   std::map<ServiceId, PeerHold> peer_holds_;
@@ -639,7 +634,9 @@
 #include "control/failover/failover_control_duties.h"   // IWYU pragma: export
 #include "control/failover/failover_control_groups.h"   // IWYU pragma: export
 #include "control/failover/failover_control_holds.h"    // IWYU pragma: export
+#include "control/failover/failover_control_orders.h"   // IWYU pragma: export
 #include "control/failover/failover_control_reasons.h"  // IWYU pragma: export
 #include "control/failover/failover_control_replacement.h"  // IWYU pragma: export
+#include "control/failover/failover_control_succession.h"  // IWYU pragma: export
 
 #endif  // MAGNOLIAREEL_CONTROL_FAILOVER_FAILOVER_CONTROL_H_
--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -23,6 +23,10 @@
 /** Maximum number of retries of a command that found no free slot. */
 inline constexpr int kMaxBusyEndpointRetries = 12;
 
+/** The same of a demotion. A primary without a free slot is alive, and the
+    attempt has to wait for its answer. */
+inline constexpr int kMaxBusyDemotionRetries = 40;
+
 /** Maximum number of times that a promotion is ordered if its answers are
     lost. */
 inline constexpr int kMaxPromotionAttempts = 4;
@@ -315,8 +319,7 @@
   int candidate_pauses_ = 0;
   int candidate_reports_ = 0;
   size_t unanswered_demotions_ = 0;
-  /** The platform has refused the order, so that no promotion takes effect. */
-  bool is_order_refused_ = false;
+  bool has_ordered_ = false;
   std::optional<DemotedPrimary> demoted_primary_;
   bool has_unsettled_orders_ = false;
   int lost_promotion_replies_ = 0;
