Keep an order open until its own endpoint leads

A newer term of any endpoint closed this VM's order, ended its guard and released the hold. An earlier order of another VM, or its confirmation of the primary, may be carried out first; this VM's order then took effect unguarded, and the commits between the two effects were lost.

The order stays open until its own endpoint proves a newer term, the platform refuses it, or its time is over. Without the change KeepCommitsWhenAConfirmationOfThePrimaryIsInFlight and KeepCommitsWhenTheOrderOfALostVmIsInFlight are red (interleaving_tests).

--- a/libs/control/failover/failover_control_orders.h
+++ b/libs/control/failover/failover_control_orders.h
@@ -98,20 +98,19 @@
     Term term) {
   std::optional<PromotionOrder>& order = progress_[service].unconfirmed_order;
   // An endpoint that is promoted again may have proved its former term late.
-  if (!order || term <= order->former_term) {
+  // Another endpoint that leads a newer term does so by an earlier order, and
+  // this one is still to take effect.
+  if (!order || order->endpoint != endpoint || term <= order->former_term) {
     return;
   }
-  if (order->endpoint == endpoint) {
-    const Duration age = delegate_.Now() - order->sent_at;
-    LogEvent(Event::kPromotionConfirmed,
-             {{"service", service.value},
-              {"endpoint", endpoint.value},
-              {"term", std::to_string(term.value)},
-              {"after_ms", std::to_string(age.count() / 1000)}});
-  }
+  const Duration age = delegate_.Now() - order->sent_at;
+  LogEvent(Event::kPromotionConfirmed,
+           {{"service", service.value},
+            {"endpoint", endpoint.value},
+            {"term", std::to_string(term.value)},
+            {"after_ms", std::to_string(age.count() / 1000)}});
   Progress& progress = progress_[service];
-  if (progress.pending_promotion == order->endpoint &&
-      progress.pending_promotion == endpoint) {
+  if (progress.pending_promotion == endpoint) {
     // Carried out again, the order changes nothing.
     progress.pending_promotion = {};
   }
