--- a/libs/control/failover/failover_control_holds.h
+++ b/libs/control/failover/failover_control_holds.h
@@ -94,9 +94,9 @@
     }
   }
   std::erase_if(peer_holds_, [&](const auto& row) {
-    const auto& [service, held] = row;
+    const ServiceId& service = row.first;
     const bool has_ended =
-        held.vm == heartbeat.vm &&
+        row.second.vm == heartbeat.vm &&
         std::none_of(
             heartbeat.replacements.begin(), heartbeat.replacements.end(),
             [&](const ReplacementNotice& it) { return it.service == service; });
