Guard an order until its own endpoint leads; inherited pauses last until the fence

The guard of an order took any leader of a newer term for its proof and ended, though that one led by an earlier order and this one was still to take effect. It ends with the proof of its successor.

A new holder ended the pauses that it had found 2 s after its claim. A claim is a row of the store: the platform refuses the former holder's orders only once it has accepted a call under the newer token, and may carry out one without an answer for 12 s. So the pauses last 2 s after such a call, or 14 s.

--- a/libs/control/failover/command_forwarder.h
+++ b/libs/control/failover/command_forwarder.h
@@ -86,7 +86,7 @@
                        that it does not run, and none that it does;
                        Error::kOverloaded if it had no free slot;
                        Error::kUnreachable if no VM has sent the command;
-     Error::kAnswerLost if the endpoint may still execute it
+                       Error::kAnswerLost if the endpoint may still execute it
   */
   void Send(const EndpointEntry& endpoint,
             const EndpointCommand& command,
--- a/libs/control/failover/failover_control_succession.h
+++ b/libs/control/failover/failover_control_succession.h
@@ -33,12 +33,15 @@
   const bool is_newer_term = primary &&
                              primary->term > progress.inherited->former_term &&
                              progress.inherited->former_term > Term{};
-  // An order that the platform has accepted takes effect within this time; it
-  // refuses those of the former holder once it has accepted a call of this VM.
-  const TimePoint fenced_at =
-      std::max(progress.inherited->claimed_at,
-               progress.confirmed_at.value_or(TimePoint{}));
-  if (!is_newer_term && now - fenced_at < kPromotionTimeout) {
+  // The platform refuses orders of the former holder once it has accepted a
+  // call of this VM. Until then it may carry out one whose answer was lost.
+  const TimePoint claimed_at = progress.inherited->claimed_at;
+  const bool is_fenced =
+      progress.confirmed_at && *progress.confirmed_at >= claimed_at;
+  const TimePoint safe_at = is_fenced
+                                ? *progress.confirmed_at + kPromotionTimeout
+                                : claimed_at + kLostPromotionRetention;
+  if (!is_newer_term && now < safe_at) {
     return;
   }
   progress.inherited.reset();
--- a/libs/control/failover/order_guard.h
+++ b/libs/control/failover/order_guard.h
@@ -43,7 +43,8 @@
   /** Lists the service's endpoints in use at the time of the call. */
   std::function<std::vector<EndpointEntry>()> list_endpoints;
   /** Called when an endpoint reports that it leads the next term or a later
-      one. The guard has ended then. */
+      one. The guard has ended if it is the successor; another one leads by an
+      earlier order, and this one is still to take effect. */
   std::function<void(const EndpointId&, Term)> handle_proof;
   /** Called before a replica is paused. */
   std::function<void(const EndpointEntry&)> handle_pause;
@@ -82,7 +83,7 @@
     const ServiceId service = order.service;
     Watch& watch = watches_[service];
     watch = Watch{};
-    watch.is_demoted = order.is_demoted;
+    watch.has_answered = order.is_demoted;
     watch.order = std::move(order);
     watch.generation = ++last_generation_;
     watch.began_at = timing_.Now();
@@ -110,8 +111,8 @@
     uint64_t generation = 0;
     TimePoint began_at;
     std::optional<TimePoint> until;
-    /** The former primary has answered last. */
-    bool is_demoted = false;
+    /** The former primary has answered the latest command. */
+    bool has_answered = false;
     /** No demotion is sent before this time. */
     TimePoint next_demotion_at;
     /** Endpoints that were sent a command and have not answered. */
@@ -159,14 +160,16 @@
     }
   }
 
-  static bool IsFormerPrimary(const Watch& watch, const EndpointId& id) {
+  /** @returns whether the endpoint is the former primary, and is not the one to
+               lead again */
+  static bool IsReplacedPrimary(const Watch& watch, const EndpointId& id) {
     const GuardedOrder& order = watch.order;
     return order.former_primary && order.former_primary->id == id &&
            order.successor != id;
   }
 
   void Query(Watch& watch, const EndpointEntry& entry) {
-    if (!IsFormerPrimary(watch, entry.id) || watch.is_demoted) {
+    if (!IsReplacedPrimary(watch, entry.id) || watch.has_answered) {
       Send(watch, entry, {EndpointCommandKind::kReport, {}});
       return;
     }
@@ -185,7 +188,7 @@
                           std::error_code ec, const ReplicationStatus& status) {
       HandleAnswer(service, generation, entry, command, ec, status);
     };
-    if (!IsFormerPrimary(watch, entry.id)) {
+    if (!IsReplacedPrimary(watch, entry.id)) {
       commands_.Send(entry, command, kEndpointCommandTimeout, done);
     } else {
       primary_commands_.Send(entry, command,
@@ -208,8 +211,8 @@
     }
     watch->asked.erase(entry.id);
     const GuardedOrder& order = watch->order;
-    if (IsFormerPrimary(*watch, entry.id)) {
-      watch->is_demoted = !ec;
+    if (IsReplacedPrimary(*watch, entry.id)) {
+      watch->has_answered = !ec;
       if (ec && ec != Error::kOverloaded &&
           command.kind == EndpointCommandKind::kDemote) {
         watch->next_demotion_at = timing_.Now() + kLateDemotionInterval;
@@ -219,8 +222,11 @@
       return;
     }
     if (status.is_primary && status.term >= order.next_term) {
-      const auto node = watches_.extract(service);
-      node.mapped().order.handle_proof(entry.id, status.term);
+      const auto handle_proof = order.handle_proof;
+      if (entry.id == order.successor) {
+        watches_.erase(service);
+      }
+      handle_proof(entry.id, status.term);
       return;
     }
     if (entry.id == order.successor ||
@@ -232,7 +238,7 @@
       Send(*watch, entry, {EndpointCommandKind::kDemote, order.next_term});
       return;
     }
-    if (!IsFormerPrimary(*watch, entry.id) && ReliesOnPauses(order) &&
+    if (!IsReplacedPrimary(*watch, entry.id) && ReliesOnPauses(order) &&
         status.paused_at == Term{} && status.term < order.next_term) {
       PauseUnlessPromoted(*watch, entry, status);
     }
--- a/libs/control/tests/commit_hold_test.cc
+++ b/libs/control/tests/commit_hold_test.cc
@@ -7,40 +7,43 @@
 
 namespace magnoliareel {
 
-TEST_GROUP_BASE(CommitHold,
-                FailoverGroup){std::string JoinSteps() const {std::string text;
-for (const std::string& it : fake.hold_steps) {
-  text += it + ";";
-}
-return text;
-}  // namespace magnoliareel
+/** A failover whose holds and heartbeats are recorded. */
+struct CommitHoldGroup : FailoverGroup {
+  std::string JoinSteps() const {
+    std::string text;
+    for (const std::string& it : fake.hold_steps) {
+      text += it + ";";
+    }
+    return text;
+  }
 
-std::vector<ReplacementNotice> ListNotices() {
-  Heartbeat heartbeat;
-  failover.FillHeartbeat(heartbeat);
-  return heartbeat.replacements;
-}
+  std::vector<ReplacementNotice> ListNotices() {
+    Heartbeat heartbeat;
+    failover.FillHeartbeat(heartbeat);
+    return heartbeat.replacements;
+  }
 
-void Begin() {
-  SettleOrders();
-  fake.hold_steps.clear();
-  fake.hold_count = 0;
-}
+  void Begin() {
+    SettleOrders();
+    fake.hold_steps.clear();
+    fake.hold_count = 0;
+  }
 
-Heartbeat MakeHeartbeat(const char* vm, uint64_t token) const {
-  Heartbeat heartbeat;
-  heartbeat.vm.value = vm;
-  heartbeat.address = {"127.0.0.1", static_cast<uint16_t>(token)};
-  heartbeat.replacements = {{kFakeService, EndpointId{"db-2"}, token}};
-  return heartbeat;
-}
+  Heartbeat MakeHeartbeat(const char* vm, uint64_t token) const {
+    Heartbeat heartbeat;
+    heartbeat.vm.value = vm;
+    heartbeat.address = {"127.0.0.1", static_cast<uint16_t>(token)};
+    heartbeat.replacements = {{kFakeService, EndpointId{"db-2"}, token}};
+    return heartbeat;
+  }
 
-void Receive(const Heartbeat& heartbeat) {
-  peers.RecordHeartbeat(heartbeat, fake.Now());
-  failover.HandleHeartbeat(heartbeat);
-}
-}
-;
+  void Receive(const Heartbeat& heartbeat) {
+    peers.RecordHeartbeat(heartbeat, fake.Now());
+    failover.HandleHeartbeat(heartbeat);
+  }
+};
+
+TEST_GROUP_BASE(CommitHold, CommitHoldGroup){};
 
 TEST(CommitHold, IsAnnouncedBeforeTheOrderAndRepeated) {
   // Guards against commits that a VM without the news sends to the former
--- a/libs/relay/primaries/commit_hold.h
+++ b/libs/relay/primaries/commit_hold.h
@@ -31,8 +31,8 @@
       @param newest_term   newest term of the service that is known
       @param now           the current time
       @returns             true if the endpoints that may be sent writes
-     changed; false too if the successor's proof ended a hold for it within the
-     last kCommitHoldPeriod
+                           changed; false too if the successor's proof ended a
+                           hold for it within the last kCommitHoldPeriod
   */
   bool Begin(const EndpointId& successor, Term newest_term, TimePoint now);
   /** Ends the hold because the replacement was given up.
