--- a/libs/control/failover/failover_progress.h
+++ b/libs/control/failover/failover_progress.h
@@ -59,7 +59,13 @@
   ReplacementNotice notice;
 };
 
-/** What a FailoverControl is doing about one service. */
+/** What a FailoverControl is doing about one service.
+
+    An order is open until its endpoint proves a newer term, or it cannot take
+    effect any more. Its answer may be lost: the platform then carries it out
+    late, or not at all. It is fenced once the platform has accepted a call
+   under a newer token, and refuses it from then on.
+*/
 struct FailoverProgress {
   bool running = false;
   bool claiming = false;
