Tell VMs that are shutting down of replacements, too

Such a VM serves its callers until it stops, so it goes on receiving heartbeats as long as it sends them. It counts for nothing else, as before. control_tests: ThatLeaveAreStillToldOfReplacements.

--- a/libs/control/peers/peer_group.cc
+++ b/libs/control/peers/peer_group.cc
@@ -53,13 +53,19 @@
   return kPeerTimeout + 3 * turns * kHeartbeatPeriod;
 }
 
+// It serves its callers until it stops, and has to know which primary is being
+// replaced.
+bool PeerGroup::IsLeaving(const Peer& peer, TimePoint now) {
+  return peer.last.leaving && now - peer.heard_at < kPeerTimeout;
+}
+
 std::vector<SocketAddress> PeerGroup::ListTargets(TimePoint now,
                                                   size_t max_live) {
   std::vector<SocketAddress> targets;
   std::vector<std::pair<TimePoint, SocketAddress>> live;
   for (auto& [address, state] : addresses_) {
     const auto it = peers_.find(state.vm);
-    if (it != peers_.end() && it->second.live) {
+    if (it != peers_.end() && (it->second.live || IsLeaving(it->second, now))) {
       live.emplace_back(state.tried_at, address);
       continue;
     }
--- a/libs/control/peers/peer_group.h
+++ b/libs/control/peers/peer_group.h
@@ -75,8 +75,9 @@
       @param now       the current time
       @param max_live  maximum number of live VMs; those that have waited
                        longest are chosen
-      @returns         the chosen live VMs, and the addresses that are due
-                       because no VM there is known to be live
+      @returns         the chosen live VMs, those that are shutting down among
+                       them, and the addresses that are due because no VM there
+                       is known to be live
   */
   std::vector<SocketAddress> ListTargets(TimePoint now, size_t max_live);
 
@@ -111,6 +112,8 @@
     VmId vm;
   };
 
+  /** @returns whether the VM is shutting down and still runs */
+  static bool IsLeaving(const Peer& peer, TimePoint now);
   /** Returns how long a peer may be silent. A VM that holds duties sends to
       every peer in every period, as the others wait for it to act. The timeout
       of the other VMs allows for the turns that they take. */
--- a/libs/control/tests/control_test.cc
+++ b/libs/control/tests/control_test.cc
@@ -916,6 +916,25 @@
   LONGS_EQUAL(1, peers.CountLive());
 }
 
+TEST(Peers, ThatLeaveAreStillToldOfReplacements) {
+  // One that drained its callers had not heard of an order, and sent a commit
+  // to the former primary before the effect (LOST).
+  PeerGroup peers({"127.0.0.1", 1});
+  Heartbeat heartbeat;
+  heartbeat.vm.value = "vm-2";
+  heartbeat.address = {"127.0.0.1", 2};
+  peers.RecordHeartbeat(heartbeat, After(0));
+  LONGS_EQUAL(1, peers.ListTargets(After(10), SIZE_MAX).size());
+  heartbeat.leaving = true;
+  peers.RecordHeartbeat(heartbeat, After(5000));
+  LONGS_EQUAL(0, peers.ListLive().size());
+  LONGS_EQUAL(1, peers.ListTargets(After(5010), SIZE_MAX).size());
+  LONGS_EQUAL(1, peers.ListTargets(After(5020), SIZE_MAX).size());
+  // It has ended.
+  LONGS_EQUAL(1, peers.ListTargets(After(9100), SIZE_MAX).size());
+  LONGS_EQUAL(0, peers.ListTargets(After(9200), SIZE_MAX).size());
+}
+
 TEST(Peers, TakeTurnsIfThereAreMany) {
   PeerGroup peers({"127.0.0.1", 1});
   constexpr uint16_t kPeers = 100;
