Keep a hold past a takeover until its order has taken effect

The former primary led again and acknowledged commits until the order took effect.

The platform carries out an order that it has accepted, whoever holds the duty since.

--- a/libs/control/failover/failover_control_holds.h
+++ b/libs/control/failover/failover_control_holds.h
@@ -61,8 +61,12 @@
   if (!progress.hold) {
     return false;
   }
-  if ((!progress.running && !IsOrderOpen(progress, now)) ||
-      FindPeerToken(service) > progress.hold->fencing_token) {
+  const std::optional<PromotionOrder>& order = progress.unconfirmed_order;
+  // An order that was accepted before another VM took over still takes effect.
+  const bool is_superseded =
+      FindPeerToken(service) > progress.hold->fencing_token &&
+      (!order || now - order->sent_at >= kPromotionTimeout);
+  if ((!progress.running && !IsOrderOpen(progress, now)) || is_superseded) {
     EndHold(service);
     return false;
   }
--- a/libs/control/tests/commit_hold_test.cc
+++ b/libs/control/tests/commit_hold_test.cc
@@ -90,6 +90,26 @@
   CHECK(ListNotices().empty());
 }
 
+TEST(CommitHold, OutlastsATakeoverUntilItsOrderHasTakenEffect) {
+  // The takeover released the commits of all VMs, and the former primary
+  // acknowledged them before the order took effect (LOST).
+  Begin();
+  fake.ineffective_promotions = 1;
+  failover.Apply(fake.MakeView("db-1"));
+  LONGS_EQUAL(1, ListNotices().size());
+  Heartbeat heartbeat;
+  heartbeat.vm.value = "vm-2";
+  heartbeat.address = {"127.0.0.1", 2};
+  heartbeat.duties = {{kFakeService, ListNotices()[0].fencing_token + 1}};
+  peers.RecordHeartbeat(heartbeat, fake.Now());
+  failover.HandleHeartbeat(heartbeat);
+  failover.Review();
+  LONGS_EQUAL(1, ListNotices().size());
+  fake.Advance(kPromotionTimeout);
+  failover.Review();
+  CHECK(ListNotices().empty());
+}
+
 TEST(CommitHold, FollowsTheNoticesOfAnotherVm) {
   Begin();
   Receive(MakeHeartbeat("vm-2", 50));
