Hold commits before the demotion, and before an unreached primary is replaced

Callers saw an acknowledged write vanish: a VM sent a commit to a primary that had been demoted and led its old term again a moment later, before the notice of the demotion reached that VM. It was acknowledged as a pause ended, and the promotion that followed lacked it.

Cause: the hold began with the answer to the demotion. A primary that nobody reached was replaced without a demotion, and there the hold began with the order only, after the last comparison of the logs; what the primary acknowledged on open connections in between was not compared.

Change: the hold begins before a primary that answers is demoted, and before the last comparison if it does not. Where an attempt is given up, the hold ends with it, as before. A primary that does not answer is not held during the series of demotions, which lasts seconds.

Without the change IsAnnouncedBeforeTheDemotionAndTheOrderAndRepeated and BeginsBeforeTheLastComparisonIfThePrimaryIsNotReached fail.

--- a/libs/control/failover/failover_control_replacement.h
+++ b/libs/control/failover/failover_control_replacement.h
@@ -68,7 +68,7 @@
   plan.read_directory = [this](std::function<void(std::error_code)> done) {
     delegate_.ReadDirectory(std::move(done));
   };
-  plan.record_demotion = [this, service, token = plan.fencing_token] {
+  plan.hold_commits = [this, service, token = plan.fencing_token] {
     BeginHold(service, {}, token);
   };
   if (now < progress.pending_until) {
--- a/libs/control/failover/primary_replacement_demotion.h
+++ b/libs/control/failover/primary_replacement_demotion.h
@@ -28,6 +28,10 @@
     Finish(ReplacementOutcome::kAbandoned, {}, "the primary is listed again");
     return;
   }
+  if (primary_status_) {
+    // After its demotion it may crash and lead again.
+    plan_.hold_commits();
+  }
   // One that has reported that it is a replica may lead since.
   auto self = this->shared_from_this();
   const Duration timeout = primary_status_
@@ -95,6 +99,7 @@
           PromotionSender P,
           class T>
 void PrimaryReplacement<C, F, P, T>::CheckMembersOfUnlistedPrimary() {
+  plan_.hold_commits();
   plan_.read_directory([self = this->shared_from_this()](std::error_code ec) {
     if (ec || self->plan_.is_primary_listed()) {
       self->Finish(ReplacementOutcome::kAbandoned, {},
@@ -110,16 +115,19 @@
           PromotionSender P,
           class T>
 void PrimaryReplacement<C, F, P, T>::CheckMembersOfUnreachedPrimary() {
-  const auto read = [self = this->shared_from_this()] {
+  const auto check = [self = this->shared_from_this()] {
+    self->plan_.hold_commits();
+    if (!self->IsPrimaryAlive() && !self->plan_.is_store_connected) {
+      self->FinishMembershipCheck({});
+      return;
+    }
     self->plan_.read_directory(
         [self](std::error_code ec) { self->FinishMembershipCheck(ec); });
   };
   if (IsPrimaryAlive()) {
-    timing_.After(kMembershipDelay, read);
-  } else if (plan_.is_store_connected) {
-    read();
+    timing_.After(kMembershipDelay, check);
   } else {
-    FinishMembershipCheck({});
+    check();
   }
 }
 
@@ -140,7 +148,6 @@
   }
   primary_status_ = status;
   demoted_primary_ = {plan_.primary_id, status.received};
-  plan_.record_demotion();
   // Earlier reports do not show what a replica holds now.
   for (SurveyedEndpoint& it : replicas_) {
     it.status.reset();
--- a/libs/control/failover/replacement_plan.h
+++ b/libs/control/failover/replacement_plan.h
@@ -108,8 +108,9 @@
       endpoint that had joined some time before the call, and an error that this
       is not known. @see FailoverDelegate */
   std::function<void(std::function<void(std::error_code)>)> read_directory;
-  /** Called when the primary has confirmed its demotion. */
-  std::function<void()> record_demotion = [] {};
+  /** Called before the last comparison of the logs: no VM may send a commit
+      from then on until an endpoint is ordered. */
+  std::function<void()> hold_commits = [] {};
   /** Called before the promotion of an endpoint is ordered for the first time.
    */
   std::function<void(const PlannedOrder&)> record_order =
--- a/libs/control/tests/commit_hold_test.cc
+++ b/libs/control/tests/commit_hold_test.cc
@@ -45,16 +45,16 @@
 
 TEST_GROUP_BASE(CommitHold, CommitHoldGroup){};
 
-TEST(CommitHold, IsAnnouncedBeforeTheOrderAndRepeated) {
+TEST(CommitHold, IsAnnouncedBeforeTheDemotionAndTheOrderAndRepeated) {
   // Guards against commits that a VM without the news sends to the former
-  // primary between the order and its effect (LOST).
+  // primary, which leads again after its demotion (LOST).
   Begin();
   fake.ineffective_promotions = 1;
   failover.Apply(fake.MakeView("db-1"));
   CHECK(!fake.promotions.empty());
   const std::string next = fake.promotions.back().first;
-  STRCMP_EQUAL(("heartbeat;hold ;heartbeat;hold " + next + ";promote " + next +
-                ";heartbeat;")
+  STRCMP_EQUAL(("heartbeat;hold ;demote db-1;heartbeat;hold " + next +
+                ";promote " + next + ";heartbeat;")
                    .c_str(),
                JoinSteps().c_str());
   LONGS_EQUAL(1, ListNotices().size());
@@ -70,6 +70,23 @@
                             std::string("heartbeat")));
 }
 
+TEST(CommitHold, BeginsBeforeTheLastComparisonIfThePrimaryIsNotReached) {
+  // The primary served open connections until the order, which was behind what
+  // it acknowledged after the comparison (LOST).
+  Begin();
+  fake.stopped = "db-1";
+  fake.Remove("db-1");
+  fake.on_directory_read = [this] {
+    fake.hold_steps.emplace_back("read directory");
+  };
+  failover.Apply(fake.GetView());
+  RunWithReviews(3);
+  CHECK(!fake.promotions.empty());
+  const std::string steps = JoinSteps();
+  CHECK(steps.find("hold ;") < steps.find("read directory;"));
+  CHECK(steps.find("read directory;") < steps.find("promote "));
+}
+
 TEST(CommitHold, EndsWithAProofOfTheNewTerm) {
   Begin();
   failover.Apply(fake.MakeView("db-1"));
--- a/libs/control/tests/fake_deployment.h
+++ b/libs/control/tests/fake_deployment.h
@@ -86,6 +86,7 @@
     ReplicationStatus status;
     if (command.kind == EndpointCommandKind::kDemote) {
       demoted.push_back(endpoint.id.value);
+      RecordHoldStep("demote " + endpoint.id.value);
     }
     if (command.kind == EndpointCommandKind::kDemote &&
         endpoint.id.value == primary && endpoint.id.value != unresponsive) {
@@ -157,6 +158,7 @@
         [&](const EndpointEntry& it) { return it.id == endpoint; });
   }
   void ReadDirectory(const std::function<void(std::error_code)>& done) {
+    on_directory_read();
     done(is_store_down ? make_error_code(Error::kStoreUnavailable)
                        : std::error_code{});
   }
@@ -233,8 +235,10 @@
   // Paused endpoints with the term of the pause. At a real endpoint a promotion
   // ends the pauses below its term; here it ends none.
   std::map<std::string, Term> paused;
-  // Holds, their ends, heartbeats and orders; repeated holds are left out.
+  // Holds, their ends, heartbeats, demotions that were received, and orders;
+  // repeated holds are left out.
   std::vector<std::string> hold_steps;
+  std::function<void()> on_directory_read = [] {};
   // Number of holds.
   int hold_count = 0;
 
