A plain read at a former primary is no proof that it leads

A VM whose transaction was open at the primary when another one was announced, and committed there afterwards, took the next plain reads on that connection for proofs: the former primary, which follows the new one, passed for the primary of the new term (E5204 leader.proven), and its log end for a bound on freshness at the time of the read.

Cause: `read_write_transaction` of a connection outlives the transaction. At the primary the next one begins at once; elsewhere nothing resets the flag.

Change: a reply after which no transaction is open resets it, once it has been evaluated.

Evidence: CommitHoldLog AReadAtAFormerPrimaryIsNoProofThatItLeads fails without the change (leader.proven of the former primary in term 2).

--- a/libs/relay/core/traffic_core_replies.h
+++ b/libs/relay/core/traffic_core_replies.h
@@ -243,6 +243,9 @@
       session->statement.kind == StatementKind::kCommit
           ? session->transaction_wrote
           : connection.read_write_transaction || session->statement.writes;
+  if (ready.status == TransactionStatus::kIdle) {
+    connection.read_write_transaction = false;
+  }
   if (!reply.error && confirms_primary && ready.log_end) {
     HandlePrimaryConfirmed(*pool, reply.sent_at, *ready.log_end);
   }
--- a/tests/traffic/hold_log_test.cc
+++ b/tests/traffic/hold_log_test.cc
@@ -1,8 +1,10 @@
+#include <algorithm>
 #include <cstdint>
 #include <cstdio>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "telemetry/telemetry.h"
 #include "tests/traffic/held_service.h"
@@ -130,4 +132,42 @@
   CHECK_TEXT(held_ms >= 1000 && held_ms <= 1200, line.c_str());
 }
 
+TEST(CommitHoldLog, AReadAtAFormerPrimaryIsNoProofThatItLeads) {
+  // Guards against a replica's answer to a plain read that passes for one of
+  // the primary because the connection once held a transaction.
+  CapturedLog log;
+  HeldService service(1);
+  std::vector<uint64_t> sessions;
+  for (size_t n = 0; n < 4; ++n) {
+    sessions.push_back(service.Open(0));
+    service.Send(sessions.back(), "b" + std::to_string(n), "BEGIN");
+    service.Run(sessions.back(), "q" + std::to_string(n), "READ groyne-1");
+  }
+  service.GetSimulation().GetCore(0).AnnouncePrimary(
+      ServiceId{service.GetSimulation().GetService()},
+      EndpointId{service.GetGroup().GetId(kSuccessor)});
+  for (const uint64_t it : sessions) {
+    service.Run(it, "c", "COMMIT");
+  }
+  service.Promote(kSuccessor);
+  service.Advance(milliseconds(1500));
+  CHECK(service.GetGroup().HasPrimaryRole(kSuccessor));
+  service.Run(service.Open(0), "next", "WRITE groyne-1 y");
+  const std::string former = service.GetGroup().GetId(kFormer);
+  for (size_t n = 0; n < 20; ++n) {
+    service.Run(service.Open(0, "lookups"), "r" + std::to_string(n),
+                "READ groyne-1");
+  }
+  CHECK(log.FindLast(
+               "leader.proven service=" + service.GetSimulation().GetService() +
+               " endpoint=" + former + " term=2")
+            .empty());
+  CHECK(std::any_of(service.GetGroup().GetExecutedStatements().begin(),
+                    service.GetGroup().GetExecutedStatements().end(),
+                    [&](const ExecutedStatement& it) {
+                      return it.endpoint == former &&
+                             it.request.starts_with("r");
+                    }));
+}
+
 }  // namespace magnoliareel
