Promote no replica that lacks a commit which a VM has answered

Callers saw: a commit that was answered with success is missing after a promotion (LOST 1 in the search). A replica that has joined and is not listed yet acknowledges; the primary crashes, or the replica leaves with its log, and a replica without the commit is promoted at once or after a second.

Cause: an attempt compares the replicas with each other and with the primary, as far as the directory lists them, but not with what the VMs have told their callers.

Change: before an order without the end of the demoted primary's log, the holder asks its own traffic thread and all other running VMs, those that shut down among them, for the newest commit of the service that they have answered (AnsweredCommitSurvey). A candidate behind it is not ordered: the demoted primary leads again, or the attempt is abandoned and repeated every 300 ms, in which the directory is read and a replica that is listed by then is compared. Only services with sync_replicas > 0. replacement.commit_missing (E5517) is logged once for each such commit.

Why it works: the point is the lowest one that the newest answered commit can have (CommitLossDetector, "proven"): the end that the endpoint had reached before the commit was sent, plus one. A candidate that has received less lacks the commit for certain, so that the check never blocks a promotion that loses nothing. The end of the log in the answer may belong to later commits that nobody has acknowledged; a service whose primary is lost under load would wait for a person for them. What the lower point leaves open: a candidate may hold it and lack other commits that were under way at the same time. Points compare by term first, so that a commit from before an earlier promotion blocks nothing. A statement that has added no record proves nothing any more; its point lay behind the end of every log.

The wait has no limit, like that for a departure that is unaccounted for: the commit is on an endpoint that may be back or be listed; a promotion by hand ends the wait, since its term is newer. The wait for other VMs ends after 600 ms: one that does not respond delays a promotion and blocks none, and what only it knows may be lost, as is what a VM knew that has ended.

Mixed versions: the query is a datagram of its own. Heartbeats with an unknown field are rejected by older VMs, and one from before the primary ended lacks the last commits. Older VMs ignore the query, so in a rolling update an order of this kind comes up to 600 ms later.

Nothing is added to the path of a statement but one comparison: the traffic thread kept the value already, and is asked by message.

The search (tests/interleavings): each VM keeps the product's CommitLossDetector, fed with the end that its own statements have seen and the answers to the commits that it has sent and can still receive; the other VM is asked through modelled messages, which a cut between the VMs stops. Faults, paths and checks are as before; what the VMs know is in the hash of the state.

KeepCommitsWhenTheOrderOfAnUnheardVmIsInFlight passes as well, but only since the VM waits 600 ms for the other one and its path comes to no second order; that fault is not mended, and its entry stays.

--- a/apps/node/node_process.cc
+++ b/apps/node/node_process.cc
@@ -165,6 +165,26 @@
       });
 }
 
+void NodeProcess::QueryAnsweredCommit(
+    const ServiceId& service,
+    std::function<void(std::optional<LogPoint>)> done) {
+  traffic_.QueryAnsweredCommit(
+      service, [this, done = std::move(done)](std::optional<LogPoint> point) {
+        mailbox_.Post([done, point] { done(point); });
+      });
+}
+
+void NodeProcess::SendAnsweredCommitQuery(const SocketAddress& to,
+                                          const AnsweredCommitQuery& query) {
+  peers_.SendDatagram(to, EncodeAnsweredCommitQuery(query));
+}
+
+void NodeProcess::SendAnsweredCommitResponse(
+    const SocketAddress& to,
+    const AnsweredCommitResponse& response) {
+  peers_.SendDatagram(to, EncodeAnsweredCommitResponse(response));
+}
+
 void NodeProcess::ForwardCommand(const SocketAddress& to,
                                  const ForwardedCommand& command) {
   peers_.SendDatagram(to, EncodeForwardedCommand(command));
@@ -186,6 +206,15 @@
     failover_.HandleForwardedCommandResponse(response);
     return;
   }
+  if (AnsweredCommitQuery query; DecodeAnsweredCommitQuery(bytes, query)) {
+    failover_.HandleAnsweredCommitQuery(query);
+    return;
+  }
+  if (AnsweredCommitResponse response;
+      DecodeAnsweredCommitResponse(bytes, response)) {
+    failover_.HandleAnsweredCommitResponse(response);
+    return;
+  }
   bound_exchange_.HandleDatagram(bytes);
 }
 
--- a/apps/node/node_process.h
+++ b/apps/node/node_process.h
@@ -56,6 +56,15 @@
   /** @see OpenConnectionQuery */
   void QueryOpenConnection(const EndpointId& endpoint,
                            std::function<void(bool)> done);
+  /** @see AnsweredCommitChannel */
+  void QueryAnsweredCommit(const ServiceId& service,
+                           std::function<void(std::optional<LogPoint>)> done);
+  /** @see AnsweredCommitChannel */
+  void SendAnsweredCommitQuery(const SocketAddress& to,
+                               const AnsweredCommitQuery& query);
+  /** @see AnsweredCommitChannel */
+  void SendAnsweredCommitResponse(const SocketAddress& to,
+                                  const AnsweredCommitResponse& response);
   /** @see ForwardedCommandChannel */
   void ForwardCommand(const SocketAddress& to, const ForwardedCommand& command);
   /** @see ForwardedCommandChannel */
--- a/apps/node/traffic_thread.cc
+++ b/apps/node/traffic_thread.cc
@@ -136,6 +136,14 @@
   });
 }
 
+void TrafficThread::QueryAnsweredCommit(
+    const ServiceId& service,
+    std::function<void(std::optional<LogPoint>)> done) {
+  mailbox_.Post([this, service, done = std::move(done)] {
+    done(core_.FindAnsweredCommit(service));
+  });
+}
+
 void TrafficThread::HandleBoundQuery(
     const FreshnessBoundQuery& query,
     std::function<void(const FreshnessBound&)> answer) {
--- a/apps/node/traffic_thread.h
+++ b/apps/node/traffic_thread.h
@@ -73,6 +73,10 @@
      is called with the result. */
   void QueryOpenConnection(const EndpointId& endpoint,
                            std::function<void(bool)> done);
+  /** Calls TrafficCore::FindAnsweredCommit on the traffic thread, where `done`
+     is called with the result. */
+  void QueryAnsweredCommit(const ServiceId& service,
+                           std::function<void(std::optional<LogPoint>)> done);
   /** Calls TrafficCore::HandleBoundQuery on the traffic thread, where `answer`
       is called as well. */
   void HandleBoundQuery(const FreshnessBoundQuery& query,
--- a/libs/control/control.h
+++ b/libs/control/control.h
@@ -13,6 +13,7 @@
     (detection of failed primaries, failover duties, replacement of a
     primary).
 */
+#include "control/failover/answered_commits.h"
 #include "control/failover/command_forwarder.h"
 #include "control/failover/connection_aware_commands.h"
 #include "control/failover/departure_audit.h"
--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "control/failover/answered_commits.h"
 #include "control/failover/command_forwarder.h"
 #include "control/failover/departure_audit.h"
 #include "control/failover/departure_tracker.h"
@@ -35,6 +36,7 @@
 /** Interface through which FailoverControl reaches the node that owns it. */
 template <class T>
 concept FailoverDelegate = ForwardedCommandChannel<T> &&
+    AnsweredCommitChannel<T> &&
     requires(T& delegate,
              Duration delay,
              std::function<void()> task,
@@ -114,6 +116,7 @@
                             *condition != EndpointCondition::kCommitsStalled;
                    }),
         guard_(commands, forwarder_, delegate),
+        answered_commits_(delegate, peers, self_),
         started_at_(delegate.Now()) {
     // Checked here because T is incomplete where it declares its
     // FailoverControl member.
@@ -129,8 +132,12 @@
     endpoints_version_ = view.endpoints_version;
     endpoints_changed_at_ = view.endpoints_changed_at;
     services_.clear();
+    acknowledging_services_.clear();
     for (const auto& [id, rules] : view.routes->services) {
       services_.push_back(id);
+      if (rules.sync_replicas > 0) {
+        acknowledging_services_.push_back(id);
+      }
     }
     departures_.RetainServices(services_);
     primaries_.Apply(endpoints_, delegate_.Now());
@@ -233,6 +240,16 @@
     forwarder_.HandleResponse(response);
   }
 
+  /** Answers a peer that looks for the newest answered commit of a service. */
+  void HandleAnsweredCommitQuery(const AnsweredCommitQuery& query) {
+    answered_commits_.HandleQuery(query);
+  }
+
+  /** Handles a peer's response to a query of this VM. */
+  void HandleAnsweredCommitResponse(const AnsweredCommitResponse& response) {
+    answered_commits_.HandleResponse(response);
+  }
+
   /** @returns what the other VMs have to know about departed endpoints */
   std::vector<DepartureNotice> ListDepartureNotices() const {
     return departures_.ListNotices(delegate_.Now());
@@ -587,6 +604,10 @@
                                TimePoint began_at,
                                const ReplacementResult& result);
 
+  /** Logs, once for each commit, that no replica is promoted for the lack of
+      it. */
+  void LogMissingCommit(const ServiceId& service, const MissingCommit& missing);
+
   C& commands_;
   P& promotions_;
   T& delegate_;
@@ -599,6 +620,7 @@
   ReplicaResumer<C, T> resumer_;
   Forwarder forwarder_;
   OrderGuard<C, Forwarder, T> guard_;
+  AnsweredCommitSurvey<T> answered_commits_;
   DepartureTracker departures_;
   VacancyTracker vacancies_;
   std::vector<EndpointEntry> endpoints_;
@@ -607,6 +629,8 @@
   /** @see FleetView::endpoints_changed_at */
   TimePoint endpoints_changed_at_;
   std::vector<ServiceId> services_;
+  /** Those whose commits a replica has to acknowledge. */
+  std::vector<ServiceId> acknowledging_services_;
   /** Last entry of each service's latest primary that was listed. */
   std::map<ServiceId, EndpointEntry> primary_entries_;
   /** The same of those that were confirmed. */
--- a/libs/control/failover/failover_control_replacement.h
+++ b/libs/control/failover/failover_control_replacement.h
@@ -68,6 +68,12 @@
   plan.read_directory = [this](std::function<void(std::error_code)> done) {
     delegate_.ReadDirectory(std::move(done));
   };
+  if (std::find(acknowledging_services_.begin(), acknowledging_services_.end(),
+                service) != acknowledging_services_.end()) {
+    plan.find_answered_commit = [this, service](auto done) {
+      answered_commits_.Find(service, std::move(done));
+    };
+  }
   plan.record_demotion = [this, service, token = plan.fencing_token] {
     BeginHold(service, {}, token);
   };
@@ -146,6 +152,9 @@
     claims_.Forget(service);
   }
   progress.not_before = now + kReplacementRetryInterval;
+  if (result.missing_commit) {
+    LogMissingCommit(service, *result.missing_commit);
+  }
   if (result.demoted_primary) {
     progress.demoted_primary = *result.demoted_primary;
     progress.awaits_promotion = true;
@@ -221,6 +230,26 @@
   delegate_.After(kReplacementRetryInterval, [this] { Review(); });
 }
 
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+void FailoverControl<S, R, C, P, T>::LogMissingCommit(
+    const ServiceId& service,
+    const MissingCommit& missing) {
+  const auto& [commit, candidate, received] = missing;
+  if (std::exchange(progress_[service].missing_commit, commit.point) !=
+      commit.point) {
+    LogEvent(Event::kAnsweredCommitMissing,
+             {{"service", service.value},
+              {"endpoint", candidate.value},
+              {"received", FormatLogPoint(received)},
+              {"answered", FormatLogPoint(commit.point)},
+              {"vm", commit.vm.value}});
+  }
+}
+
 }  // namespace magnoliareel
 
 #endif  // MAGNOLIAREEL_CONTROL_FAILOVER_FAILOVER_CONTROL_REPLACEMENT_H_
--- a/libs/control/failover/failover_progress.h
+++ b/libs/control/failover/failover_progress.h
@@ -109,6 +109,8 @@
   TimePoint next_audit_at;
   /** No GroupRecord is written before this time. */
   TimePoint next_save_at;
+  /** The missing commit that was logged last. */
+  std::optional<LogPoint> missing_commit;
   /** Why the latest audit failed; empty if it did not. */
   std::string_view audit_failure;
 };
--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -75,8 +75,15 @@
     members: the compared replicas are then the only ones through which it can
     acknowledge commits. While it accepts connections, or a replica may join in
     the place of one that has left, it is replaced only once the directory does
-    not list it any more. From the order until the promotion takes effect, an
-    OrderGuard keeps what was checked as it was.
+    not list it any more.
+
+    A replica that is not listed yet, or has left before it was, may have
+    acknowledged commits as well. A candidate that does not hold the end of the
+    demoted primary's log is therefore also compared with the newest commit that
+    the VMs have answered, and is not promoted without it.
+
+    From the order until the promotion takes effect, an OrderGuard keeps what
+    was checked as it was.
 
     @tparam C  sends commands to replicas, @see EndpointCommandSender
     @tparam F  sends commands to the primary, through other VMs if this one does
@@ -252,6 +259,9 @@
   /** Promotes a replica that holds the whole log of the demoted primary, or the
       candidate if the others are still paused and behind it. */
   void FinishReplicaCheck();
+  /** @returns whether a VM has answered a commit that the candidate does not
+               hold */
+  bool LacksAnsweredCommit();
   /** @returns whether no replica can have received more than the candidate */
   bool IsCandidateAhead() const;
   /** Promotes the demoted primary, which holds every acknowledged commit, so
@@ -321,6 +331,9 @@
   size_t unanswered_demotions_ = 0;
   bool has_ordered_ = false;
   std::optional<DemotedPrimary> demoted_primary_;
+  /** The newest commit that a VM has answered, as of the latest check. */
+  std::optional<AnsweredCommit> answered_commit_;
+  std::optional<MissingCommit> missing_commit_;
   bool has_unsettled_orders_ = false;
   int lost_promotion_replies_ = 0;
 };
--- a/libs/control/failover/primary_replacement_demotion.h
+++ b/libs/control/failover/primary_replacement_demotion.h
@@ -237,7 +237,16 @@
         "a replica that has joined may hold the end of the log");
     return;
   }
-  ReportReplicas(&PrimaryReplacement::FinishReplicaCheck);
+  const Step next = &PrimaryReplacement::FinishReplicaCheck;
+  pending_ = replicas_.size() + 1;
+  for (size_t it = 0; it < replicas_.size(); ++it) {
+    SendCommand(it, {EndpointCommandKind::kReport, {}}, 0, next);
+  }
+  plan_.find_answered_commit([self = this->shared_from_this(),
+                              next](const std::optional<AnsweredCommit>& it) {
+    self->answered_commit_ = it;
+    self->CompleteCall(next);
+  });
 }
 
 template <EndpointCommandSender C,
@@ -269,6 +278,11 @@
   }
   // The directory may have listed another one while the replicas were asked.
   if (IsCandidateAhead() && AreMembersCompared()) {
+    if (LacksAnsweredCommit()) {
+      PromotePrimaryAgainOrAbandon(
+          "no listed replica holds an answered commit");
+      return;
+    }
     check_ = PromotionCheck::kMembers;
     Promote();
     return;
@@ -277,6 +291,20 @@
       "a replica may have received more than the candidate");
 }
 
+template <EndpointCommandSender C,
+          EndpointCommandSender F,
+          PromotionSender P,
+          class T>
+bool PrimaryReplacement<C, F, P, T>::LacksAnsweredCommit() {
+  const LogPoint received = replicas_[candidate_].status->received;
+  if (!answered_commit_ || received >= answered_commit_->point) {
+    return false;
+  }
+  missing_commit_ = {*answered_commit_, replicas_[candidate_].entry.id,
+                     received};
+  return true;
+}
+
 template <EndpointCommandSender C,
           EndpointCommandSender F,
           PromotionSender P,
--- a/libs/control/failover/primary_replacement_order.h
+++ b/libs/control/failover/primary_replacement_order.h
@@ -110,6 +110,7 @@
   result.demotion = GetDemotion();
   result.pause_term = possibly_paused_.empty() ? Term{} : pause_term_;
   result.check = check_;
+  result.missing_commit = missing_commit_;
   if (outcome == ReplacementOutcome::kPromoted ||
       outcome == ReplacementOutcome::kUncertain) {
     if (const auto& status = replicas_[candidate_].status) {
--- a/libs/control/failover/replacement_plan.h
+++ b/libs/control/failover/replacement_plan.h
@@ -9,6 +9,7 @@
 #include <system_error>
 #include <vector>
 
+#include "control/failover/answered_commits.h"
 #include "core/core.h"
 #include "directory/directory.h"
 
@@ -108,6 +109,10 @@
       endpoint that had joined some time before the call, and an error that this
       is not known. @see FailoverDelegate */
   std::function<void(std::function<void(std::error_code)>)> read_directory;
+  /** Finds the newest commit of the service that a VM has answered; none if no
+      replica acknowledges its commits. */
+  std::function<void(std::function<void(const std::optional<AnsweredCommit>&)>)>
+      find_answered_commit = [](const auto& done) { done(std::nullopt); };
   /** Called when the primary has confirmed its demotion. */
   std::function<void()> record_demotion = [] {};
   /** Called before the promotion of an endpoint is ordered for the first time.
@@ -185,6 +190,14 @@
   return "none";
 }
 
+/** An answered commit that the candidate of an attempt does not hold. */
+struct MissingCommit {
+  AnsweredCommit commit;
+  EndpointId candidate;
+  /** End of the log that the candidate has received. */
+  LogPoint received;
+};
+
 /** Result of a replacement attempt. */
 struct ReplacementResult {
   ReplacementOutcome outcome = ReplacementOutcome::kAbandoned;
@@ -216,6 +229,8 @@
   /** End of the log that the endpoint whose promotion was ordered has reported
       last; none if the outcome is neither kPromoted nor kUncertain. */
   std::optional<LogPoint> promoted_received;
+  /** Set if the candidate was not promoted for it. */
+  std::optional<MissingCommit> missing_commit;
 };
 
 /** A replica and the status that it reported; none if it did not answer. */
--- a/libs/control/peers/peer_group.cc
+++ b/libs/control/peers/peer_group.cc
@@ -106,6 +106,17 @@
   return live;
 }
 
+std::vector<const PeerGroup::Peer*> PeerGroup::ListRunning(
+    TimePoint now) const {
+  std::vector<const Peer*> running;
+  for (const auto& [vm, peer] : peers_) {
+    if (peer.live || IsLeaving(peer, now)) {
+      running.push_back(&peer);
+    }
+  }
+  return running;
+}
+
 uint32_t PeerGroup::CountExpected(TimePoint now) const {
   const auto unheard =
       std::count_if(addresses_.begin(), addresses_.end(), [&](const auto& row) {
--- a/libs/control/peers/peer_group.h
+++ b/libs/control/peers/peer_group.h
@@ -93,6 +93,10 @@
 
   /** @returns the other live VMs, ordered by name */
   std::vector<const Peer*> ListLive() const;
+  /** @param now  the current time
+      @returns    the live VMs and those that are shutting down, ordered by name
+  */
+  std::vector<const Peer*> ListRunning(TimePoint now) const;
   /** @returns the number of live VMs, including this one */
   uint32_t CountLive() const;
   /** @returns the number of VMs, including this one, that have sent a heartbeat
--- a/libs/control/tests/fake_deployment.h
+++ b/libs/control/tests/fake_deployment.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -163,6 +164,19 @@
   void ForwardCommand(const SocketAddress&, const ForwardedCommand&) {}
   void AnswerForwardedCommand(const SocketAddress&,
                               const ForwardedCommandResponse&) {}
+  void QueryAnsweredCommit(
+      const ServiceId&,
+      const std::function<void(std::optional<LogPoint>)>& done) {
+    done(answered);
+  }
+  void SendAnsweredCommitQuery(const SocketAddress& to,
+                               const AnsweredCommitQuery& query) {
+    answer_queries.emplace_back(to, query);
+  }
+  void SendAnsweredCommitResponse(const SocketAddress& to,
+                                  const AnsweredCommitResponse& response) {
+    answer_responses.emplace_back(to, response);
+  }
 
   void Advance(Duration span) {
     const TimePoint end = now_ + span;
@@ -233,6 +247,12 @@
   // Paused endpoints with the term of the pause. At a real endpoint a promotion
   // ends the pauses below its term; here it ends none.
   std::map<std::string, Term> paused;
+  // Newest commit that this VM has answered; none if it knows of none.
+  std::optional<LogPoint> answered;
+  // Messages to other VMs about answered commits.
+  std::vector<std::pair<SocketAddress, AnsweredCommitQuery>> answer_queries;
+  std::vector<std::pair<SocketAddress, AnsweredCommitResponse>>
+      answer_responses;
   // Holds, their ends, heartbeats and orders; repeated holds are left out.
   std::vector<std::string> hold_steps;
   // Number of holds.
--- a/libs/gossip/gossip.h
+++ b/libs/gossip/gossip.h
@@ -13,6 +13,7 @@
    directory for a VM that cannot reach the store, and the status of a node).
 */
 #include "gossip/bounds/bound_codec.h"
+#include "gossip/commands/answered_commit_codec.h"
 #include "gossip/commands/forwarded_command_codec.h"
 #include "gossip/departures/departure_codec.h"
 #include "gossip/duties/duty_row_codec.h"
--- a/libs/gossip/tests/gossip_test.cc
+++ b/libs/gossip/tests/gossip_test.cc
@@ -100,6 +100,32 @@
   }
 }
 
+TEST(Gossip, DecodesEncodedAnsweredCommitMessages) {
+  const AnsweredCommitQuery query{8, {"10.1.0.8", 7440}, ServiceId{"logs"}};
+  AnsweredCommitQuery read_query;
+  CHECK(
+      DecodeAnsweredCommitQuery(EncodeAnsweredCommitQuery(query), read_query));
+  CHECK(read_query == query);
+  AnsweredCommitResponse read;
+  for (const std::optional<LogPoint>& it :
+       {std::optional<LogPoint>(LogPoint{Term{3}, LogPosition{1207}}),
+        std::optional<LogPoint>()}) {
+    const AnsweredCommitResponse sent{8, VmId{"vm-1"}, it};
+    CHECK(
+        DecodeAnsweredCommitResponse(EncodeAnsweredCommitResponse(sent), read));
+    CHECK(read == sent);
+  }
+  for (const char* it :
+       {"", "mrw1", "mrw1 8 10.1.0.8:7440", "mrw1 x 10.1.0.8:7440 logs",
+        "mrw1 8 10.1.0.8 logs", "mrw1 8 10.1.0.8:7440 logs 1"}) {
+    CHECK_TEXT(!DecodeAnsweredCommitQuery(it, read_query), it);
+  }
+  for (const char* it : {"", "mrv1", "mrv1 8", "mrv1 x vm-1", "mrv1 8 vm-1 3",
+                         "mrv1 8 vm-1 3 x", "mrv1 8 vm-1 3 1207 1"}) {
+    CHECK_TEXT(!DecodeAnsweredCommitResponse(it, read), it);
+  }
+}
+
 TEST(Gossip, DecodesEncodedDutyRows) {
   const GroupRecord with_primary{
       EndpointId{"db-1"}, Term{3}, {EndpointId{"db-1"}, EndpointId{"db-2"}}};
--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -70,6 +70,14 @@
       @returns         whether a connection to it that it has accepted is open;
                        those through other VMs don't count */
   bool HasOpenConnection(const EndpointId& endpoint) const;
+  /** Returns how far a new primary's log must reach to hold every commit that
+      this VM has answered, as far as that is certain.
+
+      @param service  any service
+      @returns        lowest point that the newest commit can have which was
+                      answered with success; none if it is not known
+      @see CommitLossDetector */
+  std::optional<LogPoint> FindAnsweredCommit(const ServiceId& service) const;
   /** Replies to another VM's query for a freshness bound, immediately or when
       the next bound is known.
 
--- a/libs/relay/core/traffic_core_control.h
+++ b/libs/relay/core/traffic_core_control.h
@@ -4,6 +4,7 @@
 // Updates from the control thread. Included by traffic_core.h.
 
 #include <algorithm>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -137,6 +138,14 @@
                      });
 }
 
+template <ForwardingDialect D, class N>
+std::optional<LogPoint> TrafficCore<D, N>::FindAnsweredCommit(
+    const ServiceId& service) const {
+  const auto it = services_.find(service);
+  return it == services_.end() ? std::nullopt
+                               : it->second.commit_losses.GetProven();
+}
+
 }  // namespace magnoliareel
 
 #endif  // MAGNOLIAREEL_RELAY_CORE_TRAFFIC_CORE_CONTROL_H_
--- a/libs/relay/primaries/commit_loss_detector.cc
+++ b/libs/relay/primaries/commit_loss_detector.cc
@@ -9,8 +9,9 @@
     LogPoint end_before,
     LogPoint end) {
   // With another term, the endpoint's role or log may have changed meanwhile.
+  // An end that has not moved shows that no record was added.
   std::optional<LogPoint> lowest;
-  if (end_before.term == end.term) {
+  if (end_before.term == end.term && end_before.position < end.position) {
     lowest = {end.term, LogPosition{end_before.position.value + 1}};
   }
   if (lowest && first_seen_ && lowest->term < first_seen_->term &&
--- a/libs/relay/primaries/commit_loss_detector.h
+++ b/libs/relay/primaries/commit_loss_detector.h
@@ -53,6 +53,9 @@
                     primary; none for the first primary
   */
   std::optional<Finding> RecordPrimary(LogPoint point);
+  /** @returns Finding::proven of the commits so far, without those that are
+               known to be lost */
+  const std::optional<LogPoint>& GetProven() const { return proven_; }
 
  private:
   /** First point that was seen of the newest term. */
--- a/libs/relay/tests/relay_test.cc
+++ b/libs/relay/tests/relay_test.cc
@@ -256,6 +256,32 @@
   CHECK(detector.RecordPrimary(MakePoint(9, 93))->is_loss);
 }
 
+TEST(CommitLossDetector, TellsHowFarALogMustReachToHoldTheAnsweredCommits) {
+  // A point above the commit blocks a promotion that would lose nothing, and
+  // one below it does not keep the commit.
+  CommitLossDetector detector;
+  CHECK(!detector.GetProven());
+  detector.RecordPrimary(MakePoint(7, 80));
+  detector.RecordAnswered(MakePoint(7, 88), MakePoint(7, 95));
+  CHECK(detector.GetProven() == MakePoint(7, 89));
+  detector.RecordAnswered(MakePoint(7, 86), MakePoint(7, 96));
+  CHECK(detector.GetProven() == MakePoint(7, 89));
+  detector.RecordAnswered(MakePoint(7, 95), MakePoint(7, 97));
+  CHECK(detector.GetProven() == MakePoint(7, 96));
+  // Known to be lost.
+  CHECK(detector.RecordPrimary(MakePoint(8, 90))->is_loss);
+  CHECK(!detector.GetProven());
+}
+
+TEST(CommitLossDetector, AStatementThatAddedNoRecordProvesNothing) {
+  // Its point would lie behind the end of every log.
+  CommitLossDetector detector;
+  detector.RecordPrimary(MakePoint(7, 80));
+  detector.RecordAnswered(MakePoint(7, 84), MakePoint(7, 85));
+  detector.RecordAnswered(MakePoint(7, 90), MakePoint(7, 90));
+  CHECK(detector.GetProven() == MakePoint(7, 85));
+}
+
 TEST(CommitLossDetector, FindsACommitThatAFormerPrimaryAnswersLate) {
   CommitLossDetector detector;
   detector.RecordPrimary(MakePoint(7, 80));
--- a/libs/telemetry/events/event.cc
+++ b/libs/telemetry/events/event.cc
@@ -206,6 +206,10 @@
      "What an ordered promotion relies on did not hold before it took effect, "
      "and was set again. service, endpoint, what (leads_again, not_paused or "
      "joined), term, received, after_ms (since the order)"},
+    {kAnsweredCommitMissing, kWarning, "replacement.commit_missing",
+     "No replica is promoted, because none that is listed holds a commit that "
+     "a VM has answered with success. service, endpoint (that has received "
+     "most), received, answered (lowest point that the commit can have), vm"},
     {kReadinessChanged, kInfo, "process.readiness",
      "The process changed its answer to the platform's readiness probe. ready, "
      "reason"},
--- a/libs/telemetry/events/event.h
+++ b/libs/telemetry/events/event.h
@@ -74,6 +74,7 @@
   kForwardingEnded = 5514,
   kReplicaResume = 5515,
   kOrderPremiseLost = 5516,
+  kAnsweredCommitMissing = 5517,
   kReadinessChanged = 5601,
   kSettingsReloaded = 5602,
   kDrainProgress = 5603,
--- a/tests/fuzz/decoder_fuzz_test.cc
+++ b/tests/fuzz/decoder_fuzz_test.cc
@@ -90,6 +90,24 @@
   return true;
 }
 
+bool ReencodeAnsweredCommitQuery(std::string_view bytes, std::string& out) {
+  AnsweredCommitQuery query;
+  if (!DecodeAnsweredCommitQuery(bytes, query)) {
+    return false;
+  }
+  out = EncodeAnsweredCommitQuery(query);
+  return true;
+}
+
+bool ReencodeAnsweredCommitResponse(std::string_view bytes, std::string& out) {
+  AnsweredCommitResponse response;
+  if (!DecodeAnsweredCommitResponse(bytes, response)) {
+    return false;
+  }
+  out = EncodeAnsweredCommitResponse(response);
+  return true;
+}
+
 /** Decodes, and compares the encoding of the result with that of a second
     decoding. */
 template <bool (*kReencode)(std::string_view, std::string&)>
@@ -171,6 +189,9 @@
     {"forwarded_commands", SurvivesEncoding<ReencodeForwardedCommand>},
     {"forwarded_command_responses",
      SurvivesEncoding<ReencodeForwardedCommandResponse>},
+    {"answered_commit_queries", SurvivesEncoding<ReencodeAnsweredCommitQuery>},
+    {"answered_commit_responses",
+     SurvivesEncoding<ReencodeAnsweredCommitResponse>},
     {"fleet_states",
      [](std::string_view bytes) {
        FleetState state;
--- a/tests/interleavings/member_group.cc
+++ b/tests/interleavings/member_group.cc
@@ -48,10 +48,11 @@
   }
 }
 
-size_t MemberGroup::Replicate(uint32_t observers) {
+std::vector<std::pair<uint32_t, uint32_t>> MemberGroup::Replicate(
+    uint32_t observers) {
   const std::optional<size_t> leader = FindPrimary();
   if (!leader) {
-    return 0;
+    return {};
   }
   const GroupMember& primary = members_[*leader];
   bool is_received = false;
@@ -64,16 +65,16 @@
     it.log = primary.log;
     is_received = true;
   }
-  size_t n = 0;
+  std::vector<std::pair<uint32_t, uint32_t>> answered;
   for (const uint32_t it : primary.log) {
     GroupCommit& commit = commits_[it];
     if (is_received && !commit.acknowledged &&
         (commit.senders & observers) != 0) {
       commit.acknowledged = true;
-      ++n;
+      answered.emplace_back(it, commit.senders & observers);
     }
   }
-  return n;
+  return answered;
 }
 
 bool MemberGroup::HasWaitingCommit() const {
@@ -85,6 +86,10 @@
   return !latest.acknowledged && latest.senders != 0;
 }
 
+LogPoint MemberGroup::GetLedEnd(size_t member) const {
+  return {members_[member].term, LogPosition{members_[member].log.size()}};
+}
+
 LogPoint MemberGroup::GetLogEnd(const GroupMember& member) const {
   if (member.log.empty()) {
     return {};
--- a/tests/interleavings/member_group.h
+++ b/tests/interleavings/member_group.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "control/control.h"
@@ -71,8 +72,11 @@
   /** Sends the log of the primary to its replicas.
 
       @param observers  VMs that reach the primary, a bit for each
-      @returns          number of commits that were acknowledged */
-  size_t Replicate(uint32_t observers);
+      @returns          commits that were acknowledged, each with the VMs that
+                        have received the answer, a bit for each */
+  std::vector<std::pair<uint32_t, uint32_t>> Replicate(uint32_t observers);
+  /** @returns the end of the log that a leading member reports */
+  LogPoint GetLedEnd(size_t member) const;
   /** @returns whether a VM waits for the acknowledgement of the primary's
      latest commit */
   bool HasWaitingCommit() const;
--- a/tests/interleavings/search_vm.cc
+++ b/tests/interleavings/search_vm.cc
@@ -1,6 +1,5 @@
 #include "tests/interleavings/search_vm.h"
 
-#include "relay/relay.h"
 #include "tests/interleavings/search_world.h"
 
 namespace magnoliareel {
@@ -23,6 +22,14 @@
       .Get();
 }
 
+uint64_t HashPoint(const std::optional<LogPoint>& point) {
+  return point ? StateHash()
+                     .Add(point->term.value)
+                     .Add(point->position.value)
+                     .Get()
+               : 0;
+}
+
 uint64_t HashView(const FleetView& view) {
   StateHash hash;
   for (const EndpointEntry& it : view.endpoints) {
@@ -211,6 +218,54 @@
   });
 }
 
+void SearchVm::QueryAnsweredCommit(
+    const ServiceId&,
+    const std::function<void(std::optional<LogPoint>)>& done) {
+  After(Duration(0), [this, done] {
+    const std::optional<LogPoint>& point = answered_commits_.GetProven();
+    services_.RecordInput(HashPoint(point));
+    done(point);
+  });
+}
+
+void SearchVm::SendAnsweredCommitQuery(const SocketAddress& to,
+                                       const AnsweredCommitQuery& query) {
+  world_.SendToVm(to, [query](SearchVm& vm) {
+    vm.services_.RecordInput(query.id);
+    vm.failover_.HandleAnsweredCommitQuery(query);
+  });
+}
+
+void SearchVm::SendAnsweredCommitResponse(
+    const SocketAddress& to,
+    const AnsweredCommitResponse& response) {
+  world_.SendToVm(to, [response](SearchVm& vm) {
+    vm.services_.RecordInput(
+        StateHash().Add(response.id).Add(HashPoint(response.point)).Get());
+    vm.failover_.HandleAnsweredCommitResponse(response);
+  });
+}
+
+void SearchVm::RecordSentCommit(uint32_t commit, const EndpointId& endpoint) {
+  ends_before_[commit] =
+      known_end_.first == endpoint ? known_end_.second : LogPoint{};
+}
+
+void SearchVm::RecordAnswer(uint32_t commit, LogPoint end) {
+  if (const auto node = ends_before_.extract(commit)) {
+    answered_commits_.RecordAnswered(node.mapped(), end);
+  }
+}
+
+void SearchVm::AddAnswers(StateHash& hash) const {
+  hash.Add(HashPoint(answered_commits_.GetProven()))
+      .Add(known_end_.first.value)
+      .Add(HashPoint(known_end_.second));
+  for (const auto& [commit, end] : ends_before_) {
+    hash.Add(commit).Add(HashPoint(end));
+  }
+}
+
 void SearchVm::HandleForwardedCommand(const ForwardedCommand& command) {
   services_.RecordInput(StateHash()
                             .Add(command.id)
@@ -278,6 +333,7 @@
     return false;
   }
   target_ = id;
+  known_end_ = {id, *world_.FindLedEnd(index_, id)};
   // A traffic thread reports each term once.
   if (*term > confirmed_term_) {
     RecordConfirmed(id, *term);
--- a/tests/interleavings/search_vm.h
+++ b/tests/interleavings/search_vm.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -11,6 +12,7 @@
 
 #include "control/control.h"
 #include "coordination/tests/fake_duty_row_codec.h"
+#include "relay/relay.h"
 #include "tests/interleavings/state_hash.h"
 
 namespace magnoliareel {
@@ -98,6 +100,23 @@
   void AnswerForwardedCommand(const SocketAddress& to,
                               const ForwardedCommandResponse& response);
 
+  void QueryAnsweredCommit(
+      const ServiceId& service,
+      const std::function<void(std::optional<LogPoint>)>& done);
+  void SendAnsweredCommitQuery(const SocketAddress& to,
+                               const AnsweredCommitQuery& query);
+  void SendAnsweredCommitResponse(const SocketAddress& to,
+                                  const AnsweredCommitResponse& response);
+
+  /** Records that the VM sends a commit to an endpoint. */
+  void RecordSentCommit(uint32_t commit, const EndpointId& endpoint);
+  /** Records the answer to such a commit.
+
+      @param commit  the commit, which has succeeded
+      @param end     end of the log in the answer */
+  void RecordAnswer(uint32_t commit, LogPoint end);
+  /** Adds what the VM knows of its commits to a hash. */
+  void AddAnswers(StateHash& hash) const;
   /** Handles a command of the other VM to an endpoint. */
   void HandleForwardedCommand(const ForwardedCommand& command);
   /** Handles the response of the other VM to such a command. */
@@ -173,6 +192,12 @@
   /** Highest term that was reported. */
   Term confirmed_term_;
   std::optional<CommitHold> hold_;
+  /** End of the log in the latest reply of an endpoint that leads. */
+  std::pair<EndpointId, LogPoint> known_end_;
+  /** That end as of the time at which a commit was sent, for each commit
+     without an answer. */
+  std::map<uint32_t, LogPoint> ends_before_;
+  CommitLossDetector answered_commits_;
   TimePoint next_report_at_;
 };
 
--- a/tests/interleavings/search_world.cc
+++ b/tests/interleavings/search_world.cc
@@ -121,6 +121,12 @@
 void SearchWorld::RunCommits() {
   if (const uint32_t vms = ListCommitters(); vms != 0) {
     const uint32_t commit = group_.Commit(vms);
+    for (size_t it = 0; it < kVms; ++it) {
+      if ((vms >> it & 1U) != 0) {
+        vms_[it]->RecordSentCommit(
+            commit, group_.GetMembers()[*group_.FindPrimary()].id);
+      }
+    }
     Note("commit " + std::to_string(commit) + " runs at member " +
          std::to_string(*group_.FindPrimary()));
     Replicate();
@@ -130,11 +136,20 @@
 }
 
 void SearchWorld::Replicate() {
-  const size_t n = group_.Replicate(ListObservers());
-  if (n > 0) {
-    Note(std::to_string(n) + " commit(s) acknowledged by member " +
+  const auto answered = group_.Replicate(ListObservers());
+  if (!answered.empty()) {
+    Note(std::to_string(answered.size()) +
+         " commit(s) acknowledged by member " +
          std::to_string(*group_.FindPrimary()));
   }
+  for (const auto& [commit, vms] : answered) {
+    const LogPoint end = group_.GetLedEnd(*group_.FindPrimary());
+    for (size_t it = 0; it < kVms; ++it) {
+      if (SearchVm* vm = vms_[it]; vm != nullptr && (vms >> it & 1U) != 0) {
+        vm->Deliver([vm, commit, end] { vm->RecordAnswer(commit, end); });
+      }
+    }
+  }
   if (!group_.HasWaitingCommit()) {
     waiting_since_.reset();
   } else if (!waiting_since_) {
@@ -181,6 +196,14 @@
   return member.is_primary ? std::optional(member.term) : std::nullopt;
 }
 
+std::optional<LogPoint> SearchWorld::FindLedEnd(
+    size_t vm,
+    const EndpointId& endpoint) const {
+  return FindLedTerm(vm, endpoint)
+             ? std::optional(group_.GetLedEnd(*group_.Find(endpoint)))
+             : std::nullopt;
+}
+
 void SearchWorld::SendHeartbeat(size_t vm) {
   const Heartbeat heartbeat = vms_[vm]->MakeHeartbeat();
   const auto departures = vms_[vm]->ListDepartures();
--- a/tests/interleavings/search_world.h
+++ b/tests/interleavings/search_world.h
@@ -135,6 +135,10 @@
   /** @returns the term in which the endpoint leads; none if it does not lead,
                or the VM does not reach it */
   std::optional<Term> FindLedTerm(size_t vm, const EndpointId& endpoint) const;
+  /** @returns the end of the log in the endpoint's reply to a statement of the
+               VM; none if FindLedTerm() returns none */
+  std::optional<LogPoint> FindLedEnd(size_t vm,
+                                     const EndpointId& endpoint) const;
   /** @returns whether the VM reaches the running endpoint */
   bool Reaches(size_t vm, const EndpointId& endpoint) const;
   /** @returns whether a commit has waited for long */
--- a/tests/interleavings/world_state.cc
+++ b/tests/interleavings/world_state.cc
@@ -87,6 +87,9 @@
   AddServices(hash);
   for (const SearchVm* it : vms_) {
     hash.Add(it == nullptr ? 0 : it->GetHistory());
+    if (it != nullptr) {
+      it->AddAnswers(hash);
+    }
   }
   for (const auto& [at, task] : tasks_) {
     if (task.tag != 0) {
--- a/tests/traffic/hold_test.cc
+++ b/tests/traffic/hold_test.cc
@@ -75,6 +75,33 @@
   }
 }
 
+TEST(CommitHolds, AnAnsweredCommitIsKnownToTheControlThread) {
+  // Guards against a promotion that does not know of it, and against one that
+  // waits for a commit that was answered to no caller.
+  HeldService service(2);
+  const ServiceId id{service.GetSimulation().GetService()};
+  const auto find = [&](size_t vm) {
+    return service.GetSimulation().GetCore(vm).FindAnsweredCommit(id);
+  };
+  const uint64_t session = service.Open(0);
+  service.Run(session, "first", "WRITE groyne-1 x");
+  service.Run(session, "second", "WRITE groyne-1 y");
+  const auto answered = find(0);
+  const size_t end = service.GetGroup().GetLog(kFormer).size();
+  CHECK(answered && answered->position.value == end);
+  CHECK(!find(1));
+  for (size_t it : {size_t{1}, kSuccessor}) {
+    service.GetGroup().SetReplicationCut(it, true);
+  }
+  service.Send(session, "third", "WRITE groyne-1 z");
+  service.Advance(milliseconds(300));
+  CHECK(service.GetGroup().GetLog(kFormer).size() > end);
+  CHECK(!service.HasAnswer(session, "COMPLETE"));
+  CHECK(find(0) == answered);
+  CHECK(!service.GetSimulation().GetCore(0).FindAnsweredCommit(
+      ServiceId{"no-service"}));
+}
+
 TEST(CommitHolds, ACommitOfAnOpenTransactionIsAbortedAndTakesNoEffect) {
   // Guards against a transaction that began at the former primary and commits
   // there while it is being replaced, and against an ABORTED whose transaction
--- a/tests/traffic/simulated_control.cc
+++ b/tests/traffic/simulated_control.cc
@@ -97,6 +97,36 @@
   }
 }
 
+void SimulatedControl::QueryAnsweredCommit(
+    const ServiceId& service,
+    std::function<void(std::optional<LogPoint>)> done) {
+  After(Duration(0), [this, service, done = std::move(done)] {
+    done(simulation_.GetCore(FindVm(vms_.front())).FindAnsweredCommit(service));
+  });
+}
+
+void SimulatedControl::SendAnsweredCommitQuery(
+    const SocketAddress& to,
+    const AnsweredCommitQuery& query) {
+  const VmId& vm = vms_[to.port - kFirstVmPort];
+  After(kPeerDelay, [this, vm, query] {
+    const AnsweredCommitResponse response{
+        query.id, vm,
+        simulation_.GetCore(FindVm(vm)).FindAnsweredCommit(query.service)};
+    After(kPeerDelay, [this, response] {
+      failover_.HandleAnsweredCommitResponse(response);
+    });
+  });
+}
+
+size_t SimulatedControl::FindVm(const VmId& vm) const {
+  size_t n = 0;
+  while (n < vms_.size() && vm.value != "vm-" + std::to_string(n)) {
+    ++n;
+  }
+  return n;
+}
+
 void ControlServices::Get(std::string_view table,
                           std::string_view key,
                           RowsCompletion done) {
--- a/tests/traffic/simulated_control.h
+++ b/tests/traffic/simulated_control.h
@@ -2,6 +2,7 @@
 #define MAGNOLIAREEL_TESTS_TRAFFIC_SIMULATED_CONTROL_H_
 
 #include <functional>
+#include <optional>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -103,10 +104,19 @@
   void ForwardCommand(const SocketAddress& to, const ForwardedCommand& command);
   void AnswerForwardedCommand(const SocketAddress&,
                               const ForwardedCommandResponse&) {}
+  void QueryAnsweredCommit(const ServiceId& service,
+                           std::function<void(std::optional<LogPoint>)> done);
+  /** Lets another VM answer with what its traffic thread knows. */
+  void SendAnsweredCommitQuery(const SocketAddress& to,
+                               const AnsweredCommitQuery& query);
+  void SendAnsweredCommitResponse(const SocketAddress&,
+                                  const AnsweredCommitResponse&) {}
 
  private:
   /** Records heartbeats of all other VMs, with the suspicions of this one. */
   void RecordPeerHeartbeats();
+  /** @returns the number of a VM in the simulation */
+  size_t FindVm(const VmId& vm) const;
 
   TrafficSimulation& simulation_;
   SimulatedServices& peer_services_;
