Demote the primary once more before the order that it may precede

Callers saw acknowledged commits vanish: a primary that was down during the survey, or was demoted, was back and led its term a moment later; an attempt that waited a second for the directory to list joined replicas ordered another endpoint without asking it again.

Cause: the demotion, or the finding that the primary is stopped, was a second old at the order.

Change: after the wait, commits are held and the primary is demoted once more. If it answers for the first time, its log is compared as after any demotion; if it led again, the end of its log is taken anew; if it runs and does not confirm, the attempt is given up and repeated.

DemotesAPrimaryThatIsBackBeforeTheOrder and DemotesAPrimaryThatLeadsAgainBeforeTheOrder fail without the change. Control tests 184 pass.

--- a/libs/control/failover/primary_replacement_demotion.h
+++ b/libs/control/failover/primary_replacement_demotion.h
@@ -115,22 +115,65 @@
           PromotionSender P,
           class T>
 void PrimaryReplacement<C, F, P, T>::CheckMembersOfUnreachedPrimary() {
-  const auto check = [self = this->shared_from_this()] {
-    self->plan_.hold_commits();
-    if (!self->IsPrimaryAlive() && !self->plan_.is_store_connected) {
-      self->FinishMembershipCheck({});
-      return;
-    }
-    self->plan_.read_directory(
-        [self](std::error_code ec) { self->FinishMembershipCheck(ec); });
-  };
   if (IsPrimaryAlive()) {
-    timing_.After(kMembershipDelay, check);
+    timing_.After(kMembershipDelay, [self = this->shared_from_this()] {
+      self->RepeatDemotion();
+    });
+    return;
+  }
+  plan_.hold_commits();
+  if (plan_.is_store_connected) {
+    ReadMembers();
   } else {
-    check();
+    FinishMembershipCheck({});
   }
 }
 
+template <EndpointCommandSender C,
+          EndpointCommandSender F,
+          PromotionSender P,
+          class T>
+void PrimaryReplacement<C, F, P, T>::RepeatDemotion() {
+  plan_.hold_commits();
+  if (!plan_.primary) {
+    ReadMembers();
+    return;
+  }
+  auto self = this->shared_from_this();
+  const EndpointCommand command{EndpointCommandKind::kDemote, pause_term_};
+  primary_commands_.Send(
+      *plan_.primary, command, kEndpointCommandTimeout,
+      [self, command](std::error_code ec, const ReplicationStatus& status) {
+        self->LogStep(*self->plan_.primary, command, ec, status);
+        if (!ec && !self->primary_status_) {
+          self->FinishDemotion(ec, status);
+          return;
+        }
+        const bool is_stopped =
+            ec == Error::kEndpointStopped || ec == Error::kUnreachable;
+        if ((ec && !is_stopped) || status.is_primary) {
+          self->Finish(ReplacementOutcome::kAbandoned, {},
+                       "the primary runs and does not confirm its demotion");
+          return;
+        }
+        if (!ec) {
+          self->primary_status_ = status;
+          self->demoted_primary_ = {self->plan_.primary_id, status.received};
+        }
+        self->ReadMembers();
+      });
+}
+
+template <EndpointCommandSender C,
+          EndpointCommandSender F,
+          PromotionSender P,
+          class T>
+void PrimaryReplacement<C, F, P, T>::ReadMembers() {
+  plan_.read_directory([self = this->shared_from_this()](std::error_code ec) {
+    self->FinishMembershipCheck(ec);
+  });
+}
+
 template <EndpointCommandSender C,
           EndpointCommandSender F,
           PromotionSender P,
@@ -194,10 +237,8 @@
     });
     return;
   }
-  timing_.After(kMembershipDelay, [self = this->shared_from_this()] {
-    self->plan_.read_directory(
-        [self](std::error_code ec) { self->FinishMembershipCheck(ec); });
-  });
+  timing_.After(kMembershipDelay,
+                [self = this->shared_from_this()] { self->RepeatDemotion(); });
 }
 
 template <EndpointCommandSender C,
--- a/libs/control/tests/control_test.cc
+++ b/libs/control/tests/control_test.cc
@@ -124,6 +124,7 @@
       on_directory_read();
       done(directory_error);
     };
+    plan.hold_commits = [this] { on_hold(); };
     plan.has_unsettled_orders = has_unsettled_orders;
     plan.fencing_token = 9;
     ReplacementResult result;
@@ -146,6 +147,8 @@
   std::vector<EndpointEntry> listed;
   // Called when an endpoint has been demoted.
   std::function<void()> on_demotion = [] {};
+  // Called before the primary is demoted, and demoted again.
+  std::function<void()> on_hold = [] {};
   // Called when the directory is read.
   std::function<void()> on_directory_read = [] {};
   // Called before an endpoint reports its status.
@@ -402,6 +405,45 @@
   CHECK(group.trace.find("promote db-2") == std::string::npos);
 }
 
+TEST(Replacement, DemotesAPrimaryThatIsBackBeforeTheOrder) {
+  // It was down during the survey, and acknowledged commits again while the
+  // attempt waited for the directory (LOST).
+  group.statuses = {{"db-2", MakeStatus(false, 1, 7)},
+                    {"db-3", MakeStatus(false, 1, 5)}};
+  group.listed = {MakeEntry("db-1"), MakeEntry("db-2"), MakeEntry("db-3")};
+  group.on_hold = [this] {
+    group.statuses["db-1"] = MakeStatus(true, 1, 8);
+    group.statuses["db-3"] = MakeStatus(false, 1, 8);
+  };
+  ReplacementPlan plan;
+  plan.primary = MakeEntry("db-1");
+  plan.primary_id = plan.primary->id;
+  plan.reason = ReplacementReason::kUnreachable;
+  plan.replicas = replicas;
+  plan.answered_lately = true;
+  const ReplacementResult result = group.Run(std::move(plan));
+  CHECK_FALSE(group.statuses["db-1"].is_primary);
+  STRCMP_EQUAL("db-3", result.primary.value.c_str());
+  CHECK(result.check == PromotionCheck::kLogEnd);
+}
+
+TEST(Replacement, DemotesAPrimaryThatLeadsAgainBeforeTheOrder) {
+  group.statuses = {{"db-1", MakeStatus(true, 1, 9)},
+                    {"db-2", MakeStatus(false, 1, 7)},
+                    {"db-3", MakeStatus(false, 1, 7)}};
+  group.listed = {MakeEntry("db-1"), MakeEntry("db-2"), MakeEntry("db-3")};
+  int holds = 0;
+  group.on_hold = [&] {
+    if (++holds == 2) {
+      group.statuses["db-1"] = MakeStatus(true, 1, 11);
+    }
+  };
+  const ReplacementResult result =
+      group.Replace(ReplacementReason::kCommitsStalled, replicas);
+  CHECK_FALSE(group.statuses["db-1"].is_primary);
+  LONGS_EQUAL(11, result.demoted_primary->log_end->position.value);
+}
+
 TEST(Replacement, PromotesTheDemotedPrimaryAgainIfAReplicaMayHaveReceivedMore) {
   // Nothing shows then what was acknowledged beyond the candidate's log.
   group.listed = {MakeEntry("db-1"), MakeEntry("db-2"), MakeEntry("db-3")};
