Confirm a primary only once no unheard order can precede it

What callers saw: acknowledged commits lost (LOST 5 in the search) after two VMs had not heard each other: two promotions took effect about 1 s apart, the first by the order of the former holder, the second by a confirmation.

Cause: a confirmation orders the primary to lead, so that older orders are refused. It changes nothing while the primary leads, but the order of the former holder, accepted a second before, took effect between the report and the confirmation's own effect. The confirmation then was a promotion of the old primary, which nobody knew of: no hold, no record.

Change: - A holder that has taken a duty over from another VM (the row is not as this VM has written it last) confirms the primary only kPromotionTimeout after the claim. What the former holder had ordered before has taken effect by then. A duty that nobody or this VM held is confirmed at once, as before. - While an order for another endpoint that this VM knows of may still take effect, all commits are held from the report until kPromotionTimeout after the confirmation: whichever of the two endpoints leads last holds them all. - A confirmation is recorded until it cannot take effect any more. If another endpoint proves a newer term meanwhile, commits are held for the confirmed one, which is to lead again.

Limits: an order of an unheard VM whose answer was lost may be carried out later than the wait. A takeover with a primary that leads and has to be replaced for another reason takes 2 s longer, because replacements wait for the confirmation. A VM that has lost its duty may still order until the first call of the next holder.

--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -493,8 +493,47 @@
       changes no role, but the platform then refuses every older order. */
   void ConfirmPrimary(const ServiceId& service, TimePoint now);
 
+  /** @param service   the service
+      @param endpoint  its primary
+      @param now       the current time
+      @returns         whether an order for another endpoint that this VM knows
+                       of may still take effect */
+  bool MayOtherOrderTakeEffect(const ServiceId& service,
+                               const EndpointId& endpoint,
+                               TimePoint now);
+
   void FinishConfirmation(const ServiceId& service, std::error_code ec);
 
+  /** Sends the order of a confirmation.
+
+      @param service        the service
+      @param fencing_token  token of this VM's claim
+      @param endpoint       the primary
+      @param term           the term that it leads
+  */
+  void OrderPresentPrimary(const ServiceId& service,
+                           uint64_t fencing_token,
+                           const EndpointId& endpoint,
+                           Term term);
+
+  /** Records until when a confirmation may take effect.
+
+      @param progress  the service's progress
+      @param ec        result of the confirmation
+  */
+  void SettleFencingOrder(Progress& progress, std::error_code ec);
+
+  /** Holds commits for the endpoint of a confirmation that is still to take
+      effect, if another endpoint has proved a newer term meanwhile.
+
+      @param service   the service
+      @param endpoint  the endpoint that leads
+      @param term      its term
+      @returns         whether the confirmed endpoint is still to lead again */
+  bool HoldForFencingOrder(const ServiceId& service,
+                           const EndpointId& endpoint,
+                           Term term);
+
   /** Lets no VM send commits to an endpoint but the successor, from the
       demotion of the primary or the order until the successor leads.
 
--- a/libs/control/failover/failover_control_duties.h
+++ b/libs/control/failover/failover_control_duties.h
@@ -149,8 +149,10 @@
   ApplyGroupRecord(service, previous);
   delegate_.SendHeartbeats();
   const auto former = primaries_.GetLatestConfirmed(service);
-  progress_[service].inherited = {delegate_.Now(),
-                                  former ? former->term : Term{}};
+  const TimePoint now = delegate_.Now();
+  progress_[service].inherited = {
+      now, former ? former->term : Term{},
+      claims_.IsTakenOver(service) ? now + kPromotionTimeout : now};
   InheritOrder(service);
   delegate_.After(kPromotionTimeout, [this] { Review(); });
 }
@@ -172,6 +174,16 @@
       now < progress.not_before) {
     return;
   }
+  if (progress.inherited && now < progress.inherited->orders_until) {
+    // An order that takes effect between the report of the primary and this one
+    // would make it a promotion.
+    return;
+  }
+  if (MayOtherOrderTakeEffect(service, entry->id, now)) {
+    // Whichever of the two endpoints leads last holds every commit then.
+    BeginHold(service, {}, token);
+    progress.fencing_hold_until = TimePoint::max();
+  }
   progress.confirming = true;
   forwarder_.Send(*entry, {EndpointCommandKind::kReport, {}},
                   kEndpointCommandTimeout,
@@ -181,13 +193,61 @@
                       FinishConfirmation(service, Error::kUnreachable);
                       return;
                     }
-                    promotions_.Promote(service, id, token,
-                                        [this, service](std::error_code end) {
-                                          FinishConfirmation(service, end);
-                                        });
+                    OrderPresentPrimary(service, token, id, status.term);
                   });
 }
 
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+void FailoverControl<S, R, C, P, T>::OrderPresentPrimary(
+    const ServiceId& service,
+    uint64_t fencing_token,
+    const EndpointId& endpoint,
+    Term term) {
+  if (const auto latest = primaries_.GetLatestConfirmed(service);
+      latest && latest->endpoint != endpoint && latest->term > term) {
+    FinishConfirmation(service, Error::kUnreachable);
+    return;
+  }
+  std::optional<FencingOrder>& order = progress_[service].fencing_order;
+  const TimePoint lost_until =
+      order && order->endpoint == endpoint ? order->lost_until : TimePoint{};
+  order = {endpoint, term, TimePoint::max(), lost_until};
+  promotions_.Promote(service, endpoint, fencing_token,
+                      [this, service](std::error_code ec) {
+                        SettleFencingOrder(progress_[service], ec);
+                        FinishConfirmation(service, ec);
+                      });
+}
+
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+bool FailoverControl<S, R, C, P, T>::MayOtherOrderTakeEffect(
+    const ServiceId& service,
+    const EndpointId& endpoint,
+    TimePoint now) {
+  const Progress& progress = progress_[service];
+  const bool is_own_open = !progress.pending_promotion.IsEmpty() &&
+                           progress.pending_promotion != endpoint &&
+                           now < progress.pending_until;
+  const bool is_fencing_open = progress.fencing_order &&
+                               progress.fencing_order->endpoint != endpoint &&
+                               now < progress.fencing_order->until;
+  const bool is_order_open = IsOrderOpen(progress, now) &&
+                             progress.unconfirmed_order->endpoint != endpoint;
+  const std::optional<PeerOrder>& heard = progress.peer_order;
+  const bool is_heard_open = heard && !heard->endpoint.IsEmpty() &&
+                             heard->endpoint != endpoint &&
+                             now - heard->heard_at < kLostPromotionRetention;
+  return is_own_open || is_fencing_open || is_order_open || is_heard_open;
+}
+
 template <RowStore S,
           DutyRowCodec R,
           EndpointCommandSender C,
@@ -198,6 +258,11 @@
     std::error_code ec) {
   Progress& progress = progress_[service];
   progress.confirming = false;
+  if (progress.fencing_hold_until > TimePoint{}) {
+    progress.fencing_hold_until = !ec || ec == Error::kAnswerLost
+                                      ? delegate_.Now() + kPromotionTimeout
+                                      : TimePoint{};
+  }
   if (!ec) {
     progress.unsettled = false;
     progress.confirmed_at = delegate_.Now();
@@ -217,6 +282,26 @@
   delegate_.After(kReplacementRetryInterval, [this] { Review(); });
 }
 
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+void FailoverControl<S, R, C, P, T>::SettleFencingOrder(Progress& progress,
+                                                        std::error_code ec) {
+  std::optional<FencingOrder>& order = progress.fencing_order;
+  if (!order) {
+    return;
+  }
+  const TimePoint now = delegate_.Now();
+  if (!ec || ec == Error::kSuperseded) {
+    order->lost_until = {};
+  } else if (ec == Error::kAnswerLost) {
+    order->lost_until = now + kLostPromotionRetention;
+  }
+  order->until = ec ? order->lost_until : now + kPromotionTimeout;
+}
+
 }  // namespace magnoliareel
 
 #endif  // MAGNOLIAREEL_CONTROL_FAILOVER_FAILOVER_CONTROL_DUTIES_H_
--- a/libs/control/failover/failover_control_holds.h
+++ b/libs/control/failover/failover_control_holds.h
@@ -66,7 +66,9 @@
   const bool is_superseded =
       FindPeerToken(service) > progress.hold->fencing_token &&
       (!order || now - order->sent_at >= kPromotionTimeout);
-  if ((!progress.running && !IsOrderOpen(progress, now)) || is_superseded) {
+  const bool is_needed = progress.running || IsOrderOpen(progress, now) ||
+                         now < progress.fencing_hold_until;
+  if (!is_needed || is_superseded) {
     EndHold(service);
     return false;
   }
--- a/libs/control/failover/failover_control_orders.h
+++ b/libs/control/failover/failover_control_orders.h
@@ -28,6 +28,8 @@
           std::max(order.newest_term, former ? former->term : Term{}),
           std::nullopt, lost_until};
   progress_[plan.service].replaced_term = open->former_term;
+  // It takes effect before this order, or is refused.
+  progress_[plan.service].fencing_order.reset();
   BeginHold(plan.service, order.successor, plan.fencing_token);
   GuardOrder(plan, order);
 }
@@ -101,6 +103,7 @@
   // Another endpoint that leads a newer term does so by an earlier order, and
   // this one is still to take effect.
   if (!order || order->endpoint != endpoint || term <= order->former_term) {
+    HoldForFencingOrder(service, endpoint, term);
     return;
   }
   const Duration age = delegate_.Now() - order->sent_at;
@@ -116,7 +119,38 @@
   }
   order.reset();
   guard_.End(service);
-  EndHold(service);
+  if (!HoldForFencingOrder(service, endpoint, term)) {
+    EndHold(service);
+  }
+}
+
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+bool FailoverControl<S, R, C, P, T>::HoldForFencingOrder(
+    const ServiceId& service,
+    const EndpointId& endpoint,
+    Term term) {
+  Progress& progress = progress_[service];
+  std::optional<FencingOrder>& order = progress.fencing_order;
+  const TimePoint now = delegate_.Now();
+  if (!order || term <= order->term || now >= order->until) {
+    return false;
+  }
+  const uint64_t token = claims_.GetToken(service);
+  if (endpoint == order->endpoint || token == 0 ||
+      FindPeerToken(service) > token) {
+    order.reset();
+    progress.fencing_hold_until = {};
+    ReviewHold(service, now);
+    return false;
+  }
+  order->term = term;
+  progress.fencing_hold_until = order->until;
+  BeginHold(service, order->endpoint, token);
+  return true;
 }
 
 template <RowStore S,
--- a/libs/control/failover/failover_progress.h
+++ b/libs/control/failover/failover_progress.h
@@ -51,6 +51,22 @@
   TimePoint claimed_at;
   /** Term of the latest confirmed primary at that time. */
   Term former_term;
+  /** Time until which an order may take effect that the former holder has sent
+      without this VM's knowledge. */
+  TimePoint orders_until;
+};
+
+/** An order for the present primary, which fences older ones. It changes
+    nothing unless one of these takes effect first: the primary then leads
+    again. */
+struct FencingOrder {
+  EndpointId endpoint;
+  /** Term that the endpoint led at the order. */
+  Term term;
+  /** Time after which it does not take effect any more. */
+  TimePoint until;
+  /** The same of an earlier one whose answer was lost. */
+  TimePoint lost_until;
 };
 
 /** A hold that another VM has announced. */
@@ -75,6 +91,10 @@
   /** A promotion of this VM or of the previous holder may still be executed,
       because its answer was lost. */
   bool unsettled = false;
+  /** The latest confirmation of the primary. */
+  std::optional<FencingOrder> fencing_order;
+  /** Commits are held until then for a confirmation of the primary. */
+  TimePoint fencing_hold_until;
   /** Time of the answer to the latest confirmation of the primary. */
   std::optional<TimePoint> confirmed_at;
   /** Endpoint of this VM's promotion whose answer was lost; empty if none. */
--- a/libs/coordination/duties/duty_claims.h
+++ b/libs/coordination/duties/duty_claims.h
@@ -118,6 +118,15 @@
     return it == claims_.end() ? 0 : it->second.token;
   }
 
+  /** @param service  a service whose duty this VM holds
+      @returns        whether another VM, or an earlier process of this one, may
+                      have held it before this VM's latest claim
+  */
+  bool IsTakenOver(const ServiceId& service) const {
+    const auto it = claims_.find(service);
+    return it != claims_.end() && it->second.is_taken_over;
+  }
+
   /** @param service  the service
       @param group    a record
       @returns        whether the row of a duty that this VM holds is known to
@@ -136,6 +145,7 @@
       // The store may have given the version of that write out again.
       claim.row_version = 0;
     }
+    former_versions_.clear();
   }
 
   /** Drops this VM's claim. It is not released in the store.
@@ -145,7 +155,11 @@
 
       @param service  the service
   */
-  void Forget(const ServiceId& service) { claims_.erase(service); }
+  void Forget(const ServiceId& service) {
+    if (const auto node = claims_.extract(service)) {
+      former_versions_[service] = node.mapped().row_version;
+    }
+  }
 
   /** @returns the duties that this VM holds with their tokens, ordered by
                service */
@@ -164,6 +178,8 @@
     uint64_t row_version = 0;
     /** The record in the row; none if it is not known. */
     std::optional<GroupRecord> saved;
+    /** @see IsTakenOver() */
+    bool is_taken_over = false;
   };
   /** Called with the row and its version; the version is 0 if there is none. */
   using RowCompletion =
@@ -194,20 +210,32 @@
                   const GroupRecord& previous,
                   const ClaimCompletion& done) {
     std::string value = R::Encode({vm_, group});
-    store_.WriteIf(kDutyTable, service.value, value, version,
-                   [this, service, group = std::move(group), previous, done](
-                       std::error_code ec, const StoredRows& answer) {
-                     if (ec) {
-                       done(ec, 0, {});
-                       return;
-                     }
-                     claims_[service] = {answer.version, answer.version, group};
-                     LogEvent(
-                         Event::kDutyClaimed,
-                         {{"service", service.value},
-                          {"fencing_token", std::to_string(answer.version)}});
-                     done({}, answer.version, previous);
-                   });
+    const bool is_taken_over =
+        version != 0 && version != GetRowVersion(service);
+    store_.WriteIf(
+        kDutyTable, service.value, value, version,
+        [this, service, group = std::move(group), previous, is_taken_over,
+         done](std::error_code ec, const StoredRows& answer) {
+          if (ec) {
+            done(ec, 0, {});
+            return;
+          }
+          claims_[service] = {answer.version, answer.version, group,
+                              is_taken_over};
+          LogEvent(Event::kDutyClaimed,
+                   {{"service", service.value},
+                    {"fencing_token", std::to_string(answer.version)}});
+          done({}, answer.version, previous);
+        });
+  }
+
+  /** @returns version of the row at this VM's latest write; 0 for none */
+  uint64_t GetRowVersion(const ServiceId& service) const {
+    if (const auto it = claims_.find(service); it != claims_.end()) {
+      return it->second.row_version;
+    }
+    const auto it = former_versions_.find(service);
+    return it == former_versions_.end() ? 0 : it->second;
   }
 
   void RefreshRowVersion(const ServiceId& service,
@@ -235,6 +263,8 @@
   S& store_;
   const VmId vm_;
   std::map<ServiceId, HeldClaim> claims_;
+  /** HeldClaim::row_version of the claims that were dropped. */
+  std::map<ServiceId, uint64_t> former_versions_;
 };
 
 }  // namespace magnoliareel
--- a/libs/coordination/tests/coordination_test.cc
+++ b/libs/coordination/tests/coordination_test.cc
@@ -317,6 +317,19 @@
   STRCMP_EQUAL("write groyne-logs 0", store.last.c_str());
 }
 
+TEST(Duties, AClaimTakesOverWhatThisVmHasNotWrittenLast) {
+  // The former holder's orders may still take effect.
+  Claim();
+  CHECK(!claims.IsTakenOver(service));
+  for (const uint64_t version : {41, 47}) {
+    claims.Forget(service);
+    claims.Claim(service, Keep, [](std::error_code, uint64_t, const auto&) {});
+    store.Answer({}, Rows({"groyne-logs"}, version));
+    store.Answer({}, Rows({}, version + 1));
+    CHECK_EQUAL(version != 41, claims.IsTakenOver(service));
+  }
+}
+
 TEST_GROUP(ListAllRows){};
 
 TEST(ListAllRows, ReturnsTheRowsOfAllPages) {
