Relay the hold of an order whose holder was killed

The VMs that had heard of the order let their holds lapse 2 s after the holder's last word, and a heartbeat of the holder's next process ended them at once.

A VM that the holder itself has told of an order now keeps the hold and relays the notice in its own heartbeats, with the holder's token: until the successor proves a newer term, the holder ends it, 2 s have passed under a newer token, or 14 s have passed since the holder's last word. The encoding is as it was. What a holder announces is told from a relay by its duty, whose token is not older; a notice that came by a relay is held and not relayed again, so that relays cannot keep each other alive. A relay revives nothing that its holder has ended, and the holder ignores its own notice. A heartbeat of the holder's VM without the notice and without the duty comes from a new process, and ends no hold.

A notice without a successor is not relayed: nothing is ordered yet.

--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -258,6 +258,8 @@
     for (const auto& [service, progress] : progress_) {
       if (progress.hold) {
         heartbeat.replacements.push_back(*progress.hold);
+      } else if (const PeerHold* hold = FindOpenPeerHold(service, now)) {
+        heartbeat.replacements.push_back(hold->notice);
       }
     }
   }
@@ -514,10 +516,32 @@
       @returns whether it goes on */
   bool ReviewHold(const ServiceId& service, TimePoint now);
 
-  /** Applies the holds of another VM, and ends those that it does not announce
-      any more. */
+  /** Applies the holds that another VM announces or relays, and ends those that
+      it does not announce any more. */
   void ApplyReplacementNotices(const Heartbeat& heartbeat);
 
+  /** @returns whether the heartbeat comes from the holder of a duty that has
+               ordered under the token, or under a newer one since */
+  static bool HoldsDuty(const Heartbeat& heartbeat,
+                        const ServiceId& service,
+                        uint64_t fencing_token);
+
+  /** @param notice     notice of another VM
+      @param is_direct  the VM announces its own hold
+      @returns          whether the notice is in force */
+  bool IsInForce(const ReplacementNotice& notice, bool is_direct);
+
+  /** @returns whether the VM's hold ends because its heartbeat does not
+     announce it any more */
+  bool IsEndedBy(const Heartbeat& heartbeat, PeerHold& hold);
+
+  /** Returns the hold that the holder of a duty has announced to this VM, if
+      its order may still take effect. Such a hold goes on if the holder is
+      lost, and is relayed to the VMs that have not heard of it.
+
+      @returns the hold; null if there is none */
+  const PeerHold* FindOpenPeerHold(const ServiceId& service, TimePoint now);
+
   /** @returns whether an order of this VM may still take effect */
   static bool IsOrderOpen(const Progress& progress, TimePoint now) {
     const std::optional<PromotionOrder>& order = progress.unconfirmed_order;
@@ -612,7 +636,7 @@
   /** The same of those that were confirmed. */
   std::map<ServiceId, EndpointEntry> confirmed_entries_;
   std::map<ServiceId, Progress> progress_;
-  /** Holds that other VMs announce; one whose VM is lost ends on its own. */
+  /** Holds that other VMs announce, and those that their holders have ended. */
   std::map<ServiceId, PeerHold> peer_holds_;
   std::map<EndpointId, uint32_t> last_levels_;
   std::vector<std::pair<PromotionNotice, TimePoint>> promotion_notices_;
--- a/libs/control/failover/failover_control_holds.h
+++ b/libs/control/failover/failover_control_holds.h
@@ -5,6 +5,7 @@
 // primary that is being replaced. Included by failover_control.h.
 
 #include <algorithm>
+#include <optional>
 
 #include "control/failover/failover_control.h"
 
@@ -22,6 +23,7 @@
   const ReplacementNotice notice{service, successor, fencing_token};
   if (hold != notice) {
     hold = notice;
+    progress_[service].latest_hold_token = fencing_token;
     delegate_.SendHeartbeats();
     // A datagram may be lost.
     delegate_.After(kHoldNoticeRepeatDelay, [this, service, notice] {
@@ -42,7 +44,7 @@
 void FailoverControl<S, R, C, P, T>::EndHold(const ServiceId& service) {
   if (const auto ended = std::exchange(progress_[service].hold, std::nullopt)) {
     const auto it = peer_holds_.find(service);
-    if (it == peer_holds_.end() ||
+    if (it == peer_holds_.end() || it->second.has_ended ||
         it->second.notice.fencing_token < ended->fencing_token) {
       delegate_.ReleaseCommits(service);
     }
@@ -59,7 +61,11 @@
                                                 TimePoint now) {
   const Progress& progress = progress_[service];
   if (!progress.hold) {
-    return false;
+    const PeerHold* peer_hold = FindOpenPeerHold(service, now);
+    if (peer_hold != nullptr) {
+      delegate_.HoldCommits(service, peer_hold->notice.successor);
+    }
+    return peer_hold != nullptr;
   }
   const std::optional<PromotionOrder>& order = progress.unconfirmed_order;
   // An order that was accepted before another VM took over still takes effect.
@@ -81,36 +87,145 @@
           class T>
 void FailoverControl<S, R, C, P, T>::ApplyReplacementNotices(
     const Heartbeat& heartbeat) {
+  const TimePoint now = delegate_.Now();
   for (const ReplacementNotice& it : heartbeat.replacements) {
     const auto known = peer_holds_.find(it.service);
-    const uint64_t newest = std::max(
-        {claims_.GetToken(it.service), FindPeerToken(it.service),
-         known == peer_holds_.end() ? 0 : known->second.notice.fencing_token});
-    if (IsKnown(it.service) && it.fencing_token >= newest) {
-      peer_holds_[it.service] = {heartbeat.vm, it};
-      delegate_.HoldCommits(it.service, it.successor);
-      RecordPeerOrder(it.service, it.successor, it.fencing_token);
-      if (!progress_[it.service].running) {
-        // That VM relies on its pauses. They may have the term of earlier ones
-        // of this VM.
-        resumer_.Cancel(ListEndpoints(it.service));
-      }
+    // A holder that has dropped its claim still announces its hold.
+    const bool is_direct =
+        HoldsDuty(heartbeat, it.service, it.fencing_token) ||
+        (known != peer_holds_.end() && known->second.is_direct &&
+         known->second.vm == heartbeat.vm &&
+         known->second.notice.fencing_token == it.fencing_token);
+    if (!IsKnown(it.service) || !IsInForce(it, is_direct)) {
+      continue;
+    }
+    PeerHold& hold = peer_holds_[it.service];
+    const bool is_relay_of_known =
+        !is_direct && hold.is_direct &&
+        hold.notice.fencing_token == it.fencing_token;
+    hold.notice = it;
+    if (!is_relay_of_known) {
+      hold = {heartbeat.vm, it,  is_direct,
+              false,        now, now + kLostPromotionRetention};
+    }
+    delegate_.HoldCommits(it.service, it.successor);
+    RecordPeerOrder(it.service, it.successor, it.fencing_token);
+    if (!progress_[it.service].running) {
+      // That VM relies on its pauses. They may have the term of earlier ones
+      // of this VM.
+      resumer_.Cancel(ListEndpoints(it.service));
     }
   }
-  std::erase_if(peer_holds_, [&](const auto& row) {
-    const ServiceId& service = row.first;
-    const bool has_ended =
-        row.second.vm == heartbeat.vm &&
-        std::none_of(
-            heartbeat.replacements.begin(), heartbeat.replacements.end(),
-            [&](const ReplacementNotice& it) { return it.service == service; });
-    if (has_ended && !progress_[service].hold) {
-      delegate_.ReleaseCommits(service);
+  for (auto& [service, hold] : peer_holds_) {
+    if (IsEndedBy(heartbeat, hold)) {
+      hold.has_ended = true;
+      if (!progress_[service].hold) {
+        delegate_.ReleaseCommits(service);
+      }
     }
-    return has_ended;
+  }
+  // Relays of a hold that its holder has ended have to be recognized.
+  std::erase_if(peer_holds_, [](const auto& row) {
+    return row.second.has_ended && !row.second.is_direct;
   });
 }
 
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+bool FailoverControl<S, R, C, P, T>::HoldsDuty(const Heartbeat& heartbeat,
+                                               const ServiceId& service,
+                                               uint64_t fencing_token) {
+  return std::any_of(heartbeat.duties.begin(), heartbeat.duties.end(),
+                     [&](const HeldDuty& it) {
+                       return it.service == service &&
+                              it.fencing_token >= fencing_token;
+                     });
+}
+
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+bool FailoverControl<S, R, C, P, T>::IsInForce(const ReplacementNotice& notice,
+                                               bool is_direct) {
+  const auto known = peer_holds_.find(notice.service);
+  const PeerHold* hold = known == peer_holds_.end() ? nullptr : &known->second;
+  const uint64_t token = notice.fencing_token;
+  if (token < std::max(claims_.GetToken(notice.service),
+                       FindPeerToken(notice.service)) ||
+      (hold != nullptr && token < hold->notice.fencing_token)) {
+    return false;
+  }
+  if (is_direct) {
+    return true;
+  }
+  if (token <= progress_[notice.service].latest_hold_token) {
+    // It is a hold of this VM.
+    return false;
+  }
+  // A relay may be older than what the holder has announced.
+  return hold == nullptr || !hold->is_direct ||
+         token > hold->notice.fencing_token ||
+         (!hold->has_ended && hold->notice.successor.IsEmpty());
+}
+
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+bool FailoverControl<S, R, C, P, T>::IsEndedBy(const Heartbeat& heartbeat,
+                                               PeerHold& hold) {
+  const ReplacementNotice& notice = hold.notice;
+  if (hold.vm != heartbeat.vm || hold.has_ended ||
+      std::any_of(heartbeat.replacements.begin(), heartbeat.replacements.end(),
+                  [&](const ReplacementNotice& it) {
+                    return it.service == notice.service;
+                  })) {
+    return false;
+  }
+  if (!HoldsDuty(heartbeat, notice.service, notice.fencing_token)) {
+    // The VM may have started anew, and does not know of its order then.
+    if (const auto& order = progress_[notice.service].peer_order) {
+      hold.open_until =
+          std::min(hold.open_until, order->heard_at + kLostPromotionRetention);
+    }
+    return FindOpenPeerHold(notice.service, delegate_.Now()) == nullptr;
+  }
+  return true;
+}
+
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+const PeerHold* FailoverControl<S, R, C, P, T>::FindOpenPeerHold(
+    const ServiceId& service,
+    TimePoint now) {
+  const auto it = peer_holds_.find(service);
+  const std::optional<PeerOrder>& order = progress_[service].peer_order;
+  if (it == peer_holds_.end() || !order || order->endpoint.IsEmpty()) {
+    return nullptr;
+  }
+  const auto& [vm, notice, is_direct, has_ended, heard_at, open_until] =
+      it->second;
+  if (!is_direct || has_ended || notice.successor != order->endpoint ||
+      notice.fencing_token != order->fencing_token || now >= open_until) {
+    return nullptr;
+  }
+  // An order that was accepted before another VM took over still takes effect.
+  const bool is_superseded =
+      std::max(claims_.GetToken(service), FindPeerToken(service)) >
+      notice.fencing_token;
+  return is_superseded && now - heard_at >= kPromotionTimeout ? nullptr
+                                                              : &it->second;
+}
+
 }  // namespace magnoliareel
 
 #endif  // MAGNOLIAREEL_CONTROL_FAILOVER_FAILOVER_CONTROL_HOLDS_H_
--- a/libs/control/failover/failover_progress.h
+++ b/libs/control/failover/failover_progress.h
@@ -53,10 +53,21 @@
   Term former_term;
 };
 
-/** A hold that another VM has announced. */
+/** A hold that another VM has announced: the holder of the duty, or a VM that
+    relays the holder's notice. */
 struct PeerHold {
+  /** The holder if it has announced the hold to this VM, else the VM that
+      relayed it last. */
   VmId vm;
   ReplacementNotice notice;
+  /** The holder has announced it to this VM, which relays it to the others. */
+  bool is_direct = false;
+  /** The holder has ended it. */
+  bool has_ended = false;
+  /** Time of the holder's latest announcement. */
+  TimePoint heard_at;
+  /** Time after which the holder's order does not take effect any more. */
+  TimePoint open_until;
 };
 
 /** What a FailoverControl is doing about one service.
@@ -104,6 +115,8 @@
   Term replaced_term;
   /** What this VM tells the others while it replaces the primary. */
   std::optional<ReplacementNotice> hold;
+  /** Token of this VM's latest hold, which other VMs may still relay. */
+  uint64_t latest_hold_token = 0;
   TimePoint not_before;
   TimePoint claimed_at;
   TimePoint next_audit_at;
--- a/libs/control/tests/commit_hold_test.cc
+++ b/libs/control/tests/commit_hold_test.cc
@@ -137,4 +137,119 @@
   CHECK(fake.hold_steps.empty());
 }
 
+/** A failover that hears of the order of another VM, vm-2. */
+struct RelayedHoldGroup : CommitHoldGroup {
+  // A heartbeat of the holder while its order is open.
+  Heartbeat MakeHoldersHeartbeat() const {
+    Heartbeat heartbeat = MakeHeartbeat("vm-2", 50);
+    heartbeat.duties = {{kFakeService, 50}};
+    return heartbeat;
+  }
+
+  // A heartbeat of another VM that passes the notice on.
+  Heartbeat MakeRelay() const { return MakeHeartbeat("vm-3", 50); }
+
+  void HearOfTheOrder() {
+    Begin();
+    Receive(MakeHoldersHeartbeat());
+    STRCMP_EQUAL("hold db-2;", JoinSteps().c_str());
+  }
+};
+
+TEST_GROUP_BASE(RelayedHold, RelayedHoldGroup){};
+
+TEST(RelayedHold, ReachesAVmThatStartsAfterTheHolderWasKilled) {
+  // Nobody told it of the order, and it sent commits to the former primary,
+  // which had crashed and led its old term again (LOST).
+  HearOfTheOrder();
+  const std::vector<ReplacementNotice> expected = {
+      {kFakeService, EndpointId{"db-2"}, 50}};
+  CHECK(ListNotices() == expected);
+  const int before = fake.hold_count;
+  RunWithReviews(13);
+  CHECK(ListNotices() == expected);
+  CHECK(fake.hold_count - before >= 100);
+}
+
+TEST(RelayedHold, EndsOnceTheOrderCannotTakeEffectAnyMore) {
+  HearOfTheOrder();
+  fake.Advance(kLostPromotionRetention);
+  const int before = fake.hold_count;
+  RunWithReviews(2);
+  CHECK(ListNotices().empty());
+  LONGS_EQUAL(before, fake.hold_count);
+}
+
+TEST(RelayedHold, IsNotRelayedByVmsThatTheHolderHasNotTold) {
+  // They would keep each other's holds alive for ever.
+  Begin();
+  Receive(MakeRelay());
+  STRCMP_EQUAL("hold db-2;", JoinSteps().c_str());
+  CHECK(ListNotices().empty());
+}
+
+TEST(RelayedHold, IsNotRevivedOnceTheHolderHasEndedIt) {
+  HearOfTheOrder();
+  Heartbeat ended = MakeHoldersHeartbeat();
+  ended.replacements.clear();
+  Receive(ended);
+  STRCMP_EQUAL("hold db-2;release;", JoinSteps().c_str());
+  const int before = fake.hold_count;
+  Receive(MakeRelay());
+  RunWithReviews(1);
+  LONGS_EQUAL(before, fake.hold_count);
+  CHECK(ListNotices().empty());
+  Receive(MakeHoldersHeartbeat());
+  LONGS_EQUAL(1, ListNotices().size());
+}
+
+TEST(RelayedHold, OutlastsARestartOfTheHolder) {
+  // The new process does not know of its order, which may take effect.
+  HearOfTheOrder();
+  Heartbeat restarted = MakeHoldersHeartbeat();
+  restarted.replacements.clear();
+  restarted.duties.clear();
+  Receive(restarted);
+  STRCMP_EQUAL("hold db-2;", JoinSteps().c_str());
+  LONGS_EQUAL(1, ListNotices().size());
+  fake.Advance(kLostPromotionRetention);
+  Receive(restarted);
+  STRCMP_EQUAL("hold db-2;release;", JoinSteps().c_str());
+  CHECK(ListNotices().empty());
+}
+
+TEST(RelayedHold, EndsWithAProofOfTheNewTerm) {
+  HearOfTheOrder();
+  failover.HandlePrimaryConfirmed(EndpointId{"db-1"}, Term{1});
+  LONGS_EQUAL(1, ListNotices().size());
+  failover.HandlePrimaryConfirmed(EndpointId{"db-2"}, Term{2});
+  CHECK(ListNotices().empty());
+}
+
+TEST(RelayedHold, EndsBehindATakeoverOnceItsOrderHasTakenEffect) {
+  HearOfTheOrder();
+  Heartbeat next = MakeHeartbeat("vm-3", 51);
+  next.duties = {{kFakeService, 51}};
+  next.replacements.clear();
+  Receive(next);
+  failover.Review();
+  LONGS_EQUAL(1, ListNotices().size());
+  fake.Advance(kPromotionTimeout);
+  CHECK(ListNotices().empty());
+}
+
+TEST(RelayedHold, OfItsOwnOrderIsIgnored) {
+  // The holder would hold commits because of a notice that it has ended.
+  Begin();
+  failover.Apply(fake.MakeView("db-1"));
+  Heartbeat relay = MakeRelay();
+  relay.replacements = ListNotices();
+  LONGS_EQUAL(1, relay.replacements.size());
+  failover.HandlePrimaryConfirmed(EndpointId{fake.primary}, Term{fake.term});
+  const int before = fake.hold_count;
+  Receive(relay);
+  RunWithReviews(1);
+  LONGS_EQUAL(before, fake.hold_count);
+}
+
 }  // namespace magnoliareel
