Let a new duty holder carry on the order that it inherits

Callers could lose commits behind an order whose holder was lost (review by reading; a soak that shows this alone was not found): the next holder named the former one's endpoint in its attempts, and did no more. Nobody announced the hold under the newer token, which ends the older one at all VMs, and nobody demoted a former primary that led its old term again, or paused a replica that had lost its pause, until the order took effect.

A VM that claims a duty while an order of the former holder is open now treats it as its own: it announces the hold with the same successor under its token, guards the order (the former primary is asked first, as the order may have taken effect), and ends both with the proof of a newer term, 2 s after the platform has accepted a call of its own, or 14 s after it heard of the order. The successor is recorded as promoted: otherwise the VM would confirm the former primary and demote it a moment later. If the order has not taken effect within 2 s, it is ordered again under the newer token.

Two conditions belong to it. An order that its own VM has ended is forgotten; it was inherited before, too, which then only named an endpoint. A promotion that heartbeats still announce does not replace the later order that its holder announces as a hold under the same token.

--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -182,7 +182,12 @@
     }
     ApplyReplacementNotices(heartbeat);
     for (const PromotionNotice& it : heartbeat.promotions) {
-      RecordPeerOrder(it.service, it.endpoint, it.fencing_token);
+      const auto hold = peer_holds_.find(it.service);
+      if (hold == peer_holds_.end() || !hold->second.is_direct ||
+          hold->second.notice.fencing_token < it.fencing_token) {
+        // A hold precedes its order, and names the latest one of its holder.
+        RecordPeerOrder(it.service, it.endpoint, it.fencing_token);
+      }
       if (primaries_.RecordPromotion(it.service, it.endpoint, it.fencing_token,
                                      delegate_.Now())) {
         delegate_.AnnouncePrimary(it.service, it.endpoint);
@@ -599,9 +604,26 @@
                              const EndpointId& endpoint,
                              Term term);
 
+  /** Forgets the order of another VM that has ended its hold: it has taken
+      effect, or cannot any more. */
+  void ForgetPeerOrder(const ReplacementNotice& ended);
+
   /** Takes over the order of the former holder of a duty, which may still take
-      effect. */
-  void InheritOrder(const ServiceId& service);
+      effect: commits are held and the order is guarded as one of this VM.
+
+      @param service   the service
+      @param previous  the former holder's record of it
+  */
+  void InheritOrder(const ServiceId& service, const GroupRecord& previous);
+
+  /** Guards the order that InheritOrder() has recorded.
+
+      @param service  the service
+      @param former   the primary that was confirmed last
+  */
+  void GuardInheritedOrder(
+      const ServiceId& service,
+      const std::optional<PrimaryRegistry::ConfirmedPrimary>& former);
 
   void Replace(const ServiceId& service,
                ReplacementReason reason,
--- a/libs/control/failover/failover_control_duties.h
+++ b/libs/control/failover/failover_control_duties.h
@@ -151,7 +151,7 @@
   const auto former = primaries_.GetLatestConfirmed(service);
   progress_[service].inherited = {delegate_.Now(),
                                   former ? former->term : Term{}};
-  InheritOrder(service);
+  InheritOrder(service, previous);
   delegate_.After(kPromotionTimeout, [this] { Review(); });
 }
 
--- a/libs/control/failover/failover_control_holds.h
+++ b/libs/control/failover/failover_control_holds.h
@@ -100,6 +100,10 @@
       continue;
     }
     PeerHold& hold = peer_holds_[it.service];
+    if (hold.has_ended) {
+      // The holder orders anew under its token.
+      progress_[it.service].peer_order.reset();
+    }
     const bool is_relay_of_known =
         !is_direct && hold.is_direct &&
         hold.notice.fencing_token == it.fencing_token;
@@ -119,6 +123,9 @@
   for (auto& [service, hold] : peer_holds_) {
     if (IsEndedBy(heartbeat, hold)) {
       hold.has_ended = true;
+      if (hold.is_direct) {
+        ForgetPeerOrder(hold.notice);
+      }
       if (!progress_[service].hold) {
         delegate_.ReleaseCommits(service);
       }
--- a/libs/control/failover/failover_control_orders.h
+++ b/libs/control/failover/failover_control_orders.h
@@ -137,6 +137,7 @@
   guarded.list_endpoints = plan.list_endpoints;
   guarded.handle_proof = [this, service = plan.service](const EndpointId& id,
                                                         Term term) {
+    HandlePeerOrderProved(service, id, term);
     primaries_.RecordConfirmed(service, id, term);
     RecordPromotionConfirmed(service, id, term);
     PruneSuspicions();
--- a/libs/control/failover/failover_control_succession.h
+++ b/libs/control/failover/failover_control_succession.h
@@ -93,18 +93,80 @@
           EndpointCommandSender C,
           PromotionSender P,
           class T>
-void FailoverControl<S, R, C, P, T>::InheritOrder(const ServiceId& service) {
+void FailoverControl<S, R, C, P, T>::ForgetPeerOrder(
+    const ReplacementNotice& ended) {
+  std::optional<PeerOrder>& order = progress_[ended.service].peer_order;
+  if (order && order->endpoint == ended.successor &&
+      order->fencing_token == ended.fencing_token) {
+    // The token stays, so that a repeated notice is known.
+    order->endpoint = {};
+  }
+}
+
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+void FailoverControl<S, R, C, P, T>::InheritOrder(const ServiceId& service,
+                                                  const GroupRecord& previous) {
   Progress& progress = progress_[service];
   const std::optional<PeerOrder>& order = progress.peer_order;
   const TimePoint now = delegate_.Now();
   const bool has_own =
-      !progress.pending_promotion.IsEmpty() && now < progress.pending_until;
+      (!progress.pending_promotion.IsEmpty() && now < progress.pending_until) ||
+      IsOrderOpen(progress, now);
   if (!order || order->endpoint.IsEmpty() || has_own ||
       now - order->heard_at >= kLostPromotionRetention) {
     return;
   }
+  const auto former = primaries_.GetLatestConfirmed(service);
+  Term former_term = order->former_term;
+  if (former && former->endpoint != order->endpoint) {
+    former_term = std::max(former_term, former->term);
+  }
+  if (previous.primary != order->endpoint) {
+    former_term = std::max(former_term, previous.term);
+  }
   progress.pending_promotion = order->endpoint;
   progress.pending_until = order->heard_at + kLostPromotionRetention;
+  progress.unconfirmed_order = {order->endpoint, order->heard_at, former_term,
+                                progress.pending_until, progress.pending_until};
+  progress.replaced_term = former_term;
+  // If it does not take effect, it is ordered again under this VM's token.
+  primaries_.RecordPromotion(service, order->endpoint, order->fencing_token,
+                             order->heard_at);
+  BeginHold(service, order->endpoint, claims_.GetToken(service));
+  GuardInheritedOrder(service, former);
+}
+
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+void FailoverControl<S, R, C, P, T>::GuardInheritedOrder(
+    const ServiceId& service,
+    const std::optional<PrimaryRegistry::ConfirmedPrimary>& former) {
+  const PromotionOrder& order = *progress_[service].unconfirmed_order;
+  ReplacementPlan plan;
+  plan.service = service;
+  plan.list_endpoints = [this, service] { return ListEndpoints(service); };
+  for (const EndpointEntry& it : ListEndpoints(service)) {
+    if (former && it.id == former->endpoint) {
+      plan.primary = it;
+    } else {
+      plan.replicas.push_back(it);
+    }
+  }
+  if (former && !plan.primary) {
+    if (const EndpointEntry* it = FindFormerEntry(former->endpoint)) {
+      plan.primary = *it;
+    }
+  }
+  // The former primary is asked first: the order may have taken effect.
+  GuardOrder(plan, {order.endpoint, order.former_term, true});
+  guard_.SetDeadline(service, *order.open_until);
 }
 
 }  // namespace magnoliareel
--- a/libs/control/tests/succession_test.cc
+++ b/libs/control/tests/succession_test.cc
@@ -1,5 +1,7 @@
 #include "control/tests/fake_deployment.h"
 
+#include <vector>
+
 #include <CppUTest/TestHarness.h>
 
 namespace magnoliareel {
@@ -93,4 +95,154 @@
   STRCMP_EQUAL("db-2", fake.promotions.front().first.c_str());
 }
 
+/** A VM that takes the duty over from vm-2, which was killed behind an order
+    for db-3 under token 1. */
+struct InheritedOrderGroup : FailoverGroup {
+  // Hears of the order.
+  void HearOfAnOrder() {
+    RecordClaimOfAnotherVm(0);
+    failover.Apply(fake.MakeView(""));
+    failover.HandlePrimaryConfirmed(EndpointId{"db-1"}, Term{1});
+    Heartbeat heartbeat;
+    heartbeat.vm.value = "vm-2";
+    heartbeat.address = {"127.0.0.1", 2};
+    heartbeat.duties = {{kFakeService, 1}};
+    heartbeat.replacements = {{kFakeService, EndpointId{"db-3"}, 1}};
+    peers.RecordHeartbeat(heartbeat, fake.Now());
+    failover.HandleHeartbeat(heartbeat);
+  }
+
+  // The row of the duty has the next version.
+  void RecordClaimOfAnotherVm(uint64_t version) {
+    fake.WriteIf("", "", FakeDutyRowCodec::Encode({VmId{"vm-2"}, {}}), version,
+                 [](std::error_code, const StoredRows&) {});
+  }
+
+  // Takes the duty over.
+  void ClaimTheDuty() {
+    fake.Advance(kPeerTimeout);
+    peers.Sweep(fake.Now());
+    failover.Review();
+    CHECK(!failover.ListDuties().empty());
+  }
+
+  std::vector<ReplacementNotice> ListNotices() {
+    Heartbeat heartbeat;
+    failover.FillHeartbeat(heartbeat);
+    return heartbeat.replacements;
+  }
+};
+
+TEST_GROUP_BASE(InheritedOrder, InheritedOrderGroup){};
+
+TEST(InheritedOrder, IsHeldAndGuardedByTheNewHolder) {
+  // The former primary, which had crashed and led its old term again,
+  // acknowledged commits until the order took effect (LOST).
+  HearOfAnOrder();
+  fake.rejected_promotions = 1000;
+  ClaimTheDuty();
+  const uint64_t token = failover.ListDuties().front().second;
+  CHECK(token > 1);
+  const std::vector<ReplacementNotice> expected = {
+      {kFakeService, EndpointId{"db-3"}, token}};
+  CHECK(ListNotices() == expected);
+  fake.Advance(kOrderGuardInterval);
+  CHECK(fake.primary.empty());
+  fake.primary = "db-1";
+  fake.paused.clear();
+  fake.Advance(kOrderGuardInterval);
+  CHECK(fake.primary.empty());
+  CHECK(fake.paused.contains("db-2"));
+}
+
+TEST(InheritedOrder, EndsWithAProofOfTheNewTerm) {
+  HearOfAnOrder();
+  ClaimTheDuty();
+  fake.primary = "db-3";
+  fake.term = 2;
+  fake.Advance(kOrderGuardInterval);
+  CHECK(ListNotices().empty());
+  fake.demoted.clear();
+  RunWithReviews(2);
+  CHECK(fake.demoted.empty());
+  CHECK(fake.paused.empty());
+  STRCMP_EQUAL("db-3", fake.primary.c_str());
+}
+
+TEST(InheritedOrder, IsOrderedAgainUnderTheNewToken) {
+  // The former holder's order may never have reached the platform.
+  HearOfAnOrder();
+  ClaimTheDuty();
+  RunWithReviews(4);
+  STRCMP_EQUAL("db-3", fake.primary.c_str());
+  LONGS_EQUAL(2, fake.term);
+  failover.HandlePrimaryConfirmed(EndpointId{"db-3"}, Term{2});
+  RunWithReviews(2);
+  CHECK(fake.paused.empty());
+  CHECK(ListNotices().empty());
+}
+
+TEST(InheritedOrder, IsTheLatestOneOfItsHolder) {
+  // The holder orders twice under its token, and still announces its first
+  // promotion. The new holder guarded that one, and demoted the second leader.
+  HearOfAnOrder();
+  failover.HandlePrimaryConfirmed(EndpointId{"db-3"}, Term{2});
+  Heartbeat heartbeat;
+  heartbeat.vm.value = "vm-2";
+  heartbeat.address = {"127.0.0.1", 2};
+  heartbeat.duties = {{kFakeService, 1}};
+  heartbeat.promotions = {{kFakeService, EndpointId{"db-3"}, 1}};
+  peers.RecordHeartbeat(heartbeat, fake.Now());
+  failover.HandleHeartbeat(heartbeat);
+  heartbeat.replacements = {{kFakeService, EndpointId{"db-2"}, 1}};
+  peers.RecordHeartbeat(heartbeat, fake.Now());
+  failover.HandleHeartbeat(heartbeat);
+  failover.HandlePrimaryConfirmed(EndpointId{"db-2"}, Term{3});
+  fake.primary = "db-2";
+  fake.term = 3;
+  ClaimTheDuty();
+  fake.Advance(std::chrono::seconds(1));
+  CHECK(fake.demoted.empty());
+  STRCMP_EQUAL("db-2", fake.primary.c_str());
+}
+
+TEST(InheritedOrder, ThatItsHolderHasGivenUpIsNotHeld) {
+  // The new holder would replace a primary that works.
+  HearOfAnOrder();
+  Heartbeat ended;
+  ended.vm.value = "vm-2";
+  ended.address = {"127.0.0.1", 2};
+  ended.duties = {{kFakeService, 1}};
+  peers.RecordHeartbeat(ended, fake.Now());
+  failover.HandleHeartbeat(ended);
+  ClaimTheDuty();
+  CHECK(ListNotices().empty());
+  RunWithReviews(4);
+  STRCMP_EQUAL("db-1", fake.primary.c_str());
+}
+
+TEST(InheritedOrder, ThatCannotTakeEffectAnyMoreIsNotHeld) {
+  HearOfAnOrder();
+  fake.Advance(kLostPromotionRetention);
+  ClaimTheDuty();
+  CHECK(ListNotices().empty());
+  RunWithReviews(4);
+  STRCMP_EQUAL("db-1", fake.primary.c_str());
+}
+
+TEST(InheritedOrder, LeavesTheReplicasOfALeaderThatIsConfirmed) {
+  // The order had taken effect when the VM heard of it. Pauses would keep the
+  // new primary from acknowledging.
+  RecordClaimOfAnotherVm(0);
+  failover.Apply(fake.MakeView(""));
+  fake.primary = "db-3";
+  fake.term = 2;
+  failover.HandlePrimaryConfirmed(EndpointId{"db-3"}, Term{2});
+  HearOfAnOrder();
+  ClaimTheDuty();
+  fake.Advance(std::chrono::seconds(1));
+  CHECK(fake.paused.empty());
+  STRCMP_EQUAL("db-3", fake.primary.c_str());
+}
+
 }  // namespace magnoliareel
