--- a/libs/control/failover/failover_control_duties.h
+++ b/libs/control/failover/failover_control_duties.h
@@ -153,7 +153,7 @@
   progress_[service].inherited = {
       now, former ? former->term : Term{},
       claims_.IsTakenOver(service) ? now + kPromotionTimeout : now};
-  InheritOrder(service);
+  InheritOrder(service, previous);
   delegate_.After(kPromotionTimeout, [this] { Review(); });
 }
 
