A demoted primary that has ended does not delay the order

Change: the second demotion of a primary that has confirmed the first one waits 100 ms for its answer, and the attempt goes on without it, as it did before there was a second demotion.

--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -42,6 +42,11 @@
     joined before it. */
 inline constexpr Duration kMembershipDelay = std::chrono::milliseconds(1000);
 
+/** Timeout of the second demotion of a primary that has confirmed one. The
+    order does not depend on its answer. */
+inline constexpr Duration kRepeatedDemotionTimeout =
+    std::chrono::milliseconds(100);
+
 /** Timeouts of the demotions that are sent to a primary that does not answer,
     one after the other. The later ones wait for one that answers late. */
 inline constexpr std::array<Duration, 4> kDemotionTimeouts = {
--- a/libs/control/failover/primary_replacement_demotion.h
+++ b/libs/control/failover/primary_replacement_demotion.h
@@ -141,17 +141,22 @@
   }
   auto self = this->shared_from_this();
   const EndpointCommand command{EndpointCommandKind::kDemote, pause_term_};
+  const bool was_demoted = primary_status_.has_value();
   primary_commands_.Send(
-      *plan_.primary, command, kEndpointCommandTimeout,
-      [self, command](std::error_code ec, const ReplicationStatus& status) {
+      *plan_.primary, command,
+      was_demoted ? kRepeatedDemotionTimeout : kEndpointCommandTimeout,
+      [self, command, was_demoted](std::error_code ec,
+                                   const ReplicationStatus& status) {
         self->LogStep(*self->plan_.primary, command, ec, status);
-        if (!ec && !self->primary_status_) {
+        if (!ec && !was_demoted) {
           self->FinishDemotion(ec, status);
           return;
         }
-        const bool is_stopped =
-            ec == Error::kEndpointStopped || ec == Error::kUnreachable;
-        if ((ec && !is_stopped) || status.is_primary) {
+        const bool may_lead = ec ? !was_demoted &&
+                                       ec != Error::kEndpointStopped &&
+                                       ec != Error::kUnreachable
+                                 : status.is_primary;
+        if (may_lead) {
           self->Finish(ReplacementOutcome::kAbandoned, {},
                        "the primary runs and does not confirm its demotion");
           return;
