Ask for the duty's row before an order if most VMs are silent

What callers saw: acknowledged commits lost (LOST 6 to 8 in the search). A VM stood still for 4 s in its attempt and ordered as it went on. Another VM had claimed the duty meanwhile and not called the platform yet, which accepted the order; that of the new holder followed, two effects 0.6 s apart.

Cause: an attempt checks the duty when it begins. The platform refuses a former holder only once the next one has called it. A VM that stood still, or that the others do not reach, orders with an outdated picture; the wait of a new holder before its confirmation gives it more time to do so.

Change: before the first order of an attempt and before a confirmation, a VM that has heard of a newer claim stops. One that has not heard most of the known VMs within 1.5 s reads the duty's row (one read), stops if another VM has claimed it, and orders nothing if the read fails or has taken 0.5 s. A VM that hears most of the others orders as before, without the store. Repeated copies of an order are sent as before.

Limit: in an outage of the store, a holder that hears half of the known VMs or fewer orders nothing any more (docs/PLATFORM.md). A new holder still orders a replacement at once, so KeepCommitsWhenTheOrderOfAnUnheardVmIsInFlight stays red.

--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -504,6 +504,17 @@
 
   void FinishConfirmation(const ServiceId& service, std::error_code ec);
 
+  /** Finds out whether this VM still holds a duty. One that hears most of the
+      VMs knows; otherwise the duty's row is read, as another VM may have
+     claimed it.
+
+      @param service  the service
+      @param done     receives success, Error::kSuperseded, or another error if
+                      it is not known
+  */
+  void CheckDuty(const ServiceId& service,
+                 std::function<void(std::error_code)> done);
+
   /** Sends the order of a confirmation.
 
       @param service        the service
--- a/libs/control/failover/failover_control_duties.h
+++ b/libs/control/failover/failover_control_duties.h
@@ -185,16 +185,50 @@
     progress.fencing_hold_until = TimePoint::max();
   }
   progress.confirming = true;
-  forwarder_.Send(*entry, {EndpointCommandKind::kReport, {}},
-                  kEndpointCommandTimeout,
-                  [this, service, token, id = entry->id](
-                      std::error_code ec, const ReplicationStatus& status) {
-                    if (ec || !status.is_primary || leaving_) {
-                      FinishConfirmation(service, Error::kUnreachable);
-                      return;
-                    }
-                    OrderPresentPrimary(service, token, id, status.term);
-                  });
+  forwarder_.Send(
+      *entry, {EndpointCommandKind::kReport, {}}, kEndpointCommandTimeout,
+      [this, service, token, id = entry->id](std::error_code ec,
+                                             const ReplicationStatus& status) {
+        if (ec || !status.is_primary || leaving_) {
+          FinishConfirmation(service, Error::kUnreachable);
+          return;
+        }
+        CheckDuty(service, [this, service, token, id,
+                            term = status.term](std::error_code end) {
+          if (end) {
+            FinishConfirmation(service, end == Error::kSuperseded
+                                            ? Error::kSuperseded
+                                            : Error::kUnreachable);
+            return;
+          }
+          OrderPresentPrimary(service, token, id, term);
+        });
+      });
+}
+
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+void FailoverControl<S, R, C, P, T>::CheckDuty(
+    const ServiceId& service,
+    std::function<void(std::error_code)> done) {
+  RefreshPeerState();
+  if (FindPeerToken(service) > claims_.GetToken(service)) {
+    done(Error::kSuperseded);
+    return;
+  }
+  const TimePoint asked_at = delegate_.Now();
+  if (peers_.HearsMost(asked_at)) {
+    done({});
+    return;
+  }
+  claims_.Verify(
+      service, [this, asked_at, done = std::move(done)](std::error_code ec) {
+        const bool is_old = delegate_.Now() - asked_at >= kMaxDutyRowAge;
+        done(!ec && is_old ? make_error_code(Error::kStoreUnavailable) : ec);
+      });
 }
 
 template <RowStore S,
--- a/libs/control/failover/failover_control_replacement.h
+++ b/libs/control/failover/failover_control_replacement.h
@@ -91,6 +91,9 @@
     // It may only be cut off from the store.
     plan.primary = *former;
   }
+  plan.check_duty = [this, service](std::function<void(std::error_code)> done) {
+    CheckDuty(service, std::move(done));
+  };
   plan.record_order = [this, ordered = plan](const PlannedOrder& order) {
     RecordOrder(ordered, order);
   };
--- a/libs/control/failover/failover_limits.h
+++ b/libs/control/failover/failover_limits.h
@@ -39,6 +39,9 @@
 /** Delay after a failed write of a GroupRecord. */
 inline constexpr Duration kGroupSaveRetryInterval =
     std::chrono::milliseconds(700);
+/** A row that was read longer ago does not show who holds a duty: the VM may
+    have stood still since. */
+inline constexpr Duration kMaxDutyRowAge = std::chrono::milliseconds(500);
 /** Delay between two claims of one duty. */
 inline constexpr Duration kClaimRetryInterval = std::chrono::milliseconds(700);
 
--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -272,8 +272,11 @@
                        });
   }
 
+  /** Continues with SendOrder(), the first time if this VM holds the duty. */
   void Promote();
 
+  void SendOrder();
+
   void FinishPromotion(std::error_code ec);
 
   void LogStep(const EndpointEntry& endpoint,
--- a/libs/control/failover/primary_replacement_order.h
+++ b/libs/control/failover/primary_replacement_order.h
@@ -18,6 +18,27 @@
           PromotionSender P,
           class T>
 void PrimaryReplacement<C, F, P, T>::Promote() {
+  if (has_ordered_) {
+    SendOrder();
+    return;
+  }
+  plan_.check_duty([self = this->shared_from_this()](std::error_code ec) {
+    if (ec == Error::kSuperseded) {
+      self->Finish(ReplacementOutcome::kSuperseded, {}, "superseded");
+    } else if (ec) {
+      self->Finish(ReplacementOutcome::kAbandoned, {},
+                   "it is not known whether this VM holds the duty");
+    } else {
+      self->SendOrder();
+    }
+  });
+}
+
+template <EndpointCommandSender C,
+          EndpointCommandSender F,
+          PromotionSender P,
+          class T>
+void PrimaryReplacement<C, F, P, T>::SendOrder() {
   if (!std::exchange(has_ordered_, true)) {
     plan_.record_order(
         {replicas_[candidate_].entry.id, newest_held_term_,
--- a/libs/control/failover/replacement_plan.h
+++ b/libs/control/failover/replacement_plan.h
@@ -110,6 +110,11 @@
   std::function<void(std::function<void(std::error_code)>)> read_directory;
   /** Called when the primary has confirmed its demotion. */
   std::function<void()> record_demotion = [] {};
+  /** Finds out before the first order whether this VM still holds the duty.
+      The result is Error::kSuperseded if it does not, and another error if that
+      is not known. */
+  std::function<void(std::function<void(std::error_code)>)> check_duty =
+      [](const std::function<void(std::error_code)>& done) { done({}); };
   /** Called before the promotion of an endpoint is ordered for the first time.
    */
   std::function<void(const PlannedOrder&)> record_order =
--- a/libs/control/peers/peer_group.cc
+++ b/libs/control/peers/peer_group.cc
@@ -124,6 +124,17 @@
   return 1 + static_cast<uint32_t>(known);
 }
 
+bool PeerGroup::HearsMost(TimePoint now) const {
+  const auto turns =
+      (CountLive() - 1) / static_cast<uint32_t>(kMaxHeartbeatTargets);
+  const Duration limit = (1 + turns) * kHeartbeatPeriod + kHeartbeatPeriod / 2;
+  const auto heard =
+      std::count_if(peers_.begin(), peers_.end(), [&](const auto& row) {
+        return !row.second.last.leaving && now - row.second.heard_at < limit;
+      });
+  return 2 * (1 + static_cast<uint32_t>(heard)) > CountKnown();
+}
+
 uint32_t PeerGroup::CountLive() const {
   return 1 + static_cast<uint32_t>(std::count_if(
                  peers_.begin(), peers_.end(),
--- a/libs/control/peers/peer_group.h
+++ b/libs/control/peers/peer_group.h
@@ -99,6 +99,10 @@
               within kSilentPeerRetention and have not announced that they
               leave */
   uint32_t CountKnown() const;
+  /** @param now  the current time
+      @returns    whether this VM and those whose latest heartbeat is not
+     overdue are most of the known ones */
+  bool HearsMost(TimePoint now) const;
   /** @param now  the current time
       @returns    CountLive() plus the number of addresses that were added less
                   than kPeerTimeout ago and have not sent a heartbeat yet */
--- a/libs/control/tests/confirmation_test.cc
+++ b/libs/control/tests/confirmation_test.cc
@@ -29,6 +29,15 @@
     CHECK(!failover.ListDuties().empty());
   }
 
+  // The only other VM falls silent.
+  void LosePeer() {
+    Heartbeat heartbeat;
+    heartbeat.vm.value = "vm-2";
+    heartbeat.address = {"127.0.0.1", 2};
+    peers.RecordHeartbeat(heartbeat, fake.Now());
+    fake.Advance(2 * kHeartbeatPeriod);
+  }
+
   std::vector<ReplacementNotice> ListNotices() {
     Heartbeat heartbeat;
     failover.FillHeartbeat(heartbeat);
@@ -119,4 +128,51 @@
   CHECK(ListNotices().empty());
 }
 
+TEST_GROUP_BASE(DutyChecks, ConfirmationGroup){};
+
+TEST(DutyChecks, StopTheOrderOfAVmThatHasLostItsDuty) {
+  // It had stood still. Its order was accepted before the first call of the
+  // next holder, whose own order followed (LOST 6).
+  SettleOrders();
+  LosePeer();
+  ClaimForAnotherVm();
+  failover.Apply(fake.MakeView("db-1"));
+  CHECK(fake.promotions.empty());
+  CHECK(failover.ListDuties().empty());
+}
+
+TEST(DutyChecks, StopTheConfirmationOfAVmThatHasLostItsDuty) {
+  fake.unresponsive = "db-1";
+  ClaimDuty();
+  LosePeer();
+  ClaimForAnotherVm();
+  fake.unresponsive.clear();
+  RunWithReviews(2);
+  CHECK(fake.promotions.empty());
+  CHECK(failover.ListDuties().empty());
+}
+
+TEST(DutyChecks, StopTheOrderOfAVmThatHearsOfANewerClaim) {
+  // It had heard of the claim since its attempt began.
+  SettleOrders();
+  fake.log_ends["db-1"] = 9;
+  failover.Apply(fake.MakeView("db-1"));
+  CHECK(!fake.demoted.empty());
+  CHECK(fake.promotions.empty());
+  Heartbeat heartbeat;
+  heartbeat.vm.value = "vm-2";
+  heartbeat.address = {"127.0.0.1", 2};
+  heartbeat.duties = {{kFakeService, 99}};
+  peers.RecordHeartbeat(heartbeat, fake.Now());
+  RunWithReviews(3);
+  CHECK(fake.promotions.empty());
+}
+
+TEST(DutyChecks, LetAVmOrderThatHearsNoOther) {
+  SettleOrders();
+  LosePeer();
+  failover.Apply(fake.MakeView("db-1"));
+  LONGS_EQUAL(1, fake.promotions.size());
+}
+
 }  // namespace magnoliareel
--- a/libs/control/tests/control_test.cc
+++ b/libs/control/tests/control_test.cc
@@ -916,6 +916,26 @@
   LONGS_EQUAL(1, peers.CountLive());
 }
 
+TEST(Peers, AreHeardWhileMostSendHeartbeats) {
+  // A VM that stood still, or that is cut off, orders with an outdated picture
+  // (LOST).
+  PeerGroup peers({"127.0.0.1", 1});
+  CHECK(peers.HearsMost(kStart));
+  Heartbeat heartbeat;
+  for (uint16_t it = 2; it <= 3; ++it) {
+    heartbeat.vm.value = "vm-" + std::to_string(it);
+    heartbeat.address = {"127.0.0.1", it};
+    peers.RecordHeartbeat(heartbeat, kStart);
+  }
+  CHECK(peers.HearsMost(After(1400)));
+  CHECK(!peers.HearsMost(After(1500)));
+  peers.RecordHeartbeat(heartbeat, After(1600));
+  CHECK(peers.HearsMost(After(1700)));
+  heartbeat.leaving = true;
+  peers.RecordHeartbeat(heartbeat, After(1800));
+  CHECK(!peers.HearsMost(After(1900)));
+}
+
 TEST(Peers, ThatLeaveAreStillToldOfReplacements) {
   // One that drained its callers had not heard of an order, and sent a commit
   // to the former primary before the effect (LOST).
--- a/libs/coordination/duties/duty_claims.h
+++ b/libs/coordination/duties/duty_claims.h
@@ -110,6 +110,30 @@
         });
   }
 
+  /** Reads the row of a duty that this VM holds.
+
+      @param service  the service
+      @param done     receives success; Error::kSuperseded if another VM has
+                      claimed the duty, which is then not held here any more; or
+                      the error of the read
+  */
+  void Verify(const ServiceId& service, SaveCompletion done) {
+    ReadRow(service,
+            [this, service, token = GetToken(service), done = std::move(done)](
+                std::error_code ec, uint64_t version, const DutyRow& row) {
+              if (GetToken(service) != token || token == 0) {
+                done(Error::kSuperseded);
+              } else if (ec) {
+                done(ec);
+              } else if (version != 0 && row.holder != vm_) {
+                Forget(service);
+                done(Error::kSuperseded);
+              } else {
+                done({});
+              }
+            });
+  }
+
   /** @param service  the service
       @returns         the token of this VM's claim, or 0 if it has none
   */
--- a/libs/coordination/tests/coordination_test.cc
+++ b/libs/coordination/tests/coordination_test.cc
@@ -330,6 +330,26 @@
   }
 }
 
+TEST(Duties, TheRowShowsWhetherAnotherVmHasClaimed) {
+  Claim();
+  std::error_code code;
+  const auto verify = [&](const char* holder, std::error_code ec) {
+    claims.Verify(service, [&](std::error_code end) { code = end; });
+    STRCMP_EQUAL("get groyne-logs", store.last.c_str());
+    StoredRows stored = Rows({"groyne-logs"}, 50);
+    stored.rows.front().value = FakeDutyRowCodec::Encode({VmId{holder}, {}});
+    store.Answer(ec, stored);
+  };
+  verify("vm-1", {});
+  CHECK(!code);
+  verify("vm-1", Error::kStoreUnavailable);
+  CHECK(code == Error::kStoreUnavailable);
+  LONGS_EQUAL(41, claims.GetToken(service));
+  verify("vm-2", {});
+  CHECK(code == Error::kSuperseded);
+  LONGS_EQUAL(0, claims.GetToken(service));
+}
+
 TEST_GROUP(ListAllRows){};
 
 TEST(ListAllRows, ReturnsTheRowsOfAllPages) {
