--- a/libs/control/failover/replacement_plan.h
+++ b/libs/control/failover/replacement_plan.h
@@ -116,6 +116,11 @@
   /** Called before the last comparison of the logs: no VM may send a commit
       from then on until an endpoint is ordered. */
   std::function<void()> hold_commits = [] {};
+  /** Finds out before the first order whether this VM still holds the duty.
+      The result is Error::kSuperseded if it does not, and another error if that
+      is not known. */
+  std::function<void(std::function<void(std::error_code)>)> check_duty =
+      [](const std::function<void(std::error_code)>& done) { done({}); };
   /** Called before the promotion of an endpoint is ordered for the first time.
    */
   std::function<void(const PlannedOrder&)> record_order =
