Test that an inherited order that has taken effect steers no attempt

After a takeover, a failed primary was not replaced for 2 s (14 s without a confirmation): the new holder went on preferring the endpoint of the former holder's order after its proof, and gave attempts up while that endpoint was behind (review by reading). Only the proof of a VM's own order cleared the preference. Since the new holder treats an inherited order as its own, the proof of a newer term clears it; this adds the test.

--- a/libs/control/tests/succession_test.cc
+++ b/libs/control/tests/succession_test.cc
@@ -245,4 +245,23 @@
   STRCMP_EQUAL("db-3", fake.primary.c_str());
 }
 
+TEST(InheritedOrder, IsNotPreferredOnceItHasTakenEffect) {
+  // The next promotion named its endpoint, though another one had received
+  // more.
+  HearOfAnOrder();
+  ClaimTheDuty();
+  failover.HandlePrimaryConfirmed(EndpointId{"db-3"}, Term{2});
+  failover.HandlePrimaryConfirmed(EndpointId{"db-1"}, Term{3});
+  fake.primary = "db-1";
+  fake.term = 3;
+  fake.log_ends["db-2"] = 9;
+  fake.promotions.clear();
+  fake.stopped = "db-1";
+  failover.HandleConditionReport(
+      {EndpointId{"db-1"}, EndpointCondition::kUnreachable});
+  fake.Advance(std::chrono::milliseconds(1500));
+  CHECK(!fake.promotions.empty());
+  STRCMP_EQUAL("db-2", fake.promotions.front().first.c_str());
+}
+
 }  // namespace magnoliareel
