Watch for late pauses of the former duty holder's order

Commits could wait until the next promotion (review by reading): a pause that the guard of the former duty holder had sent was executed after the new holder had asked the replica once, and was ended by nobody.

Pauses of later attempts have a newer term and are left.

Red before: `control_tests -sn EndsALatePauseOfTheFormerHoldersOrder`, "CHECK(fake.paused.empty()) failed" for the late pause. The soak was not run.

--- a/libs/control/failover/failover_control_succession.h
+++ b/libs/control/failover/failover_control_succession.h
@@ -46,7 +46,13 @@
   }
   progress.inherited.reset();
   for (const EndpointEntry& it : ListEndpoints(service)) {
-    resumer_.ResumeIfPaused(it, {ResumeReason::kDutyClaimed, std::nullopt});
+    if (is_newer_term) {
+      // A command of the former holder's guard may pause it late.
+      resumer_.WatchPaused(
+          it, {ResumeReason::kDutyClaimed, std::nullopt, primary->term});
+    } else {
+      resumer_.ResumeIfPaused(it, {ResumeReason::kDutyClaimed, std::nullopt});
+    }
   }
 }
 
--- a/libs/control/failover/replica_resumer.h
+++ b/libs/control/failover/replica_resumer.h
@@ -60,6 +60,8 @@
   /** Newest term of the pauses to end; none for the pause that the replica
       reports first. */
   std::optional<Term> pause_term;
+  /** Newest term of the pauses to end beside the one reported first. */
+  Term late_pause_term = {};
 };
 
 /** A replica that is to be resumed. */
@@ -170,10 +172,12 @@
   void Schedule(const PendingResume& resume) {
     const uint64_t generation = ++last_generation_;
     Entry& entry = entries_[resume.replica.id];
-    const auto pause_term =
-        std::max(entry.resume.cause.pause_term, resume.cause.pause_term);
+    const auto earlier_term = entry.resume.cause.pause_term;
     entry = {resume, generation};
-    entry.resume.cause.pause_term = pause_term;
+    if (resume.cause.pause_term) {
+      entry.resume.cause.pause_term =
+          std::max(earlier_term, resume.cause.pause_term);
+    }
     const Duration delay = std::max(Duration(0), resume.due_at - timing_.Now());
     timing_.After(delay, [this, replica = resume.replica, generation] {
       if (IsCurrent(replica.id, generation)) {
@@ -203,8 +207,9 @@
           }
           PendingResume& resume = entries_[replica.id].resume;
           std::optional<Term>& pause_term = resume.cause.pause_term;
-          if (!ec && status.paused_at > Term{} && !pause_term) {
-            pause_term = status.paused_at;
+          if (!ec && !pause_term) {
+            pause_term =
+                std::max(status.paused_at, resume.cause.late_pause_term);
           }
           const bool paused = !ec && status.paused_at > Term{} &&
                               status.paused_at <= *pause_term;
--- a/libs/control/tests/succession_test.cc
+++ b/libs/control/tests/succession_test.cc
@@ -48,6 +48,23 @@
   CHECK(fake.paused.empty());
 }
 
+TEST(Succession, EndsALatePauseOfTheFormerHoldersOrder) {
+  // The replica was asked once, and stayed paused until the next promotion. A
+  // newer pause is that of another attempt.
+  ClaimWithAPausedReplica();
+  fake.primary = "db-2";
+  fake.term = 2;
+  failover.HandlePrimaryConfirmed(EndpointId{"db-2"}, Term{2});
+  RunWithReviews(1);
+  CHECK(fake.paused.empty());
+  fake.paused["db-3"] = Term{2};
+  RunWithReviews(3);
+  CHECK(fake.paused.empty());
+  fake.paused["db-3"] = Term{3};
+  RunWithReviews(3);
+  CHECK(fake.paused.contains("db-3"));
+}
+
 TEST(Succession, LeavesThePausesOfAnotherVmsReplacement) {
   // Attempts of two VMs may pause replicas at the same term. The one that was
   // abandoned took the other's pause for its own and ended it (LOST).
