Promote the member that has received most when one member is missing

What callers saw: a service without a primary for ever. The endpoint that was ordered to lead leaves between its order and the effect, or a replica leaves beside a demoted primary and the VMs are lost. All other members answer, and nothing is promoted: writes fail until a person decides.

Cause: a departed endpoint that is not accounted for blocks every reason for a replacement but kDemoted, and an audit needs a primary that leads. kDemoted promotes the former primary again only if this VM's own attempt has read the end of its log. That is not so if the guard of the order has demoted it (it was back 0.4 s after a crash), if the VM that did is lost, or if the order for it was missed. Groups of the failing paths, from their timelines:

a the ordered endpoint leaves, the demoted primary answers: kGone, blocked b the same, the primary was demoted by the guard: no end of its log is known c the same, and an audit met the old primary while it led again: kDemoted, no end of its log is known d a replica left, the primary is demoted, all VMs are lost: the new holder knows both from the duty's row, and no end of the log e the former primary was ordered again and crashed before the effect

Change: if no endpoint leads and exactly one departed replica is unaccounted for, the other members decide together. Two members hold each acknowledged commit, so at least one of the others holds it, whichever of them led, and the one with the most received log holds all. The attempt asks all listed endpoints, the latest confirmed primary among them; pauses all replicas; demotes the primary and pauses it, too, so that the departed one can acknowledge nothing through a member if it runs and leads; reads the directory; and promotes a replica that holds the most, or the former primary again. It is abandoned if one does not answer, is not listed or does not confirm its pause. It starts once the orders that this VM has sent or heard of cannot take effect any more (kPromotionTimeout, or kLostPromotionRetention without an answer), kPromotionTimeout after a claim, and kMembershipDelay after the departure, so that what joined is listed. Endpoints that were accounted for since the last order count as missing.

Judged and not taken: accounting for the departed endpoint through the old primary, which loses commits if it led; comparing terms with the term that the former primary led, which a new holder does not know (its row may hold 0).

Not covered: an endpoint that joins, acknowledges for the departed one and leaves before it is listed.

--- a/libs/control/failover/departure_tracker.cc
+++ b/libs/control/failover/departure_tracker.cc
@@ -14,8 +14,8 @@
   }
   for (const auto& [id, entry] : listed_) {
     if (!listed.contains(id)) {
-      departures_.try_emplace(
-          id, Departure{entry.service, std::nullopt, entry.claims_primary});
+      departures_.try_emplace(id, Departure{entry.service, std::nullopt,
+                                            entry.claims_primary, now});
     }
   }
   listed_ = std::move(listed);
@@ -43,7 +43,7 @@
     return false;
   }
   const auto [it, added] = departures_.try_emplace(
-      notice.endpoint, Departure{notice.service, std::nullopt, false});
+      notice.endpoint, Departure{notice.service, std::nullopt, false, now});
   if (!notice.accounted || it->second.accounted_at) {
     return added;
   }
@@ -77,6 +77,26 @@
   return list;
 }
 
+std::vector<EndpointId> DepartureTracker::ListUnaccountedSince(
+    const ServiceId& service,
+    TimePoint since) const {
+  std::vector<EndpointId> list;
+  for (const auto& [id, departure] : departures_) {
+    if (departure.service == service &&
+        (!departure.accounted_at || *departure.accounted_at >= since)) {
+      list.push_back(id);
+    }
+  }
+  return list;
+}
+
+std::optional<TimePoint> DepartureTracker::GetDepartureTime(
+    const EndpointId& endpoint) const {
+  const auto it = departures_.find(endpoint);
+  return it == departures_.end() ? std::nullopt
+                                 : std::optional(it->second.departed_at);
+}
+
 std::vector<EndpointId> DepartureTracker::ListMembers(
     const ServiceId& service,
     std::span<const EndpointId> recorded) const {
--- a/libs/control/failover/departure_tracker.h
+++ b/libs/control/failover/departure_tracker.h
@@ -74,6 +74,18 @@
       @returns         its departed endpoints that are not accounted for */
   std::vector<EndpointId> ListUnaccounted(const ServiceId& service) const;
 
+  /** @param service  the service to look up
+      @param since    a time
+      @returns        its departed endpoints that are not accounted for, or were
+                      not at that time */
+  std::vector<EndpointId> ListUnaccountedSince(const ServiceId& service,
+                                               TimePoint since) const;
+
+  /** @param endpoint  an endpoint
+      @returns         when this VM learnt that it has left; none if it has not,
+                       as far as this VM knows */
+  std::optional<TimePoint> GetDepartureTime(const EndpointId& endpoint) const;
+
   /** @param service   the service to look up
       @param recorded  endpoints of the service that were recorded earlier
       @returns         ordered by id, its listed endpoints, the departed ones
@@ -94,6 +106,8 @@
     std::optional<TimePoint> accounted_at;
     /** @see LedUntilDeparture() */
     bool led_until_departure = false;
+    /** @see GetDepartureTime() */
+    TimePoint departed_at;
   };
 
   struct Listed {
--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -419,12 +419,19 @@
   std::optional<ReplacementReason> FindReason(const ServiceId& service,
                                               TimePoint now);
 
-  /** @returns departed endpoints that must be accounted for before a promotion.
-      The latest confirmed primary is not one: replicas acknowledged its
-      commits. */
+  /** @returns departed endpoints that must be accounted for before a promotion,
+               unless only one of them is missing. The latest confirmed primary
+               is not one: replicas acknowledged its commits. */
   std::vector<EndpointId> ListBlockingDepartures(
       const ServiceId& service) const;
 
+  /** @see ReplacementPlan::is_one_member_missing */
+  bool IsOneMemberMissing(const ServiceId& service, TimePoint now);
+
+  /** @returns whether an order that this VM has sent, heard of or taken over
+               may still take effect */
+  static bool MayOrderTakeEffect(const Progress& progress, TimePoint now);
+
   void AuditDepartures(const ServiceId& service,
                        std::span<const EndpointId> departed,
                        TimePoint now);
--- a/libs/control/failover/failover_control_departures.h
+++ b/libs/control/failover/failover_control_departures.h
@@ -4,7 +4,9 @@
 // Methods of FailoverControl that account for replicas that have left. Included
 // by failover_control.h.
 
+#include <algorithm>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -31,6 +33,55 @@
   return list;
 }
 
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+bool FailoverControl<S, R, C, P, T>::MayOrderTakeEffect(
+    const Progress& progress,
+    TimePoint now) {
+  const std::optional<PeerOrder>& other = progress.peer_order;
+  const bool is_pending =
+      !progress.pending_promotion.IsEmpty() && now < progress.pending_until;
+  const bool is_other_open = other && !other->endpoint.IsEmpty() &&
+                             now - other->heard_at < kLostPromotionRetention;
+  const bool is_inherited =
+      progress.inherited &&
+      now - progress.inherited->claimed_at < kPromotionTimeout;
+  return IsOrderOpen(progress, now) || is_pending || is_other_open ||
+         is_inherited;
+}
+
+template <RowStore S,
+          DutyRowCodec R,
+          EndpointCommandSender C,
+          PromotionSender P,
+          class T>
+bool FailoverControl<S, R, C, P, T>::IsOneMemberMissing(
+    const ServiceId& service,
+    TimePoint now) {
+  const Progress& progress = progress_[service];
+  const auto former = primaries_.GetLatestConfirmed(service);
+  const std::vector<EndpointId> departed = ListBlockingDepartures(service);
+  // The latest confirmed primary is a member, too.
+  if (departed.empty() || delegate_.IsListed(departed.front()) || !former ||
+      FindEndpoint(former->endpoint) == nullptr ||
+      MayOrderTakeEffect(progress, now)) {
+    return false;
+  }
+  // An endpoint that joined before is listed after this time.
+  const auto departed_at = departures_.GetDepartureTime(departed.front());
+  if (!departed_at || now - *departed_at < kMembershipDelay) {
+    return false;
+  }
+  const std::vector<EndpointId> missing =
+      departures_.ListUnaccountedSince(service, progress.ordered_at);
+  return std::all_of(missing.begin(), missing.end(), [&](const auto& it) {
+    return it == departed.front() || it == former->endpoint;
+  });
+}
+
 template <RowStore S,
           DutyRowCodec R,
           EndpointCommandSender C,
--- a/libs/control/failover/failover_control_orders.h
+++ b/libs/control/failover/failover_control_orders.h
@@ -28,6 +28,7 @@
           std::max(order.newest_term, former ? former->term : Term{}),
           std::nullopt, lost_until};
   progress_[plan.service].replaced_term = open->former_term;
+  progress_[plan.service].ordered_at = open->sent_at;
   BeginHold(plan.service, order.successor, plan.fencing_token);
   GuardOrder(plan, order);
 }
--- a/libs/control/failover/failover_control_replacement.h
+++ b/libs/control/failover/failover_control_replacement.h
@@ -31,7 +31,12 @@
   }
   const bool has_unaccounted_departures =
       !ListBlockingDepartures(service).empty();
-  if (has_unaccounted_departures && reason != ReplacementReason::kDemoted) {
+  // While the primary leads, a replica may still receive its log.
+  const bool is_one_member_missing = (reason == ReplacementReason::kGone ||
+                                      reason == ReplacementReason::kDemoted) &&
+                                     IsOneMemberMissing(service, now);
+  if (has_unaccounted_departures && !is_one_member_missing &&
+      reason != ReplacementReason::kDemoted) {
     return;
   }
   if (claims_.GetToken(service) == 0) {
@@ -59,6 +64,7 @@
       progress.unsettled || (progress.confirmed_at &&
                              now - *progress.confirmed_at < kPromotionTimeout);
   plan.has_unaccounted_departures = has_unaccounted_departures;
+  plan.is_one_member_missing = is_one_member_missing;
   plan.list_endpoints = [this, service] { return ListEndpoints(service); };
   plan.may_gain_replica = MayGainReplica(service, plan.primary_id);
   plan.is_primary_listed = [this, primary = plan.primary_id] {
--- a/libs/control/failover/failover_progress.h
+++ b/libs/control/failover/failover_progress.h
@@ -102,6 +102,8 @@
   std::optional<InheritedDuty> inherited;
   /** PromotionOrder::former_term of this VM's latest order. */
   Term replaced_term;
+  /** When that order was sent. */
+  TimePoint ordered_at;
   /** What this VM tells the others while it replaces the primary. */
   std::optional<ReplacementNotice> hold;
   TimePoint not_before;
--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -75,8 +75,14 @@
     members: the compared replicas are then the only ones through which it can
     acknowledge commits. While it accepts connections, or a replica may join in
     the place of one that has left, it is replaced only once the directory does
-    not list it any more. From the order until the promotion takes effect, an
-    OrderGuard keeps what was checked as it was.
+    not list it any more.
+
+    If no endpoint leads and one replica has left without being accounted for,
+    all other members together decide: one of them holds each acknowledged
+    commit, and the one that has received most holds all of them.
+
+    From the order until the promotion takes effect, an OrderGuard keeps what
+    was checked as it was.
 
     @tparam C  sends commands to replicas, @see EndpointCommandSender
     @tparam F  sends commands to the primary, through other VMs if this one does
@@ -194,6 +200,26 @@
 
   bool IsPrimaryHealthy() const;
 
+  /** Promotes the member that has received most although one departed replica
+      is not accounted for. All members are paused first, the demoted primary
+      too: if the departed one leads, it can acknowledge nothing meanwhile.
+
+      @param newest_term  newest term that an endpoint leads or is paused at */
+  void ReplaceWithoutMember(Term newest_term);
+
+  void FinishPauseOfAll();
+
+  void PauseDemotedPrimary();
+
+  void ReadMembers();
+
+  /** @param ec  result of reading the directory */
+  void FinishCheckWithoutMember(std::error_code ec);
+
+  /** @returns whether the primary is demoted and has the whole log that it had
+               led */
+  bool MayPromotePrimaryAgain() const;
+
   void PauseOthers();
 
   void FinishPause();
@@ -329,6 +355,7 @@
 
 // Definitions of the methods, in the order of the steps.
 #include "control/failover/primary_replacement_demotion.h"  // IWYU pragma: export
+#include "control/failover/primary_replacement_members.h"  // IWYU pragma: export
 #include "control/failover/primary_replacement_order.h"   // IWYU pragma: export
 #include "control/failover/primary_replacement_pauses.h"  // IWYU pragma: export
 #include "control/failover/primary_replacement_survey.h"  // IWYU pragma: export
--- a/libs/control/failover/primary_replacement_demotion.h
+++ b/libs/control/failover/primary_replacement_demotion.h
@@ -141,6 +141,10 @@
   primary_status_ = status;
   demoted_primary_ = {plan_.primary_id, status.received};
   plan_.record_demotion();
+  if (plan_.is_one_member_missing) {
+    PauseDemotedPrimary();
+    return;
+  }
   // Earlier reports do not show what a replica holds now.
   for (SurveyedEndpoint& it : replicas_) {
     it.status.reset();
@@ -300,15 +304,24 @@
           EndpointCommandSender F,
           PromotionSender P,
           class T>
-void PrimaryReplacement<C, F, P, T>::PromotePrimaryAgainOrAbandon(
-    std::string_view reason) {
+bool PrimaryReplacement<C, F, P, T>::MayPromotePrimaryAgain() const {
   const std::optional<LogPoint>& log_end =
       demoted_primary_ ? demoted_primary_->log_end
       : plan_.demoted_primary.id == plan_.primary_id
           ? plan_.demoted_primary.log_end
           : std::nullopt;
-  if (!IsPrimaryDemoted() || !log_end || primary_status_->received < *log_end ||
-      !plan_.pending_promotion.IsEmpty()) {
+  return IsPrimaryDemoted() && log_end &&
+         primary_status_->received >= *log_end &&
+         plan_.pending_promotion.IsEmpty();
+}
+
+template <EndpointCommandSender C,
+          EndpointCommandSender F,
+          PromotionSender P,
+          class T>
+void PrimaryReplacement<C, F, P, T>::PromotePrimaryAgainOrAbandon(
+    std::string_view reason) {
+  if (!MayPromotePrimaryAgain()) {
     Finish(ReplacementOutcome::kAbandoned, {}, reason);
     return;
   }
--- a/libs/control/failover/primary_replacement_survey.h
+++ b/libs/control/failover/primary_replacement_survey.h
@@ -92,6 +92,11 @@
     return;
   }
   SetActingPrimaryAside();
+  if (plan_.is_one_member_missing &&
+      (plan_.reason == ReplacementReason::kGone || !MayPromotePrimaryAgain())) {
+    ReplaceWithoutMember(newest_term);
+    return;
+  }
   if (plan_.has_unaccounted_departures) {
     PromotePrimaryAgainOrAbandon("a departed replica is unaccounted for");
     return;
--- a/libs/control/failover/replacement_plan.h
+++ b/libs/control/failover/replacement_plan.h
@@ -94,6 +94,11 @@
   /** Departed replicas are not accounted for, so that no replica may be
       promoted. */
   bool has_unaccounted_departures = false;
+  /** One departed replica is not accounted for, and no earlier order can take
+      effect any more. Two members hold each acknowledged commit, so that the
+      member that has received most holds all of them if every other member
+      answers. */
+  bool is_one_member_missing = false;
   /** Lists the service's endpoints in use at the time of the call. */
   std::function<std::vector<EndpointEntry>()> list_endpoints;
   /** The store answered when the attempt began. */
