Tell a VM that starts anew of an open order at once

Callers saw acknowledged writes vanish: VMs that were killed behind an order and started again within the time in which their peers would miss them heard of it 0.3 s later, with the peers' periodic heartbeats.

Cause: only a VM that was missed before is welcomed with a heartbeat. And a VM dropped the notices that came before its first configuration, since it knew no service.

Change: a process without a configuration, or with its first one, is taken for one that has started anew, and welcomed. Notices before the first configuration are followed.

Tests AProcessThatStartsAnewIsWelcomedAtOnce and IsFollowedBeforeTheFirstConfiguration.

--- a/libs/control/failover/failover_control_holds.h
+++ b/libs/control/failover/failover_control_holds.h
@@ -98,7 +98,9 @@
         (known != peer_holds_.end() && known->second.is_direct &&
          known->second.vm == heartbeat.vm &&
          known->second.notice.fencing_token == it.fencing_token);
-    if (!IsKnown(it.service) || !IsInForce(it, is_direct)) {
+    // Before the first configuration, any service may be one of this VM's.
+    const bool may_be_known = services_.empty() || IsKnown(it.service);
+    if (!may_be_known || !IsInForce(it, is_direct)) {
       continue;
     }
     PeerHold& hold = peer_holds_[it.service];
--- a/libs/control/failover/primary_replacement.h
+++ b/libs/control/failover/primary_replacement.h
@@ -277,11 +277,12 @@
                demoted primary; none if there is none, or the primary has not
                confirmed its demotion */
   std::optional<size_t> FindLogEndHolder() const;
-  /** Demotes the primary once more and continues with ReadMembers(): since the
+  /** Demotes the primary once more and continues with
+      BeginMembershipCheck(): since the
       first demotion it may have been back, or have led again. */
   void RepeatDemotion();
   /** Reads the directory, and continues with FinishMembershipCheck(). */
-  void ReadMembers();
+  void BeginMembershipCheck();
   /** Continues with FinishReplicaCheck() unless a replica has joined or started
       anew, which may have acknowledged what the candidate lacks.
 
--- a/libs/control/failover/primary_replacement_demotion.h
+++ b/libs/control/failover/primary_replacement_demotion.h
@@ -123,7 +123,7 @@
   }
   plan_.hold_commits();
   if (plan_.is_store_connected) {
-    ReadMembers();
+    BeginMembershipCheck();
   } else {
     FinishMembershipCheck({});
   }
@@ -136,7 +136,7 @@
 void PrimaryReplacement<C, F, P, T>::RepeatDemotion() {
   plan_.hold_commits();
   if (!plan_.primary) {
-    ReadMembers();
+    BeginMembershipCheck();
     return;
   }
   auto self = this->shared_from_this();
@@ -165,7 +165,7 @@
           self->primary_status_ = status;
           self->demoted_primary_ = {self->plan_.primary_id, status.received};
         }
-        self->ReadMembers();
+        self->BeginMembershipCheck();
       });
 }
 
@@ -173,7 +173,7 @@
           EndpointCommandSender F,
           PromotionSender P,
           class T>
-void PrimaryReplacement<C, F, P, T>::ReadMembers() {
+void PrimaryReplacement<C, F, P, T>::BeginMembershipCheck() {
   plan_.read_directory([self = this->shared_from_this()](std::error_code ec) {
     self->FinishMembershipCheck(ec);
   });
--- a/libs/control/peers/peer_group.cc
+++ b/libs/control/peers/peer_group.cc
@@ -16,7 +16,10 @@
   Learn(heartbeat.address, now);
   addresses_[heartbeat.address].vm = heartbeat.vm;
   Peer& peer = peers_[heartbeat.vm];
-  const bool fresh = !peer.live;
+  // A process that has started anew has no configuration at first.
+  const bool has_restarted =
+      (heartbeat.config_version == 0) != (peer.last.config_version == 0);
+  const bool fresh = !peer.live || has_restarted;
   peer.last = heartbeat;
   peer.heard_at = now;
   peer.live = !heartbeat.leaving;
--- a/libs/control/peers/peer_group.h
+++ b/libs/control/peers/peer_group.h
@@ -57,7 +57,8 @@
 
       @param heartbeat  the heartbeat; ignored if it comes from this VM
       @param now        the current time
-      @returns          true if the VM has become live
+      @returns          true if the VM has become live, or its process starts
+                        anew: it is then told of what it does not know
   */
   bool RecordHeartbeat(const Heartbeat& heartbeat, TimePoint now);
 
--- a/libs/control/tests/commit_hold_test.cc
+++ b/libs/control/tests/commit_hold_test.cc
@@ -269,4 +269,11 @@
   LONGS_EQUAL(before, fake.hold_count);
 }
 
+TEST(RelayedHold, IsFollowedBeforeTheFirstConfiguration) {
+  // A VM that had just started dropped the notice, and sent commits to the
+  // former primary once it had read the configuration (LOST).
+  Receive(MakeRelay());
+  STRCMP_EQUAL("hold db-2;", JoinSteps().c_str());
+}
+
 }  // namespace magnoliareel
--- a/libs/control/tests/control_test.cc
+++ b/libs/control/tests/control_test.cc
@@ -958,6 +958,25 @@
   LONGS_EQUAL(1, peers.CountLive());
 }
 
+TEST(Peers, AProcessThatStartsAnewIsWelcomedAtOnce) {
+  // It was killed and started before its peers missed it, and heard of an open
+  // order with their next heartbeats only (LOST, soak seed 405).
+  PeerGroup peers({"127.0.0.1", 1});
+  Heartbeat heartbeat;
+  heartbeat.vm.value = "vm-2";
+  heartbeat.address = {"127.0.0.1", 2};
+  heartbeat.config_version = 7;
+  CHECK(peers.RecordHeartbeat(heartbeat, kStart));
+  CHECK(!peers.RecordHeartbeat(heartbeat, After(100)));
+  heartbeat.config_version = 0;
+  CHECK(peers.RecordHeartbeat(heartbeat, After(200)));
+  CHECK(peers.TakeWelcome(heartbeat.address, After(200)));
+  CHECK(!peers.RecordHeartbeat(heartbeat, After(300)));
+  heartbeat.config_version = 7;
+  CHECK(peers.RecordHeartbeat(heartbeat, After(400)));
+  CHECK(!peers.RecordHeartbeat(heartbeat, After(500)));
+}
+
 TEST(Peers, AreHeardWhileMostSendHeartbeats) {
   // A VM that stood still, or that is cut off, orders with an outdated picture
   // (LOST).
