Welcome a VM that starts anew while an order is open, whoever was told of it

Cause: node-1 read its configuration before its first heartbeat, which was held back for 15 ms, so that its peers did not notice the new process. node-6 did notice it, but had sent a heartbeat to its address a moment before, to the process that was gone, and therefore sent none.

Change: the first heartbeat of a process leaves at once, before it can have a configuration. A VM that announces or relays a hold welcomes whoever joins, also behind another heartbeat.

--- a/apps/node/peer_exchange.cc
+++ b/apps/node/peer_exchange.cc
@@ -83,6 +83,11 @@
     return;
   }
   callbacks_.on_peers_changed();
+  if (!std::exchange(has_sent_, true)) {
+    // Before the first configuration, so that they know of the new process.
+    Send(peers_.ListTargets(loop_.Now(), 0), MakeHeartbeat());
+    return;
+  }
   StartCoalescing();
 }
 
@@ -122,7 +127,9 @@
              {{"vm", heartbeat.vm.value},
               {"site", heartbeat.site.value},
               {"live", std::to_string(peers_.CountLive())}});
-    if (peers_.TakeWelcome(heartbeat.address, now)) {
+    // What was sent a moment ago may have met its former process.
+    const bool is_due = peers_.TakeWelcome(heartbeat.address, now);
+    if (is_due || !MakeHeartbeat().replacements.empty()) {
       Welcome(heartbeat.address);
     }
   }
--- a/apps/node/peer_exchange.h
+++ b/apps/node/peer_exchange.h
@@ -97,6 +97,8 @@
   bool heartbeat_scheduled_ = false;
   // Whether the scheduled heartbeat goes to live peers, too.
   bool heartbeat_to_all_ = false;
+  /** A heartbeat was sent since the start. */
+  bool has_sent_ = false;
   bool fetching_ = false;
   std::function<void()> pending_fetch_;
   std::unique_ptr<net::HttpConnection> fetch_connection_;
