--- a/libs/control/peers/heartbeat.h
+++ b/libs/control/peers/heartbeat.h
@@ -63,8 +63,8 @@
   std::vector<PromotionNotice> promotions;
   /** Replacements of this VM from the demotion of the primary until the
       successor leads, and those of duty holders that have told this VM of an
-      order. The duties tell them apart: only a holder's own have a token that is
-      not newer than that of its duty. */
+      order. The duties tell them apart: only a holder's own have a token that
+     is not newer than that of its duty. */
   std::vector<ReplacementNotice> replacements;
   /** Addresses of other VMs, sent to a VM that joins. */
   std::vector<SocketAddress> others;
