--- a/libs/control/failover/failover_control_holds.h
+++ b/libs/control/failover/failover_control_holds.h
@@ -99,7 +99,9 @@
          known->second.vm == heartbeat.vm &&
          known->second.notice.fencing_token == it.fencing_token);
     // Before the first configuration, any service may be one of this VM's.
-    const bool may_be_known = services_.empty() || IsKnown(it.service);
+    const bool may_be_known = services_.empty()
+                                  ? peer_holds_.size() < kMaxUnconfiguredHolds
+                                  : IsKnown(it.service);
     if (!may_be_known || !IsInForce(it, is_direct)) {
       continue;
     }
@@ -113,8 +115,13 @@
         hold.notice.fencing_token == it.fencing_token;
     hold.notice = it;
     if (!is_relay_of_known) {
-      hold = {heartbeat.vm, it,  is_direct,
-              false,        now, now + kLostPromotionRetention};
+      hold = {heartbeat.vm,
+              it,
+              is_direct,
+              false,
+              now,
+              now + kLostPromotionRetention,
+              heartbeat.config_version};
     }
     delegate_.HoldCommits(it.service, it.successor);
     RecordPeerOrder(it.service, it.successor, it.fencing_token);
@@ -199,6 +206,11 @@
                   })) {
     return false;
   }
+  if (!hold.is_direct && heartbeat.config_version < hold.config_version) {
+    // The VM that relayed it has started anew, and has yet to be told.
+    hold.vm = {};
+    return false;
+  }
   if (!HoldsDuty(heartbeat, notice.service, notice.fencing_token)) {
     // The VM may have started anew, and does not know of its order then.
     if (const auto& order = progress_[notice.service].peer_order) {
@@ -223,8 +235,8 @@
   if (it == peer_holds_.end() || !order || order->endpoint.IsEmpty()) {
     return nullptr;
   }
-  const auto& [vm, notice, is_direct, has_ended, heard_at, open_until] =
-      it->second;
+  const auto& [vm, notice, is_direct, has_ended, heard_at, open_until,
+               config_version] = it->second;
   if (!is_direct || has_ended || notice.successor != order->endpoint ||
       notice.fencing_token != order->fencing_token || now >= open_until) {
     return nullptr;
--- a/libs/control/failover/failover_limits.h
+++ b/libs/control/failover/failover_limits.h
@@ -1,6 +1,8 @@
 #ifndef MAGNOLIAREEL_CONTROL_FAILOVER_FAILOVER_LIMITS_H_
 #define MAGNOLIAREEL_CONTROL_FAILOVER_FAILOVER_LIMITS_H_
 
+#include <cstddef>
+
 #include "core/core.h"
 
 namespace magnoliareel {
@@ -27,6 +29,9 @@
 /** Delay after which other VMs are told again that commits are to be held. */
 inline constexpr Duration kHoldNoticeRepeatDelay =
     std::chrono::milliseconds(100);
+/** Maximum number of services whose holds are followed before the first
+    configuration. */
+inline constexpr size_t kMaxUnconfiguredHolds = 64;
 /** No duty is claimed earlier than this after the start. It is longer than
     kHeartbeatPeriod, so that a VM that has just started knows the holders. */
 inline constexpr Duration kFirstClaimDelay = std::chrono::milliseconds(1300);
--- a/libs/control/failover/failover_progress.h
+++ b/libs/control/failover/failover_progress.h
@@ -84,6 +84,8 @@
   TimePoint heard_at;
   /** Time after which the holder's order does not take effect any more. */
   TimePoint open_until;
+  /** Configuration of the VM when it announced or relayed the hold. */
+  uint64_t config_version = 0;
 };
 
 /** What a FailoverControl is doing about one service.
--- a/libs/control/failover/primary_replacement_demotion.h
+++ b/libs/control/failover/primary_replacement_demotion.h
@@ -162,6 +162,11 @@
           return;
         }
         if (!ec) {
+          if (status.received < self->primary_status_->received) {
+            self->Finish(ReplacementOutcome::kAbandoned, {},
+                         "the demoted primary has lost a part of its log");
+            return;
+          }
           self->primary_status_ = status;
           self->demoted_primary_ = {self->plan_.primary_id, status.received};
         }
@@ -194,6 +199,8 @@
            "the primary did not confirm its demotion");
     return;
   }
+  // One that did not answer the survey is not held before.
+  plan_.hold_commits();
   primary_status_ = status;
   demoted_primary_ = {plan_.primary_id, status.received};
   if (plan_.is_one_member_missing) {
--- a/libs/control/failover/replacement_plan.h
+++ b/libs/control/failover/replacement_plan.h
@@ -118,8 +118,10 @@
       replica acknowledges its commits. */
   std::function<void(std::function<void(const std::optional<AnsweredCommit>&)>)>
       find_answered_commit = [](const auto& done) { done(std::nullopt); };
-  /** Called before the last comparison of the logs: no VM may send a commit
-      from then on until an endpoint is ordered. */
+  /** Called before a primary that answers is demoted, and before the order is
+      decided if none does; may be called again. No VM may send a commit from
+      then on until the attempt has ended without an order, or its order has
+      taken effect. */
   std::function<void()> hold_commits = [] {};
   /** Finds out before the first order whether this VM still holds the duty.
       The result is Error::kSuperseded if it does not, and another error if that
--- a/libs/control/peers/peer_group.cc
+++ b/libs/control/peers/peer_group.cc
@@ -18,7 +18,7 @@
   Peer& peer = peers_[heartbeat.vm];
   // A process that has started anew has no configuration at first.
   const bool has_restarted =
-      (heartbeat.config_version == 0) != (peer.last.config_version == 0);
+      heartbeat.config_version == 0 && peer.last.config_version != 0;
   const bool fresh = !peer.live || has_restarted;
   peer.last = heartbeat;
   peer.heard_at = now;
--- a/libs/control/tests/commit_hold_test.cc
+++ b/libs/control/tests/commit_hold_test.cc
@@ -276,4 +276,18 @@
   STRCMP_EQUAL("hold db-2;", JoinSteps().c_str());
 }
 
+TEST(RelayedHold, OutlastsARestartOfTheVmThatRelaysIt) {
+  // Its first heartbeat has no notice, and the commits were released (LOST).
+  Begin();
+  Heartbeat relay = MakeRelay();
+  relay.config_version = 7;
+  Receive(relay);
+  relay.replacements.clear();
+  relay.config_version = 0;
+  Receive(relay);
+  relay.config_version = 7;
+  Receive(relay);
+  STRCMP_EQUAL("hold db-2;", JoinSteps().c_str());
+}
+
 }  // namespace magnoliareel
--- a/libs/telemetry/events/event.cc
+++ b/libs/telemetry/events/event.cc
@@ -139,8 +139,8 @@
      "No heartbeat of another VM arrived within the peer timeout. vm, "
      "silent_ms"},
     {kPeerRegained, kInfo, "peer.regained",
-     "Heartbeats of another VM arrive, for the first time or again. vm, site, "
-     "live"},
+     "Heartbeats of another VM arrive, for the first time or again, or its "
+     "process starts anew. vm, site, live"},
     {kDutyClaimed, kInfo, "duty.claimed",
      "This VM claimed a service's failover duty. service, fencing_token"},
     {kDutyRefused, kWarning, "duty.refused",
