Record a later order under the same token, so that its hold is relayed

Cause: node-2 had ordered before under its token. The proof of that order had emptied the record of it, which keeps the token so that a repeated notice is known; the later order passed for a repetition.

Change: an announcement of the holder that differs from its last one is recorded as a new order.

--- a/libs/control/failover/failover_control_holds.h
+++ b/libs/control/failover/failover_control_holds.h
@@ -106,7 +106,7 @@
       continue;
     }
     PeerHold& hold = peer_holds_[it.service];
-    if (hold.has_ended) {
+    if (hold.has_ended || (is_direct && hold.notice != it)) {
       // The holder orders anew under its token.
       progress_[it.service].peer_order.reset();
     }
--- a/libs/control/tests/commit_hold_test.cc
+++ b/libs/control/tests/commit_hold_test.cc
@@ -290,4 +290,17 @@
   STRCMP_EQUAL("hold db-2;", JoinSteps().c_str());
 }
 
+TEST(RelayedHold, OfALaterOrderUnderTheSameTokenIsRelayed) {
+  // The first order was proved, and the second one passed for it: the next
+  // process of the holder's VM ended the hold (LOST, soak seed 465).
+  Begin();
+  Heartbeat holder = MakeHoldersHeartbeat();
+  holder.promotions = {{kFakeService, EndpointId{"db-3"}, 50}};
+  holder.replacements.clear();
+  Receive(holder);
+  failover.HandlePrimaryConfirmed(EndpointId{"db-3"}, Term{2});
+  Receive(MakeHoldersHeartbeat());
+  LONGS_EQUAL(1, ListNotices().size());
+}
+
 }  // namespace magnoliareel
