Log refused PREPAREs and session values, and the shapes of executions

Change: statement.prepare_refused (E5106), session_values.refused (E5210); the field shape (kind, hash, length) in E5101 to E5104. No decision changes.

--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -292,6 +292,11 @@
   // traffic_core_replies.h and traffic_core_errors.h: replies from endpoints.
   void HandleReply(PooledConnection& connection, const EndpointMessage& ready);
   void HandleOpenError(PooledConnection& connection, const PendingReply& reply);
+  /** Logs that an endpoint refused a PREPARE, or a change of session values,
+      that the pool sent on its own behalf. */
+  void LogRefusal(Event event,
+                  const PooledConnection& connection,
+                  StatementError error);
   void Advance(PooledConnection& connection);
   void HandleBeginError(PooledConnection& connection);
   void HandleStatementReply(PooledConnection& connection,
--- a/libs/relay/core/traffic_core_errors.h
+++ b/libs/relay/core/traffic_core_errors.h
@@ -161,7 +161,8 @@
                      ? FormatLogPoint(*statement.required_point)
                      : "none"},
        {"applied",
-        pool == nullptr ? "none" : FormatLogPoint(pool->GetAppliedPoint())}});
+        pool == nullptr ? "none" : FormatLogPoint(pool->GetAppliedPoint())},
+       {"shape", statement.DescribeForLog()}});
   ScheduleRetry(session, delay);
 }
 
@@ -197,7 +198,8 @@
        {"held_us", std::to_string((now - statement.received_at).count())},
        {"attempts", std::to_string(statement.attempts)},
        {"queued_at", queue_state},
-       {"last", std::string(StatementErrorName(statement.last_error))}});
+       {"last", std::string(StatementErrorName(statement.last_error))},
+       {"shape", statement.DescribeForLog()}});
   Observe(session, GuaranteesNoEffect(error) ? Outcome::kNotRun
                    : error == StatementError::kUnknown ||
                            error == StatementError::kTimedOut
--- a/libs/relay/core/traffic_core_replies.h
+++ b/libs/relay/core/traffic_core_replies.h
@@ -139,6 +139,7 @@
     case EndpointRequestKind::kReset:
     case EndpointRequestKind::kSetValue:
       if (reply.error) {
+        LogRefusal(Event::kSessionValuesRefused, connection, *reply.error);
         // It is unknown which values are set on the connection.
         HandleConnectionLoss(id, "session values were refused");
         return;
@@ -146,6 +147,7 @@
       break;
     case EndpointRequestKind::kPrepare:
       if (reply.error) {
+        LogRefusal(Event::kPrepareRefused, connection, *reply.error);
         connection.prepared.clear();
       }
       break;
@@ -159,6 +161,35 @@
   }
 }
 
+template <ForwardingDialect D, class N>
+void TrafficCore<D, N>::LogRefusal(Event event,
+                                   const PooledConnection& connection,
+                                   StatementError error) {
+  const CallerSession* session = FindSession(connection.session);
+  const bool is_busy = session != nullptr && session->IsBusy();
+  const std::string request = is_busy ? session->statement.request_id : "none";
+  const std::string id = std::to_string(connection.id);
+  const std::string refusal(StatementErrorName(error));
+  if (event == Event::kSessionValuesRefused) {
+    LogEvent(event, {{"request", request},
+                     {"endpoint", connection.endpoint.value},
+                     {"connection", id},
+                     {"refusal", refusal},
+                     {"reason", connection.text}});
+    return;
+  }
+  LogEvent(
+      event,
+      {{"request", request},
+       {"endpoint", connection.endpoint.value},
+       {"connection", id},
+       {"name", is_busy ? MakePooledStatementName(session->statement.prepared)
+                        : "none"},
+       {"shape", is_busy ? session->statement.DescribeForLog() : "none"},
+       {"refusal", refusal},
+       {"reason", connection.text}});
+}
+
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::Advance(PooledConnection& connection) {
   switch (connection.state) {
@@ -327,7 +358,8 @@
          {"run_us", std::to_string((now - statement.sent_at).count())},
          {"after", statement.required_point
                        ? FormatLogPoint(*statement.required_point)
-                       : "none"}});
+                       : "none"},
+         {"shape", statement.DescribeForLog()}});
   }
   const uint64_t session_id = session.id;
   if (released) {
--- a/libs/relay/sessions/caller_session.h
+++ b/libs/relay/sessions/caller_session.h
@@ -88,6 +88,12 @@
       if it was not. */
   TimePoint holder_pinged_at;
 
+  /** @returns the shape that it executes, for logs; "none" if it executes no
+               prepared statement
+      @see DescribeShape */
+  std::string DescribeForLog() const {
+    return kind == StatementKind::kExecute ? DescribeShape(prepared) : "none";
+  }
   /** @returns true if it neither waits in an endpoint's queue nor was sent to
                one without a reply yet */
   bool IsUnassigned() const {
--- a/libs/relay/sessions/session_values.h
+++ b/libs/relay/sessions/session_values.h
@@ -26,6 +26,14 @@
   return (statement.writes ? "w_" : "r_") + statement.shape;
 }
 
+/** Describes a prepared statement in logs, where its text has no place.
+
+    @param statement  a prepared statement
+    @returns          "read" or "write", a hash of the shape in hexadecimal and
+                      the shape's length in bytes, separated by slashes
+*/
+std::string DescribeShape(const PreparedStatement& statement);
+
 /** @param held    values that are set on a connection
     @param wanted  values of a session
     @returns       true if `held` has a name that `wanted` lacks, which adding
--- a/libs/telemetry/events/event.cc
+++ b/libs/telemetry/events/event.cc
@@ -65,21 +65,27 @@
     {kStatementServed, kInfo, "statement.served",
      "A statement succeeded; logged for a sample and for every statement that "
      "needed more than one attempt. request, database, need, endpoint, "
-     "attempts, wait_us, run_us, after"},
+     "attempts, wait_us, run_us, after, shape"},
     {kStatementRefused, kWarning, "statement.refused",
      "A statement was answered with an error. request, refusal, reason, "
      "database, need, held_us, attempts, queued_at "
-     "(endpoint/running/limit/connections), last"},
+     "(endpoint/running/limit/connections), last, shape (of a prepared "
+     "statement: read or write, hash, length in bytes)"},
     {kStatementUnknown, kWarning, "statement.unknown",
      "A write or commit was sent, but its outcome is unknown. request, "
-     "refusal, reason, database, need, held_us, attempts, queued_at, last"},
+     "refusal, reason, database, need, held_us, attempts, queued_at, last, "
+     "shape"},
     {kStatementRetried, kInfo, "statement.retried",
      "A statement is retried, because it did not run or only reads. request, "
      "need, endpoint, refusal, attempts, pause_us, after (required log point), "
-     "applied (last reported by the endpoint)"},
+     "applied (last reported by the endpoint), shape"},
     {kStatementHedged, kInfo, "statement.hedged",
      "A slow read is also sent to a second connection. request, endpoint, "
      "silent, age_us"},
+    {kPrepareRefused, kWarning, "statement.prepare_refused",
+     "An endpoint refused to prepare a statement. request (the execution that "
+     "was sent behind it), endpoint, connection, name (the pool's), shape, "
+     "refusal, reason"},
     {kConnectionLost, kWarning, "connection.lost",
      "A pooled connection was lost while a session used it. endpoint, request, "
      "need, reason"},
@@ -118,6 +124,9 @@
      "service, successor (none: they wait), state (begun, successor_changed, "
      "ended), reason (proof of the successor, release, or period without a "
      "repetition), held_ms"},
+    {kSessionValuesRefused, kWarning, "session_values.refused",
+     "An endpoint refused to set or reset session values. request, endpoint, "
+     "connection, refusal, reason"},
     {kConfigInForce, kInfo, "config.in_force",
      "A configuration version took effect. version, routes, source"},
     {kConfigRejected, kError, "config.rejected",
