Stand-in: record the prepared statement that an execution ran

Cause: GroupModel kept only the text behind the id, and threw away kind and shape of a PREPARE. Change: ExecutedStatement has prepared_name and shape ("WRITE q2c"). Checked: standin_tests; the new test doesn't compile without the fields.

--- a/standins/group/group_model.cc
+++ b/standins/group/group_model.cc
@@ -301,13 +301,19 @@
     Complete(id, "ROW " + FormatStatus(member) + "\r\n", "-");
     return;
   }
+  ExecutedStatement statement;
+  statement.request = request;
+  statement.text = text;
   if (verb == "EXECUTE") {
-    const auto it = connection.prepared_statements.find(TakeNextField(body));
+    statement.prepared_name = TakeNextField(body);
+    const auto it =
+        connection.prepared_statements.find(statement.prepared_name);
     if (it == connection.prepared_statements.end()) {
       Fail(id, "NOSTMT");
       return;
     }
     verb = it->second.first ? "WRITE" : "READ";
+    statement.shape = verb + " " + it->second.second;
   }
   const bool is_read_only_commit =
       verb == "COMMIT" && connection.writes.empty();
@@ -324,9 +330,9 @@
   }
   const std::string item = TakeNextField(body);
   if (verb == "READ") {
-    RunRead(id, request, text, item);
+    RunRead(id, std::move(statement), item);
   } else if (verb == "WRITE") {
-    RunWrite(id, request, text, item, std::string(body));
+    RunWrite(id, std::move(statement), item, std::string(body));
   } else {
     Fail(id, "MALFORMED");
   }
--- a/standins/group/group_model.h
+++ b/standins/group/group_model.h
@@ -87,7 +87,13 @@
   std::string request;
   uint64_t connection = 0;
   std::string endpoint;
+  /** Received behind the id and AFTER. */
   std::string text;
+  /** If the statement was an execution: the name behind EXECUTE. */
+  std::string prepared_name;
+  /** If the statement was an execution: kind and shape of the prepared
+      statement that ran, such as "READ q12". */
+  std::string shape;
   /** Last log point that the member had applied at execution. */
   LogPoint log;
   TimePoint at;
@@ -280,12 +286,10 @@
   void RunInSlot(uint64_t id, std::string request, std::string text);
   void Run(uint64_t id, const std::string& request, const std::string& text);
   void RunRead(uint64_t id,
-               const std::string& request,
-               const std::string& text,
+               ExecutedStatement statement,
                const std::string& item);
   void RunWrite(uint64_t id,
-                const std::string& request,
-                const std::string& text,
+                ExecutedStatement statement,
                 std::string item,
                 std::string data);
   void Commit(uint64_t id, const std::string& request);
@@ -309,8 +313,7 @@
   Duration AddJitter(Duration mean);
   void RecordExecution(const Connection& connection,
                        uint64_t id,
-                       const std::string& request,
-                       const std::string& text);
+                       ExecutedStatement statement);
 
   GroupOptions options_;
   Output output_;
--- a/standins/group/group_statements.cc
+++ b/standins/group/group_statements.cc
@@ -9,29 +9,30 @@
 
 void GroupModel::RecordExecution(const Connection& connection,
                                  uint64_t id,
-                                 const std::string& request,
-                                 const std::string& text) {
+                                 ExecutedStatement statement) {
   const Member& member = members_[connection.member];
-  const bool in_transaction = connection.status == 'T';
-  executed_statements_.push_back(
-      {request, id, member.id, text, GetLastPoint(member, true), now_,
-       in_transaction, in_transaction ? connection.transaction : 0,
-       connection.values});
+  statement.connection = id;
+  statement.endpoint = member.id;
+  statement.log = GetLastPoint(member, true);
+  statement.at = now_;
+  statement.in_transaction = connection.status == 'T';
+  statement.transaction = statement.in_transaction ? connection.transaction : 0;
+  statement.values = connection.values;
+  executed_statements_.push_back(std::move(statement));
 }
 
 void GroupModel::RunRead(uint64_t id,
-                         const std::string& request,
-                         const std::string& text,
+                         ExecutedStatement statement,
                          const std::string& item) {
   Connection& connection = connections_[id];
-  RecordExecution(connection, id, request, text);
+  const std::string request = statement.request;
+  RecordExecution(connection, id, std::move(statement));
   const auto found = FindValue(members_[connection.member], item);
   Complete(id, found ? "ROW " + *found + "\r\n" : "", "proof-" + request);
 }
 
 void GroupModel::RunWrite(uint64_t id,
-                          const std::string& request,
-                          const std::string& text,
+                          ExecutedStatement statement,
                           std::string item,
                           std::string data) {
   Connection& connection = connections_[id];
@@ -39,7 +40,8 @@
     Fail(id, "READONLY");
     return;
   }
-  RecordExecution(connection, id, request, text);
+  const std::string request = statement.request;
+  RecordExecution(connection, id, std::move(statement));
   connection.writes.emplace_back(std::move(item), std::move(data));
   connection.requests.push_back(request);
   if (connection.status == 'T') {
--- a/tests/standins/group_model_test.cc
+++ b/tests/standins/group_model_test.cc
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace magnoliareel {
 namespace {
@@ -55,6 +56,19 @@
     return answers_[connection];
   }
 
+  // Sends lines on one new connection and returns the answers.
+  std::string SendLines(size_t member, const std::vector<std::string>& lines) {
+    const uint64_t connection = ++connection_count_;
+    model_->Open(member, connection);
+    std::string bytes = "STARTUP db tester\r\n";
+    for (const std::string& it : lines) {
+      bytes += it + "\r\n";
+    }
+    model_->Receive(connection, bytes);
+    RunFor(milliseconds(100) * (lines.size() + 1));
+    return answers_[connection];
+  }
+
   bool Write(size_t member) {
     return Send(member, "WRITE item data").find("COMPLETE") !=
            std::string::npos;
@@ -151,4 +165,18 @@
   LONGS_EQUAL(0, model_->GetEarlyAcknowledgements().size());
 }
 
+// Otherwise a run of another caller's shape under the right text goes unseen.
+TEST(GroupModel, RecordsTheShapeThatAnExecutionRan) {
+  Start({});
+  SendLines(0, {"QUERY a PREPARE s1 WRITE q2c  of two", "QUERY b WRITE it x",
+                "QUERY c EXECUTE s1 it y"});
+  const auto& statements = model_->GetExecutedStatements();
+  LONGS_EQUAL(2, statements.size());
+  STRCMP_EQUAL("", statements[0].prepared_name.c_str());
+  STRCMP_EQUAL("", statements[0].shape.c_str());
+  STRCMP_EQUAL("EXECUTE s1 it y", statements[1].text.c_str());
+  STRCMP_EQUAL("s1", statements[1].prepared_name.c_str());
+  STRCMP_EQUAL("WRITE q2c  of two", statements[1].shape.c_str());
+}
+
 }  // namespace magnoliareel
