--- /dev/null
+++ b/tests/traffic/scripted_node.cc
@@ -0,0 +1,252 @@
+#include "tests/traffic/scripted_node.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace magnoliareel {
+namespace {
+
+constexpr Duration kStep = std::chrono::milliseconds(1);
+constexpr std::string_view kSilence = "silence";
+
+/** Calls a function with each line of `bytes`. */
+template <class F>
+void ForEachLine(std::string_view bytes, F&& handle_line) {
+  for (size_t end = bytes.find("\r\n"); end != std::string_view::npos;
+       end = bytes.find("\r\n")) {
+    handle_line(bytes.substr(0, end));
+    bytes.remove_prefix(end + 2);
+  }
+}
+
+}  // namespace
+
+ScriptedNode::ScriptedNode(bool has_replica) {
+  TrafficOptions options;
+  options.vm = "vm-0";
+  options.measure_distance = [](const SiteId&) { return Distance::kSameSite; };
+  core_ = std::make_unique<Core>(*this, std::move(options));
+  auto routes = std::make_shared<RouteTable>();
+  routes->version = 1;
+  const ServiceId service{"logs"};
+  for (const auto& [name, consistency] :
+       {std::pair("entries", Consistency::kPrimary),
+        std::pair("lookups", Consistency::kBounded)}) {
+    auto route = std::make_shared<DatabaseRoute>();
+    route->database = name;
+    route->service = service;
+    route->consistency = consistency;
+    route->statement_timeout = std::chrono::milliseconds(800);
+    route->latency_objective = std::chrono::milliseconds(800);
+    route->max_staleness = std::chrono::milliseconds(1500);
+    routes->routes[name] = std::move(route);
+  }
+  routes->services[service] = {32, 1};
+  auto view = std::make_shared<FleetView>();
+  view->routes = std::move(routes);
+  for (uint16_t n = 0; n < (has_replica ? 2 : 1); ++n) {
+    EndpointEntry& entry = view->endpoints.emplace_back();
+    entry.id.value = "db-" + std::to_string(n);
+    entry.service = service;
+    entry.address = {"127.0.0.1", static_cast<uint16_t>(9000 + n)};
+    entry.slots = 4;
+    entry.claims_primary = n == 0;
+  }
+  core_->Apply(std::move(view));
+}
+
+uint64_t ScriptedNode::OpenCaller(std::string_view database) {
+  const uint64_t session = next_session_++;
+  core_->OpenSession(session);
+  core_->HandleCallerFrame(
+      session, std::string("STARTUP ").append(database) + " caller");
+  Run(kStep);
+  return session;
+}
+
+std::string ScriptedNode::Ask(uint64_t session,
+                              std::string_view text,
+                              Duration timeout) {
+  answers_[session].clear();
+  const TimePoint sent_at = now_;
+  std::string line = "QUERY q" + std::to_string(++request_count_);
+  line.append(" ").append(text);
+  core_->HandleCallerFrame(session, line);
+  const auto is_answered = [&] {
+    return answers_[session].find("READY") != std::string::npos;
+  };
+  while (!is_answered() && now_ - sent_at < timeout) {
+    Step();
+  }
+  elapsed_ = now_ - sent_at;
+  return answers_[session];
+}
+
+void ScriptedNode::Run(Duration time) {
+  for (const TimePoint end = now_ + time; now_ < end;) {
+    Step();
+  }
+}
+
+size_t ScriptedNode::CountTexts(std::string_view prefix) const {
+  return static_cast<size_t>(std::count_if(
+      texts_.begin(), texts_.end(),
+      [prefix](const std::string& it) { return it.starts_with(prefix); }));
+}
+
+size_t ScriptedNode::CountPrepared() const {
+  size_t n = 0;
+  for (const auto& [id, connection] : connections_) {
+    n += connection.prepared.size();
+  }
+  return n;
+}
+
+void ScriptedNode::OpenEndpoint(uint64_t id, const SocketAddress& address) {
+  connections_[id].is_primary = address.port == 9000;
+  opening_.push_back(id);
+}
+
+void ScriptedNode::CloseEndpoint(uint64_t id) {
+  to_endpoints_.erase(id);
+  connections_.erase(id);
+}
+
+void ScriptedNode::Wake(TimePoint moment) {
+  wake_at_ = wake_at_ ? std::min(*wake_at_, moment) : moment;
+}
+
+void ScriptedNode::RequestPeerBound(const FreshnessBoundQuery& query) {
+  bound_requests_.push_back(query.service);
+}
+
+void ScriptedNode::Step() {
+  auto to_callers = std::exchange(to_callers_, {});
+  auto to_endpoints = std::exchange(to_endpoints_, {});
+  const auto opening = std::exchange(opening_, {});
+  const auto bound_requests = std::exchange(bound_requests_, {});
+  now_ += kStep;
+  for (const auto& [id, bytes] : to_callers) {
+    ForEachLine(bytes, [&, id = id](std::string_view line) {
+      answers_[id].append(line).append("\n");
+    });
+  }
+  if (wake_at_ && *wake_at_ <= now_) {
+    wake_at_.reset();
+    core_->HandleWake();
+  }
+  for (const ServiceId& it : bound_requests) {
+    core_->RequestPrimaryBound(it);
+  }
+  for (const uint64_t it : opening) {
+    if (connections_.contains(it)) {
+      ++opened_connection_count_;
+      core_->HandleEndpointOpened(it);
+    }
+  }
+  for (const auto& [id, bytes] : to_endpoints) {
+    ForEachLine(bytes, [this, id = id](std::string_view line) {
+      HandleLine(id, line);
+    });
+  }
+}
+
+void ScriptedNode::HandleLine(uint64_t id, std::string_view line) {
+  const auto it = connections_.find(id);
+  if (it == connections_.end()) {
+    return;
+  }
+  longest_line_ = std::max(longest_line_, line.size());
+  std::string_view text = line;
+  std::string body;
+  if (TakeField(text) == "QUERY") {
+    const std::string_view request = TakeField(text);
+    if (text.starts_with("AFTER ")) {
+      TakeField(text);
+      TakeField(text);
+    }
+    texts_.emplace_back(text);
+    const std::optional<std::string> scripted =
+        script_ ? script_(text, it->second.status) : std::nullopt;
+    if (scripted == kSilence) {
+      return;
+    }
+    body = scripted ? *scripted : Answer(id, it->second, request, text);
+  }
+  body += std::string("READY ") + it->second.status + " 1." +
+          std::to_string(log_position_) + "\r\n";
+  ForEachLine(body, [this, id](std::string_view frame) {
+    core_->HandleEndpointFrame(id, frame);
+  });
+}
+
+std::string ScriptedNode::Answer(uint64_t id,
+                                 Connection& connection,
+                                 std::string_view request,
+                                 std::string_view text) {
+  std::string_view rest = text;
+  const std::string_view verb = TakeField(rest);
+  constexpr const char* kDone = "COMPLETE -\r\n";
+  constexpr const char* kMalformed = "ERROR MALFORMED db-0\r\n";
+  const bool ends = verb == "COMMIT" || verb == "ROLLBACK";
+  if (connection.status == 'E' && !ends) {
+    return kMalformed;
+  }
+  if (verb == "BEGIN" || ends) {
+    if (verb == "BEGIN" && connection.status != 'I') {
+      return kMalformed;
+    }
+    if (text == "BEGIN" && !connection.is_primary) {
+      return "ERROR READONLY db\r\n";
+    }
+    connection.status = verb == "BEGIN" ? 'T' : 'I';
+    return verb == "COMMIT" ? "COMPLETE proof\r\n" : kDone;
+  }
+  if (verb == "RESET") {
+    connection.values.clear();
+    connection.prepared.clear();
+    return kDone;
+  }
+  if (verb == "SET") {
+    const std::string name(TakeField(rest));
+    connection.values[name] = rest;
+    return name.empty() ? kMalformed : kDone;
+  }
+  if (verb == "PREPARE") {
+    const std::string name(TakeField(rest));
+    const bool is_known =
+        rest.starts_with("READ ") || rest.starts_with("WRITE ");
+    if (name.empty() || !is_known) {
+      return kMalformed;
+    }
+    connection.prepared[name] = rest;
+    return kDone;
+  }
+  if (verb == "DEALLOC") {
+    return connection.prepared.erase(std::string(rest)) == 1
+               ? kDone
+               : "ERROR NOSTMT db-0\r\n";
+  }
+  ScriptedRun run;
+  run.connection = id;
+  run.at_primary = connection.is_primary;
+  run.request = request;
+  run.text = text;
+  run.values = connection.values;
+  run.in_transaction = connection.status == 'T';
+  if (verb == "EXECUTE") {
+    const auto it = connection.prepared.find(std::string(TakeField(rest)));
+    if (it == connection.prepared.end()) {
+      return "ERROR NOSTMT db-0\r\n";
+    }
+    run.shape = it->second;
+  } else if (verb != "READ" && verb != "WRITE") {
+    return kMalformed;
+  }
+  const bool writes = verb == "WRITE" || run.shape.starts_with("WRITE ");
+  log_position_ += writes ? 1 : 0;
+  runs_.push_back(std::move(run));
+  return std::string("COMPLETE proof-").append(request) + "\r\n";
+}
+
+}  // namespace magnoliareel
--- /dev/null
+++ b/tests/traffic/scripted_node.h
@@ -0,0 +1,132 @@
+#ifndef MAGNOLIAREEL_TESTS_TRAFFIC_SCRIPTED_NODE_H_
+#define MAGNOLIAREEL_TESTS_TRAFFIC_SCRIPTED_NODE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "forwarding/forwarding.h"
+#include "platform/platform.h"
+#include "relay/relay.h"
+
+namespace magnoliareel {
+
+/** A statement that the scripted database ran. */
+struct ScriptedRun {
+  uint64_t connection = 0;
+  bool at_primary = false;
+  std::string request;
+  /** Received behind the id and AFTER. */
+  std::string text;
+  /** Kind and shape of the prepared statement, if it was an execution. */
+  std::string shape;
+  std::map<std::string, std::string> values;
+  bool in_transaction = false;
+};
+
+/** A node before databases that answer each line by the published rules, or as
+    the test says. Each message takes one millisecond. @see TrafficNet */
+class ScriptedNode {
+ public:
+  using Core =
+      TrafficCore<ForwardingCodec<platform::LineDialect>, ScriptedNode>;
+  /** Returns the lines before READY with which the database answers a text, or
+      none to let it answer by the rules; "silence" leaves it unanswered. May
+      change the state of the connection, as in READY. */
+  using Script = std::function<std::optional<std::string>(std::string_view text,
+                                                          char& status)>;
+
+  /** @param has_replica  whether the primary has a replica */
+  explicit ScriptedNode(bool has_replica = false);
+
+  void SetScript(Script script) { script_ = std::move(script); }
+  /** @param database  "entries", which is read at the primary, or "lookups"
+      @returns         the session of a new caller */
+  uint64_t OpenCaller(std::string_view database = "entries");
+  /** Sends a text with an id of its own, and waits for the answer.
+
+      @param session  the session
+      @param text     the text behind the id
+      @param timeout  longest wait
+      @returns        the answer's lines, each with "\n"; incomplete after the
+                      timeout
+  */
+  std::string Ask(uint64_t session,
+                  std::string_view text,
+                  Duration timeout = std::chrono::seconds(2));
+  /** @returns the time that the last Ask() took */
+  Duration GetElapsed() const { return elapsed_; }
+  /** Lets time pass. */
+  void Run(Duration time);
+
+  Core& GetCore() { return *core_; }
+  const std::vector<ScriptedRun>& GetRuns() const { return runs_; }
+  /** @returns the texts that the databases have received */
+  const std::vector<std::string>& GetTexts() const { return texts_; }
+  /** @returns the number of texts that begin with a prefix */
+  size_t CountTexts(std::string_view prefix) const;
+  /** @returns the names that are prepared on all connections */
+  size_t CountPrepared() const;
+  /** @returns the length of the longest line received, without CR LF */
+  size_t GetLongestLine() const { return longest_line_; }
+  size_t CountOpenedConnections() const { return opened_connection_count_; }
+
+  // TrafficNet.
+  TimePoint Now() const { return now_; }
+  std::string& GetCallerBuffer(uint64_t id) { return to_callers_[id]; }
+  std::string& GetEndpointBuffer(uint64_t id) { return to_endpoints_[id]; }
+  void OpenEndpoint(uint64_t id, const SocketAddress& address);
+  void CloseEndpoint(uint64_t id);
+  void CloseCaller(uint64_t id) { closed_.push_back(id); }
+  bool HasUnread(uint64_t) const { return false; }
+  void Wake(TimePoint moment);
+  void Report(const ConditionReport&) {}
+  void Observe(const StatementSample&) {}
+  void OnPrimaryConfirmed(const EndpointId&, Term) {}
+  void RequestPeerBound(const FreshnessBoundQuery& query);
+
+ private:
+  struct Connection {
+    bool is_primary = false;
+    char status = 'I';
+    std::map<std::string, std::string> values;
+    std::map<std::string, std::string> prepared;
+  };
+
+  void Step();
+  void HandleLine(uint64_t id, std::string_view line);
+  /** @returns the lines before READY */
+  std::string Answer(uint64_t id,
+                     Connection& connection,
+                     std::string_view request,
+                     std::string_view text);
+
+  TimePoint now_{std::chrono::seconds(10)};
+  std::optional<TimePoint> wake_at_;
+  std::map<uint64_t, std::string> to_callers_;
+  std::map<uint64_t, std::string> to_endpoints_;
+  std::map<uint64_t, std::string> answers_;
+  std::map<uint64_t, Connection> connections_;
+  std::vector<uint64_t> opening_;
+  std::vector<uint64_t> closed_;
+  std::vector<ServiceId> bound_requests_;
+  std::vector<ScriptedRun> runs_;
+  std::vector<std::string> texts_;
+  Script script_;
+  Duration elapsed_{};
+  size_t longest_line_ = 0;
+  size_t opened_connection_count_ = 0;
+  uint64_t log_position_ = 1;
+  uint64_t next_session_ = 1'000'000;
+  uint64_t request_count_ = 0;
+  std::unique_ptr<Core> core_;
+};
+
+}  // namespace magnoliareel
+
+#endif  // MAGNOLIAREEL_TESTS_TRAFFIC_SCRIPTED_NODE_H_
