Name prepared statements by a number of their connection

Cause: the pool's name of a statement was "r_" or "w_" and the caller's shape. A shape may have blanks, as the last field of PREPARE; in the name it stood in a field that ends at the first blank, so the database read another name, kind and shape, and another text behind the name of EXECUTE.

PreparedNames gives each kind and shape of a connection a number that no other gets while the connection lives, also after a reset, a refusal or an eviction. Sessions, statements and connections share one copy of a shape. What follows the name of an execution goes on as it came: a blank was appended to an EXECUTE without arguments.

--- a/libs/relay/connections/pooled_connection.h
+++ b/libs/relay/connections/pooled_connection.h
@@ -4,11 +4,12 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "core/core.h"
+#include "relay/connections/prepared_names.h"
 #include "relay/messages/endpoint_message.h"
+#include "relay/messages/pooled_statement_name.h"
 #include "relay/sessions/session_values.h"
 
 namespace magnoliareel {
@@ -22,6 +23,7 @@
   kReset,
   kSetValue,
   kPrepare,
+  kDeallocate,
   /** A caller's statement. */
   kStatement,
 };
@@ -32,6 +34,8 @@
   TimePoint sent_at;
   /** Id of the caller's statement, for kStatement. */
   uint64_t statement_id = 0;
+  /** Name that is prepared, deallocated or executed. */
+  PooledStatementName name;
   /** End of the endpoint's log that was known when the request was sent. */
   LogPoint end_before;
   /** Set when the reply contains an error. */
@@ -73,8 +77,7 @@
   uint64_t transaction_config_version = 0;
   /** Session values that are set on this connection. */
   SessionValues values;
-  /** Names of the statements that are prepared on this connection. */
-  std::set<std::string, std::less<>> prepared;
+  PreparedNames prepared;
   /** True if values were set inside the open transaction. Whether a rollback
       reverts them depends on the database, so they are reset afterwards. */
   bool values_in_transaction = false;
--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -226,6 +226,10 @@
                                        const CallerSession& session);
   void StartStatement(PooledConnection& connection, CallerSession& session);
   void SendStatement(PooledConnection& connection, CallerSession& session);
+  /** @returns the statement's name on the connection, under which it is
+     prepared if it was not */
+  PooledStatementName PrepareStatement(PooledConnection& connection,
+                                       const ActiveStatement& statement);
   void SendInTransaction(CallerSession& session);
 
   // traffic_core_bounds.h: requests for freshness bounds.
@@ -236,7 +240,8 @@
   // traffic_core_connections.h: state of pooled connections.
   void ExpectReply(PooledConnection& connection,
                    EndpointRequestKind request,
-                   uint64_t statement_id = 0);
+                   uint64_t statement_id = 0,
+                   PooledStatementName name = {});
   void RollBackOpenTransaction(PooledConnection& connection);
   void BeginReadWriteTransaction(PooledConnection& connection);
   void SyncValues(PooledConnection& connection, const SessionValues& values);
@@ -296,7 +301,7 @@
       that the pool sent on its own behalf. */
   void LogRefusal(Event event,
                   const PooledConnection& connection,
-                  StatementError error);
+                  const PendingReply& reply);
   void Advance(PooledConnection& connection);
   void HandleBeginError(PooledConnection& connection);
   void HandleStatementReply(PooledConnection& connection,
--- a/libs/relay/core/traffic_core_connections.h
+++ b/libs/relay/core/traffic_core_connections.h
@@ -27,10 +27,11 @@
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::ExpectReply(PooledConnection& connection,
                                     EndpointRequestKind request,
-                                    uint64_t statement_id) {
+                                    uint64_t statement_id,
+                                    PooledStatementName name) {
   const EndpointPool* pool = FindPool(connection.endpoint);
   connection.pending_replies.push_back(
-      {request, net_.Now(), statement_id,
+      {request, net_.Now(), statement_id, name,
        pool == nullptr ? LogPoint{} : pool->GetAppliedPoint(), std::nullopt});
 }
 
@@ -59,7 +60,7 @@
     D::AppendReset(net_.GetEndpointBuffer(connection.id));
     ExpectReply(connection, EndpointRequestKind::kReset);
     connection.values.clear();
-    connection.prepared.clear();
+    connection.prepared.Clear();
     connection.values_in_transaction = false;
   }
   AddValues(connection, values);
@@ -97,7 +98,8 @@
       connection.pending_replies.empty();
   const bool holder_left = connection.IsForwarded() && pool != nullptr &&
                            !pool->IsListedHolder(connection.holder);
-  if (pool == nullptr || pool->removed || yields_to_other_vms || holder_left) {
+  if (pool == nullptr || pool->removed || yields_to_other_vms || holder_left ||
+      connection.prepared.IsExhausted()) {
     CloseEndpointConnection(connection.id);
     return;
   }
@@ -243,9 +245,11 @@
   if (found == nullptr) {
     return;
   }
-  const PooledConnection lost = *found;
+  const EndpointId endpoint = found->endpoint;
+  const ConnectionState state = found->state;
+  const bool was_forwarded = found->IsForwarded();
+  CallerSession* session = FindSession(found->session);
   CloseEndpointConnection(connection_id);
-  CallerSession* session = FindSession(lost.session);
   if (session == nullptr) {
     return;
   }
@@ -253,17 +257,17 @@
   std::erase(statement.connections, connection_id);
   LogEvent(
       Event::kConnectionLost,
-      {{"endpoint", lost.endpoint.value},
+      {{"endpoint", endpoint.value},
        {"request", statement.request_id},
        {"need", std::string(EndpointRequirementName(statement.requirement))},
        {"reason", std::string(reason)}});
-  if (lost.state == ConnectionState::kReserved) {
+  if (state == ConnectionState::kReserved) {
     session->connection = 0;
     session->transaction = TransactionPhase::kLost;
     return;
   }
-  if (lost.state == ConnectionState::kBeginning) {
-    RetryElsewhere(*session, lost.endpoint, StatementError::kBusy, Duration(0));
+  if (state == ConnectionState::kBeginning) {
+    RetryElsewhere(*session, endpoint, StatementError::kBusy, Duration(0));
     return;
   }
   if (!statement.connections.empty()) {
@@ -286,8 +290,8 @@
   // A read, or the first statement of a transaction, which was not committed.
   // The loss of a holder says nothing about the endpoint.
   RetryElsewhere(
-      *session, lost.endpoint,
-      lost.IsForwarded() ? StatementError::kBusy : StatementError::kAborted,
+      *session, endpoint,
+      was_forwarded ? StatementError::kBusy : StatementError::kAborted,
       Duration(0));
 }
 
@@ -319,19 +323,20 @@
   if (connection == nullptr) {
     return;
   }
-  const PooledConnection closed = *connection;
-  const bool was_idle = closed.state == ConnectionState::kIdle;
+  const EndpointId endpoint = connection->endpoint;
+  const VmId holder = connection->holder;
+  const bool was_idle = connection->state == ConnectionState::kIdle;
   // The holder is not used again for the statement that the loss affects.
-  if (!was_idle && closed.IsForwarded()) {
-    RecordHolderFailure(closed.holder, ec.message());
+  if (!was_idle && !holder.IsEmpty()) {
+    RecordHolderFailure(holder, ec.message());
   }
   HandleConnectionLoss(id, ec.message());
   // An endpoint may close idle connections; any other close is a failure.
-  if (EndpointPool* pool = FindPool(closed.endpoint);
-      pool != nullptr && !was_idle && !closed.IsForwarded()) {
+  if (EndpointPool* pool = FindPool(endpoint);
+      pool != nullptr && !was_idle && holder.IsEmpty()) {
     HandleEndpointFailure(*pool, EndpointCondition::kUnreachable);
   }
-  if (EndpointPool* pool = FindPool(closed.endpoint)) {
+  if (EndpointPool* pool = FindPool(endpoint)) {
     StartQueued(*pool);
   }
 }
--- a/libs/relay/core/traffic_core_dispatch.h
+++ b/libs/relay/core/traffic_core_dispatch.h
@@ -265,13 +265,9 @@
               !connection.IsForwarded()
           ? statement.required_point
           : std::nullopt;
+  PooledStatementName name;
   if (statement.kind == StatementKind::kExecute) {
-    const std::string name = MakePooledStatementName(statement.prepared);
-    if (connection.prepared.insert(name).second) {
-      D::AppendPrepare(out, name, statement.prepared.writes,
-                       statement.prepared.shape);
-      ExpectReply(connection, EndpointRequestKind::kPrepare);
-    }
+    name = PrepareStatement(connection, statement);
     if (connection.IsForwarded()) {
       AppendForwardingHeader(connection, session);
     }
@@ -283,7 +279,7 @@
     }
     D::AppendForward(out, statement.request_id, required_point, statement.text);
   }
-  ExpectReply(connection, EndpointRequestKind::kStatement, statement.id);
+  ExpectReply(connection, EndpointRequestKind::kStatement, statement.id, name);
   if (connection.IsForwarded() &&
       statement.requirement != EndpointRequirement::kOpenTransaction) {
     connection.read_write_transaction =
@@ -309,6 +305,26 @@
                  {}});
 }
 
+template <ForwardingDialect D, class N>
+PooledStatementName TrafficCore<D, N>::PrepareStatement(
+    PooledConnection& connection,
+    const ActiveStatement& statement) {
+  const PreparedNames::Usage usage =
+      connection.prepared.Use(statement.prepared);
+  std::string& out = net_.GetEndpointBuffer(connection.id);
+  for (const PooledStatementName it : usage.evicted) {
+    ++counters_.prepares_deallocated;
+    D::AppendDeallocate(out, it);
+    ExpectReply(connection, EndpointRequestKind::kDeallocate, 0, it);
+  }
+  if (usage.is_new) {
+    D::AppendPrepare(out, usage.name, statement.prepared->writes,
+                     statement.prepared->shape);
+    ExpectReply(connection, EndpointRequestKind::kPrepare, 0, usage.name);
+  }
+  return usage.name;
+}
+
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::SendInTransaction(CallerSession& session) {
   PooledConnection* connection = FindConnection(session.connection);
--- a/libs/relay/core/traffic_core_errors.h
+++ b/libs/relay/core/traffic_core_errors.h
@@ -21,7 +21,7 @@
   EndpointPool* pool = FindPool(endpoint);
   const TimePoint now = net_.Now();
   if (error == StatementError::kUnknownStatement) {
-    connection.prepared.clear();
+    connection.prepared.Clear();
   }
   if (error == StatementError::kBusy) {
     ++counters_.refused_busy;
--- a/libs/relay/core/traffic_core_replies.h
+++ b/libs/relay/core/traffic_core_replies.h
@@ -139,7 +139,7 @@
     case EndpointRequestKind::kReset:
     case EndpointRequestKind::kSetValue:
       if (reply.error) {
-        LogRefusal(Event::kSessionValuesRefused, connection, *reply.error);
+        LogRefusal(Event::kSessionValuesRefused, connection, reply);
         // It is unknown which values are set on the connection.
         HandleConnectionLoss(id, "session values were refused");
         return;
@@ -147,10 +147,14 @@
       break;
     case EndpointRequestKind::kPrepare:
       if (reply.error) {
-        LogRefusal(Event::kPrepareRefused, connection, *reply.error);
-        connection.prepared.clear();
+        LogRefusal(Event::kPrepareRefused, connection, reply);
+        connection.prepared.Forget(reply.name);
       }
       break;
+    case EndpointRequestKind::kDeallocate:
+      // Whether the endpoint still has it doesn't matter: no other statement
+      // gets the name.
+      break;
     case EndpointRequestKind::kStatement:
       HandleStatementReply(connection, reply, ready);
       return;
@@ -164,12 +168,13 @@
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::LogRefusal(Event event,
                                    const PooledConnection& connection,
-                                   StatementError error) {
+                                   const PendingReply& reply) {
   const CallerSession* session = FindSession(connection.session);
   const bool is_busy = session != nullptr && session->IsBusy();
   const std::string request = is_busy ? session->statement.request_id : "none";
   const std::string id = std::to_string(connection.id);
-  const std::string refusal(StatementErrorName(error));
+  const std::string refusal(
+      StatementErrorName(reply.error.value_or(StatementError::kUnknown)));
   if (event == Event::kSessionValuesRefused) {
     LogEvent(event, {{"request", request},
                      {"endpoint", connection.endpoint.value},
@@ -178,16 +183,14 @@
                      {"reason", connection.text}});
     return;
   }
-  LogEvent(
-      event,
-      {{"request", request},
-       {"endpoint", connection.endpoint.value},
-       {"connection", id},
-       {"name", is_busy ? MakePooledStatementName(session->statement.prepared)
-                        : "none"},
-       {"shape", is_busy ? session->statement.DescribeForLog() : "none"},
-       {"refusal", refusal},
-       {"reason", connection.text}});
+  LogEvent(event,
+           {{"request", request},
+            {"endpoint", connection.endpoint.value},
+            {"connection", id},
+            {"name", "p" + std::to_string(reply.name.number)},
+            {"shape", is_busy ? session->statement.DescribeForLog() : "none"},
+            {"refusal", refusal},
+            {"reason", connection.text}});
 }
 
 template <ForwardingDialect D, class N>
--- a/libs/relay/core/traffic_core_sessions.h
+++ b/libs/relay/core/traffic_core_sessions.h
@@ -3,6 +3,7 @@
 
 // Messages from callers. Included by traffic_core.h.
 
+#include <memory>
 #include <string>
 #include <utility>
 
@@ -219,8 +220,9 @@
                                       const ParsedStatement& parsed) {
   session.prepared.insert_or_assign(
       std::string(parsed.name),
-      PreparedStatement{parsed.kind == StatementKind::kPrepareWrite,
-                        std::string(parsed.argument)});
+      std::make_shared<const PreparedStatement>(
+          PreparedStatement{parsed.kind == StatementKind::kPrepareWrite,
+                            std::string(parsed.argument)}));
   ReplyLocally(session);
 }
 
--- a/libs/relay/core/traffic_core_statements.h
+++ b/libs/relay/core/traffic_core_statements.h
@@ -79,7 +79,7 @@
   }
   out.prepared = it->second;
   out.arguments = parsed.argument;
-  out.writes = it->second.writes;
+  out.writes = it->second->writes;
   return true;
 }
 
--- a/libs/relay/core/traffic_options.h
+++ b/libs/relay/core/traffic_options.h
@@ -46,6 +46,15 @@
   /** Statements that waited for the successor of a primary, or were not run,
       because the primary was being replaced. */
   uint64_t commits_held = 0;
+  /** PREPAREs that an endpoint refused. */
+  uint64_t prepares_refused = 0;
+  /** Names of prepared statements that were given up. */
+  uint64_t prepares_deallocated = 0;
+  /** Changes of session values that an endpoint refused. */
+  uint64_t values_refused = 0;
+  /** Executions that an endpoint refused because it did not know a name that it
+      had prepared. */
+  uint64_t unknown_names = 0;
 };
 
 }  // namespace magnoliareel
--- a/libs/relay/messages/caller_message.h
+++ b/libs/relay/messages/caller_message.h
@@ -31,8 +31,9 @@
   std::string_view text;
   /** Name of the session value or prepared statement; empty for other kinds. */
   std::string_view name;
-  /** The value to set, the shape to prepare, or the arguments of an
-      execution. */
+  /** The value to set, the shape to prepare, or the arguments of an execution:
+      all that follows the name, with the separator, so that an execution under
+      another name is unchanged but for the name. */
   std::string_view argument;
 };
 
--- a/libs/relay/relay.h
+++ b/libs/relay/relay.h
@@ -17,11 +17,13 @@
 */
 #include "relay/connections/endpoint_pool.h"
 #include "relay/connections/pooled_connection.h"
+#include "relay/connections/prepared_names.h"
 #include "relay/core/traffic_core.h"
 #include "relay/freshness/freshness_bound.h"
 #include "relay/freshness/freshness_bound_history.h"
 #include "relay/messages/caller_message.h"
 #include "relay/messages/endpoint_message.h"
+#include "relay/messages/pooled_statement_name.h"
 #include "relay/messages/statement_error.h"
 #include "relay/messages/wire_dialect.h"
 #include "relay/primaries/commit_hold.h"
--- a/libs/relay/sessions/caller_session.h
+++ b/libs/relay/sessions/caller_session.h
@@ -39,9 +39,9 @@
   /** The statement as the caller wrote it. */
   std::string text;
   StatementKind kind = StatementKind::kRead;
-  /** The prepared statement, for kExecute. */
-  PreparedStatement prepared;
-  /** Arguments, for kExecute. */
+  /** The prepared statement, for kExecute; null for other kinds. */
+  std::shared_ptr<const PreparedStatement> prepared;
+  /** Arguments, for kExecute. @see ParsedStatement::argument */
   std::string arguments;
   /** True if it changes data, immediately or when its transaction commits. */
   bool writes = false;
@@ -92,7 +92,7 @@
                prepared statement
       @see DescribeShape */
   std::string DescribeForLog() const {
-    return kind == StatementKind::kExecute ? DescribeShape(prepared) : "none";
+    return prepared == nullptr ? "none" : DescribeShape(*prepared);
   }
   /** @returns true if it neither waits in an endpoint's queue nor was sent to
                one without a reply yet */
@@ -126,7 +126,9 @@
       that names only the service. */
   std::shared_ptr<const DatabaseRoute> route;
   SessionValues values;
-  std::map<std::string, PreparedStatement, std::less<>> prepared;
+  /** By the caller's names. */
+  std::map<std::string, std::shared_ptr<const PreparedStatement>, std::less<>>
+      prepared;
   /** End of the log after the session's newest acknowledged commit. */
   std::optional<LogPoint> last_commit;
   TransactionPhase transaction = TransactionPhase::kNone;
--- a/libs/relay/sessions/session_values.h
+++ b/libs/relay/sessions/session_values.h
@@ -19,13 +19,6 @@
   std::string shape;
 };
 
-/** @param statement  a prepared statement
-    @returns           the name under which the pool prepares its kind and shape
-*/
-inline std::string MakePooledStatementName(const PreparedStatement& statement) {
-  return (statement.writes ? "w_" : "r_") + statement.shape;
-}
-
 /** Describes a prepared statement in logs, where its text has no place.
 
     @param statement  a prepared statement
