End an execution whose PREPARE was refused with that reason

Cause: a PREPARE is sent ahead of its execution. Its refusal was logged and forgotten; the execution then found no name, and was repeated with another PREPARE, up to twelve times. In a transaction, where a holder refuses PREPARE because the transaction is gone, the caller was told MALFORMED.

The connection keeps the refusal, and the execution ends with it if its own reply says that it did not run. Errors that promise "not run" are handled as if the execution had got them, so busy is retried. Too large, not allowed and malformed go on as they are; all others become malformed: the execution did not run, so FAILED, TIMEOUT and UNKNOWN would say too little. If the execution's own reply says that it may have run (a PREPARE that timed out may have had its effect), that counts. prepares_refused counts the refusals. The reply to a DEALLOC matters only if it fails a transaction, which the caller is told as ABORTED.

--- a/libs/relay/connections/pooled_connection.h
+++ b/libs/relay/connections/pooled_connection.h
@@ -42,6 +42,13 @@
   std::optional<StatementError> error;
 };
 
+/** The refusal of a request that the pool sent ahead of a statement. */
+struct EndpointRefusal {
+  /** Why the statement did not run. @see GetErrorBehindRefusal */
+  StatementError error = StatementError::kMalformed;
+  std::string reason;
+};
+
 /** State of a pooled connection. */
 enum class ConnectionState {
   /** The endpoint has not accepted the connection yet. */
@@ -88,6 +95,8 @@
   std::string rows;
   /** Error of the latest BEGIN, if it failed. */
   std::optional<StatementError> begin_error;
+  /** The first refusal of what the session's statement needs, if any. */
+  std::optional<EndpointRefusal> refusal;
   /** Proof of execution or error text of the reply being received. */
   std::string text;
   /** Time at which the state last became kReturning. */
--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -302,6 +302,7 @@
   void LogRefusal(Event event,
                   const PooledConnection& connection,
                   const PendingReply& reply);
+  void RecordRefusal(PooledConnection& connection, StatementError error);
   void Advance(PooledConnection& connection);
   void HandleBeginError(PooledConnection& connection);
   void HandleStatementReply(PooledConnection& connection,
--- a/libs/relay/core/traffic_core_connections.h
+++ b/libs/relay/core/traffic_core_connections.h
@@ -88,6 +88,7 @@
                           connection.state != ConnectionState::kIdle;
   connection.state = ConnectionState::kReturning;
   connection.session = 0;
+  connection.refusal.reset();
   connection.rows.clear();
   // Other VMs wait for a connection: closing this one immediately saves them
   // the round trip of returning it to the pool.
--- a/libs/relay/core/traffic_core_replies.h
+++ b/libs/relay/core/traffic_core_replies.h
@@ -3,6 +3,7 @@
 
 // Replies from endpoints. Included by traffic_core.h.
 
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -147,13 +148,19 @@
       break;
     case EndpointRequestKind::kPrepare:
       if (reply.error) {
+        ++counters_.prepares_refused;
         LogRefusal(Event::kPrepareRefused, connection, reply);
         connection.prepared.Forget(reply.name);
+        RecordRefusal(connection, *reply.error);
       }
       break;
     case EndpointRequestKind::kDeallocate:
-      // Whether the endpoint still has it doesn't matter: no other statement
-      // gets the name.
+      // No other statement gets the name, so only a transaction that failed
+      // matters.
+      if (reply.error &&
+          ready.status == TransactionStatus::kFailedTransaction) {
+        RecordRefusal(connection, StatementError::kAborted);
+      }
       break;
     case EndpointRequestKind::kStatement:
       HandleStatementReply(connection, reply, ready);
@@ -193,6 +200,14 @@
             {"reason", connection.text}});
 }
 
+template <ForwardingDialect D, class N>
+void TrafficCore<D, N>::RecordRefusal(PooledConnection& connection,
+                                      StatementError error) {
+  if (!connection.refusal) {
+    connection.refusal = {GetErrorBehindRefusal(error), connection.text};
+  }
+}
+
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::Advance(PooledConnection& connection) {
   switch (connection.state) {
@@ -264,6 +279,8 @@
   if (!IsPrimary(*pool)) {
     RecordFreshness(*pool, reply.error);
   }
+  const std::optional<EndpointRefusal> refusal =
+      std::exchange(connection.refusal, std::nullopt);
   CallerSession* session = FindSession(connection.session);
   if (session == nullptr || session->statement.id != reply.statement_id ||
       connection.state == ConnectionState::kAbandoned) {
@@ -283,6 +300,11 @@
   if (!reply.error && confirms_primary && ready.log_end) {
     HandlePrimaryConfirmed(*pool, reply.sent_at, *ready.log_end);
   }
+  if (reply.error && refusal && !MayHaveRun(*reply.error)) {
+    connection.text = refusal->reason;
+    HandleStatementError(connection, *session, refusal->error);
+    return;
+  }
   if (reply.error) {
     HandleStatementError(connection, *session, *reply.error);
     return;
--- a/libs/relay/messages/statement_error.h
+++ b/libs/relay/messages/statement_error.h
@@ -47,6 +47,29 @@
   return error <= StatementError::kAborted;
 }
 
+/** @param error  any reason
+    @returns       true if the statement may have run nevertheless
+*/
+constexpr bool MayHaveRun(StatementError error) {
+  return error == StatementError::kFailed ||
+         error == StatementError::kTimedOut ||
+         error == StatementError::kUnknown;
+}
+
+/** Returns why a statement did not run because a request ahead of it, which it
+    needs, was refused.
+
+    @param refusal  the refusal of that request
+    @returns        a reason which neither claims that the statement may have
+                    run, nor asks the caller to repeat what is always refused
+*/
+constexpr StatementError GetErrorBehindRefusal(StatementError refusal) {
+  const bool holds_for_both = GuaranteesNoEffect(refusal) ||
+                              refusal == StatementError::kNotAllowed ||
+                              refusal == StatementError::kTooLarge;
+  return holds_for_both ? refusal : StatementError::kMalformed;
+}
+
 /** @param error  any reason
     @returns       its name in logs and metrics
 */
