Retry an execution of an unknown name once

Callers waited 0.5 s and were told BUSY, for which they come back, after up to twelve executions of a name that the endpoint did not know. Cause: "unknown statement" was retried like "busy", each time on a connection whose names were merely forgotten here.

The execution is now retried once. Outside a transaction the connection is closed, since what else the endpoint has lost on it is uncertain, and another one is used; the endpoint isn't avoided for it. Inside a transaction the statement is prepared again on the same connection, under another name. The second time the caller is told "unknown statement". A holder does the same, and tells the VM that forwards to it to go elsewhere if the endpoint is silent. unknown_names counts the cases.

--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -318,6 +318,7 @@
   void HandleStatementError(PooledConnection& connection,
                             CallerSession& session,
                             StatementError error);
+  void HandleUnknownName(PooledConnection& connection, CallerSession& session);
   void HandleErrorInTransaction(PooledConnection& connection,
                                 CallerSession& session,
                                 StatementError error);
--- a/libs/relay/core/traffic_core_errors.h
+++ b/libs/relay/core/traffic_core_errors.h
@@ -20,9 +20,6 @@
   const EndpointId endpoint = connection.endpoint;
   EndpointPool* pool = FindPool(endpoint);
   const TimePoint now = net_.Now();
-  if (error == StatementError::kUnknownStatement) {
-    connection.prepared.Clear();
-  }
   if (error == StatementError::kBusy) {
     ++counters_.refused_busy;
     pool->RecordBusy(now);
@@ -36,8 +33,7 @@
   }
   const bool did_not_run = error == StatementError::kBehind ||
                            error == StatementError::kBusy ||
-                           error == StatementError::kNotPrimary ||
-                           error == StatementError::kUnknownStatement;
+                           error == StatementError::kNotPrimary;
   // A holder has lost the endpoint, or does not use it.
   const bool was_lost =
       connection.IsForwarded() &&
@@ -66,16 +62,50 @@
   RetryElsewhere(*FindSession(session_id), endpoint, error, delay);
 }
 
+template <ForwardingDialect D, class N>
+void TrafficCore<D, N>::HandleUnknownName(PooledConnection& connection,
+                                          CallerSession& session) {
+  constexpr std::string_view kReason =
+      "the endpoint lost the prepared statement";
+  ++counters_.unknown_names;
+  ActiveStatement& statement = session.statement;
+  const bool may_retry = !std::exchange(statement.met_unknown_name, true);
+  if (statement.requirement == EndpointRequirement::kOpenTransaction) {
+    connection.text = kReason;
+    if (may_retry && connection.status == TransactionStatus::kInTransaction) {
+      connection.state = ConnectionState::kReserved;
+      ScheduleRetry(session, Duration(0));
+      return;
+    }
+    HandleErrorInTransaction(connection, session,
+                             StatementError::kUnknownStatement);
+    return;
+  }
+  // What else the endpoint has lost on this connection is uncertain.
+  const EndpointId endpoint = connection.endpoint;
+  const uint64_t session_id = session.id;
+  const uint64_t statement_id = statement.id;
+  CloseAndStartQueued(connection);
+  if (!IsInProgress(session_id, statement_id)) {
+    return;
+  }
+  CallerSession& current = *FindSession(session_id);
+  if (may_retry) {
+    RetryElsewhere(current, endpoint, StatementError::kUnknownStatement,
+                   Duration(0));
+  } else if (current.statement.connections.empty()) {
+    FailStatement(current, StatementError::kUnknownStatement, kReason);
+  }
+}
+
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandleErrorInTransaction(PooledConnection& connection,
                                                  CallerSession& session,
                                                  StatementError error) {
   const bool still_open =
       connection.status == TransactionStatus::kInTransaction;
-  const bool can_retry = error == StatementError::kBusy ||
-                         error == StatementError::kUnknownStatement;
   connection.state = ConnectionState::kReserved;
-  if (still_open && can_retry &&
+  if (still_open && error == StatementError::kBusy &&
       session.statement.attempts < kMaxStatementAttempts) {
     ScheduleRetry(session, kBusyBackoff);
     return;
@@ -127,8 +157,9 @@
   }
   if ((statement.attempts >= kMaxStatementAttempts && !awaits_primary) ||
       now >= statement.deadline) {
-    FailStatement(session,
-                  GuaranteesNoEffect(error) ? error : StatementError::kBusy,
+    const bool is_told =
+        GuaranteesNoEffect(error) || error == StatementError::kUnknownStatement;
+    FailStatement(session, is_told ? error : StatementError::kBusy,
                   "no endpoint could run it");
     return;
   }
@@ -145,6 +176,7 @@
     statement.waited_for_replica = true;
     delay = kReplicaBehindBackoff;
   } else if (error != StatementError::kBusy &&
+             error != StatementError::kUnknownStatement &&
              !RequiresPrimary(statement.base_requirement)) {
     statement.avoided_endpoints.push_back(failed);
   }
--- a/libs/relay/core/traffic_core_forwarding.h
+++ b/libs/relay/core/traffic_core_forwarding.h
@@ -166,13 +166,16 @@
       pool != nullptr && (!pool->IsBackedOff(net_.Now()) ||
                           RequiresPrimary(session.statement.requirement));
   if (!may_run_here || !answers) {
-    const StatementError reported = error == StatementError::kBusy && !answers
-                                        ? StatementError::kWrongEndpoint
-                                        : error;
-    FailStatement(
-        session,
-        GuaranteesNoEffect(reported) ? reported : StatementError::kBusy,
-        "not run by the endpoint");
+    const bool is_told =
+        GuaranteesNoEffect(error) || error == StatementError::kUnknownStatement;
+    const bool may_run_elsewhere =
+        !answers && (error == StatementError::kBusy ||
+                     error == StatementError::kUnknownStatement);
+    FailStatement(session,
+                  may_run_elsewhere ? StatementError::kWrongEndpoint
+                  : is_told         ? error
+                                    : StatementError::kBusy,
+                  "not run by the endpoint");
     return;
   }
   ScheduleRetry(session, delay);
--- a/libs/relay/core/traffic_core_replies.h
+++ b/libs/relay/core/traffic_core_replies.h
@@ -305,6 +305,11 @@
     HandleStatementError(connection, *session, refusal->error);
     return;
   }
+  if (reply.error == StatementError::kUnknownStatement) {
+    connection.prepared.Forget(reply.name);
+    HandleUnknownName(connection, *session);
+    return;
+  }
   if (reply.error) {
     HandleStatementError(connection, *session, *reply.error);
     return;
--- a/libs/relay/sessions/caller_session.h
+++ b/libs/relay/sessions/caller_session.h
@@ -82,6 +82,9 @@
   bool waited_for_bound = false;
   /** True if it was counted as one that waits for a primary's successor. */
   bool was_held = false;
+  /** True if it was retried because an endpoint did not know a name that it had
+      prepared. */
+  bool met_unknown_name = false;
   /** True if it was retried at a replica that was behind. */
   bool waited_for_replica = false;
   /** Time at which the holder that runs it was asked for a sign of life; epoch
