Wait until an endpoint has taken odd session values

A SET is acknowledged at once and sent ahead of the next statement. If the endpoint refused it, the statement behind it had run with other values (PINNED), a write ended as UNKNOWN, and the pooled connection was closed at each attempt: one caller's odd value cost everybody connections.

A name and a value that are plain words (printable, no blank, at most 200 bytes) still go together with the statement, since the grammar makes the answer certain. Any other value is awaited before the statement is sent, in the state in which BEGIN is awaited; no round trip is added where a BEGIN is. A refusal ends the statement with the endpoint's reason, or is handled like one that promises "not run". The connection is reset before another session uses it, and closed only if that is refused, too. In an open transaction the loss of the connection, its deadline and a hold of commits end as ABORTED while the statement waits: it was not sent, and the transaction is rolled back. A COMMIT that failed returns its connection, which stayed reserved if the transaction was still open. If a plain word is refused although it can't be, the connection is closed as before, and from then on that session's values are awaited. A holder's answer is certain; the holder waits for the endpoint. values_refused counts.

--- a/libs/relay/connections/pooled_connection.h
+++ b/libs/relay/connections/pooled_connection.h
@@ -1,6 +1,7 @@
 #ifndef MAGNOLIAREEL_RELAY_CONNECTIONS_POOLED_CONNECTION_H_
 #define MAGNOLIAREEL_RELAY_CONNECTIONS_POOLED_CONNECTION_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -57,7 +58,8 @@
       connection becomes idle. */
   kReturning,
   kIdle,
-  /** Waits for the transaction to begin before the statement is sent. */
+  /** Waits for the transaction to begin, or for session values to be set,
+     before the statement is sent. */
   kBeginning,
   /** Runs a statement. */
   kRunning,
@@ -85,9 +87,11 @@
   /** Session values that are set on this connection. */
   SessionValues values;
   PreparedNames prepared;
-  /** True if values were set inside the open transaction. Whether a rollback
-      reverts them depends on the database, so they are reset afterwards. */
-  bool values_in_transaction = false;
+  /** True if it is uncertain which values are set, so that they are reset
+     before another session uses the connection: the endpoint refused one, or
+     they were set inside the open transaction. Whether a rollback reverts them
+     depends on the database. */
+  bool values_uncertain = false;
   std::deque<PendingReply> pending_replies;
   /** Session that uses it; 0 if none. */
   uint64_t session = 0;
@@ -95,7 +99,8 @@
   std::string rows;
   /** Error of the latest BEGIN, if it failed. */
   std::optional<StatementError> begin_error;
-  /** The first refusal of what the session's statement needs, if any. */
+  /** The first refusal of what the session's statement needs, a prepared
+      statement or session values, if any. */
   std::optional<EndpointRefusal> refusal;
   /** Proof of execution or error text of the reply being received. */
   std::string text;
@@ -106,6 +111,13 @@
 
   /** @returns true if statements reach the endpoint through another VM */
   bool IsForwarded() const { return !holder.IsEmpty(); }
+  /** @returns true if the reply to a caller's statement is pending */
+  bool HasSentStatement() const {
+    return std::any_of(pending_replies.begin(), pending_replies.end(),
+                       [](const PendingReply& it) {
+                         return it.request == EndpointRequestKind::kStatement;
+                       });
+  }
   /** @returns true if a read-write transaction is open that no session uses
       yet */
   bool HasUnusedTransaction() const {
--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -225,6 +225,9 @@
   PooledConnection* PickIdleConnection(EndpointPool& pool,
                                        const CallerSession& session);
   void StartStatement(PooledConnection& connection, CallerSession& session);
+  /** Lets a statement wait for the pending replies before it is sent. */
+  void AwaitReplies(PooledConnection& connection, CallerSession& session);
+  void SendAwaiting(PooledConnection& connection, CallerSession& session);
   void SendStatement(PooledConnection& connection, CallerSession& session);
   /** @returns the statement's name on the connection, under which it is
      prepared if it was not */
@@ -244,8 +247,15 @@
                    PooledStatementName name = {});
   void RollBackOpenTransaction(PooledConnection& connection);
   void BeginReadWriteTransaction(PooledConnection& connection);
-  void SyncValues(PooledConnection& connection, const SessionValues& values);
-  void AddValues(PooledConnection& connection, const SessionValues& values);
+  /** Sets a session's values, and no others, on a connection.
+
+      @returns whether a statement must wait until the endpoint has accepted
+     them
+  */
+  bool SyncValues(PooledConnection& connection, const CallerSession& session);
+  /** Sets a session's values without a reset. @see SyncValues */
+  bool AddValues(PooledConnection& connection, const CallerSession& session);
+  void ResetValues(PooledConnection& connection);
   void ReturnToPool(PooledConnection& connection);
   void ScheduleReturnTimeout(PooledConnection& connection);
   void MarkIdle(PooledConnection& connection);
@@ -302,6 +312,9 @@
   void LogRefusal(Event event,
                   const PooledConnection& connection,
                   const PendingReply& reply);
+  /** @returns false if the connection was closed */
+  bool HandleValuesRefused(PooledConnection& connection,
+                           const PendingReply& reply);
   void RecordRefusal(PooledConnection& connection, StatementError error);
   void Advance(PooledConnection& connection);
   void HandleBeginError(PooledConnection& connection);
--- a/libs/relay/core/traffic_core_connections.h
+++ b/libs/relay/core/traffic_core_connections.h
@@ -53,24 +53,29 @@
 }
 
 template <ForwardingDialect D, class N>
-void TrafficCore<D, N>::SyncValues(PooledConnection& connection,
-                                   const SessionValues& values) {
-  if (connection.values_in_transaction ||
-      HasExtraValues(connection.values, values)) {
-    D::AppendReset(net_.GetEndpointBuffer(connection.id));
-    ExpectReply(connection, EndpointRequestKind::kReset);
-    connection.values.clear();
-    connection.prepared.Clear();
-    connection.values_in_transaction = false;
+void TrafficCore<D, N>::ResetValues(PooledConnection& connection) {
+  D::AppendReset(net_.GetEndpointBuffer(connection.id));
+  ExpectReply(connection, EndpointRequestKind::kReset);
+  connection.values.clear();
+  connection.prepared.Clear();
+  connection.values_uncertain = false;
+}
+
+template <ForwardingDialect D, class N>
+bool TrafficCore<D, N>::SyncValues(PooledConnection& connection,
+                                   const CallerSession& session) {
+  if (HasExtraValues(connection.values, session.values)) {
+    ResetValues(connection);
   }
-  AddValues(connection, values);
+  return AddValues(connection, session);
 }
 
 template <ForwardingDialect D, class N>
-void TrafficCore<D, N>::AddValues(PooledConnection& connection,
-                                  const SessionValues& values) {
+bool TrafficCore<D, N>::AddValues(PooledConnection& connection,
+                                  const CallerSession& session) {
   std::string& out = net_.GetEndpointBuffer(connection.id);
-  for (const auto& [name, value] : values) {
+  bool must_wait = false;
+  for (const auto& [name, value] : session.values) {
     if (const auto it = connection.values.find(name);
         it != connection.values.end() && it->second == value) {
       continue;
@@ -78,7 +83,12 @@
     D::AppendSetValue(out, name, value);
     ExpectReply(connection, EndpointRequestKind::kSetValue);
     connection.values.insert_or_assign(name, value);
+    // A holder accepts what this VM has accepted; it waits for the endpoint.
+    must_wait = must_wait || session.awaits_values ||
+                (!connection.IsForwarded() &&
+                 !(IsPlainWord(name) && IsPlainWord(value)));
   }
+  return must_wait;
 }
 
 template <ForwardingDialect D, class N>
@@ -105,6 +115,9 @@
     return;
   }
   RollBackOpenTransaction(connection);
+  if (connection.values_uncertain) {
+    ResetValues(connection);
+  }
   if (IsPrimary(*pool) && !connection.IsForwarded()) {
     BeginReadWriteTransaction(connection);
   }
@@ -267,6 +280,12 @@
     session->transaction = TransactionPhase::kLost;
     return;
   }
+  if (state == ConnectionState::kBeginning &&
+      statement.requirement == EndpointRequirement::kOpenTransaction) {
+    session->connection = 0;
+    FailStatement(*session, StatementError::kAborted, reason);
+    return;
+  }
   if (state == ConnectionState::kBeginning) {
     RetryElsewhere(*session, endpoint, StatementError::kBusy, Duration(0));
     return;
--- a/libs/relay/core/traffic_core_dispatch.h
+++ b/libs/relay/core/traffic_core_dispatch.h
@@ -214,8 +214,7 @@
     pool->RecordUse(connection.last_used_at);
   }
   ++statement.attempts;
-  const bool same_values =
-      connection.values == session.values && !connection.values_in_transaction;
+  const bool same_values = connection.values == session.values;
   const bool needs_primary_transaction =
       statement.requirement == EndpointRequirement::kPrimaryRead ||
       statement.requirement == EndpointRequirement::kReadWriteTransaction;
@@ -227,33 +226,64 @@
     return;
   }
   RollBackOpenTransaction(connection);
-  SyncValues(connection, session.values);
-  const bool begins_transaction =
-      needs_primary_transaction ||
-      statement.requirement == EndpointRequirement::kReadTransaction;
+  const bool awaits_values = SyncValues(connection, session);
   // A holder begins the transaction itself.
-  if (!begins_transaction || connection.IsForwarded()) {
+  const bool begins_transaction =
+      !connection.IsForwarded() &&
+      (needs_primary_transaction ||
+       statement.requirement == EndpointRequirement::kReadTransaction);
+  if (!begins_transaction && !awaits_values) {
     SendStatement(connection, session);
     return;
   }
-  // The statement is not sent before BEGIN has succeeded: after a failed BEGIN
-  // it would run outside a transaction.
-  connection.state = ConnectionState::kBeginning;
-  statement.connections.push_back(connection.id);
-  if (needs_primary_transaction) {
+  if (begins_transaction && needs_primary_transaction) {
     BeginReadWriteTransaction(connection);
-  } else {
+  } else if (begins_transaction) {
     D::AppendBeginRead(net_.GetEndpointBuffer(connection.id),
                        statement.required_point);
     ExpectReply(connection, EndpointRequestKind::kBeginRead);
   }
+  AwaitReplies(connection, session);
+}
+
+template <ForwardingDialect D, class N>
+void TrafficCore<D, N>::AwaitReplies(PooledConnection& connection,
+                                     CallerSession& session) {
+  // After a failed BEGIN, the statement would run outside a transaction; after
+  // a refused value, with other values than the caller has set.
+  connection.begin_error.reset();
+  connection.state = ConnectionState::kBeginning;
+  session.statement.connections.push_back(connection.id);
   ScheduleTimer({net_.Now() + kSlowStatementThreshold,
                  TimerKind::kSlowStatement,
                  session.id,
-                 statement.id,
+                 session.statement.id,
                  {}});
 }
 
+template <ForwardingDialect D, class N>
+void TrafficCore<D, N>::SendAwaiting(PooledConnection& connection,
+                                     CallerSession& session) {
+  if (session.statement.requirement != EndpointRequirement::kOpenTransaction) {
+    if (const EndpointPool* pool = FindPool(connection.endpoint);
+        pool != nullptr && !TakesNewStatements(*pool)) {
+      connection.begin_error = StatementError::kBusy;
+      HandleBeginError(connection);
+      return;
+    }
+    if (IsHeldBack(session, connection.endpoint)) {
+      connection.begin_error = StatementError::kNotPrimary;
+      HandleBeginError(connection);
+      return;
+    }
+  } else if (IsHeldBack(session, connection.endpoint)) {
+    std::erase(session.statement.connections, connection.id);
+    AbortHeldBackTransaction(session, connection);
+    return;
+  }
+  SendStatement(connection, session);
+}
+
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::SendStatement(PooledConnection& connection,
                                       CallerSession& session) {
@@ -342,8 +372,11 @@
   if (connection->values != session.values) {
     // Values are only added: a session never removes a value, and a reset would
     // affect the open transaction.
-    AddValues(*connection, session.values);
-    connection->values_in_transaction = true;
+    connection->values_uncertain = true;
+    if (AddValues(*connection, session)) {
+      AwaitReplies(*connection, session);
+      return;
+    }
   }
   SendStatement(*connection, session);
 }
--- a/libs/relay/core/traffic_core_errors.h
+++ b/libs/relay/core/traffic_core_errors.h
@@ -111,7 +111,8 @@
     return;
   }
   const std::string reason = connection.text;
-  if (!still_open) {
+  // A COMMIT that failed ends the transaction for the caller.
+  if (!still_open || session.statement.kind == StatementKind::kCommit) {
     session.connection = 0;
     const bool ended = connection.status == TransactionStatus::kIdle;
     const uint64_t session_id = session.id;
--- a/libs/relay/core/traffic_core_replies.h
+++ b/libs/relay/core/traffic_core_replies.h
@@ -139,10 +139,7 @@
       break;
     case EndpointRequestKind::kReset:
     case EndpointRequestKind::kSetValue:
-      if (reply.error) {
-        LogRefusal(Event::kSessionValuesRefused, connection, reply);
-        // It is unknown which values are set on the connection.
-        HandleConnectionLoss(id, "session values were refused");
+      if (reply.error && !HandleValuesRefused(connection, reply)) {
         return;
       }
       break;
@@ -200,6 +197,30 @@
             {"reason", connection.text}});
 }
 
+template <ForwardingDialect D, class N>
+bool TrafficCore<D, N>::HandleValuesRefused(PooledConnection& connection,
+                                            const PendingReply& reply) {
+  ++counters_.values_refused;
+  LogRefusal(Event::kSessionValuesRefused, connection, reply);
+  if (reply.request == EndpointRequestKind::kSetValue &&
+      !connection.HasSentStatement()) {
+    connection.values.clear();
+    connection.values_uncertain = true;
+    RecordRefusal(connection, *reply.error);
+    return true;
+  }
+  // A statement that was sent already runs with other values.
+  if (CallerSession* session = FindSession(connection.session)) {
+    session->awaits_values = true;
+  }
+  const EndpointId endpoint = connection.endpoint;
+  HandleConnectionLoss(connection.id, "session values were refused");
+  if (EndpointPool* pool = FindPool(endpoint)) {
+    StartQueued(*pool);
+  }
+  return false;
+}
+
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::RecordRefusal(PooledConnection& connection,
                                       StatementError error) {
@@ -224,22 +245,18 @@
         ReturnToPool(connection);
         return;
       }
-      if (connection.begin_error) {
-        HandleBeginError(connection);
+      if (const auto refusal =
+              std::exchange(connection.refusal, std::nullopt)) {
+        std::erase(session->statement.connections, connection.id);
+        connection.text = refusal->reason;
+        HandleStatementError(connection, *session, refusal->error);
         return;
       }
-      if (const EndpointPool* pool = FindPool(connection.endpoint);
-          pool != nullptr && !TakesNewStatements(*pool)) {
-        connection.begin_error = StatementError::kBusy;
-        HandleBeginError(connection);
-        return;
-      }
-      if (IsHeldBack(*session, connection.endpoint)) {
-        connection.begin_error = StatementError::kNotPrimary;
+      if (connection.begin_error) {
         HandleBeginError(connection);
         return;
       }
-      SendStatement(connection, *session);
+      SendAwaiting(connection, *session);
       return;
     }
     case ConnectionState::kIdle:
--- a/libs/relay/core/traffic_core_slow_statements.h
+++ b/libs/relay/core/traffic_core_slow_statements.h
@@ -50,7 +50,7 @@
     } else {
       net_.Report({pool->entry.id, EndpointCondition::kSilent});
     }
-  } else if (commits) {
+  } else if (commits && connection->state == ConnectionState::kRunning) {
     net_.Report({pool->entry.id, EndpointCondition::kCommitsStalled});
   }
   if (connection->state == ConnectionState::kBeginning && silent) {
--- a/libs/relay/core/traffic_core_timers.h
+++ b/libs/relay/core/traffic_core_timers.h
@@ -197,6 +197,15 @@
     sent = sent || (connection != nullptr &&
                     connection->state == ConnectionState::kRunning);
   }
+  if (!sent && statement.requirement == EndpointRequirement::kOpenTransaction &&
+      !statement.connections.empty()) {
+    // It waits for session values. Closing the connection rolls back.
+    statement.connections.clear();
+    CloseEndpointConnection(std::exchange(session.connection, 0));
+    FailStatement(session, StatementError::kAborted,
+                  "not run within the statement timeout");
+    return;
+  }
   if (!sent) {
     FailStatement(session, StatementError::kBusy,
                   "not run within the statement timeout");
--- a/tests/traffic/prepared_statement_test.cc
+++ b/tests/traffic/prepared_statement_test.cc
@@ -463,6 +463,26 @@
   STRCMP_EQUAL("a b", node.GetRuns().back().values.at("v1").c_str());
 }
 
+TEST(SessionValue, ARefusedWordCostsOneConnection) {
+  // Words are sent together with the statement, because a database is sure to
+  // take them. Guards against a connection that is closed for each attempt.
+  ScriptedNode node;
+  const uint64_t session = node.OpenCaller();
+  CheckAnswer("COMPLETE proof", node.Ask(session, "READ warm-up"));
+  node.Run(milliseconds(10));
+  node.SetScript(AnswerFirst("SET v1 word", 100, "ERROR FAILED odd\r\n"));
+  node.Ask(session, "SET v1 word");
+  const size_t opened = node.CountOpenedConnections();
+  // It has run with other values.
+  CheckAnswer("ERROR UNKNOWN", node.Ask(session, "WRITE item1 x"));
+  LONGS_EQUAL(2, node.GetRuns().size());
+  for (int n = 0; n < 3; ++n) {
+    CheckAnswer("ERROR MALFORMED odd", node.Ask(session, "WRITE item1 x"));
+  }
+  LONGS_EQUAL(2, node.GetRuns().size());
+  LONGS_EQUAL(opened + 1, node.CountOpenedConnections());
+}
+
 TEST(SessionValue, ARefusedValueInATransactionEndsItsStatement) {
   ScriptedNode node;
   const uint64_t session = node.OpenCaller();
--- a/tests/traffic/scripted_node.cc
+++ b/tests/traffic/scripted_node.cc
@@ -144,17 +144,24 @@
       core_->HandleEndpointOpened(it);
     }
   }
+  // What was sent arrives, also if the connection is closed for an answer.
+  std::map<uint64_t, std::string> replies;
   for (const auto& [id, bytes] : to_endpoints) {
-    ForEachLine(bytes, [this, id = id](std::string_view line) {
-      HandleLine(id, line);
+    ForEachLine(bytes, [&, id = id](std::string_view line) {
+      replies[id] += HandleLine(id, line);
+    });
+  }
+  for (const auto& [id, bytes] : replies) {
+    ForEachLine(bytes, [this, id = id](std::string_view frame) {
+      core_->HandleEndpointFrame(id, frame);
     });
   }
 }
 
-void ScriptedNode::HandleLine(uint64_t id, std::string_view line) {
+std::string ScriptedNode::HandleLine(uint64_t id, std::string_view line) {
   const auto it = connections_.find(id);
   if (it == connections_.end()) {
-    return;
+    return {};
   }
   longest_line_ = std::max(longest_line_, line.size());
   std::string_view text = line;
@@ -169,15 +176,12 @@
     const std::optional<std::string> scripted =
         script_ ? script_(text, it->second.status) : std::nullopt;
     if (scripted == kSilence) {
-      return;
+      return {};
     }
     body = scripted ? *scripted : Answer(id, it->second, request, text);
   }
-  body += std::string("READY ") + it->second.status + " 1." +
-          std::to_string(log_position_) + "\r\n";
-  ForEachLine(body, [this, id](std::string_view frame) {
-    core_->HandleEndpointFrame(id, frame);
-  });
+  return body + "READY " + it->second.status + " 1." +
+         std::to_string(log_position_) + "\r\n";
 }
 
 std::string ScriptedNode::Answer(uint64_t id,
--- a/tests/traffic/scripted_node.h
+++ b/tests/traffic/scripted_node.h
@@ -99,7 +99,8 @@
   };
 
   void Step();
-  void HandleLine(uint64_t id, std::string_view line);
+  /** @returns the answer */
+  std::string HandleLine(uint64_t id, std::string_view line);
   /** @returns the lines before READY */
   std::string Answer(uint64_t id,
                      Connection& connection,
