Refuse at once what can't be sent later, and limit what a session holds

A message has at most 1 MiB. The pool's own lines and the prefix with a log point may be longer than the caller's: a PREPARE with a longer name, an execution, a read at a replica. Such lines went to the endpoint, which closes for them. And a session could hold any amount of text.

The dialect states its limit (kMaxMessageBytes). A PREPARE or EXECUTE that would not fit under the longest name is told TOOLARGE before anything is sent. A read that leaves no room for a log point runs at the primary, in a transaction, which needs none. A session holds at most 16 MiB of values and shapes, 200 bytes for each entry included; 20,000 shapes of 200 characters count 8 MB.

Evidence: TheCallerIsToldThatAPrepareCanNotBeSent, ALongReadThatLeavesNoRoomForALogPointRunsAtThePrimary and ASessionHoldsALimitedAmountOfText were red before and are green.

--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -189,7 +189,24 @@
   void HandleStatement(CallerSession& session, const CallerMessage& message);
   void HandleBegin(CallerSession& session, bool reads_only);
   void HandleRollback(CallerSession& session);
+  void HandleSetValue(CallerSession& session, const ParsedStatement& statement);
   void HandlePrepare(CallerSession& session, const ParsedStatement& statement);
+  /** Makes room for a text that a session is to hold, or tells the caller that
+      there is none.
+
+      @param freed   length of the text that it replaces
+      @param needed  its length
+      @returns       false if there is none
+  */
+  bool ReserveText(CallerSession& session, size_t freed, size_t needed);
+  /** @param text_bytes  length of the texts in a message
+      @param append      appends the encoded message to a string
+      @returns           whether a peer accepts the message */
+  template <class F>
+  static bool FitsMessage(size_t text_bytes, F append);
+  /** @returns whether a read leaves room for a log point that the endpoint must
+               have applied */
+  static bool FitsBehindLogPoint(const ActiveStatement& statement);
   void HandleDeallocate(CallerSession& session, std::string_view name);
   void SubmitStatement(CallerSession& session, const CallerMessage& message);
   bool RefreshRoute(CallerSession& session);
--- a/libs/relay/core/traffic_core_forwarding.h
+++ b/libs/relay/core/traffic_core_forwarding.h
@@ -59,6 +59,7 @@
   if (message.message.statement.kind == StatementKind::kReset) {
     session->values.clear();
     session->prepared.clear();
+    session->held_bytes = 0;
     ReplyLocally(*session);
     return;
   }
--- a/libs/relay/core/traffic_core_sessions.h
+++ b/libs/relay/core/traffic_core_sessions.h
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "relay/core/traffic_core.h"
+#include "relay/core/traffic_limits.h"
 
 namespace magnoliareel {
 
@@ -162,9 +163,7 @@
       HandleRollback(session);
       return;
     case StatementKind::kSetValue:
-      session.values.insert_or_assign(std::string(parsed.name),
-                                      std::string(parsed.argument));
-      ReplyLocally(session);
+      HandleSetValue(session, parsed);
       return;
     case StatementKind::kPrepareRead:
     case StatementKind::kPrepareWrite:
@@ -215,14 +214,73 @@
   ReplyLocally(session);
 }
 
+template <ForwardingDialect D, class N>
+bool TrafficCore<D, N>::ReserveText(CallerSession& session,
+                                    size_t freed,
+                                    size_t needed) {
+  // A VM that forwards holds as much for a caller, and names of its own.
+  const size_t limit =
+      session.is_forwarded ? 2 * kMaxSessionTextBytes : kMaxSessionTextBytes;
+  const size_t held = session.held_bytes - freed + needed;
+  if (held > limit) {
+    ReplyError(session, StatementError::kTooLarge,
+               "the session's values and prepared statements are too large");
+    return false;
+  }
+  session.held_bytes = held;
+  return true;
+}
+
+template <ForwardingDialect D, class N>
+template <class F>
+bool TrafficCore<D, N>::FitsMessage(size_t text_bytes, F append) {
+  if (text_bytes + kMaxEncodingBytes <= D::kMaxMessageBytes) {
+    return true;
+  }
+  std::string buf;
+  append(buf);
+  return buf.size() <= D::kMaxMessageBytes;
+}
+
+template <ForwardingDialect D, class N>
+void TrafficCore<D, N>::HandleSetValue(CallerSession& session,
+                                       const ParsedStatement& parsed) {
+  const auto it = session.values.find(parsed.name);
+  const size_t freed =
+      it == session.values.end() ? 0 : CountHeldBytes(it->first, it->second);
+  if (!ReserveText(session, freed,
+                   CountHeldBytes(parsed.name, parsed.argument))) {
+    return;
+  }
+  session.values.insert_or_assign(std::string(parsed.name),
+                                  std::string(parsed.argument));
+  ReplyLocally(session);
+}
+
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandlePrepare(CallerSession& session,
                                       const ParsedStatement& parsed) {
+  const bool writes = parsed.kind == StatementKind::kPrepareWrite;
+  const auto append = [&](std::string& out) {
+    D::AppendPrepare(out, kLongestPooledStatementName, writes, parsed.argument);
+  };
+  if (!FitsMessage(parsed.argument.size(), append)) {
+    ReplyError(session, StatementError::kTooLarge,
+               "the statement is too long to be prepared");
+    return;
+  }
+  const auto it = session.prepared.find(parsed.name);
+  const size_t freed = it == session.prepared.end()
+                           ? 0
+                           : CountHeldBytes(it->first, it->second->shape);
+  if (!ReserveText(session, freed,
+                   CountHeldBytes(parsed.name, parsed.argument))) {
+    return;
+  }
   session.prepared.insert_or_assign(
       std::string(parsed.name),
       std::make_shared<const PreparedStatement>(
-          PreparedStatement{parsed.kind == StatementKind::kPrepareWrite,
-                            std::string(parsed.argument)}));
+          PreparedStatement{writes, std::string(parsed.argument)}));
   ReplyLocally(session);
 }
 
@@ -234,6 +292,7 @@
     ReplyError(session, StatementError::kUnknownStatement, name);
     return;
   }
+  session.held_bytes -= CountHeldBytes(it->first, it->second->shape);
   session.prepared.erase(it);
   ReplyLocally(session);
 }
--- a/libs/relay/core/traffic_core_statements.h
+++ b/libs/relay/core/traffic_core_statements.h
@@ -4,6 +4,8 @@
 // Acceptance of a caller's statement: its requirement and its deadline.
 // Included by traffic_core.h.
 
+#include <limits>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -51,8 +53,9 @@
   } else if (statement.writes) {
     statement.base_requirement = EndpointRequirement::kWrite;
   } else {
-    statement.base_requirement = at_primary ? EndpointRequirement::kPrimaryRead
-                                            : EndpointRequirement::kRead;
+    statement.base_requirement = at_primary || !FitsBehindLogPoint(statement)
+                                     ? EndpointRequirement::kPrimaryRead
+                                     : EndpointRequirement::kRead;
   }
   statement.priority = session.route->priority;
   statement.config_version = view_->routes->version;
@@ -77,12 +80,39 @@
     ReplyError(session, StatementError::kUnknownStatement, parsed.name);
     return false;
   }
+  const auto append = [&](std::string& buf) {
+    D::AppendExecute(buf, message.request_id, std::nullopt,
+                     kLongestPooledStatementName, parsed.argument);
+  };
+  if (!FitsMessage(message.request_id.size() + parsed.argument.size(),
+                   append)) {
+    ReplyError(session, StatementError::kTooLarge,
+               "the execution is too long to be sent");
+    return false;
+  }
   out.prepared = it->second;
   out.arguments = parsed.argument;
   out.writes = it->second->writes;
   return true;
 }
 
+template <ForwardingDialect D, class N>
+bool TrafficCore<D, N>::FitsBehindLogPoint(const ActiveStatement& statement) {
+  constexpr LogPoint kLongest{
+      Term{std::numeric_limits<uint64_t>::max()},
+      LogPosition{std::numeric_limits<uint64_t>::max()}};
+  const auto append = [&](std::string& buf) {
+    if (statement.kind == StatementKind::kExecute) {
+      D::AppendExecute(buf, statement.request_id, kLongest,
+                       kLongestPooledStatementName, statement.arguments);
+    } else {
+      D::AppendForward(buf, statement.request_id, kLongest, statement.text);
+    }
+  };
+  return FitsMessage(statement.request_id.size() + statement.text.size(),
+                     append);
+}
+
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::AcceptStatement(CallerSession& session,
                                         ActiveStatement statement,
--- a/libs/relay/core/traffic_limits.h
+++ b/libs/relay/core/traffic_limits.h
@@ -2,7 +2,9 @@
 #define MAGNOLIAREEL_RELAY_CORE_TRAFFIC_LIMITS_H_
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
+#include <string_view>
 
 #include "core/core.h"
 
@@ -111,6 +113,21 @@
 inline constexpr Duration kInitialHolderBackoff =
     std::chrono::milliseconds(400);
 inline constexpr Duration kMaxHolderBackoff = std::chrono::seconds(3);
+/** Maximum text that a session holds in values and prepared statements, in
+    bytes. */
+inline constexpr size_t kMaxSessionTextBytes = 16 * 1024 * 1024;
+/** What a value or prepared statement counts besides its text: about the memory
+    of its entry. */
+inline constexpr size_t kSessionEntryBytes = 200;
+/** @param name  name of a value or prepared statement
+    @param text  the value or the shape
+    @returns     what it counts, in bytes */
+constexpr size_t CountHeldBytes(std::string_view name, std::string_view text) {
+  return kSessionEntryBytes + name.size() + text.size();
+}
+/** Longer than all that an encoding adds to the texts in a message, in bytes.
+ */
+inline constexpr size_t kMaxEncodingBytes = 1024;
 /** Interval at which idle sessions are closed during a drain. */
 inline constexpr Duration kDrainInterval = std::chrono::milliseconds(100);
 /** Idle sessions are closed over this period during a drain, so that they don't
--- a/libs/relay/sessions/caller_session.h
+++ b/libs/relay/sessions/caller_session.h
@@ -1,6 +1,7 @@
 #ifndef MAGNOLIAREEL_RELAY_SESSIONS_CALLER_SESSION_H_
 #define MAGNOLIAREEL_RELAY_SESSIONS_CALLER_SESSION_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -135,6 +136,8 @@
   /** By the caller's names. */
   std::map<std::string, std::shared_ptr<const PreparedStatement>, std::less<>>
       prepared;
+  /** Length of the texts in `values` and `prepared`. */
+  size_t held_bytes = 0;
   /** End of the log after the session's newest acknowledged commit. */
   std::optional<LogPoint> last_commit;
   TransactionPhase transaction = TransactionPhase::kNone;
