Stand-in: keep to the grammar of the users' page

Cause: GroupModel took any word for READ in a PREPARE, an EXECUTE without an item, a WRITE without data, a line of any length, and knew no DEALLOC. Change: group_query parses a QUERY field by field; what breaks the grammar is MALFORMED at once, before a slot is used. A line of more than 1 MiB is answered with TOOLARGE and a close. DEALLOC is served. Every error but BUSY, NOSTMT and LAGGING fails the transaction. A READ's item is the last field and extends to the end of the line. Decisions where the page is silent: an empty value of SET and empty data of a WRITE are fields; an empty name, item or shape isn't; a blank behind COMMIT, ROLLBACK, BEGIN, RESET or STATUS is one field too many; a word before STARTUP that isn't STARTUP closes the connection; COMMIT and ROLLBACK outside a transaction succeed as before.

--- a/standins/group/group_model.cc
+++ b/standins/group/group_model.cc
@@ -1,32 +1,18 @@
 #include "standins/group/group_model.h"
 
 #include <algorithm>
-#include <charconv>
 #include <memory>
 #include <utility>
 
 namespace magnoliareel {
 namespace {
 
-std::string TakeNextField(std::string_view& rest) {
-  const size_t blank = rest.find(' ');
-  std::string field(rest.substr(0, blank));
-  rest.remove_prefix(blank == std::string_view::npos ? rest.size() : blank + 1);
-  return field;
-}
-
-uint64_t ParseNumberOrZero(std::string_view text) {
-  uint64_t n = 0;
-  std::from_chars(text.data(), text.data() + text.size(), n);
-  return n;
-}
+// Without CR LF.
+constexpr size_t kMaxLineBytes = 1024 * 1024;
 
-LogPoint ParsePoint(const std::string& text) {
-  const size_t dot = text.find('.');
-  return {Term{ParseNumberOrZero(text.substr(0, dot))},
-          LogPosition{dot == std::string::npos
-                          ? 0
-                          : ParseNumberOrZero(text.substr(dot + 1))}};
+// Whether a statement that failed with the code leaves its transaction usable.
+bool MeansNoRun(std::string_view code) {
+  return code == "BUSY" || code == "NOSTMT" || code == "LAGGING";
 }
 
 std::string FormatPoint(const LogPoint& point) {
@@ -87,14 +73,21 @@
 
 void GroupModel::Receive(uint64_t connection, std::string_view bytes) {
   Connection* it = FindConnection(connection);
-  if (it == nullptr) {
+  if (it == nullptr || it->has_overlong_line) {
     return;
   }
   it->input.append(bytes);
+  size_t begin = 0;
   for (size_t end = it->input.find("\r\n"); end != std::string::npos;
-       end = it->input.find("\r\n")) {
-    it->pending_lines.push_back(it->input.substr(0, end));
-    it->input.erase(0, end + 2);
+       end = it->input.find("\r\n", begin)) {
+    it->pending_lines.push_back(it->input.substr(begin, end - begin));
+    begin = end + 2;
+  }
+  it->input.erase(0, begin);
+  // A CR at the end may begin the line's end.
+  if (it->input.size() > kMaxLineBytes + 1) {
+    it->has_overlong_line = true;
+    it->pending_lines.push_back(std::exchange(it->input, {}));
   }
   ProcessPendingLines(connection);
 }
@@ -110,29 +103,36 @@
 }
 
 void GroupModel::HandleLine(uint64_t id, const std::string& line) {
-  Connection& connection = connections_[id];
-  Member& member = members_[connection.member];
-  std::string_view rest = line;
-  const std::string word = TakeNextField(rest);
-  if (word == "TERMINATE") {
-    connections_.erase(id);
-    output_(id, "");
+  const bool is_open = connections_[id].is_open;
+  if (line.size() > kMaxLineBytes) {
+    Refuse(id, "TOOLARGE");
     return;
   }
-  if (word == "QUERY" && connection.is_open) {
-    HandleQuery(id, rest);
-    return;
+  FieldReader fields(line);
+  const auto word = fields.TakeNext();
+  if (word == "TERMINATE" && fields.IsAtEnd()) {
+    connections_.erase(id);
+    output_(id, "");
+  } else if (word == "STARTUP" && !is_open) {
+    HandleStartup(id, fields);
+  } else if (!is_open) {
+    Refuse(id, "MALFORMED");
+  } else {
+    HandleQuery(id, word == "QUERY" ? fields.TakeLast() : std::nullopt);
   }
-  if (word != "STARTUP") {
-    output_(id, "ERROR MALFORMED unexpected\r\n" + FormatReady(connection));
+}
+
+void GroupModel::HandleStartup(uint64_t id, FieldReader fields) {
+  Connection& connection = connections_[id];
+  Member& member = members_[connection.member];
+  const auto service = fields.TakeNext();
+  const auto caller = fields.TakeNext();
+  const auto expected = fields.TakeLast();
+  if (!caller || caller->empty()) {
+    Refuse(id, "MALFORMED");
     return;
   }
-  const std::string service = TakeNextField(rest);
-  TakeNextField(rest);
-  const std::string expected(rest);
-  const bool is_misrouted = service != options_.service ||
-                            (!expected.empty() && expected != member.id);
-  if (is_misrouted) {
+  if (service != options_.service || (expected && expected != member.id)) {
     Refuse(id, "MISROUTED");
     return;
   }
@@ -150,21 +150,24 @@
          [this, id, index = connection.member,
           incarnation = connection.incarnation] {
            ReleaseSlot(members_[index], incarnation);
-           Connection* it = FindConnection(id);
-           if (it == nullptr) {
-             return;
-           }
-           if (options_.handshakes_wait && IsFull(index)) {
-             Refuse(id, "TOOMANY");
-             return;
+           if (FindConnection(id) != nullptr) {
+             FinishHandshake(id);
            }
-           it->is_busy = false;
-           it->is_open = true;
-           output_(id, FormatReady(*it));
-           ProcessPendingLines(id);
          });
 }
 
+void GroupModel::FinishHandshake(uint64_t id) {
+  Connection& connection = connections_[id];
+  if (options_.handshakes_wait && IsFull(connection.member)) {
+    Refuse(id, "TOOMANY");
+    return;
+  }
+  connection.is_busy = false;
+  connection.is_open = true;
+  output_(id, FormatReady(connection));
+  ProcessPendingLines(id);
+}
+
 bool GroupModel::IsFull(size_t member) const {
   const auto open = std::count_if(
       connections_.begin(), connections_.end(), [member](const auto& row) {
@@ -180,76 +183,87 @@
   output_(id, "");
 }
 
-void GroupModel::HandleQuery(uint64_t id, std::string_view rest) {
+void GroupModel::HandleQuery(uint64_t id,
+                             std::optional<std::string_view> fields) {
   Connection& connection = connections_[id];
-  Member& member = members_[connection.member];
-  const std::string request = TakeNextField(rest);
-  std::string text(rest);
-  std::string_view body = text;
-  std::string verb = TakeNextField(body);
-  const bool ends_transaction = verb == "ROLLBACK" || verb == "COMMIT";
-  if (connection.status == 'E' && !ends_transaction) {
+  const Member& member = members_[connection.member];
+  GroupQuery query;
+  const bool is_valid = fields && ParseGroupQuery(*fields, query);
+  if (!is_valid || (connection.status == 'E' && !query.EndsTransaction())) {
     Fail(id, "MALFORMED");
     return;
   }
-  if (verb == "AFTER") {
-    const LogPoint point = ParsePoint(TakeNextField(body));
-    if (GetLastPoint(member, true) < point) {
-      Fail(id, "LAGGING");
-      return;
-    }
-    text = std::string(body);
-    body = text;
-    verb = TakeNextField(body);
-  }
-  if (verb == "BEGIN") {
-    const bool is_read_write = body.empty();
-    if (connection.status != 'I') {
-      Fail(id, "MALFORMED");
-    } else if (is_read_write && !member.is_primary) {
-      Fail(id, "READONLY");
-    } else {
-      connection.status = 'T';
-      connection.is_read_write = is_read_write;
-      connection.transaction = ++transaction_count_;
-      Complete(id, "", "-");
-    }
+  if (query.after && GetLastPoint(member, true) < *query.after) {
+    Fail(id, "LAGGING");
     return;
   }
-  if (verb == "ROLLBACK" || (verb == "COMMIT" && connection.status == 'E')) {
-    connection.status = 'I';
-    connection.writes.clear();
-    connection.requests.clear();
-    if (verb == "COMMIT") {
-      Fail(id, "ABORTED");
-    } else {
+  HandleStatement(id, std::move(query));
+}
+
+void GroupModel::HandleStatement(uint64_t id, GroupQuery query) {
+  Connection& connection = connections_[id];
+  switch (query.verb) {
+    case GroupVerb::kBegin:
+    case GroupVerb::kBeginRead:
+      Begin(id, query.verb == GroupVerb::kBegin);
+      return;
+    case GroupVerb::kRollback:
+      Rollback(id);
+      return;
+    case GroupVerb::kReset:
+      connection.values.clear();
+      connection.prepared_statements.clear();
       Complete(id, "", "-");
-    }
-    return;
-  }
-  if (verb == "RESET") {
-    connection.values.clear();
-    connection.prepared_statements.clear();
-    Complete(id, "", "-");
-    return;
-  }
-  if (verb == "SET") {
-    const std::string name = TakeNextField(body);
-    connection.values[name] = std::string(body);
-    Complete(id, "", "-");
-    return;
+      return;
+    case GroupVerb::kSet:
+      SetValue(id, query);
+      return;
+    case GroupVerb::kPrepareRead:
+    case GroupVerb::kPrepareWrite:
+      Prepare(id, query);
+      return;
+    case GroupVerb::kDeallocate:
+      Deallocate(id, query);
+      return;
+    case GroupVerb::kExecute:
+      StartExecution(id, std::move(query));
+      return;
+    case GroupVerb::kCommit:
+      if (connection.status == 'E') {
+        connection.status = 'I';
+        Fail(id, "ABORTED");
+        return;
+      }
+      break;
+    default:
+      break;
   }
-  if (verb == "PREPARE") {
-    const std::string name = TakeNextField(body);
-    const bool writes = TakeNextField(body) == "WRITE";
-    connection.prepared_statements[name] = {writes, std::string(body)};
+  RunInSlot(id, std::move(query), {});
+}
+
+void GroupModel::Begin(uint64_t id, bool is_read_write) {
+  Connection& connection = connections_[id];
+  if (connection.status != 'I') {
+    Fail(id, "MALFORMED");
+  } else if (is_read_write && !members_[connection.member].is_primary) {
+    Fail(id, "READONLY");
+  } else {
+    connection.status = 'T';
+    connection.is_read_write = is_read_write;
+    connection.transaction = ++transaction_count_;
     Complete(id, "", "-");
-    return;
   }
-  RunInSlot(id, request, text);
 }
 
-void GroupModel::RunInSlot(uint64_t id, std::string request, std::string text) {
+void GroupModel::Rollback(uint64_t id) {
+  Connection& connection = connections_[id];
+  connection.status = 'I';
+  connection.writes.clear();
+  connection.requests.clear();
+  Complete(id, "", "-");
+}
+
+void GroupModel::RunInSlot(uint64_t id, GroupQuery query, std::string shape) {
   Connection& connection = connections_[id];
   Member& member = members_[connection.member];
   const uint32_t queue = options_.queue == 0 ? options_.slots : options_.queue;
@@ -263,11 +277,11 @@
   ++member.active_count;
   timer_(AddJitter(options_.mean_run_time) + wait,
          [this, id, index = connection.member,
-          incarnation = connection.incarnation, request = std::move(request),
-          text = std::move(text)] {
+          incarnation = connection.incarnation, query = std::move(query),
+          shape = std::move(shape)] {
            ReleaseSlot(members_[index], incarnation);
            if (FindConnection(id) != nullptr) {
-             Run(id, request, text);
+             Run(id, query, shape);
            }
          });
 }
@@ -280,62 +294,44 @@
   }
 }
 
-void GroupModel::Run(uint64_t id,
-                     const std::string& request,
-                     const std::string& text) {
+void GroupModel::Run(uint64_t id, const GroupQuery& query, std::string shape) {
   Connection& connection = connections_[id];
-  Member& member = members_[connection.member];
-  std::string_view body = text;
-  std::string verb = TakeNextField(body);
-  if (verb == "STATUS" || verb == "PAUSE" || verb == "RESUME" ||
-      verb == "DEMOTE") {
-    if (verb == "PAUSE" && Term{ParseNumberOrZero(body)} > member.term) {
-      member.paused_at_term = Term{ParseNumberOrZero(body)};
-    } else if (verb == "DEMOTE" &&
-               Term{ParseNumberOrZero(body)} > member.term) {
-      Demote(connection.member);
-    } else if (verb == "RESUME") {
-      member.paused_at_term = {};
-      SynchronizeLog(connection.member);
-    }
-    Complete(id, "ROW " + FormatStatus(member) + "\r\n", "-");
+  const bool is_command = query.verb != GroupVerb::kRead &&
+                          query.verb != GroupVerb::kWrite &&
+                          query.verb != GroupVerb::kCommit;
+  if (is_command) {
+    RunCommand(id, query);
     return;
   }
-  ExecutedStatement statement;
-  statement.request = request;
-  statement.text = text;
-  if (verb == "EXECUTE") {
-    statement.prepared_name = TakeNextField(body);
-    const auto it =
-        connection.prepared_statements.find(statement.prepared_name);
-    if (it == connection.prepared_statements.end()) {
-      Fail(id, "NOSTMT");
-      return;
-    }
-    verb = it->second.first ? "WRITE" : "READ";
-    statement.shape = verb + " " + it->second.second;
-  }
   const bool is_read_only_commit =
-      verb == "COMMIT" && connection.writes.empty();
+      query.verb == GroupVerb::kCommit && connection.writes.empty();
   if (connection.status == 'T' && connection.is_read_write &&
-      !member.is_primary && !is_read_only_commit) {
-    connection.status = 'E';
-    connection.writes.clear();
+      !members_[connection.member].is_primary && !is_read_only_commit) {
     Fail(id, "READONLY");
     return;
   }
-  if (verb == "COMMIT") {
-    Commit(id, request);
-    return;
-  }
-  const std::string item = TakeNextField(body);
-  if (verb == "READ") {
-    RunRead(id, std::move(statement), item);
-  } else if (verb == "WRITE") {
-    RunWrite(id, std::move(statement), item, std::string(body));
+  if (query.verb == GroupVerb::kCommit) {
+    Commit(id, query.request);
+  } else if (query.verb == GroupVerb::kRead) {
+    RunRead(id, query, std::move(shape));
   } else {
-    Fail(id, "MALFORMED");
+    RunWrite(id, query, std::move(shape));
+  }
+}
+
+// STATUS, PAUSE, RESUME and DEMOTE.
+void GroupModel::RunCommand(uint64_t id, const GroupQuery& query) {
+  const size_t index = connections_[id].member;
+  Member& member = members_[index];
+  if (query.verb == GroupVerb::kPause && query.term > member.term) {
+    member.paused_at_term = query.term;
+  } else if (query.verb == GroupVerb::kDemote && query.term > member.term) {
+    Demote(index);
+  } else if (query.verb == GroupVerb::kResume) {
+    member.paused_at_term = {};
+    SynchronizeLog(index);
   }
+  Complete(id, "ROW " + FormatStatus(member) + "\r\n", "-");
 }
 
 LogPoint GroupModel::GetLastPoint(const Member& member, bool applied) const {
@@ -382,8 +378,14 @@
 }
 
 void GroupModel::Fail(uint64_t id, std::string_view code) {
+  Connection& connection = connections_[id];
+  if (connection.status == 'T' && !MeansNoRun(code)) {
+    connection.status = 'E';
+    connection.writes.clear();
+    connection.requests.clear();
+  }
   Answer(id, "ERROR " + std::string(code) + " " +
-                 members_[connections_[id].member].id + "\r\n");
+                 members_[connection.member].id + "\r\n");
 }
 
 void GroupModel::Complete(uint64_t id, std::string rows, std::string proof) {
--- a/standins/group/group_model.h
+++ b/standins/group/group_model.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "core/core.h"
+#include "standins/group/group_query.h"
 
 namespace magnoliareel {
 
@@ -259,6 +260,10 @@
     uint64_t fencing_token = 0;
     TimePoint ordered_at;
   };
+  struct PreparedStatement {
+    bool writes = false;
+    std::string shape;
+  };
   struct Connection {
     size_t member = 0;
     uint64_t incarnation = 0;
@@ -268,11 +273,12 @@
     bool is_read_write = false;
     uint64_t transaction = 0;
     std::string input;
+    /** A line was too long; what follows it is not read. */
+    bool has_overlong_line = false;
     std::vector<std::string> pending_lines;
     bool is_busy = false;
     std::map<std::string, std::string> values;
-    /** Prepared statements by name: whether each writes, and its text. */
-    std::map<std::string, std::pair<bool, std::string>> prepared_statements;
+    std::map<std::string, PreparedStatement> prepared_statements;
     std::vector<std::pair<std::string, std::string>> writes;
     std::vector<std::string> requests;
   };
@@ -281,17 +287,23 @@
   void ProcessPendingLines(uint64_t id);
   bool IsFull(size_t member) const;
   void Refuse(uint64_t id, std::string_view code);
-  void HandleQuery(uint64_t id, std::string_view rest);
+  void HandleStartup(uint64_t id, FieldReader fields);
+  void FinishHandshake(uint64_t id);
+  /** @param fields  what follows the word QUERY; nothing for another word */
+  void HandleQuery(uint64_t id, std::optional<std::string_view> fields);
+  void HandleStatement(uint64_t id, GroupQuery query);
+  void Begin(uint64_t id, bool is_read_write);
+  void Rollback(uint64_t id);
+  void SetValue(uint64_t id, const GroupQuery& query);
+  void Prepare(uint64_t id, const GroupQuery& query);
+  void Deallocate(uint64_t id, const GroupQuery& query);
+  void StartExecution(uint64_t id, GroupQuery query);
   static void ReleaseSlot(Member& member, uint64_t incarnation);
-  void RunInSlot(uint64_t id, std::string request, std::string text);
-  void Run(uint64_t id, const std::string& request, const std::string& text);
-  void RunRead(uint64_t id,
-               ExecutedStatement statement,
-               const std::string& item);
-  void RunWrite(uint64_t id,
-                ExecutedStatement statement,
-                std::string item,
-                std::string data);
+  void RunInSlot(uint64_t id, GroupQuery query, std::string shape);
+  void Run(uint64_t id, const GroupQuery& query, std::string shape);
+  void RunCommand(uint64_t id, const GroupQuery& query);
+  void RunRead(uint64_t id, const GroupQuery& query, std::string shape);
+  void RunWrite(uint64_t id, const GroupQuery& query, std::string shape);
   void Commit(uint64_t id, const std::string& request);
   void Acknowledge(uint64_t id, const std::string& request, size_t commit);
   void Answer(uint64_t id, std::string body);
@@ -313,7 +325,8 @@
   Duration AddJitter(Duration mean);
   void RecordExecution(const Connection& connection,
                        uint64_t id,
-                       ExecutedStatement statement);
+                       const GroupQuery& query,
+                       std::string shape);
 
   GroupOptions options_;
   Output output_;
--- a/standins/group/group_statements.cc
+++ b/standins/group/group_statements.cc
@@ -9,46 +9,42 @@
 
 void GroupModel::RecordExecution(const Connection& connection,
                                  uint64_t id,
-                                 ExecutedStatement statement) {
+                                 const GroupQuery& query,
+                                 std::string shape) {
   const Member& member = members_[connection.member];
-  statement.connection = id;
-  statement.endpoint = member.id;
-  statement.log = GetLastPoint(member, true);
-  statement.at = now_;
-  statement.in_transaction = connection.status == 'T';
-  statement.transaction = statement.in_transaction ? connection.transaction : 0;
-  statement.values = connection.values;
-  executed_statements_.push_back(std::move(statement));
+  const bool in_transaction = connection.status == 'T';
+  executed_statements_.push_back(
+      {query.request, id, member.id, query.text,
+       query.arguments ? query.name : std::string(), std::move(shape),
+       GetLastPoint(member, true), now_, in_transaction,
+       in_transaction ? connection.transaction : 0, connection.values});
 }
 
 void GroupModel::RunRead(uint64_t id,
-                         ExecutedStatement statement,
-                         const std::string& item) {
+                         const GroupQuery& query,
+                         std::string shape) {
   Connection& connection = connections_[id];
-  const std::string request = statement.request;
-  RecordExecution(connection, id, std::move(statement));
-  const auto found = FindValue(members_[connection.member], item);
-  Complete(id, found ? "ROW " + *found + "\r\n" : "", "proof-" + request);
+  RecordExecution(connection, id, query, std::move(shape));
+  const auto found = FindValue(members_[connection.member], query.item);
+  Complete(id, found ? "ROW " + *found + "\r\n" : "", "proof-" + query.request);
 }
 
 void GroupModel::RunWrite(uint64_t id,
-                          ExecutedStatement statement,
-                          std::string item,
-                          std::string data) {
+                          const GroupQuery& query,
+                          std::string shape) {
   Connection& connection = connections_[id];
   if (!members_[connection.member].is_primary) {
     Fail(id, "READONLY");
     return;
   }
-  const std::string request = statement.request;
-  RecordExecution(connection, id, std::move(statement));
-  connection.writes.emplace_back(std::move(item), std::move(data));
-  connection.requests.push_back(request);
+  RecordExecution(connection, id, query, std::move(shape));
+  connection.writes.emplace_back(query.item, query.data);
+  connection.requests.push_back(query.request);
   if (connection.status == 'T') {
-    Complete(id, "", "proof-" + request);
+    Complete(id, "", "proof-" + query.request);
     return;
   }
-  Commit(id, request);
+  Commit(id, query.request);
 }
 
 void GroupModel::Commit(uint64_t id, const std::string& request) {
--- a/tests/standins/group_model_test.cc
+++ b/tests/standins/group_model_test.cc
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -26,6 +27,9 @@
         options,
         [this](uint64_t connection, const std::string& bytes) {
           answers_[connection] += bytes;
+          if (bytes.empty()) {
+            closed_.insert(connection);
+          }
         },
         [this](Duration delay, std::function<void()> task) {
           tasks_.emplace(now_ + delay, std::move(task));
@@ -66,9 +70,34 @@
     }
     model_->Receive(connection, bytes);
     RunFor(milliseconds(100) * (lines.size() + 1));
+    model_->Close(connection);
     return answers_[connection];
   }
 
+  // Sends texts as queries on one new connection and returns the answer to the
+  // last one: its first line, and the state that READY names.
+  std::string Ask(size_t member, const std::vector<std::string>& texts) {
+    std::vector<std::string> lines;
+    for (const std::string& it : texts) {
+      lines.push_back("QUERY q " + it);
+    }
+    const std::string answers = SendLines(member, lines);
+    const size_t ready = answers.rfind("READY ");
+    const size_t begin =
+        answers.find('\n', answers.rfind("READY ", ready - 1)) + 1;
+    const std::string first =
+        answers.substr(begin, answers.find("\r\n", begin) - begin);
+    return first + " / " + answers[ready + 6];
+  }
+
+  // Returns whether a text is refused as malformed, at once and so that the
+  // transaction that it is in can only be rolled back.
+  bool IsMalformed(const std::string& text) {
+    const std::string refusal = "ERROR MALFORMED db-1 / ";
+    return Ask(0, {text}) == refusal + "I" &&
+           Ask(0, {"BEGIN", text}) == refusal + "E";
+  }
+
   bool Write(size_t member) {
     return Send(member, "WRITE item data").find("COMPLETE") !=
            std::string::npos;
@@ -77,6 +106,7 @@
   TimePoint now_;
   std::multimap<TimePoint, std::function<void()>> tasks_;
   std::map<uint64_t, std::string> answers_;
+  std::set<uint64_t> closed_;
   std::unique_ptr<GroupModel> model_;
   uint64_t connection_count_ = 0;
 };
@@ -179,4 +209,170 @@
   STRCMP_EQUAL("WRITE q2c  of two", statements[1].shape.c_str());
 }
 
+// A pool's name with a blank was read as another name, kind and shape.
+TEST(GroupModel, RefusesAPrepareWithoutNameKindOrShape) {
+  Start({});
+  for (const char* it :
+       {"PREPARE", "PREPARE ", "PREPARE s1", "PREPARE s1 ", "PREPARE s1 READ",
+        "PREPARE s1 READ ", "PREPARE  READ q1", "PREPARE s1 read q1",
+        "PREPARE s1  READ q1", "PREPARE w_q27 blank WRITE q27 blank"}) {
+    CHECK_TRUE_TEXT(IsMalformed(it), it);
+  }
+  STRCMP_EQUAL("COMPLETE - / I", Ask(0, {"PREPARE s1 READ  q1 "}).c_str());
+}
+
+TEST(GroupModel, RefusesStatementsWithoutTheirFields) {
+  Start({});
+  for (const char* it : {"",
+                         "READ",
+                         "READ ",
+                         "WRITE",
+                         "WRITE it",
+                         "WRITE  it",
+                         "WRITE ",
+                         "SET",
+                         "SET ",
+                         "SET zone",
+                         "SET  north",
+                         "DEALLOC",
+                         "DEALLOC ",
+                         "EXECUTE",
+                         "EXECUTE ",
+                         "EXECUTE  it",
+                         "BEGIN ",
+                         "BEGIN WRITE",
+                         "BEGIN READ ",
+                         "COMMIT now",
+                         "ROLLBACK ",
+                         "RESET all",
+                         "STATUS x",
+                         "PAUSE",
+                         "PAUSE x",
+                         "DEMOTE 2 3",
+                         "RESUME 2",
+                         "EXPLODE now",
+                         "read it",
+                         "AFTER 1.0",
+                         "AFTER READ it",
+                         "AFTER 1 READ it",
+                         "AFTER 1.x READ it",
+                         "AFTER 1.0 WRITE it x",
+                         "AFTER 1.0 SET a b",
+                         "AFTER 1.0 AFTER 1.0 READ it"}) {
+    CHECK_TRUE_TEXT(IsMalformed(it), it);
+  }
+  STRCMP_EQUAL("ERROR MALFORMED db-1\r\nREADY I 1.0\r\n",
+               SendLines(0, {"QUERY"}).substr(13).c_str());
+  STRCMP_EQUAL("ERROR MALFORMED db-1\r\nREADY I 1.0\r\n",
+               SendLines(0, {"QUERY  READ it"}).substr(13).c_str());
+  LONGS_EQUAL(0, model_->GetExecutedStatements().size());
+}
+
+TEST(GroupModel, AnExecutionNeedsTheFieldsOfItsKind) {
+  Start({});
+  const std::string read = "PREPARE s1 READ q1";
+  const std::string write = "PREPARE s1 WRITE q1";
+  for (const auto& [prepare, execute] :
+       {std::pair(read, "EXECUTE s1"), std::pair(read, "EXECUTE s1 "),
+        std::pair(read, "AFTER 1.0 EXECUTE s1"), std::pair(write, "EXECUTE s1"),
+        std::pair(write, "EXECUTE s1 "), std::pair(write, "EXECUTE s1 it"),
+        std::pair(write, "EXECUTE s1  x"),
+        std::pair(write, "AFTER 1.0 EXECUTE s1 it x")}) {
+    STRCMP_EQUAL("ERROR MALFORMED db-1 / I",
+                 Ask(0, {prepare, execute}).c_str());
+    STRCMP_EQUAL("ERROR MALFORMED db-1 / E",
+                 Ask(0, {prepare, "BEGIN", execute}).c_str());
+  }
+  LONGS_EQUAL(0, model_->GetExecutedStatements().size());
+  STRCMP_EQUAL("COMPLETE proof-q / I",
+               Ask(0, {read, "AFTER 1.0 EXECUTE s1 it"}).c_str());
+  STRCMP_EQUAL("COMPLETE proof-q / I",
+               Ask(0, {write, "EXECUTE s1 it "}).c_str());
+  STRCMP_EQUAL("EXECUTE s1 it ",
+               model_->GetExecutedStatements().back().text.c_str());
+}
+
+TEST(GroupModel, TheLastFieldExtendsToTheEndOfTheLine) {
+  Start({});
+  STRCMP_EQUAL("ROW  a  b  / I",
+               Ask(0, {"WRITE it  a  b ", "READ it"}).c_str());
+  STRCMP_EQUAL("COMPLETE proof-q / I", Ask(0, {"READ it "}).c_str());
+  STRCMP_EQUAL("ROW  / I", Ask(0, {"WRITE it ", "READ it"}).c_str());
+  Ask(0, {"SET zone ", "SET quay a  b ", "READ it"});
+  const auto& values = model_->GetExecutedStatements().back().values;
+  STRCMP_EQUAL("", values.at("zone").c_str());
+  STRCMP_EQUAL("a  b ", values.at("quay").c_str());
+}
+
+TEST(GroupModel, AnUnknownNameIsNoRunAndKeepsTheTransaction) {
+  Start({});
+  for (const char* it : {"EXECUTE s2 it", "DEALLOC s2", "DEALLOC s1 x"}) {
+    STRCMP_EQUAL("ERROR NOSTMT db-1 / T",
+                 Ask(0, {"PREPARE s1 READ q1", "BEGIN", it}).c_str());
+  }
+  STRCMP_EQUAL(
+      "ERROR NOSTMT db-1 / I",
+      Ask(0, {"PREPARE s1 READ q1", "DEALLOC s1", "EXECUTE s1 it"}).c_str());
+  STRCMP_EQUAL(
+      "ERROR NOSTMT db-1 / I",
+      Ask(0, {"PREPARE s1 READ q1", "RESET", "EXECUTE s1 it"}).c_str());
+}
+
+TEST(GroupModel, AFailedTransactionCanOnlyBeEnded) {
+  Start({});
+  STRCMP_EQUAL("ERROR READONLY db-2 / E",
+               Ask(1, {"BEGIN READ", "WRITE it x"}).c_str());
+  STRCMP_EQUAL("ERROR LAGGING db-1 / T",
+               Ask(0, {"BEGIN", "AFTER 9.9 READ it"}).c_str());
+  STRCMP_EQUAL("ERROR MALFORMED db-1 / E",
+               Ask(0, {"BEGIN", "BEGIN", "READ it"}).c_str());
+  STRCMP_EQUAL("ERROR ABORTED db-1 / I",
+               Ask(0, {"BEGIN", "WRITE it x", "BEGIN", "COMMIT"}).c_str());
+  STRCMP_EQUAL("COMPLETE - / I",
+               Ask(0, {"BEGIN", "WRITE it x", "BEGIN", "ROLLBACK"}).c_str());
+  LONGS_EQUAL(0, model_->GetCommits().size());
+}
+
+TEST(GroupModel, ClosesAConnectionThatBreaksTheProtocol) {
+  Start({});
+  for (const char* it :
+       {"QUERY q READ it", "HELLO", "STARTUP db", "STARTUP db "}) {
+    const uint64_t connection = ++connection_count_;
+    model_->Open(0, connection);
+    model_->Receive(connection, std::string(it) + "\r\n");
+    STRCMP_EQUAL("ERROR MALFORMED db-1\r\n", answers_[connection].c_str());
+    CHECK_TRUE(closed_.contains(connection));
+  }
+  STRCMP_EQUAL("READY I 1.0\r\nERROR MALFORMED db-1\r\nREADY I 1.0\r\n",
+               SendLines(0, {"STARTUP db tester"}).c_str());
+}
+
+// Without a limit, a name that repeats the shape goes unnoticed.
+TEST(GroupModel, RefusesAMessageOfMoreThanOneMebibyte) {
+  constexpr size_t kLimit = 1024 * 1024;
+  Start({});
+  const std::string head = "QUERY q WRITE it ";
+  const std::string fits = head + std::string(kLimit - head.size(), 'x');
+  STRCMP_EQUAL("READY I 1.0\r\nCOMPLETE proof-q\r\nREADY I 1.1\r\n",
+               SendLines(0, {fits}).c_str());
+  const std::string refusal =
+      "READY I 1.1\r\nCOMPLETE proof-b\r\nREADY I 1.1\r\n"
+      "ERROR TOOLARGE db-1\r\n";
+  STRCMP_EQUAL(
+      refusal.c_str(),
+      SendLines(0, {"QUERY b READ no", fits + "x", "QUERY c READ it"}).c_str());
+  CHECK_TRUE(closed_.contains(connection_count_));
+  // Nothing but the missing end of the line is outstanding.
+  const uint64_t connection = ++connection_count_;
+  model_->Open(0, connection);
+  model_->Receive(connection, "STARTUP db tester\r\n");
+  RunFor(milliseconds(100));
+  model_->Receive(connection, fits + "\r");
+  CHECK_FALSE(closed_.contains(connection));
+  model_->Receive(connection, "x");
+  CHECK_TRUE(closed_.contains(connection));
+  CHECK_TRUE(answers_[connection].ends_with("ERROR TOOLARGE db-1\r\n"));
+  LONGS_EQUAL(2, model_->GetExecutedStatements().size());
+}
+
 }  // namespace magnoliareel
