Stand-in: count what connections hold, and refuse or forget names

Cause: nothing showed how many names the pool keeps on a connection, and no database of ours ever refused a PREPARE or a SET, or lost a name. Change: GetPreparedCounts() has the largest number and size of the names of a connection, and the refusals. Options: max_prepared, refuse_held_names, rates of refused PREPAREs and SETs with their code, and a rate of connections that forget their names once without a notice.

--- a/standins/group/group_model.cc
+++ b/standins/group/group_model.cc
@@ -164,6 +164,7 @@
   }
   connection.is_busy = false;
   connection.is_open = true;
+  DrawForgetting(connection);
   output_(id, FormatReady(connection));
   ProcessPendingLines(id);
 }
@@ -190,6 +191,7 @@
   GroupQuery query;
   const bool is_valid = fields && ParseGroupQuery(*fields, query);
   if (!is_valid || (connection.status == 'E' && !query.EndsTransaction())) {
+    prepared_counts_.malformed += is_valid ? 0 : 1;
     Fail(id, "MALFORMED");
     return;
   }
@@ -212,7 +214,7 @@
       return;
     case GroupVerb::kReset:
       connection.values.clear();
-      connection.prepared_statements.clear();
+      ForgetPrepared(connection);
       Complete(id, "", "-");
       return;
     case GroupVerb::kSet:
--- a/standins/group/group_model.h
+++ b/standins/group/group_model.h
@@ -46,6 +46,20 @@
   /** Whether a member receives nothing from the request for its promotion until
       the promotion takes effect. */
   bool ordered_receive_nothing = false;
+  /** Whether a PREPARE of a name that the connection holds is refused as
+      malformed, instead of replacing the statement. */
+  bool refuse_held_names = false;
+  /** Largest number of prepared names of a connection; no limit if 0. */
+  uint32_t max_prepared = 0;
+  /** Fraction of the well-formed PREPAREs that are refused. */
+  double prepare_refusal_rate = 0;
+  /** Fraction of the well-formed SETs that are refused. */
+  double set_refusal_rate = 0;
+  /** Code of those refusals, and of a PREPARE beyond max_prepared. */
+  std::string refusal_code = "FAILED";
+  /** Fraction of the connections that forget their prepared names once without
+      a notice. */
+  double forgetting_rate = 0;
   uint64_t seed = 1;
 };
 
@@ -104,6 +118,29 @@
   std::map<std::string, std::string> values;
 };
 
+/** Counts of prepared statements, values and refusals, for the checks of
+    tests. */
+struct PreparedCounts {
+  /** Largest number of names that one connection held at a time. */
+  size_t max_names = 0;
+  /** Largest size of the names and shapes that one connection held at a time,
+      in bytes. */
+  size_t max_bytes = 0;
+  /** Well-formed PREPAREs, with the refused ones. */
+  uint64_t prepares = 0;
+  uint64_t refused_prepares = 0;
+  uint64_t deallocations = 0;
+  /** EXECUTEs and DEALLOCs of names that the connection didn't hold. */
+  uint64_t unknown_names = 0;
+  /** Well-formed SETs, with the refused ones. */
+  uint64_t sets = 0;
+  uint64_t refused_sets = 0;
+  /** Connections that forgot their names. */
+  uint64_t forgotten = 0;
+  /** Queries that broke the grammar. */
+  uint64_t malformed = 0;
+};
+
 /** Simulates a group of replicated databases that speak the line-based session
     protocol. It models terms, log positions, acknowledgement by a replica,
     pauses of replication, promotions, demotions, slots, transactions, lost
@@ -231,6 +268,8 @@
   const std::vector<ExecutedStatement>& GetExecutedStatements() const {
     return executed_statements_;
   }
+  /** @returns what was prepared and refused on all connections so far */
+  const PreparedCounts& GetPreparedCounts() const { return prepared_counts_; }
 
  private:
   struct Member {
@@ -279,6 +318,10 @@
     bool is_busy = false;
     std::map<std::string, std::string> values;
     std::map<std::string, PreparedStatement> prepared_statements;
+    /** Size of the names and shapes of prepared_statements. */
+    size_t prepared_bytes = 0;
+    /** Number of EXECUTEs until it forgets its names; 0 if it doesn't. */
+    uint32_t executions_to_forget = 0;
     std::vector<std::pair<std::string, std::string>> writes;
     std::vector<std::string> requests;
   };
@@ -298,6 +341,9 @@
   void Prepare(uint64_t id, const GroupQuery& query);
   void Deallocate(uint64_t id, const GroupQuery& query);
   void StartExecution(uint64_t id, GroupQuery query);
+  void DrawForgetting(Connection& connection);
+  static void ForgetPrepared(Connection& connection);
+  bool Draw(double rate);
   static void ReleaseSlot(Member& member, uint64_t incarnation);
   void RunInSlot(uint64_t id, GroupQuery query, std::string shape);
   void Run(uint64_t id, const GroupQuery& query, std::string shape);
@@ -340,6 +386,7 @@
   std::vector<AppliedPromotion> promotions_;
   std::vector<EarlyAcknowledgement> early_acknowledgements_;
   std::vector<ExecutedStatement> executed_statements_;
+  PreparedCounts prepared_counts_;
   Term newest_term_{1};
   uint64_t highest_fencing_token_ = 0;
   uint64_t transaction_count_ = 0;
--- a/tests/standins/group_model_test.cc
+++ b/tests/standins/group_model_test.cc
@@ -218,6 +218,7 @@
         "PREPARE s1  READ q1", "PREPARE w_q27 blank WRITE q27 blank"}) {
     CHECK_TRUE_TEXT(IsMalformed(it), it);
   }
+  LONGS_EQUAL(0, model_->GetPreparedCounts().max_names);
   STRCMP_EQUAL("COMPLETE - / I", Ask(0, {"PREPARE s1 READ  q1 "}).c_str());
 }
 
@@ -316,6 +317,8 @@
   STRCMP_EQUAL(
       "ERROR NOSTMT db-1 / I",
       Ask(0, {"PREPARE s1 READ q1", "RESET", "EXECUTE s1 it"}).c_str());
+  LONGS_EQUAL(5, model_->GetPreparedCounts().unknown_names);
+  LONGS_EQUAL(1, model_->GetPreparedCounts().deallocations);
 }
 
 TEST(GroupModel, AFailedTransactionCanOnlyBeEnded) {
@@ -375,4 +378,92 @@
   LONGS_EQUAL(2, model_->GetExecutedStatements().size());
 }
 
+TEST(GroupModel, KeepsHowMuchAConnectionHeld) {
+  Start({});
+  Ask(0, {"PREPARE s1 READ q1", "PREPARE s2 WRITE q22", "DEALLOC s1",
+          "PREPARE s2 READ q2", "PREPARE s3 READ q3"});
+  Ask(0, {"PREPARE s1 READ q"});
+  const PreparedCounts& counts = model_->GetPreparedCounts();
+  LONGS_EQUAL(2, counts.max_names);
+  LONGS_EQUAL(9, counts.max_bytes);
+  LONGS_EQUAL(5, counts.prepares);
+  LONGS_EQUAL(0, counts.refused_prepares);
+}
+
+TEST(GroupModel, LimitsTheNamesOfAConnection) {
+  GroupOptions options;
+  options.max_prepared = 2;
+  options.refusal_code = "BUSY";
+  Start(options);
+  const std::vector<std::string> full = {"PREPARE s1 READ q1",
+                                         "PREPARE s2 READ q2"};
+  const auto after = [&](std::vector<std::string> texts) {
+    texts.insert(texts.begin(), full.begin(), full.end());
+    return Ask(0, texts);
+  };
+  STRCMP_EQUAL("ERROR BUSY db-1 / I", after({"PREPARE s3 READ q3"}).c_str());
+  STRCMP_EQUAL("ERROR BUSY db-1 / T",
+               after({"BEGIN", "PREPARE s3 READ q3"}).c_str());
+  STRCMP_EQUAL("ERROR NOSTMT db-1 / I",
+               after({"PREPARE s3 READ q3", "EXECUTE s3 it"}).c_str());
+  STRCMP_EQUAL("COMPLETE - / I", after({"PREPARE s2 READ q3"}).c_str());
+  STRCMP_EQUAL("COMPLETE - / I",
+               after({"DEALLOC s1", "PREPARE s3 READ q3"}).c_str());
+  LONGS_EQUAL(2, model_->GetPreparedCounts().max_names);
+  LONGS_EQUAL(3, model_->GetPreparedCounts().refused_prepares);
+}
+
+TEST(GroupModel, ANameThatIsHeldIsReplacedOrRefused) {
+  const std::vector<std::string> texts = {
+      "PREPARE s1 READ q1", "PREPARE s1 READ q2", "EXECUTE s1 it"};
+  GroupOptions options;
+  Start(options);
+  Ask(0, texts);
+  STRCMP_EQUAL("READ q2", model_->GetExecutedStatements().back().shape.c_str());
+  options.refuse_held_names = true;
+  Start(options);
+  Ask(0, texts);
+  STRCMP_EQUAL("READ q1", model_->GetExecutedStatements().back().shape.c_str());
+  LONGS_EQUAL(1, model_->GetPreparedCounts().refused_prepares);
+}
+
+TEST(GroupModel, RefusesAShareOfPreparesAndValues) {
+  GroupOptions options;
+  options.prepare_refusal_rate = 0.3;
+  options.set_refusal_rate = 0.6;
+  Start(options);
+  std::vector<std::string> texts;
+  for (int it = 0; it < 200; ++it) {
+    texts.push_back("PREPARE s" + std::to_string(it) + " READ q");
+    texts.push_back("SET v" + std::to_string(it) + " x");
+  }
+  const std::string last = Ask(0, texts);
+  CHECK_TRUE(last == "COMPLETE - / I" || last == "ERROR FAILED db-1 / I");
+  const PreparedCounts& counts = model_->GetPreparedCounts();
+  LONGS_EQUAL(200, counts.prepares);
+  LONGS_EQUAL(200, counts.sets);
+  CHECK_COMPARE(counts.refused_prepares, >, 30);
+  CHECK_COMPARE(counts.refused_prepares, <, 90);
+  CHECK_COMPARE(counts.refused_sets, >, 90);
+  CHECK_COMPARE(counts.refused_sets, <, 150);
+  LONGS_EQUAL(200 - counts.refused_prepares, counts.max_names);
+}
+
+TEST(GroupModel, AConnectionForgetsItsNamesOnceWithoutANotice) {
+  GroupOptions options;
+  options.forgetting_rate = 1;
+  Start(options);
+  std::vector<std::string> texts = {"SET zone north", "PREPARE s1 READ q1"};
+  texts.insert(texts.end(), 10, "EXECUTE s1 it");
+  STRCMP_EQUAL("ERROR NOSTMT db-1 / I", Ask(0, texts).c_str());
+  STRCMP_EQUAL("ERROR NOSTMT db-1 / I", Ask(0, texts).c_str());
+  LONGS_EQUAL(2, model_->GetPreparedCounts().forgotten);
+  texts.insert(texts.end(), {"PREPARE s1 READ q1"});
+  texts.insert(texts.end(), 10, "EXECUTE s1 it");
+  STRCMP_EQUAL("COMPLETE proof-q / I", Ask(0, texts).c_str());
+  STRCMP_EQUAL(
+      "north",
+      model_->GetExecutedStatements().back().values.at("zone").c_str());
+}
+
 }  // namespace magnoliareel
