Stand-in site: list what the databases ran, refuse and forget names

Cause: a scenario with real processes saw only the callers' side. Nothing told it which shape an execution ran, or let a database refuse a PREPARE. Change: GET /executed lists id, database, text, values, name and shape of each run, and the counts.

--- a/scripts/site-cluster.sh
+++ b/scripts/site-cluster.sh
@@ -74,6 +74,13 @@
 # standins/site/site_server.h.
 inject_fault() { curl -sf -X POST "http://127.0.0.1:$base_port/fault/$1"; }
 
+# print_runs ID: prints the text, and the kind and shape of the prepared statement if
+# there is one, of each run of the request ID by a database.
+print_runs() {
+  curl -sf "http://127.0.0.1:$base_port/executed" |
+    jq -r --arg id "$1" '.statements[] | select(.id == $id) | "\(.text) | \(.shape)"'
+}
+
 # open_session FD NODE DATABASE: opens a session with a node on file descriptor FD.
 # Succeeds if the node accepts it.
 open_session() {
--- a/standins/group/group_model.h
+++ b/standins/group/group_model.h
@@ -220,6 +220,14 @@
   void SetApplyDelayFactor(double factor) { apply_delay_factor_ = factor; }
   /** @see GroupOptions::answer_loss_rate */
   void SetAnswerLossRate(double part) { options_.answer_loss_rate = part; }
+  /** Sets GroupOptions::prepare_refusal_rate and
+      GroupOptions::set_refusal_rate. */
+  void SetRefusalRate(double part) {
+    options_.prepare_refusal_rate = options_.set_refusal_rate = part;
+  }
+  /** Applies to connections that open later.
+      @see GroupOptions::forgetting_rate */
+  void SetForgettingRate(double part) { options_.forgetting_rate = part; }
 
   /** @returns the id of a member */
   const std::string& GetId(size_t member) const { return members_[member].id; }
--- a/standins/site/site_server.cc
+++ b/standins/site/site_server.cc
@@ -113,6 +113,10 @@
     HandlePromotion(request, answer);
     return;
   }
+  if (request.target == "/executed") {
+    answer({200, FormatExecuted()});
+    return;
+  }
   if (request.target.starts_with(kFaultPath)) {
     answer(
         {InjectFault(std::string_view(request.target).substr(kFaultPath.size()))
@@ -134,6 +138,41 @@
   }
 }
 
+std::string SiteServer::FormatExecuted() const {
+  Json::Value root(Json::objectValue);
+  Json::Value& statements = root["statements"] = Json::arrayValue;
+  for (const ExecutedStatement& it : group_.GetExecutedStatements()) {
+    Json::Value statement(Json::objectValue);
+    statement["id"] = it.request;
+    statement["database"] = it.endpoint;
+    statement["connection"] = Json::UInt64{it.connection};
+    statement["transaction"] = Json::UInt64{it.transaction};
+    statement["text"] = it.text;
+    statement["name"] = it.prepared_name;
+    statement["shape"] = it.shape;
+    Json::Value& values = statement["values"] = Json::objectValue;
+    for (const auto& [name, value] : it.values) {
+      values[name] = value;
+    }
+    statements.append(std::move(statement));
+  }
+  const PreparedCounts& counts = group_.GetPreparedCounts();
+  for (const auto& [name, count] :
+       {std::pair<const char*, uint64_t>("max_names", counts.max_names),
+        {"max_bytes", counts.max_bytes},
+        {"prepares", counts.prepares},
+        {"refused_prepares", counts.refused_prepares},
+        {"deallocations", counts.deallocations},
+        {"unknown_names", counts.unknown_names},
+        {"sets", counts.sets},
+        {"refused_sets", counts.refused_sets},
+        {"forgotten", counts.forgotten},
+        {"malformed", counts.malformed}}) {
+    root["prepared"][name] = Json::UInt64{count};
+  }
+  return FormatJson(root);
+}
+
 void SiteServer::HandlePromotion(const net::Request& request,
                                  const net::HttpListener::Answer& answer) {
   Findings findings;
@@ -196,12 +235,23 @@
     PublishEndpoints();
   } else if (name == "forget") {
     store_.DiscardHistory();
-  } else if (name == "lose" || name == "keep") {
+  } else {
+    return InjectStatementFault(name) || InjectMembershipFault(name, member);
+  }
+  return true;
+}
+
+bool SiteServer::InjectStatementFault(std::string_view name) {
+  if (name == "lose" || name == "keep") {
     group_.SetAnswerLossRate(name == "lose" ? 0.1 : 0);
   } else if (name == "slow" || name == "quick") {
     group_.SetApplyDelayFactor(name == "slow" ? 60 : 1);
+  } else if (name == "refuse" || name == "accept") {
+    group_.SetRefusalRate(name == "refuse" ? 1 : 0);
+  } else if (name == "oblivious" || name == "attentive") {
+    group_.SetForgettingRate(name == "oblivious" ? 1 : 0);
   } else {
-    return InjectMembershipFault(name, member);
+    return false;
   }
   return true;
 }
--- a/standins/site/site_server.h
+++ b/standins/site/site_server.h
@@ -57,8 +57,18 @@
     - copy, restore: the store takes a copy of its rows, or is restored from it
       while the operator publishes a new version of the configuration
     - lose, keep: the databases drop one answer in ten, or none
+    - refuse, accept: the databases refuse every PREPARE and SET, or none
+    - oblivious, attentive: every new connection to a database forgets its
+      prepared statements once, or none does
     - slow, quick: replicas apply commits with 60 times the delay, or with the
       usual one
+
+    GET /executed lists what the databases ran, in order, as JSON:
+
+    - statements: for each the id, database, connection, transaction (0
+      without), text, values, and for an execution the name and the shape of
+      the prepared statement, such as "READ q12"
+    - prepared: the fields of PreparedCounts
 */
 class SiteServer {
  public:
@@ -95,12 +105,14 @@
 
   void HandleRequest(const net::Request& request,
                      const net::HttpListener::Answer& answer);
+  std::string FormatExecuted() const;
   void HandlePromotion(const net::Request& request,
                        const net::HttpListener::Answer& answer);
   void Accept(size_t member, Stream stream);
   void PublishConfig();
   void PublishEndpoint(size_t member);
   void PublishEndpoints();
+  bool InjectStatementFault(std::string_view name);
   bool InjectMembershipFault(std::string_view name, size_t member);
   void StopMember(size_t member, bool is_silent);
   bool RestartMember(size_t member);
--- a/tests/standins/site_server_test.cc
+++ b/tests/standins/site_server_test.cc
@@ -48,6 +48,17 @@
     caller_.stream.Flush();
   }
 
+  // Sends bytes to one of the site's ports and returns what came back.
+  std::string Exchange(uint16_t port, std::string_view bytes) {
+    Caller caller;
+    caller.stream.Connect(loop_, {"127.0.0.1", port}, caller);
+    RunFor(milliseconds(50));
+    caller.stream.Append(bytes);
+    caller.stream.Flush();
+    RunFor(milliseconds(300));
+    return caller.answer;
+  }
+
   void RunFor(Duration duration) {
     RunLater(loop_, duration, [this] { loop_.Stop(); });
     loop_.Run();
@@ -92,4 +103,43 @@
   LONGS_EQUAL(1, site_.GetGroup().GetPromotions().size());
 }
 
+TEST(SiteServer, ListsTheShapesThatItsDatabasesRan) {
+  Exchange(kPort + 1,
+           "STARTUP groyne-logs tester\r\nQUERY a SET zone north\r\n"
+           "QUERY b PREPARE s1 READ q12 of two\r\n"
+           "QUERY c EXECUTE s1 it\r\nQUERY d WRITE it \"x\"\r\n");
+  const std::string answer =
+      Exchange(kPort, "GET /executed HTTP/1.1\r\nHost: site\r\n\r\n");
+  for (const char* it :
+       {R"({"connection":1,"database":"groyne-logs-1","id":"c","name":"s1",)"
+        R"("shape":"READ q12 of two","text":"EXECUTE s1 it","transaction":0,)"
+        R"("values":{"zone":"north"}})",
+        R"("name":"","shape":"","text":"WRITE it \"x\"")", R"("prepares":1,)",
+        R"("max_names":1,)"}) {
+    CHECK_TRUE_TEXT(answer.find(it) != std::string::npos, answer.c_str());
+  }
+}
+
+TEST(SiteServer, ItsDatabasesRefuseOrForgetPreparedStatements) {
+  const std::string lines =
+      "STARTUP groyne-logs tester\r\nQUERY a PREPARE s1 READ q12\r\n"
+      "QUERY b SET zone north\r\n";
+  CHECK_TRUE(site_.InjectFault("refuse"));
+  STRCMP_CONTAINS(
+      "ERROR FAILED groyne-logs-1\r\nREADY I 1.0\r\n"
+      "ERROR FAILED groyne-logs-1\r\n",
+      Exchange(kPort + 1, lines).c_str());
+  CHECK_TRUE(site_.InjectFault("accept"));
+  CHECK_TRUE(site_.InjectFault("oblivious"));
+  std::string executions;
+  for (int it = 0; it < 8; ++it) {
+    executions += "QUERY e EXECUTE s1 it\r\n";
+  }
+  STRCMP_CONTAINS("ERROR NOSTMT",
+                  Exchange(kPort + 1, lines + executions).c_str());
+  CHECK_TRUE(site_.InjectFault("attentive"));
+  CHECK_TRUE(Exchange(kPort + 1, lines + executions).find("ERROR") ==
+             std::string::npos);
+}
+
 }  // namespace magnoliareel
