--- a/standins/group/group_model.h
+++ b/standins/group/group_model.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "core/core.h"
+#include "standins/group/group_query.h"
 
 namespace magnoliareel {
 
@@ -45,6 +46,20 @@
   /** Whether a member receives nothing from the request for its promotion until
       the promotion takes effect. */
   bool ordered_receive_nothing = false;
+  /** Whether a PREPARE of a name that the connection holds is refused as
+      malformed, instead of replacing the statement. */
+  bool refuse_held_names = false;
+  /** Largest number of prepared names of a connection; no limit if 0. */
+  uint32_t max_prepared = 0;
+  /** Fraction of the well-formed PREPAREs that are refused. */
+  double prepare_refusal_rate = 0;
+  /** Fraction of the well-formed SETs that are refused. */
+  double set_refusal_rate = 0;
+  /** Code of those refusals, and of a PREPARE beyond max_prepared. */
+  std::string refusal_code = "FAILED";
+  /** Fraction of the connections that forget their prepared names once without
+      a notice. */
+  double forgetting_rate = 0;
   uint64_t seed = 1;
 };
 
@@ -103,6 +118,29 @@
   std::map<std::string, std::string> values;
 };
 
+/** Counts of prepared statements, values and refusals, for the checks of
+    tests. */
+struct PreparedCounts {
+  /** Largest number of names that one connection held at a time. */
+  size_t max_names = 0;
+  /** Largest size of the names and shapes that one connection held at a time,
+      in bytes. */
+  size_t max_bytes = 0;
+  /** Well-formed PREPAREs, with the refused ones. */
+  uint64_t prepares = 0;
+  uint64_t refused_prepares = 0;
+  uint64_t deallocations = 0;
+  /** EXECUTEs and DEALLOCs of names that the connection didn't hold. */
+  uint64_t unknown_names = 0;
+  /** Well-formed SETs, with the refused ones. */
+  uint64_t sets = 0;
+  uint64_t refused_sets = 0;
+  /** Connections that forgot their names. */
+  uint64_t forgotten = 0;
+  /** Queries that broke the grammar. */
+  uint64_t malformed = 0;
+};
+
 /** Simulates a group of replicated databases that speak the line-based session
     protocol. It models terms, log positions, acknowledgement by a replica,
     pauses of replication, promotions, demotions, slots, transactions, lost
@@ -182,6 +220,14 @@
   void SetApplyDelayFactor(double factor) { apply_delay_factor_ = factor; }
   /** @see GroupOptions::answer_loss_rate */
   void SetAnswerLossRate(double part) { options_.answer_loss_rate = part; }
+  /** Sets GroupOptions::prepare_refusal_rate and
+      GroupOptions::set_refusal_rate. */
+  void SetRefusalRate(double part) {
+    options_.prepare_refusal_rate = options_.set_refusal_rate = part;
+  }
+  /** Applies to connections that open later.
+      @see GroupOptions::forgetting_rate */
+  void SetForgettingRate(double part) { options_.forgetting_rate = part; }
 
   /** @returns the id of a member */
   const std::string& GetId(size_t member) const { return members_[member].id; }
@@ -230,6 +276,8 @@
   const std::vector<ExecutedStatement>& GetExecutedStatements() const {
     return executed_statements_;
   }
+  /** @returns what was prepared and refused on all connections so far */
+  const PreparedCounts& GetPreparedCounts() const { return prepared_counts_; }
 
  private:
   struct Member {
@@ -259,6 +307,10 @@
     uint64_t fencing_token = 0;
     TimePoint ordered_at;
   };
+  struct PreparedStatement {
+    bool writes = false;
+    std::string shape;
+  };
   struct Connection {
     size_t member = 0;
     uint64_t incarnation = 0;
@@ -268,11 +320,16 @@
     bool is_read_write = false;
     uint64_t transaction = 0;
     std::string input;
+    /** A line was too long; what follows it is not read. */
+    bool has_overlong_line = false;
     std::vector<std::string> pending_lines;
     bool is_busy = false;
     std::map<std::string, std::string> values;
-    /** Prepared statements by name: whether each writes, and its text. */
-    std::map<std::string, std::pair<bool, std::string>> prepared_statements;
+    std::map<std::string, PreparedStatement> prepared_statements;
+    /** Size of the names and shapes of prepared_statements. */
+    size_t prepared_bytes = 0;
+    /** Number of EXECUTEs until it forgets its names; 0 if it doesn't. */
+    uint32_t executions_to_forget = 0;
     std::vector<std::pair<std::string, std::string>> writes;
     std::vector<std::string> requests;
   };
@@ -281,17 +338,26 @@
   void ProcessPendingLines(uint64_t id);
   bool IsFull(size_t member) const;
   void Refuse(uint64_t id, std::string_view code);
-  void HandleQuery(uint64_t id, std::string_view rest);
+  void HandleStartup(uint64_t id, FieldReader fields);
+  void FinishHandshake(uint64_t id);
+  /** @param fields  what follows the word QUERY; nothing for another word */
+  void HandleQuery(uint64_t id, std::optional<std::string_view> fields);
+  void HandleStatement(uint64_t id, GroupQuery query);
+  void Begin(uint64_t id, bool is_read_write);
+  void Rollback(uint64_t id);
+  void SetValue(uint64_t id, const GroupQuery& query);
+  void Prepare(uint64_t id, const GroupQuery& query);
+  void Deallocate(uint64_t id, const GroupQuery& query);
+  void StartExecution(uint64_t id, GroupQuery query);
+  void DrawForgetting(Connection& connection);
+  static void ForgetPrepared(Connection& connection);
+  bool Draw(double rate);
   static void ReleaseSlot(Member& member, uint64_t incarnation);
-  void RunInSlot(uint64_t id, std::string request, std::string text);
-  void Run(uint64_t id, const std::string& request, const std::string& text);
-  void RunRead(uint64_t id,
-               ExecutedStatement statement,
-               const std::string& item);
-  void RunWrite(uint64_t id,
-                ExecutedStatement statement,
-                std::string item,
-                std::string data);
+  void RunInSlot(uint64_t id, GroupQuery query, std::string shape);
+  void Run(uint64_t id, const GroupQuery& query, std::string shape);
+  void RunCommand(uint64_t id, const GroupQuery& query);
+  void RunRead(uint64_t id, const GroupQuery& query, std::string shape);
+  void RunWrite(uint64_t id, const GroupQuery& query, std::string shape);
   void Commit(uint64_t id, const std::string& request);
   void Acknowledge(uint64_t id, const std::string& request, size_t commit);
   void Answer(uint64_t id, std::string body);
@@ -313,7 +379,8 @@
   Duration AddJitter(Duration mean);
   void RecordExecution(const Connection& connection,
                        uint64_t id,
-                       ExecutedStatement statement);
+                       const GroupQuery& query,
+                       std::string shape);
 
   GroupOptions options_;
   Output output_;
@@ -327,6 +394,7 @@
   std::vector<AppliedPromotion> promotions_;
   std::vector<EarlyAcknowledgement> early_acknowledgements_;
   std::vector<ExecutedStatement> executed_statements_;
+  PreparedCounts prepared_counts_;
   Term newest_term_{1};
   uint64_t highest_fencing_token_ = 0;
   uint64_t transaction_count_ = 0;
