Tell ABORTED when a SET fails the transaction ahead of a statement

A COMMIT that wrote ended as UNKNOWN, and the connection was closed, if the SET ahead of it was refused because the transaction was gone: a holder answers so, and a primary that has lost the lead. Nothing runs in a failed transaction, so the refusal is kept, and the statement's own reply confirms it.

--- a/libs/relay/connections/pooled_connection.h
+++ b/libs/relay/connections/pooled_connection.h
@@ -58,8 +58,8 @@
       connection becomes idle. */
   kReturning,
   kIdle,
-  /** Waits for the transaction to begin, or for session values to be set,
-     before the statement is sent. */
+  /** Waits until the transaction has begun, or session values are set, before
+      the statement is sent. */
   kBeginning,
   /** Runs a statement. */
   kRunning,
@@ -88,9 +88,9 @@
   SessionValues values;
   PreparedNames prepared;
   /** True if it is uncertain which values are set, so that they are reset
-     before another session uses the connection: the endpoint refused one, or
-     they were set inside the open transaction. Whether a rollback reverts them
-     depends on the database. */
+      before another session uses the connection: the endpoint refused one, or
+      they were set inside the open transaction. Whether a rollback reverts them
+      depends on the database. */
   bool values_uncertain = false;
   std::deque<PendingReply> pending_replies;
   /** Session that uses it; 0 if none. */
--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -244,10 +244,13 @@
   void StartStatement(PooledConnection& connection, CallerSession& session);
   /** Lets a statement wait for the pending replies before it is sent. */
   void AwaitReplies(PooledConnection& connection, CallerSession& session);
+  /** Sends a statement whose wait has ended, if it may still be sent. */
   void SendAwaiting(PooledConnection& connection, CallerSession& session);
   void SendStatement(PooledConnection& connection, CallerSession& session);
-  /** @returns the statement's name on the connection, under which it is
-     prepared if it was not */
+  /** Prepares an execution's statement if it isn't prepared yet.
+
+      @returns its name on the connection
+  */
   PooledStatementName PrepareStatement(PooledConnection& connection,
                                        const ActiveStatement& statement);
   void SendInTransaction(CallerSession& session);
@@ -266,8 +269,7 @@
   void BeginReadWriteTransaction(PooledConnection& connection);
   /** Sets a session's values, and no others, on a connection.
 
-      @returns whether a statement must wait until the endpoint has accepted
-     them
+      @returns whether a statement must wait until they are accepted
   */
   bool SyncValues(PooledConnection& connection, const CallerSession& session);
   /** Sets a session's values without a reset. @see SyncValues */
@@ -329,7 +331,10 @@
   void LogRefusal(Event event,
                   const PooledConnection& connection,
                   const PendingReply& reply);
-  /** @returns false if the connection was closed */
+  /** Handles the refusal of a change of session values.
+
+      @returns false if the connection was closed
+  */
   bool HandleValuesRefused(PooledConnection& connection,
                            const PendingReply& reply);
   void RecordRefusal(PooledConnection& connection, StatementError error);
--- a/libs/relay/core/traffic_core_replies.h
+++ b/libs/relay/core/traffic_core_replies.h
@@ -202,8 +202,11 @@
                                             const PendingReply& reply) {
   ++counters_.values_refused;
   LogRefusal(Event::kSessionValuesRefused, connection, reply);
-  if (reply.request == EndpointRequestKind::kSetValue &&
-      !connection.HasSentStatement()) {
+  // In a failed transaction, nothing runs.
+  const bool runs_nothing =
+      !connection.HasSentStatement() ||
+      connection.status == TransactionStatus::kFailedTransaction;
+  if (reply.request == EndpointRequestKind::kSetValue && runs_nothing) {
     connection.values.clear();
     connection.values_uncertain = true;
     RecordRefusal(connection, *reply.error);
--- a/libs/relay/core/traffic_limits.h
+++ b/libs/relay/core/traffic_limits.h
@@ -125,8 +125,8 @@
 constexpr size_t CountHeldBytes(std::string_view name, std::string_view text) {
   return kSessionEntryBytes + name.size() + text.size();
 }
-/** Longer than all that an encoding adds to the texts in a message, in bytes.
- */
+
+/** More than an encoding adds to the texts in a message, in bytes. */
 inline constexpr size_t kMaxEncodingBytes = 1024;
 /** Interval at which idle sessions are closed during a drain. */
 inline constexpr Duration kDrainInterval = std::chrono::milliseconds(100);
--- a/tests/traffic/prepared_statement_test.cc
+++ b/tests/traffic/prepared_statement_test.cc
@@ -564,6 +564,27 @@
   LONGS_EQUAL(0, node.CountTexts("WRITE item2"));
 }
 
+TEST(SessionValue, AWordThatFailsTheTransactionAbortsIt) {
+  // Guards against UNKNOWN for a commit that could not run: a holder whose
+  // session has lost the transaction answers SET with this, too.
+  for (const char* text : {"COMMIT", "WRITE item2 x"}) {
+    ScriptedNode node;
+    const uint64_t session = node.OpenCaller();
+    node.Ask(session, "BEGIN");
+    CheckAnswer("COMPLETE proof", node.Ask(session, "WRITE item1 x"));
+    node.Ask(session, "SET v1 word");
+    node.SetScript(
+        AnswerFirst("SET ", 1, "ERROR ABORTED rolled back\r\n", 'E'));
+    const size_t opened = node.CountOpenedConnections();
+    CheckAnswer("ERROR ABORTED rolled back", node.Ask(session, text));
+    node.Ask(session, "ROLLBACK");
+    CheckAnswer("COMPLETE proof", node.Ask(session, "WRITE item3 x"));
+    STRCMP_EQUAL("word", node.GetRuns().back().values.at("v1").c_str());
+    LONGS_EQUAL(2, node.GetRuns().size());
+    LONGS_EQUAL(opened, node.CountOpenedConnections());
+  }
+}
+
 TEST(SessionValue, ALossWhileATransactionWaitsForAValueRollsItBack) {
   // Guards against UNKNOWN for a commit that was never sent, and against a
   // statement that is sent outside its transaction.
--- a/tests/traffic/scripted_node.cc
+++ b/tests/traffic/scripted_node.cc
@@ -213,7 +213,11 @@
     if (text == "BEGIN" && !connection.is_primary) {
       return "ERROR READONLY db\r\n";
     }
-    connection.status = verb == "BEGIN" ? 'T' : 'I';
+    const bool has_failed =
+        std::exchange(connection.status, verb == "BEGIN" ? 'T' : 'I') == 'E';
+    if (verb == "COMMIT" && has_failed) {
+      return "ERROR ABORTED db-0\r\n";
+    }
     return verb == "COMMIT" ? "COMPLETE proof\r\n" : kDone;
   }
   if (verb == "RESET") {
