Stand-in endpoint: refuse statements with more or less than their grammar

Cause: 'get KEY rest' ran as 'get KEY', 'put KEY' stored an empty value, and 'work 5x' ran as 'work 5': a text that was changed on its way ran as if it hadn't been. Change: such a statement is malformed. An empty value behind the blank is a value, and a value keeps its blanks.

--- a/standins/endpoint/statement.cc
+++ b/standins/endpoint/statement.cc
@@ -17,26 +17,21 @@
 
 std::optional<Statement> ParseStatement(std::string_view text) {
   Statement statement;
-  std::string_view word = TakeWord(text);
-  if (word == "work") {
-    const std::string_view number = TakeWord(text);
+  if (std::string_view rest = text; TakeWord(rest) == "work") {
+    const std::string_view number = TakeWord(rest);
+    const char* const end = number.data() + number.size();
     int n = 0;
-    const auto [end, ec] =
-        std::from_chars(number.data(), number.data() + number.size(), n);
-    if (ec != std::errc() || n < 0) {
+    const auto [parsed, ec] = std::from_chars(number.data(), end, n);
+    if (ec != std::errc() || parsed != end || n < 0) {
       return std::nullopt;
     }
     statement.work = std::chrono::milliseconds(n);
-    word = TakeWord(text);
+    text = rest;
   }
-  if (word == "fail") {
+  if (text == "fail") {
     return statement;
   }
-  statement.key = TakeWord(text);
-  statement.value = text;
-  if (statement.key.empty()) {
-    return std::nullopt;
-  }
+  const std::string_view word = TakeWord(text);
   if (word == "put") {
     statement.action = StatementAction::kPut;
   } else if (word == "append") {
@@ -46,6 +41,12 @@
   } else {
     return std::nullopt;
   }
+  const bool has_value = text.find(' ') != std::string_view::npos;
+  statement.key = TakeWord(text);
+  statement.value = text;
+  if (statement.key.empty() || has_value != IsWrite(statement)) {
+    return std::nullopt;
+  }
   return statement;
 }
 
--- a/standins/endpoint/statement.h
+++ b/standins/endpoint/statement.h
@@ -15,7 +15,7 @@
 
 /** A statement in the language of the stand-in endpoint: an optional "work MS",
     which sets the run time, then "put KEY VALUE", "append KEY VALUE",
-    "get KEY" or "fail". */
+    "get KEY" or "fail". Anything more or less is malformed. */
 struct Statement {
   /** Kind of the statement. */
   StatementAction action = StatementAction::kFail;
