--- a/tests/standins/group_model_test.cc
+++ b/tests/standins/group_model_test.cc
@@ -78,6 +78,7 @@
   // last one: its first line, and the state that READY names.
   std::string Ask(size_t member, const std::vector<std::string>& texts) {
     std::vector<std::string> lines;
+    lines.reserve(texts.size());
     for (const std::string& it : texts) {
       lines.push_back("QUERY q " + it);
     }
