Write log values so that none can pass for another field

A value with blanks was quoted, but a quotation mark became an apostrophe, and backslashes, carriage returns and other control characters stayed. The text of a caller, such as the database name `x request=abc`, put ` request=abc` into the line, and a reader who searched for that request found a foreign line. A value of 1 MiB was larger than the node's buffer of 256 KiB, so the line was lost.

A value is now written as it is only if it is a plain word; any other is in quotes, with escapes for quotes, backslashes, `=` and bytes that aren't printable ASCII, and is cut behind 1,024 bytes with its length said. Plain words stay letter for letter, and a line break is still `\n`.

Red before, in telemetry_tests: CannotHoldAnotherField (`reason="x request=abc"`), CannotHoldAnotherLineOrTerminalCommands (the carriage return and the escape sequence were in the line), KeepsEveryByte, CutsALongValueAndSaysItsLength (no line at all). The labels of metrics were escaped before; Metrics.EscapesTextInLabels guards that.

--- a/libs/telemetry/events/event_log.cc
+++ b/libs/telemetry/events/event_log.cc
@@ -2,6 +2,7 @@
 
 #include <easylogging++.h>
 
+#include <algorithm>
 #include <chrono>
 #include <string>
 
@@ -26,6 +27,44 @@
   return "error";
 }
 
+bool IsPlain(char c) {
+  return c > ' ' && c <= '~' && c != '"' && c != '\\' && c != '=';
+}
+
+void AppendEscaped(std::string& out, char c) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  if (c == ' ' || IsPlain(c)) {
+    out += c;
+  } else if (c == '"' || c == '\\') {
+    out += '\\';
+    out += c;
+  } else if (c == '\n') {
+    out += "\\n";
+  } else {
+    const auto byte = static_cast<unsigned char>(c);
+    out += "\\x";
+    out += kDigits[byte >> 4];
+    out += kDigits[byte & 15];
+  }
+}
+
+void AppendValue(std::string& out, std::string_view value) {
+  const bool is_cut = value.size() > kMaxLoggedValueSize;
+  if (!value.empty() && !is_cut && std::ranges::all_of(value, IsPlain)) {
+    out += value;
+    return;
+  }
+  out += '"';
+  for (const char c : value.substr(0, kMaxLoggedValueSize)) {
+    AppendEscaped(out, c);
+  }
+  out += '"';
+  if (is_cut) {
+    out += '/';
+    out += std::to_string(value.size());
+  }
+}
+
 std::string FormatLine(const EventDescription& description,
                        std::initializer_list<EventField> fields) {
   std::string buf;
@@ -48,21 +87,7 @@
     buf += ' ';
     buf += name;
     buf += '=';
-    const bool quoted =
-        value.empty() || value.find_first_of(" \n\"") != std::string::npos;
-    if (!quoted) {
-      buf += value;
-      continue;
-    }
-    buf += '"';
-    for (const char c : value) {
-      if (c == '\n') {
-        buf += "\\n";
-      } else {
-        buf += c == '"' ? '\'' : c;
-      }
-    }
-    buf += '"';
+    AppendValue(buf, value);
   }
   return buf;
 }
--- a/libs/telemetry/events/event_log.h
+++ b/libs/telemetry/events/event_log.h
@@ -1,6 +1,7 @@
 #ifndef MAGNOLIAREEL_TELEMETRY_EVENTS_EVENT_LOG_H_
 #define MAGNOLIAREEL_TELEMETRY_EVENTS_EVENT_LOG_H_
 
+#include <cstddef>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -10,12 +11,16 @@
 
 namespace magnoliareel {
 
+/** Maximum part of a value that the log shows, in bytes before quoting. */
+inline constexpr size_t kMaxLoggedValueSize = 1024;
+
 /** A named value of a log event. */
 struct EventField {
   /** Name of the field, as listed in the catalogue. */
   std::string_view name;
-  /** The value; quoted in the log if it is empty or contains a space, a line
-      break or a quotation mark. */
+  /** The value, any bytes. The log quotes it unless it is a word of printable
+      ASCII characters without quotation marks, backslashes and equals signs, so
+      that no value can be read as a field or line of its own. */
   std::string value;
 };
 
