--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -189,7 +189,24 @@
   void HandleStatement(CallerSession& session, const CallerMessage& message);
   void HandleBegin(CallerSession& session, bool reads_only);
   void HandleRollback(CallerSession& session);
+  void HandleSetValue(CallerSession& session, const ParsedStatement& statement);
   void HandlePrepare(CallerSession& session, const ParsedStatement& statement);
+  /** Makes room for a text that a session is to hold, or tells the caller that
+      there is none.
+
+      @param freed   length of the text that it replaces
+      @param needed  its length
+      @returns       false if there is none
+  */
+  bool ReserveText(CallerSession& session, size_t freed, size_t needed);
+  /** @param text_bytes  length of the texts in a message
+      @param append      appends the encoded message to a string
+      @returns           whether a peer accepts the message */
+  template <class F>
+  static bool FitsMessage(size_t text_bytes, F append);
+  /** @returns whether a read leaves room for a log point that the endpoint must
+               have applied */
+  static bool FitsBehindLogPoint(const ActiveStatement& statement);
   void HandleDeallocate(CallerSession& session, std::string_view name);
   void SubmitStatement(CallerSession& session, const CallerMessage& message);
   bool RefreshRoute(CallerSession& session);
@@ -225,7 +242,14 @@
   PooledConnection* PickIdleConnection(EndpointPool& pool,
                                        const CallerSession& session);
   void StartStatement(PooledConnection& connection, CallerSession& session);
+  /** Lets a statement wait for the pending replies before it is sent. */
+  void AwaitReplies(PooledConnection& connection, CallerSession& session);
+  void SendAwaiting(PooledConnection& connection, CallerSession& session);
   void SendStatement(PooledConnection& connection, CallerSession& session);
+  /** @returns the statement's name on the connection, under which it is
+     prepared if it was not */
+  PooledStatementName PrepareStatement(PooledConnection& connection,
+                                       const ActiveStatement& statement);
   void SendInTransaction(CallerSession& session);
 
   // traffic_core_bounds.h: requests for freshness bounds.
@@ -236,11 +260,19 @@
   // traffic_core_connections.h: state of pooled connections.
   void ExpectReply(PooledConnection& connection,
                    EndpointRequestKind request,
-                   uint64_t statement_id = 0);
+                   uint64_t statement_id = 0,
+                   PooledStatementName name = {});
   void RollBackOpenTransaction(PooledConnection& connection);
   void BeginReadWriteTransaction(PooledConnection& connection);
-  void SyncValues(PooledConnection& connection, const SessionValues& values);
-  void AddValues(PooledConnection& connection, const SessionValues& values);
+  /** Sets a session's values, and no others, on a connection.
+
+      @returns whether a statement must wait until the endpoint has accepted
+     them
+  */
+  bool SyncValues(PooledConnection& connection, const CallerSession& session);
+  /** Sets a session's values without a reset. @see SyncValues */
+  bool AddValues(PooledConnection& connection, const CallerSession& session);
+  void ResetValues(PooledConnection& connection);
   void ReturnToPool(PooledConnection& connection);
   void ScheduleReturnTimeout(PooledConnection& connection);
   void MarkIdle(PooledConnection& connection);
@@ -296,7 +328,11 @@
       that the pool sent on its own behalf. */
   void LogRefusal(Event event,
                   const PooledConnection& connection,
-                  StatementError error);
+                  const PendingReply& reply);
+  /** @returns false if the connection was closed */
+  bool HandleValuesRefused(PooledConnection& connection,
+                           const PendingReply& reply);
+  void RecordRefusal(PooledConnection& connection, StatementError error);
   void Advance(PooledConnection& connection);
   void HandleBeginError(PooledConnection& connection);
   void HandleStatementReply(PooledConnection& connection,
@@ -312,6 +348,7 @@
   void HandleStatementError(PooledConnection& connection,
                             CallerSession& session,
                             StatementError error);
+  void HandleUnknownName(PooledConnection& connection, CallerSession& session);
   void HandleErrorInTransaction(PooledConnection& connection,
                                 CallerSession& session,
                                 StatementError error);
--- a/libs/relay/core/traffic_core_connections.h
+++ b/libs/relay/core/traffic_core_connections.h
@@ -27,10 +27,11 @@
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::ExpectReply(PooledConnection& connection,
                                     EndpointRequestKind request,
-                                    uint64_t statement_id) {
+                                    uint64_t statement_id,
+                                    PooledStatementName name) {
   const EndpointPool* pool = FindPool(connection.endpoint);
   connection.pending_replies.push_back(
-      {request, net_.Now(), statement_id,
+      {request, net_.Now(), statement_id, name,
        pool == nullptr ? LogPoint{} : pool->GetAppliedPoint(), std::nullopt});
 }
 
@@ -52,24 +53,29 @@
 }
 
 template <ForwardingDialect D, class N>
-void TrafficCore<D, N>::SyncValues(PooledConnection& connection,
-                                   const SessionValues& values) {
-  if (connection.values_in_transaction ||
-      HasExtraValues(connection.values, values)) {
-    D::AppendReset(net_.GetEndpointBuffer(connection.id));
-    ExpectReply(connection, EndpointRequestKind::kReset);
-    connection.values.clear();
-    connection.prepared.clear();
-    connection.values_in_transaction = false;
+void TrafficCore<D, N>::ResetValues(PooledConnection& connection) {
+  D::AppendReset(net_.GetEndpointBuffer(connection.id));
+  ExpectReply(connection, EndpointRequestKind::kReset);
+  connection.values.clear();
+  connection.prepared.Clear();
+  connection.values_uncertain = false;
+}
+
+template <ForwardingDialect D, class N>
+bool TrafficCore<D, N>::SyncValues(PooledConnection& connection,
+                                   const CallerSession& session) {
+  if (HasExtraValues(connection.values, session.values)) {
+    ResetValues(connection);
   }
-  AddValues(connection, values);
+  return AddValues(connection, session);
 }
 
 template <ForwardingDialect D, class N>
-void TrafficCore<D, N>::AddValues(PooledConnection& connection,
-                                  const SessionValues& values) {
+bool TrafficCore<D, N>::AddValues(PooledConnection& connection,
+                                  const CallerSession& session) {
   std::string& out = net_.GetEndpointBuffer(connection.id);
-  for (const auto& [name, value] : values) {
+  bool must_wait = false;
+  for (const auto& [name, value] : session.values) {
     if (const auto it = connection.values.find(name);
         it != connection.values.end() && it->second == value) {
       continue;
@@ -77,7 +83,12 @@
     D::AppendSetValue(out, name, value);
     ExpectReply(connection, EndpointRequestKind::kSetValue);
     connection.values.insert_or_assign(name, value);
+    // A holder accepts what this VM has accepted; it waits for the endpoint.
+    must_wait = must_wait || session.awaits_values ||
+                (!connection.IsForwarded() &&
+                 !(IsPlainWord(name) && IsPlainWord(value)));
   }
+  return must_wait;
 }
 
 template <ForwardingDialect D, class N>
@@ -87,6 +98,7 @@
                           connection.state != ConnectionState::kIdle;
   connection.state = ConnectionState::kReturning;
   connection.session = 0;
+  connection.refusal.reset();
   connection.rows.clear();
   // Other VMs wait for a connection: closing this one immediately saves them
   // the round trip of returning it to the pool.
@@ -97,11 +109,15 @@
       connection.pending_replies.empty();
   const bool holder_left = connection.IsForwarded() && pool != nullptr &&
                            !pool->IsListedHolder(connection.holder);
-  if (pool == nullptr || pool->removed || yields_to_other_vms || holder_left) {
+  if (pool == nullptr || pool->removed || yields_to_other_vms || holder_left ||
+      connection.prepared.IsExhausted()) {
     CloseEndpointConnection(connection.id);
     return;
   }
   RollBackOpenTransaction(connection);
+  if (connection.values_uncertain) {
+    ResetValues(connection);
+  }
   if (IsPrimary(*pool) && !connection.IsForwarded()) {
     BeginReadWriteTransaction(connection);
   }
@@ -243,9 +259,11 @@
   if (found == nullptr) {
     return;
   }
-  const PooledConnection lost = *found;
+  const EndpointId endpoint = found->endpoint;
+  const ConnectionState state = found->state;
+  const bool was_forwarded = found->IsForwarded();
+  CallerSession* session = FindSession(found->session);
   CloseEndpointConnection(connection_id);
-  CallerSession* session = FindSession(lost.session);
   if (session == nullptr) {
     return;
   }
@@ -253,17 +271,23 @@
   std::erase(statement.connections, connection_id);
   LogEvent(
       Event::kConnectionLost,
-      {{"endpoint", lost.endpoint.value},
+      {{"endpoint", endpoint.value},
        {"request", statement.request_id},
        {"need", std::string(EndpointRequirementName(statement.requirement))},
        {"reason", std::string(reason)}});
-  if (lost.state == ConnectionState::kReserved) {
+  if (state == ConnectionState::kReserved) {
     session->connection = 0;
     session->transaction = TransactionPhase::kLost;
     return;
   }
-  if (lost.state == ConnectionState::kBeginning) {
-    RetryElsewhere(*session, lost.endpoint, StatementError::kBusy, Duration(0));
+  if (state == ConnectionState::kBeginning &&
+      statement.requirement == EndpointRequirement::kOpenTransaction) {
+    session->connection = 0;
+    FailStatement(*session, StatementError::kAborted, reason);
+    return;
+  }
+  if (state == ConnectionState::kBeginning) {
+    RetryElsewhere(*session, endpoint, StatementError::kBusy, Duration(0));
     return;
   }
   if (!statement.connections.empty()) {
@@ -286,8 +310,8 @@
   // A read, or the first statement of a transaction, which was not committed.
   // The loss of a holder says nothing about the endpoint.
   RetryElsewhere(
-      *session, lost.endpoint,
-      lost.IsForwarded() ? StatementError::kBusy : StatementError::kAborted,
+      *session, endpoint,
+      was_forwarded ? StatementError::kBusy : StatementError::kAborted,
       Duration(0));
 }
 
@@ -319,19 +343,20 @@
   if (connection == nullptr) {
     return;
   }
-  const PooledConnection closed = *connection;
-  const bool was_idle = closed.state == ConnectionState::kIdle;
+  const EndpointId endpoint = connection->endpoint;
+  const VmId holder = connection->holder;
+  const bool was_idle = connection->state == ConnectionState::kIdle;
   // The holder is not used again for the statement that the loss affects.
-  if (!was_idle && closed.IsForwarded()) {
-    RecordHolderFailure(closed.holder, ec.message());
+  if (!was_idle && !holder.IsEmpty()) {
+    RecordHolderFailure(holder, ec.message());
   }
   HandleConnectionLoss(id, ec.message());
   // An endpoint may close idle connections; any other close is a failure.
-  if (EndpointPool* pool = FindPool(closed.endpoint);
-      pool != nullptr && !was_idle && !closed.IsForwarded()) {
+  if (EndpointPool* pool = FindPool(endpoint);
+      pool != nullptr && !was_idle && holder.IsEmpty()) {
     HandleEndpointFailure(*pool, EndpointCondition::kUnreachable);
   }
-  if (EndpointPool* pool = FindPool(closed.endpoint)) {
+  if (EndpointPool* pool = FindPool(endpoint)) {
     StartQueued(*pool);
   }
 }
--- a/libs/relay/core/traffic_core_dispatch.h
+++ b/libs/relay/core/traffic_core_dispatch.h
@@ -214,8 +214,7 @@
     pool->RecordUse(connection.last_used_at);
   }
   ++statement.attempts;
-  const bool same_values =
-      connection.values == session.values && !connection.values_in_transaction;
+  const bool same_values = connection.values == session.values;
   const bool needs_primary_transaction =
       statement.requirement == EndpointRequirement::kPrimaryRead ||
       statement.requirement == EndpointRequirement::kReadWriteTransaction;
@@ -227,33 +226,64 @@
     return;
   }
   RollBackOpenTransaction(connection);
-  SyncValues(connection, session.values);
-  const bool begins_transaction =
-      needs_primary_transaction ||
-      statement.requirement == EndpointRequirement::kReadTransaction;
+  const bool awaits_values = SyncValues(connection, session);
   // A holder begins the transaction itself.
-  if (!begins_transaction || connection.IsForwarded()) {
+  const bool begins_transaction =
+      !connection.IsForwarded() &&
+      (needs_primary_transaction ||
+       statement.requirement == EndpointRequirement::kReadTransaction);
+  if (!begins_transaction && !awaits_values) {
     SendStatement(connection, session);
     return;
   }
-  // The statement is not sent before BEGIN has succeeded: after a failed BEGIN
-  // it would run outside a transaction.
-  connection.state = ConnectionState::kBeginning;
-  statement.connections.push_back(connection.id);
-  if (needs_primary_transaction) {
+  if (begins_transaction && needs_primary_transaction) {
     BeginReadWriteTransaction(connection);
-  } else {
+  } else if (begins_transaction) {
     D::AppendBeginRead(net_.GetEndpointBuffer(connection.id),
                        statement.required_point);
     ExpectReply(connection, EndpointRequestKind::kBeginRead);
   }
+  AwaitReplies(connection, session);
+}
+
+template <ForwardingDialect D, class N>
+void TrafficCore<D, N>::AwaitReplies(PooledConnection& connection,
+                                     CallerSession& session) {
+  // After a failed BEGIN, the statement would run outside a transaction; after
+  // a refused value, with other values than the caller has set.
+  connection.begin_error.reset();
+  connection.state = ConnectionState::kBeginning;
+  session.statement.connections.push_back(connection.id);
   ScheduleTimer({net_.Now() + kSlowStatementThreshold,
                  TimerKind::kSlowStatement,
                  session.id,
-                 statement.id,
+                 session.statement.id,
                  {}});
 }
 
+template <ForwardingDialect D, class N>
+void TrafficCore<D, N>::SendAwaiting(PooledConnection& connection,
+                                     CallerSession& session) {
+  if (session.statement.requirement != EndpointRequirement::kOpenTransaction) {
+    if (const EndpointPool* pool = FindPool(connection.endpoint);
+        pool != nullptr && !TakesNewStatements(*pool)) {
+      connection.begin_error = StatementError::kBusy;
+      HandleBeginError(connection);
+      return;
+    }
+    if (IsHeldBack(session, connection.endpoint)) {
+      connection.begin_error = StatementError::kNotPrimary;
+      HandleBeginError(connection);
+      return;
+    }
+  } else if (IsHeldBack(session, connection.endpoint)) {
+    std::erase(session.statement.connections, connection.id);
+    AbortHeldBackTransaction(session, connection);
+    return;
+  }
+  SendStatement(connection, session);
+}
+
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::SendStatement(PooledConnection& connection,
                                       CallerSession& session) {
@@ -265,13 +295,9 @@
               !connection.IsForwarded()
           ? statement.required_point
           : std::nullopt;
+  PooledStatementName name;
   if (statement.kind == StatementKind::kExecute) {
-    const std::string name = MakePooledStatementName(statement.prepared);
-    if (connection.prepared.insert(name).second) {
-      D::AppendPrepare(out, name, statement.prepared.writes,
-                       statement.prepared.shape);
-      ExpectReply(connection, EndpointRequestKind::kPrepare);
-    }
+    name = PrepareStatement(connection, statement);
     if (connection.IsForwarded()) {
       AppendForwardingHeader(connection, session);
     }
@@ -283,7 +309,7 @@
     }
     D::AppendForward(out, statement.request_id, required_point, statement.text);
   }
-  ExpectReply(connection, EndpointRequestKind::kStatement, statement.id);
+  ExpectReply(connection, EndpointRequestKind::kStatement, statement.id, name);
   if (connection.IsForwarded() &&
       statement.requirement != EndpointRequirement::kOpenTransaction) {
     connection.read_write_transaction =
@@ -309,6 +335,26 @@
                  {}});
 }
 
+template <ForwardingDialect D, class N>
+PooledStatementName TrafficCore<D, N>::PrepareStatement(
+    PooledConnection& connection,
+    const ActiveStatement& statement) {
+  const PreparedNames::Usage usage =
+      connection.prepared.Use(statement.prepared);
+  std::string& out = net_.GetEndpointBuffer(connection.id);
+  for (const PooledStatementName it : usage.evicted) {
+    ++counters_.prepares_deallocated;
+    D::AppendDeallocate(out, it);
+    ExpectReply(connection, EndpointRequestKind::kDeallocate, 0, it);
+  }
+  if (usage.is_new) {
+    D::AppendPrepare(out, usage.name, statement.prepared->writes,
+                     statement.prepared->shape);
+    ExpectReply(connection, EndpointRequestKind::kPrepare, 0, usage.name);
+  }
+  return usage.name;
+}
+
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::SendInTransaction(CallerSession& session) {
   PooledConnection* connection = FindConnection(session.connection);
@@ -326,8 +372,11 @@
   if (connection->values != session.values) {
     // Values are only added: a session never removes a value, and a reset would
     // affect the open transaction.
-    AddValues(*connection, session.values);
-    connection->values_in_transaction = true;
+    connection->values_uncertain = true;
+    if (AddValues(*connection, session)) {
+      AwaitReplies(*connection, session);
+      return;
+    }
   }
   SendStatement(*connection, session);
 }
--- a/libs/relay/sessions/caller_session.h
+++ b/libs/relay/sessions/caller_session.h
@@ -1,6 +1,7 @@
 #ifndef MAGNOLIAREEL_RELAY_SESSIONS_CALLER_SESSION_H_
 #define MAGNOLIAREEL_RELAY_SESSIONS_CALLER_SESSION_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -39,9 +40,9 @@
   /** The statement as the caller wrote it. */
   std::string text;
   StatementKind kind = StatementKind::kRead;
-  /** The prepared statement, for kExecute. */
-  PreparedStatement prepared;
-  /** Arguments, for kExecute. */
+  /** The prepared statement, for kExecute; null for other kinds. */
+  std::shared_ptr<const PreparedStatement> prepared;
+  /** Arguments, for kExecute. @see ParsedStatement::argument */
   std::string arguments;
   /** True if it changes data, immediately or when its transaction commits. */
   bool writes = false;
@@ -82,6 +83,9 @@
   bool waited_for_bound = false;
   /** True if it was counted as one that waits for a primary's successor. */
   bool was_held = false;
+  /** True if it was retried because an endpoint did not know a name that it had
+      prepared. */
+  bool met_unknown_name = false;
   /** True if it was retried at a replica that was behind. */
   bool waited_for_replica = false;
   /** Time at which the holder that runs it was asked for a sign of life; epoch
@@ -92,7 +96,7 @@
                prepared statement
       @see DescribeShape */
   std::string DescribeForLog() const {
-    return kind == StatementKind::kExecute ? DescribeShape(prepared) : "none";
+    return prepared == nullptr ? "none" : DescribeShape(*prepared);
   }
   /** @returns true if it neither waits in an endpoint's queue nor was sent to
                one without a reply yet */
@@ -126,7 +130,14 @@
       that names only the service. */
   std::shared_ptr<const DatabaseRoute> route;
   SessionValues values;
-  std::map<std::string, PreparedStatement, std::less<>> prepared;
+  /** True if an endpoint refused one of them ahead of a statement that was sent
+      already. From then on, statements wait until all are set. */
+  bool awaits_values = false;
+  /** By the caller's names. */
+  std::map<std::string, std::shared_ptr<const PreparedStatement>, std::less<>>
+      prepared;
+  /** Length of the texts in `values` and `prepared`. */
+  size_t held_bytes = 0;
   /** End of the log after the session's newest acknowledged commit. */
   std::optional<LogPoint> last_commit;
   TransactionPhase transaction = TransactionPhase::kNone;
