Gauges of refused and given-up prepared statements and session values

Evidence: a node before a stand-in that refuses an odd value and forgets the names of its connections, by hand: session_values_refused 2, unknown_names 1 after two statements behind a refused SET and one execution of a lost name.

--- a/apps/node/traffic_thread.cc
+++ b/apps/node/traffic_thread.cc
@@ -227,6 +227,20 @@
                "Statements that waited or were not run because their primary "
                "was being replaced.",
                {}, static_cast<double>(counters.commits_held));
+    gauges.Add("prepares_refused",
+               "PREPAREs that endpoints refused, since the start.", {},
+               static_cast<double>(counters.prepares_refused));
+    gauges.Add("prepares_deallocated",
+               "Least recently used names that were given up, since the start.",
+               {}, static_cast<double>(counters.prepares_deallocated));
+    gauges.Add("session_values_refused",
+               "Changes of session values that endpoints refused, since the "
+               "start.",
+               {}, static_cast<double>(counters.values_refused));
+    gauges.Add("unknown_names",
+               "Executions whose name the endpoint did not know, since the "
+               "start.",
+               {}, static_cast<double>(counters.unknown_names));
     done(std::move(gauges));
   });
 }
