Gauges of the names that connections hold

prepared_names and prepared_bytes say what the tables of prepared statements on this VM's connections hold at present, which the counters can't.

--- a/apps/node/traffic_thread.cc
+++ b/apps/node/traffic_thread.cc
@@ -241,6 +241,13 @@
                "Executions whose name the endpoint did not know, since the "
                "start.",
                {}, static_cast<double>(counters.unknown_names));
+    const PreparedTotals prepared = core_.CountPrepared();
+    gauges.Add("prepared_names",
+               "Names of prepared statements on connections of this VM.", {},
+               static_cast<double>(prepared.names));
+    gauges.Add("prepared_bytes",
+               "Length of the shapes prepared on connections of this VM.", {},
+               static_cast<double>(prepared.shape_bytes));
     done(std::move(gauges));
   });
 }
--- a/libs/relay/connections/prepared_names.h
+++ b/libs/relay/connections/prepared_names.h
@@ -50,6 +50,8 @@
 
   /** @returns the number of names */
   size_t Count() const { return entries_.size(); }
+  /** @returns the length of all shapes together, in bytes */
+  size_t GetShapeBytes() const { return shape_bytes_; }
   /** @returns true if the numbers run out, so that the connection must end */
   bool IsExhausted() const {
     return last_number_ >= kLongestPooledStatementName.number / 2;
--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -148,6 +148,9 @@
 
   /** @returns the connection pools by endpoint */
   const std::map<EndpointId, EndpointPool>& GetPools() const { return pools_; }
+  /** @returns names of prepared statements on all connections, and the length
+               of their shapes in bytes */
+  PreparedTotals CountPrepared() const;
   /** @returns the counters of retries, hedged reads and opened connections */
   const TrafficCounters& GetCounters() const { return counters_; }
 
--- a/libs/relay/core/traffic_core_connections.h
+++ b/libs/relay/core/traffic_core_connections.h
@@ -361,6 +361,16 @@
   }
 }
 
+template <ForwardingDialect D, class N>
+PreparedTotals TrafficCore<D, N>::CountPrepared() const {
+  PreparedTotals totals;
+  for (const auto& [id, connection] : connections_) {
+    totals.names += connection.prepared.Count();
+    totals.shape_bytes += connection.prepared.GetShapeBytes();
+  }
+  return totals;
+}
+
 }  // namespace magnoliareel
 
 #endif  // MAGNOLIAREEL_RELAY_CORE_TRAFFIC_CORE_CONNECTIONS_H_
--- a/libs/relay/core/traffic_options.h
+++ b/libs/relay/core/traffic_options.h
@@ -1,6 +1,7 @@
 #ifndef MAGNOLIAREEL_RELAY_CORE_TRAFFIC_OPTIONS_H_
 #define MAGNOLIAREEL_RELAY_CORE_TRAFFIC_OPTIONS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -25,6 +26,12 @@
   Duration max_draining_use = std::chrono::seconds(5);
 };
 
+/** What the tables of prepared statements hold. */
+struct PreparedTotals {
+  size_t names = 0;
+  size_t shape_bytes = 0;
+};
+
 /** Counters since the start of the process, for the metrics. */
 struct TrafficCounters {
   uint64_t retried = 0;
