Limit a session's values, which each connection copies

What callers would see: a VM that ends for lack of memory. One session may hold 16 MiB of text, and as values each connection that the session uses holds a copy: some 200 MB on a dozen connections, of 260 MB on a small VM. Fix: of the 16 MiB, values may be 2 MiB, which a whole message fits; beyond it SET is answered with TOOLARGE at once. Evidence: ValuesThatEachConnectionWouldCopyAreLimited, red before.

--- a/libs/relay/core/traffic_core_forwarding.h
+++ b/libs/relay/core/traffic_core_forwarding.h
@@ -60,6 +60,7 @@
     session->values.clear();
     session->prepared.clear();
     session->held_bytes = 0;
+    session->value_bytes = 0;
     ReplyLocally(*session);
     return;
   }
--- a/libs/relay/core/traffic_core_sessions.h
+++ b/libs/relay/core/traffic_core_sessions.h
@@ -248,10 +248,17 @@
   const auto it = session.values.find(parsed.name);
   const size_t freed =
       it == session.values.end() ? 0 : CountHeldBytes(it->first, it->second);
-  if (!ReserveText(session, freed,
-                   CountHeldBytes(parsed.name, parsed.argument))) {
+  const size_t needed = CountHeldBytes(parsed.name, parsed.argument);
+  const size_t value_bytes = session.value_bytes - freed + needed;
+  if (value_bytes > kMaxSessionValueBytes) {
+    ReplyError(session, StatementError::kTooLarge,
+               "the session's values are too large");
+    return;
+  }
+  if (!ReserveText(session, freed, needed)) {
     return;
   }
+  session.value_bytes = value_bytes;
   session.values.insert_or_assign(std::string(parsed.name),
                                   std::string(parsed.argument));
   ReplyLocally(session);
--- a/libs/relay/core/traffic_limits.h
+++ b/libs/relay/core/traffic_limits.h
@@ -116,6 +116,10 @@
 /** Maximum text that a session holds in values and prepared statements, in
     bytes. */
 inline constexpr size_t kMaxSessionTextBytes = 16 * 1024 * 1024;
+/** Maximum part of it that values are, in bytes: each connection that the
+   session uses holds a copy of them. Enough for one value of a whole message.
+ */
+inline constexpr size_t kMaxSessionValueBytes = 2 * 1024 * 1024;
 /** What a value or prepared statement counts besides its text: about the memory
     of its entry. */
 inline constexpr size_t kSessionEntryBytes = 200;
--- a/libs/relay/sessions/caller_session.h
+++ b/libs/relay/sessions/caller_session.h
@@ -138,6 +138,8 @@
       prepared;
   /** Length of the texts in `values` and `prepared`. */
   size_t held_bytes = 0;
+  /** The part of it in `values`. */
+  size_t value_bytes = 0;
   /** End of the log after the session's newest acknowledged commit. */
   std::optional<LogPoint> last_commit;
   TransactionPhase transaction = TransactionPhase::kNone;
--- a/tests/traffic/prepared_statement_test.cc
+++ b/tests/traffic/prepared_statement_test.cc
@@ -465,6 +465,21 @@
   STRCMP_EQUAL("", node.GetRuns().back().values.at("v1").c_str());
 }
 
+TEST(SessionValue, ValuesThatEachConnectionWouldCopyAreLimited) {
+  // One caller's values of 16 MiB on a dozen connections exceeded a VM's
+  // memory.
+  ScriptedNode node;
+  const uint64_t session = node.OpenCaller();
+  const std::string value(1'000'000, 'x');
+  CheckAnswer("COMPLETE", node.Ask(session, "SET a " + value));
+  CheckAnswer("COMPLETE", node.Ask(session, "SET b " + value));
+  CheckAnswer("ERROR TOOLARGE", node.Ask(session, "SET c " + value));
+  CheckAnswer("COMPLETE", node.Ask(session, "SET b short"));
+  CheckAnswer("COMPLETE", node.Ask(session, "SET c " + value));
+  CheckAnswer("COMPLETE proof", node.Ask(session, "READ it"));
+  LONGS_EQUAL(3, node.GetRuns().back().values.size());
+}
+
 TEST(SessionValue, ARefusedValueEndsTheStatementBeforeItRuns) {
   // Guards against a statement that runs with other values than its caller has
   // set, and against one caller's value that costs the others connections.
