Log the connection and the name of a served execution

Change: connection and name in statement.served. Two shapes under one name of a connection show the fault.

--- a/libs/relay/core/traffic_core_replies.h
+++ b/libs/relay/core/traffic_core_replies.h
@@ -191,7 +191,7 @@
            {{"request", request},
             {"endpoint", connection.endpoint.value},
             {"connection", id},
-            {"name", "p" + std::to_string(reply.name.number)},
+            {"name", DescribeName(reply.name)},
             {"shape", is_busy ? session->statement.DescribeForLog() : "none"},
             {"refusal", refusal},
             {"reason", connection.text}});
@@ -409,6 +409,8 @@
          {"after", statement.required_point
                        ? FormatLogPoint(*statement.required_point)
                        : "none"},
+         {"connection", std::to_string(connection.id)},
+         {"name", DescribeName(reply.name)},
          {"shape", statement.DescribeForLog()}});
   }
   const uint64_t session_id = session.id;
--- a/libs/relay/messages/pooled_statement_name.h
+++ b/libs/relay/messages/pooled_statement_name.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <limits>
+#include <string>
 
 namespace magnoliareel {
 
@@ -17,6 +18,12 @@
   bool operator==(const PooledStatementName&) const = default;
 };
 
+/** @param name  any name
+    @returns      its text in logs; "none" for no name */
+inline std::string DescribeName(PooledStatementName name) {
+  return name.number == 0 ? "none" : "p" + std::to_string(name.number);
+}
+
 /** No name is encoded longer than this one. */
 inline constexpr PooledStatementName kLongestPooledStatementName{
     std::numeric_limits<uint32_t>::max()};
--- a/libs/telemetry/events/event.cc
+++ b/libs/telemetry/events/event.cc
@@ -65,7 +65,8 @@
     {kStatementServed, kInfo, "statement.served",
      "A statement succeeded; logged for a sample and for every statement that "
      "needed more than one attempt. request, database, need, endpoint, "
-     "attempts, wait_us, run_us, after, shape"},
+     "attempts, wait_us, run_us, after, connection, name (under which an "
+     "execution was sent), shape"},
     {kStatementRefused, kWarning, "statement.refused",
      "A statement was answered with an error. request, refusal, reason, "
      "database, need, held_us, attempts, queued_at "
