Write only words in the fields of lines and datagrams

A line whose fields are separated by blanks ends a field at the first blank, whatever was meant. Nothing kept a text with a blank, an empty one or one with a line's end out of a field that isn't the last: JoinFields and AppendLine took any view.

Word is a view of a text that is one field. Only a literal of the program makes one without a check; a std::string_view doesn't convert, and an unchecked text asserts. All encoders of lines, datagrams and duty rows take it, and their decoders reject what is not one, so that a field from outside is checked where it enters. Encodings of valid messages are the same.

Evidence: RejectsHeartbeatsWithFieldsThatAreNotWords is red before: a heartbeat with an empty site, an empty service or a service with a line's end was accepted. PREPARE and EXECUTE still take the pool's name as text; that changes with the name.

--- a/libs/core/core.h
+++ b/libs/core/core.h
@@ -9,7 +9,8 @@
 
     Topics: ids/ (identifiers, terms, log positions), errors/ (error codes,
     findings), outcomes/ (outcomes of a request), time/ (clocks), random/
-    (random sources), text/ (parsing of fields), concurrency/ (control loop,
+    (random sources), text/ (fields of
+    messages), concurrency/ (control loop,
     executors, snapshots).
 */
 #include "core/concurrency/control_loop.h"
@@ -26,6 +27,7 @@
 #include "core/outcomes/outcome.h"
 #include "core/random/random_source.h"
 #include "core/text/text_fields.h"
+#include "core/text/word.h"
 #include "core/time/boot_clock.h"
 #include "core/time/clock.h"
 #include "core/time/steady_clock.h"
--- a/libs/core/tests/core_test.cc
+++ b/libs/core/tests/core_test.cc
@@ -1,7 +1,9 @@
 #include <atomic>
 #include <set>
 #include <string>
+#include <string_view>
 #include <thread>
+#include <type_traits>
 
 #include "core/core.h"
 
@@ -30,6 +32,31 @@
       findings.FormatLines().c_str());
 }
 
+TEST_GROUP(Text){};
+
+TEST(Text, AWordIsNotEmptyAndHasNoBlanksAndControlCharacters) {
+  CHECK(IsWord("q27") && IsWord("-") && IsWord("\xc5\xbeivo"));
+  for (const std::string_view it :
+       {"", " ", "q 27", " q27", "q27 ", "q\t27", "q27\r", "q\n27", "\x7f"}) {
+    CHECK_TEXT(!IsWord(it), std::string(it).c_str());
+  }
+  CHECK(!IsWord(std::string_view("q\0", 2)));
+  // What is not a word cannot be written in a field by accident.
+  CHECK((!std::is_convertible_v<std::string_view, Word>));
+  CHECK((!std::is_convertible_v<std::string, Word>));
+}
+
+TEST(Text, JoinedFieldsAreTakenOneByOne) {
+  std::string line = JoinFields({"QUERY", Word("5c"), "READ"});
+  STRCMP_EQUAL("QUERY 5c READ", line.c_str());
+  std::string_view rest = line;
+  std::string word;
+  CHECK(TakeWord(rest, word) && word == "QUERY");
+  CHECK(TakeWord(rest, word) && word == "5c" && rest == "READ");
+  rest = " x";
+  CHECK(!TakeWord(rest, word) && rest == "x");
+}
+
 TEST_GROUP(Outcomes){};
 
 TEST(Outcomes, NamesParseToTheirOutcomes) {
--- a/libs/core/text/text_fields.cc
+++ b/libs/core/text/text_fields.cc
@@ -11,6 +11,28 @@
   return field;
 }
 
+bool TakeWord(std::string_view& rest, std::string& out) {
+  out = TakeField(rest);
+  return IsWord(out);
+}
+
+void AppendFields(std::string& out, std::initializer_list<Word> fields) {
+  bool first = true;
+  for (const Word it : fields) {
+    if (!first) {
+      out.push_back(' ');
+    }
+    first = false;
+    out.append(it.GetText());
+  }
+}
+
+std::string JoinFields(std::initializer_list<Word> fields) {
+  std::string out;
+  AppendFields(out, fields);
+  return out;
+}
+
 bool ParseDecimal(std::string_view text, uint64_t& out) {
   const auto [end, ec] =
       std::from_chars(text.data(), text.data() + text.size(), out);
--- a/libs/forwarding/frames/forwarding_codec.cc
+++ b/libs/forwarding/frames/forwarding_codec.cc
@@ -42,15 +42,16 @@
   const auto it = std::find_if(
       kRequirementLetters.begin(), kRequirementLetters.end(),
       [&](const auto& row) { return row.second == header.requirement; });
-  out.push_back(it->first);
   const auto left =
       std::chrono::duration_cast<std::chrono::milliseconds>(header.time_left);
-  out.append(" ").append(std::to_string(std::max(0, header.priority)));
-  out.append(" ").append(std::to_string(std::max<int64_t>(0, left.count())));
-  out.append(" ").append(std::to_string(header.config_version)).append(" ");
-  out.append(header.required_point ? FormatLogPoint(*header.required_point)
-                                   : "-");
-  out.append(" ");
+  AppendFields(
+      out, {Word(std::string_view(&it->first, 1)),
+            Word(std::to_string(std::max(0, header.priority))),
+            Word(std::to_string(std::max<int64_t>(0, left.count()))),
+            Word(std::to_string(header.config_version)),
+            header.required_point ? Word(FormatLogPoint(*header.required_point))
+                                  : Word("-")});
+  out.push_back(' ');
 }
 
 bool TakeForwardingFields(std::string_view& rest, ForwardingHeader& out) {
--- a/libs/forwarding/frames/forwarding_codec.h
+++ b/libs/forwarding/frames/forwarding_codec.h
@@ -36,26 +36,26 @@
 */
 template <WireDialect D>
 struct ForwardingCodec : D {
-  static constexpr std::string_view kOpen = "OPEN";
-  static constexpr std::string_view kRun = "RUN";
-  static constexpr std::string_view kPing = "PING";
-  static constexpr std::string_view kPong = "PONG";
+  static constexpr Word kOpen = "OPEN";
+  static constexpr Word kRun = "RUN";
+  static constexpr Word kPing = "PING";
+  static constexpr Word kPong = "PONG";
 
   /** @see ForwardingDialect */
   static bool DecodeForwarded(std::string_view line, ForwardedMessage& out) {
     std::string_view rest = line;
     const std::string_view word = TakeField(rest);
-    if (word == kPing) {
+    if (word == kPing.GetText()) {
       out.kind = ForwardedMessageKind::kPing;
       return rest.empty();
     }
-    if (word == kOpen) {
+    if (word == kOpen.GetText()) {
       out.kind = ForwardedMessageKind::kOpen;
       out.service = TakeField(rest);
       out.endpoint = rest;
-      return !out.service.empty() && !out.endpoint.empty();
+      return IsWord(out.service) && IsWord(out.endpoint);
     }
-    if (word == kRun) {
+    if (word == kRun.GetText()) {
       out.kind = ForwardedMessageKind::kStatement;
       return TakeForwardingFields(rest, out.header) &&
              D::DecodePeer(rest, out.message) &&
@@ -69,21 +69,26 @@
   static void AppendForwardingOpen(std::string& out,
                                    std::string_view service,
                                    std::string_view endpoint) {
-    out.append(kOpen).append(" ").append(service).append(" ");
-    out.append(endpoint).append("\r\n");
+    AppendFields(out, {kOpen, Word(service), Word(endpoint)});
+    out.append("\r\n");
   }
   /** @see ForwardingDialect */
   static void AppendForwardingHeader(std::string& out,
                                      const ForwardingHeader& header) {
-    out.append(kRun).append(" ");
+    AppendFields(out, {kRun});
+    out.push_back(' ');
     AppendForwardingFields(out, header);
   }
   /** @see ForwardingDialect */
-  static void AppendPing(std::string& out) { out.append(kPing).append("\r\n"); }
+  static void AppendPing(std::string& out) {
+    out.append(kPing.GetText()).append("\r\n");
+  }
   /** @see ForwardingDialect */
-  static void AppendPong(std::string& out) { out.append(kPong).append("\r\n"); }
+  static void AppendPong(std::string& out) {
+    out.append(kPong.GetText()).append("\r\n");
+  }
   /** @see ForwardingDialect */
-  static bool IsPong(std::string_view line) { return line == kPong; }
+  static bool IsPong(std::string_view line) { return line == kPong.GetText(); }
 };
 
 }  // namespace magnoliareel
--- a/libs/gossip/commands/answered_commit_codec.cc
+++ b/libs/gossip/commands/answered_commit_codec.cc
@@ -6,48 +6,51 @@
 namespace {
 
 // First field of each datagram. It changes with the layout of the other fields.
-constexpr std::string_view kQueryMagic = "mrw1";
-constexpr std::string_view kResponseMagic = "mrv1";
+constexpr Word kQueryMagic = "mrw1";
+constexpr Word kResponseMagic = "mrv1";
 
 }  // namespace
 
 std::string EncodeAnsweredCommitQuery(const AnsweredCommitQuery& query) {
-  return JoinFields({kQueryMagic, std::to_string(query.id),
-                     query.reply_to.Format(), query.service.value});
+  return JoinFields({kQueryMagic, Word(std::to_string(query.id)),
+                     Word(query.reply_to.Format()), Word(query.service.value)});
 }
 
 bool DecodeAnsweredCommitQuery(std::string_view bytes,
                                AnsweredCommitQuery& out) {
-  if (TakeField(bytes) != kQueryMagic ||
+  if (TakeField(bytes) != kQueryMagic.GetText() ||
       !ParseDecimal(TakeField(bytes), out.id) ||
       !ParseSocketAddress(std::string(TakeField(bytes)), out.reply_to)) {
     return false;
   }
-  out.service.value = TakeField(bytes);
-  return !out.service.IsEmpty() && bytes.empty();
+  return TakeWord(bytes, out.service.value) && bytes.empty();
 }
 
 std::string EncodeAnsweredCommitResponse(
     const AnsweredCommitResponse& response) {
-  std::string out = JoinFields(
-      {kResponseMagic, std::to_string(response.id), response.vm.value});
+  std::string out =
+      JoinFields({kResponseMagic, Word(std::to_string(response.id)),
+                  Word(response.vm.value)});
   if (response.point) {
-    out += " " + JoinFields({std::to_string(response.point->term.value),
-                             std::to_string(response.point->position.value)});
+    out += " " +
+           JoinFields({Word(std::to_string(response.point->term.value)),
+                       Word(std::to_string(response.point->position.value))});
   }
   return out;
 }
 
 bool DecodeAnsweredCommitResponse(std::string_view bytes,
                                   AnsweredCommitResponse& out) {
-  if (TakeField(bytes) != kResponseMagic ||
+  if (TakeField(bytes) != kResponseMagic.GetText() ||
       !ParseDecimal(TakeField(bytes), out.id)) {
     return false;
   }
-  out.vm.value = TakeField(bytes);
   out.point.reset();
-  if (out.vm.IsEmpty() || bytes.empty()) {
-    return !out.vm.IsEmpty();
+  if (!TakeWord(bytes, out.vm.value)) {
+    return false;
+  }
+  if (bytes.empty()) {
+    return true;
   }
   LogPoint& point = out.point.emplace();
   return ParseDecimal(TakeField(bytes), point.term.value) &&
--- a/libs/gossip/commands/forwarded_command_codec.cc
+++ b/libs/gossip/commands/forwarded_command_codec.cc
@@ -10,8 +10,8 @@
 namespace {
 
 // First field of each datagram. It changes with the layout of the other fields.
-constexpr std::string_view kCommandMagic = "mrc1";
-constexpr std::string_view kResponseMagic = "mrs1";
+constexpr Word kCommandMagic = "mrc1";
+constexpr Word kResponseMagic = "mrs1";
 
 constexpr auto kResults = std::to_array(
     {ForwardedCommandResult::kAnswered, ForwardedCommandResult::kBusy,
@@ -28,24 +28,27 @@
 std::string EncodeForwardedCommand(const ForwardedCommand& command) {
   const bool is_demotion = command.command.kind == EndpointCommandKind::kDemote;
   const Duration timeout = std::max(Duration(0), command.timeout);
-  return JoinFields({kCommandMagic, std::to_string(command.id),
-                     command.reply_to.Format(), command.endpoint.value,
-                     is_demotion ? "d" : "r",
-                     std::to_string(command.command.term.value),
-                     std::to_string(timeout.count())});
+  return JoinFields({kCommandMagic, Word(std::to_string(command.id)),
+                     Word(command.reply_to.Format()),
+                     Word(command.endpoint.value),
+                     is_demotion ? Word("d") : Word("r"),
+                     Word(std::to_string(command.command.term.value)),
+                     Word(std::to_string(timeout.count()))});
 }
 
 bool DecodeForwardedCommand(std::string_view bytes, ForwardedCommand& out) {
-  if (TakeField(bytes) != kCommandMagic ||
+  if (TakeField(bytes) != kCommandMagic.GetText() ||
       !ParseDecimal(TakeField(bytes), out.id) ||
       !ParseSocketAddress(std::string(TakeField(bytes)), out.reply_to)) {
     return false;
   }
-  out.endpoint.value = TakeField(bytes);
+  if (!TakeWord(bytes, out.endpoint.value)) {
+    return false;
+  }
   const std::string_view kind = TakeField(bytes);
   out.command.kind =
       kind == "d" ? EndpointCommandKind::kDemote : EndpointCommandKind::kReport;
-  return !out.endpoint.IsEmpty() && (kind == "d" || kind == "r") &&
+  return (kind == "d" || kind == "r") &&
          ParseDecimal(TakeField(bytes), out.command.term.value) &&
          DecodeDuration(TakeField(bytes), out.timeout) && bytes.empty();
 }
@@ -57,25 +60,25 @@
       std::find(kResults.begin(), kResults.end(), response.result) -
       kResults.begin();
   return JoinFields(
-      {kResponseMagic, std::to_string(response.id), response.vm.value,
-       std::to_string(result), status.is_primary ? "1" : "0",
-       std::to_string(status.term.value),
-       std::to_string(status.received.term.value),
-       std::to_string(status.received.position.value),
-       std::to_string(status.paused_at.value),
-       std::to_string(std::max(Duration(0), status.lag).count())});
+      {kResponseMagic, Word(std::to_string(response.id)),
+       Word(response.vm.value), Word(std::to_string(result)),
+       status.is_primary ? Word("1") : Word("0"),
+       Word(std::to_string(status.term.value)),
+       Word(std::to_string(status.received.term.value)),
+       Word(std::to_string(status.received.position.value)),
+       Word(std::to_string(status.paused_at.value)),
+       Word(std::to_string(std::max(Duration(0), status.lag).count()))});
 }
 
 bool DecodeForwardedCommandResponse(std::string_view bytes,
                                     ForwardedCommandResponse& out) {
   uint64_t result = 0;
-  if (TakeField(bytes) != kResponseMagic ||
+  if (TakeField(bytes) != kResponseMagic.GetText() ||
       !ParseDecimal(TakeField(bytes), out.id)) {
     return false;
   }
-  out.vm.value = TakeField(bytes);
-  if (out.vm.IsEmpty() || !ParseDecimal(TakeField(bytes), result) ||
-      result >= kResults.size()) {
+  if (!TakeWord(bytes, out.vm.value) ||
+      !ParseDecimal(TakeField(bytes), result) || result >= kResults.size()) {
     return false;
   }
   out.result = kResults[result];
--- a/libs/gossip/fields/datagram_fields.cc
+++ b/libs/gossip/fields/datagram_fields.cc
@@ -4,17 +4,6 @@
 
 namespace magnoliareel {
 
-std::string JoinFields(std::initializer_list<std::string_view> fields) {
-  std::string out;
-  for (const std::string_view it : fields) {
-    if (!out.empty()) {
-      out.push_back(' ');
-    }
-    out.append(it);
-  }
-  return out;
-}
-
 bool DecodeDuration(std::string_view text, Duration& out) {
   uint64_t microseconds = 0;
   if (!ParseDecimal(text, microseconds)) {
--- a/libs/gossip/heartbeats/heartbeat_codec.cc
+++ b/libs/gossip/heartbeats/heartbeat_codec.cc
@@ -2,31 +2,35 @@
 
 #include <algorithm>
 #include <array>
+#include <initializer_list>
 #include <utility>
 
 namespace magnoliareel {
 namespace {
 
 // First field of each datagram. It changes with the layout of the other fields.
-constexpr std::string_view kMagic = "mr1";
+constexpr Word kMagic = "mr1";
 
 // Stands for a successor that is not chosen.
-constexpr std::string_view kNone = "-";
+constexpr Word kNone = "-";
 
 constexpr auto kConditions =
     std::to_array({EndpointCondition::kUnreachable, EndpointCondition::kSilent,
                    EndpointCondition::kCommitsStalled});
 
-void AppendField(std::string& out, std::string_view field) {
+void AppendEntry(std::string& out, std::initializer_list<Word> fields) {
   out.push_back(' ');
-  out.append(field);
+  AppendFields(out, fields);
 }
 
 // Decodes one repeated entry. The letter gives its kind: s suspicion, d duty,
 // l ordered promotion, r replacement, o address of another VM, f port for
 // forwarded statements.
 bool DecodeEntry(char letter, std::string_view& rest, Heartbeat& out) {
-  const std::string first(TakeField(rest));
+  std::string first;
+  if (!TakeWord(rest, first)) {
+    return false;
+  }
   if (letter == 'o') {
     SocketAddress address;
     const bool valid = ParseSocketAddress(first, address);
@@ -41,7 +45,10 @@
     out.forwarding_port = static_cast<uint16_t>(number);
     return true;
   }
-  const std::string_view second = TakeField(rest);
+  std::string second;
+  if (!TakeWord(rest, second)) {
+    return false;
+  }
   switch (letter) {
     case 's':
       if (!ParseDecimal(second, number) || number >= kConditions.size()) {
@@ -59,18 +66,17 @@
       if (!ParseDecimal(TakeField(rest), number)) {
         return false;
       }
-      out.promotions.push_back(
-          {ServiceId{first}, EndpointId{std::string(second)}, number});
-      return !second.empty();
-    case 'r': {
+      out.promotions.push_back({ServiceId{first}, EndpointId{second}, number});
+      return true;
+    case 'r':
       if (!ParseDecimal(TakeField(rest), number)) {
         return false;
       }
-      const std::string_view successor = second == kNone ? "" : second;
       out.replacements.push_back(
-          {ServiceId{first}, EndpointId{std::string(successor)}, number});
-      return !second.empty();
-    }
+          {ServiceId{first},
+           second == kNone.GetText() ? EndpointId{} : EndpointId{second},
+           number});
+      return true;
     default:
       return false;
   }
@@ -79,16 +85,14 @@
 }  // namespace
 
 std::string EncodeHeartbeat(const Heartbeat& heartbeat) {
-  std::string out(kMagic);
-  AppendField(out, heartbeat.vm.value);
-  AppendField(out, heartbeat.site.value);
-  AppendField(out, heartbeat.address.Format());
-  AppendField(out, std::to_string(heartbeat.config_version));
-  AppendField(out, std::to_string(heartbeat.endpoints_version));
-  AppendField(out, heartbeat.leaving ? "1" : "0");
+  std::string out =
+      JoinFields({kMagic, Word(heartbeat.vm.value), Word(heartbeat.site.value),
+                  Word(heartbeat.address.Format()),
+                  Word(std::to_string(heartbeat.config_version)),
+                  Word(std::to_string(heartbeat.endpoints_version)),
+                  heartbeat.leaving ? Word("1") : Word("0")});
   if (heartbeat.forwarding_port != 0) {
-    AppendField(out, "f");
-    AppendField(out, std::to_string(heartbeat.forwarding_port));
+    AppendEntry(out, {"f", Word(std::to_string(heartbeat.forwarding_port))});
   }
   for (const ConditionReport& it : heartbeat.suspicions) {
     const auto at =
@@ -96,46 +100,41 @@
     if (at == kConditions.end()) {
       continue;
     }
-    AppendField(out, "s");
-    AppendField(out, it.endpoint.value);
-    AppendField(out, std::to_string(at - kConditions.begin()));
+    AppendEntry(out, {"s", Word(it.endpoint.value),
+                      Word(std::to_string(at - kConditions.begin()))});
   }
   for (const HeldDuty& it : heartbeat.duties) {
-    AppendField(out, "d");
-    AppendField(out, it.service.value);
-    AppendField(out, std::to_string(it.fencing_token));
+    AppendEntry(out, {"d", Word(it.service.value),
+                      Word(std::to_string(it.fencing_token))});
   }
   for (const PromotionNotice& it : heartbeat.promotions) {
-    AppendField(out, "l");
-    AppendField(out, it.service.value);
-    AppendField(out, it.endpoint.value);
-    AppendField(out, std::to_string(it.fencing_token));
+    AppendEntry(out, {"l", Word(it.service.value), Word(it.endpoint.value),
+                      Word(std::to_string(it.fencing_token))});
   }
   for (const ReplacementNotice& it : heartbeat.replacements) {
-    AppendField(out, "r");
-    AppendField(out, it.service.value);
-    AppendField(out, it.successor.IsEmpty() ? kNone : it.successor.value);
-    AppendField(out, std::to_string(it.fencing_token));
+    AppendEntry(out, {"r", Word(it.service.value),
+                      it.successor.IsEmpty() ? kNone : Word(it.successor.value),
+                      Word(std::to_string(it.fencing_token))});
   }
   for (const SocketAddress& it : heartbeat.others) {
-    AppendField(out, "o");
-    AppendField(out, it.Format());
+    AppendEntry(out, {"o", Word(it.Format())});
   }
   return out;
 }
 
 bool DecodeHeartbeat(std::string_view bytes, Heartbeat& out) {
   std::string_view rest = bytes;
-  if (TakeField(rest) != kMagic) {
+  if (TakeField(rest) != kMagic.GetText()) {
+    return false;
+  }
+  if (!TakeWord(rest, out.vm.value) || !TakeWord(rest, out.site.value)) {
     return false;
   }
-  out.vm.value = TakeField(rest);
-  out.site.value = TakeField(rest);
   const std::string_view address = TakeField(rest);
   const std::string_view config = TakeField(rest);
   const std::string_view endpoints = TakeField(rest);
   out.leaving = TakeField(rest) == "1";
-  if (out.vm.IsEmpty() || !ParseSocketAddress(address, out.address) ||
+  if (!ParseSocketAddress(address, out.address) ||
       !ParseDecimal(config, out.config_version) ||
       !ParseDecimal(endpoints, out.endpoints_version)) {
     return false;
--- a/libs/gossip/tests/gossip_test.cc
+++ b/libs/gossip/tests/gossip_test.cc
@@ -37,6 +37,22 @@
   CHECK(read.others == sent.others);
 }
 
+TEST(Gossip, RejectsHeartbeatsWithFieldsThatAreNotWords) {
+  // A field with a line's end or without text was accepted and sent on to the
+  // other VMs, in heartbeats that they rejected as a whole.
+  Heartbeat read;
+  CHECK(DecodeHeartbeat("mr1 vm-1 a 10.1.0.8:7440 1 2 0 d logs 5", read));
+  for (const char* it :
+       {"mr1 vm-1  10.1.0.8:7440 1 2 0", "mr1 vm\t1 a 10.1.0.8:7440 1 2 0",
+        "mr1 vm-1 a 10.1.0.8:7440 1 2 0 s  0",
+        "mr1 vm-1 a 10.1.0.8:7440 1 2 0 d  5",
+        "mr1 vm-1 a 10.1.0.8:7440 1 2 0 d lo\ngs 5",
+        "mr1 vm-1 a 10.1.0.8:7440 1 2 0 l  db-2 6",
+        "mr1 vm-1 a 10.1.0.8:7440 1 2 0 r logs  6"}) {
+    CHECK_TEXT(!DecodeHeartbeat(it, read), it);
+  }
+}
+
 TEST(Gossip, DecodesEncodedDepartureNotices) {
   const std::vector<DepartureNotice> sent = {
       {ServiceId{"logs"}, EndpointId{"db-1"}, true},
@@ -217,6 +233,7 @@
 TEST(Gossip, DecodesRandomlyDamagedBytesWithoutACrash) {
   Heartbeat sent;
   sent.vm.value = "vm-1";
+  sent.site.value = "sava-krsko";
   sent.address = {"10.1.0.8", 7440};
   sent.duties = {{ServiceId{"logs"}, 5}};
   FleetState state;
