Forward statements with limits that a holder accepts

The operators' configuration may have both ("priority" to 2^31-1, "timeout-ms" to ten years), and the origin sent them as they are: on such a route each forwarded statement ended as malformed. The origin now sends the largest that holders of all builds accept.

--- a/libs/forwarding/frames/forwarding_codec.cc
+++ b/libs/forwarding/frames/forwarding_codec.cc
@@ -16,9 +16,12 @@
         {'t', EndpointRequirement::kReadTransaction},
         {'o', EndpointRequirement::kOpenTransaction},
     });
-// Longer times are not sent by any VM.
-constexpr uint64_t kMaxTimeLeftMs = 24ULL * 3600 * 1000;
-constexpr uint64_t kMaxPriority = 1'000'000;
+
+uint64_t GetMilliseconds(Duration time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::max(Duration(0), time))
+      .count();
+}
 
 bool ParsePoint(std::string_view text, std::optional<LogPoint>& out) {
   if (text == "-") {
@@ -42,12 +45,12 @@
   const auto it = std::find_if(
       kRequirementLetters.begin(), kRequirementLetters.end(),
       [&](const auto& row) { return row.second == header.requirement; });
-  const auto left =
-      std::chrono::duration_cast<std::chrono::milliseconds>(header.time_left);
+  const int priority = std::clamp(header.priority, 0, kMaxForwardedPriority);
+  const uint64_t left_ms =
+      GetMilliseconds(std::min(header.time_left, kMaxForwardedTime));
   AppendFields(
       out, {Word(std::string_view(&it->first, 1)),
-            Word(std::to_string(std::max(0, header.priority))),
-            Word(std::to_string(std::max<int64_t>(0, left.count()))),
+            Word(std::to_string(priority)), Word(std::to_string(left_ms)),
             Word(std::to_string(header.config_version)),
             header.required_point ? Word(FormatLogPoint(*header.required_point))
                                   : Word("-")});
@@ -64,8 +67,10 @@
   uint64_t priority = 0;
   uint64_t left_ms = 0;
   if (it == kRequirementLetters.end() ||
-      !ParseDecimal(TakeField(rest), priority) || priority > kMaxPriority ||
-      !ParseDecimal(TakeField(rest), left_ms) || left_ms > kMaxTimeLeftMs ||
+      !ParseDecimal(TakeField(rest), priority) ||
+      priority > kMaxForwardedPriority ||
+      !ParseDecimal(TakeField(rest), left_ms) ||
+      left_ms > GetMilliseconds(kMaxForwardedTime) ||
       !ParseDecimal(TakeField(rest), out.config_version) ||
       !ParsePoint(TakeField(rest), out.required_point)) {
     return false;
--- a/libs/forwarding/frames/forwarding_codec.h
+++ b/libs/forwarding/frames/forwarding_codec.h
@@ -1,6 +1,7 @@
 #ifndef MAGNOLIAREEL_FORWARDING_FRAMES_FORWARDING_CODEC_H_
 #define MAGNOLIAREEL_FORWARDING_FRAMES_FORWARDING_CODEC_H_
 
+#include <chrono>
 #include <string>
 #include <string_view>
 
@@ -9,6 +10,11 @@
 
 namespace magnoliareel {
 
+/** Highest priority number and longest time left of a forwarded statement.
+    Larger ones are sent as these. */
+inline constexpr int kMaxForwardedPriority = 1'000'000;
+inline constexpr Duration kMaxForwardedTime = std::chrono::hours(24);
+
 /** Appends the fields that precede a forwarded statement, each followed by a
     blank.
 
