Report callers whose requests would share a record name

An endpoint of the HTTP front end records a request under "caller/request". Callers choose the ids of their requests, with slashes too: request "7/r" of a caller "crew" and request "r" of a caller "crew/7" have one name, so the outcome of one answers for the other. Such a pair of names is a finding of the document now; single names with slashes stay allowed, and the names of records are unchanged.

Evidence: ReportsCallersWhoseRequestsCouldBeTakenForEachOther, red before (no finding). That a caller met it wasn't shown with processes.

--- a/libs/codec/tests/codec_test.cc
+++ b/libs/codec/tests/codec_test.cc
@@ -290,6 +290,27 @@
       findings.FormatLines().c_str());
 }
 
+TEST(DocumentCodec, ReportsCallersWhoseRequestsCouldBeTakenForEachOther) {
+  // An endpoint records request "7/r" of "crew" and request "r" of "crew/7"
+  // under one name.
+  const auto make_text = [](const std::string& name) {
+    std::string text = MakeDocumentText();
+    text.insert(text.size() - 2,
+                R"(,{"name":")" + name + R"(","key_hashes":[")" +
+                    std::string(64, 'b') + R"("],"services":["logs"]})");
+    return text;
+  };
+  for (const char* it : {"crew-7", "the crew/7", "crews/7"}) {
+    ParseDocument(make_text(it), findings);
+    STRCMP_EQUAL("", findings.FormatLines().c_str());
+  }
+  ParseDocument(make_text("crew/7"), findings);
+  STRCMP_EQUAL(
+      "/callers/1/name: duplicate_name: requests of 'crew' could be taken for "
+      "those of this caller; choose another name\n",
+      findings.FormatLines().c_str());
+}
+
 TEST_GROUP(Fuzzing){};
 
 TEST(Fuzzing, CallerRequests) {
--- a/libs/document/checks/check_document.cc
+++ b/libs/document/checks/check_document.cc
@@ -2,6 +2,7 @@
 
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace magnoliareel {
 namespace {
@@ -79,7 +80,31 @@
   }
 }
 
+// An endpoint records a request under "caller/request", and callers choose the
+// ids of their requests.
+void CheckRecordNames(const Document& document, Findings& findings) {
+  std::set<std::string_view> names;
+  for (const CallerConfig& it : document.callers) {
+    names.insert(it.caller.value);
+  }
+  for (size_t c = 0; c < document.callers.size(); ++c) {
+    const std::string_view name = document.callers[c].caller.value;
+    for (size_t slash = name.find('/'); slash != std::string_view::npos;
+         slash = name.find('/', slash + 1)) {
+      const std::string_view prefix = name.substr(0, slash);
+      if (names.contains(prefix)) {
+        findings.Add("/callers/" + std::to_string(c) + "/name",
+                     Error::kDuplicateName,
+                     "requests of '" + std::string(prefix) +
+                         "' could be taken for those of this caller; choose "
+                         "another name");
+      }
+    }
+  }
+}
+
 void CheckCallers(const Document& document, Findings& findings) {
+  CheckRecordNames(document, findings);
   UniqueNameChecker callers(findings);
   for (size_t c = 0; c < document.callers.size(); ++c) {
     const CallerConfig& caller = document.callers[c];
