Accept forwarded statements of the full length

A message is at most 1 MiB. The header of a forwarded statement, and the pool's name of a prepared statement, stand on the same line, so a caller's statement of nearly 1 MiB was too long for the holder: it answered "message too long" and ended the connection that other callers' statements share. Connections from other VMs now accept kMaxForwardingOverheadBytes on top.

--- a/apps/node/traffic_thread.cc
+++ b/apps/node/traffic_thread.cc
@@ -253,6 +253,10 @@
   it.owner = this;
   it.id = next_caller_id_++;
   it.remote = remote;
+  if (remote == RemoteKind::kPeer) {
+    it.framer = platform::LineFramer(platform::LineFramer::kMaxLineBytes +
+                                     kMaxForwardingOverheadBytes);
+  }
   it.stream = std::move(stream);
   callers_.emplace(it.id, std::move(connection));
   if (remote == RemoteKind::kPeer) {
--- a/libs/forwarding/frames/forwarding_codec.h
+++ b/libs/forwarding/frames/forwarding_codec.h
@@ -2,6 +2,7 @@
 #define MAGNOLIAREEL_FORWARDING_FRAMES_FORWARDING_CODEC_H_
 
 #include <chrono>
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -15,6 +16,10 @@
 inline constexpr int kMaxForwardedPriority = 1'000'000;
 inline constexpr Duration kMaxForwardedTime = std::chrono::hours(24);
 
+/** Bytes by which a forwarded statement is longer than the caller's message, at
+    most: the header, and the pool's name of a prepared statement. */
+inline constexpr size_t kMaxForwardingOverheadBytes = 128;
+
 /** Appends the fields that precede a forwarded statement, each followed by a
     blank.
 
--- a/tests/round_trip/forwarding_round_trip_test.cc
+++ b/tests/round_trip/forwarding_round_trip_test.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <string_view>
 
@@ -71,6 +72,37 @@
       });
 }
 
+TEST(ForwardingRoundTrip, TheLongestStatementFitsTheLineOfAHolder) {
+  // The header made a statement of the full length too long for the holder,
+  // which then ended the connection.
+  constexpr uint64_t kMax = std::numeric_limits<uint64_t>::max();
+  ForwardingHeader header;
+  header.required_point = LogPoint{Term{kMax}, LogPosition{kMax}};
+  header.priority = std::numeric_limits<int>::max();
+  header.time_left = Duration::max();
+  header.config_version = kMax;
+  const std::string prefix = "QUERY 5c EXECUTE s ";
+  const std::string line =
+      prefix +
+      std::string(platform::LineFramer::kMaxLineBytes - prefix.size(), 'x');
+  CallerMessage message;
+  CHECK(platform::LineDialect::DecodeCaller(line, message));
+  std::string out;
+  Dialect::AppendForwardingHeader(out, header);
+  Dialect::AppendExecute(out, message.request_id, {},
+                         kLongestPooledStatementName,
+                         message.statement.argument);
+  platform::LineFramer framer(platform::LineFramer::kMaxLineBytes +
+                              kMaxForwardingOverheadBytes);
+  bool is_read = false;
+  CHECK(framer.Feed(out, [&is_read](std::string_view received) {
+    ForwardedMessage forwarded;
+    is_read = Dialect::DecodeForwarded(received, forwarded);
+    return true;
+  }));
+  CHECK(is_read);
+}
+
 TEST(ForwardingRoundTrip, AHolderReadsTheEndpointThatItsOriginNamed) {
   CheckProperty("a holder reads the endpoint that its origin named", [] {
     const std::string service = *GenWord();
