Check names of the configuration and settings where they enter

The names of routes and services, and a node's name, zone and address, were any text that isn't empty. They reach lines, datagrams and headers whose fields end at a blank or a line's end: STARTUP, OPEN, heartbeats, bounds, Holder.

A route or service whose name no message can hold is left out and named in config.in_force ("ignored"); the others hold, because a configuration that is rejected as a whole would keep an older one in force for all callers.

--- a/libs/control/fleet/fleet_control.h
+++ b/libs/control/fleet/fleet_control.h
@@ -249,13 +249,15 @@
     }
     const size_t n = table.routes.size();
     const uint64_t version = table.version;
+    const std::string ignored = table.ignored.FormatLines();
     if (!routes_.ApplyIfNewer(std::move(table))) {
       return;
     }
     config_row_ = row;
     LogEvent(Event::kConfigInForce, {{"version", std::to_string(version)},
                                      {"routes", std::to_string(n)},
-                                     {"source", std::string(source)}});
+                                     {"source", std::string(source)},
+                                     {"ignored", ignored}});
     Publish();
   }
 
--- a/libs/directory/model/route_table.h
+++ b/libs/directory/model/route_table.h
@@ -78,6 +78,9 @@
   /** A transaction that is idle for longer may be rolled back; 0 means no
       limit. */
   Duration transaction_idle_limit{};
+  /** Routes and services that are left out, because no message can hold their
+      names. */
+  Findings ignored;
 
   /** @param database  name given by a caller
       @returns          its route, or null if there is none
--- a/libs/telemetry/events/event.cc
+++ b/libs/telemetry/events/event.cc
@@ -128,7 +128,8 @@
      "An endpoint refused to set or reset session values. request, endpoint, "
      "connection, refusal, reason"},
     {kConfigInForce, kInfo, "config.in_force",
-     "A configuration version took effect. version, routes, source"},
+     "A configuration version took effect. version, routes, source, ignored "
+     "(routes and services whose names no message can hold)"},
     {kConfigRejected, kError, "config.rejected",
      "A configuration could not be decoded and is not used. findings"},
     {kDirectoryChanged, kInfo, "directory.changed",
