--- a/libs/relay/connections/pooled_connection.h
+++ b/libs/relay/connections/pooled_connection.h
@@ -1,6 +1,7 @@
 #ifndef MAGNOLIAREEL_RELAY_CONNECTIONS_POOLED_CONNECTION_H_
 #define MAGNOLIAREEL_RELAY_CONNECTIONS_POOLED_CONNECTION_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -42,6 +43,13 @@
   std::optional<StatementError> error;
 };
 
+/** The refusal of a request that the pool sent ahead of a statement. */
+struct EndpointRefusal {
+  /** Why the statement did not run. @see GetErrorBehindRefusal */
+  StatementError error = StatementError::kMalformed;
+  std::string reason;
+};
+
 /** State of a pooled connection. */
 enum class ConnectionState {
   /** The endpoint has not accepted the connection yet. */
@@ -50,7 +58,8 @@
       connection becomes idle. */
   kReturning,
   kIdle,
-  /** Waits for the transaction to begin before the statement is sent. */
+  /** Waits for the transaction to begin, or for session values to be set,
+     before the statement is sent. */
   kBeginning,
   /** Runs a statement. */
   kRunning,
@@ -78,9 +87,11 @@
   /** Session values that are set on this connection. */
   SessionValues values;
   PreparedNames prepared;
-  /** True if values were set inside the open transaction. Whether a rollback
-      reverts them depends on the database, so they are reset afterwards. */
-  bool values_in_transaction = false;
+  /** True if it is uncertain which values are set, so that they are reset
+     before another session uses the connection: the endpoint refused one, or
+     they were set inside the open transaction. Whether a rollback reverts them
+     depends on the database. */
+  bool values_uncertain = false;
   std::deque<PendingReply> pending_replies;
   /** Session that uses it; 0 if none. */
   uint64_t session = 0;
@@ -88,6 +99,9 @@
   std::string rows;
   /** Error of the latest BEGIN, if it failed. */
   std::optional<StatementError> begin_error;
+  /** The first refusal of what the session's statement needs, a prepared
+      statement or session values, if any. */
+  std::optional<EndpointRefusal> refusal;
   /** Proof of execution or error text of the reply being received. */
   std::string text;
   /** Time at which the state last became kReturning. */
@@ -97,6 +111,13 @@
 
   /** @returns true if statements reach the endpoint through another VM */
   bool IsForwarded() const { return !holder.IsEmpty(); }
+  /** @returns true if the reply to a caller's statement is pending */
+  bool HasSentStatement() const {
+    return std::any_of(pending_replies.begin(), pending_replies.end(),
+                       [](const PendingReply& it) {
+                         return it.request == EndpointRequestKind::kStatement;
+                       });
+  }
   /** @returns true if a read-write transaction is open that no session uses
       yet */
   bool HasUnusedTransaction() const {
--- a/libs/relay/core/traffic_core_replies.h
+++ b/libs/relay/core/traffic_core_replies.h
@@ -3,6 +3,7 @@
 
 // Replies from endpoints. Included by traffic_core.h.
 
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -138,22 +139,25 @@
       break;
     case EndpointRequestKind::kReset:
     case EndpointRequestKind::kSetValue:
-      if (reply.error) {
-        LogRefusal(Event::kSessionValuesRefused, connection, reply);
-        // It is unknown which values are set on the connection.
-        HandleConnectionLoss(id, "session values were refused");
+      if (reply.error && !HandleValuesRefused(connection, reply)) {
         return;
       }
       break;
     case EndpointRequestKind::kPrepare:
       if (reply.error) {
+        ++counters_.prepares_refused;
         LogRefusal(Event::kPrepareRefused, connection, reply);
         connection.prepared.Forget(reply.name);
+        RecordRefusal(connection, *reply.error);
       }
       break;
     case EndpointRequestKind::kDeallocate:
-      // Whether the endpoint still has it doesn't matter: no other statement
-      // gets the name.
+      // No other statement gets the name, so only a transaction that failed
+      // matters.
+      if (reply.error &&
+          ready.status == TransactionStatus::kFailedTransaction) {
+        RecordRefusal(connection, StatementError::kAborted);
+      }
       break;
     case EndpointRequestKind::kStatement:
       HandleStatementReply(connection, reply, ready);
@@ -193,6 +197,38 @@
             {"reason", connection.text}});
 }
 
+template <ForwardingDialect D, class N>
+bool TrafficCore<D, N>::HandleValuesRefused(PooledConnection& connection,
+                                            const PendingReply& reply) {
+  ++counters_.values_refused;
+  LogRefusal(Event::kSessionValuesRefused, connection, reply);
+  if (reply.request == EndpointRequestKind::kSetValue &&
+      !connection.HasSentStatement()) {
+    connection.values.clear();
+    connection.values_uncertain = true;
+    RecordRefusal(connection, *reply.error);
+    return true;
+  }
+  // A statement that was sent already runs with other values.
+  if (CallerSession* session = FindSession(connection.session)) {
+    session->awaits_values = true;
+  }
+  const EndpointId endpoint = connection.endpoint;
+  HandleConnectionLoss(connection.id, "session values were refused");
+  if (EndpointPool* pool = FindPool(endpoint)) {
+    StartQueued(*pool);
+  }
+  return false;
+}
+
+template <ForwardingDialect D, class N>
+void TrafficCore<D, N>::RecordRefusal(PooledConnection& connection,
+                                      StatementError error) {
+  if (!connection.refusal) {
+    connection.refusal = {GetErrorBehindRefusal(error), connection.text};
+  }
+}
+
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::Advance(PooledConnection& connection) {
   switch (connection.state) {
@@ -209,22 +245,18 @@
         ReturnToPool(connection);
         return;
       }
-      if (connection.begin_error) {
-        HandleBeginError(connection);
-        return;
-      }
-      if (const EndpointPool* pool = FindPool(connection.endpoint);
-          pool != nullptr && !TakesNewStatements(*pool)) {
-        connection.begin_error = StatementError::kBusy;
-        HandleBeginError(connection);
+      if (const auto refusal =
+              std::exchange(connection.refusal, std::nullopt)) {
+        std::erase(session->statement.connections, connection.id);
+        connection.text = refusal->reason;
+        HandleStatementError(connection, *session, refusal->error);
         return;
       }
-      if (IsHeldBack(*session, connection.endpoint)) {
-        connection.begin_error = StatementError::kNotPrimary;
+      if (connection.begin_error) {
         HandleBeginError(connection);
         return;
       }
-      SendStatement(connection, *session);
+      SendAwaiting(connection, *session);
       return;
     }
     case ConnectionState::kIdle:
@@ -264,6 +296,8 @@
   if (!IsPrimary(*pool)) {
     RecordFreshness(*pool, reply.error);
   }
+  const std::optional<EndpointRefusal> refusal =
+      std::exchange(connection.refusal, std::nullopt);
   CallerSession* session = FindSession(connection.session);
   if (session == nullptr || session->statement.id != reply.statement_id ||
       connection.state == ConnectionState::kAbandoned) {
@@ -283,6 +317,16 @@
   if (!reply.error && confirms_primary && ready.log_end) {
     HandlePrimaryConfirmed(*pool, reply.sent_at, *ready.log_end);
   }
+  if (reply.error && refusal && !MayHaveRun(*reply.error)) {
+    connection.text = refusal->reason;
+    HandleStatementError(connection, *session, refusal->error);
+    return;
+  }
+  if (reply.error == StatementError::kUnknownStatement) {
+    connection.prepared.Forget(reply.name);
+    HandleUnknownName(connection, *session);
+    return;
+  }
   if (reply.error) {
     HandleStatementError(connection, *session, *reply.error);
     return;
--- a/libs/relay/sessions/caller_session.h
+++ b/libs/relay/sessions/caller_session.h
@@ -1,6 +1,7 @@
 #ifndef MAGNOLIAREEL_RELAY_SESSIONS_CALLER_SESSION_H_
 #define MAGNOLIAREEL_RELAY_SESSIONS_CALLER_SESSION_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -82,6 +83,9 @@
   bool waited_for_bound = false;
   /** True if it was counted as one that waits for a primary's successor. */
   bool was_held = false;
+  /** True if it was retried because an endpoint did not know a name that it had
+      prepared. */
+  bool met_unknown_name = false;
   /** True if it was retried at a replica that was behind. */
   bool waited_for_replica = false;
   /** Time at which the holder that runs it was asked for a sign of life; epoch
@@ -126,9 +130,14 @@
       that names only the service. */
   std::shared_ptr<const DatabaseRoute> route;
   SessionValues values;
+  /** True if an endpoint refused one of them ahead of a statement that was sent
+      already. From then on, statements wait until all are set. */
+  bool awaits_values = false;
   /** By the caller's names. */
   std::map<std::string, std::shared_ptr<const PreparedStatement>, std::less<>>
       prepared;
+  /** Length of the texts in `values` and `prepared`. */
+  size_t held_bytes = 0;
   /** End of the log after the session's newest acknowledged commit. */
   std::optional<LogPoint> last_commit;
   TransactionPhase transaction = TransactionPhase::kNone;
