Encode the keys of rows in the paths of the HTTP programs

The name of a group, any text of the document, stood as it is in the path of GET /table/ENV/grants/GROUP: "a?b" was read from the row of group "a", whose grants are fencing tokens of another group; a blank made the call fail. Writes carry the key in JSON and were right. Keys without such characters are sent as before. PercentEncode moves to core from the platform's store client.

--- a/libs/core/core.h
+++ b/libs/core/core.h
@@ -10,7 +10,7 @@
     Topics: ids/ (identifiers, terms, log positions), errors/ (error codes,
     findings), outcomes/ (outcomes of a request), time/ (clocks), random/
     (random sources), text/ (fields of
-    messages), concurrency/ (control loop,
+    messages, parts of URLs), concurrency/ (control loop,
     executors, snapshots).
 */
 #include "core/concurrency/control_loop.h"
@@ -26,6 +26,7 @@
 #include "core/ids/term.h"
 #include "core/outcomes/outcome.h"
 #include "core/random/random_source.h"
+#include "core/text/percent_encoding.h"
 #include "core/text/text_fields.h"
 #include "core/text/word.h"
 #include "core/time/boot_clock.h"
--- a/libs/store/client/platform_client.h
+++ b/libs/store/client/platform_client.h
@@ -71,7 +71,7 @@
       @param done  receives the row; an empty row if there is none
   */
   void GetRow(const std::string& key, std::function<void(RowReply)> done) {
-    Send("/table/" + key, {},
+    Send("/table/" + PercentEncode(key, "/"), {},
          [done = std::move(done)](const HttpResult& reply) {
            done(ParseRow(reply));
          });
