Reject addresses with a NUL

inet_pton() ends at a NUL, so "10.1.0.8", NUL and any text was taken for an address, kept whole, and sent on to the other VMs in heartbeats; since addresses are written as words, a datagram with it would have ended the process that sent it on.

--- a/libs/gossip/tests/gossip_test.cc
+++ b/libs/gossip/tests/gossip_test.cc
@@ -51,6 +51,9 @@
         "mr1 vm-1 a 10.1.0.8:7440 1 2 0 r logs  6"}) {
     CHECK_TEXT(!DecodeHeartbeat(it, read), it);
   }
+  // An address with a NUL was taken for the part before it.
+  const std::string text("mr1 vm-1 a 10.1.0.8\0x:7440 1 2 0", 32);
+  CHECK(!DecodeHeartbeat(text, read));
 }
 
 TEST(Gossip, DecodesEncodedDepartureNotices) {
--- a/libs/settings/flags/flag_table.cc
+++ b/libs/settings/flags/flag_table.cc
@@ -51,7 +51,9 @@
   }
   SocketAddress address{std::string(text.substr(0, colon)), 0};
   in_addr parsed_host{};
-  if (inet_pton(AF_INET, address.host.c_str(), &parsed_host) != 1) {
+  // inet_pton() reads to the first NUL only.
+  if (!IsWord(address.host) ||
+      inet_pton(AF_INET, address.host.c_str(), &parsed_host) != 1) {
     return false;
   }
   const std::string_view port = text.substr(colon + 1);
