--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -373,6 +373,9 @@
 }
 
 void SoakRun::Finish() {
+  for (const auto& it : callers_) {
+    it->RecordUnfinishedOperation();
+  }
   loop_.Stop();
 }
 
--- a/tests/traffic/traffic_history.cc
+++ b/tests/traffic/traffic_history.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <string_view>
 
 namespace magnoliareel {
 namespace {
@@ -15,6 +16,17 @@
   std::map<size_t, std::pair<TimePoint, uint64_t>> acknowledged;
 };
 
+/** @param text  an execution
+    @returns     all that follows the name, with its leading blank */
+std::string_view GetArguments(std::string_view text) {
+  constexpr std::string_view kVerb = "EXECUTE ";
+  if (!text.starts_with(kVerb)) {
+    return text;
+  }
+  const size_t end = text.find(' ', kVerb.size());
+  return end == std::string_view::npos ? std::string_view() : text.substr(end);
+}
+
 HistoryIndex BuildIndex(const std::vector<CallerOperation>& operations,
                         const GroupModel& group,
                         size_t primary) {
@@ -60,8 +72,10 @@
     for (const CallerOperation& it : operations_) {
       CheckOutcome(it);
       CheckPinning(it);
+      CheckPreparedStatements(it);
       CheckFreshness(it);
     }
+    CheckIds();
     for (const auto& [commit, acknowledged] : index_.acknowledged) {
       if (!index_.surviving_commits.contains(commit)) {
         AddViolation("LOST", group_.GetCommits()[commit].requests.front());
@@ -116,13 +130,45 @@
         AddViolation("MIXED", it.id);
       }
       for (const ExecutedStatement* run : index_.runs_by_request[it.id]) {
-        if (!it.prepared && run->text != it.text) {
+        const bool is_same_text =
+            it.is_execution
+                ? !run->prepared_name.empty() &&
+                      GetArguments(run->text) == GetArguments(it.text)
+                : run->text == it.text;
+        if (!is_same_text) {
           AddViolation("UNASKED text", it.id);
         }
       }
     }
   }
 
+  void CheckPreparedStatements(const CallerOperation& operation) {
+    for (const CallerStatement& it : operation.statements) {
+      for (const ExecutedStatement* run : index_.runs_by_request[it.id]) {
+        if (run->shape != it.shape) {
+          AddViolation("PINNED shape", it.id);
+        }
+      }
+      if (!it.shape.empty() && it.error == "NOSTMT") {
+        AddViolation("PINNED unknown", it.id);
+      }
+    }
+  }
+
+  void CheckIds() {
+    std::set<std::string_view> sent;
+    for (const CallerOperation& operation : operations_) {
+      for (const CallerStatement& it : operation.statements) {
+        sent.insert(it.id);
+      }
+    }
+    for (const ExecutedStatement& it : group_.GetExecutedStatements()) {
+      if (!sent.contains(it.request)) {
+        AddViolation("UNASKED id", it.request);
+      }
+    }
+  }
+
   void CheckPinning(const CallerOperation& operation) {
     std::set<uint64_t> connections;
     for (const CallerStatement& it : operation.statements) {
--- a/tests/traffic/traffic_history.h
+++ b/tests/traffic/traffic_history.h
@@ -14,11 +14,14 @@
 /** A statement and its answer, as its caller saw them. */
 struct CallerStatement {
   std::string id;
-  /** The text sent to the proxy. A database must have run the same text, except
-      for a prepared statement. */
+  /** The text sent to the proxy. A database must have run the same text; the
+      name of a prepared statement may differ. */
   std::string text;
   /** True if it executes a prepared statement. */
-  bool prepared = false;
+  bool is_execution = false;
+  /** Kind and shape that the caller has prepared under the executed name, such
+      as "READ q12"; empty if it has deallocated the name. */
+  std::string shape;
   bool writes = false;
   bool commits = false;
   TimePoint sent_at;
@@ -27,6 +30,8 @@
   /** True if the answer was an error that guarantees that the statement had no
       effect. @see kNoEffectErrors */
   bool guaranteed_no_effect = false;
+  /** Code of the error, if the answer was one. */
+  std::string error;
   /** Proof of execution from the answer: "proof-" and the id. */
   std::string proof;
   TimePoint answered_at;
@@ -56,10 +61,13 @@
                           was at a promotion), TWICE (a
                           statement was committed more than once), REFUSED (an
                           error guaranteed no effect, but the statement was
-                          committed), UNASKED (a commit or a text that no caller
-                          sent), MIXED (the answer belongs to another
-    statement), PINNED (a statement ran with other session variables, or outside
-    its transaction or connection) and STALE (a read missed a commit that its
+                          committed), UNASKED (a commit, an id or a text that no
+                          caller sent), MIXED (the answer belongs to another
+                          statement), PINNED (a statement ran with other session
+                          variables, as another prepared statement than its
+                          caller's, or outside its transaction or connection, or
+                          the name of a prepared statement was not known) and
+                          STALE (a read missed a commit that its
     route guarantees to show)
 */
 std::vector<std::string> CheckTraffic(
--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -2,6 +2,7 @@
 #include <cstdlib>
 #include <functional>
 #include <limits>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -154,6 +155,9 @@
       it->Stop();
     }
     queue.RunUntil(start + std::chrono::seconds(14));
+    for (const auto& it : callers_) {
+      it->RecordUnfinishedOperation();
+    }
   }
 
   /** Kills all VMs and starts them again later. */
@@ -626,8 +630,17 @@
                    uint64_t seed,
                    FaultSchedule schedule = FaultSchedule::kTransient) {
   run.Run(schedule);
-  for (const std::string& it : run.Check()) {
-    FAIL(("seed " + std::to_string(seed) + ": " + it).c_str());
+  const std::vector<std::string> violations = run.Check();
+  if (!violations.empty()) {
+    std::map<std::string, int> counts;
+    for (const std::string& it : violations) {
+      ++counts[it.substr(0, it.rfind(' '))];
+    }
+    std::string message = "seed " + std::to_string(seed) + ":";
+    for (const auto& [rule, n] : counts) {
+      message += " " + rule + " " + std::to_string(n) + ",";
+    }
+    FAIL((message + " first " + violations.front()).c_str());
   }
   const std::string context = "seed " + std::to_string(seed) +
                               ": successful operations after the faults: " +
