--- a/scripts/site-cluster.sh
+++ b/scripts/site-cluster.sh
@@ -1,6 +1,6 @@
 # Functions that start a stand-in site and nodes in front of it, and send
-# statements over the session protocol. Sourced by run-demo, run-soak and
-# tests/node/node-scenarios.
+# statements over the session protocol. Sourced by run-demo, run-soak and the
+# scripts in tests/node.
 #
 # Expects the variables bin_dir, log_dir and base_port, and platform_port if the
 # store is reached through a proxy.
@@ -16,6 +16,16 @@
   pids+=($!)
 }
 
+# Fails unless the text $2 matches the pattern $3; $1 says what was expected.
+expect() {
+  if [[ $2 != $3 ]]; then
+    echo "FAILED: $1: got '$2', expected '$3'"
+    tail -n 20 "$log_dir"/node-*.log
+    exit 1
+  fi
+  echo "ok: $1"
+}
+
 # Terminates all processes that start_process started, and waits for them.
 stop_all() {
   local it
@@ -40,8 +50,9 @@
 # metrics, and, from the fourth on, peers and forwarded statements.
 node_port() { echo $((base_port + 10 * $1)); }
 
+# start_site [FLAG...]: starts the stand-in site with further flags.
 start_site() {
-  start_process site "$bin_dir/standins/site/standin-site" --base-port "$base_port"
+  start_process site "$bin_dir/standins/site/standin-site" --base-port "$base_port" "$@"
   wait_until "curl -sf 'http://127.0.0.1:$base_port/v1/rows-get?table=op&part='"
 }
 
--- a/standins/site/main.cc
+++ b/standins/site/main.cc
@@ -17,11 +17,15 @@
   flags.AddText("host", "IPv4 address to listen on", true, settings.host);
   flags.AddNumber("base-port", "first of four ports", 1, 65000,
                   settings.base_port);
+  int64_t connections = settings.group.max_connections;
+  flags.AddNumber("connections", "connections that each database accepts", 1,
+                  1000, connections);
   Findings findings;
   if (const FlagResult result = flags.Parse(args, findings);
       result != FlagResult::kRun) {
     return ReportSettingsFindings(result, findings);
   }
+  settings.group.max_connections = static_cast<uint32_t>(connections);
   std::signal(SIGPIPE, SIG_IGN);
   EventLoop loop;
   SiteServer server(loop, settings);
