Load: a quarter of the statements are prepared, under shapes with blanks

No caller of the load tests prepared anything, so a statement that uses up its attempts because of its shape cost no served share. Change: each session prepares a read and a write under one of four shapes; a quarter of the operations execute them. The choice has a random stream of its own, so that times and kinds of the operations stay.

--- a/tests/load/open_loop_load.cc
+++ b/tests/load/open_loop_load.cc
@@ -12,6 +12,9 @@
 constexpr int64_t kMinRetryPauseUs = 100'000;
 constexpr int64_t kRetryPauseSpreadUs = 200'000;
 
+constexpr std::array<std::string_view, 4> kShapes = {
+    "q12", "q12 READ fp", "q12 WRITE fp", "q27 blank"};
+
 constexpr std::array<std::string_view, 4> kRefusals = {"BUSY", "ABORTED",
                                                        "LAGGING", "READONLY"};
 
@@ -19,7 +22,10 @@
 
 OpenLoopLoad::OpenLoopLoad(TrafficSimulation& simulation,
                            OpenLoopOptions options)
-    : simulation_(simulation), options_(options), random_(options.seed) {
+    : simulation_(simulation),
+      options_(options),
+      random_(options.seed),
+      prepared_random_(options.seed) {
   simulation_.SetCallerOutput(
       [this](size_t, uint64_t session, std::string_view line) {
         HandleLine(session, line);
@@ -34,7 +40,9 @@
     for (size_t it = 0; it < options_.sessions_per_vm; ++it) {
       const uint64_t id = simulation_.OpenCaller(vm);
       const std::string database = kDatabases[(vm + it) % kDatabases.size()];
-      sessions_[id] = {vm, database, false, -1, false, false};
+      Session& session = sessions_[id];
+      session.vm = vm;
+      session.database = database;
       session_ids_.push_back(id);
       simulation_.Send(vm, id, "STARTUP " + database + " caller");
     }
@@ -70,6 +78,10 @@
     const bool writes = session.database != "lookups" && random_() % 6 == 0;
     const std::string item = "item" + std::to_string(random_() % 50);
     it.text = writes ? "WRITE " + item + " x" : "READ " + item;
+    if (prepared_random_() % 4 == 0) {
+      it.text =
+          writes ? "EXECUTE change " + item + " x" : "EXECUTE find " + item;
+    }
     Send(id, operation);
     return;
   }
@@ -102,7 +114,16 @@
   if (!line.starts_with("READY")) {
     return;
   }
-  session.open = true;
+  if (!std::exchange(session.has_prepared, true)) {
+    // The answer may arrive while STARTUP is still being sent.
+    simulation_.GetQueue().After(Duration(0),
+                                 [this, id] { Prepare(id, sessions_[id]); });
+    return;
+  }
+  if (session.pending_prepares > 0) {
+    session.open = --session.pending_prepares == 0;
+    return;
+  }
   if (session.operation >= 0) {
     // The answer may arrive while the statement is still being sent.
     simulation_.GetQueue().After(Duration(0),
@@ -110,6 +131,13 @@
   }
 }
 
+void OpenLoopLoad::Prepare(uint64_t id, Session& session) {
+  const std::string shape(kShapes[prepared_random_() % kShapes.size()]);
+  session.pending_prepares = 2;
+  simulation_.Send(session.vm, id, "QUERY f PREPARE find READ " + shape);
+  simulation_.Send(session.vm, id, "QUERY c PREPARE change WRITE " + shape);
+}
+
 void OpenLoopLoad::FinishAttempt(uint64_t id) {
   Session& session = sessions_[id];
   const int64_t index = std::exchange(session.operation, -1);
--- a/tests/load/open_loop_load.h
+++ b/tests/load/open_loop_load.h
@@ -56,12 +56,17 @@
     size_t vm = 0;
     std::string database;
     bool open = false;
+    /** True once it has sent its PREPAREs. */
+    bool has_prepared = false;
+    /** Number of its PREPAREs without an answer. */
+    size_t pending_prepares = 0;
     /** Index of the operation in progress; none if negative. */
     int64_t operation = -1;
     bool refused = false;
     bool failed = false;
   };
 
+  void Prepare(uint64_t id, Session& session);
   void BeginOperation();
   void Send(uint64_t id, int64_t operation);
   void HandleLine(uint64_t id, std::string_view line);
@@ -70,6 +75,9 @@
   TrafficSimulation& simulation_;
   const OpenLoopOptions options_;
   std::mt19937_64 random_;
+  /** For the choice of prepared statements, so that the times and kinds of
+      operations don't depend on it. */
+  std::mt19937_64 prepared_random_;
   std::unordered_map<uint64_t, Session> sessions_;
   std::vector<uint64_t> session_ids_;
   std::vector<Operation> operations_;
