Traffic simulation: another member at an address is no full endpoint

Cause: the primary had left and a new member had its address, which answered MISROUTED. The simulation took every error for a full endpoint, so each replacement was abandoned with "the primary has no free slot". EndpointCommandClient reports such an endpoint as stopped; now the simulation does too.

--- a/tests/traffic/traffic_simulation.cc
+++ b/tests/traffic/traffic_simulation.cc
@@ -631,6 +631,9 @@
         std::string_view(text).substr(row + 4,
                                       text.find("\r\n", row) - row - 4),
         status);
+  } else if (text.starts_with("ERROR MISROUTED")) {
+    // Another member has the address.
+    ec = Error::kEndpointStopped;
   } else if (text.find("ERROR") != std::string::npos) {
     ec = Error::kOverloaded;
   } else {
