Relay the hold of an order that was heard before the first configuration

Cause: a VM that had no configuration yet followed a holder's notice, but did not record it as an open order, because no service was known to it. It did not relay the notice, and the holder's next process, which met this VM first, heard of the order 0.15 to 0.4 s later. Fix: before the first configuration, orders are recorded like holds, for at most kMaxUnconfiguredHolds services. Evidence: OfAnOrderHeardBeforeTheFirstConfigurationIsRelayed was red before (no notice in the VM's heartbeat), green now.

--- a/libs/control/failover/failover_control.h
+++ b/libs/control/failover/failover_control.h
@@ -402,6 +402,14 @@
            services_.end();
   }
 
+  /** @returns whether orders and holds of a service are followed. Before the
+               first configuration, any service may be one of this VM's. */
+  bool MayBeKnown(const ServiceId& service) const {
+    return services_.empty() ? progress_.contains(service) ||
+                                   progress_.size() < kMaxUnconfiguredHolds
+                             : IsKnown(service);
+  }
+
   /** @returns the endpoints of services whose replicas acknowledge commits */
   static std::vector<EndpointEntry> ListAcknowledgingEndpoints(
       const FleetView& view) {
--- a/libs/control/failover/failover_control_holds.h
+++ b/libs/control/failover/failover_control_holds.h
@@ -98,11 +98,7 @@
         (known != peer_holds_.end() && known->second.is_direct &&
          known->second.vm == heartbeat.vm &&
          known->second.notice.fencing_token == it.fencing_token);
-    // Before the first configuration, any service may be one of this VM's.
-    const bool may_be_known = services_.empty()
-                                  ? peer_holds_.size() < kMaxUnconfiguredHolds
-                                  : IsKnown(it.service);
-    if (!may_be_known || !IsInForce(it, is_direct)) {
+    if (!MayBeKnown(it.service) || !IsInForce(it, is_direct)) {
       continue;
     }
     PeerHold& hold = peer_holds_[it.service];
--- a/libs/control/failover/failover_control_succession.h
+++ b/libs/control/failover/failover_control_succession.h
@@ -64,7 +64,7 @@
 void FailoverControl<S, R, C, P, T>::RecordPeerOrder(const ServiceId& service,
                                                      const EndpointId& endpoint,
                                                      uint64_t fencing_token) {
-  if (!IsKnown(service) || endpoint.IsEmpty()) {
+  if (!MayBeKnown(service) || endpoint.IsEmpty()) {
     return;
   }
   std::optional<PeerOrder>& order = progress_[service].peer_order;
--- a/libs/control/tests/commit_hold_test.cc
+++ b/libs/control/tests/commit_hold_test.cc
@@ -276,6 +276,29 @@
   STRCMP_EQUAL("hold db-2;", JoinSteps().c_str());
 }
 
+TEST(RelayedHold, OfAnOrderHeardBeforeTheFirstConfigurationIsRelayed) {
+  // The holder was killed and started anew, and the only VM that it had told
+  // was starting itself: nobody told the new process (LOST).
+  Receive(MakeHoldersHeartbeat());
+  const std::vector<ReplacementNotice> expected = {
+      {kFakeService, EndpointId{"db-2"}, 50}};
+  CHECK(ListNotices() == expected);
+  Begin();
+  CHECK(ListNotices() == expected);
+}
+
+TEST(RelayedHold, BeforeTheFirstConfigurationTheNumberOfServicesIsLimited) {
+  Heartbeat heartbeat = MakeHoldersHeartbeat();
+  for (size_t n = 0; n < 2 * kMaxUnconfiguredHolds; ++n) {
+    const ServiceId service{"other-" + std::to_string(n)};
+    heartbeat.duties.push_back({service, 50});
+    heartbeat.replacements.push_back({service, EndpointId{"db-9"}, 50});
+    heartbeat.promotions.push_back({service, EndpointId{"db-9"}, 50});
+  }
+  Receive(heartbeat);
+  CHECK(ListNotices().size() <= kMaxUnconfiguredHolds);
+}
+
 TEST(RelayedHold, OutlastsARestartOfTheVmThatRelaysIt) {
   // Its first heartbeat has no notice, and the commits were released (LOST).
   Begin();
