Tell VMs that a process has started, also when it meets them later

Cause: a new process counts as new where its first heartbeat arrives without a configuration. It met most VMs later, by addresses that it had learned, with the configuration in force; they took it for the former process and did not tell it of an open order. Fix: the first heartbeat to each address within 3.5 s of the start says that the process is new, and addresses learned from others are greeted at once instead of within a second. AreToldOnceThatAProcessHasStarted is new.

--- a/apps/node/peer_exchange.cc
+++ b/apps/node/peer_exchange.cc
@@ -119,8 +119,13 @@
   const TimePoint now = loop_.Now();
   const bool was_leaving = heartbeat.leaving;
   const bool joined = peers_.RecordHeartbeat(heartbeat, now);
+  bool learned = false;
   for (const SocketAddress& it : heartbeat.others) {
-    peers_.Learn(it, now);
+    learned = peers_.Learn(it, now) || learned;
+  }
+  if (learned) {
+    // They may know of an open order.
+    StartCoalescing();
   }
   if (joined) {
     LogEvent(Event::kPeerRegained,
@@ -177,7 +182,12 @@
   if (targets.empty()) {
     return;
   }
-  std::vector<std::string> datagrams = {EncodeHeartbeat(heartbeat)};
+  // A process without a configuration counts as one that has just started.
+  Heartbeat introduction = heartbeat;
+  introduction.config_version = 0;
+  const std::string first_bytes = EncodeHeartbeat(introduction);
+  const std::string bytes = EncodeHeartbeat(heartbeat);
+  std::vector<std::string> datagrams;
   const std::vector<DepartureNotice> notices = callbacks_.list_departures();
   std::span<const DepartureNotice> rest = notices;
   while (!rest.empty()) {
@@ -186,8 +196,10 @@
     rest = rest.subspan(n);
   }
   for (const SocketAddress& it : targets) {
-    for (const std::string& bytes : datagrams) {
-      socket_.Send(it, bytes);
+    socket_.Send(
+        it, peers_.TakeIntroduction(it, loop_.Now()) ? first_bytes : bytes);
+    for (const std::string& departures : datagrams) {
+      socket_.Send(it, departures);
     }
   }
 }
--- a/libs/control/peers/peer_group.cc
+++ b/libs/control/peers/peer_group.cc
@@ -1,12 +1,14 @@
 #include "control/peers/peer_group.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace magnoliareel {
 
 bool PeerGroup::Learn(const SocketAddress& address, TimePoint now) {
   return address != self_ &&
-         addresses_.try_emplace(address, AddressState{now, {}, {}}).second;
+         addresses_.try_emplace(address, AddressState{now, {}, false, {}})
+             .second;
 }
 
 bool PeerGroup::RecordHeartbeat(const Heartbeat& heartbeat, TimePoint now) {
@@ -99,6 +101,19 @@
   return true;
 }
 
+bool PeerGroup::TakeIntroduction(const SocketAddress& address, TimePoint now) {
+  if (!introduced_since_) {
+    introduced_since_ = now;
+  }
+  if (now - *introduced_since_ >= kPeerTimeout) {
+    return false;
+  }
+  AddressState& state =
+      addresses_.try_emplace(address, AddressState{now, {}, false, {}})
+          .first->second;
+  return !std::exchange(state.is_introduced, true);
+}
+
 std::vector<const PeerGroup::Peer*> PeerGroup::ListLive() const {
   std::vector<const Peer*> live;
   for (const auto& [vm, peer] : peers_) {
--- a/libs/control/peers/peer_group.h
+++ b/libs/control/peers/peer_group.h
@@ -92,6 +92,17 @@
   */
   bool TakeWelcome(const SocketAddress& address, TimePoint now);
 
+  /** Decides whether a heartbeat has to tell its receiver that this process has
+      just started, since the receiver may not have noticed the end of the
+      former one.
+
+      @param address  address of the receiver
+      @param now      the current time
+      @returns        true for the first heartbeat to an address within
+                      kPeerTimeout of the first call
+  */
+  bool TakeIntroduction(const SocketAddress& address, TimePoint now);
+
   /** @returns the other live VMs, ordered by name */
   std::vector<const Peer*> ListLive() const;
   /** @param now  the current time
@@ -118,6 +129,8 @@
     TimePoint first_tried;
     /** Zero before the first heartbeat was sent. */
     TimePoint tried_at;
+    /** True if it was told that this process has started. */
+    bool is_introduced = false;
     VmId vm;
   };
 
@@ -129,6 +142,8 @@
   Duration GetTimeout(const Peer& peer) const;
 
   SocketAddress self_;
+  /** Time of the first heartbeat; none before it. */
+  std::optional<TimePoint> introduced_since_;
   std::map<SocketAddress, AddressState> addresses_;
   std::map<VmId, Peer> peers_;
 };
--- a/libs/control/tests/control_test.cc
+++ b/libs/control/tests/control_test.cc
@@ -1033,6 +1033,19 @@
   LONGS_EQUAL(0, peers.ListTargets(After(9200), SIZE_MAX).size());
 }
 
+TEST(Peers, AreToldOnceThatAProcessHasStarted) {
+  // A process that had read its configuration before it met a VM passed for the
+  // former one there, and was not told of an open order (LOST).
+  PeerGroup peers({"127.0.0.1", 1});
+  const SocketAddress seed{"127.0.0.1", 2};
+  const SocketAddress learned{"127.0.0.1", 3};
+  CHECK(peers.TakeIntroduction(seed, kStart));
+  CHECK(!peers.TakeIntroduction(seed, After(10)));
+  peers.Learn(learned, After(20));
+  CHECK(peers.TakeIntroduction(learned, After(30)));
+  CHECK(!peers.TakeIntroduction({"127.0.0.1", 4}, After(3500)));
+}
+
 TEST(Peers, TakeTurnsIfThereAreMany) {
   PeerGroup peers({"127.0.0.1", 1});
   constexpr uint16_t kPeers = 100;
