Lose a connection whose ROLLBACK was refused

Callers saw a write acknowledged with the database's proof that was never committed, if the database refused the ROLLBACK that ends the pool's own unused transaction: the write is sent behind it without a wait, and runs inside the transaction. The reply to ROLLBACK was never looked at. In the same way a statement ran in the transaction of the caller before.

Red before: both tests of RefusedInPassing on; the write was told COMPLETE while the database ran it in a transaction.

A reply to ROLLBACK that leaves a transaction open now loses the connection, as for a refused RESET: the database rolls back, a write that was sent is told UNKNOWN, and reads are retried.

--- a/libs/relay/core/traffic_core_replies.h
+++ b/libs/relay/core/traffic_core_replies.h
@@ -136,6 +136,15 @@
       break;
     case EndpointRequestKind::kRollback:
       connection.read_write_transaction = false;
+      if (ready.status != TransactionStatus::kIdle) {
+        // What follows would run inside the transaction that is still open.
+        const EndpointId endpoint = connection.endpoint;
+        HandleConnectionLoss(id, "the rollback was refused");
+        if (EndpointPool* it = FindPool(endpoint)) {
+          StartQueued(*it);
+        }
+        return;
+      }
       break;
     case EndpointRequestKind::kReset:
     case EndpointRequestKind::kSetValue:
--- /dev/null
+++ b/tests/traffic/review_findings_test.cc
@@ -0,0 +1,88 @@
+// What the pool sends on its own behalf may be refused: a statement behind it
+// must not be told as done, nor run for another caller.
+
+#include <chrono>
+#include <cstdlib>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "telemetry/telemetry.h"
+#include "tests/traffic/scripted_node.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace magnoliareel {
+namespace {
+
+using std::chrono::milliseconds;
+
+ScriptedNode::Script Refuse(std::string_view prefix,
+                            int count,
+                            std::string answer) {
+  return
+      [prefix = std::string(prefix), count, answer = std::move(answer)](
+          std::string_view text, char&) mutable -> std::optional<std::string> {
+        if (!text.starts_with(prefix) || count-- <= 0) {
+          return std::nullopt;
+        }
+        return answer;
+      };
+}
+
+void StartTestLog() {
+  static LogBuffer log_buffer(0);
+  if (std::getenv("MAGNOLIAREEL_SIM_TRACE") == nullptr) {
+    StartBufferedLog(log_buffer, "simulated");
+  } else {
+    StartLog();
+  }
+}
+
+void CheckAnswer(std::string_view expected, const std::string& answer) {
+  CHECK_TEXT(answer.starts_with(expected), answer.c_str());
+}
+
+}  // namespace
+
+TEST_GROUP(RefusedInPassing){void setup() override{StartTestLog();
+}  // namespace magnoliareel
+}
+;
+
+TEST(RefusedInPassing, AWriteBehindARefusedRollbackIsNotToldAsDone) {
+  // Guards against a write that is acknowledged inside the pool's own
+  // transaction, which is rolled back later.
+  ScriptedNode node;
+  const uint64_t session = node.OpenCaller();
+  CheckAnswer("COMPLETE proof", node.Ask(session, "READ warm-up"));
+  node.Run(milliseconds(10));
+  node.SetScript(Refuse("ROLLBACK", 1, "ERROR BUSY db-0\r\n"));
+  const std::string answer = node.Ask(session, "WRITE item1 x");
+  const ScriptedRun& run = node.GetRuns().back();
+  CHECK_TEXT(!(answer.starts_with("COMPLETE") && run.in_transaction),
+             answer.c_str());
+  node.Run(milliseconds(20));
+  CheckAnswer("COMPLETE proof", node.Ask(session, "WRITE item1 y"));
+  CHECK(!node.GetRuns().back().in_transaction);
+}
+
+TEST(RefusedInPassing, ATransactionThatIsNotRolledBackIsNotUsedAgain) {
+  ScriptedNode node;
+  const uint64_t first = node.OpenCaller();
+  const uint64_t second = node.OpenCaller();
+  node.Ask(first, "BEGIN");
+  CheckAnswer("COMPLETE proof", node.Ask(first, "WRITE item1 x"));
+  const uint64_t connection = node.GetRuns().back().connection;
+  node.SetScript(Refuse("ROLLBACK", 2, "ERROR BUSY db-0\r\n"));
+  node.Ask(first, "ROLLBACK");
+  node.Run(milliseconds(20));
+  const std::string answer = node.Ask(second, "WRITE item2 x");
+  const ScriptedRun& run = node.GetRuns().back();
+  CHECK_TEXT(!(run.connection == connection && run.in_transaction),
+             answer.c_str());
+}
+
+}  // namespace magnoliareel
