Look at the last pending reply only for a sent statement

The traffic thread stopped for all its callers when a database refused the values of a session that holds many: each refusal searched all replies that were still pending for a statement.

Nothing is sent behind a caller's statement before its reply, so it can only be the last one.

--- a/libs/relay/connections/pooled_connection.h
+++ b/libs/relay/connections/pooled_connection.h
@@ -1,7 +1,6 @@
 #ifndef MAGNOLIAREEL_RELAY_CONNECTIONS_POOLED_CONNECTION_H_
 #define MAGNOLIAREEL_RELAY_CONNECTIONS_POOLED_CONNECTION_H_
 
-#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -111,12 +110,11 @@
 
   /** @returns true if statements reach the endpoint through another VM */
   bool IsForwarded() const { return !holder.IsEmpty(); }
-  /** @returns true if the reply to a caller's statement is pending */
+  /** @returns true if the reply to a caller's statement is pending, behind
+               which nothing is sent */
   bool HasSentStatement() const {
-    return std::any_of(pending_replies.begin(), pending_replies.end(),
-                       [](const PendingReply& it) {
-                         return it.request == EndpointRequestKind::kStatement;
-                       });
+    return !pending_replies.empty() &&
+           pending_replies.back().request == EndpointRequestKind::kStatement;
   }
   /** @returns true if a read-write transaction is open that no session uses
       yet */
--- a/tests/traffic/review_findings_test.cc
+++ b/tests/traffic/review_findings_test.cc
@@ -85,4 +85,23 @@
              answer.c_str());
 }
 
+TEST(RefusedInPassing, ManyRefusedValuesDoNotStopTheThread) {
+  ScriptedNode node;
+  const uint64_t session = node.OpenCaller();
+  CheckAnswer("COMPLETE proof", node.Ask(session, "READ warm-up"));
+  node.SetScript(Refuse("SET ", 10'000'000, "ERROR FAILED odd\r\n"));
+  constexpr int kCount = 60'000;
+  for (int n = 0; n < kCount; ++n) {
+    std::string answer =
+        node.Ask(session, "SET v" + std::to_string(n) + " a b");
+    CheckAnswer("COMPLETE", answer);
+  }
+  const auto began = std::chrono::steady_clock::now();
+  const std::string answer = node.Ask(session, "WRITE item1 x");
+  const auto took = std::chrono::duration_cast<milliseconds>(
+      std::chrono::steady_clock::now() - began);
+  const std::string text = std::to_string(took.count()) + " ms; " + answer;
+  CHECK_TEXT(took < milliseconds(1000), text.c_str());
+}
+
 }  // namespace magnoliareel
