Tests of values that are refused behind another caller's, red

AWordThatIsRefusedDoesNotLeaveAnotherCallersValue: StartStatement -> SyncValues -> AddValues says that a plain word needs no wait, so the statement is sent with the SET. The database refuses the SET and runs the statement with the value that the caller before had set; then HandleValuesRefused closes the connection and a write is told UNKNOWN.

AStatementBehindARefusedResetDoesNotRun: the same path behind RESET, which SyncValues never waits for.

ASmallStatementDoesNotCostMegabytes: two sessions share a connection; each READ of the one with 15 values of 1 MB sends all 15 of them again.

--- a/tests/traffic/review_findings_test.cc
+++ b/tests/traffic/review_findings_test.cc
@@ -85,6 +85,40 @@
              answer.c_str());
 }
 
+TEST(RefusedInPassing, AWordThatIsRefusedDoesNotLeaveAnotherCallersValue) {
+  ScriptedNode node;
+  const uint64_t first = node.OpenCaller();
+  const uint64_t second = node.OpenCaller();
+  node.Ask(first, "SET tenant alpha");
+  CheckAnswer("COMPLETE proof", node.Ask(first, "WRITE item1 x"));
+  node.Run(milliseconds(10));
+  node.SetScript(Refuse("SET tenant beta", 100, "ERROR FAILED odd\r\n"));
+  node.Ask(second, "SET tenant beta");
+  const std::string answer = node.Ask(second, "WRITE item2 x");
+  for (const ScriptedRun& it : node.GetRuns()) {
+    CHECK_TEXT(
+        !(it.text.starts_with("WRITE item2") && it.values.contains("tenant") &&
+          it.values.at("tenant") == "alpha"),
+        answer.c_str());
+  }
+}
+
+TEST(RefusedInPassing, AStatementBehindARefusedResetDoesNotRun) {
+  ScriptedNode node;
+  const uint64_t first = node.OpenCaller();
+  const uint64_t second = node.OpenCaller();
+  node.Ask(first, "SET tenant alpha");
+  CheckAnswer("COMPLETE proof", node.Ask(first, "WRITE item1 x"));
+  node.Run(milliseconds(10));
+  node.SetScript(Refuse("RESET", 1, "ERROR BUSY db-0\r\n"));
+  const std::string answer = node.Ask(second, "WRITE item2 x");
+  for (const ScriptedRun& it : node.GetRuns()) {
+    CHECK_TEXT(
+        !(it.text.starts_with("WRITE item2") && it.values.contains("tenant")),
+        answer.c_str());
+  }
+}
+
 TEST(RefusedInPassing, ManyRefusedValuesDoNotStopTheThread) {
   ScriptedNode node;
   const uint64_t session = node.OpenCaller();
@@ -104,4 +138,24 @@
   CHECK_TEXT(took < milliseconds(1000), text.c_str());
 }
 
+TEST(RefusedInPassing, ASmallStatementDoesNotCostMegabytes) {
+  ScriptedNode node;
+  const uint64_t big = node.OpenCaller();
+  const uint64_t other = node.OpenCaller();
+  const std::string value(1000 * 1000, 'v');
+  for (int n = 0; n < 15; ++n) {
+    CheckAnswer("COMPLETE",
+                node.Ask(big, "SET v" + std::to_string(n) + " " + value));
+  }
+  const size_t before = node.CountTexts("SET ");
+  for (int n = 0; n < 5; ++n) {
+    CheckAnswer("COMPLETE proof", node.Ask(big, "READ it"));
+    node.Run(milliseconds(10));
+    CheckAnswer("COMPLETE proof", node.Ask(other, "READ it"));
+    node.Run(milliseconds(10));
+  }
+  const std::string sets = std::to_string(node.CountTexts("SET ") - before);
+  CHECK_TEXT(node.CountTexts("SET ") - before <= 15, sets.c_str());
+}
+
 }  // namespace magnoliareel
