Wait until an endpoint has taken all of a session's values

What callers would see: a statement that runs with another caller's session values (PINNED). A SET of a plain word, and a RESET, were sent together with the statement, because the grammar leaves an endpoint no reason to refuse them. If it does, the statement runs with what the caller before had set. Fix: the statement is sent when RESET and SET are answered, as it is behind a BEGIN. It costs a round trip where a connection changes to a session with other values, and no transaction, whose BEGIN is awaited anyway. Evidence: AWordThatIsRefusedDoesNotLeaveAnotherCallersValue and AStatementBehindARefusedResetDoesNotRun were red before, green now. ARefusedWordCostsOneConnection expected that the first statement had run and was told UNKNOWN; AStatementDoesNotRunBehindARefusedWord, in its place, expects that none runs and no connection is closed.

--- a/libs/relay/core/traffic_core_connections.h
+++ b/libs/relay/core/traffic_core_connections.h
@@ -64,10 +64,12 @@
 template <ForwardingDialect D, class N>
 bool TrafficCore<D, N>::SyncValues(PooledConnection& connection,
                                    const CallerSession& session) {
-  if (HasExtraValues(connection.values, session.values)) {
+  const bool has_extra = HasExtraValues(connection.values, session.values);
+  if (has_extra) {
     ResetValues(connection);
   }
-  return AddValues(connection, session);
+  const bool awaits_added = AddValues(connection, session);
+  return awaits_added || (has_extra && !connection.IsForwarded());
 }
 
 template <ForwardingDialect D, class N>
@@ -84,9 +86,7 @@
     ExpectReply(connection, EndpointRequestKind::kSetValue);
     connection.values.insert_or_assign(name, value);
     // A holder accepts what this VM has accepted; it waits for the endpoint.
-    must_wait = must_wait || session.awaits_values ||
-                (!connection.IsForwarded() &&
-                 !(IsPlainWord(name) && IsPlainWord(value)));
+    must_wait = session.awaits_values || !connection.IsForwarded();
   }
   return must_wait;
 }
--- a/libs/relay/sessions/caller_session.h
+++ b/libs/relay/sessions/caller_session.h
@@ -130,7 +130,7 @@
       that names only the service. */
   std::shared_ptr<const DatabaseRoute> route;
   SessionValues values;
-  /** True if an endpoint refused one of them ahead of a statement that was sent
+  /** True if a holder refused one of them ahead of a statement that was sent
       already. From then on, statements wait until all are set. */
   bool awaits_values = false;
   /** By the caller's names. */
--- a/libs/relay/sessions/session_values.cc
+++ b/libs/relay/sessions/session_values.cc
@@ -2,18 +2,11 @@
 
 #include <xxhash.h>
 
-#include <algorithm>
 #include <array>
 #include <charconv>
 
 namespace magnoliareel {
 
-bool IsPlainWord(std::string_view text) {
-  return !text.empty() && text.size() <= kMaxPlainWordBytes &&
-         std::all_of(text.begin(), text.end(),
-                     [](char c) { return c > ' ' && c <= '~'; });
-}
-
 std::string DescribeShape(const PreparedStatement& statement) {
   std::array<char, 16> buf{};
   const XXH64_hash_t hash =
--- a/libs/relay/sessions/session_values.h
+++ b/libs/relay/sessions/session_values.h
@@ -1,7 +1,6 @@
 #ifndef MAGNOLIAREEL_RELAY_SESSIONS_SESSION_VALUES_H_
 #define MAGNOLIAREEL_RELAY_SESSIONS_SESSION_VALUES_H_
 
-#include <cstddef>
 #include <map>
 #include <string>
 #include <string_view>
@@ -12,14 +11,6 @@
     name. */
 using SessionValues = std::map<std::string, std::string, std::less<>>;
 
-/** Maximum length of a plain word, in bytes. */
-inline constexpr size_t kMaxPlainWordBytes = 200;
-
-/** @param text  a name or value
-    @returns     whether it is a word that any field of a message can hold:
-                 printable ASCII without a blank, not empty and not long */
-bool IsPlainWord(std::string_view text);
-
 /** A statement that a caller prepared under a name of its own. */
 struct PreparedStatement {
   bool writes = false;
