Abort an execution whose name the endpoint loses twice

It is no promise either, so a write was not retried. Fix: the second NOSTMT is told as ABORTED, which is true, as nothing ran: the transaction is rolled back with it. Between VMs it stays NOSTMT.

--- a/libs/relay/core/traffic_core_errors.h
+++ b/libs/relay/core/traffic_core_errors.h
@@ -71,14 +71,20 @@
   ActiveStatement& statement = session.statement;
   const bool may_retry = !std::exchange(statement.met_unknown_name, true);
   if (statement.requirement == EndpointRequirement::kOpenTransaction) {
-    connection.text = kReason;
     if (may_retry && connection.status == TransactionStatus::kInTransaction) {
       connection.state = ConnectionState::kReserved;
       ScheduleRetry(session, Duration(0));
       return;
     }
-    HandleErrorInTransaction(connection, session,
-                             StatementError::kUnknownStatement);
+    connection.text = kReason;
+    if (session.is_forwarded) {
+      HandleErrorInTransaction(connection, session,
+                               StatementError::kUnknownStatement);
+    } else {
+      session.connection = 0;
+      ReturnToPool(connection);
+      FailStatement(session, StatementError::kAborted, kReason);
+    }
     return;
   }
   // What else the endpoint has lost on this connection is uncertain.
@@ -94,7 +100,11 @@
     RetryElsewhere(current, endpoint, StatementError::kUnknownStatement,
                    Duration(0));
   } else if (current.statement.connections.empty()) {
-    FailStatement(current, StatementError::kUnknownStatement, kReason);
+    // The caller's PREPARE was acknowledged, so its name is not unknown to it.
+    FailStatement(current,
+                  current.is_forwarded ? StatementError::kUnknownStatement
+                                       : StatementError::kAborted,
+                  kReason);
   }
 }
 
