Tests: a run that ends without a primary is told as that, not as LOST

CheckTraffic was given the primary after the run, and its callers (the random schedules in virtual time and the soak) named member 0 where no member led. All acknowledged commits were then missed in the log of a member that may have joined empty a moment before, and the run was reported as LOST of the very first commit, although no promotion had taken effect and two replicas held every acknowledged commit.

CheckTraffic finds the primary itself. Without one, it reports LEADERLESS and compares with the newest log of all members. So a run without a primary fails always now, also if member 0 happens to hold every commit.

--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -378,14 +378,8 @@
 
 std::vector<std::string> SoakRun::Check() const {
   const GroupModel& group = site_.GetGroup();
-  size_t primary = 0;
-  for (size_t it = 0; it < group.CountMembers(); ++it) {
-    if (group.HasPrimaryRole(it)) {
-      primary = it;
-    }
-  }
   std::vector<std::string> violations =
-      CheckTraffic(history_, group, primary, kMaxStaleness);
+      CheckTraffic(history_, group, kMaxStaleness);
   violations.insert(violations.end(), failures_.begin(), failures_.end());
   return violations;
 }
--- a/tests/traffic/traffic_history.cc
+++ b/tests/traffic/traffic_history.cc
@@ -1,11 +1,36 @@
 #include "tests/traffic/traffic_history.h"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 
 namespace magnoliareel {
 namespace {
 
+/** @returns the primary; none if no member leads */
+std::optional<size_t> FindPrimary(const GroupModel& group) {
+  std::optional<size_t> primary;
+  for (size_t it = 0; it < group.CountMembers(); ++it) {
+    if (group.HasPrimaryRole(it)) {
+      primary = it;
+    }
+  }
+  return primary;
+}
+
+/** @returns the member whose log ends latest */
+size_t FindNewestLog(const GroupModel& group) {
+  const auto get_end = [&group](size_t member) {
+    const std::vector<size_t>& log = group.GetLog(member);
+    return log.empty() ? LogPoint{} : group.GetCommits()[log.back()].point;
+  };
+  size_t newest = 0;
+  for (size_t it = 1; it < group.CountMembers(); ++it) {
+    newest = get_end(it) > get_end(newest) ? it : newest;
+  }
+  return newest;
+}
+
 /** What the databases did, by the statements of the callers. */
 struct HistoryIndex {
   std::map<std::string, std::vector<size_t>> commits_by_request;
@@ -16,8 +41,7 @@
 };
 
 HistoryIndex BuildIndex(const std::vector<CallerOperation>& operations,
-                        const GroupModel& group,
-                        size_t primary) {
+                        const GroupModel& group) {
   HistoryIndex index;
   for (size_t it = 0; it < group.GetCommits().size(); ++it) {
     for (const std::string& id : group.GetCommits()[it].requests) {
@@ -27,8 +51,9 @@
   for (const ExecutedStatement& it : group.GetExecutedStatements()) {
     index.runs_by_request[it.request].push_back(&it);
   }
-  index.surviving_commits.insert(group.GetLog(primary).begin(),
-                                 group.GetLog(primary).end());
+  const std::vector<size_t>& log =
+      group.GetLog(FindPrimary(group).value_or(FindNewestLog(group)));
+  index.surviving_commits.insert(log.begin(), log.end());
   for (const CallerOperation& operation : operations) {
     const CallerStatement& last = operation.statements.back();
     const bool is_acknowledged =
@@ -49,14 +74,16 @@
  public:
   TrafficChecker(const std::vector<CallerOperation>& operations,
                  const GroupModel& group,
-                 size_t primary,
                  Duration max_staleness)
       : operations_(operations),
         group_(group),
         max_staleness_(max_staleness),
-        index_(BuildIndex(operations, group, primary)) {}
+        index_(BuildIndex(operations, group)) {}
 
   std::vector<std::string> Check() {
+    if (!FindPrimary(group_)) {
+      AddViolation("LEADERLESS", "no member is the primary at the end");
+    }
     for (const CallerOperation& it : operations_) {
       CheckOutcome(it);
       CheckPinning(it);
@@ -191,9 +218,8 @@
 std::vector<std::string> CheckTraffic(
     const std::vector<CallerOperation>& operations,
     const GroupModel& group,
-    size_t primary,
     Duration max_staleness) {
-  return TrafficChecker(operations, group, primary, max_staleness).Check();
+  return TrafficChecker(operations, group, max_staleness).Check();
 }
 
 }  // namespace magnoliareel
--- a/tests/traffic/traffic_history.h
+++ b/tests/traffic/traffic_history.h
@@ -49,11 +49,12 @@
 
     @param operations     the operations of all callers
     @param group          the group after the run
-    @param primary        the member that is primary after the run
     @param max_staleness  staleness bound of the routes that have one
     @returns              one line for each violation, "RULE ID"; the rules are
+                          LEADERLESS (no member is the primary after the run),
                           LOST (an acknowledged commit is missing at the end, or
-                          was at a promotion), TWICE (a
+                          was at a promotion; without a primary, the end is that
+                          of the newest log), TWICE (a
                           statement was committed more than once), REFUSED (an
                           error guaranteed no effect, but the statement was
                           committed), UNASKED (a commit or a text that no caller
@@ -65,7 +66,6 @@
 std::vector<std::string> CheckTraffic(
     const std::vector<CallerOperation>& operations,
     const GroupModel& group,
-    size_t primary,
     Duration max_staleness);
 
 }  // namespace magnoliareel
--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -169,14 +169,8 @@
 
   /** @returns the violated guarantees. @see CheckTraffic */
   std::vector<std::string> Check() const {
-    size_t primary = 0;
-    for (size_t it = 0; it < simulation_->GetGroup().CountMembers(); ++it) {
-      if (simulation_->GetGroup().HasPrimaryRole(it)) {
-        primary = it;
-      }
-    }
     std::vector<std::string> violations =
-        CheckTraffic(history_, simulation_->GetGroup(), primary, kMaxStaleness);
+        CheckTraffic(history_, simulation_->GetGroup(), kMaxStaleness);
     for (std::string& it : simulation_->ListStatementsAfterDrain()) {
       violations.push_back(std::move(it));
     }
