Simulation: an endpoint at a reused address refuses commands as it does

A database that has taken the address of one that has left rejects the id of the former one with MISROUTED. The product's client of commands reports that as "the endpoint has stopped"; the simulation reported every refusal as "busy". A VM that was to replace a primary which had left, and whose address was in use again, gave up with "the primary has no free slot" in each attempt, and the service had no primary to the end of the run. The product is not at fault: no caller of it saw this.

Test: FindsAPrimaryAfterTheDemotedOneHasLeftAndItsAddressIsInUse, red before with LEADERLESS (seen with the simulation as it was), green now.

--- a/tests/traffic/traffic_simulation.cc
+++ b/tests/traffic/traffic_simulation.cc
@@ -631,8 +631,15 @@
         std::string_view(text).substr(row + 4,
                                       text.find("\r\n", row) - row - 4),
         status);
-  } else if (text.find("ERROR") != std::string::npos) {
-    ec = Error::kOverloaded;
+  } else if (const size_t error = text.find("ERROR ");
+             error != std::string::npos) {
+    const bool is_open = text.starts_with("READY");
+    EndpointMessage message;
+    platform::LineDialect::DecodeEndpoint(
+        std::string_view(text).substr(error, text.find("\r\n", error) - error),
+        message);
+    ec = is_open ? make_error_code(Error::kOverloaded)
+                 : platform::GetRefusedConnectionResult(message.error);
   } else {
     return;
   }
--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -722,6 +722,37 @@
   CheckGuaranteesAndService(run);
 }
 
+TEST(Traffic, FindsAPrimaryAfterTheDemotedOneHasLeftAndItsAddressIsInUse) {
+  // Guards against a service without a primary: the answer of the database that
+  // has taken the address was taken for one of the demoted primary, busy.
+  using std::chrono::milliseconds;
+  TrafficRun run(1);
+  bool is_demoted = false;
+  run.Run([&run, &is_demoted] {
+    TrafficSimulation& simulation = run.GetSimulation();
+    EventQueue& queue = simulation.GetQueue();
+    simulation.SetCommandObserver(
+        [&simulation, &queue, &is_demoted](EndpointCommandKind kind) {
+          if (kind != EndpointCommandKind::kDemote ||
+              std::exchange(is_demoted, true)) {
+            return;
+          }
+          queue.After(milliseconds(300), [&simulation] {
+            simulation.GetGroup().Leave(0);
+            simulation.SetDraining(0, false);
+          });
+          queue.After(milliseconds(600),
+                      [&simulation] { simulation.GetGroup().Join(0); });
+        });
+    queue.After(milliseconds(4000), [&simulation] {
+      simulation.GetGroup().SetReplicationCut(0, true);
+      simulation.SetDraining(0, true);
+    });
+  });
+  CHECK(is_demoted);
+  CheckGuaranteesAndService(run);
+}
+
 TEST(Traffic, KeepsGuaranteesWhenAllVmsAreKilled) {
   const uint64_t first = ReadNumber("MAGNOLIAREEL_SIM_FIRST_SEED", 1);
   const uint64_t seeds =
