Simulation: other VMs send a command to a primary that is not listed

A VM keeps the last entry of a former primary, and sends it commands at its last address for other VMs (FailoverControl::HandleForwardedCommand); for an endpoint that it does not know, it answers at once that nothing was sent. In the simulation nobody answered for an endpoint that was not listed, so that three of four VMs counted as silent, a stopped primary was never found to be stopped, and each demotion of it ran into its timeouts of 0.3 to 2 s.

--- a/tests/traffic/simulated_control.cc
+++ b/tests/traffic/simulated_control.cc
@@ -1,5 +1,6 @@
 #include "tests/traffic/simulated_control.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -78,23 +79,27 @@
 void SimulatedControl::ForwardCommand(const SocketAddress& to,
                                       const ForwardedCommand& command) {
   const VmId& vm = vms_[to.port - kFirstVmPort];
-  for (const EndpointEntry& it : simulation_.ListEndpoints()) {
-    if (it.id != command.endpoint) {
-      continue;
+  const std::optional<EndpointEntry> endpoint =
+      simulation_.FindReported(command.endpoint);
+  After(kPeerDelay, [this, vm, command, endpoint] {
+    const auto respond = [this, vm, id = command.id](
+                             ForwardedCommandResult result,
+                             const ReplicationStatus& status) {
+      const ForwardedCommandResponse response{id, vm, result, status};
+      After(kPeerDelay, [this, response] {
+        failover_.HandleForwardedCommandResponse(response);
+      });
+    };
+    if (!endpoint) {
+      respond(ForwardedCommandResult::kNotSent, {});
+      return;
     }
-    After(kPeerDelay, [this, vm, command, endpoint = it] {
-      peer_services_.Send(
-          endpoint, command.command, command.timeout,
-          [this, vm, id = command.id](std::error_code ec,
-                                      const ReplicationStatus& status) {
-            const ForwardedCommandResponse response{
-                id, vm, GetForwardedResult(ec), status};
-            After(kPeerDelay, [this, response] {
-              failover_.HandleForwardedCommandResponse(response);
-            });
-          });
-    });
-  }
+    peer_services_.Send(
+        *endpoint, command.command, command.timeout,
+        [respond](std::error_code ec, const ReplicationStatus& status) {
+          respond(GetForwardedResult(ec), status);
+        });
+  });
 }
 
 void SimulatedControl::QueryAnsweredCommit(
--- a/tests/traffic/simulated_control.h
+++ b/tests/traffic/simulated_control.h
@@ -100,7 +100,8 @@
   bool IsStoreConnected() const;
   bool IsListed(const EndpointId& endpoint) const;
   void ReadDirectory(const std::function<void(std::error_code)>& done);
-  /** Lets another VM, which reaches every member, send the command. */
+  /** Lets another VM, which reaches every member, send the command, also to one
+      that is not listed any more. */
   void ForwardCommand(const SocketAddress& to, const ForwardedCommand& command);
   void AnswerForwardedCommand(const SocketAddress&,
                               const ForwardedCommandResponse&) {}
--- a/tests/traffic/traffic_simulation.cc
+++ b/tests/traffic/traffic_simulation.cc
@@ -195,6 +195,12 @@
   return entries;
 }
 
+std::optional<EndpointEntry> TrafficSimulation::FindReported(
+    const EndpointId& id) const {
+  const auto it = reported_.find(id.value);
+  return it == reported_.end() ? std::nullopt : std::optional(it->second);
+}
+
 void TrafficSimulation::PublishPeriodically() {
   Publish();
   queue_.After(kDirectoryPeriod, [this] { PublishPeriodically(); });
--- a/tests/traffic/traffic_simulation.h
+++ b/tests/traffic/traffic_simulation.h
@@ -258,6 +258,9 @@
     return partitions_.contains({vm, member});
   }
   std::vector<EndpointEntry> ListEndpoints();
+  /** @returns the last entry of a member, also of one that has left; none if it
+               was never listed */
+  std::optional<EndpointEntry> FindReported(const EndpointId& id) const;
 
   EventQueue queue_;
   GroupOptions options_;
--- a/tests/traffic/traffic_test.cc
+++ b/tests/traffic/traffic_test.cc
@@ -728,16 +728,18 @@
   using std::chrono::milliseconds;
   TrafficRun run(1);
   bool is_demoted = false;
-  run.Run([&run, &is_demoted] {
+  TimePoint left_at;
+  run.Run([&run, &is_demoted, &left_at] {
     TrafficSimulation& simulation = run.GetSimulation();
     EventQueue& queue = simulation.GetQueue();
     simulation.SetCommandObserver(
-        [&simulation, &queue, &is_demoted](EndpointCommandKind kind) {
+        [&simulation, &queue, &is_demoted, &left_at](EndpointCommandKind kind) {
           if (kind != EndpointCommandKind::kDemote ||
               std::exchange(is_demoted, true)) {
             return;
           }
-          queue.After(milliseconds(300), [&simulation] {
+          queue.After(milliseconds(300), [&simulation, &queue, &left_at] {
+            left_at = queue.Now();
             simulation.GetGroup().Leave(0);
             simulation.SetDraining(0, false);
           });
@@ -750,6 +752,11 @@
     });
   });
   CHECK(is_demoted);
+  const std::vector<AppliedPromotion>& promotions =
+      run.GetSimulation().GetGroup().GetPromotions();
+  CHECK(!promotions.empty());
+  const int64_t delay_ms = (promotions.front().at - left_at).count() / 1000;
+  CHECK_TEXT(delay_ms > 0 && delay_ms < 3000, std::to_string(delay_ms).c_str());
   CheckGuaranteesAndService(run);
 }
 
