--- a/apps/node/peer_exchange.cc
+++ b/apps/node/peer_exchange.cc
@@ -185,21 +185,21 @@
   // A process without a configuration counts as one that has just started.
   Heartbeat introduction = heartbeat;
   introduction.config_version = 0;
-  const std::string first_bytes = EncodeHeartbeat(introduction);
-  const std::string bytes = EncodeHeartbeat(heartbeat);
-  std::vector<std::string> datagrams;
+  const std::string first = EncodeHeartbeat(introduction);
+  const std::string repeated = EncodeHeartbeat(heartbeat);
+  std::vector<std::string> departures;
   const std::vector<DepartureNotice> notices = callbacks_.list_departures();
   std::span<const DepartureNotice> rest = notices;
   while (!rest.empty()) {
     const size_t n = std::min(rest.size(), kMaxDepartureNotices);
-    datagrams.push_back(EncodeDepartureNotices(rest.first(n)));
+    departures.push_back(EncodeDepartureNotices(rest.first(n)));
     rest = rest.subspan(n);
   }
   for (const SocketAddress& it : targets) {
-    socket_.Send(
-        it, peers_.TakeIntroduction(it, loop_.Now()) ? first_bytes : bytes);
-    for (const std::string& departures : datagrams) {
-      socket_.Send(it, departures);
+    socket_.Send(it,
+                 peers_.TakeIntroduction(it, loop_.Now()) ? first : repeated);
+    for (const std::string& datagram : departures) {
+      socket_.Send(it, datagram);
     }
   }
 }
--- a/libs/core/core.h
+++ b/libs/core/core.h
@@ -9,9 +9,8 @@
 
     Topics: ids/ (identifiers, terms, log positions), errors/ (error codes,
     findings), outcomes/ (outcomes of a request), time/ (clocks), random/
-    (random sources), text/ (fields of
-    messages, parts of URLs), concurrency/ (control loop,
-    executors, snapshots).
+    (random sources), text/ (fields of messages, parts of URLs), concurrency/
+    (control loop, executors, snapshots).
 */
 #include "core/concurrency/control_loop.h"
 #include "core/concurrency/executor.h"
--- a/tests/traffic/prepared_statement_test.cc
+++ b/tests/traffic/prepared_statement_test.cc
@@ -2,7 +2,6 @@
 // caller prepared, set and sent, and what can never run is refused at once.
 
 #include <algorithm>
-#include <cstdlib>
 #include <map>
 #include <optional>
 #include <string>
@@ -10,7 +9,6 @@
 #include <utility>
 #include <vector>
 
-#include "telemetry/telemetry.h"
 #include "tests/traffic/random_sessions.h"
 #include "tests/traffic/scripted_node.h"
 #include "tests/traffic/traffic_simulation.h"
@@ -26,41 +24,10 @@
 // A statement that can never run ends well before this.
 constexpr Duration kAtOnce = milliseconds(100);
 
-/** Answers the first `count` texts that begin with a prefix, and lets the
-    database answer the others. */
-ScriptedNode::Script AnswerFirst(std::string_view prefix,
-                                 int count,
-                                 std::string answer,
-                                 std::optional<char> status = std::nullopt) {
-  return [prefix = std::string(prefix), count, answer = std::move(answer),
-          status](std::string_view text,
-                  char& state) mutable -> std::optional<std::string> {
-    if (!text.starts_with(prefix) || count-- <= 0) {
-      return std::nullopt;
-    }
-    state = status.value_or(state);
-    return answer;
-  };
-}
-
 bool Contains(const std::string& text, std::string_view part) {
   return text.find(part) != std::string::npos;
 }
 
-/** Discards log lines unless a trace is wanted. */
-void StartTestLog() {
-  static LogBuffer log_buffer(0);
-  if (std::getenv("MAGNOLIAREEL_SIM_TRACE") == nullptr) {
-    StartBufferedLog(log_buffer, "simulated");
-  } else {
-    StartLog();
-  }
-}
-
-void CheckAnswer(std::string_view expected, const std::string& answer) {
-  CHECK_TEXT(answer.starts_with(expected), answer.c_str());
-}
-
 /** Callers on several VMs, each with one session. */
 class SimulatedCallers {
  public:
@@ -124,10 +91,7 @@
 
 }  // namespace
 
-TEST_GROUP(PreparedStatement){void setup() override{StartTestLog();
-}  // namespace magnoliareel
-}
-;
+TEST_GROUP_BASE(PreparedStatement, ScriptedNodeGroup){};
 
 TEST(PreparedStatement, CallersWhoseShapesBeginAlikeRunTheirOwn) {
   // Guards against a name with the caller's text in it: "READ q12 READ fp"
@@ -454,10 +418,7 @@
   CHECK(refused > 16);
 }
 
-TEST_GROUP(SessionValue){void setup() override{StartTestLog();
-}
-}
-;
+TEST_GROUP_BASE(SessionValue, ScriptedNodeGroup){};
 
 TEST(SessionValue, AValueNeedsAField) {
   ScriptedNode node;
--- a/tests/traffic/review_findings_test.cc
+++ b/tests/traffic/refused_request_test.cc
@@ -2,14 +2,12 @@
 // must not be told as done, nor run for another caller.
 
 #include <chrono>
-#include <cstdlib>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
 
-#include "telemetry/telemetry.h"
 #include "tests/traffic/scripted_node.h"
 
 #include <CppUTest/TestHarness.h>
@@ -19,38 +17,9 @@
 
 using std::chrono::milliseconds;
 
-ScriptedNode::Script Refuse(std::string_view prefix,
-                            int count,
-                            std::string answer) {
-  return
-      [prefix = std::string(prefix), count, answer = std::move(answer)](
-          std::string_view text, char&) mutable -> std::optional<std::string> {
-        if (!text.starts_with(prefix) || count-- <= 0) {
-          return std::nullopt;
-        }
-        return answer;
-      };
-}
-
-void StartTestLog() {
-  static LogBuffer log_buffer(0);
-  if (std::getenv("MAGNOLIAREEL_SIM_TRACE") == nullptr) {
-    StartBufferedLog(log_buffer, "simulated");
-  } else {
-    StartLog();
-  }
-}
-
-void CheckAnswer(std::string_view expected, const std::string& answer) {
-  CHECK_TEXT(answer.starts_with(expected), answer.c_str());
-}
-
 }  // namespace
 
-TEST_GROUP(RefusedInPassing){void setup() override{StartTestLog();
-}  // namespace magnoliareel
-}
-;
+TEST_GROUP_BASE(RefusedInPassing, ScriptedNodeGroup){};
 
 TEST(RefusedInPassing, AWriteBehindARefusedRollbackIsNotToldAsDone) {
   // Guards against a write that is acknowledged inside the pool's own
@@ -59,7 +28,7 @@
   const uint64_t session = node.OpenCaller();
   CheckAnswer("COMPLETE proof", node.Ask(session, "READ warm-up"));
   node.Run(milliseconds(10));
-  node.SetScript(Refuse("ROLLBACK", 1, "ERROR BUSY db-0\r\n"));
+  node.SetScript(AnswerFirst("ROLLBACK", 1, "ERROR BUSY db-0\r\n"));
   const std::string answer = node.Ask(session, "WRITE item1 x");
   const ScriptedRun& run = node.GetRuns().back();
   CHECK_TEXT(!(answer.starts_with("COMPLETE") && run.in_transaction),
@@ -76,7 +45,7 @@
   node.Ask(first, "BEGIN");
   CheckAnswer("COMPLETE proof", node.Ask(first, "WRITE item1 x"));
   const uint64_t connection = node.GetRuns().back().connection;
-  node.SetScript(Refuse("ROLLBACK", 2, "ERROR BUSY db-0\r\n"));
+  node.SetScript(AnswerFirst("ROLLBACK", 2, "ERROR BUSY db-0\r\n"));
   node.Ask(first, "ROLLBACK");
   node.Run(milliseconds(20));
   const std::string answer = node.Ask(second, "WRITE item2 x");
@@ -92,7 +61,7 @@
   node.Ask(first, "SET tenant alpha");
   CheckAnswer("COMPLETE proof", node.Ask(first, "WRITE item1 x"));
   node.Run(milliseconds(10));
-  node.SetScript(Refuse("SET tenant beta", 100, "ERROR FAILED odd\r\n"));
+  node.SetScript(AnswerFirst("SET tenant beta", 100, "ERROR FAILED odd\r\n"));
   node.Ask(second, "SET tenant beta");
   const std::string answer = node.Ask(second, "WRITE item2 x");
   for (const ScriptedRun& it : node.GetRuns()) {
@@ -110,7 +79,7 @@
   node.Ask(first, "SET tenant alpha");
   CheckAnswer("COMPLETE proof", node.Ask(first, "WRITE item1 x"));
   node.Run(milliseconds(10));
-  node.SetScript(Refuse("RESET", 1, "ERROR BUSY db-0\r\n"));
+  node.SetScript(AnswerFirst("RESET", 1, "ERROR BUSY db-0\r\n"));
   const std::string answer = node.Ask(second, "WRITE item2 x");
   for (const ScriptedRun& it : node.GetRuns()) {
     CHECK_TEXT(
@@ -123,7 +92,7 @@
   ScriptedNode node;
   const uint64_t session = node.OpenCaller();
   CheckAnswer("COMPLETE proof", node.Ask(session, "READ warm-up"));
-  node.SetScript(Refuse("SET ", 10'000'000, "ERROR FAILED odd\r\n"));
+  node.SetScript(AnswerFirst("SET ", 10'000'000, "ERROR FAILED odd\r\n"));
   // As many as a session may hold.
   size_t count = 0;
   while (node.Ask(session, "SET v" + std::to_string(count) + " a b")
--- a/tests/traffic/scripted_node.cc
+++ b/tests/traffic/scripted_node.cc
@@ -1,6 +1,7 @@
 #include "tests/traffic/scripted_node.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 namespace magnoliareel {
@@ -267,4 +268,32 @@
   return std::string("COMPLETE proof-").append(request) + "\r\n";
 }
 
+ScriptedNode::Script AnswerFirst(std::string_view prefix,
+                                 int count,
+                                 std::string answer,
+                                 std::optional<char> status) {
+  return [prefix = std::string(prefix), count, answer = std::move(answer),
+          status](std::string_view text,
+                  char& state) mutable -> std::optional<std::string> {
+    if (!text.starts_with(prefix) || count-- <= 0) {
+      return std::nullopt;
+    }
+    state = status.value_or(state);
+    return answer;
+  };
+}
+
+void CheckAnswer(std::string_view expected, std::string_view answer) {
+  CHECK_TEXT(answer.starts_with(expected), std::string(answer).c_str());
+}
+
+void ScriptedNodeGroup::setup() {
+  static LogBuffer log_buffer(0);
+  if (std::getenv("MAGNOLIAREEL_SIM_TRACE") == nullptr) {
+    StartBufferedLog(log_buffer, "simulated");
+  } else {
+    StartLog();
+  }
+}
+
 }  // namespace magnoliareel
--- a/tests/traffic/scripted_node.h
+++ b/tests/traffic/scripted_node.h
@@ -14,6 +14,8 @@
 #include "platform/platform.h"
 #include "relay/relay.h"
 
+#include <CppUTest/TestHarness.h>
+
 namespace magnoliareel {
 
 /** A statement that the scripted database ran. */
@@ -132,6 +134,26 @@
   std::unique_ptr<Core> core_;
 };
 
+/** @param prefix  beginning of the texts
+    @param count   number of texts that are answered so; the database answers
+                   the others by the rules
+    @param answer  the lines before READY
+    @param status  state of the connection afterwards, as in READY, if it
+   changes
+    @returns       the script */
+ScriptedNode::Script AnswerFirst(std::string_view prefix,
+                                 int count,
+                                 std::string answer,
+                                 std::optional<char> status = std::nullopt);
+
+/** Checks that an answer begins with a text. */
+void CheckAnswer(std::string_view expected, std::string_view answer);
+
+/** A test group whose log lines are discarded unless a trace is wanted. */
+struct ScriptedNodeGroup : Utest {
+  void setup() override;
+};
+
 }  // namespace magnoliareel
 
 #endif  // MAGNOLIAREEL_TESTS_TRAFFIC_SCRIPTED_NODE_H_
