Soak: start nodes again also while nothing else happens

In the logs, the node had been told to stop, was told to start 1 s before it had stopped, and was started 9 s later, with the next line of the program: the wait of the script's loop did not end by its limit. Change: the program prints a line every 100 ms at which the script looks for nodes that have ended. Whether the limit or the state of the ended process was missed is not known.

--- a/tests/soak/action_output.h
+++ b/tests/soak/action_output.h
@@ -10,7 +10,8 @@
 /** Prints a line on standard output for scripts/run-soak, which carries out the
     actions on nodes and logs all lines with the time.
 
-    @param action  an action on a node, or "fault" and the name of a fault
+    @param action  an action on a node, "fault" and the name of a fault, or
+                   "supervise"
     @param index   number of the node, or index of the database
 */
 inline void PrintAction(std::string_view action, size_t index) {
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -20,6 +20,8 @@
 // Time for callers to finish their operations: twice the longest statement
 // timeout.
 constexpr Duration kFinishPeriod = std::chrono::seconds(2);
+// Within this time, a node that has ended is started again if it is to run.
+constexpr Duration kSupervisionInterval = std::chrono::milliseconds(100);
 constexpr int64_t kProxyCount = 4;
 // With faults of the membership or around orders a promotion takes 300 to
 // 1000 ms.
@@ -153,6 +155,7 @@
   for (size_t it = 0; it < static_cast<size_t>(settings_.nodes); ++it) {
     RequestNodeAction("start", it);
   }
+  RequestSupervision();
   for (const auto& it : callers_) {
     it->Start();
   }
@@ -160,6 +163,11 @@
   return {};
 }
 
+void SoakRun::RequestSupervision() {
+  PrintAction("supervise", 0);
+  RunLater(loop_, kSupervisionInterval, [this] { RequestSupervision(); });
+}
+
 void SoakRun::WaitForCallers() {
   const bool all =
       std::all_of(callers_.begin(), callers_.end(),
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -78,6 +78,8 @@
 
  private:
   LinkProxy& GetProxy(size_t member) { return *proxies_[member + 1]; }
+  /** Lets scripts/run-soak look for nodes that have ended, and repeats that. */
+  void RequestSupervision();
   void WaitForCallers();
   void ScheduleFaults();
   void InjectFault();
