Settings and directory: fields for teams, allowances and limits

The parts that follow need the platform's limits of memory and descriptors, the operators' tolerance when they count operations, and which features a deployment asks for. The types of teams have one owner, the directory. No behaviour changes.

--- a/libs/control/settings/node_settings.h
+++ b/libs/control/settings/node_settings.h
@@ -12,6 +12,9 @@
 
 namespace magnoliareel {
 
+/** Memory limit of a node whose settings name none. */
+inline constexpr uint64_t kDefaultMemoryLimitBytes = 256 * 1024 * 1024;
+
 /** Configuration that a node reads at its start. */
 struct NodeSettings {
   VmId vm;
@@ -42,6 +45,17 @@
   Duration endpoint_drain_period = std::chrono::seconds(7);
   /** Time from SIGTERM until the platform kills the process. */
   Duration stop_grace = std::chrono::seconds(6);
+  /** Memory that the process may use. */
+  uint64_t memory_limit_bytes = kDefaultMemoryLimitBytes;
+  /** File descriptors that the process may use; 0 if the platform names no
+      limit. */
+  uint32_t max_descriptors = 0;
+  /** How the operations of a team are counted. */
+  AllowanceWindow allowance_window;
+  /** Refuses and orders statements by team and by expected wait. */
+  bool has_admission_control = false;
+  /** Chooses endpoints for reads by measured cost. */
+  bool has_adaptive_placement = false;
 
   /** @param other  the site to compare with
       @returns       its distance from this VM's site
--- a/libs/core/ids/identifier.h
+++ b/libs/core/ids/identifier.h
@@ -30,6 +30,8 @@
 using SiteId = Identifier<struct SiteTag>;
 /** A caller: a crew, an analyst or a partner with a key of its own. */
 using CallerId = Identifier<struct CallerTag>;
+/** A team: callers that share keys, a limit of operations and connections. */
+using TeamId = Identifier<struct TeamTag>;
 /** An endpoint database. */
 using EndpointId = Identifier<struct EndpointTag>;
 /** A group of endpoint databases that replicate one log. */
--- a/libs/directory/directory.h
+++ b/libs/directory/directory.h
@@ -7,8 +7,8 @@
 
     Depends on core and settings.
 
-    Topics: model/ (routes, endpoints, their conditions and replication status,
-    and the immutable snapshot that the traffic threads read), routes/
+    Topics: model/ (routes, teams, endpoints, their conditions and replication
+   status, and the immutable snapshot that the traffic threads read), routes/
     (configuration in force), endpoints/ (registration, removal and expiry of
     endpoints).
 */
@@ -19,6 +19,7 @@
 #include "directory/model/fleet_view.h"
 #include "directory/model/replication_status.h"
 #include "directory/model/route_table.h"
+#include "directory/model/team_table.h"
 #include "directory/routes/active_route_table.h"
 
 #endif  // MAGNOLIAREEL_DIRECTORY_DIRECTORY_H_
--- a/libs/directory/model/route_table.h
+++ b/libs/directory/model/route_table.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "core/core.h"
+#include "directory/model/team_table.h"
 
 namespace magnoliareel {
 
@@ -52,6 +53,9 @@
   Duration max_staleness{};
   /** Scheduling priority; 0 is the highest. */
   int priority = 0;
+  /** Callers need no key. Has no effect while the configuration names no
+      teams. */
+  bool is_public = false;
 
   bool operator==(const DatabaseRoute&) const = default;
 };
@@ -75,6 +79,9 @@
   std::map<std::string, std::shared_ptr<const DatabaseRoute>, std::less<>>
       routes;
   std::map<ServiceId, ServiceRules> services;
+  /** Teams and their keys; null if the configuration names none, and any caller
+      may open any route. */
+  std::shared_ptr<const TeamTable> teams;
   /** A transaction that is idle for longer may be rolled back; 0 means no
       limit. */
   Duration transaction_idle_limit{};
