Teams: callers are known by keys, endpoints are told the team

Callers' names were logged and ignored, and every connection to an endpoint had the VM's name. Where the configuration has teams, a session needs a key that a team holds, unless the route is public; a connection to an endpoint belongs to one team; holders are chosen by team, and statements of teams without a connection do not hold up others. Keys are kept and passed on as digests. Compiled, not yet tested.

--- a/apps/node/traffic_thread.cc
+++ b/apps/node/traffic_thread.cc
@@ -241,6 +241,12 @@
                "Executions whose name the endpoint did not know, since the "
                "start.",
                {}, static_cast<double>(counters.unknown_names));
+    gauges.Add("callers_unauthorized",
+               "Sessions refused or ended because no team has their key.", {},
+               static_cast<double>(counters.callers_unauthorized));
+    gauges.Add("connections_evicted",
+               "Idle connections closed for another team, since the start.", {},
+               static_cast<double>(counters.connections_evicted));
     const PreparedTotals prepared = core_.CountPrepared();
     gauges.Add("prepared_names",
                "Names of prepared statements on connections of this VM.", {},
--- a/libs/control/fleet/fleet_control.h
+++ b/libs/control/fleet/fleet_control.h
@@ -30,6 +30,7 @@
   { C::GetConfigKey() } -> std::convertible_to<std::string_view>;
   { C::GetEndpointTable() } -> std::convertible_to<std::string_view>;
   C::ParseRoutes(text, routes, findings);
+  { C::HideKeys(text) } -> std::same_as<std::string>;
   C::ParseEndpoint(text, text, entry, findings);
 };
 
@@ -99,7 +100,8 @@
   }
   /** @returns the endpoints in use */
   const EndpointRegistry& GetEndpoints() const { return endpoints_; }
-  /** @returns the row of the configuration in force, for peers */
+  /** @returns the row of the configuration in force, for peers; without keys of
+               callers */
   const StoredRow& GetConfigRow() const { return config_row_; }
   /** @returns the rows of the directory by key, for peers */
   const std::map<std::string, StoredRow>& GetEndpointRows() const {
@@ -254,6 +256,7 @@
       return;
     }
     config_row_ = row;
+    config_row_.value = C::HideKeys(row.value);
     LogEvent(Event::kConfigInForce, {{"version", std::to_string(version)},
                                      {"routes", std::to_string(n)},
                                      {"source", std::string(source)},
--- a/libs/control/tests/fleet_control_test.cc
+++ b/libs/control/tests/fleet_control_test.cc
@@ -26,6 +26,9 @@
   static void ParseRoutes(std::string_view value, RouteTable& out, Findings&) {
     out.version = std::stoull(std::string(value));
   }
+  static std::string HideKeys(std::string_view value) {
+    return std::string(value);
+  }
   static void ParseEndpoint(std::string_view id,
                             std::string_view value,
                             EndpointEntry& out,
--- a/libs/directory/model/team_table.h
+++ b/libs/directory/model/team_table.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -13,6 +14,10 @@
 
 namespace magnoliareel {
 
+/** Longest name of a team, in bytes: messages between VMs hold it beside a
+   whole message of a caller. */
+inline constexpr size_t kMaxTeamNameBytes = 256;
+
 /** Digest of a caller's key. Keys themselves are not kept, so that they appear
     in no log and in no message between VMs. */
 struct KeyDigest {
--- a/libs/forwarding/frames/forwarding_codec.h
+++ b/libs/forwarding/frames/forwarding_codec.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "directory/directory.h"
 #include "relay/messages/forwarded_message.h"
 #include "relay/messages/forwarding_dialect.h"
 
@@ -18,7 +19,7 @@
 
 /** Bytes by which a forwarded statement is longer than the caller's message, at
     most: the header, and the pool's name of a prepared statement. */
-inline constexpr size_t kMaxForwardingOverheadBytes = 128;
+inline constexpr size_t kMaxForwardingOverheadBytes = 128 + kMaxTeamNameBytes;
 
 /** Appends the fields that precede a forwarded statement, each followed by a
     blank.
@@ -49,6 +50,9 @@
 struct ForwardingCodec : D {
   static constexpr Word kOpen = "OPEN";
   static constexpr Word kRun = "RUN";
+  /** A statement with its team in front of the other fields. VMs of versions
+      without teams refuse it. */
+  static constexpr Word kRunForTeam = "RUNFOR";
   static constexpr Word kPing = "PING";
   static constexpr Word kPong = "PONG";
 
@@ -66,8 +70,15 @@
       out.endpoint = rest;
       return IsWord(out.service) && IsWord(out.endpoint);
     }
-    if (word == kRun.GetText()) {
+    if (word == kRun.GetText() || word == kRunForTeam.GetText()) {
       out.kind = ForwardedMessageKind::kStatement;
+      out.header.team = {};
+      if (word == kRunForTeam.GetText()) {
+        out.header.team = TakeField(rest);
+        if (!IsWord(out.header.team)) {
+          return false;
+        }
+      }
       return TakeForwardingFields(rest, out.header) &&
              D::DecodePeer(rest, out.message) &&
              out.message.kind == CallerRequestKind::kStatement;
@@ -86,7 +97,11 @@
   /** @see ForwardingDialect */
   static void AppendForwardingHeader(std::string& out,
                                      const ForwardingHeader& header) {
-    AppendFields(out, {kRun});
+    if (header.team.empty()) {
+      AppendFields(out, {kRun});
+    } else {
+      AppendFields(out, {kRunForTeam, Word(header.team)});
+    }
     out.push_back(' ');
     AppendForwardingFields(out, header);
   }
--- a/libs/relay/connections/pooled_connection.h
+++ b/libs/relay/connections/pooled_connection.h
@@ -74,6 +74,9 @@
   EndpointId endpoint;
   /** VM that forwards to the endpoint; empty if the connection is direct. */
   VmId holder;
+  /** Team under whose name a direct connection was opened; empty if it has the
+      name of this VM. It runs statements of this team only. */
+  TeamId team;
   ConnectionState state = ConnectionState::kOpening;
   /** As of the latest reply. */
   TransactionStatus status = TransactionStatus::kIdle;
--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -17,6 +17,7 @@
 #include "directory/directory.h"
 #include "relay/connections/endpoint_pool.h"
 #include "relay/connections/pooled_connection.h"
+#include "relay/connections/team_rank.h"
 #include "relay/core/hedge_budget.h"
 #include "relay/core/log_rate_limiter.h"
 #include "relay/core/service_state.h"
@@ -174,7 +175,8 @@
   void RetryForwarded(CallerSession& session,
                       StatementError error,
                       Duration delay);
-  const EndpointHolder* ChooseHolder(const EndpointPool& pool) const;
+  const EndpointHolder* ChooseHolder(const EndpointPool& pool,
+                                     const TeamId& team) const;
   bool IsHolderBackedOff(const VmId& vm) const;
   void RecordHolderActivity(const VmId& vm);
   void RecordHolderFailure(const VmId& vm, std::string_view reason);
@@ -213,6 +215,19 @@
   void HandleDeallocate(CallerSession& session, std::string_view name);
   void SubmitStatement(CallerSession& session, const CallerMessage& message);
   bool RefreshRoute(CallerSession& session);
+  /** Finds the team that has the session's key now.
+
+      @returns false if the caller may not use the session's route; the session
+               has ended then
+  */
+  bool RefreshTeam(CallerSession& session);
+  /** @returns whether the session's key is valid, or none is needed */
+  bool IsAuthorized(const CallerSession& session) const;
+  /** Refuses the statement in progress, if any, and ends the session. */
+  void EndUnauthorized(CallerSession& session);
+  /** Ends the sessions whose keys the configuration in force does not hold, and
+      which wait for an endpoint. */
+  void EndWaitingUnauthorized();
   bool ParseStatement(CallerSession& session,
                       const CallerMessage& message,
                       ActiveStatement& out);
@@ -238,9 +253,26 @@
   void ScheduleRetry(CallerSession& session, Duration delay);
   void RemoveFromQueues(CallerSession& session);
   void StartQueued(EndpointPool& pool);
+  /** @returns whether a connection that a team would use again is to be closed
+               for a team that has none */
+  bool IsOwedToOtherTeam(EndpointPool& pool,
+                         const PooledConnection& connection);
+  size_t CountTeamConnections(const EndpointPool& pool, const TeamId& team);
+  /** Closes the connection that has been idle longest and that a statement
+      cannot use.
+
+      @param holder  the holder that the statement needs, or null
+      @param team    the team for which a direct connection is opened
+      @returns       false if there is none
+  */
+  bool CloseForOpening(EndpointPool& pool,
+                       const EndpointHolder* holder,
+                       const TeamId& team);
   void DispatchQueueAgain(EndpointPool& pool);
   void OpenConnections(EndpointPool& pool);
-  void OpenConnection(EndpointPool& pool, const EndpointHolder* holder);
+  void OpenConnection(EndpointPool& pool,
+                      const EndpointHolder* holder,
+                      const TeamId& team);
   void HandleConnectTimeout(const PooledConnection& connection);
   PooledConnection* PickIdleConnection(EndpointPool& pool,
                                        const CallerSession& session);
@@ -443,6 +475,7 @@
 #include "relay/core/traffic_core_sessions.h"         // IWYU pragma: export
 #include "relay/core/traffic_core_slow_statements.h"  // IWYU pragma: export
 #include "relay/core/traffic_core_statements.h"       // IWYU pragma: export
+#include "relay/core/traffic_core_teams.h"            // IWYU pragma: export
 #include "relay/core/traffic_core_timers.h"           // IWYU pragma: export
 
 #endif  // MAGNOLIAREEL_RELAY_CORE_TRAFFIC_CORE_H_
--- a/libs/relay/core/traffic_core_bounds.h
+++ b/libs/relay/core/traffic_core_bounds.h
@@ -63,7 +63,7 @@
       pool->CanOpenConnection(n + 1, now)) {
     service.primary_bound_requested_at = now;
     pool->RecordUse(now);
-    OpenConnection(*pool, nullptr);
+    OpenConnection(*pool, nullptr, TeamId{});
   }
 }
 
--- a/libs/relay/core/traffic_core_connections.h
+++ b/libs/relay/core/traffic_core_connections.h
@@ -332,8 +332,10 @@
     ExpectReply(*connection, EndpointRequestKind::kOpen);
     return;
   }
-  D::AppendOpen(net_.GetEndpointBuffer(id), pool->entry.service.value,
-                options_.vm, pool->entry.id.value);
+  D::AppendOpen(
+      net_.GetEndpointBuffer(id), pool->entry.service.value,
+      connection->team.IsEmpty() ? options_.vm : connection->team.value,
+      pool->entry.id.value);
   ExpectReply(*connection, EndpointRequestKind::kOpen);
 }
 
--- a/libs/relay/core/traffic_core_control.h
+++ b/libs/relay/core/traffic_core_control.h
@@ -101,6 +101,7 @@
   }
   if (new_routes) {
     RenewUnusedTransactions();
+    EndWaitingUnauthorized();
   }
   if (view_->routes->version == 0) {
     return;
--- a/libs/relay/core/traffic_core_dispatch.h
+++ b/libs/relay/core/traffic_core_dispatch.h
@@ -5,9 +5,12 @@
 // traffic_core.h.
 
 #include <algorithm>
+#include <cstddef>
+#include <deque>
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "relay/core/traffic_core.h"
 #include "relay/core/traffic_limits.h"
@@ -120,56 +123,165 @@
 
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::StartQueued(EndpointPool& pool) {
-  while (!pool.queue.empty() && pool.running < pool.GetConcurrencyLimit()) {
-    const QueuedStatement next = pool.queue.front();
+  // A statement whose team has no connection does not hold up those behind it.
+  size_t skipped = 0;
+  while (skipped < std::min(pool.queue.size(), kMaxSkippedStatements) &&
+         pool.running < pool.GetConcurrencyLimit()) {
+    const auto at = pool.queue.begin() + static_cast<std::ptrdiff_t>(skipped);
+    const QueuedStatement next = *at;
     if (!IsInProgress(next.session, next.statement_id)) {
-      pool.queue.pop_front();
+      pool.queue.erase(at);
       continue;
     }
     CallerSession& session = *FindSession(next.session);
     PooledConnection* connection = PickIdleConnection(pool, session);
+    if (connection == nullptr && session.team.IsEmpty()) {
+      break;
+    }
     if (connection == nullptr) {
-      OpenConnections(pool);
-      return;
+      ++skipped;
+      continue;
+    }
+    if (IsOwedToOtherTeam(pool, *connection)) {
+      ++counters_.connections_evicted;
+      CloseEndpointConnection(connection->id);
+      break;
     }
-    pool.queue.pop_front();
+    pool.queue.erase(at);
     session.statement.queued_endpoint = {};
     StartStatement(*connection, session);
   }
+  if (!pool.queue.empty() && pool.running < pool.GetConcurrencyLimit()) {
+    OpenConnections(pool);
+  }
+}
+
+template <ForwardingDialect D, class N>
+size_t TrafficCore<D, N>::CountTeamConnections(const EndpointPool& pool,
+                                               const TeamId& team) {
+  return static_cast<size_t>(std::count_if(
+      pool.connections.begin(), pool.connections.end(), [&](uint64_t it) {
+        const PooledConnection* connection = FindConnection(it);
+        return connection != nullptr && !connection->IsForwarded() &&
+               connection->team == team;
+      }));
+}
+
+template <ForwardingDialect D, class N>
+bool TrafficCore<D, N>::IsOwedToOtherTeam(EndpointPool& pool,
+                                          const PooledConnection& connection) {
+  // One busy team would otherwise keep all connections.
+  if (connection.IsForwarded() || connection.team.IsEmpty() ||
+      pool.connections.size() < GetMaxConnections(pool) ||
+      CountTeamConnections(pool, connection.team) < pool.connections.size()) {
+    return false;
+  }
+  return std::any_of(
+      pool.queue.begin(), pool.queue.end(), [&](const QueuedStatement& it) {
+        const CallerSession* session = FindSession(it.session);
+        return session != nullptr && session->team != connection.team;
+      });
+}
+
+template <ForwardingDialect D, class N>
+bool TrafficCore<D, N>::CloseForOpening(EndpointPool& pool,
+                                        const EndpointHolder* holder,
+                                        const TeamId& team) {
+  const VmId needed_holder = holder == nullptr ? VmId{} : holder->vm;
+  const bool has_connection =
+      holder == nullptr && CountTeamConnections(pool, team) > 0;
+  const PooledConnection* oldest = nullptr;
+  for (const uint64_t it : pool.connections) {
+    const PooledConnection* connection = FindConnection(it);
+    if (connection == nullptr || connection->state != ConnectionState::kIdle ||
+        (connection->holder == needed_holder &&
+         (holder != nullptr || connection->team == team))) {
+      continue;
+    }
+    if (oldest == nullptr || connection->last_used_at < oldest->last_used_at) {
+      oldest = connection;
+    }
+  }
+  if (oldest == nullptr ||
+      (has_connection &&
+       net_.Now() - oldest->last_used_at < kMinIdleBeforeEviction)) {
+    return false;
+  }
+  ++counters_.connections_evicted;
+  CloseEndpointConnection(oldest->id);
+  return true;
 }
 
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::OpenConnections(EndpointPool& pool) {
   const TimePoint now = net_.Now();
-  size_t opening = 0;
+  std::vector<const PooledConnection*> opening;
   for (const uint64_t it : pool.connections) {
     const PooledConnection* connection = FindConnection(it);
     if (connection != nullptr &&
         connection->state == ConnectionState::kOpening) {
-      ++opening;
+      opening.push_back(connection);
     }
   }
+  size_t opening_count = opening.size();
   const uint32_t share = GetMaxConnections(pool);
-  while (opening < std::min(pool.queue.size(), kMaxOpeningConnections) &&
-         pool.CanOpenConnection(share, now)) {
-    const EndpointHolder* holder = ChooseHolder(pool);
-    if (holder == nullptr && pool.IsForwarding() &&
-        CountDirectConnections(pool) >= kMaxScarceConnections) {
-      return;
+  const bool has_teams = view_->routes->teams != nullptr;
+  // Teams without a connection come first.
+  for (const bool for_new_teams : {true, false}) {
+    if (for_new_teams && !has_teams) {
+      continue;
+    }
+    for (const QueuedStatement& it : pool.queue) {
+      if (opening_count >= kMaxOpeningConnections) {
+        return;
+      }
+      const CallerSession* session = FindSession(it.session);
+      const TeamId team = session == nullptr ? TeamId{} : session->team;
+      const EndpointHolder* holder = ChooseHolder(pool, team);
+      const TeamId owner = holder == nullptr ? team : TeamId{};
+      const bool is_new = has_teams && holder == nullptr &&
+                          CountTeamConnections(pool, team) == 0;
+      if (is_new != for_new_teams) {
+        continue;
+      }
+      const auto served = std::find_if(
+          opening.begin(), opening.end(), [&](const PooledConnection* found) {
+            return !has_teams ||
+                   (found->team == owner &&
+                    found->holder == (holder == nullptr ? VmId{} : holder->vm));
+          });
+      if (served != opening.end()) {
+        opening.erase(served);
+        continue;
+      }
+      if (holder == nullptr && pool.IsForwarding() &&
+          CountDirectConnections(pool) >= kMaxScarceConnections &&
+          !(has_teams && CloseForOpening(pool, holder, owner))) {
+        return;
+      }
+      if (has_teams && pool.connections.size() >= share &&
+          pool.CanOpenConnection(share + 1, now)) {
+        CloseForOpening(pool, holder, owner);
+      }
+      if (!pool.CanOpenConnection(share, now)) {
+        return;
+      }
+      OpenConnection(pool, holder, owner);
+      ++opening_count;
     }
-    OpenConnection(pool, holder);
-    ++opening;
   }
 }
 
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::OpenConnection(EndpointPool& pool,
-                                       const EndpointHolder* holder) {
+                                       const EndpointHolder* holder,
+                                       const TeamId& team) {
   const TimePoint now = net_.Now();
   const uint64_t id = next_id_++;
   PooledConnection& connection = connections_[id];
   connection.id = id;
   connection.endpoint = pool.entry.id;
+  connection.team = team;
   connection.last_used_at = now;
   pool.connections.push_back(id);
   ScheduleTimer({now + kConnectTimeout, TimerKind::kConnectTimeout, id, 0, {}});
@@ -186,6 +298,8 @@
 PooledConnection* TrafficCore<D, N>::PickIdleConnection(
     EndpointPool& pool,
     const CallerSession& session) {
+  const EndpointHolder* holder =
+      session.team.IsEmpty() ? nullptr : ChooseHolder(pool, session.team);
   PooledConnection* best = nullptr;
   for (const uint64_t it : pool.connections) {
     PooledConnection* connection = FindConnection(it);
@@ -193,6 +307,13 @@
         (connection->IsForwarded() && IsHolderBackedOff(connection->holder))) {
       continue;
     }
+    if (!connection->IsForwarded() && connection->team != session.team) {
+      continue;
+    }
+    if (connection->IsForwarded() && holder != nullptr &&
+        connection->holder != holder->vm) {
+      continue;
+    }
     // A connection on which the session's values are set needs no preparation.
     if (connection->values == session.values) {
       return connection;
--- a/libs/relay/core/traffic_core_forwarding.h
+++ b/libs/relay/core/traffic_core_forwarding.h
@@ -104,6 +104,9 @@
   if (!ParseStatement(session, message, statement)) {
     return;
   }
+  if (!in_transaction) {
+    session.team.value = header.team;
+  }
   if (header.requirement == EndpointRequirement::kReadWriteTransaction ||
       header.requirement == EndpointRequirement::kReadTransaction) {
     session.transaction = TransactionPhase::kDeferred;
@@ -185,14 +188,34 @@
 
 template <ForwardingDialect D, class N>
 const EndpointHolder* TrafficCore<D, N>::ChooseHolder(
-    const EndpointPool& pool) const {
+    const EndpointPool& pool,
+    const TeamId& team) const {
   if (!pool.IsForwarding()) {
     return nullptr;
   }
-  const auto it = std::find_if(
-      pool.holders->peers.begin(), pool.holders->peers.end(),
-      [this](const EndpointHolder& it) { return !IsHolderBackedOff(it.vm); });
-  return it == pool.holders->peers.end() ? nullptr : &*it;
+  const std::vector<EndpointHolder>& peers = pool.holders->peers;
+  const auto answers = [this](const EndpointHolder& it) {
+    return !IsHolderBackedOff(it.vm);
+  };
+  if (!team.IsEmpty()) {
+    // All VMs choose the same holder for a team, whose connections are found
+    // again there.
+    const EndpointHolder* best = nullptr;
+    uint64_t best_rank = 0;
+    const size_t n = std::min<size_t>(peers.size(), kHoldersPerEndpoint);
+    for (size_t it = 0; it < n; ++it) {
+      const uint64_t rank = RankForTeam(team, pool.entry.id, peers[it].vm);
+      if (answers(peers[it]) && (best == nullptr || rank > best_rank)) {
+        best = &peers[it];
+        best_rank = rank;
+      }
+    }
+    if (best != nullptr) {
+      return best;
+    }
+  }
+  const auto it = std::find_if(peers.begin(), peers.end(), answers);
+  return it == peers.end() ? nullptr : &*it;
 }
 
 template <ForwardingDialect D, class N>
@@ -248,6 +271,7 @@
   header.priority = statement.priority;
   header.time_left = statement.deadline - net_.Now();
   header.config_version = statement.config_version;
+  header.team = session.team.value;
   D::AppendForwardingHeader(net_.GetEndpointBuffer(connection.id), header);
   ++counters_.forwarded;
 }
--- a/libs/relay/core/traffic_core_pool_sizes.h
+++ b/libs/relay/core/traffic_core_pool_sizes.h
@@ -63,14 +63,15 @@
 template <ForwardingDialect D, class N>
 uint32_t TrafficCore<D, N>::GetConnectionShare(const EndpointPool& pool) const {
   const double connections_per_vm = GetConnectionsPerVm(pool);
+  const bool has_teams = view_->routes->teams != nullptr;
   if (pool.IsHeldHere()) {
-    return std::clamp(
-        static_cast<uint32_t>(connections_per_vm * view_->live_vms /
-                              (2 * kHoldersPerEndpoint)),
-        1U, kMaxHolderConnections);
+    const double all = connections_per_vm * view_->live_vms;
+    const double used = has_teams ? kTeamConnectionsFraction * all : all / 2;
+    return std::clamp(static_cast<uint32_t>(used / kHoldersPerEndpoint), 1U,
+                      kMaxHolderConnections);
   }
   if (pool.IsForwarding()) {
-    return kMaxIdleForwardedSessions;
+    return has_teams ? kHoldersPerEndpoint : kMaxIdleForwardedSessions;
   }
   return std::clamp(static_cast<uint32_t>(connections_per_vm), 1U,
                     kMaxConnectionsPerEndpoint);
@@ -89,6 +90,9 @@
 template <ForwardingDialect D, class N>
 Duration TrafficCore<D, N>::GetIdleTimeout(const EndpointPool& pool) const {
   const double connections_per_vm = GetConnectionsPerVm(pool);
+  if (view_->routes->teams != nullptr && pool.IsHeldHere()) {
+    return kIdleTeamConnectionTimeout;
+  }
   return connections_per_vm < 1 && !pool.IsHeldHere()
              ? std::min(pool.GetScaledIdleTimeout(connections_per_vm),
                         kIdleConnectionTimeout)
--- a/libs/relay/core/traffic_core_sessions.h
+++ b/libs/relay/core/traffic_core_sessions.h
@@ -93,12 +93,16 @@
                "the session is open already");
     return;
   }
-  session.caller = message.caller;
+  session.key = DigestKey(message.caller);
   session.database = message.database;
   if (view_->routes->version == 0) {
+    // The name may turn out to be a key, so it is not kept.
     sessions_awaiting_config_.push_back(session.id);
     return;
   }
+  if (view_->routes->teams == nullptr) {
+    session.caller = message.caller;
+  }
   AcceptSession(session);
 }
 
@@ -116,7 +120,7 @@
 bool TrafficCore<D, N>::RefreshRoute(CallerSession& session) {
   session.route = view_->routes->Find(session.database);
   if (session.route != nullptr) {
-    return true;
+    return RefreshTeam(session);
   }
   LogEvent(Event::kDatabaseUnknown,
            {{"database", session.database},
@@ -134,6 +138,11 @@
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::HandleStatement(CallerSession& session,
                                         const CallerMessage& message) {
+  if (!IsAuthorized(session)) {
+    // Closing the session rolls its transaction back.
+    EndUnauthorized(session);
+    return;
+  }
   const ParsedStatement& parsed = message.statement;
   const bool ends = parsed.kind == StatementKind::kCommit ||
                     parsed.kind == StatementKind::kRollback;
--- a/libs/relay/core/traffic_core_statements.h
+++ b/libs/relay/core/traffic_core_statements.h
@@ -35,6 +35,11 @@
       !RefreshRoute(session)) {
     return;
   }
+  // Nothing of a deferred transaction has run under the former team.
+  if (session.transaction == TransactionPhase::kDeferred &&
+      !RefreshTeam(session)) {
+    return;
+  }
   if (statement.writes && session.transaction_reads_only &&
       session.transaction != TransactionPhase::kNone) {
     ReplyError(session, StatementError::kNotPrimary,
--- a/libs/relay/core/traffic_limits.h
+++ b/libs/relay/core/traffic_limits.h
@@ -59,6 +59,20 @@
     for the VMs that restart. */
 inline constexpr Duration kIdleConnectionTimeout =
     std::chrono::milliseconds(1500);
+/** The same where connections belong to teams: most teams come back within this
+    time, and a new connection occupies a slot. An idle one is closed earlier if
+    another team needs its place. */
+inline constexpr Duration kIdleTeamConnectionTimeout = std::chrono::seconds(10);
+/** A team that has a connection takes the place of another team's idle one only
+    if that was not used for this long: the time of a few statements. */
+inline constexpr Duration kMinIdleBeforeEviction =
+    std::chrono::milliseconds(100);
+/** Part of an endpoint's connections that holders use for teams. The rest is
+    for VMs that restart, whose old connections the endpoint keeps for 3 s. */
+inline constexpr double kTeamConnectionsFraction = 0.75;
+/** Maximum number of queued statements without a connection that are passed
+    over, which bounds the time of a decision. */
+inline constexpr size_t kMaxSkippedStatements = 64;
 /** Maximum connections to an endpoint while VMs outnumber its connections. The
     second one serves statements while the first one is reserved by a
     transaction, and is closed when idle. */
--- a/libs/relay/core/traffic_options.h
+++ b/libs/relay/core/traffic_options.h
@@ -62,6 +62,11 @@
   /** Executions that an endpoint refused because it did not know a name that it
       had prepared. */
   uint64_t unknown_names = 0;
+  /** Sessions that were refused or ended because no team has their key. */
+  uint64_t callers_unauthorized = 0;
+  /** Idle connections that were closed so that one could be opened for another
+      team. */
+  uint64_t connections_evicted = 0;
 };
 
 }  // namespace magnoliareel
--- a/libs/relay/messages/forwarded_message.h
+++ b/libs/relay/messages/forwarded_message.h
@@ -23,6 +23,8 @@
   Duration time_left{};
   /** Configuration version under which the statement was accepted. */
   uint64_t config_version = 0;
+  /** The caller's team; empty if it has none. */
+  std::string_view team;
 };
 
 /** Kind of a message from one VM to another. */
--- a/libs/relay/relay.h
+++ b/libs/relay/relay.h
@@ -18,6 +18,7 @@
 #include "relay/connections/endpoint_pool.h"
 #include "relay/connections/pooled_connection.h"
 #include "relay/connections/prepared_names.h"
+#include "relay/connections/team_rank.h"
 #include "relay/core/traffic_core.h"
 #include "relay/freshness/freshness_bound.h"
 #include "relay/freshness/freshness_bound_history.h"
--- a/libs/relay/sessions/caller_session.h
+++ b/libs/relay/sessions/caller_session.h
@@ -120,8 +120,14 @@
   uint64_t id = 0;
   bool opened = false;
   bool closing = false;
+  /** Name that the caller gave, for logs; empty while it is not known whether
+      it is a key, or if it is one. */
   std::string caller;
   std::string database;
+  /** Digest of that name, which is a key where the configuration has teams. */
+  KeyDigest key;
+  /** The caller's team; empty without teams, and for callers without a key. */
+  TeamId team;
   /** True if another VM forwards statements in it. */
   bool is_forwarded = false;
   /** Endpoint to which that VM forwards them; empty before it was named. */
--- a/libs/telemetry/events/event.cc
+++ b/libs/telemetry/events/event.cc
@@ -62,6 +62,10 @@
      "A caller sent an invalid protocol message. caller, reason"},
     {kDatabaseUnknown, kWarning, "caller.database_unknown",
      "A caller named a database that has no route. database, caller, config"},
+    {kCallerUnauthorized, kWarning, "caller.unauthorized",
+     "A caller was refused, or its session was ended, because no team has its "
+     "key in the configuration in force. database, team (that had the key "
+     "before, if any), config"},
     {kStatementServed, kInfo, "statement.served",
      "A statement succeeded; logged for a sample and for every statement that "
      "needed more than one attempt. request, database, need, endpoint, "
--- a/libs/telemetry/events/event.h
+++ b/libs/telemetry/events/event.h
@@ -35,6 +35,7 @@
   kBadKeyRefused = 4002,
   kCallerRejected = 5001,
   kDatabaseUnknown = 5002,
+  kCallerUnauthorized = 5003,
   kStatementServed = 5101,
   kStatementRefused = 5102,
   kStatementUnknown = 5103,
