--- a/tests/traffic/scripted_node.cc
+++ b/tests/traffic/scripted_node.cc
@@ -54,14 +54,31 @@
     entry.slots = 4;
     entry.claims_primary = n == 0;
   }
-  core_->Apply(std::move(view));
+  view_ = std::move(view);
+  core_->Apply(view_);
 }
 
-uint64_t ScriptedNode::OpenCaller(std::string_view database) {
+void ScriptedNode::ApplyTeams(std::shared_ptr<const TeamTable> teams,
+                              uint32_t max_connections) {
+  auto routes = std::make_shared<RouteTable>(*view_->routes);
+  ++routes->version;
+  routes->teams = std::move(teams);
+  for (auto& [id, rules] : routes->services) {
+    rules.max_connections = max_connections;
+  }
+  auto view = std::make_shared<FleetView>(*view_);
+  view->routes = std::move(routes);
+  view_ = std::move(view);
+  core_->Apply(view_);
+}
+
+uint64_t ScriptedNode::OpenCaller(std::string_view database,
+                                  std::string_view name) {
   const uint64_t session = next_session_++;
   core_->OpenSession(session);
   core_->HandleCallerFrame(
-      session, std::string("STARTUP ").append(database) + " caller");
+      session,
+      std::string("STARTUP ").append(database).append(" ").append(name));
   Run(kStep);
   return session;
 }
@@ -177,7 +194,12 @@
   longest_line_ = std::max(longest_line_, line.size());
   std::string_view text = line;
   std::string body;
-  if (TakeField(text) == "QUERY") {
+  const std::string_view word = TakeField(text);
+  if (word == "STARTUP") {
+    TakeField(text);
+    it->second.opened_by = TakeField(text);
+  }
+  if (word == "QUERY") {
     const std::string_view request = TakeField(text);
     if (text.starts_with("AFTER ")) {
       TakeField(text);
@@ -251,6 +273,7 @@
   run.at_primary = connection.is_primary;
   run.request = request;
   run.text = text;
+  run.opened_by = connection.opened_by;
   run.values = connection.values;
   run.in_transaction = connection.status == 'T';
   if (verb == "EXECUTE") {
--- a/tests/traffic/scripted_node.h
+++ b/tests/traffic/scripted_node.h
@@ -1,6 +1,7 @@
 #ifndef MAGNOLIAREEL_TESTS_TRAFFIC_SCRIPTED_NODE_H_
 #define MAGNOLIAREEL_TESTS_TRAFFIC_SCRIPTED_NODE_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -27,6 +28,8 @@
   std::string text;
   /** Kind and shape of the prepared statement, if it was an execution. */
   std::string shape;
+  /** Name under which the connection was opened. */
+  std::string opened_by;
   std::map<std::string, std::string> values;
   bool in_transaction = false;
 };
@@ -49,7 +52,15 @@
   void SetScript(Script script) { script_ = std::move(script); }
   /** @param database  "entries", which is read at the primary, or "lookups"
       @returns         the session of a new caller */
-  uint64_t OpenCaller(std::string_view database = "entries");
+  uint64_t OpenCaller(std::string_view database = "entries",
+                      std::string_view name = "caller");
+  /** Puts a configuration with these teams in force.
+
+      @param teams            null for none
+      @param max_connections  connections that a database accepts
+  */
+  void ApplyTeams(std::shared_ptr<const TeamTable> teams,
+                  uint32_t max_connections = 32);
   /** Sends a text with an id of its own, and waits for the answer.
 
       @param session  the session
@@ -80,6 +91,10 @@
   size_t CountPrepared() const;
   /** @returns the length of the longest line received, without CR LF */
   size_t GetLongestLine() const { return longest_line_; }
+  bool IsClosed(uint64_t session) const {
+    return std::find(closed_.begin(), closed_.end(), session) != closed_.end();
+  }
+  size_t CountOpenConnections() const { return connections_.size(); }
   size_t CountOpenedConnections() const { return opened_connection_count_; }
 
   // TrafficNet.
@@ -99,6 +114,7 @@
  private:
   struct Connection {
     bool is_primary = false;
+    std::string opened_by;
     char status = 'I';
     std::map<std::string, std::string> values;
     std::map<std::string, std::string> prepared;
@@ -131,6 +147,7 @@
   uint64_t log_position_ = 1;
   uint64_t next_session_ = 1'000'000;
   uint64_t request_count_ = 0;
+  std::shared_ptr<const FleetView> view_;
   std::unique_ptr<Core> core_;
 };
 
