--- a/libs/relay/core/traffic_core_dispatch.h
+++ b/libs/relay/core/traffic_core_dispatch.h
@@ -215,17 +215,24 @@
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::OpenConnections(EndpointPool& pool) {
   const TimePoint now = net_.Now();
+  const bool has_teams = view_->routes->teams != nullptr;
+  size_t opening_count = 0;
+  // Connections that a queued statement will find idle in a moment.
   std::vector<const PooledConnection*> opening;
   for (const uint64_t it : pool.connections) {
     const PooledConnection* connection = FindConnection(it);
-    if (connection != nullptr &&
-        connection->state == ConnectionState::kOpening) {
+    if (connection == nullptr) {
+      continue;
+    }
+    const bool is_opening = connection->state == ConnectionState::kOpening;
+    opening_count += is_opening ? 1 : 0;
+    // One that has just been opened first begins its transaction.
+    if (is_opening ||
+        (has_teams && connection->state == ConnectionState::kReturning)) {
       opening.push_back(connection);
     }
   }
-  size_t opening_count = opening.size();
   const uint32_t share = GetMaxConnections(pool);
-  const bool has_teams = view_->routes->teams != nullptr;
   // Teams without a connection come first.
   for (const bool for_new_teams : {true, false}) {
     if (for_new_teams && !has_teams) {
--- a/libs/relay/core/traffic_limits.h
+++ b/libs/relay/core/traffic_limits.h
@@ -64,9 +64,9 @@
     another team needs its place. */
 inline constexpr Duration kIdleTeamConnectionTimeout = std::chrono::seconds(10);
 /** A team that has a connection takes the place of another team's idle one only
-    if that was not used for this long: the time of a few statements. */
-inline constexpr Duration kMinIdleBeforeEviction =
-    std::chrono::milliseconds(100);
+    if that was not used for this long. Its own connections come back sooner,
+   and teams that take each other's places spend the slots on handshakes. */
+inline constexpr Duration kMinIdleBeforeEviction = std::chrono::seconds(1);
 /** Part of an endpoint's connections that holders use for teams. The rest is
     for VMs that restart, whose old connections the endpoint keeps for 3 s. */
 inline constexpr double kTeamConnectionsFraction = 0.75;
