--- a/libs/control/fleet/fleet_control.h
+++ b/libs/control/fleet/fleet_control.h
@@ -373,7 +373,8 @@
     for (const EndpointEntry& it : view->endpoints) {
       const auto rules = view->routes->services.find(it.service);
       if (knows_holders && rules != view->routes->services.end() &&
-          GetConnectionsPerVm(rules->second.max_connections, live_vms_) < 1) {
+          NeedsHolders(rules->second.max_connections, live_vms_,
+                       view->routes->teams != nullptr)) {
         view->holders[it.id] = holders_.Find(it);
       }
     }
--- a/libs/directory/model/endpoint_holders.h
+++ b/libs/directory/model/endpoint_holders.h
@@ -31,6 +31,22 @@
   return static_cast<double>(usable) / std::max(1U, live_vms);
 }
 
+/** Connections that each VM needs at an endpoint if connections belong to
+    teams: with fewer, teams that take turns at a VM take each other's places.
+ */
+inline constexpr double kMinConnectionsPerVmForTeams = 8;
+
+/** @param max_connections  number of connections that an endpoint accepts
+    @param live_vms         number of live VMs
+    @param has_teams        whether a connection serves one team only
+    @returns                whether a few VMs hold the connections for all */
+constexpr bool NeedsHolders(uint32_t max_connections,
+                            uint32_t live_vms,
+                            bool has_teams) {
+  return GetConnectionsPerVm(max_connections, live_vms) <
+         (has_teams ? kMinConnectionsPerVmForTeams : 1);
+}
+
 /** A VM that runs other VMs' statements at an endpoint. */
 struct EndpointHolder {
   VmId vm;
--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -350,6 +350,9 @@
 
   // traffic_core_pool_sizes.h: connection counts and idle timeouts.
   double GetConnectionsPerVm(const EndpointPool& pool) const;
+  /** @returns whether there are too few connections for each VM to have what it
+               needs */
+  bool AreConnectionsScarce(const EndpointPool& pool) const;
   uint32_t CountSharers(const EndpointPool& pool) const;
   size_t CountDirectConnections(const EndpointPool& pool);
   uint32_t GetConnectionShare(const EndpointPool& pool) const;
--- a/libs/relay/core/traffic_core_bounds.h
+++ b/libs/relay/core/traffic_core_bounds.h
@@ -20,7 +20,7 @@
   if (pool == nullptr) {
     return;
   }
-  if (GetConnectionsPerVm(*pool) >= 1) {
+  if (!AreConnectionsScarce(*pool)) {
     RequestPrimaryBound(pool->entry.service);
     return;
   }
--- a/libs/relay/core/traffic_core_connections.h
+++ b/libs/relay/core/traffic_core_connections.h
@@ -103,7 +103,7 @@
   // Other VMs wait for a connection: closing this one immediately saves them
   // the round trip of returning it to the pool.
   const bool yields_to_other_vms =
-      has_served && pool != nullptr && GetConnectionsPerVm(*pool) < 1 &&
+      has_served && pool != nullptr && AreConnectionsScarce(*pool) &&
       !connection.IsForwarded() && !pool->IsHeldHere() &&
       pool->IsAtConnectionLimit(net_.Now()) && pool->queue.empty() &&
       connection.pending_replies.empty();
--- a/libs/relay/core/traffic_core_pool_sizes.h
+++ b/libs/relay/core/traffic_core_pool_sizes.h
@@ -16,8 +16,7 @@
 void TrafficCore<D, N>::CloseIdleConnections(EndpointPool& pool) {
   const TimePoint now = net_.Now();
   const Duration limit = GetIdleTimeout(pool);
-  const size_t kept =
-      GetConnectionsPerVm(pool) < 1 && !pool.IsHeldHere() ? 0 : 1;
+  const size_t kept = AreConnectionsScarce(pool) && !pool.IsHeldHere() ? 0 : 1;
   size_t n = CountDirectConnections(pool);
   const std::vector<uint64_t> ids = pool.connections;
   for (const uint64_t it : ids) {
@@ -44,6 +43,11 @@
   return magnoliareel::GetConnectionsPerVm(max_connections, view_->live_vms);
 }
 
+template <ForwardingDialect D, class N>
+bool TrafficCore<D, N>::AreConnectionsScarce(const EndpointPool& pool) const {
+  return pool.holders.has_value() || GetConnectionsPerVm(pool) < 1;
+}
+
 template <ForwardingDialect D, class N>
 uint32_t TrafficCore<D, N>::CountSharers(const EndpointPool& pool) const {
   return pool.IsHeldHere()     ? kHoldersPerEndpoint
@@ -82,7 +86,7 @@
   if (pool.IsForwarding()) {
     return kMaxForwardedSessions;
   }
-  return GetConnectionsPerVm(pool) < 1 && !pool.IsHeldHere()
+  return AreConnectionsScarce(pool) && !pool.IsHeldHere()
              ? kMaxScarceConnections
              : GetConnectionShare(pool);
 }
@@ -93,7 +97,7 @@
   if (view_->routes->teams != nullptr && pool.IsHeldHere()) {
     return kIdleTeamConnectionTimeout;
   }
-  return connections_per_vm < 1 && !pool.IsHeldHere()
+  return AreConnectionsScarce(pool) && !pool.IsHeldHere()
              ? std::min(pool.GetScaledIdleTimeout(connections_per_vm),
                         kIdleConnectionTimeout)
              : kIdleConnectionTimeout;
