Apply key changes to waiting and repeated statements

A statement that waited while its key moved was sent under the former team, and one that was running when its key was withdrawn was sent again after a lost connection. Whether a route is public was judged by the configuration under which the session was opened, and a word given before the configuration named teams, which may be a key, stayed in the log's caller field.

Teams of waiting statements are found again when a configuration comes into force, before each attempt under a later one, and before a statement is sent for which BEGIN or values were being prepared. Four tests of team_test.cc failed before: AWordGivenBeforeThereWereTeamsIsNotLogged, AStatementThatWaitsWhenItsKeyMovesRunsUnderTheNewTeam, AReadIsNotRepeatedAfterItsKeyIsWithdrawn and WhetherARouteIsPublicFollowsTheConfiguration. Tests of the rank of holders, of a holder that fails and of direct connections without holders are added.

--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -225,9 +225,13 @@
   bool IsAuthorized(const CallerSession& session) const;
   /** Refuses the statement in progress, if any, and ends the session. */
   void EndUnauthorized(CallerSession& session);
-  /** Ends the sessions whose keys the configuration in force does not hold, and
-      which wait for an endpoint. */
-  void EndWaitingUnauthorized();
+  /** Finds the teams of the sessions that wait for an endpoint, and ends those
+      whose keys the configuration in force does not hold. */
+  void RefreshTeams();
+  /** @returns whether a statement that has not been sent yet may be sent on a
+               connection that was chosen under another configuration */
+  bool MayUse(const PooledConnection& connection,
+              const CallerSession& session) const;
   bool ParseStatement(CallerSession& session,
                       const CallerMessage& message,
                       ActiveStatement& out);
--- a/libs/relay/core/traffic_core_control.h
+++ b/libs/relay/core/traffic_core_control.h
@@ -101,7 +101,7 @@
   }
   if (new_routes) {
     RenewUnusedTransactions();
-    EndWaitingUnauthorized();
+    RefreshTeams();
   }
   if (view_->routes->version == 0) {
     return;
@@ -125,7 +125,9 @@
     }
   }
   for (const uint64_t it : begun) {
-    ReturnToPool(*FindConnection(it));
+    if (PooledConnection* connection = FindConnection(it)) {
+      ReturnToPool(*connection);
+    }
   }
 }
 
--- a/libs/relay/core/traffic_core_dispatch.h
+++ b/libs/relay/core/traffic_core_dispatch.h
@@ -27,6 +27,11 @@
     SendInTransaction(session);
     return;
   }
+  // An attempt under a later configuration than the first one.
+  if (statement.config_version != view_->routes->version &&
+      !RefreshTeam(session)) {
+    return;
+  }
   if (session.is_forwarded) {
     DispatchForwarded(session);
     return;
@@ -392,6 +397,11 @@
       HandleBeginError(connection);
       return;
     }
+    if (!MayUse(connection, session)) {
+      connection.begin_error = StatementError::kBusy;
+      HandleBeginError(connection);
+      return;
+    }
     if (IsHeldBack(session, connection.endpoint)) {
       connection.begin_error = StatementError::kNotPrimary;
       HandleBeginError(connection);
--- a/libs/relay/core/traffic_core_teams.h
+++ b/libs/relay/core/traffic_core_teams.h
@@ -15,25 +15,33 @@
 template <ForwardingDialect D, class N>
 bool TrafficCore<D, N>::IsAuthorized(const CallerSession& session) const {
   const TeamTable* teams = view_->routes->teams.get();
-  return session.is_forwarded || teams == nullptr ||
-         (session.route != nullptr && session.route->is_public) ||
-         teams->FindByKey(session.key) != nullptr;
+  if (session.is_forwarded || teams == nullptr ||
+      teams->FindByKey(session.key) != nullptr) {
+    return true;
+  }
+  const std::shared_ptr<const DatabaseRoute> route =
+      view_->routes->Find(session.database);
+  const DatabaseRoute* used = route ? route.get() : session.route.get();
+  return used != nullptr && used->is_public;
 }
 
 template <ForwardingDialect D, class N>
 bool TrafficCore<D, N>::RefreshTeam(CallerSession& session) {
+  if (session.is_forwarded) {
+    return true;
+  }
   const TeamTable* teams = view_->routes->teams.get();
   const Team* team = teams == nullptr ? nullptr : teams->FindByKey(session.key);
   if (teams != nullptr) {
     // It may be a key, which no log line may show.
     session.caller = team == nullptr ? "" : team->id.value;
   }
-  session.team = team == nullptr ? TeamId{} : team->id;
-  if (IsAuthorized(session)) {
-    return true;
+  if (!IsAuthorized(session)) {
+    EndUnauthorized(session);
+    return false;
   }
-  EndUnauthorized(session);
-  return false;
+  session.team = team == nullptr ? TeamId{} : team->id;
+  return true;
 }
 
 template <ForwardingDialect D, class N>
@@ -52,21 +60,48 @@
 }
 
 template <ForwardingDialect D, class N>
-void TrafficCore<D, N>::EndWaitingUnauthorized() {
-  std::vector<uint64_t> ending;
-  for (const auto& [id, session] : sessions_) {
+void TrafficCore<D, N>::RefreshTeams() {
+  std::vector<uint64_t> waiting;
+  for (auto& [id, session] : sessions_) {
+    if (session.is_forwarded) {
+      continue;
+    }
+    if (view_->routes->teams != nullptr) {
+      // It was given as a name, and may be a key now.
+      session.caller.clear();
+    }
     if (session.opened && session.IsBusy() &&
-        session.statement.connections.empty() && !IsAuthorized(session)) {
-      ending.push_back(id);
+        session.statement.connections.empty()) {
+      waiting.push_back(id);
     }
   }
-  for (const uint64_t it : ending) {
-    if (CallerSession* session = FindSession(it)) {
+  for (const uint64_t it : waiting) {
+    CallerSession* session = FindSession(it);
+    if (session == nullptr || !session->IsBusy()) {
+      continue;
+    }
+    if (session->transaction != TransactionPhase::kOpen) {
+      RefreshTeam(*session);
+    } else if (!IsAuthorized(*session)) {
       EndUnauthorized(*session);
     }
   }
 }
 
+template <ForwardingDialect D, class N>
+bool TrafficCore<D, N>::MayUse(const PooledConnection& connection,
+                               const CallerSession& session) const {
+  if (session.is_forwarded ||
+      session.statement.config_version == view_->routes->version) {
+    return true;
+  }
+  const TeamTable* teams = view_->routes->teams.get();
+  const Team* team = teams == nullptr ? nullptr : teams->FindByKey(session.key);
+  return IsAuthorized(session) &&
+         (connection.IsForwarded() ||
+          connection.team == (team == nullptr ? TeamId{} : team->id));
+}
+
 }  // namespace magnoliareel
 
 #endif  // MAGNOLIAREEL_RELAY_CORE_TRAFFIC_CORE_TEAMS_H_
--- a/tests/traffic/scripted_node.cc
+++ b/tests/traffic/scripted_node.cc
@@ -59,8 +59,14 @@
 }
 
 void ScriptedNode::ApplyTeams(std::shared_ptr<const TeamTable> teams,
-                              uint32_t max_connections) {
+                              uint32_t max_connections,
+                              std::string_view public_database) {
   auto routes = std::make_shared<RouteTable>(*view_->routes);
+  for (auto& [name, route] : routes->routes) {
+    auto copy = std::make_shared<DatabaseRoute>(*route);
+    copy->is_public = name == public_database;
+    route = std::move(copy);
+  }
   ++routes->version;
   routes->teams = std::move(teams);
   for (auto& [id, rules] : routes->services) {
@@ -72,6 +78,34 @@
   core_->Apply(view_);
 }
 
+void ScriptedNode::ApplyHolders(const std::vector<std::string>& holders) {
+  auto view = std::make_shared<FleetView>(*view_);
+  EndpointHolders& peers = view->holders[view->endpoints.front().id];
+  peers = {};
+  for (const std::string& it : holders) {
+    const auto port = static_cast<uint16_t>(7000 + peers.peers.size());
+    peers.peers.push_back({VmId{it}, {"127.0.0.1", port}});
+  }
+  // VMs that outnumber the connections.
+  view->live_vms = 80;
+  view_ = std::move(view);
+  core_->Apply(view_);
+}
+
+void ScriptedNode::SetRefused(uint16_t port, bool refused) {
+  if (refused) {
+    refused_ports_.insert(port);
+  } else {
+    refused_ports_.erase(port);
+  }
+}
+
+size_t ScriptedNode::CountOpenConnections(uint16_t port) const {
+  return static_cast<size_t>(
+      std::count_if(connections_.begin(), connections_.end(),
+                    [port](const auto& it) { return it.second.port == port; }));
+}
+
 uint64_t ScriptedNode::OpenCaller(std::string_view database,
                                   std::string_view name) {
   const uint64_t session = next_session_++;
@@ -132,6 +166,7 @@
 
 void ScriptedNode::OpenEndpoint(uint64_t id, const SocketAddress& address) {
   connections_[id].is_primary = address.port == 9000;
+  connections_[id].port = address.port;
   opening_.push_back(id);
 }
 
@@ -167,7 +202,13 @@
     core_->RequestPrimaryBound(it);
   }
   for (const uint64_t it : opening) {
-    if (connections_.contains(it)) {
+    const auto connection = connections_.find(it);
+    if (connection != connections_.end() &&
+        refused_ports_.contains(connection->second.port)) {
+      connections_.erase(connection);
+      core_->HandleEndpointClosed(
+          it, std::make_error_code(std::errc::connection_refused));
+    } else if (connection != connections_.end()) {
       ++opened_connection_count_;
       core_->HandleEndpointOpened(it);
     }
@@ -199,6 +240,15 @@
     TakeField(text);
     it->second.opened_by = TakeField(text);
   }
+  ForwardedMessage forwarded;
+  if (word.starts_with("RUN") &&
+      ForwardingCodec<platform::LineDialect>::DecodeForwarded(line,
+                                                              forwarded)) {
+    it->second.opened_by = forwarded.header.team;
+    it->second.is_primary = true;
+    body = Answer(id, it->second, forwarded.message.request_id,
+                  forwarded.message.statement.text);
+  }
   if (word == "QUERY") {
     const std::string_view request = TakeField(text);
     if (text.starts_with("AFTER ")) {
@@ -274,6 +324,7 @@
   run.request = request;
   run.text = text;
   run.opened_by = connection.opened_by;
+  run.port = connection.port;
   run.values = connection.values;
   run.in_transaction = connection.status == 'T';
   if (verb == "EXECUTE") {
--- a/tests/traffic/scripted_node.h
+++ b/tests/traffic/scripted_node.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,8 +29,11 @@
   std::string text;
   /** Kind and shape of the prepared statement, if it was an execution. */
   std::string shape;
-  /** Name under which the connection was opened. */
+  /** Name under which the connection was opened; for a forwarded statement, the
+      team that its header names. */
   std::string opened_by;
+  /** Port to which the connection leads. */
+  uint16_t port = 0;
   std::map<std::string, std::string> values;
   bool in_transaction = false;
 };
@@ -58,9 +62,18 @@
 
       @param teams            null for none
       @param max_connections  connections that a database accepts
+      @param public_database  database that needs no key; empty for none
   */
   void ApplyTeams(std::shared_ptr<const TeamTable> teams,
-                  uint32_t max_connections = 32);
+                  uint32_t max_connections = 32,
+                  std::string_view public_database = {});
+  /** Lets other VMs hold the connections of the first database.
+
+      @param holders  their names; number n listens on port 7000 + n
+  */
+  void ApplyHolders(const std::vector<std::string>& holders);
+  /** Lets connections to a port fail, or succeed again. */
+  void SetRefused(uint16_t port, bool refused);
   /** Sends a text with an id of its own, and waits for the answer.
 
       @param session  the session
@@ -74,6 +87,8 @@
                   Duration timeout = std::chrono::seconds(2));
   /** @returns what a session was answered since its last Ask() */
   const std::string& GetAnswer(uint64_t session) { return answers_[session]; }
+  /** Forgets what a session was answered. */
+  void ClearAnswer(uint64_t session) { answers_[session].clear(); }
   /** Ends all connections to the databases. */
   void DropConnections();
   /** @returns the time that the last Ask() took */
@@ -95,6 +110,8 @@
     return std::find(closed_.begin(), closed_.end(), session) != closed_.end();
   }
   size_t CountOpenConnections() const { return connections_.size(); }
+  /** @returns the open connections to a port */
+  size_t CountOpenConnections(uint16_t port) const;
   size_t CountOpenedConnections() const { return opened_connection_count_; }
 
   // TrafficNet.
@@ -114,6 +131,7 @@
  private:
   struct Connection {
     bool is_primary = false;
+    uint16_t port = 0;
     std::string opened_by;
     char status = 'I';
     std::map<std::string, std::string> values;
@@ -137,6 +155,7 @@
   std::map<uint64_t, Connection> connections_;
   std::vector<uint64_t> opening_;
   std::vector<uint64_t> closed_;
+  std::set<uint16_t> refused_ports_;
   std::vector<ServiceId> bound_requests_;
   std::vector<ScriptedRun> runs_;
   std::vector<std::string> texts_;
--- a/tests/traffic/team_test.cc
+++ b/tests/traffic/team_test.cc
@@ -1,9 +1,13 @@
+#include <algorithm>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
+#include "tests/traffic/captured_log.h"
 #include "tests/traffic/scripted_node.h"
 
 #include <CppUTest/TestHarness.h>
@@ -184,4 +188,163 @@
   LONGS_EQUAL(2, served.size());
 }
 
+TEST(Teams, AWordGivenBeforeThereWereTeamsIsNotLogged) {
+  // Guards against a key in the log: a caller that connected before the
+  // configuration named teams has presented its key already.
+  ScriptedNode node;
+  const uint64_t session = node.OpenCaller("entries", "secret-key");
+  node.ApplyTeams(MakeTeams({{"secret-key", "team-a"}}));
+  CapturedLog log;
+  node.GetCore().HandleCallerFrame(session, "NONSENSE");
+  STRCMP_EQUAL("", log.FindLast("secret-key").c_str());
+  CHECK(!log.FindLast("caller.rejected").empty());
+}
+
+TEST(Teams, AStatementThatWaitsWhenItsKeyMovesRunsUnderTheNewTeam) {
+  // Guards against the name of a team that does not hold the key any more.
+  ScriptedNode node;
+  node.ApplyTeams(MakeTeams({{"key-a", "team-a"}}));
+  const uint64_t session = node.OpenCaller("entries", "key-a");
+  node.GetCore().HandleCallerFrame(session, "QUERY q WRITE it a");
+  node.ApplyTeams(MakeTeams({{"key-a", "team-b"}}));
+  node.Run(std::chrono::milliseconds(50));
+  CHECK(IsServed(node.GetAnswer(session)));
+  STRCMP_EQUAL("team-b", node.GetRuns().back().opened_by.c_str());
+}
+
+TEST(Teams, AReadIsNotRepeatedAfterItsKeyIsWithdrawn) {
+  // Guards against a statement that was running when its key was withdrawn,
+  // and that is sent again.
+  ScriptedNode node;
+  node.ApplyTeams(MakeTeams({{"key-a", "team-a"}}));
+  const uint64_t session = node.OpenCaller("entries", "key-a");
+  CHECK(IsServed(node.Ask(session, "READ it")));
+  node.SetScript(AnswerFirst("READ", 1, "silence"));
+  node.GetCore().HandleCallerFrame(session, "QUERY q READ it");
+  node.Run(std::chrono::milliseconds(5));
+  const size_t runs = node.GetRuns().size();
+  node.ApplyTeams(MakeTeams({{"key-b", "team-b"}}));
+  node.DropConnections();
+  node.Run(std::chrono::milliseconds(500));
+  LONGS_EQUAL(runs, node.GetRuns().size());
+  CHECK(IsUnauthorized(node.GetAnswer(session)));
+  CHECK(node.IsClosed(session));
+}
+
+TEST(Teams, WhetherARouteIsPublicFollowsTheConfiguration) {
+  // Guards against sessions judged by the configuration under which they were
+  // opened.
+  ScriptedNode node;
+  const auto teams = MakeTeams({{"key-a", "team-a"}});
+  node.ApplyTeams(teams, 32, "entries");
+  const uint64_t anonymous = node.OpenCaller("entries", "anyone");
+  CHECK(IsServed(node.Ask(anonymous, "READ it")));
+  STRCMP_EQUAL("vm-0", node.GetRuns().back().opened_by.c_str());
+  const uint64_t known = node.OpenCaller("entries", "key-a");
+  CHECK(IsServed(node.Ask(known, "READ it")));
+  STRCMP_EQUAL("team-a", node.GetRuns().back().opened_by.c_str());
+  node.Ask(anonymous, "BEGIN");
+  CHECK(IsServed(node.Ask(anonymous, "WRITE it a")));
+  node.ApplyTeams(teams);
+  CHECK(IsUnauthorized(node.Ask(anonymous, "COMMIT")));
+  LONGS_EQUAL(0, node.CountTexts("COMMIT"));
+  // The other way round, the key is not needed any more.
+  node.ApplyTeams(MakeTeams({{"key-b", "team-b"}}), 32, "entries");
+  CHECK(IsServed(node.Ask(known, "READ it")));
+  STRCMP_EQUAL("vm-0", node.GetRuns().back().opened_by.c_str());
+}
+
+TEST(Teams, ATeamsStatementsGoToOneHolderAndToTheNextIfItFails) {
+  // Guards against connections for each team at each holder, and against a
+  // team whose holder failed.
+  ScriptedNode node;
+  node.ApplyTeams(MakeTeams({{"key-a", "team-a"}, {"key-b", "team-b"}}), 66);
+  const std::vector<std::string> holders = {"vm-1", "vm-2", "vm-3", "vm-4"};
+  node.ApplyHolders(holders);
+  const auto rank = [&](size_t it, const char* team) {
+    return RankForTeam(TeamId{team}, EndpointId{"db-0"}, VmId{holders[it]});
+  };
+  for (const auto& [key, team] :
+       {std::pair("key-a", "team-a"), std::pair("key-b", "team-b")}) {
+    std::vector<size_t> order = {0, 1, 2, 3};
+    std::sort(order.begin(), order.end(), [&](size_t one, size_t other) {
+      return rank(one, team) > rank(other, team);
+    });
+    const uint64_t session = node.OpenCaller("entries", key);
+    const auto preferred = static_cast<uint16_t>(7000 + order[0]);
+    for (int n = 0; n < 3; ++n) {
+      CHECK(IsServed(node.Ask(session, "WRITE it a")));
+      LONGS_EQUAL(preferred, node.GetRuns().back().port);
+      STRCMP_EQUAL(team, node.GetRuns().back().opened_by.c_str());
+    }
+    node.SetRefused(preferred, true);
+    node.DropConnections();
+    CHECK(IsServed(node.Ask(session, "WRITE it a")));
+    LONGS_EQUAL(7000 + order[1], node.GetRuns().back().port);
+    node.SetRefused(preferred, false);
+    node.Run(std::chrono::seconds(10));
+  }
+}
+
+TEST(Teams, WithoutHoldersFewDirectConnectionsAreOpened) {
+  // Guards against each of 80 VMs opening a connection for each team while the
+  // holders restart.
+  ScriptedNode node;
+  std::vector<std::pair<std::string, std::string>> keys;
+  for (int n = 0; n < 12; ++n) {
+    keys.emplace_back("key-" + std::to_string(n), "team-" + std::to_string(n));
+  }
+  node.ApplyTeams(MakeTeams(keys), 66);
+  node.ApplyHolders({"vm-1", "vm-2", "vm-3", "vm-4"});
+  std::vector<uint64_t> sessions;
+  for (const auto& [key, team] : keys) {
+    sessions.push_back(node.OpenCaller("entries", key));
+    // Idle connections to holders.
+    CHECK(IsServed(node.Ask(sessions.back(), "WRITE it a")));
+  }
+  for (uint16_t port = 7000; port < 7004; ++port) {
+    node.SetRefused(port, true);
+  }
+  for (const uint64_t it : sessions) {
+    node.GetCore().HandleCallerFrame(it, "QUERY q WRITE it a");
+  }
+  node.DropConnections();
+  for (int n = 0; n < 400; ++n) {
+    node.Run(std::chrono::milliseconds(1));
+    CHECK(node.CountOpenConnections(9000) <= kMaxScarceConnections);
+  }
+}
+
+TEST_GROUP(TeamRank){};
+
+TEST(TeamRank, TeamsAreSpreadAndTheLossOfAHolderMovesOnlyItsTeams) {
+  // Guards against a rank that puts most teams on one holder, or all of them
+  // on another one when a holder is lost.
+  const std::vector<VmId> holders = {VmId{"vm-1"}, VmId{"vm-2"}, VmId{"vm-3"},
+                                     VmId{"vm-4"}};
+  const auto choose = [&](const TeamId& team, size_t lost) {
+    size_t best = lost == 0 ? 1 : 0;
+    for (size_t it = 0; it < holders.size(); ++it) {
+      const auto rank = [&](size_t n) {
+        return RankForTeam(team, EndpointId{"db-0"}, holders[n]);
+      };
+      best = it != lost && rank(it) > rank(best) ? it : best;
+    }
+    return best;
+  };
+  std::vector<int> counts(holders.size(), 0);
+  for (int n = 0; n < 400; ++n) {
+    const TeamId team{"team-" + std::to_string(n)};
+    const size_t chosen = choose(team, holders.size());
+    ++counts[chosen];
+    for (size_t lost = 0; lost < holders.size(); ++lost) {
+      CHECK(lost == chosen ? choose(team, lost) != chosen
+                           : choose(team, lost) == chosen);
+    }
+  }
+  for (const int it : counts) {
+    CHECK(it > 60 && it < 140);
+  }
+}
+
 }  // namespace magnoliareel
