Pool of teams: no team waits behind, or for, others without limit

A search of the queue ended at the first statement without a team, or after 64 statements of teams without a connection, so that an idle connection was not used for those behind them. Two busy teams kept all connections from a third one. Connections of teams kept all others out after the configuration named no teams any more. Without holders, an idle connection to a holder was closed to open one direct connection more than a VM may have.

Statements carry a hash of their team, which makes a search of the whole queue cheap. A team with several connections gives one up for a team that has none; the only one of a team is given up after 100 ms, at most once in 50 ms. While statements run, openings of all VMs that share an endpoint leave one slot free.

--- a/libs/relay/connections/endpoint_pool.h
+++ b/libs/relay/connections/endpoint_pool.h
@@ -22,6 +22,9 @@
   uint64_t statement_id = 0;
   int priority = 0;
   TimePoint deadline;
+  /** Hash of its team's name, for a fast search of the queue. Hashes that
+      coincide only delay a statement. */
+  uint64_t team_hash = 0;
 };
 
 /** Connections to one endpoint, the statements that wait for it, and statistics
@@ -173,6 +176,11 @@
   bool removed = false;
   std::vector<uint64_t> connections;
   std::deque<QueuedStatement> queue;
+  /** True once a statement of a team has been queued: connections may belong to
+      teams, also after the configuration names none any more. */
+  bool serves_teams = false;
+  /** Time at which the only connection of a team was closed for another one. */
+  TimePoint rotated_at;
   /** Number of running statements, including abandoned ones. */
   uint32_t running = 0;
   TimePoint last_activity;
--- a/libs/relay/connections/team_rank.cc
+++ b/libs/relay/connections/team_rank.cc
@@ -19,4 +19,8 @@
   return Combine(Combine(Combine(0, team.value), endpoint.value), holder.value);
 }
 
+uint64_t HashTeam(const TeamId& team) {
+  return team.IsEmpty() ? 0 : Combine(0, team.value);
+}
+
 }  // namespace magnoliareel
--- a/libs/relay/connections/team_rank.h
+++ b/libs/relay/connections/team_rank.h
@@ -19,6 +19,9 @@
                      const EndpointId& endpoint,
                      const VmId& holder);
 
+/** @returns a hash of a team's name; 0 for none */
+uint64_t HashTeam(const TeamId& team);
+
 }  // namespace magnoliareel
 
 #endif  // MAGNOLIAREEL_RELAY_CONNECTIONS_TEAM_RANK_H_
--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -257,21 +257,37 @@
   void ScheduleRetry(CallerSession& session, Duration delay);
   void RemoveFromQueues(CallerSession& session);
   void StartQueued(EndpointPool& pool);
+  bool HasIdleConnection(const EndpointPool& pool);
+  /** @returns whether connections of a pool may belong to teams */
+  bool UsesTeams(const EndpointPool& pool) const {
+    return pool.serves_teams || view_->routes->teams != nullptr;
+  }
+  /** @returns the hashes of the teams that have direct connections, ordered */
+  std::vector<uint64_t> ListConnectedTeams(const EndpointPool& pool);
+  /** @returns the first queued statement whose team has no connection, if all
+               connections are in use and one could be opened instead of
+               another; one without an id otherwise */
+  QueuedStatement FindUnconnected(const EndpointPool& pool);
   /** @returns whether a connection that a team would use again is to be closed
-               for a team that has none */
-  bool IsOwedToOtherTeam(EndpointPool& pool,
-                         const PooledConnection& connection);
+               for a statement whose team has none, if there is one */
+  bool IsOwedToOtherTeam(const EndpointPool& pool,
+                         const PooledConnection& connection,
+                         const QueuedStatement& unconnected);
+  size_t CountOpening(const EndpointPool& pool);
+  size_t GetMaxOpening(const EndpointPool& pool) const;
   size_t CountTeamConnections(const EndpointPool& pool, const TeamId& team);
   /** Closes the connection that has been idle longest and that a statement
       cannot use.
 
-      @param holder  the holder that the statement needs, or null
-      @param team    the team for which a direct connection is opened
-      @returns       false if there is none
+      @param holder       the holder that the statement needs, or null
+      @param team         the team for which a direct connection is opened
+      @param only_direct  connections to holders are kept
+      @returns            false if there is none
   */
   bool CloseForOpening(EndpointPool& pool,
                        const EndpointHolder* holder,
-                       const TeamId& team);
+                       const TeamId& team,
+                       bool only_direct = false);
   void DispatchQueueAgain(EndpointPool& pool);
   void OpenConnections(EndpointPool& pool);
   void OpenConnection(EndpointPool& pool,
--- a/libs/relay/core/traffic_core_dispatch.h
+++ b/libs/relay/core/traffic_core_dispatch.h
@@ -71,8 +71,9 @@
 void TrafficCore<D, N>::EnqueueStatement(EndpointPool& pool,
                                          CallerSession& session) {
   session.statement.queued_endpoint = pool.entry.id;
+  pool.serves_teams = pool.serves_teams || !session.team.IsEmpty();
   pool.Enqueue({session.id, session.statement.id, session.statement.priority,
-                session.statement.deadline});
+                session.statement.deadline, HashTeam(session.team)});
   StartQueued(pool);
 }
 
@@ -129,30 +130,41 @@
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::StartQueued(EndpointPool& pool) {
   // A statement whose team has no connection does not hold up those behind it.
-  size_t skipped = 0;
-  while (skipped < std::min(pool.queue.size(), kMaxSkippedStatements) &&
-         pool.running < pool.GetConcurrencyLimit()) {
-    const auto at = pool.queue.begin() + static_cast<std::ptrdiff_t>(skipped);
-    const QueuedStatement next = *at;
+  std::vector<uint64_t> passed_over;
+  size_t at = 0;
+  QueuedStatement unconnected = FindUnconnected(pool);
+  while (at < pool.queue.size() && pool.running < pool.GetConcurrencyLimit()) {
+    const QueuedStatement next = pool.queue[at];
+    if (std::find(passed_over.begin(), passed_over.end(), next.team_hash) !=
+        passed_over.end()) {
+      ++at;
+      continue;
+    }
+    const auto position = pool.queue.begin() + static_cast<std::ptrdiff_t>(at);
     if (!IsInProgress(next.session, next.statement_id)) {
-      pool.queue.erase(at);
+      pool.queue.erase(position);
       continue;
     }
     CallerSession& session = *FindSession(next.session);
     PooledConnection* connection = PickIdleConnection(pool, session);
-    if (connection == nullptr && session.team.IsEmpty()) {
-      break;
-    }
     if (connection == nullptr) {
-      ++skipped;
+      if (!HasIdleConnection(pool)) {
+        break;
+      }
+      passed_over.push_back(next.team_hash);
+      ++at;
       continue;
     }
-    if (IsOwedToOtherTeam(pool, *connection)) {
+    if (IsOwedToOtherTeam(pool, *connection, unconnected)) {
+      if (CountTeamConnections(pool, connection->team) == 1) {
+        pool.rotated_at = net_.Now();
+      }
+      unconnected = {};
       ++counters_.connections_evicted;
       CloseEndpointConnection(connection->id);
-      break;
+      continue;
     }
-    pool.queue.erase(at);
+    pool.queue.erase(position);
     session.statement.queued_endpoint = {};
     StartStatement(*connection, session);
   }
@@ -161,6 +173,96 @@
   }
 }
 
+template <ForwardingDialect D, class N>
+bool TrafficCore<D, N>::HasIdleConnection(const EndpointPool& pool) {
+  return std::any_of(pool.connections.begin(), pool.connections.end(),
+                     [this](uint64_t it) {
+                       const PooledConnection* connection = FindConnection(it);
+                       return connection != nullptr &&
+                              connection->state == ConnectionState::kIdle;
+                     });
+}
+
+template <ForwardingDialect D, class N>
+std::vector<uint64_t> TrafficCore<D, N>::ListConnectedTeams(
+    const EndpointPool& pool) {
+  std::vector<uint64_t> teams;
+  for (const uint64_t it : pool.connections) {
+    const PooledConnection* connection = FindConnection(it);
+    if (connection != nullptr && !connection->IsForwarded()) {
+      teams.push_back(HashTeam(connection->team));
+    }
+  }
+  std::sort(teams.begin(), teams.end());
+  return teams;
+}
+
+template <ForwardingDialect D, class N>
+QueuedStatement TrafficCore<D, N>::FindUnconnected(const EndpointPool& pool) {
+  if (!UsesTeams(pool) || pool.queue.empty()) {
+    return {};
+  }
+  const size_t n = pool.connections.size();
+  const bool is_full = pool.IsForwarding() ? CountDirectConnections(pool) >=
+                                                 kMaxScarceConnections
+                                           : n >= GetMaxConnections(pool);
+  if (!is_full ||
+      !pool.CanOpenConnection(static_cast<uint32_t>(n) + 1, net_.Now()) ||
+      CountOpening(pool) >= GetMaxOpening(pool) ||
+      ChooseHolder(pool, TeamId{}) != nullptr) {
+    return {};
+  }
+  const std::vector<uint64_t> connected = ListConnectedTeams(pool);
+  const auto it = std::find_if(
+      pool.queue.begin(), pool.queue.end(), [&](const QueuedStatement& it) {
+        return !std::binary_search(connected.begin(), connected.end(),
+                                   it.team_hash) &&
+               IsInProgress(it.session, it.statement_id);
+      });
+  return it == pool.queue.end() ? QueuedStatement{} : *it;
+}
+
+template <ForwardingDialect D, class N>
+bool TrafficCore<D, N>::IsOwedToOtherTeam(const EndpointPool& pool,
+                                          const PooledConnection& connection,
+                                          const QueuedStatement& unconnected) {
+  // Busy teams would otherwise keep all connections.
+  if (unconnected.statement_id == 0 || connection.IsForwarded() ||
+      HashTeam(connection.team) == unconnected.team_hash) {
+    return false;
+  }
+  if (CountTeamConnections(pool, connection.team) > 1) {
+    return true;
+  }
+  const CallerSession* session = FindSession(unconnected.session);
+  const TimePoint now = net_.Now();
+  return session != nullptr &&
+         now - session->statement.received_at >= kMaxWaitForOtherTeams &&
+         now - pool.rotated_at >= kMinRotationInterval;
+}
+
+template <ForwardingDialect D, class N>
+size_t TrafficCore<D, N>::CountOpening(const EndpointPool& pool) {
+  return static_cast<size_t>(std::count_if(
+      pool.connections.begin(), pool.connections.end(), [this](uint64_t it) {
+        const PooledConnection* connection = FindConnection(it);
+        return connection != nullptr &&
+               connection->state == ConnectionState::kOpening;
+      }));
+}
+
+template <ForwardingDialect D, class N>
+size_t TrafficCore<D, N>::GetMaxOpening(const EndpointPool& pool) const {
+  if (!UsesTeams(pool) || pool.IsForwarding() || pool.running == 0) {
+    return kMaxOpeningConnections;
+  }
+  // One slot is left to the statements that have connections, whatever all
+  // VMs that share the endpoint open.
+  const uint32_t slots = std::max(1U, pool.entry.slots) - 1;
+  return std::clamp<size_t>(slots / std::max(1U, CountSharers(pool)), 1,
+                            kMaxOpeningConnections);
+}
+
 template <ForwardingDialect D, class N>
 size_t TrafficCore<D, N>::CountTeamConnections(const EndpointPool& pool,
                                                const TeamId& team) {
@@ -172,26 +274,11 @@
       }));
 }
 
-template <ForwardingDialect D, class N>
-bool TrafficCore<D, N>::IsOwedToOtherTeam(EndpointPool& pool,
-                                          const PooledConnection& connection) {
-  // One busy team would otherwise keep all connections.
-  if (connection.IsForwarded() || connection.team.IsEmpty() ||
-      pool.connections.size() < GetMaxConnections(pool) ||
-      CountTeamConnections(pool, connection.team) < pool.connections.size()) {
-    return false;
-  }
-  return std::any_of(
-      pool.queue.begin(), pool.queue.end(), [&](const QueuedStatement& it) {
-        const CallerSession* session = FindSession(it.session);
-        return session != nullptr && session->team != connection.team;
-      });
-}
-
 template <ForwardingDialect D, class N>
 bool TrafficCore<D, N>::CloseForOpening(EndpointPool& pool,
                                         const EndpointHolder* holder,
-                                        const TeamId& team) {
+                                        const TeamId& team,
+                                        bool only_direct) {
   const VmId needed_holder = holder == nullptr ? VmId{} : holder->vm;
   const bool has_connection =
       holder == nullptr && CountTeamConnections(pool, team) > 0;
@@ -199,6 +286,7 @@
   for (const uint64_t it : pool.connections) {
     const PooledConnection* connection = FindConnection(it);
     if (connection == nullptr || connection->state != ConnectionState::kIdle ||
+        (only_direct && connection->IsForwarded()) ||
         (connection->holder == needed_holder &&
          (holder != nullptr || connection->team == team))) {
       continue;
@@ -229,26 +317,34 @@
     }
   }
   size_t opening_count = opening.size();
+  const size_t max_opening = GetMaxOpening(pool);
   const uint32_t share = GetMaxConnections(pool);
-  const bool has_teams = view_->routes->teams != nullptr;
+  const bool has_teams = UsesTeams(pool);
+  const bool is_direct = ChooseHolder(pool, TeamId{}) == nullptr;
+  std::vector<uint64_t> connected;
+  if (has_teams && is_direct) {
+    connected = ListConnectedTeams(pool);
+  }
   // Teams without a connection come first.
   for (const bool for_new_teams : {true, false}) {
-    if (for_new_teams && !has_teams) {
+    if (for_new_teams && !(has_teams && is_direct)) {
       continue;
     }
     for (const QueuedStatement& it : pool.queue) {
-      if (opening_count >= kMaxOpeningConnections) {
+      if (opening_count >= max_opening) {
         return;
       }
+      const bool is_new =
+          has_teams && is_direct &&
+          !std::binary_search(connected.begin(), connected.end(), it.team_hash);
+      if (is_new != for_new_teams ||
+          (has_teams && !IsInProgress(it.session, it.statement_id))) {
+        continue;
+      }
       const CallerSession* session = FindSession(it.session);
       const TeamId team = session == nullptr ? TeamId{} : session->team;
       const EndpointHolder* holder = ChooseHolder(pool, team);
       const TeamId owner = holder == nullptr ? team : TeamId{};
-      const bool is_new = has_teams && holder == nullptr &&
-                          CountTeamConnections(pool, team) == 0;
-      if (is_new != for_new_teams) {
-        continue;
-      }
       const auto served = std::find_if(
           opening.begin(), opening.end(), [&](const PooledConnection* found) {
             return !has_teams ||
@@ -261,7 +357,7 @@
       }
       if (holder == nullptr && pool.IsForwarding() &&
           CountDirectConnections(pool) >= kMaxScarceConnections &&
-          !(has_teams && CloseForOpening(pool, holder, owner))) {
+          !(has_teams && CloseForOpening(pool, holder, owner, true))) {
         return;
       }
       if (has_teams && pool.connections.size() >= share &&
@@ -273,6 +369,11 @@
       }
       OpenConnection(pool, holder, owner);
       ++opening_count;
+      if (is_new) {
+        connected.insert(
+            std::upper_bound(connected.begin(), connected.end(), it.team_hash),
+            it.team_hash);
+      }
     }
   }
 }
--- a/libs/relay/core/traffic_core_teams.h
+++ b/libs/relay/core/traffic_core_teams.h
@@ -86,6 +86,13 @@
       EndUnauthorized(*session);
     }
   }
+  for (auto& [endpoint, pool] : pools_) {
+    for (QueuedStatement& it : pool.queue) {
+      const CallerSession* session = FindSession(it.session);
+      it.team_hash = session == nullptr ? 0 : HashTeam(session->team);
+      pool.serves_teams = pool.serves_teams || it.team_hash != 0;
+    }
+  }
 }
 
 template <ForwardingDialect D, class N>
--- a/libs/relay/core/traffic_limits.h
+++ b/libs/relay/core/traffic_limits.h
@@ -70,9 +70,13 @@
 /** Part of an endpoint's connections that holders use for teams. The rest is
     for VMs that restart, whose old connections the endpoint keeps for 3 s. */
 inline constexpr double kTeamConnectionsFraction = 0.75;
-/** Maximum number of queued statements without a connection that are passed
-    over, which bounds the time of a decision. */
-inline constexpr size_t kMaxSkippedStatements = 64;
+/** A statement whose team has no connection takes the only one of another team
+    after this time, an eighth of a usual objective. */
+inline constexpr Duration kMaxWaitForOtherTeams =
+    std::chrono::milliseconds(100);
+/** Shortest time between two such changes at an endpoint: with handshakes of
+    12 ms, the 4 holders together occupy one slot with them. */
+inline constexpr Duration kMinRotationInterval = std::chrono::milliseconds(50);
 /** Maximum connections to an endpoint while VMs outnumber its connections. The
     second one serves statements while the first one is reserved by a
     transaction, and is closed when idle. */
--- a/tests/traffic/team_test.cc
+++ b/tests/traffic/team_test.cc
@@ -254,6 +254,98 @@
   STRCMP_EQUAL("vm-0", node.GetRuns().back().opened_by.c_str());
 }
 
+TEST(Teams, AStatementWithoutATeamDoesNotHoldUpATeam) {
+  // Guards against a queue that stops at a caller of a public route whose
+  // connection is being opened.
+  ScriptedNode node;
+  node.ApplyTeams(MakeTeams({{"key-a", "team-a"}}), 32, "entries");
+  const uint64_t known = node.OpenCaller("entries", "key-a");
+  const uint64_t anonymous = node.OpenCaller("entries", "anyone");
+  CHECK(IsServed(node.Ask(known, "WRITE it a")));
+  CHECK(IsServed(node.Ask(known, "WRITE it a")));
+  const Duration alone = node.GetElapsed();
+  node.Run(std::chrono::milliseconds(5));
+  node.GetCore().HandleCallerFrame(anonymous, "QUERY q WRITE it b");
+  CHECK(IsServed(node.Ask(known, "WRITE it a")));
+  LONGS_EQUAL(alone.count(), node.GetElapsed().count());
+}
+
+TEST(Teams, ALongQueueOfOneTeamDoesNotHideAnother) {
+  // Guards against a search of the queue that ends before the statement whose
+  // connection is idle: 98 statements of the busy team wait in front of it.
+  ScriptedNode node;
+  // Three connections, fewer than the statements that may run.
+  node.ApplyTeams(MakeTeams({{"key-a", "busy"}, {"key-b", "quiet"}}), 5);
+  std::vector<uint64_t> busy;
+  for (int n = 0; n < 100; ++n) {
+    busy.push_back(node.OpenCaller("entries", "key-a"));
+  }
+  const uint64_t quiet = node.OpenCaller("entries", "key-b");
+  CHECK(IsServed(node.Ask(quiet, "WRITE it b")));
+  node.SetScript([](std::string_view text, char&) {
+    return text == "WRITE it a" ? std::optional<std::string>("silence")
+                                : std::nullopt;
+  });
+  for (const uint64_t it : busy) {
+    node.GetCore().HandleCallerFrame(it, "QUERY b WRITE it a");
+  }
+  node.Run(std::chrono::milliseconds(10));
+  CHECK(IsServed(node.Ask(quiet, "WRITE it b", std::chrono::milliseconds(5))));
+}
+
+TEST(Teams, AThirdTeamIsServedBesideTwoBusyOnes) {
+  // Guards against two teams that take all connections in turn.
+  ScriptedNode node;
+  constexpr uint32_t kMaxConnections = 6;
+  node.ApplyTeams(MakeTeams({{"key-a", "a"}, {"key-b", "b"}, {"key-c", "c"}}),
+                  kMaxConnections);
+  std::vector<uint64_t> busy;
+  for (int n = 0; n < 60; ++n) {
+    busy.push_back(node.OpenCaller("entries", n % 2 == 0 ? "key-a" : "key-b"));
+  }
+  const uint64_t quiet = node.OpenCaller("entries", "key-c");
+  int sent = 0;
+  const auto send = [&](uint64_t session) {
+    node.ClearAnswer(session);
+    node.GetCore().HandleCallerFrame(
+        session, "QUERY b" + std::to_string(++sent) + " WRITE it x");
+  };
+  const auto run = [&](int steps) {
+    for (int n = 0; n < steps; ++n) {
+      node.Run(std::chrono::milliseconds(1));
+      for (const uint64_t it : busy) {
+        if (node.GetAnswer(it).find("READY") != std::string::npos) {
+          send(it);
+        }
+      }
+    }
+  };
+  for (const uint64_t it : busy) {
+    send(it);
+  }
+  run(100);
+  node.ClearAnswer(quiet);
+  node.GetCore().HandleCallerFrame(quiet, "QUERY c WRITE it c");
+  run(200);
+  CHECK(IsServed(node.GetAnswer(quiet)));
+  CHECK(node.CountOpenConnections() <= kMaxConnections);
+}
+
+TEST(Teams, TeamsMayBeIntroducedAndRemoved) {
+  // Guards against connections of teams that keep all others out after the
+  // configuration names no teams any more, and the other way round.
+  ScriptedNode node;
+  const uint64_t session = node.OpenCaller("entries", "key-a");
+  for (int n = 0; n < 3; ++n) {
+    node.ApplyTeams(nullptr, 1);
+    CHECK(IsServed(node.Ask(session, "READ it")));
+    STRCMP_EQUAL("vm-0", node.GetRuns().back().opened_by.c_str());
+    node.ApplyTeams(MakeTeams({{"key-a", "team-a"}}), 1);
+    CHECK(IsServed(node.Ask(session, "READ it")));
+    STRCMP_EQUAL("team-a", node.GetRuns().back().opened_by.c_str());
+  }
+}
+
 TEST(Teams, ATeamsStatementsGoToOneHolderAndToTheNextIfItFails) {
   // Guards against connections for each team at each holder, and against a
   // team whose holder failed.
