Fuzz and round-trip cases of RUNFOR and of hidden keys

The team of a forwarded statement is part of the round trip, the longest team's name of the longest statement. What a VM passes on of a mutated configuration must be read as the same teams.

--- a/tests/fuzz/decoder_fuzz_test.cc
+++ b/tests/fuzz/decoder_fuzz_test.cc
@@ -175,6 +175,24 @@
               (routes.version > 0 &&
                routes.transaction_idle_limit >= Duration(0));
      }},
+    {"configurations",
+     [](std::string_view bytes) {
+       // Other VMs read the same teams from what this VM passes on.
+       RouteTable read;
+       RouteTable passed;
+       Findings findings;
+       platform::RowCodec::ParseRoutes(bytes, read, findings);
+       if (!findings.IsEmpty()) {
+         return true;
+       }
+       const std::string hidden = platform::RowCodec::HideKeys(bytes);
+       platform::RowCodec::ParseRoutes(hidden, passed, findings);
+       return findings.IsEmpty() &&
+              hidden == platform::RowCodec::HideKeys(hidden) &&
+              (read.teams == nullptr) == (passed.teams == nullptr) &&
+              (read.teams == nullptr ||
+               read.teams->List() == passed.teams->List());
+     }},
     {"settings",
      [](std::string_view bytes) {
        NodeSettings settings;
--- a/tests/round_trip/forwarding_round_trip_test.cc
+++ b/tests/round_trip/forwarding_round_trip_test.cc
@@ -50,6 +50,9 @@
                 [](int ms) { return Duration(std::chrono::milliseconds(ms)); }),
             GenDuration());
         header.config_version = *GenNumber();
+        const std::string team =
+            *rc::gen::oneOf(rc::gen::just(std::string()), GenWord());
+        header.team = team;
         const std::string id = *GenWord();
         const std::string text = "WRITE " + *GenWord() + " " + *GenLineText();
         std::string out;
@@ -67,6 +70,7 @@
                   std::chrono::floor<std::chrono::milliseconds>(
                       std::min(header.time_left, kMaxForwardedTime)));
         RC_ASSERT(message.header.config_version == header.config_version);
+        RC_ASSERT(message.header.team == team);
         RC_ASSERT(message.message.request_id == id);
         RC_ASSERT(message.message.statement.text == text);
       });
@@ -81,6 +85,8 @@
   header.priority = std::numeric_limits<int>::max();
   header.time_left = Duration::max();
   header.config_version = kMax;
+  const std::string team(kMaxTeamNameBytes, 't');
+  header.team = team;
   const std::string prefix = "QUERY 5c EXECUTE s ";
   const std::string line =
       prefix +
