One connection for a statement of a new team; replays of many teams

A statement whose team had no connection was looked at twice and opened two, the second one in place of a third team's.

The group model records the name of each connection.

--- a/libs/relay/core/traffic_core_dispatch.h
+++ b/libs/relay/core/traffic_core_dispatch.h
@@ -370,6 +370,8 @@
       OpenConnection(pool, holder, owner);
       ++opening_count;
       if (is_new) {
+        // The second pass does not open another one for the same statement.
+        opening.push_back(FindConnection(pool.connections.back()));
         connected.insert(
             std::upper_bound(connected.begin(), connected.end(), it.team_hash),
             it.team_hash);
--- a/standins/group/group_model.cc
+++ b/standins/group/group_model.cc
@@ -140,6 +140,7 @@
     Refuse(id, "TOOMANY");
     return;
   }
+  connection.caller = *caller;
   connection.is_busy = true;
   const Duration wait =
       options_.handshakes_wait
@@ -164,17 +165,22 @@
   }
   connection.is_busy = false;
   connection.is_open = true;
+  max_open_connections_ =
+      std::max(max_open_connections_, CountOpen(connection.member));
   DrawForgetting(connection);
   output_(id, FormatReady(connection));
   ProcessPendingLines(id);
 }
 
-bool GroupModel::IsFull(size_t member) const {
-  const auto open = std::count_if(
+size_t GroupModel::CountOpen(size_t member) const {
+  return static_cast<size_t>(std::count_if(
       connections_.begin(), connections_.end(), [member](const auto& row) {
         return row.second.member == member && row.second.is_open;
-      });
-  return open >= static_cast<int64_t>(options_.max_connections);
+      }));
+}
+
+bool GroupModel::IsFull(size_t member) const {
+  return CountOpen(member) >= options_.max_connections;
 }
 
 void GroupModel::Refuse(uint64_t id, std::string_view code) {
--- a/standins/group/group_model.h
+++ b/standins/group/group_model.h
@@ -116,6 +116,8 @@
   /** Number of its transaction, which no other transaction has; 0 without. */
   uint64_t transaction = 0;
   std::map<std::string, std::string> values;
+  /** Name under which the connection was opened. */
+  std::string caller;
 };
 
 /** Counts of prepared statements, values and refusals, for the checks of
@@ -272,6 +274,8 @@
   const std::vector<EarlyAcknowledgement>& GetEarlyAcknowledgements() const {
     return early_acknowledgements_;
   }
+  /** @returns the largest number of connections that a member had */
+  size_t GetMaxOpenConnections() const { return max_open_connections_; }
   /** @returns the executed statements, in order of execution */
   const std::vector<ExecutedStatement>& GetExecutedStatements() const {
     return executed_statements_;
@@ -315,6 +319,8 @@
     size_t member = 0;
     uint64_t incarnation = 0;
     bool is_open = false;
+    /** Name of the caller, as in STARTUP. */
+    std::string caller;
     /** Transaction status as in READY: idle, in a transaction or failed. */
     char status = 'I';
     bool is_read_write = false;
@@ -336,6 +342,7 @@
 
   void HandleLine(uint64_t id, const std::string& line);
   void ProcessPendingLines(uint64_t id);
+  size_t CountOpen(size_t member) const;
   bool IsFull(size_t member) const;
   void Refuse(uint64_t id, std::string_view code);
   void HandleStartup(uint64_t id, FieldReader fields);
@@ -394,6 +401,7 @@
   std::vector<AppliedPromotion> promotions_;
   std::vector<EarlyAcknowledgement> early_acknowledgements_;
   std::vector<ExecutedStatement> executed_statements_;
+  size_t max_open_connections_ = 0;
   PreparedCounts prepared_counts_;
   Term newest_term_{1};
   uint64_t highest_fencing_token_ = 0;
--- a/standins/group/group_statements.cc
+++ b/standins/group/group_statements.cc
@@ -17,7 +17,8 @@
       {query.request, id, member.id, query.text,
        query.arguments ? query.name : std::string(), std::move(shape),
        GetLastPoint(member, true), now_, in_transaction,
-       in_transaction ? connection.transaction : 0, connection.values});
+       in_transaction ? connection.transaction : 0, connection.values,
+       connection.caller});
 }
 
 void GroupModel::RunRead(uint64_t id,
--- a/tests/load/open_loop_load.cc
+++ b/tests/load/open_loop_load.cc
@@ -26,6 +26,7 @@
       options_(options),
       random_(options.seed),
       prepared_random_(options.seed) {
+  team_session_ids_.resize(options_.teams);
   simulation_.SetCallerOutput(
       [this](size_t, uint64_t session, std::string_view line) {
         HandleLine(session, line);
@@ -44,7 +45,13 @@
       session.vm = vm;
       session.database = database;
       session_ids_.push_back(id);
-      simulation_.Send(vm, id, "STARTUP " + database + " caller");
+      std::string caller = "caller";
+      if (options_.teams > 0) {
+        session.team = session_ids_.size() % options_.teams;
+        team_session_ids_[session.team].push_back(id);
+        caller = "key-" + std::to_string(session.team);
+      }
+      simulation_.Send(vm, id, "STARTUP " + database + " " + caller);
     }
   }
 }
@@ -64,13 +71,28 @@
   }
 }
 
+const std::vector<uint64_t>& OpenLoopLoad::ChooseSessions(size_t& team) {
+  if (options_.teams == 0) {
+    return session_ids_;
+  }
+  const double others = static_cast<double>(options_.teams) - 1;
+  const double at =
+      std::uniform_real_distribution<>(0, first_team_factor_ + others)(random_);
+  team = at < first_team_factor_
+             ? 0
+             : std::min(options_.teams - 1,
+                        1 + static_cast<size_t>(at - first_team_factor_));
+  return team_session_ids_[team];
+}
+
 void OpenLoopLoad::BeginOperation() {
   const int64_t operation = static_cast<int64_t>(operations_.size());
   Operation& it = operations_.emplace_back();
   it.began_at = simulation_.GetQueue().Now();
+  const std::vector<uint64_t>& ids = ChooseSessions(it.team);
   // A caller that waits for an answer sends nothing; another one is chosen.
   for (int n = 0; n < 50; ++n) {
-    const uint64_t id = session_ids_[random_() % session_ids_.size()];
+    const uint64_t id = ids[random_() % ids.size()];
     const Session& session = sessions_[id];
     if (!session.open || session.operation >= 0) {
       continue;
@@ -92,8 +114,12 @@
   session.operation = operation;
   session.refused = false;
   session.failed = false;
+  std::string request = "q" + std::to_string(next_request_++);
+  if (options_.teams > 0) {
+    request += "-team-" + std::to_string(session.team);
+  }
   simulation_.Send(session.vm, id,
-                   "QUERY q" + std::to_string(next_request_++) + " " +
+                   "QUERY " + request + " " +
                        operations_[static_cast<size_t>(operation)].text);
 }
 
@@ -172,4 +198,20 @@
   return n == 0 ? 1 : static_cast<double>(served) / static_cast<double>(n);
 }
 
+std::vector<double> OpenLoopLoad::GetTeamShares(TimePoint begin,
+                                                TimePoint end) const {
+  std::vector<double> counts(options_.teams);
+  std::vector<double> shares(options_.teams);
+  for (const Operation& it : operations_) {
+    if (it.began_at >= begin && it.began_at < end) {
+      ++counts[it.team];
+      shares[it.team] += it.served ? 1 : 0;
+    }
+  }
+  for (size_t it = 0; it < options_.teams; ++it) {
+    shares[it] = counts[it] == 0 ? 1 : shares[it] / counts[it];
+  }
+  return shares;
+}
+
 }  // namespace magnoliareel
--- a/tests/load/open_loop_load.h
+++ b/tests/load/open_loop_load.h
@@ -21,6 +21,8 @@
   /** An answer within this time counts as served. */
   Duration objective = std::chrono::milliseconds(800);
   uint64_t seed = 1;
+  /** Number of teams; team n has the key "key-n". Callers have none if 0. */
+  size_t teams = 0;
 };
 
 /** Callers that send statements at given times, whether earlier ones were
@@ -37,24 +39,36 @@
       @param rate_factor  multiplies OpenLoopOptions::rate
   */
   void RunUntil(TimePoint end, double rate_factor);
+  /** Sets the load of the first team.
+
+      @param factor  multiple of the other teams' load
+  */
+  void SetFirstTeamFactor(double factor) { first_team_factor_ = factor; }
   /** @param begin  start of a period
       @param end    its end
       @returns      the share of the statements of that period that were served
                     within the objective
   */
   double GetServedShare(TimePoint begin, TimePoint end) const;
+  /** @param begin  start of a period
+      @param end    its end
+      @returns      the same for each team
+  */
+  std::vector<double> GetTeamShares(TimePoint begin, TimePoint end) const;
 
  private:
   /** An operation of a caller, with its retries. */
   struct Operation {
     TimePoint began_at;
     std::string text;
+    size_t team = 0;
     uint32_t retries = 0;
     bool served = false;
   };
   struct Session {
     size_t vm = 0;
     std::string database;
+    size_t team = 0;
     bool open = false;
     /** True once it has sent its PREPAREs. */
     bool has_prepared = false;
@@ -68,6 +82,8 @@
 
   void Prepare(uint64_t id, Session& session);
   void BeginOperation();
+  /** @returns the sessions of the team that sends the next operation */
+  const std::vector<uint64_t>& ChooseSessions(size_t& team);
   void Send(uint64_t id, int64_t operation);
   void HandleLine(uint64_t id, std::string_view line);
   void FinishAttempt(uint64_t id);
@@ -80,6 +96,8 @@
   std::mt19937_64 prepared_random_;
   std::unordered_map<uint64_t, Session> sessions_;
   std::vector<uint64_t> session_ids_;
+  std::vector<std::vector<uint64_t>> team_session_ids_;
+  double first_team_factor_ = 1;
   std::vector<Operation> operations_;
   uint64_t next_request_ = 1;
 };
--- a/tests/traffic/team_test.cc
+++ b/tests/traffic/team_test.cc
@@ -331,6 +331,20 @@
   CHECK(node.CountOpenConnections() <= kMaxConnections);
 }
 
+TEST(Teams, AStatementOfANewTeamOpensOneConnection) {
+  // Guards against a second connection for the same statement, which costs a
+  // handshake and another team's connection.
+  ScriptedNode node;
+  node.ApplyTeams(MakeTeams({{"key-a", "team-a"}, {"key-b", "team-b"}}));
+  size_t opened = 0;
+  for (const char* key : {"key-a", "key-b"}) {
+    const uint64_t session = node.OpenCaller("entries", key);
+    CHECK(IsServed(node.Ask(session, "WRITE it a")));
+    node.Run(std::chrono::milliseconds(50));
+    LONGS_EQUAL(++opened, node.CountOpenedConnections());
+  }
+}
+
 TEST(Teams, TeamsMayBeIntroducedAndRemoved) {
   // Guards against connections of teams that keep all others out after the
   // configuration names no teams any more, and the other way round.
--- a/tests/traffic/traffic_simulation.cc
+++ b/tests/traffic/traffic_simulation.cc
@@ -211,7 +211,8 @@
     return;
   }
   auto routes = std::make_shared<RouteTable>();
-  routes->version = 1;
+  routes->version = config_version_;
+  routes->teams = teams_;
   for (const auto& [name, consistency] :
        {std::pair("entries", Consistency::kPrimary),
         std::pair("lookups", Consistency::kBounded),
--- a/tests/traffic/traffic_simulation.h
+++ b/tests/traffic/traffic_simulation.h
@@ -139,6 +139,12 @@
   void Send(size_t vm, uint64_t session, const std::string& line);
   void CloseCaller(size_t vm, uint64_t session);
 
+  /** Puts a configuration with these teams in force. */
+  void SetTeams(std::shared_ptr<const TeamTable> teams) {
+    teams_ = std::move(teams);
+    ++config_version_;
+    Publish();
+  }
   /** Publishes routes and endpoints to every VM. */
   void Publish();
   /** Starts or ends a network partition between a VM and a member: bytes are
@@ -264,6 +270,8 @@
 
   EventQueue queue_;
   GroupOptions options_;
+  std::shared_ptr<const TeamTable> teams_;
+  uint64_t config_version_ = 1;
   GroupModel group_;
   std::vector<Vm> vms_;
   CallerOutput output_;
