Allowance: compiles, is wired into the core and the node

Events E5701 to E5704, codecs of the slot row and of three datagrams, charge of an operation before its first dispatch, SlotRegistry on the control thread. Fixes in the library: slots that lapsed start empty again; a mark names the version that was marked; slots held back after a restored store stay so until the period is over; permits that expire in a queue are renewed; operations that wait when a limit is removed run; wake-ups do not multiply. magnoliareel-node builds; no test was run yet.

--- a/apps/node/node_process.cc
+++ b/apps/node/node_process.cc
@@ -23,6 +23,15 @@
 // start, each of them learns all others one by one.
 constexpr Duration kPeerReviewDelay = std::chrono::milliseconds(50);
 
+// Processes of a VM start at different times, so that an answer to a former one
+// is not taken for an answer to this one.
+uint64_t GetFirstPermitSequence() {
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
 }  // namespace
 
 NodeProcess::NodeProcess(NodeSettings settings,
@@ -46,7 +55,9 @@
                  return settings_.MeasureDistance(site);
                },
            .max_draining_use =
-               GetMaxDrainingUse(settings_.endpoint_drain_period)},
+               GetMaxDrainingUse(settings_.endpoint_drain_period),
+           .allowance_window = settings_.allowance_window,
+           .first_permit_sequence = GetFirstPermitSequence()},
           [this](const TrafficNotice& notice) { notices_.Post(notice); },
           metrics_),
       fleet_(store_, *this, settings_.vm),
@@ -65,6 +76,7 @@
                 peers_.GetPeers(),
                 settings_.vm,
                 settings_.site),
+      slots_(store_, *this, settings_.vm),
       probe_(
           loop_,
           [this](const net::Request&, const net::HttpListener::Answer& answer) {
@@ -124,6 +136,16 @@
 
 void NodeProcess::Publish(std::shared_ptr<const FleetView> view) {
   failover_.Apply(*view);
+  if (const TeamTable* teams = view->routes->teams.get();
+      teams != nullptr && !uses_allowances_) {
+    uses_allowances_ = std::any_of(
+        teams->List().begin(), teams->List().end(),
+        [](const auto& row) { return row.second.limit.has_value(); });
+    if (uses_allowances_) {
+      ReviewAllowances();
+      slots_.Start();
+    }
+  }
   traffic_.Publish(std::move(view));
 }
 
@@ -196,6 +218,68 @@
   peers_.SendDatagram(to, EncodeForwardedCommandResponse(response));
 }
 
+void NodeProcess::ApplySlots(const SlotAssignment* assignment,
+                             TimePoint valid_until) {
+  traffic_.ApplySlots(
+      assignment == nullptr ? std::nullopt : std::optional(*assignment),
+      valid_until);
+}
+
+void NodeProcess::RequestSlot(const VmId& owner) {
+  SendToVm(owner, EncodeSlotRequest({settings_.vm}));
+}
+
+void NodeProcess::SendPermitRequest(const VmId& to,
+                                    const PermitRequest& request) {
+  SendToVm(to, EncodePermitRequest({settings_.peer_address, request}));
+}
+
+void NodeProcess::SendToVm(const VmId& vm, std::string_view bytes) {
+  for (const PeerGroup::Peer* it : peers_.GetPeers().ListLive()) {
+    if (it->last.vm == vm) {
+      peers_.SendDatagram(it->last.address, bytes);
+      return;
+    }
+  }
+}
+
+void NodeProcess::ReviewAllowances() {
+  if (!uses_allowances_) {
+    return;
+  }
+  std::vector<VmId> live{settings_.vm};
+  std::vector<PermitLender> lenders;
+  for (const PeerGroup::Peer* it : peers_.GetPeers().ListLive()) {
+    live.push_back(it->last.vm);
+    lenders.push_back({it->last.vm, settings_.MeasureDistance(it->last.site)});
+  }
+  std::sort(live.begin(), live.end());
+  slots_.SetLiveVms(live);
+  traffic_.ApplyLenders(std::move(lenders));
+}
+
+bool NodeProcess::HandleAllowanceDatagram(std::string_view bytes) {
+  if (PermitRequestDatagram datagram; DecodePermitRequest(bytes, datagram)) {
+    traffic_.HandlePermitRequest(
+        datagram.request,
+        [this, to = datagram.reply_to](const PermitGrant& grant) {
+          mailbox_.Post([this, to, grant] {
+            peers_.SendDatagram(to, EncodePermitGrant({settings_.vm, grant}));
+          });
+        });
+    return true;
+  }
+  if (PermitGrantDatagram datagram; DecodePermitGrant(bytes, datagram)) {
+    traffic_.HandlePermitGrant(datagram.vm, datagram.grant);
+    return true;
+  }
+  if (SlotRequestDatagram datagram; DecodeSlotRequest(bytes, datagram)) {
+    slots_.HandleSlotRequest(datagram.vm);
+    return true;
+  }
+  return false;
+}
+
 void NodeProcess::HandleOtherDatagram(std::string_view bytes) {
   if (ForwardedCommand command; DecodeForwardedCommand(bytes, command)) {
     failover_.HandleForwardedCommand(command);
@@ -215,6 +299,9 @@
     failover_.HandleAnsweredCommitResponse(response);
     return;
   }
+  if (HandleAllowanceDatagram(bytes)) {
+    return;
+  }
   bound_exchange_.HandleDatagram(bytes);
 }
 
@@ -268,6 +355,7 @@
         fleet_.SetLiveVms(peers_.GetPeers().CountExpected(Now()),
                           ListHolderCandidates());
         failover_.Review();
+        ReviewAllowances();
       });
     }
   };
@@ -335,6 +423,7 @@
   // The registration and the duties' rows may be younger than the copy.
   RegisterVm();
   failover_.HandleStoreRestored();
+  slots_.HandleStoreRestored();
 }
 
 void NodeProcess::RegisterVm() {
@@ -402,6 +491,11 @@
     bound_exchange_.SendQuery(*notice.query);
     return;
   }
+  if (notice.permit_request) {
+    const auto& [to, request] = *notice.permit_request;
+    SendPermitRequest(to, request);
+    return;
+  }
   if (notice.primary_confirmed) {
     failover_.HandlePrimaryConfirmed(notice.report.endpoint, notice.term);
     return;
--- a/apps/node/node_process.h
+++ b/apps/node/node_process.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "allowance/allowance.h"
 #include "apps/node/freshness_bound_exchange.h"
 #include "apps/node/peer_exchange.h"
 #include "apps/node/traffic_thread.h"
@@ -65,6 +66,10 @@
   /** @see AnsweredCommitChannel */
   void SendAnsweredCommitResponse(const SocketAddress& to,
                                   const AnsweredCommitResponse& response);
+  /** @see SlotDelegate */
+  void ApplySlots(const SlotAssignment* assignment, TimePoint valid_until);
+  /** @see SlotDelegate */
+  void RequestSlot(const VmId& owner);
   /** @see ForwardedCommandChannel */
   void ForwardCommand(const SocketAddress& to, const ForwardedCommand& command);
   /** @see ForwardedCommandChannel */
@@ -81,10 +86,19 @@
                                    Commands,
                                    platform::PromotionClient,
                                    NodeProcess>;
+  using Slots =
+      SlotRegistry<platform::StoreClient, TextSlotRowCodec, NodeProcess>;
 
   PeerExchange::Callbacks MakePeerExchangeCallbacks();
   std::vector<HolderCandidate> ListHolderCandidates() const;
   void HandleOtherDatagram(std::string_view bytes);
+  /** @returns false if the bytes are not a datagram on permits or slots */
+  bool HandleAllowanceDatagram(std::string_view bytes);
+  void SendPermitRequest(const VmId& to, const PermitRequest& request);
+  /** Sends a datagram to a VM, if it is live. */
+  void SendToVm(const VmId& vm, std::string_view bytes);
+  /** Informs the allowances about the live VMs, if a team has a limit. */
+  void ReviewAllowances();
   FreshnessBoundExchange::Callbacks MakeBoundExchangeCallbacks();
   NodeStatus MakeStatus() const;
   void HandleStoreRestored(uint64_t era);
@@ -118,10 +132,13 @@
   Commands commands_;
   platform::PromotionClient promotions_;
   Failover failover_;
+  Slots slots_;
   net::HttpListener probe_;
   net::HttpListener metrics_listener_;
   bool ready_ = false;
   bool peer_review_scheduled_ = false;
+  /** A configuration in force has limited a team. */
+  bool uses_allowances_ = false;
   bool stopping_ = false;
   std::optional<ShutdownSequence> stop_;
 };
--- a/apps/node/traffic_thread.cc
+++ b/apps/node/traffic_thread.cc
@@ -162,6 +162,31 @@
   mailbox_.Post([this, service] { core_.RequestPrimaryBound(service); });
 }
 
+void TrafficThread::ApplySlots(std::optional<SlotAssignment> assignment,
+                               TimePoint valid_until) {
+  mailbox_.Post([this, assignment = std::move(assignment), valid_until] {
+    core_.ApplySlots(assignment ? &*assignment : nullptr, valid_until);
+  });
+}
+
+void TrafficThread::ApplyLenders(std::vector<PermitLender> lenders) {
+  mailbox_.Post(
+      [this, lenders = std::move(lenders)] { core_.ApplyLenders(lenders); });
+}
+
+void TrafficThread::HandlePermitRequest(
+    const PermitRequest& request,
+    std::function<void(const PermitGrant&)> done) {
+  mailbox_.Post([this, request, done = std::move(done)] {
+    done(core_.HandlePermitRequest(request));
+  });
+}
+
+void TrafficThread::HandlePermitGrant(const VmId& from,
+                                      const PermitGrant& grant) {
+  mailbox_.Post([this, from, grant] { core_.HandlePermitGrant(from, grant); });
+}
+
 void TrafficThread::BeginDrain(Duration transaction_grace_period,
                                Duration statement_grace_period) {
   mailbox_.Post([this, transaction_grace_period, statement_grace_period] {
@@ -247,6 +272,26 @@
     gauges.Add("connections_evicted",
                "Idle connections closed for another team, since the start.", {},
                static_cast<double>(counters.connections_evicted));
+    const AllowanceCounters& allowances = core_.GetAllowanceCounters();
+    gauges.Add("statements_over_limit",
+               "Statements refused because their team is over its limit.", {},
+               static_cast<double>(counters.refused_over_limit));
+    gauges.Add("slots", "Slots from which this VM issues permits.", {},
+               static_cast<double>(core_.CountOwnSlots()));
+    gauges.Add("permits_granted", "Operations on permits of this VM's slots.",
+               {}, static_cast<double>(allowances.granted));
+    gauges.Add("permits_borrowed", "Operations on permits of other VMs.", {},
+               static_cast<double>(allowances.borrowed));
+    gauges.Add("permits_lent", "Permits given to other VMs.", {},
+               static_cast<double>(allowances.lent));
+    for (const auto& [reason, count] :
+         {std::pair("empty", allowances.refused_empty),
+          std::pair("unreachable", allowances.refused_unreachable),
+          std::pair("waiting", allowances.refused_waiting),
+          std::pair("queued", allowances.refused_queued)}) {
+      gauges.Add("permits_refused", "Operations refused without a permit.",
+                 {{"reason", reason}}, static_cast<double>(count));
+    }
     const PreparedTotals prepared = core_.CountPrepared();
     gauges.Add("prepared_names",
                "Names of prepared statements on connections of this VM.", {},
@@ -383,6 +428,13 @@
   notify_(notice);
 }
 
+void TrafficThread::SendPermitRequest(const VmId& to,
+                                      const PermitRequest& request) {
+  TrafficNotice notice;
+  notice.permit_request.emplace(to, request);
+  notify_(notice);
+}
+
 void TrafficThread::FinishEvent() {
   // Closing a caller's session may append to the buffers of other connections.
   while (!dirty_connections_.empty()) {
--- a/apps/node/traffic_thread.h
+++ b/apps/node/traffic_thread.h
@@ -8,8 +8,10 @@
 #include <string>
 #include <thread>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
+#include "allowance/allowance.h"
 #include "forwarding/forwarding.h"
 #include "net/net.h"
 #include "platform/platform.h"
@@ -18,8 +20,8 @@
 namespace magnoliareel {
 
 /** A message from the traffic thread to the control thread. Holds one of: the
-    condition of an endpoint, the confirmation of a primary, or a query for a
-    freshness bound. */
+    condition of an endpoint, the confirmation of a primary, a query for a
+    freshness bound, or a request for permits. */
 struct TrafficNotice {
   /** Condition of an endpoint; with `primary_confirmed`, only the endpoint's id
       is set. */
@@ -31,6 +33,9 @@
   /** Query for a freshness bound from another VM; if set, the other members are
       unused. */
   std::optional<FreshnessBoundQuery> query;
+  /** Request for permits and the VM to which it is sent; if set, the other
+      members are unused. */
+  std::optional<std::pair<VmId, PermitRequest>> permit_request;
 };
 
 /** The thread that serves callers, with its event loop, its sockets and the
@@ -85,6 +90,17 @@
   void RecordPeerBound(const FreshnessBound& bound, TimePoint sent_at);
   /** Calls TrafficCore::RequestPrimaryBound on the traffic thread. */
   void RequestPrimaryBound(const ServiceId& service);
+  /** Calls TrafficCore::ApplySlots on the traffic thread. */
+  void ApplySlots(std::optional<SlotAssignment> assignment,
+                  TimePoint valid_until);
+  /** Calls TrafficCore::ApplyLenders on the traffic thread. */
+  void ApplyLenders(std::vector<PermitLender> lenders);
+  /** Calls TrafficCore::HandlePermitRequest on the traffic thread, where `done`
+      is called with the result. */
+  void HandlePermitRequest(const PermitRequest& request,
+                           std::function<void(const PermitGrant&)> done);
+  /** Calls TrafficCore::HandlePermitGrant on the traffic thread. */
+  void HandlePermitGrant(const VmId& from, const PermitGrant& grant);
   /** Starts draining sessions. @see TrafficCore::BeginDrain */
   void BeginDrain(Duration transaction_grace_period,
                   Duration statement_grace_period);
@@ -124,6 +140,8 @@
   void OnPrimaryConfirmed(const EndpointId& endpoint, Term term);
   /** @see TrafficNet */
   void RequestPeerBound(const FreshnessBoundQuery& query);
+  /** @see TrafficNet */
+  void SendPermitRequest(const VmId& to, const PermitRequest& request);
 
  private:
   using Core =
--- a/libs/allowance/book/allowance_book.h
+++ b/libs/allowance/book/allowance_book.h
@@ -50,6 +50,14 @@
   kRefused,
 };
 
+/** Answer to an operation that needs a permit. */
+struct PermitDecision {
+  PermitResult result = PermitResult::kRefused;
+  /** With kGranted, the operation must have been sent to an endpoint by then,
+      or it needs another permit. */
+  TimePoint expires_at = TimePoint::max();
+};
+
 /** A VM that may lend permits. */
 struct PermitLender {
   VmId vm;
@@ -70,6 +78,9 @@
   uint64_t refused_empty = 0;
   uint64_t refused_unreachable = 0;
   uint64_t refused_waiting = 0;
+  /** Operations refused because they waited in an endpoint's queue until their
+      permit had expired, and no other was at hand. */
+  uint64_t refused_queued = 0;
 };
 
 /** Interface through which AllowanceBook reaches its owner. */
@@ -78,11 +89,12 @@
                                      const VmId& to,
                                      const PermitRequest& request,
                                      uint64_t operation,
+                                     TimePoint expires_at,
                                      TimePoint at) {
   /** Sends a request to the owner of a slot; may be lost. */
   delegate.SendPermitRequest(to, request);
-  /** Called for an operation that waited. */
-  delegate.OnPermitGranted(operation);
+  /** Called for an operation that waited. @see PermitDecision */
+  delegate.OnPermitGranted(operation, expires_at);
   /** Called for an operation that waited. */
   delegate.OnPermitRefused(operation);
   /** Calls AllowanceBook::HandleWake() at a time, or earlier. */
@@ -123,14 +135,19 @@
   void ApplyLimits(const TeamTable* teams,
                    const AllowanceWindow& window,
                    TimePoint now) {
-    std::erase_if(teams_, [teams](const auto& row) {
+    std::vector<uint64_t> unlimited;
+    std::erase_if(teams_, [teams, &unlimited](const auto& row) {
       const Team* team = teams == nullptr ? nullptr : teams->Find(row.first);
-      return team == nullptr || !team->limit;
+      if (team != nullptr && team->limit) {
+        return false;
+      }
+      for (const Waiting& it : row.second.waiting) {
+        unlimited.push_back(it.operation);
+      }
+      return true;
     });
-    if (teams == nullptr) {
-      return;
-    }
-    for (const auto& [id, team] : teams->List()) {
+    static const std::map<TeamId, Team> kNoTeams;
+    for (const auto& [id, team] : teams == nullptr ? kNoTeams : teams->List()) {
       if (!team.limit) {
         continue;
       }
@@ -141,6 +158,9 @@
         it->second.is_placed = false;
       }
     }
+    for (const uint64_t it : unlimited) {
+      delegate_.OnPermitGranted(it, TimePoint::max());
+    }
   }
 
   /** Puts an assignment of slots in force.
@@ -151,6 +171,15 @@
   void ApplySlots(const SlotAssignment* assignment,
                   TimePoint valid_until,
                   TimePoint now) {
+    if (now >= valid_until_) {
+      // Other VMs may have owned the slots meanwhile, so they start empty.
+      owned_since_.clear();
+      for (auto& [id, state] : teams_) {
+        state.own.clear();
+      }
+      assignment_ = {};
+      InvalidatePlacement();
+    }
     valid_until_ = valid_until;
     if (assignment == nullptr) {
       return;
@@ -195,33 +224,52 @@
       @param deadline   end of the longest wait
       @param now        the current time
       @returns          whether it may run; kGranted if the team has no limit */
-  PermitResult Take(const TeamId& team,
-                    uint64_t operation,
-                    TimePoint deadline,
-                    TimePoint now) {
+  PermitDecision Take(const TeamId& team,
+                      uint64_t operation,
+                      TimePoint deadline,
+                      TimePoint now) {
     const auto it = teams_.find(team);
     if (it == teams_.end()) {
-      return PermitResult::kGranted;
+      return {PermitResult::kGranted, TimePoint::max()};
     }
     TeamState& state = it->second;
     Place(state, now);
-    if (state.waiting.empty() && TakeOwn(state, 1, now) == 1) {
-      ++counters_.granted;
-      return PermitResult::kGranted;
-    }
-    RecordDemand(state, now);
-    if (state.waiting.empty() && TakeBorrowed(state, now)) {
-      ++counters_.borrowed;
-      return PermitResult::kGranted;
+    if (state.waiting.empty()) {
+      if (const auto expires_at = TakeOne(state, now)) {
+        return {PermitResult::kGranted, *expires_at};
+      }
+    } else {
+      RecordDemand(state, now);
     }
     state.waiting.push_back({operation, deadline});
     if (!state.request && !SendRequest(state, now)) {
       state.waiting.pop_back();
       CountRefusal(state, now);
-      return PermitResult::kRefused;
+      return {PermitResult::kRefused, now};
     }
     delegate_.WakeForPermits(deadline);
-    return PermitResult::kWait;
+    return {PermitResult::kWait, now};
+  }
+
+  /** Takes a permit for an operation whose first one has expired before it was
+      sent to an endpoint. It does not wait again.
+
+      @param team  the caller's team
+      @param now   the current time
+      @returns     whether it may run, kGranted or kRefused */
+  PermitDecision TakeAgain(const TeamId& team, TimePoint now) {
+    const auto it = teams_.find(team);
+    if (it == teams_.end()) {
+      return {PermitResult::kGranted, TimePoint::max()};
+    }
+    TeamState& state = it->second;
+    Place(state, now);
+    if (const auto expires_at = TakeOne(state, now)) {
+      return {PermitResult::kGranted, *expires_at};
+    }
+    ++counters_.refused_queued;
+    LogRefusal(state, "queued", now);
+    return {PermitResult::kRefused, now};
   }
 
   /** Forgets an operation that waits, because its caller has left. */
@@ -425,17 +473,31 @@
     return taken;
   }
 
-  bool TakeBorrowed(TeamState& state, TimePoint now) {
+  // Returns the end of the permit's lifetime, or none if there is no permit.
+  std::optional<TimePoint> TakeOne(TeamState& state, TimePoint now) {
+    if (TakeOwn(state, 1, now) == 1) {
+      ++counters_.granted;
+      return now + kPermitLifetime;
+    }
+    RecordDemand(state, now);
+    if (const auto expires_at = TakeBorrowed(state, now)) {
+      ++counters_.borrowed;
+      return expires_at;
+    }
+    return std::nullopt;
+  }
+
+  std::optional<TimePoint> TakeBorrowed(TeamState& state, TimePoint now) {
     while (!state.borrowed.empty() &&
            (state.borrowed.front().count == 0 ||
             now >= state.borrowed.front().expires_at)) {
       state.borrowed.pop_front();
     }
     if (state.borrowed.empty()) {
-      return false;
+      return std::nullopt;
     }
     --state.borrowed.front().count;
-    return true;
+    return state.borrowed.front().expires_at;
   }
 
   void RecordDemand(TeamState& state, TimePoint now) {
@@ -479,16 +541,18 @@
 
   void ServeWaiting(TeamState& state, TimePoint now) {
     Place(state, now);
-    std::vector<uint64_t> granted;
+    std::vector<std::pair<uint64_t, TimePoint>> granted;
     while (!state.waiting.empty()) {
+      std::optional<TimePoint> expires_at;
       if (TakeOwn(state, 1, now) == 1) {
         ++counters_.granted;
-      } else if (TakeBorrowed(state, now)) {
+        expires_at = now + kPermitLifetime;
+      } else if ((expires_at = TakeBorrowed(state, now))) {
         ++counters_.borrowed;
       } else {
         break;
       }
-      granted.push_back(state.waiting.front().operation);
+      granted.emplace_back(state.waiting.front().operation, *expires_at);
       state.waiting.pop_front();
     }
     std::vector<uint64_t> refused;
@@ -499,8 +563,8 @@
       }
     }
     // The delegate may call back, so the state is complete before.
-    for (const uint64_t it : granted) {
-      delegate_.OnPermitGranted(it);
+    for (const auto& [operation, expires_at] : granted) {
+      delegate_.OnPermitGranted(operation, expires_at);
     }
     for (const uint64_t it : refused) {
       delegate_.OnPermitRefused(it);
@@ -525,7 +589,13 @@
       LogRefusal(state, "waiting", now);
     }
     if (!state.waiting.empty()) {
-      delegate_.WakeForPermits(state.waiting.front().deadline);
+      // Routes differ in how long their operations wait.
+      delegate_.WakeForPermits(
+          std::min_element(state.waiting.begin(), state.waiting.end(),
+                           [](const Waiting& a, const Waiting& b) {
+                             return a.deadline < b.deadline;
+                           })
+              ->deadline);
     }
     if (state.request) {
       delegate_.WakeForPermits(state.request->sent_at + kPermitRequestTimeout);
--- a/libs/allowance/budget/token_bucket.h
+++ b/libs/allowance/budget/token_bucket.h
@@ -37,7 +37,7 @@
   /** @returns the whole permits that the bucket holds */
   uint32_t Count(TimePoint now) {
     Refill(now);
-    return static_cast<uint32_t>(tokens_ + kRounding);
+    return static_cast<uint32_t>(std::max(0.0, tokens_ + kRounding));
   }
   /** Takes permits.
 
@@ -46,7 +46,8 @@
       @returns    the number that was taken, at most `n` */
   uint32_t Take(uint32_t n, TimePoint now) {
     const uint32_t taken = std::min(n, Count(now));
-    tokens_ = std::max(0.0, tokens_ - taken);
+    // What was rounded up is owed, so that roundings do not add up.
+    tokens_ -= taken;
     return taken;
   }
 
--- a/libs/allowance/slots/slot_assignment.h
+++ b/libs/allowance/slots/slot_assignment.h
@@ -12,11 +12,14 @@
 struct SlotOwner {
   /** Empty if nobody owns the slot. */
   VmId vm;
-  /** The VM has not been heard for long. Its slot is given away once it has
-      certainly ceased to use it. */
-  bool is_vacating = false;
+  /** If not 0, the VM has not been heard for long, and its slot is given away
+      once it has certainly ceased to use it. The version of the row that was
+      marked, which tells this mark from an earlier one that was withdrawn. */
+  uint64_t mark = 0;
 
   bool operator==(const SlotOwner&) const = default;
+  /** @returns whether the VM is to lose the slot */
+  bool IsVacating() const { return mark != 0; }
 };
 
 /** Which VM issues permits from which slot. The number of slots never changes,
--- a/libs/allowance/slots/slot_registry.h
+++ b/libs/allowance/slots/slot_registry.h
@@ -62,7 +62,7 @@
                                 std::function<void()> task,
                                 const VmId& owner) {
   /** Returns the time of a clock that counts suspensions of the VM. */
-  { delegate.BootNow() } -> std::same_as<TimePoint>;
+  { delegate.Now() } -> std::same_as<TimePoint>;
   /** Calls a function once, later, on the control thread. */
   delegate.After(pause, task);
   /** Passes an assignment to the traffic thread, null for none; this VM's slots
@@ -112,7 +112,7 @@
     if (std::equal(live.begin(), live.end(), live_.begin(), live_.end())) {
       return;
     }
-    const TimePoint now = delegate_.BootNow();
+    const TimePoint now = delegate_.Now();
     live_.assign(live.begin(), live.end());
     live_changed_at_ = now;
     if (started_) {
@@ -132,7 +132,7 @@
       return;
     }
     SlotAssignment next = *assignment_;
-    next.owners[own.back()] = {vm, false};
+    next.owners[own.back()] = {vm, 0};
     // This VM ceases to use the slot before another one can. The write may take
     // effect long after its answer was lost, so the slot is not used again
     // before the row has a version with which it cannot.
@@ -146,7 +146,7 @@
       elsewhere: a store that was restored from a copy may name former owners.
    */
   void HandleStoreRestored() {
-    no_new_slots_until_ = delegate_.BootNow() + kSlotValidity;
+    HoldNewSlotsBack();
     if (started_) {
       Read();
     }
@@ -160,6 +160,14 @@
  private:
   bool IsKnown() const { return assignment_.has_value(); }
 
+  void HoldNewSlotsBack() {
+    no_new_slots_until_ = delegate_.Now() + kSlotValidity;
+    // Versions may start again from a lower one. Slots that were given away are
+    // not usable, and are held back like new ones.
+    version_ = 0;
+    given_away_.clear();
+  }
+
   std::vector<uint32_t> ListSlots(const VmId& vm) const {
     std::vector<uint32_t> slots;
     for (uint32_t it = 0; IsKnown() && it < assignment_->owners.size(); ++it) {
@@ -185,7 +193,7 @@
     if (is_writing_ || std::exchange(is_reading_, true)) {
       return;
     }
-    const TimePoint sent_at = delegate_.BootNow();
+    const TimePoint sent_at = delegate_.Now();
     store_.Get(kAllowanceTable, kSlotsKey,
                [this, sent_at](std::error_code ec, const StoredRows& answer) {
                  is_reading_ = false;
@@ -200,6 +208,10 @@
 
   void HandleRow(const StoredRow* row, TimePoint sent_at) {
     if (row == nullptr || row->removed) {
+      if (IsKnown()) {
+        // Its successor may assign the slots that other VMs still use.
+        HoldNewSlotsBack();
+      }
       version_ = 0;
       assignment_.reset();
       Publish();
@@ -216,11 +228,15 @@
       ScheduleRead(kSlotConfirmInterval);
       return;
     }
-    if (row->version < version_) {
+    if (row->version < version_ && sent_at <= confirmed_at_) {
       // An answer that was overtaken by that to a write.
       ScheduleRead(kSlotRetryDelay);
       return;
     }
+    if (row->version < version_) {
+      // The store was restored from a copy.
+      HoldNewSlotsBack();
+    }
     version_ = row->version;
     Adopt(std::move(next), sent_at);
     Review();
@@ -228,20 +244,16 @@
 
   void Adopt(SlotAssignment next, TimePoint confirmed_at) {
     const bool changed = !assignment_ || *assignment_ != next;
-    std::vector<bool> was_own(next.owners.size(), false);
-    for (const uint32_t it : ListSlots(self_)) {
-      if (it < was_own.size()) {
-        was_own[it] = true;
-      }
-    }
+    std::vector<bool> was_usable = std::move(usable_);
+    was_usable.resize(next.owners.size(), false);
     std::erase_if(given_away_,
                   [this](const auto& row) { return row.second < version_; });
     const bool holds_back = confirmed_at < no_new_slots_until_;
     usable_.assign(next.owners.size(), false);
     for (uint32_t it = 0; it < next.owners.size(); ++it) {
-      usable_[it] = next.owners[it].vm == self_ &&
-                    !next.owners[it].is_vacating && !given_away_.contains(it) &&
-                    (was_own[it] || !holds_back);
+      usable_[it] =
+          next.owners[it].vm == self_ && !next.owners[it].IsVacating() &&
+          !given_away_.contains(it) && (was_usable[it] || !holds_back);
     }
     assignment_ = std::move(next);
     confirmed_at_ = confirmed_at;
@@ -270,7 +282,7 @@
 
   // Assigns the slots for the first time, evenly among the known VMs.
   void Create() {
-    const TimePoint now = delegate_.BootNow();
+    const TimePoint now = delegate_.Now();
     const bool is_first = !live_.empty() && live_.front() == self_;
     if (!is_first || now - live_changed_at_ < kSlotSettlePeriod) {
       ScheduleRead(kSlotRetryDelay);
@@ -287,7 +299,11 @@
 
   // Decides what this VM has to change.
   void Review() {
-    const TimePoint now = delegate_.BootNow();
+    if (is_writing_) {
+      // The answer to the write is followed by a read.
+      return;
+    }
+    const TimePoint now = delegate_.Now();
     if (!given_away_.empty()) {
       // A new version keeps the write whose answer was lost from taking effect.
       Write(*assignment_, "kept");
@@ -308,8 +324,8 @@
     SlotAssignment next = *assignment_;
     bool changed = false;
     for (SlotOwner& it : next.owners) {
-      if (it.vm == self_ && it.is_vacating) {
-        it.is_vacating = false;
+      if (it.vm == self_ && it.IsVacating()) {
+        it.mark = 0;
         changed = true;
       }
     }
@@ -333,27 +349,29 @@
       }
       if (is_unowned) {
         SlotAssignment next = *assignment_;
-        next.owners[it] = {self_, false};
+        next.owners[it] = {self_, 0};
         Write(std::move(next), "taken");
         return true;
       }
-      if (!owner.is_vacating) {
+      if (!owner.IsVacating()) {
         if (now - absent_since_.at(owner.vm) < kSlotOwnerRetention) {
           continue;
         }
         SlotAssignment next = *assignment_;
         for (SlotOwner& other : next.owners) {
-          other.is_vacating = other.is_vacating || other.vm == owner.vm;
+          if (other.vm == owner.vm && !other.IsVacating()) {
+            other.mark = version_;
+          }
         }
         Write(std::move(next), "marked");
         return true;
       }
       const auto [seen, added] =
-          marks_seen_at_.try_emplace({it, owner.vm}, now);
+          marks_seen_at_.try_emplace({it, owner.mark}, now);
       if (!added && now - seen->second > kSlotValidity + kSlotSettlePeriod) {
         marks_seen_at_.erase(seen);
         SlotAssignment next = *assignment_;
-        next.owners[it] = {self_, false};
+        next.owners[it] = {self_, 0};
         Write(std::move(next), "reclaimed");
         return true;
       }
@@ -372,10 +390,9 @@
       }
     }
     std::erase_if(marks_seen_at_, [this](const auto& row) {
-      const auto& [slot, vm] = row.first;
+      const auto& [slot, mark] = row.first;
       return slot >= assignment_->owners.size() ||
-             assignment_->owners[slot].vm != vm ||
-             !assignment_->owners[slot].is_vacating;
+             assignment_->owners[slot].mark != mark;
     });
   }
 
@@ -399,7 +416,7 @@
 
   void Write(SlotAssignment next, std::string_view reason) {
     is_writing_ = true;
-    const TimePoint sent_at = delegate_.BootNow();
+    const TimePoint sent_at = delegate_.Now();
     const std::string value = C::Encode(next);
     store_.WriteIf(
         kAllowanceTable, kSlotsKey, value, version_,
@@ -414,8 +431,11 @@
             ScheduleRead(kSlotRetryDelay);
             return;
           }
-          version_ = answer.version;
-          Adopt(std::move(next), sent_at);
+          if (answer.version > version_) {
+            // Otherwise a read has overtaken the answer.
+            version_ = answer.version;
+            Adopt(std::move(next), sent_at);
+          }
           ScheduleRead(kSlotConfirmInterval);
         });
   }
@@ -441,8 +461,8 @@
   std::vector<VmId> live_;
   TimePoint live_changed_at_;
   std::map<VmId, TimePoint> absent_since_;
-  /** Time at which this VM first saw the mark of a slot and its owner. */
-  std::map<std::pair<uint32_t, VmId>, TimePoint> marks_seen_at_;
+  /** Time at which this VM first saw the mark of a slot. */
+  std::map<std::pair<uint32_t, uint64_t>, TimePoint> marks_seen_at_;
   size_t requests_ = 0;
 };
 
--- a/libs/gossip/gossip.h
+++ b/libs/gossip/gossip.h
@@ -5,13 +5,16 @@
     @brief Module gossip: encoding of the messages between VMs and of the status
     for operators.
 
-    Depends on codec (JSON texts), control, coordination, core, relay and
-    jsoncpp.
+    Depends on allowance, codec (JSON texts), control, coordination, core, relay
+   and jsoncpp.
 
-    Topics: heartbeats/, departures/, commands/ and bounds/ (datagrams), duties/
-   (rows that VMs leave in the store for each other), state/ (configuration and
+    Topics: heartbeats/, departures/, commands/ and bounds/ (datagrams),
+    allowance/ (datagrams and a row), duties/ (rows that VMs leave in the store
+    for each other), state/ (configuration and
    directory for a VM that cannot reach the store, and the status of a node).
 */
+#include "gossip/allowance/permit_codec.h"
+#include "gossip/allowance/slot_row_codec.h"
 #include "gossip/bounds/bound_codec.h"
 #include "gossip/commands/answered_commit_codec.h"
 #include "gossip/commands/forwarded_command_codec.h"
--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -8,11 +8,13 @@
 #include <memory>
 #include <optional>
 #include <queue>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
+#include "allowance/allowance.h"
 #include "core/core.h"
 #include "directory/directory.h"
 #include "relay/connections/endpoint_pool.h"
@@ -95,6 +97,28 @@
   void RecordPeerBound(const FreshnessBound& bound, TimePoint requested_at);
   /** Requests a freshness bound from a service's primary. */
   void RequestPrimaryBound(const ServiceId& service);
+  /** Applies an assignment of the slots that issue permits.
+      @see AllowanceBook::ApplySlots */
+  void ApplySlots(const SlotAssignment* assignment, TimePoint valid_until);
+  /** Replaces the VMs that can be asked for permits. */
+  void ApplyLenders(std::span<const PermitLender> lenders);
+  /** Handles another VM's request for permits.
+
+      @returns the answer */
+  PermitGrant HandlePermitRequest(const PermitRequest& request);
+  /** Handles another VM's answer to a request for permits. */
+  void HandlePermitGrant(const VmId& from, const PermitGrant& grant);
+  /** @see AllowanceDelegate */
+  void SendPermitRequest(const VmId& to, const PermitRequest& request) {
+    net_.SendPermitRequest(to, request);
+  }
+  /** @see AllowanceDelegate */
+  void OnPermitGranted(uint64_t operation, TimePoint expires_at);
+  /** @see AllowanceDelegate */
+  void OnPermitRefused(uint64_t operation);
+  /** @see AllowanceDelegate */
+  void WakeForPermits(TimePoint at);
+
   /** Starts to close sessions gradually when they become idle.
 
       @param transaction_grace_period  time for which open transactions may
@@ -154,6 +178,12 @@
   PreparedTotals CountPrepared() const;
   /** @returns the counters of retries, hedged reads and opened connections */
   const TrafficCounters& GetCounters() const { return counters_; }
+  /** @returns the counters of permits */
+  const AllowanceCounters& GetAllowanceCounters() const {
+    return allowances_.GetCounters();
+  }
+  /** @returns the number of slots from which this VM issues permits */
+  size_t CountOwnSlots() const { return allowances_.CountOwnSlots(); }
 
  private:
   /** What is known of a VM to which statements are forwarded. */
@@ -243,6 +273,21 @@
   void RunBacklog(uint64_t id);
   void EndSession(CallerSession& session);
 
+  // traffic_core_allowances.h: permits of teams with a limit.
+  /** Takes a permit for the operation that the session's statement begins, if
+      it needs one.
+
+      @returns false if the statement waits for a permit or was refused */
+  bool ChargeOperation(CallerSession& session);
+  /** Takes another permit if the statement's has expired in a queue, because
+      the operators count operations when they reach an endpoint.
+
+      @returns false if there is none; the statement was refused */
+  bool RenewPermit(CallerSession& session);
+  /** Ends the statement's wait for a permit, if it waits for one. */
+  void CancelPermit(CallerSession& session);
+  void RefuseOverLimit(CallerSession& session);
+
   // traffic_core_dispatch.h and traffic_core_reads.h: routing of statements.
   void Dispatch(CallerSession& session);
   void DispatchToPrimary(CallerSession& session);
@@ -456,11 +501,17 @@
   LogRateLimiter served_log_limiter_;
   HedgeBudget hedge_budget_;
   TrafficCounters counters_;
+  AllowanceBook<TrafficCore> allowances_;
+  /** Sessions whose statements wait for a permit, by statement. */
+  std::unordered_map<uint64_t, uint64_t> sessions_awaiting_permit_;
+  /** Time of the next call of AllowanceBook::HandleWake(), if one is due. */
+  std::optional<TimePoint> permit_wake_at_;
 };
 
 }  // namespace magnoliareel
 
 // Definitions of the methods, by topic.
+#include "relay/core/traffic_core_allowances.h"       // IWYU pragma: export
 #include "relay/core/traffic_core_bounds.h"           // IWYU pragma: export
 #include "relay/core/traffic_core_connections.h"      // IWYU pragma: export
 #include "relay/core/traffic_core_control.h"          // IWYU pragma: export
--- a/libs/relay/core/traffic_core_control.h
+++ b/libs/relay/core/traffic_core_control.h
@@ -102,6 +102,8 @@
   if (new_routes) {
     RenewUnusedTransactions();
     EndWaitingUnauthorized();
+    allowances_.ApplyLimits(view_->routes->teams.get(),
+                            options_.allowance_window, now);
   }
   if (view_->routes->version == 0) {
     return;
--- a/libs/relay/core/traffic_core_dispatch.h
+++ b/libs/relay/core/traffic_core_dispatch.h
@@ -149,7 +149,9 @@
     }
     pool.queue.erase(at);
     session.statement.queued_endpoint = {};
-    StartStatement(*connection, session);
+    if (RenewPermit(session)) {
+      StartStatement(*connection, session);
+    }
   }
   if (!pool.queue.empty() && pool.running < pool.GetConcurrencyLimit()) {
     OpenConnections(pool);
--- a/libs/relay/core/traffic_core_replies.h
+++ b/libs/relay/core/traffic_core_replies.h
@@ -464,6 +464,7 @@
 
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::FinishStatement(CallerSession& session) {
+  CancelPermit(session);
   RemoveFromQueues(session);
   const std::vector<uint64_t> others = std::move(session.statement.connections);
   session.statement = {};
--- a/libs/relay/core/traffic_core_sessions.h
+++ b/libs/relay/core/traffic_core_sessions.h
@@ -16,7 +16,8 @@
 TrafficCore<D, N>::TrafficCore(N& net, TrafficOptions options)
     : net_(net),
       options_(std::move(options)),
-      served_log_limiter_(kMaxServedLogLinesPerSecond) {
+      served_log_limiter_(kMaxServedLogLinesPerSecond),
+      allowances_(*this, VmId{options_.vm}, options_.first_permit_sequence) {
   // Checked here because N is incomplete where it declares its core.
   static_assert(TrafficNet<N>);
 }
@@ -208,6 +209,7 @@
   session.transaction_reads_only = reads_only;
   session.transaction_used = false;
   session.transaction_wrote = false;
+  session.transaction_charged = false;
   session.transaction_began_at = net_.Now();
   ReplyLocally(session);
 }
@@ -380,6 +382,7 @@
   if (session == nullptr) {
     return;
   }
+  CancelPermit(*session);
   RemoveFromQueues(*session);
   for (const uint64_t it : session->statement.connections) {
     if (it == session->connection) {
--- a/libs/relay/core/traffic_core_statements.h
+++ b/libs/relay/core/traffic_core_statements.h
@@ -136,7 +136,9 @@
                  session.id,
                  session.statement.id,
                  {}});
-  Dispatch(session);
+  if (ChargeOperation(session)) {
+    Dispatch(session);
+  }
 }
 
 }  // namespace magnoliareel
--- a/libs/relay/core/traffic_core_timers.h
+++ b/libs/relay/core/traffic_core_timers.h
@@ -68,6 +68,8 @@
     case TimerKind::kCommitHoldEnd:
     case TimerKind::kDrain:
       return false;
+    case TimerKind::kPermitWake:
+      return permit_wake_at_ != timer.at;
   }
   return false;
 }
@@ -157,6 +159,12 @@
     case TimerKind::kDrain:
       HandleDrain();
       return;
+    case TimerKind::kPermitWake:
+      if (permit_wake_at_ == timer.at) {
+        permit_wake_at_.reset();
+        allowances_.HandleWake(net_.Now());
+      }
+      return;
   }
 }
 
--- a/libs/relay/core/traffic_limits.h
+++ b/libs/relay/core/traffic_limits.h
@@ -156,6 +156,10 @@
     covers the delay of the directory and statements that are under way. */
 inline constexpr Duration kDrainingUseMargin = std::chrono::seconds(2);
 
+/** An operation waits for a permit for this part of its route's objective at
+    most, so that a caller that is refused can still try again in time. */
+inline constexpr int kPermitWaitDivisor = 4;
+
 /** @param drain_period  time for which an endpoint serves after it has reported
                         that it is draining
     @returns            the part of it in which a primary without a successor
--- a/libs/relay/core/traffic_net.h
+++ b/libs/relay/core/traffic_net.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 
+#include "allowance/allowance.h"
 #include "core/core.h"
 #include "directory/directory.h"
 #include "relay/freshness/freshness_bound.h"
@@ -15,7 +16,7 @@
 
 /** Network and timer operations that the core needs.
 
-
+    - Now: returns the time of a clock that counts suspensions of the VM.
     - GetCallerBuffer, GetEndpointBuffer: return output buffers, which are sent
       when the current event has been handled.
     - OpenEndpoint: connects; the core is called on success or failure later.
@@ -30,6 +31,7 @@
     - RequestPeerBound: queries another VM for a freshness bound, or calls
       TrafficCore::RequestPrimaryBound() if this VM queries the primary for its
       region.
+    - SendPermitRequest: asks another VM for permits of a team; may be lost.
 */
 template <class N>
 concept TrafficNet = requires(N& net,
@@ -40,7 +42,9 @@
                               const EndpointId& endpoint,
                               Term term,
                               const StatementSample& sample,
-                              const FreshnessBoundQuery& query) {
+                              const FreshnessBoundQuery& query,
+                              const VmId& owner,
+                              const PermitRequest& request) {
   { net.Now() } -> std::same_as<TimePoint>;
   { net.GetCallerBuffer(id) } -> std::same_as<std::string&>;
   { net.GetEndpointBuffer(id) } -> std::same_as<std::string&>;
@@ -53,6 +57,7 @@
   net.OnPrimaryConfirmed(endpoint, term);
   net.Observe(sample);
   net.RequestPeerBound(query);
+  net.SendPermitRequest(owner, request);
 };
 
 }  // namespace magnoliareel
--- a/libs/relay/core/traffic_options.h
+++ b/libs/relay/core/traffic_options.h
@@ -24,6 +24,11 @@
   /** Longest time for which a draining primary that has no successor gets new
       statements. @see GetMaxDrainingUse */
   Duration max_draining_use = std::chrono::seconds(5);
+  /** How the operators count the operations of a team that has a limit. */
+  AllowanceWindow allowance_window = {};
+  /** Number of the first request for permits; larger than those of earlier
+      processes of this VM. */
+  uint64_t first_permit_sequence = 1;
 };
 
 /** What the tables of prepared statements hold. */
@@ -67,6 +72,8 @@
   /** Idle connections that were closed so that one could be opened for another
       team. */
   uint64_t connections_evicted = 0;
+  /** Statements refused because their team is over its limit. */
+  uint64_t refused_over_limit = 0;
 };
 
 }  // namespace magnoliareel
--- a/libs/relay/core/traffic_timer.h
+++ b/libs/relay/core/traffic_timer.h
@@ -23,6 +23,7 @@
   kDrainingUseLimit,
   kCommitHoldEnd,
   kDrain,
+  kPermitWake,
 };
 
 /** A timer of the traffic core. */
--- a/libs/relay/relay.h
+++ b/libs/relay/relay.h
@@ -6,8 +6,8 @@
     to endpoints. Decides to which endpoint each statement is sent, when it is
     sent and how often it is retried.
 
-    Depends on core, directory and telemetry. The message encoding and the
-    sockets are template parameters.
+    Depends on allowance, core, directory and telemetry. The message encoding
+   and the sockets are template parameters.
 
     Topics: messages/ (decoded messages of callers and endpoints), sessions/
     (state of a caller's session), connections/ (connection pools and their
--- a/libs/relay/sessions/caller_session.h
+++ b/libs/relay/sessions/caller_session.h
@@ -79,6 +79,10 @@
   /** True if it was sent to a second endpoint because the first one was
       slow. */
   bool hedged = false;
+  /** True while it waits for a permit of its team and must not be sent. */
+  bool awaits_permit = false;
+  /** End of its permit's lifetime, if it has not been sent by then. */
+  TimePoint permit_expires_at = TimePoint::max();
   /** True if it has waited for a freshness bound. */
   bool waited_for_bound = false;
   /** True if it was counted as one that waits for a primary's successor. */
@@ -153,6 +157,8 @@
   /** True if a statement of the open transaction has succeeded. */
   bool transaction_used = false;
   bool transaction_wrote = false;
+  /** True if the deferred transaction has taken a permit of its team. */
+  bool transaction_charged = false;
   TimePoint transaction_began_at;
   /** Connection that holds the open transaction; 0 if none. */
   uint64_t connection = 0;
--- a/libs/telemetry/events/event.cc
+++ b/libs/telemetry/events/event.cc
@@ -233,6 +233,21 @@
      "start. findings"},
     {kDrainProgress, kInfo, "process.drain_progress",
      "The process exits and disconnects the remaining sessions. sessions"},
+    {kAllowanceExceeded, kWarning, "allowance.exceeded",
+     "An operation of a team was refused; logged once a second for each team. "
+     "team, reason (empty: no bucket that was asked holds a permit; "
+     "unreachable: no owner of a slot can be asked; waiting: no permit came in "
+     "time; queued: the permit expired in an endpoint's queue), own_slots, "
+     "owners (VMs that can be asked)"},
+    {kSlotsChanged, kInfo, "slots.changed",
+     "A new assignment of the slots that issue permits is known. version, "
+     "slots, own"},
+    {kSlotsWritten, kInfo, "slots.written",
+     "This VM wrote the assignment of slots. reason (created, given, kept, "
+     "taken, marked, reclaimed), result"},
+    {kSlotRowRejected, kError, "slots.row_rejected",
+     "The row of the slots could not be decoded; this VM issues no permits "
+     "until it can. version"},
     {kLinesDropped, kWarning, "log.lines_dropped",
      "Log lines were dropped, because the reader of the log was too slow. "
      "lines"},
--- a/libs/telemetry/events/event.h
+++ b/libs/telemetry/events/event.h
@@ -81,6 +81,10 @@
   kReadinessChanged = 5601,
   kSettingsReloaded = 5602,
   kDrainProgress = 5603,
+  kAllowanceExceeded = 5701,
+  kSlotsChanged = 5702,
+  kSlotsWritten = 5703,
+  kSlotRowRejected = 5704,
   kLinesDropped = 5901,
 };
 
--- a/tests/traffic/scripted_node.h
+++ b/tests/traffic/scripted_node.h
@@ -110,8 +110,16 @@
   void Observe(const StatementSample&) {}
   void OnPrimaryConfirmed(const EndpointId&, Term) {}
   void RequestPeerBound(const FreshnessBoundQuery& query);
+  void SendPermitRequest(const VmId& to, const PermitRequest& request) {
+    permit_requests_.emplace_back(to, request);
+  }
+  /** @returns the requests for permits, in their order */
+  const std::vector<std::pair<VmId, PermitRequest>>& GetPermitRequests() const {
+    return permit_requests_;
+  }
 
  private:
+  std::vector<std::pair<VmId, PermitRequest>> permit_requests_;
   struct Connection {
     bool is_primary = false;
     std::string opened_by;
--- a/tests/traffic/traffic_simulation.h
+++ b/tests/traffic/traffic_simulation.h
@@ -50,6 +50,8 @@
   void OnPrimaryConfirmed(const EndpointId& endpoint, Term term);
   void Observe(const StatementSample&) {}
   void RequestPeerBound(const FreshnessBoundQuery& query);
+  // The simulation has no teams with a limit.
+  void SendPermitRequest(const VmId&, const PermitRequest&) {}
 
   /** Sends the bytes that the core has buffered. */
   void Flush();
