--- a/libs/gossip/tests/gossip_test.cc
+++ b/libs/gossip/tests/gossip_test.cc
@@ -225,6 +225,44 @@
   CHECK(!DecodeNodeStatus("{}", read));
 }
 
+TEST(Gossip, DecodesEncodedPermitDatagrams) {
+  PermitRequestDatagram request;
+  CHECK(DecodePermitRequest(
+      EncodePermitRequest({{"10.1.0.8", 7440}, {TeamId{"team-a"}, 5, 77}}),
+      request));
+  LONGS_EQUAL(7440, request.reply_to.port);
+  LONGS_EQUAL(5, request.request.count);
+  LONGS_EQUAL(77, request.request.sequence);
+  STRCMP_EQUAL("team-a", request.request.team.value.c_str());
+  PermitGrantDatagram grant;
+  const std::string bytes =
+      EncodePermitGrant({VmId{"vm-1"}, {TeamId{"team-a"}, 0, 77}});
+  CHECK(DecodePermitGrant(bytes, grant));
+  STRCMP_EQUAL("vm-1", grant.vm.value.c_str());
+  LONGS_EQUAL(77, grant.grant.sequence);
+  SlotRequestDatagram slot;
+  CHECK(DecodeSlotRequest(EncodeSlotRequest({VmId{"vm-1"}}), slot));
+  STRCMP_EQUAL("vm-1", slot.vm.value.c_str());
+  // Each datagram is read as one kind only.
+  CHECK(!DecodePermitRequest(bytes, request) &&
+        !DecodeSlotRequest(bytes, slot));
+  CHECK(!DecodePermitGrant(bytes + " more", grant));
+  CHECK(!DecodePermitGrant("mry1 1 vm-1 4294967296 team-a", grant));
+}
+
+TEST(Gossip, DecodesAnEncodedSlotRow) {
+  SlotAssignment sent;
+  sent.owners = {{VmId{"vm-1"}, 0}, {VmId{"vm-2"}, 17}, {}, {VmId{"vm-1"}, 0}};
+  SlotAssignment read;
+  CHECK(TextSlotRowCodec::Decode(TextSlotRowCodec::Encode(sent), read));
+  CHECK(sent == read);
+  // VMs would divide a budget differently if they took a damaged row.
+  sent.owners.pop_back();
+  CHECK(!TextSlotRowCodec::Decode(TextSlotRowCodec::Encode(sent), read));
+  CHECK(!TextSlotRowCodec::Decode("", read));
+  CHECK(!TextSlotRowCodec::Decode("vm-1 0 vm-2 0", read));
+}
+
 TEST(Gossip, RefusesDeeplyNestedJson) {
   const std::string deep = "{\"endpoints\":" + std::string(5000, '[');
   FleetState state;
