--- a/libs/allowance/book/allowance_book.h
+++ b/libs/allowance/book/allowance_book.h
@@ -155,6 +155,7 @@
       const auto [it, added] = teams_.try_emplace(id, id, budget, now);
       if (!added && !(it->second.budget == budget)) {
         it->second.budget = budget;
+        it->second.limited_since = now;
         it->second.is_placed = false;
       }
     }
@@ -374,11 +375,10 @@
 
     TeamId id;
     BucketRules budget;
+    /** Time at which the budget was set. */
     TimePoint limited_since;
     /** Buckets of this VM's slots, and owners of the others, are up to date. */
     bool is_placed = false;
-    /** It was up to date before. */
-    bool was_placed = false;
     std::map<uint32_t, TokenBucket> own;
     /** Other VMs that have slots of the team, nearest first. */
     std::vector<VmId> owners;
@@ -421,15 +421,12 @@
         it->second.SetRules(part, now);
         own.insert(*it);
       } else {
-        // A team whose limit has changed may get further slots, which start
-        // empty like those of a VM that has just got them.
-        const TimePoint since =
-            state.was_placed ? now
-                             : std::max(owned->second, state.limited_since);
+        // It starts empty when this VM gets the slot, or when a change of the
+        // limit makes the slot one of the team's.
+        const TimePoint since = std::max(owned->second, state.limited_since);
         own.emplace(slot, TokenBucket(part, since));
       }
     }
-    state.was_placed = slot_count > 0;
     state.own = std::move(own);
     ListOwners(state, others);
   }
--- a/libs/allowance/tests/registry_test.cc
+++ b/libs/allowance/tests/registry_test.cc
@@ -26,12 +26,17 @@
  public:
   UnevenVms() : SimulatedVms(2, kLimit, kWindow) {
     SetRow("slots vm-a 0 vm-a 0");
+    Restart(0);
+    Restart(1);
   }
 };
 
 }  // namespace
 
-TEST_GROUP(SlotRegistry){};
+TEST_GROUP(SlotRegistry){void setup() override{DiscardLog();
+}  // namespace magnoliareel
+}
+;
 
 TEST(SlotRegistry, TheFirstVmCreatesTheRowOnceTheVmsHaveSettled) {
   // Guards against several first rows, and against a row for few of the VMs.
@@ -60,9 +65,10 @@
 TEST(SlotRegistry, ASlotWhoseGivingWasLostIsUsedAgainOnlyUnderANewVersion) {
   // Guards against a slot with two users when the lost write takes effect.
   UnevenVms vms;
-  vms.Advance(std::chrono::milliseconds(20));
   vms.SetWriteFault(WriteFault::kLost);
-  vms.Get(0).GetRegistry().HandleSlotRequest(SimulatedVms::NameVm(1));
+  vms.Advance(std::chrono::milliseconds(10));
+  LONGS_EQUAL(2, CountUsedSlots(vms, 0));
+  vms.Advance(std::chrono::milliseconds(10));
   LONGS_EQUAL(1, CountUsedSlots(vms, 0));
   vms.Advance(std::chrono::milliseconds(100));
   LONGS_EQUAL(1, CountUsedSlots(vms, 0));
@@ -75,9 +81,7 @@
 TEST(SlotRegistry, ALateWriteHasNoEffectOnceTheSlotIsUsedAgain) {
   // Guards against a write whose condition still holds when it arrives.
   UnevenVms vms;
-  vms.Advance(std::chrono::milliseconds(20));
   vms.SetWriteFault(WriteFault::kLate);
-  vms.Get(0).GetRegistry().HandleSlotRequest(SimulatedVms::NameVm(1));
   for (int n = 0; n < 100; ++n) {
     vms.Advance(std::chrono::milliseconds(100));
     CHECK(CountUsedSlots(vms, 0) <= CountRowSlots(vms, 0));
--- a/libs/allowance/tests/search_test.cc
+++ b/libs/allowance/tests/search_test.cc
@@ -89,9 +89,13 @@
     SlotAssignment row;
     row.owners.assign(slots, {SimulatedVms::NameVm(0), 0});
     vms.SetRow(PlainSlotCodec::Encode(row));
-    vms.Advance(std::chrono::milliseconds(20));
-    // No VM asks for a slot by itself before the first step.
-    vms.Advance(std::chrono::seconds(1));
+    // Requests for slots are lost until the buckets are full.
+    vms.SetMessageFaults([] { return std::pair(true, Duration{}); });
+    for (size_t vm = 0; vm < count; ++vm) {
+      vms.Restart(vm);
+    }
+    vms.Advance(std::chrono::seconds(20));
+    vms.SetMessageFaults(nullptr);
     for (const size_t it : path) {
       steps[it].second(vms);
     }
@@ -118,7 +122,10 @@
 
 }  // namespace
 
-TEST_GROUP(AllowanceSearch){};
+TEST_GROUP(AllowanceSearch){void setup() override{DiscardLog();
+}  // namespace magnoliareel
+}
+;
 
 TEST(AllowanceSearch, NoPathOfTwoVmsExceedsTheBound) {
   // Guards against permits that are issued twice after a restart, a lost,
--- a/libs/allowance/tests/simulated_vms.h
+++ b/libs/allowance/tests/simulated_vms.h
@@ -15,9 +15,20 @@
 
 #include "allowance/allowance.h"
 #include "core/core.h"
+#include "telemetry/telemetry.h"
 
 namespace magnoliareel {
 
+/** Keeps events out of the output of the tests. */
+inline void DiscardLog() {
+  static LogBuffer discarded(0);
+  static const bool kStarted = [] {
+    StartBufferedLog(discarded, "test");
+    return true;
+  }();
+  static_cast<void>(kStarted);
+}
+
 /** Row codec of the tests. @see SlotRowCodec */
 struct PlainSlotCodec {
   static std::string Encode(const SlotAssignment& assignment) {
