--- a/scripts/site-cluster.sh
+++ b/scripts/site-cluster.sh
@@ -2,8 +2,9 @@
 # statements over the session protocol. Sourced by run-demo, run-soak and the
 # scripts in tests/node.
 #
-# Expects the variables bin_dir, log_dir and base_port, and platform_port if the
-# store is reached through a proxy.
+# Expects the variables bin_dir, log_dir and base_port, platform_port if the store is
+# reached through a proxy, and NODE_LIMITS (JSON) if the nodes have other limits than
+# the default.
 
 pids=()
 
@@ -67,6 +68,7 @@
  "bind-addrs": {"frontend": "127.0.0.1:$port", "ready": "127.0.0.1:$((port + 1))"},
  "seed-nodes": ["127.0.0.1:1"], "bounds": {"grace-s": 4},
  "platform": {"address": "127.0.0.1:${platform_port:-$base_port}"},
+ "limits": ${NODE_LIMITS:-{\}},
  "provider": {"address": "127.0.0.1:${platform_port:-$base_port}"}}
 EOF
 }
