Node: memory and descriptors stay within the limits of the settings

A node buffered whatever callers and peers sent: messages ahead of answers, unfinished lines, values and names. A statement's text, an answer and a connection's output kept their memory after use, because clear() and the move of an empty string keep it. Waiting statements that fail at once called each other, so a long backlog ended the process with a full stack.

The relay stops reading a connection that is more than 4 KiB ahead. Lines over 4 KiB need a place (libs/budget), long texts and values share parts of memory-mb and get BUSY beyond, unread answers are bounded for all callers together, large buffers are freed when empty, and malloc returns them to the system. The kernel holds at most 64 KiB unread for each accepted connection. A quarter of the descriptors is kept; the oldest mute connection is closed first. A statement of up to 4 KiB that arrives in one read makes no further system call and no further allocation.

--- a/apps/node/main.cc
+++ b/apps/node/main.cc
@@ -1,4 +1,5 @@
 #include <fcntl.h>
+#include <malloc.h>
 #include <unistd.h>
 
 #include <csignal>
@@ -17,6 +18,12 @@
 // Log lines that are buffered while the reader of the log is slow: enough for
 // several seconds of a busy node.
 constexpr size_t kLogBufferSize = 256 * 1024;
+// Blocks of this size, such as long lines, are returned to the system when they
+// are freed. By default, the first one that is freed raises the bound up to
+// 32 MiB, and long lines then leave a fragmented heap. Larger than the buffers of
+// ordinary statements.
+constexpr int kMmapThresholdBytes = 128 * 1024;
+constexpr int kTrimThresholdBytes = 1024 * 1024;
 
 int Run(std::span<char* const> args) {
   NodeFlags flags;
@@ -37,6 +44,8 @@
   settings.metrics_address = {settings.peer_address.host,
                               static_cast<uint16_t>(flags.metrics_port)};
   std::signal(SIGPIPE, SIG_IGN);
+  mallopt(M_MMAP_THRESHOLD, kMmapThresholdBytes);
+  mallopt(M_TRIM_THRESHOLD, kTrimThresholdBytes);
   fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
   LogBuffer log(kLogBufferSize);
   StartBufferedLog(log, settings.vm.value);
--- a/apps/node/node_process.cc
+++ b/apps/node/node_process.cc
@@ -1,6 +1,7 @@
 #include "apps/node/node_process.h"
 
 #include <fcntl.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -23,6 +24,20 @@
 // start, each of them learns all others one by one.
 constexpr Duration kPeerReviewDelay = std::chrono::milliseconds(50);
 
+/** @returns descriptors that the process may use: the lower one of the limits
+             of the settings and of the system; 0 if neither is known */
+size_t GetDescriptorLimit(const NodeSettings& settings) {
+  rlimit limit{};
+  const bool has_limit =
+      getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY;
+  if (!has_limit) {
+    return settings.max_descriptors;
+  }
+  return settings.max_descriptors == 0
+             ? limit.rlim_cur
+             : std::min<size_t>(limit.rlim_cur, settings.max_descriptors);
+}
+
 }  // namespace
 
 NodeProcess::NodeProcess(NodeSettings settings,
@@ -46,9 +61,11 @@
                  return settings_.MeasureDistance(site);
                },
            .max_draining_use =
-               GetMaxDrainingUse(settings_.endpoint_drain_period)},
+               GetMaxDrainingUse(settings_.endpoint_drain_period),
+           .memory = DivideMemory(settings_.memory_limit_bytes)},
           [this](const TrafficNotice& notice) { notices_.Post(notice); },
-          metrics_),
+          metrics_,
+          GetDescriptorLimit(settings_)),
       fleet_(store_, *this, settings_.vm),
       peers_(loop_, settings_.peer_address, MakePeerExchangeCallbacks()),
       bound_exchange_(loop_,
--- a/apps/node/traffic_thread.cc
+++ b/apps/node/traffic_thread.cc
@@ -9,6 +9,13 @@
 // A caller that does not read its answers is disconnected when more than this
 // many bytes wait for it: several of the longest answers.
 constexpr size_t kMaxUnsentBytes = 8 * 1024 * 1024;
+// Bounds what the kernel holds of a caller that is not read. With the default,
+// it is several MiB for each connection. Larger than nearly all statements, so
+// that these still arrive in one window.
+constexpr int kReceiveBufferBytes = 32 * 1024;
+// Interval at which stalled connections are looked for while others wait.
+constexpr Duration kStallCheckInterval = std::chrono::milliseconds(500);
+constexpr Duration kLimitLogInterval = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -24,6 +31,7 @@
   const uint64_t connection_id = id;
   Core& core = owner->core_;
   const bool valid = framer.Feed(bytes, [&](std::string_view line) {
+    has_spoken = true;
     switch (remote) {
       case RemoteKind::kCaller:
         core.HandleCallerFrame(connection_id, line);
@@ -47,6 +55,12 @@
       core.HandleEndpointClosed(connection_id,
                                 std::make_error_code(std::errc::message_size));
     }
+  } else if (has_session &&
+             (has_line || pauses != 0 ||
+              framer.GetBufferedBytes() > kShortLineBytes) &&
+             connections.contains(connection_id)) {
+    owner->line_budget_.RecordReceived(connection_id, bytes.size());
+    owner->UpdateLine(*this);
   }
   owner->FinishEvent();
 }
@@ -67,7 +81,8 @@
 
 TrafficThread::TrafficThread(TrafficOptions options,
                              std::function<void(const TrafficNotice&)> notify,
-                             StatementMetrics& metrics)
+                             StatementMetrics& metrics,
+                             size_t max_descriptors)
     : notify_(std::move(notify)),
       metrics_(metrics),
       wake_timer_(loop_,
@@ -75,6 +90,14 @@
                     core_.HandleWake();
                     FinishEvent();
                   }),
+      line_budget_(options.memory.medium_lines, options.memory.long_lines),
+      line_timer_(loop_,
+                  [this] {
+                    CloseStalled();
+                    FinishEvent();
+                  }),
+      max_unsent_bytes_(options.memory.unsent),
+      descriptors_(GetMaxAccepted(max_descriptors)),
       caller_listener_(loop_,
                        [this](Stream stream) {
                          Accept(std::move(stream), RemoteKind::kCaller);
@@ -95,11 +118,13 @@
 
 std::error_code TrafficThread::Start(const SocketAddress& callers,
                                      const SocketAddress& peers) {
-  if (const std::error_code ec = caller_listener_.Listen(callers)) {
+  if (const std::error_code ec =
+          caller_listener_.Listen(callers, kReceiveBufferBytes)) {
     return ec;
   }
   if (peers.port != 0) {
-    if (const std::error_code ec = peer_listener_.Listen(peers)) {
+    if (const std::error_code ec =
+            peer_listener_.Listen(peers, kReceiveBufferBytes)) {
       return ec;
     }
   }
@@ -248,6 +273,7 @@
     gauges.Add("prepared_bytes",
                "Length of the shapes prepared on connections of this VM.", {},
                static_cast<double>(prepared.shape_bytes));
+    CollectLimitGauges(gauges);
     done(std::move(gauges));
   });
 }
@@ -269,10 +295,26 @@
 }
 
 void TrafficThread::Accept(Stream stream, RemoteKind remote) {
+  const uint64_t id = next_caller_id_++;
+  const uint64_t victim = descriptors_.Admit(
+      id, callers_.size() + ending_callers_.size(), [this](uint64_t mute) {
+        const auto found = callers_.find(mute);
+        return found != callers_.end() && !found->second->has_spoken;
+      });
+  if (victim == id) {
+    ++limit_counters_.callers_refused;
+    stream.Close();
+    LogLimits();
+    return;
+  }
+  if (victim != 0) {
+    ++limit_counters_.mute_closed;
+    DropCaller(victim);
+  }
   auto connection = std::make_unique<Connection>();
   Connection& it = *connection;
   it.owner = this;
-  it.id = next_caller_id_++;
+  it.id = id;
   it.remote = remote;
   if (remote == RemoteKind::kPeer) {
     it.framer = platform::LineFramer(platform::LineFramer::kMaxLineBytes +
@@ -286,6 +328,9 @@
     core_.OpenSession(it.id);
   }
   it.stream.Serve(it);
+  if (victim != 0) {
+    FinishEvent();
+  }
 }
 
 std::string& TrafficThread::GetBuffer(Connections& connections, uint64_t id) {
@@ -328,6 +373,10 @@
   }
   // The end of an answer may not have been accepted by the kernel yet.
   if (it->second->stream.CloseWhenSent()) {
+    if (std::exchange(it->second->has_line, false)) {
+      line_budget_.Release(id);
+      ResumeGranted();
+    }
     ending_callers_.emplace(id, std::move(it->second));
     callers_.erase(it);
   } else {
@@ -340,6 +389,11 @@
   if (it == connections.end()) {
     return;
   }
+  if (it->second->has_line) {
+    line_budget_.Release(id);
+    ResumeGranted();
+  }
+  CountUnsent(*it->second, 0);
   // The connection is freed after the current event, because it may be the
   // object that is handling that event.
   it->second->stream.Close();
@@ -353,6 +407,185 @@
   return it != callers_.end() && it->second->stream.HasUnread();
 }
 
+void TrafficThread::PauseCaller(uint64_t id) {
+  if (const auto it = callers_.find(id); it != callers_.end()) {
+    SetPaused(*it->second, kBacklog, true);
+  }
+}
+
+void TrafficThread::ResumeCaller(uint64_t id) {
+  if (const auto it = callers_.find(id); it != callers_.end()) {
+    SetPaused(*it->second, kBacklog, false);
+  }
+}
+
+void TrafficThread::SetPaused(Connection& connection,
+                              PauseReason reason,
+                              bool is_paused) {
+  const unsigned before = connection.pauses;
+  connection.pauses = is_paused ? before | reason : before & ~reason;
+  if (before == 0 && connection.pauses != 0) {
+    connection.stream.Pause();
+  } else if (before != 0 && connection.pauses == 0) {
+    connection.stream.Resume();
+  }
+}
+
+void TrafficThread::UpdateLine(Connection& connection) {
+  const uint64_t id = connection.id;
+  const bool is_busy = core_.IsBusy(id);
+  if (connection.has_line) {
+    line_budget_.SetInUse(id, is_busy, Now());
+    // Another VM asks for a sign of life while its statement is in progress.
+    const bool is_ahead =
+        connection.remote == RemoteKind::kCaller ||
+        connection.framer.GetBufferedBytes() > kShortLineBytes;
+    SetPaused(connection, kLineInUse, is_busy && is_ahead);
+    if (is_busy) {
+      return;
+    }
+  }
+  const LineClass wanted = ClassifyLine(connection.framer.GetBufferedBytes() +
+                                        core_.GetBacklogBytes(id));
+  if (wanted == LineClass::kShort) {
+    if (std::exchange(connection.has_line, false)) {
+      line_budget_.Release(id);
+      SetPaused(connection, kAwaitsLine, false);
+      ResumeGranted();
+    }
+    return;
+  }
+  connection.has_line = true;
+  switch (line_budget_.Request(id, wanted, Now())) {
+    case LineDecision::kRead:
+      SetPaused(connection, kAwaitsLine, false);
+      break;
+    case LineDecision::kWait:
+      SetPaused(connection, kAwaitsLine, true);
+      if (!std::exchange(checks_stalls_, true)) {
+        line_timer_.StartRepeating(kStallCheckInterval);
+      }
+      break;
+    case LineDecision::kClose:
+      connection.has_line = false;
+      ++limit_counters_.lines_refused;
+      DropCaller(id);
+      break;
+  }
+}
+
+void TrafficThread::ResumeGranted() {
+  for (const uint64_t it : line_budget_.TakeGranted(Now())) {
+    if (const auto found = callers_.find(it); found != callers_.end()) {
+      SetPaused(*found->second, kAwaitsLine, false);
+    }
+  }
+}
+
+void TrafficThread::CloseStalled() {
+  for (const uint64_t it : line_budget_.FindStalled(Now())) {
+    ++limit_counters_.lines_stalled;
+    DropCaller(it);
+  }
+  LogLimits();
+  if (line_budget_.CountWaiting() == 0) {
+    checks_stalls_ = false;
+    line_timer_.Stop();
+  }
+}
+
+void TrafficThread::CountUnsent(Connection& connection, size_t bytes) {
+  unsent_bytes_ += bytes - std::exchange(connection.unsent, bytes);
+}
+
+void TrafficThread::LimitUnsent() {
+  while (unsent_bytes_ > max_unsent_bytes_) {
+    // Some may have been sent since they were counted.
+    Connection* most = nullptr;
+    for (Connections* connections : {&callers_, &ending_callers_}) {
+      for (const auto& [id, it] : *connections) {
+        if (it->unsent == 0) {
+          continue;
+        }
+        CountUnsent(*it, it->stream.GetUnsentBytes());
+        if (most == nullptr || it->unsent > most->unsent) {
+          most = it.get();
+        }
+      }
+    }
+    if (most == nullptr || unsent_bytes_ <= max_unsent_bytes_) {
+      return;
+    }
+    ++limit_counters_.answers_unread;
+    DropCaller(most->id);
+  }
+}
+
+void TrafficThread::DropCaller(uint64_t id) {
+  RetireConnection(callers_, id);
+  RetireConnection(ending_callers_, id);
+  core_.CloseSession(id);
+}
+
+void TrafficThread::LogLimits() {
+  const LimitCounters& now = limit_counters_;
+  LimitCounters& last = logged_limits_;
+  const uint64_t closed = now.lines_stalled + now.lines_refused +
+                          now.answers_unread + now.mute_closed +
+                          now.callers_refused - last.lines_stalled -
+                          last.lines_refused - last.answers_unread -
+                          last.mute_closed - last.callers_refused;
+  if (closed == 0 || Now() - limits_logged_at_ < kLimitLogInterval) {
+    return;
+  }
+  LogEvent(Event::kLimitsApplied,
+           {{"lines_stalled",
+             std::to_string(now.lines_stalled - last.lines_stalled)},
+            {"lines_refused",
+             std::to_string(now.lines_refused - last.lines_refused)},
+            {"answers_unread",
+             std::to_string(now.answers_unread - last.answers_unread)},
+            {"mute_closed", std::to_string(now.mute_closed - last.mute_closed)},
+            {"callers_refused",
+             std::to_string(now.callers_refused - last.callers_refused)},
+            {"lines_waiting", std::to_string(line_budget_.CountWaiting())},
+            {"held_bytes", std::to_string(core_.GetHeldText().GetTotal())}});
+  last = now;
+  limits_logged_at_ = Now();
+}
+
+void TrafficThread::CollectLimitGauges(GaugeSnapshot& gauges) const {
+  const LimitCounters& limits = limit_counters_;
+  const auto add = [&](std::string_view name, std::string_view help,
+                       uint64_t value) {
+    gauges.Add(name, help, {}, static_cast<double>(value));
+  };
+  add("long_lines", "Places for long lines in use.", line_budget_.CountTaken());
+  add("long_lines_waiting", "Connections that wait for such a place.",
+      line_budget_.CountWaiting());
+  add("held_text_bytes", "Values and prepared statements of all sessions.",
+      core_.GetHeldText().GetTotal());
+  add("statement_text_bytes", "Texts of long statements in progress.",
+      core_.GetStatementText().GetTotal());
+  add("unsent_bytes", "Answers that callers have not read.", unsent_bytes_);
+  add("held_text_refused",
+      "Values and prepared statements refused for lack of memory.",
+      core_.GetHeldText().CountRefused());
+  add("statement_text_refused", "Statements refused for lack of memory.",
+      core_.GetStatementText().CountRefused());
+  add("lines_stalled",
+      "Connections closed because their line did not progress.",
+      limits.lines_stalled);
+  add("lines_refused", "Connections closed because too many lines waited.",
+      limits.lines_refused);
+  add("answers_unread", "Connections closed because of unread answers.",
+      limits.answers_unread);
+  add("mute_closed", "Connections without a message closed for a new one.",
+      limits.mute_closed);
+  add("callers_refused", "Connections beyond the limit, since the start.",
+      limits.callers_refused);
+}
+
 void TrafficThread::Wake(TimePoint time) {
   wake_timer_.StartOnce(std::max(Duration(0), time - Now()));
 }
@@ -387,12 +620,21 @@
       continue;
     }
     it->stream.Flush();
-    if (it->remote != RemoteKind::kEndpoint &&
-        it->stream.GetUnsentBytes() > kMaxUnsentBytes) {
-      const uint64_t id = it->id;
-      RetireConnection(callers_, id);
-      RetireConnection(ending_callers_, id);
-      core_.CloseSession(id);
+    if (it->remote == RemoteKind::kEndpoint) {
+      continue;
+    }
+    const size_t unsent = it->stream.GetUnsentBytes();
+    if (unsent > kMaxUnsentBytes) {
+      ++limit_counters_.answers_unread;
+      DropCaller(it->id);
+      continue;
+    }
+    if (unsent != it->unsent) {
+      CountUnsent(*it, unsent);
+      LimitUnsent();
+    }
+    if (it->has_line && it->stream.IsOpen()) {
+      UpdateLine(*it);
     }
   }
   retired_connections_.clear();
--- a/apps/node/traffic_thread.h
+++ b/apps/node/traffic_thread.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "budget/budget.h"
 #include "forwarding/forwarding.h"
 #include "net/net.h"
 #include "platform/platform.h"
@@ -44,10 +45,13 @@
   /** @param options  options of the core
       @param notify   receives notices on the traffic thread; must not block
       @param metrics  receives a sample per statement; outlives the thread
+      @param max_descriptors  descriptors that the process may use; 0 for no
+                      limit
   */
   TrafficThread(TrafficOptions options,
                 std::function<void(const TrafficNotice&)> notify,
-                StatementMetrics& metrics);
+                StatementMetrics& metrics,
+                size_t max_descriptors);
   ~TrafficThread();
   TrafficThread(const TrafficThread&) = delete;
   TrafficThread& operator=(const TrafficThread&) = delete;
@@ -115,6 +119,10 @@
   /** @see TrafficNet */
   bool HasUnread(uint64_t id) const;
   /** @see TrafficNet */
+  void PauseCaller(uint64_t id);
+  /** @see TrafficNet */
+  void ResumeCaller(uint64_t id);
+  /** @see TrafficNet */
   void Wake(TimePoint time);
   /** @see TrafficNet */
   void Report(const ConditionReport& report);
@@ -138,6 +146,25 @@
     kEndpoint,
   };
 
+  /** Why a connection is not read; several may hold. */
+  enum PauseReason : unsigned {
+    /** The core has messages of it that wait. */
+    kBacklog = 1,
+    /** It waits for a place for a long line. */
+    kAwaitsLine = 2,
+    /** Its long line was passed on and is in use. */
+    kLineInUse = 4,
+  };
+
+  /** What was done to stay within the limits, since the start. */
+  struct LimitCounters {
+    uint64_t lines_stalled = 0;
+    uint64_t lines_refused = 0;
+    uint64_t answers_unread = 0;
+    uint64_t mute_closed = 0;
+    uint64_t callers_refused = 0;
+  };
+
   /** A connection of a caller or another VM, or to an endpoint. Its lines are
      passed to the core. */
   struct Connection {
@@ -145,6 +172,14 @@
     uint64_t id = 0;
     RemoteKind remote = RemoteKind::kEndpoint;
     bool dirty = false;
+    /** True once it has sent a whole message. */
+    bool has_spoken = false;
+    /** True while line_budget_ knows it. */
+    bool has_line = false;
+    /** PauseReason of all reasons that hold. */
+    unsigned pauses = 0;
+    /** Part of unsent_bytes_ that it holds. */
+    size_t unsent = 0;
     Stream stream;
     platform::LineFramer framer;
 
@@ -160,6 +195,21 @@
   /** Completes an event: sends the buffered output of all connections, closes
       callers with too much unsent output and frees closed connections. */
   void FinishEvent();
+  void SetPaused(Connection& connection, PauseReason reason, bool is_paused);
+  /** Asks line_budget_ whether a connection may be read, which buffers more
+      than a short line or has a place. */
+  void UpdateLine(Connection& connection);
+  /** Lets the connections read that have got places. */
+  void ResumeGranted();
+  void CloseStalled();
+  void CountUnsent(Connection& connection, size_t bytes);
+  /** Closes the callers with most unread answers while these are too many. */
+  void LimitUnsent();
+  /** Closes a caller at once. */
+  void DropCaller(uint64_t id);
+  /** Logs what was done to stay within the limits, at most once a second. */
+  void LogLimits();
+  void CollectLimitGauges(GaugeSnapshot& gauges) const;
 
   EventLoop loop_;
   std::function<void(const TrafficNotice&)> notify_;
@@ -175,6 +225,15 @@
   uint64_t next_caller_id_ = 1;
   std::atomic<size_t> session_count_ = 0;
   LoopTimer wake_timer_;
+  LineBudget line_budget_;
+  LoopTimer line_timer_;
+  bool checks_stalls_ = false;
+  const size_t max_unsent_bytes_;
+  size_t unsent_bytes_ = 0;
+  DescriptorBudget descriptors_;
+  LimitCounters limit_counters_;
+  LimitCounters logged_limits_;
+  TimePoint limits_logged_at_;
   StreamListener caller_listener_;
   StreamListener peer_listener_;
   Core core_;
--- a/libs/net/streams/stream.cc
+++ b/libs/net/streams/stream.cc
@@ -16,6 +16,9 @@
 // Each read is fully processed before the next, so one buffer per thread is
 // enough.
 constexpr size_t kReadBufferBytes = 64 * 1024;
+// A larger buffer is freed once its bytes were sent, because each connection
+// has one. Nearly all answers are shorter.
+constexpr size_t kMaxRetainedBytes = 16 * 1024;
 // TCP keep-alive of an idle connection: the first probe after 1 s, then one
 // every second; two unanswered probes end the connection. The total is close to
 // kSilentPeerTimeout.
@@ -172,12 +175,15 @@
   }
   if (sent == out_.size()) {
     out_.clear();
+    if (out_.capacity() > kMaxRetainedBytes) {
+      out_.shrink_to_fit();
+    }
     return;
   }
   auto* write = new PendingWrite;
   write->bytes = out_.substr(sent);
   write->request.data = state_;
-  out_.clear();
+  out_ = std::string();
   state_->queued += write->bytes.size();
   const uv_buf_t buf = uv_buf_init(write->bytes.data(),
                                    static_cast<unsigned>(write->bytes.size()));
@@ -213,6 +219,18 @@
   return ioctl(fd, FIONREAD, &n) == 0 && n > 0;
 }
 
+void Stream::Pause() {
+  if (state_ != nullptr) {
+    uv_read_stop(reinterpret_cast<uv_stream_t*>(&state_->handle));
+  }
+}
+
+void Stream::Resume() {
+  if (state_ != nullptr && !state_->closes_when_sent) {
+    state_->StartReading();
+  }
+}
+
 bool Stream::CloseWhenSent() {
   Flush();
   if (state_ == nullptr || state_->queued == 0) {
--- a/libs/net/streams/stream.h
+++ b/libs/net/streams/stream.h
@@ -78,6 +78,11 @@
   size_t GetUnsentBytes() const;
   /** @returns true if the kernel holds received bytes that are not read yet */
   bool HasUnread() const;
+  /** Stops to read until Resume(). The kernel then holds the sender back. The
+      end of the connection is not noticed meanwhile. */
+  void Pause();
+  /** Reads again after Pause(). */
+  void Resume();
   /** Flushes the buffer and closes the connection at once; bytes that the
       kernel does not accept yet are lost. The handler is not called any more.
    */
--- a/libs/net/streams/stream_listener.cc
+++ b/libs/net/streams/stream_listener.cc
@@ -17,7 +17,8 @@
                                std::function<void(Stream)> accept)
     : loop_(loop), accept_(std::move(accept)) {}
 
-std::error_code StreamListener::Listen(const SocketAddress& address) {
+std::error_code StreamListener::Listen(const SocketAddress& address,
+                                       int receive_buffer_bytes) {
   state_ = new State;
   state_->owner = this;
   uv_tcp_init(loop_.GetHandle(), &state_->handle);
@@ -27,6 +28,11 @@
   if (rc == 0) {
     rc = uv_tcp_bind(&state_->handle, reinterpret_cast<sockaddr*>(&local), 0);
   }
+  if (rc == 0 && receive_buffer_bytes != 0) {
+    // Connections inherit it; it has to be set before their windows are scaled.
+    rc = uv_recv_buffer_size(reinterpret_cast<uv_handle_t*>(&state_->handle),
+                             &receive_buffer_bytes);
+  }
   if (rc == 0) {
     rc = uv_listen(reinterpret_cast<uv_stream_t*>(&state_->handle),
                    kListenBacklog, [](uv_stream_t* stream, int status) {
--- a/libs/net/streams/stream_listener.h
+++ b/libs/net/streams/stream_listener.h
@@ -22,9 +22,13 @@
   /** Starts to accept connections.
 
       @param address  the local address
+      @param receive_buffer_bytes  bound of the bytes of a connection that the
+                      kernel holds unread (it may use twice as much); 0 for the
+                      system's default
       @returns        the system error if the address cannot be used
   */
-  std::error_code Listen(const SocketAddress& address);
+  std::error_code Listen(const SocketAddress& address,
+                         int receive_buffer_bytes = 0);
   /** Stops accepting connections and closes the socket. */
   void Stop();
 
--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -153,6 +153,14 @@
   PreparedTotals CountPrepared() const;
   /** @returns the counters of retries, hedged reads and opened connections */
   const TrafficCounters& GetCounters() const { return counters_; }
+  /** @returns true while a statement of a session is in progress */
+  bool IsBusy(uint64_t session) const;
+  /** @returns length of the messages that wait behind it, in bytes */
+  size_t GetBacklogBytes(uint64_t session) const;
+  /** @returns what values and prepared statements of all sessions count */
+  const HeldBytes& GetHeldText() const { return held_text_; }
+  /** @returns what the texts of all long statements in progress count */
+  const HeldBytes& GetStatementText() const { return statement_text_; }
 
  private:
   /** What is known of a VM to which statements are forwarded. */
@@ -225,6 +233,7 @@
                   std::string_view reason);
   TransactionStatus GetCallerTransactionStatus(
       const CallerSession& session) const;
+  void AddToBacklog(CallerSession& session, std::string_view frame);
   void RunBacklog(uint64_t id);
   void EndSession(CallerSession& session);
 
@@ -424,6 +433,8 @@
   LogRateLimiter served_log_limiter_;
   HedgeBudget hedge_budget_;
   TrafficCounters counters_;
+  HeldBytes held_text_;
+  HeldBytes statement_text_;
 };
 
 }  // namespace magnoliareel
--- a/libs/relay/core/traffic_core_connections.h
+++ b/libs/relay/core/traffic_core_connections.h
@@ -99,7 +99,7 @@
   connection.state = ConnectionState::kReturning;
   connection.session = 0;
   connection.refusal.reset();
-  connection.rows.clear();
+  EmptyBuffer(connection.rows);
   // Other VMs wait for a connection: closing this one immediately saves them
   // the round trip of returning it to the pool.
   const bool yields_to_other_vms =
--- a/libs/relay/core/traffic_core_dispatch.h
+++ b/libs/relay/core/traffic_core_dispatch.h
@@ -319,7 +319,7 @@
   statement.holder_pinged_at = {};
   connection.state = ConnectionState::kRunning;
   connection.session = session.id;
-  connection.rows.clear();
+  EmptyBuffer(connection.rows);
   if (std::find(statement.connections.begin(), statement.connections.end(),
                 connection.id) == statement.connections.end()) {
     statement.connections.push_back(connection.id);
--- a/libs/relay/core/traffic_core_forwarding.h
+++ b/libs/relay/core/traffic_core_forwarding.h
@@ -40,7 +40,7 @@
     return;
   }
   if (session->IsBusy()) {
-    session->backlog.emplace_back(frame);
+    AddToBacklog(*session, frame);
     return;
   }
   session->last_active = net_.Now();
@@ -59,7 +59,7 @@
   if (message.message.statement.kind == StatementKind::kReset) {
     session->values.clear();
     session->prepared.clear();
-    session->held_bytes = 0;
+    held_text_.Release(std::exchange(session->held_bytes, 0));
     session->value_bytes = 0;
     ReplyLocally(*session);
     return;
--- a/libs/relay/core/traffic_core_replies.h
+++ b/libs/relay/core/traffic_core_replies.h
@@ -466,6 +466,10 @@
 void TrafficCore<D, N>::FinishStatement(CallerSession& session) {
   RemoveFromQueues(session);
   const std::vector<uint64_t> others = std::move(session.statement.connections);
+  statement_text_.Release(session.statement.charged_bytes);
+  // Moving an empty string into one keeps its memory.
+  EmptyBuffer(session.statement.text);
+  EmptyBuffer(session.statement.arguments);
   session.statement = {};
   session.last_active = net_.Now();
   for (const uint64_t it : others) {
--- a/libs/relay/core/traffic_core_sessions.h
+++ b/libs/relay/core/traffic_core_sessions.h
@@ -16,7 +16,9 @@
 TrafficCore<D, N>::TrafficCore(N& net, TrafficOptions options)
     : net_(net),
       options_(std::move(options)),
-      served_log_limiter_(kMaxServedLogLinesPerSecond) {
+      served_log_limiter_(kMaxServedLogLinesPerSecond),
+      held_text_(options_.memory.held_text, kReservedSessionTextBytes),
+      statement_text_(options_.memory.statement_text) {
   // Checked here because N is incomplete where it declares its core.
   static_assert(TrafficNet<N>);
 }
@@ -41,7 +43,7 @@
     return;
   }
   if (session->IsBusy()) {
-    session->backlog.emplace_back(frame);
+    AddToBacklog(*session, frame);
     return;
   }
   session->last_active = net_.Now();
@@ -227,6 +229,11 @@
                "the session's values and prepared statements are too large");
     return false;
   }
+  if (!held_text_.Replace(session.held_bytes, held)) {
+    ReplyError(session, StatementError::kBusy,
+               "no memory for more values and prepared statements");
+    return false;
+  }
   session.held_bytes = held;
   return true;
 }
@@ -299,7 +306,9 @@
     ReplyError(session, StatementError::kUnknownStatement, name);
     return;
   }
-  session.held_bytes -= CountHeldBytes(it->first, it->second->shape);
+  const size_t freed = CountHeldBytes(it->first, it->second->shape);
+  session.held_bytes -= freed;
+  held_text_.Release(freed);
   session.prepared.erase(it);
   ReplyLocally(session);
 }
@@ -342,19 +351,56 @@
   D::AppendReady(out, GetCallerTransactionStatus(session), log_end);
 }
 
+template <ForwardingDialect D, class N>
+bool TrafficCore<D, N>::IsBusy(uint64_t id) const {
+  const auto it = sessions_.find(id);
+  return it != sessions_.end() && it->second.IsBusy();
+}
+
+template <ForwardingDialect D, class N>
+size_t TrafficCore<D, N>::GetBacklogBytes(uint64_t id) const {
+  const auto it = sessions_.find(id);
+  return it == sessions_.end() ? 0 : it->second.backlog_bytes;
+}
+
+template <ForwardingDialect D, class N>
+void TrafficCore<D, N>::AddToBacklog(CallerSession& session,
+                                     std::string_view frame) {
+  session.backlog.emplace_back(frame);
+  session.backlog_bytes += frame.size();
+  if (session.backlog_bytes > kMaxBacklogBytes &&
+      !std::exchange(session.is_paused, true)) {
+    net_.PauseCaller(session.id);
+  }
+}
+
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::RunBacklog(uint64_t id) {
+  // A statement that ends at once calls this again. Its successors are handled
+  // by the first call, because their number must not decide the depth of the
+  // stack.
+  if (CallerSession* session = FindSession(id);
+      session == nullptr || std::exchange(session->runs_backlog, true)) {
+    return;
+  }
   for (CallerSession* session = FindSession(id);
        session != nullptr && !session->IsBusy() && !session->backlog.empty();
        session = FindSession(id)) {
     const std::string frame = std::move(session->backlog.front());
     session->backlog.pop_front();
+    session->backlog_bytes -= frame.size();
+    if (session->backlog.empty() && std::exchange(session->is_paused, false)) {
+      net_.ResumeCaller(id);
+    }
     if (session->is_forwarded) {
       HandleForwardedFrame(id, frame);
     } else {
       HandleCallerFrame(id, frame);
     }
   }
+  if (CallerSession* session = FindSession(id)) {
+    session->runs_backlog = false;
+  }
 }
 
 template <ForwardingDialect D, class N>
@@ -394,6 +440,8 @@
   if (session->is_forwarded) {
     --forwarded_session_count_;
   }
+  held_text_.Release(session->held_bytes);
+  statement_text_.Release(session->statement.charged_bytes);
   std::erase(sessions_awaiting_config_, id);
   sessions_.erase(id);
 }
--- a/libs/relay/core/traffic_core_statements.h
+++ b/libs/relay/core/traffic_core_statements.h
@@ -125,7 +125,16 @@
   }
   statement.deadline = now + timeout;
   statement.requirement = statement.base_requirement;
+  const size_t text_bytes = statement.text.size() + statement.arguments.size();
   session.statement = std::move(statement);
+  if (text_bytes > kShortLineBytes) {
+    if (!statement_text_.Replace(0, text_bytes)) {
+      FailStatement(session, StatementError::kBusy,
+                    "no memory for the statement");
+      return;
+    }
+    session.statement.charged_bytes = text_bytes;
+  }
   ScheduleTimer({session.statement.deadline,
                  TimerKind::kStatementDeadline,
                  session.id,
--- a/libs/relay/core/traffic_limits.h
+++ b/libs/relay/core/traffic_limits.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 #include "core/core.h"
@@ -130,6 +131,23 @@
   return kSessionEntryBytes + name.size() + text.size();
 }
 
+/** A session that holds at most this much in values and prepared statements is
+    never refused for the sake of others. */
+inline constexpr size_t kReservedSessionTextBytes = 16 * 1024;
+/** A caller that has sent more than this ahead of its answers is not read until
+    they were handled. Several ordinary messages. */
+inline constexpr size_t kMaxBacklogBytes = 4 * 1024;
+/** Buffers that are larger are freed when they are empty. Smaller ones are
+   kept, so that ordinary statements allocate no memory. */
+inline constexpr size_t kMaxRetainedBytes = 4 * 1024;
+/** Empties a buffer, and frees it if it is large. */
+inline void EmptyBuffer(std::string& buffer) {
+  buffer.clear();
+  if (buffer.capacity() > kMaxRetainedBytes) {
+    buffer.shrink_to_fit();
+  }
+}
+
 /** More than an encoding adds to the texts in a message, in bytes. */
 inline constexpr size_t kMaxEncodingBytes = 1024;
 /** Interval at which idle sessions are closed during a drain. */
--- a/libs/relay/core/traffic_net.h
+++ b/libs/relay/core/traffic_net.h
@@ -22,6 +22,7 @@
     - CloseCaller, CloseEndpoint: close a connection after sending its buffer.
     - HasUnread: returns whether a caller has sent bytes that were not handled
       yet.
+    - PauseCaller, ResumeCaller: stop to read from a caller, and read again.
     - Wake: calls TrafficCore::HandleWake() at the given time, or earlier.
     - Report: passes an endpoint's condition to the control thread.
     - Observe: records the outcome and latency of a finished statement.
@@ -48,6 +49,8 @@
   net.CloseEndpoint(id);
   net.CloseCaller(id);
   { net.HasUnread(id) } -> std::same_as<bool>;
+  net.PauseCaller(id);
+  net.ResumeCaller(id);
   net.Wake(moment);
   net.Report(report);
   net.OnPrimaryConfirmed(endpoint, term);
--- a/libs/relay/core/traffic_options.h
+++ b/libs/relay/core/traffic_options.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <string>
 
+#include "budget/budget.h"
 #include "core/core.h"
 #include "directory/directory.h"
 
@@ -24,6 +25,8 @@
   /** Longest time for which a draining primary that has no successor gets new
       statements. @see GetMaxDrainingUse */
   Duration max_draining_use = std::chrono::seconds(5);
+  /** Parts of the memory that sessions and statements may use. */
+  MemoryShares memory;
 };
 
 /** What the tables of prepared statements hold. */
--- a/libs/relay/sessions/caller_session.h
+++ b/libs/relay/sessions/caller_session.h
@@ -37,6 +37,8 @@
   /** Unique in this process; 0 if no statement is in progress. */
   uint64_t id = 0;
   std::string request_id;
+  /** What its texts count in the memory of all statements. */
+  size_t charged_bytes = 0;
   /** The statement as the caller wrote it. */
   std::string text;
   StatementKind kind = StatementKind::kRead;
@@ -155,6 +157,12 @@
   uint64_t last_statement_id = 0;
   /** Messages that arrived while a statement was in progress. */
   std::deque<std::string> backlog;
+  /** Length of these messages. */
+  size_t backlog_bytes = 0;
+  /** True while they are being handled. */
+  bool runs_backlog = false;
+  /** True while it is not read, because they are too long. */
+  bool is_paused = false;
   TimePoint last_active;
 
   /** @returns true while a statement is in progress */
--- a/libs/telemetry/events/event.cc
+++ b/libs/telemetry/events/event.cc
@@ -229,6 +229,11 @@
      "start. findings"},
     {kDrainProgress, kInfo, "process.drain_progress",
      "The process exits and disconnects the remaining sessions. sessions"},
+    {kLimitsApplied, kWarning, "limits.applied",
+     "Connections were closed or refused to stay within the limits of memory "
+     "and descriptors, at most once a second. lines_stalled, lines_refused, "
+     "answers_unread, mute_closed, callers_refused, lines_waiting, "
+     "held_bytes"},
     {kLinesDropped, kWarning, "log.lines_dropped",
      "Log lines were dropped, because the reader of the log was too slow. "
      "lines"},
--- a/libs/telemetry/events/event.h
+++ b/libs/telemetry/events/event.h
@@ -80,6 +80,7 @@
   kReadinessChanged = 5601,
   kSettingsReloaded = 5602,
   kDrainProgress = 5603,
+  kLimitsApplied = 5610,
   kLinesDropped = 5901,
 };
 
--- a/tests/traffic/refused_request_test.cc
+++ b/tests/traffic/refused_request_test.cc
@@ -127,4 +127,52 @@
   CHECK_TEXT(node.CountTexts("SET ") - before <= 15, sets.c_str());
 }
 
+TEST_GROUP_BASE(MemoryLimits, ScriptedNodeGroup){};
+
+TEST(MemoryLimits, ACallerThatIsFarAheadIsNotReadUntilItsMessagesWereHandled) {
+  // Guards against a backlog that grows with what a caller sends.
+  ScriptedNode node;
+  const uint64_t session = node.OpenCaller();
+  const std::string key(3000, 'k');
+  for (int n = 0; n < 2; ++n) {
+    node.GetCore().HandleCallerFrame(session, "QUERY a READ " + key);
+    CHECK_FALSE(node.IsPaused(session));
+  }
+  node.GetCore().HandleCallerFrame(session, "QUERY b READ " + key);
+  CHECK(node.IsPaused(session));
+  node.Run(milliseconds(100));
+  CHECK_FALSE(node.IsPaused(session));
+  CHECK(!node.GetCore().IsBusy(session));
+  LONGS_EQUAL(0, node.GetCore().GetBacklogBytes(session));
+}
+
+TEST(MemoryLimits, LargeSessionsAreRefusedMoreValuesAndSmallOnesAreNot) {
+  // Guards against sessions whose values together exceed the memory.
+  ScriptedNode node(false, {.held_text = 100'000});
+  const uint64_t first = node.OpenCaller();
+  const uint64_t second = node.OpenCaller();
+  const std::string value(60'000, 'v');
+  CheckAnswer("COMPLETE", node.Ask(first, "SET large " + value));
+  CheckAnswer("ERROR BUSY", node.Ask(second, "SET large " + value));
+  CheckAnswer("COMPLETE", node.Ask(second, "SET small 1"));
+  // What a session held is free when it ends.
+  node.GetCore().CloseSession(first);
+  CheckAnswer("COMPLETE", node.Ask(second, "SET large " + value));
+}
+
+TEST(MemoryLimits, AnyNumberOfWaitingStatementsMayFailAtOnce) {
+  // Guards against a call for each of them within the call for the one before:
+  // the process ended with a full stack.
+  ScriptedNode node(false, {.statement_text = 1});
+  const uint64_t session = node.OpenCaller();
+  node.GetCore().HandleCallerFrame(session, "QUERY first READ key");
+  const std::string line = "QUERY q READ " + std::string(5000, 'k');
+  for (int n = 0; n < 20'000; ++n) {
+    node.GetCore().HandleCallerFrame(session, line);
+  }
+  node.Run(milliseconds(100));
+  LONGS_EQUAL(0, node.GetCore().GetBacklogBytes(session));
+  LONGS_EQUAL(20'000, node.GetCore().GetStatementText().CountRefused());
+}
+
 }  // namespace magnoliareel
--- a/tests/traffic/scripted_node.cc
+++ b/tests/traffic/scripted_node.cc
@@ -22,9 +22,10 @@
 
 }  // namespace
 
-ScriptedNode::ScriptedNode(bool has_replica) {
+ScriptedNode::ScriptedNode(bool has_replica, MemoryShares memory) {
   TrafficOptions options;
   options.vm = "vm-0";
+  options.memory = memory;
   options.measure_distance = [](const SiteId&) { return Distance::kSameSite; };
   core_ = std::make_unique<Core>(*this, std::move(options));
   auto routes = std::make_shared<RouteTable>();
--- a/tests/traffic/scripted_node.h
+++ b/tests/traffic/scripted_node.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -43,8 +44,9 @@
   using Script = std::function<std::optional<std::string>(std::string_view text,
                                                           char& status)>;
 
-  /** @param has_replica  whether the primary has a replica */
-  explicit ScriptedNode(bool has_replica = false);
+  /** @param has_replica  whether the primary has a replica
+      @param memory       what sessions and statements may use */
+  explicit ScriptedNode(bool has_replica = false, MemoryShares memory = {});
 
   void SetScript(Script script) { script_ = std::move(script); }
   /** @param database  "entries", which is read at the primary, or "lookups"
@@ -71,6 +73,8 @@
   void Run(Duration time);
 
   Core& GetCore() { return *core_; }
+  /** @returns whether a caller is not read */
+  bool IsPaused(uint64_t session) const { return paused_.contains(session); }
   const std::vector<ScriptedRun>& GetRuns() const { return runs_; }
   /** @returns the texts that the databases have received */
   const std::vector<std::string>& GetTexts() const { return texts_; }
@@ -90,6 +94,8 @@
   void CloseEndpoint(uint64_t id);
   void CloseCaller(uint64_t id) { closed_.push_back(id); }
   bool HasUnread(uint64_t) const { return false; }
+  void PauseCaller(uint64_t id) { paused_.insert(id); }
+  void ResumeCaller(uint64_t id) { paused_.erase(id); }
   void Wake(TimePoint moment);
   void Report(const ConditionReport&) {}
   void Observe(const StatementSample&) {}
@@ -104,6 +110,8 @@
     std::map<std::string, std::string> prepared;
   };
 
+  std::set<uint64_t> paused_;
+
   void Step();
   /** @returns the answer */
   std::string HandleLine(uint64_t id, std::string_view line);
--- a/tests/traffic/traffic_simulation.h
+++ b/tests/traffic/traffic_simulation.h
@@ -45,6 +45,8 @@
   void CloseEndpoint(uint64_t id);
   void CloseCaller(uint64_t id) { closed_callers_.insert(id); }
   bool HasUnread(uint64_t) const { return false; }
+  void PauseCaller(uint64_t) {}
+  void ResumeCaller(uint64_t) {}
   void Wake(TimePoint moment);
   void Report(const ConditionReport& report);
   void OnPrimaryConfirmed(const EndpointId& endpoint, Term term);
