--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -184,6 +184,14 @@
   }
   /** @returns the number of slots from which this VM issues permits */
   size_t CountOwnSlots() const { return allowances_.CountOwnSlots(); }
+  /** @returns true while a statement of a session is in progress */
+  bool IsBusy(uint64_t session) const;
+  /** @returns length of the messages that wait behind it, in bytes */
+  size_t GetBacklogBytes(uint64_t session) const;
+  /** @returns what values and prepared statements of all sessions count */
+  const HeldBytes& GetHeldText() const { return held_text_; }
+  /** @returns what the texts of all long statements in progress count */
+  const HeldBytes& GetStatementText() const { return statement_text_; }
 
  private:
   /** What is known of a VM to which statements are forwarded. */
@@ -274,6 +282,7 @@
                   std::string_view reason);
   TransactionStatus GetCallerTransactionStatus(
       const CallerSession& session) const;
+  void AddToBacklog(CallerSession& session, std::string_view frame);
   void RunBacklog(uint64_t id);
   void EndSession(CallerSession& session);
 
@@ -529,6 +538,8 @@
   std::unordered_map<uint64_t, uint64_t> sessions_awaiting_permit_;
   /** Time of the next call of AllowanceBook::HandleWake(), if one is due. */
   std::optional<TimePoint> permit_wake_at_;
+  HeldBytes held_text_;
+  HeldBytes statement_text_;
 };
 
 }  // namespace magnoliareel
--- a/libs/relay/core/traffic_options.h
+++ b/libs/relay/core/traffic_options.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <string>
 
+#include "budget/budget.h"
 #include "core/core.h"
 #include "directory/directory.h"
 
@@ -29,6 +30,8 @@
   /** Number of the first request for permits; larger than those of earlier
       processes of this VM. */
   uint64_t first_permit_sequence = 1;
+  /** Parts of the memory that sessions and statements may use. */
+  MemoryShares memory;
 };
 
 /** What the tables of prepared statements hold. */
--- a/libs/telemetry/events/event.h
+++ b/libs/telemetry/events/event.h
@@ -81,6 +81,7 @@
   kReadinessChanged = 5601,
   kSettingsReloaded = 5602,
   kDrainProgress = 5603,
+  kLimitsApplied = 5610,
   kAllowanceExceeded = 5701,
   kSlotsChanged = 5702,
   kSlotsWritten = 5703,
