Relay: places reads by measured cost if the settings ask for it

With TrafficOptions::has_adaptive_placement (NodeSettings, from "health" in the contracts), ChooseReadPool() asks ReadPlacement. Replies, lost connections, silent endpoints and deadlines are recorded. Ejections and returns are logged as E5801 and E5802. Without the option, reads are placed as before.

--- a/apps/node/node_process.cc
+++ b/apps/node/node_process.cc
@@ -46,7 +46,8 @@
                  return settings_.MeasureDistance(site);
                },
            .max_draining_use =
-               GetMaxDrainingUse(settings_.endpoint_drain_period)},
+               GetMaxDrainingUse(settings_.endpoint_drain_period),
+           .has_adaptive_placement = settings_.has_adaptive_placement},
           [this](const TrafficNotice& notice) { notices_.Post(notice); },
           metrics_),
       fleet_(store_, *this, settings_.vm),
--- a/libs/relay/connections/endpoint_pool.h
+++ b/libs/relay/connections/endpoint_pool.h
@@ -9,6 +9,7 @@
 
 #include "core/core.h"
 #include "directory/directory.h"
+#include "placement/placement.h"
 
 namespace magnoliareel {
 
@@ -176,6 +177,8 @@
   /** Number of running statements, including abandoned ones. */
   uint32_t running = 0;
   TimePoint last_activity;
+  /** What callers' statements have shown, for the placement of reads. */
+  EndpointRecord record;
   /** True if a timer for closing idle connections is set. */
   bool idle_check_scheduled = false;
   /** Number of failures since the last message from the endpoint. */
--- a/libs/relay/core/service_state.h
+++ b/libs/relay/core/service_state.h
@@ -8,6 +8,7 @@
 
 #include "core/core.h"
 #include "directory/directory.h"
+#include "placement/placement.h"
 #include "relay/connections/endpoint_pool.h"
 #include "relay/freshness/freshness_bound.h"
 #include "relay/freshness/freshness_bound_history.h"
@@ -31,6 +32,7 @@
   PrimaryTracker primary_tracker;
   CommitLossDetector commit_losses;
   CommitHold commit_hold;
+  ReadPlacement read_placement;
   /** Endpoint of the latest commit that was answered with success. */
   std::optional<TimedEndpoint> last_answered_commit;
   /** Endpoint of the latest promotion that was announced. */
--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -15,6 +15,7 @@
 
 #include "core/core.h"
 #include "directory/directory.h"
+#include "placement/placement.h"
 #include "relay/connections/endpoint_pool.h"
 #include "relay/connections/pooled_connection.h"
 #include "relay/core/hedge_budget.h"
@@ -148,6 +149,10 @@
 
   /** @returns the connection pools by endpoint */
   const std::map<EndpointId, EndpointPool>& GetPools() const { return pools_; }
+  /** @returns the state of the services */
+  const std::map<ServiceId, ServiceState>& GetServices() const {
+    return services_;
+  }
   /** @returns names of prepared statements on all connections, and the length
                of their shapes in bytes */
   PreparedTotals CountPrepared() const;
@@ -233,7 +238,11 @@
   void DispatchToPrimary(CallerSession& session);
   void DispatchRead(CallerSession& session);
   EndpointPool* ChooseReadPool(const CallerSession& session,
-                               const ServiceState& service);
+                               ServiceState& service);
+  /** @returns what speaks against an endpoint for a read besides its load and
+               distance, as waiting time */
+  Duration GetReadPenalty(const CallerSession& session,
+                          const EndpointPool& pool);
   void EnqueueStatement(EndpointPool& pool, CallerSession& session);
   void ScheduleRetry(CallerSession& session, Duration delay);
   void RemoveFromQueues(CallerSession& session);
@@ -258,6 +267,16 @@
                                        const ActiveStatement& statement);
   void SendInTransaction(CallerSession& session);
 
+  // traffic_core_placement.h: placement of reads by measured cost.
+  EndpointPool* PlaceRead(const CallerSession& session, ServiceState& service);
+  /** Ejects endpoints and ends ejections. @see ReadPlacement::Review */
+  void ReviewEjections(ServiceState& service);
+  void RecordPlacementReply(EndpointPool& pool,
+                            const PendingReply& reply,
+                            bool is_read);
+  /** Records the failure of statements that were sent to an endpoint. */
+  void RecordPlacementFailure(const EndpointId& endpoint);
+
   // traffic_core_bounds.h: requests for freshness bounds.
   void RefreshBounds(ServiceState& service, Duration max_bound_age);
   void ReplyToBoundQueries(const ServiceId& id, ServiceState& service);
@@ -424,6 +443,10 @@
   LogRateLimiter served_log_limiter_;
   HedgeBudget hedge_budget_;
   TrafficCounters counters_;
+  ProcessRandom placement_random_;
+  /** Endpoints that are compared for a read; kept to save allocations. */
+  std::vector<PlacementCandidate> candidates_;
+  std::vector<EndpointPool*> candidate_pools_;
 };
 
 }  // namespace magnoliareel
@@ -436,6 +459,7 @@
 #include "relay/core/traffic_core_errors.h"           // IWYU pragma: export
 #include "relay/core/traffic_core_forwarding.h"       // IWYU pragma: export
 #include "relay/core/traffic_core_holds.h"            // IWYU pragma: export
+#include "relay/core/traffic_core_placement.h"        // IWYU pragma: export
 #include "relay/core/traffic_core_pool_sizes.h"       // IWYU pragma: export
 #include "relay/core/traffic_core_primaries.h"        // IWYU pragma: export
 #include "relay/core/traffic_core_reads.h"            // IWYU pragma: export
--- a/libs/relay/core/traffic_core_connections.h
+++ b/libs/relay/core/traffic_core_connections.h
@@ -215,6 +215,7 @@
                                               EndpointCondition condition) {
   const TimePoint now = net_.Now();
   pool.RecordFailure(now);
+  pool.record.RecordFailed(now);
   LogEvent(Event::kEndpointFailureObserved,
            {{"endpoint", pool.entry.id.value},
             {"service", pool.entry.service.value},
@@ -264,6 +265,9 @@
   const bool was_forwarded = found->IsForwarded();
   CallerSession* session = FindSession(found->session);
   CloseEndpointConnection(connection_id);
+  if (state == ConnectionState::kRunning) {
+    RecordPlacementFailure(endpoint);
+  }
   if (session == nullptr) {
     return;
   }
@@ -321,11 +325,16 @@
   if (connection == nullptr) {
     return;
   }
-  const EndpointPool* pool = FindPool(connection->endpoint);
+  EndpointPool* pool = FindPool(connection->endpoint);
   if (pool == nullptr) {
     CloseEndpointConnection(id);
     return;
   }
+  if (!connection->IsForwarded()) {
+    // The handshake of the transport takes one round trip and no slot.
+    pool->record.response.RecordRoundTrip(net_.Now() -
+                                          connection->last_used_at);
+  }
   if (connection->IsForwarded()) {
     D::AppendForwardingOpen(net_.GetEndpointBuffer(id),
                             pool->entry.service.value, pool->entry.id.value);
--- a/libs/relay/core/traffic_core_dispatch.h
+++ b/libs/relay/core/traffic_core_dispatch.h
@@ -325,6 +325,7 @@
     statement.connections.push_back(connection.id);
   }
   if (EndpointPool* pool = FindPool(connection.endpoint)) {
+    pool->record.RecordSent(pool->running, now);
     ++pool->running;
   }
   statement.sent_at = now;
--- a/libs/relay/core/traffic_core_reads.h
+++ b/libs/relay/core/traffic_core_reads.h
@@ -63,8 +63,10 @@
 
 template <ForwardingDialect D, class N>
 EndpointPool* TrafficCore<D, N>::ChooseReadPool(const CallerSession& session,
-                                                const ServiceState& service) {
-  const TimePoint now = net_.Now();
+                                                ServiceState& service) {
+  if (options_.has_adaptive_placement) {
+    return PlaceRead(session, service);
+  }
   EndpointPool* best = nullptr;
   Duration best_cost{};
   for (const EndpointId& id : service.endpoints) {
@@ -72,27 +74,12 @@
     if (pool == nullptr || !TakesNewStatements(*pool)) {
       continue;
     }
-    const bool is_primary = IsPrimary(*pool);
-    Duration cost = pool->EstimateLatency();
+    Duration cost = pool->EstimateLatency() + GetReadPenalty(session, *pool);
     if (pool->distance == Distance::kRemote) {
       cost += session.route->latency_objective / kRemotePenaltyDivisor;
     } else if (pool->distance == Distance::kSameRegion) {
       cost += kRegionPenalty;
     }
-    if (is_primary) {
-      cost += kPrimaryReadPenalty;
-    } else if (session.statement.required_point &&
-               pool->IsBehind(*session.statement.required_point, now)) {
-      cost += kBehindPenalty;
-    }
-    if (pool->IsAtConnectionLimit(now)) {
-      cost += kConnectionLimitPenalty;
-    }
-    const auto& avoided = session.statement.avoided_endpoints;
-    if (pool->IsBackedOff(now) ||
-        std::find(avoided.begin(), avoided.end(), id) != avoided.end()) {
-      cost += kFailedEndpointPenalty;
-    }
     if (best == nullptr || cost < best_cost) {
       best = pool;
       best_cost = cost;
@@ -101,6 +88,29 @@
   return best;
 }
 
+template <ForwardingDialect D, class N>
+Duration TrafficCore<D, N>::GetReadPenalty(const CallerSession& session,
+                                           const EndpointPool& pool) {
+  const TimePoint now = net_.Now();
+  const ActiveStatement& statement = session.statement;
+  Duration penalty{};
+  if (IsPrimary(pool)) {
+    penalty += kPrimaryReadPenalty;
+  } else if (statement.required_point &&
+             pool.IsBehind(*statement.required_point, now)) {
+    penalty += kBehindPenalty;
+  }
+  if (pool.IsAtConnectionLimit(now)) {
+    penalty += kConnectionLimitPenalty;
+  }
+  const auto& avoided = statement.avoided_endpoints;
+  if (pool.IsBackedOff(now) || std::find(avoided.begin(), avoided.end(),
+                                         pool.entry.id) != avoided.end()) {
+    penalty += kFailedEndpointPenalty;
+  }
+  return penalty;
+}
+
 }  // namespace magnoliareel
 
 #endif  // MAGNOLIAREEL_RELAY_CORE_TRAFFIC_CORE_READS_H_
--- a/libs/relay/core/traffic_core_replies.h
+++ b/libs/relay/core/traffic_core_replies.h
@@ -311,8 +311,12 @@
   const std::optional<EndpointRefusal> refusal =
       std::exchange(connection.refusal, std::nullopt);
   CallerSession* session = FindSession(connection.session);
-  if (session == nullptr || session->statement.id != reply.statement_id ||
-      connection.state == ConnectionState::kAbandoned) {
+  const bool is_current =
+      session != nullptr && session->statement.id == reply.statement_id;
+  RecordPlacementReply(
+      *pool, reply,
+      !IsPrimary(*pool) || (is_current && !session->statement.writes));
+  if (!is_current || connection.state == ConnectionState::kAbandoned) {
     ReturnToPool(connection);
     return;
   }
--- a/libs/relay/core/traffic_core_sessions.h
+++ b/libs/relay/core/traffic_core_sessions.h
@@ -3,6 +3,7 @@
 
 // Messages from callers. Included by traffic_core.h.
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <utility>
@@ -16,7 +17,8 @@
 TrafficCore<D, N>::TrafficCore(N& net, TrafficOptions options)
     : net_(net),
       options_(std::move(options)),
-      served_log_limiter_(kMaxServedLogLinesPerSecond) {
+      served_log_limiter_(kMaxServedLogLinesPerSecond),
+      placement_random_(std::hash<std::string>()(options_.vm)) {
   // Checked here because N is incomplete where it declares its core.
   static_assert(TrafficNet<N>);
 }
--- a/libs/relay/core/traffic_core_timers.h
+++ b/libs/relay/core/traffic_core_timers.h
@@ -194,8 +194,15 @@
   bool sent = false;
   for (const uint64_t it : statement.connections) {
     const PooledConnection* connection = FindConnection(it);
-    sent = sent || (connection != nullptr &&
-                    connection->state == ConnectionState::kRunning);
+    if (connection == nullptr ||
+        connection->state != ConnectionState::kRunning) {
+      continue;
+    }
+    sent = true;
+    // One that was sent shortly before its deadline waited here.
+    if (net_.Now() - statement.sent_at >= kSlowStatementThreshold) {
+      RecordPlacementFailure(connection->endpoint);
+    }
   }
   if (!sent && statement.requirement == EndpointRequirement::kOpenTransaction &&
       !statement.connections.empty()) {
--- a/libs/relay/core/traffic_options.h
+++ b/libs/relay/core/traffic_options.h
@@ -1,6 +1,7 @@
 #ifndef MAGNOLIAREEL_RELAY_CORE_TRAFFIC_OPTIONS_H_
 #define MAGNOLIAREEL_RELAY_CORE_TRAFFIC_OPTIONS_H_
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -8,6 +9,7 @@
 
 #include "core/core.h"
 #include "directory/directory.h"
+#include "placement/placement.h"
 
 namespace magnoliareel {
 
@@ -24,6 +26,8 @@
   /** Longest time for which a draining primary that has no successor gets new
       statements. @see GetMaxDrainingUse */
   Duration max_draining_use = std::chrono::seconds(5);
+  /** Chooses endpoints for reads by measured cost. @see ReadPlacement */
+  bool has_adaptive_placement = false;
 };
 
 /** What the tables of prepared statements hold. */
@@ -62,6 +66,8 @@
   /** Executions that an endpoint refused because it did not know a name that it
       had prepared. */
   uint64_t unknown_names = 0;
+  /** Reads for which an endpoint of a level was chosen, nearest first. */
+  std::array<uint64_t, kPlacementLevelCount> reads_placed{};
 };
 
 }  // namespace magnoliareel
--- a/libs/relay/relay.h
+++ b/libs/relay/relay.h
@@ -6,7 +6,7 @@
     to endpoints. Decides to which endpoint each statement is sent, when it is
     sent and how often it is retried.
 
-    Depends on core, directory and telemetry. The message encoding and the
+    Depends on core, directory, placement and telemetry. The message encoding and the
     sockets are template parameters.
 
     Topics: messages/ (decoded messages of callers and endpoints), sessions/
--- a/libs/telemetry/events/event.cc
+++ b/libs/telemetry/events/event.cc
@@ -229,6 +229,15 @@
      "start. findings"},
     {kDrainProgress, kInfo, "process.drain_progress",
      "The process exits and disconnects the remaining sessions. sessions"},
+    {kEndpointEjected, kWarning, "endpoint.ejected",
+     "Reads no longer go to an endpoint, except one probe each second, because "
+     "its real outcomes differ from those of the others. endpoint, service, "
+     "failed and succeeded (lately, half of the weight after 2 s), run_us "
+     "(expected), others_us (mean of the others of its level; 0: none), "
+     "eject_ms"},
+    {kEndpointReturned, kInfo, "endpoint.returned",
+     "Reads go to an ejected endpoint again. endpoint, service, ejected_ms "
+     "(time of the last ejection)"},
     {kLinesDropped, kWarning, "log.lines_dropped",
      "Log lines were dropped, because the reader of the log was too slow. "
      "lines"},
--- a/libs/telemetry/events/event.h
+++ b/libs/telemetry/events/event.h
@@ -80,6 +80,8 @@
   kReadinessChanged = 5601,
   kSettingsReloaded = 5602,
   kDrainProgress = 5603,
+  kEndpointEjected = 5801,
+  kEndpointReturned = 5802,
   kLinesDropped = 5901,
 };
 
