--- a/apps/node/traffic_thread.cc
+++ b/apps/node/traffic_thread.cc
@@ -1,6 +1,7 @@
 #include "apps/node/traffic_thread.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace magnoliareel {
@@ -191,6 +192,10 @@
         [](const EndpointPool& it) { return it.GetConcurrencyLimit(); });
     add("endpoint_failures", "Failures since the endpoint's last answer.",
         [](const EndpointPool& it) { return it.failures; });
+    add("endpoint_ejected", "1 while only probes are sent to the endpoint.",
+        [](const EndpointPool& it) {
+          return it.record.ejection.IsEjected() ? 1 : 0;
+        });
     add("endpoint_latency_seconds", "Expected time of one more statement.",
         [](const EndpointPool& it) {
           return std::chrono::duration<double>(it.EstimateLatency()).count();
@@ -241,6 +246,25 @@
                "Executions whose name the endpoint did not know, since the "
                "start.",
                {}, static_cast<double>(counters.unknown_names));
+    constexpr std::array<const char*, kPlacementLevelCount> kLevels = {
+        "site", "region", "remote"};
+    for (size_t it = 0; it < kLevels.size(); ++it) {
+      gauges.Add("reads_placed",
+                 "Reads for which an endpoint was chosen by measured cost, "
+                 "since the start.",
+                 {{"level", kLevels[it]}},
+                 static_cast<double>(counters.reads_placed[it]));
+    }
+    // The last level has no other to leave for.
+    for (size_t it = 0; it + 1 < kLevels.size(); ++it) {
+      for (const auto& [id, service] : core_.GetServices()) {
+        gauges.Add("reads_leaving_share",
+                   "Largest share of a route's reads that leaves the level.",
+                   {{"service", id.value}, {"level", kLevels[it]}},
+                   service.read_placement.GetSpilloverShare(
+                       static_cast<PlacementLevel>(it)));
+      }
+    }
     const PreparedTotals prepared = core_.CountPrepared();
     gauges.Add("prepared_names",
                "Names of prepared statements on connections of this VM.", {},
