--- a/libs/relay/core/traffic_core_sessions.h
+++ b/libs/relay/core/traffic_core_sessions.h
@@ -3,6 +3,7 @@
 
 // Messages from callers. Included by traffic_core.h.
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <utility>
@@ -19,7 +20,8 @@
       served_log_limiter_(kMaxServedLogLinesPerSecond),
       allowances_(*this, VmId{options_.vm}, options_.first_permit_sequence),
       held_text_(options_.memory.held_text, kReservedSessionTextBytes),
-      statement_text_(options_.memory.statement_text) {
+      statement_text_(options_.memory.statement_text),
+      placement_random_(std::hash<std::string>()(options_.vm)) {
   // Checked here because N is incomplete where it declares its core.
   static_assert(TrafficNet<N>);
 }
--- a/libs/relay/core/traffic_options.h
+++ b/libs/relay/core/traffic_options.h
@@ -1,6 +1,7 @@
 #ifndef MAGNOLIAREEL_RELAY_CORE_TRAFFIC_OPTIONS_H_
 #define MAGNOLIAREEL_RELAY_CORE_TRAFFIC_OPTIONS_H_
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -9,6 +10,7 @@
 #include "budget/budget.h"
 #include "core/core.h"
 #include "directory/directory.h"
+#include "placement/placement.h"
 
 namespace magnoliareel {
 
@@ -32,6 +34,8 @@
   uint64_t first_permit_sequence = 1;
   /** Parts of the memory that sessions and statements may use. */
   MemoryShares memory;
+  /** Chooses endpoints for reads by measured cost. @see ReadPlacement */
+  bool has_adaptive_placement = false;
 };
 
 /** What the tables of prepared statements hold. */
@@ -77,6 +81,8 @@
   uint64_t connections_evicted = 0;
   /** Statements refused because their team is over its limit. */
   uint64_t refused_over_limit = 0;
+  /** Reads for which an endpoint of a level was chosen, nearest first. */
+  std::array<uint64_t, kPlacementLevelCount> reads_placed{};
 };
 
 }  // namespace magnoliareel
--- a/libs/telemetry/events/event.h
+++ b/libs/telemetry/events/event.h
@@ -86,6 +86,8 @@
   kSlotsChanged = 5702,
   kSlotsWritten = 5703,
   kSlotRowRejected = 5704,
+  kEndpointEjected = 5801,
+  kEndpointReturned = 5802,
   kLinesDropped = 5901,
 };
 
