--- a/apps/node/main.cc
+++ b/apps/node/main.cc
@@ -20,8 +20,8 @@
 constexpr size_t kLogBufferSize = 256 * 1024;
 // Blocks of this size, such as long lines, are returned to the system when they
 // are freed. By default, the first one that is freed raises the bound up to
-// 32 MiB, and long lines then leave a fragmented heap. Larger than the buffers of
-// ordinary statements.
+// 32 MiB, and long lines then leave a fragmented heap. Larger than the buffers
+// of ordinary statements.
 constexpr int kMmapThresholdBytes = 128 * 1024;
 constexpr int kTrimThresholdBytes = 1024 * 1024;
 
--- a/standins/group/group_statements.cc
+++ b/standins/group/group_statements.cc
@@ -13,12 +13,12 @@
                                  std::string shape) {
   const Member& member = members_[connection.member];
   const bool in_transaction = connection.status == 'T';
-  executed_statements_.push_back(
-      {query.request, id, member.id, query.text,
-       query.arguments ? query.name : std::string(), std::move(shape),
-       GetLastPoint(member, true), now_, in_transaction,
-       in_transaction ? connection.transaction : 0, connection.values,
-       connection.caller});
+  executed_statements_.push_back({query.request, id, member.id, query.text,
+                                  query.arguments ? query.name : std::string(),
+                                  std::move(shape), GetLastPoint(member, true),
+                                  now_, in_transaction,
+                                  in_transaction ? connection.transaction : 0,
+                                  connection.values, connection.caller});
 }
 
 void GroupModel::RunRead(uint64_t id,
