--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -8,15 +8,19 @@
 #include <memory>
 #include <optional>
 #include <queue>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
+#include "allowance/allowance.h"
 #include "core/core.h"
 #include "directory/directory.h"
+#include "placement/placement.h"
 #include "relay/connections/endpoint_pool.h"
 #include "relay/connections/pooled_connection.h"
+#include "relay/connections/team_rank.h"
 #include "relay/core/hedge_budget.h"
 #include "relay/core/log_rate_limiter.h"
 #include "relay/core/service_state.h"
@@ -94,6 +98,28 @@
   void RecordPeerBound(const FreshnessBound& bound, TimePoint requested_at);
   /** Requests a freshness bound from a service's primary. */
   void RequestPrimaryBound(const ServiceId& service);
+  /** Applies an assignment of the slots that issue permits.
+      @see AllowanceBook::ApplySlots */
+  void ApplySlots(const SlotAssignment* assignment, TimePoint valid_until);
+  /** Replaces the VMs that can be asked for permits. */
+  void ApplyLenders(std::span<const PermitLender> lenders);
+  /** Handles another VM's request for permits.
+
+      @returns the answer */
+  PermitGrant HandlePermitRequest(const PermitRequest& request);
+  /** Handles another VM's answer to a request for permits. */
+  void HandlePermitGrant(const VmId& from, const PermitGrant& grant);
+  /** @see AllowanceDelegate */
+  void SendPermitRequest(const VmId& to, const PermitRequest& request) {
+    net_.SendPermitRequest(to, request);
+  }
+  /** @see AllowanceDelegate */
+  void OnPermitGranted(uint64_t operation, TimePoint expires_at);
+  /** @see AllowanceDelegate */
+  void OnPermitRefused(uint64_t operation);
+  /** @see AllowanceDelegate */
+  void WakeForPermits(TimePoint at);
+
   /** Starts to close sessions gradually when they become idle.
 
       @param transaction_grace_period  time for which open transactions may
@@ -148,11 +174,29 @@
 
   /** @returns the connection pools by endpoint */
   const std::map<EndpointId, EndpointPool>& GetPools() const { return pools_; }
+  /** @returns the state of the services */
+  const std::map<ServiceId, ServiceState>& GetServices() const {
+    return services_;
+  }
   /** @returns names of prepared statements on all connections, and the length
                of their shapes in bytes */
   PreparedTotals CountPrepared() const;
   /** @returns the counters of retries, hedged reads and opened connections */
   const TrafficCounters& GetCounters() const { return counters_; }
+  /** @returns the counters of permits */
+  const AllowanceCounters& GetAllowanceCounters() const {
+    return allowances_.GetCounters();
+  }
+  /** @returns the number of slots from which this VM issues permits */
+  size_t CountOwnSlots() const { return allowances_.CountOwnSlots(); }
+  /** @returns true while a statement of a session is in progress */
+  bool IsBusy(uint64_t session) const;
+  /** @returns length of the messages that wait behind it, in bytes */
+  size_t GetBacklogBytes(uint64_t session) const;
+  /** @returns what values and prepared statements of all sessions count */
+  const HeldBytes& GetHeldText() const { return held_text_; }
+  /** @returns what the texts of all long statements in progress count */
+  const HeldBytes& GetStatementText() const { return statement_text_; }
 
  private:
   /** What is known of a VM to which statements are forwarded. */
@@ -174,7 +218,8 @@
   void RetryForwarded(CallerSession& session,
                       StatementError error,
                       Duration delay);
-  const EndpointHolder* ChooseHolder(const EndpointPool& pool) const;
+  const EndpointHolder* ChooseHolder(const EndpointPool& pool,
+                                     const TeamId& team) const;
   bool IsHolderBackedOff(const VmId& vm) const;
   void RecordHolderActivity(const VmId& vm);
   void RecordHolderFailure(const VmId& vm, std::string_view reason);
@@ -213,6 +258,23 @@
   void HandleDeallocate(CallerSession& session, std::string_view name);
   void SubmitStatement(CallerSession& session, const CallerMessage& message);
   bool RefreshRoute(CallerSession& session);
+  /** Finds the team that has the session's key now.
+
+      @returns false if the caller may not use the session's route; the session
+               has ended then
+  */
+  bool RefreshTeam(CallerSession& session);
+  /** @returns whether the session's key is valid, or none is needed */
+  bool IsAuthorized(const CallerSession& session) const;
+  /** Refuses the statement in progress, if any, and ends the session. */
+  void EndUnauthorized(CallerSession& session);
+  /** Finds the teams of the sessions that wait for an endpoint, and ends those
+      whose keys the configuration in force does not hold. */
+  void RefreshTeams();
+  /** @returns whether a statement that has not been sent yet may be sent on a
+               connection that was chosen under another configuration */
+  bool MayUse(const PooledConnection& connection,
+              const CallerSession& session) const;
   bool ParseStatement(CallerSession& session,
                       const CallerMessage& message,
                       ActiveStatement& out);
@@ -225,22 +287,75 @@
                   std::string_view reason);
   TransactionStatus GetCallerTransactionStatus(
       const CallerSession& session) const;
+  void AddToBacklog(CallerSession& session, std::string_view frame);
   void RunBacklog(uint64_t id);
   void EndSession(CallerSession& session);
 
+  // traffic_core_allowances.h: permits of teams with a limit.
+  /** Takes a permit for the operation that the session's statement begins, if
+      it needs one.
+
+      @returns false if the statement waits for a permit or was refused */
+  bool ChargeOperation(CallerSession& session);
+  /** Takes another permit if the statement's has expired in a queue, because
+      the operators count operations when they reach an endpoint.
+
+      @returns false if there is none; the statement was refused */
+  bool RenewPermit(CallerSession& session);
+  /** Ends the statement's wait for a permit, if it waits for one. */
+  void CancelPermit(CallerSession& session);
+  void RefuseOverLimit(CallerSession& session);
+
   // traffic_core_dispatch.h and traffic_core_reads.h: routing of statements.
   void Dispatch(CallerSession& session);
   void DispatchToPrimary(CallerSession& session);
   void DispatchRead(CallerSession& session);
   EndpointPool* ChooseReadPool(const CallerSession& session,
-                               const ServiceState& service);
+                               ServiceState& service);
+  /** @returns what speaks against an endpoint for a read besides its load and
+               distance, as waiting time */
+  Duration GetReadPenalty(const CallerSession& session,
+                          const EndpointPool& pool);
   void EnqueueStatement(EndpointPool& pool, CallerSession& session);
   void ScheduleRetry(CallerSession& session, Duration delay);
   void RemoveFromQueues(CallerSession& session);
   void StartQueued(EndpointPool& pool);
+  bool HasIdleConnection(const EndpointPool& pool);
+  /** @returns whether connections of a pool may belong to teams */
+  bool UsesTeams(const EndpointPool& pool) const {
+    return pool.serves_teams || view_->routes->teams != nullptr;
+  }
+  /** @returns the hashes of the teams that have direct connections, ordered */
+  std::vector<uint64_t> ListConnectedTeams(const EndpointPool& pool);
+  /** @returns the first queued statement whose team has no connection, if all
+               connections are in use and one could be opened instead of
+               another; one without an id otherwise */
+  QueuedStatement FindUnconnected(const EndpointPool& pool);
+  /** @returns whether a connection that a team would use again is to be closed
+               for a statement whose team has none, if there is one */
+  bool IsOwedToOtherTeam(const EndpointPool& pool,
+                         const PooledConnection& connection,
+                         const QueuedStatement& unconnected);
+  size_t CountOpening(const EndpointPool& pool);
+  size_t GetMaxOpening(const EndpointPool& pool) const;
+  size_t CountTeamConnections(const EndpointPool& pool, const TeamId& team);
+  /** Closes the connection that has been idle longest and that a statement
+      cannot use.
+
+      @param holder       the holder that the statement needs, or null
+      @param team         the team for which a direct connection is opened
+      @param only_direct  connections to holders are kept
+      @returns            false if there is none
+  */
+  bool CloseForOpening(EndpointPool& pool,
+                       const EndpointHolder* holder,
+                       const TeamId& team,
+                       bool only_direct = false);
   void DispatchQueueAgain(EndpointPool& pool);
   void OpenConnections(EndpointPool& pool);
-  void OpenConnection(EndpointPool& pool, const EndpointHolder* holder);
+  void OpenConnection(EndpointPool& pool,
+                      const EndpointHolder* holder,
+                      const TeamId& team);
   void HandleConnectTimeout(const PooledConnection& connection);
   PooledConnection* PickIdleConnection(EndpointPool& pool,
                                        const CallerSession& session);
@@ -258,6 +373,16 @@
                                        const ActiveStatement& statement);
   void SendInTransaction(CallerSession& session);
 
+  // traffic_core_placement.h: placement of reads by measured cost.
+  EndpointPool* PlaceRead(const CallerSession& session, ServiceState& service);
+  /** Ejects endpoints and ends ejections. @see ReadPlacement::Review */
+  void ReviewEjections(ServiceState& service);
+  void RecordPlacementReply(EndpointPool& pool,
+                            const PendingReply& reply,
+                            bool is_read);
+  /** Records the failure of statements that were sent to an endpoint. */
+  void RecordPlacementFailure(const EndpointId& endpoint);
+
   // traffic_core_bounds.h: requests for freshness bounds.
   void RefreshBounds(ServiceState& service, Duration max_bound_age);
   void ReplyToBoundQueries(const ServiceId& id, ServiceState& service);
@@ -318,6 +443,9 @@
 
   // traffic_core_pool_sizes.h: connection counts and idle timeouts.
   double GetConnectionsPerVm(const EndpointPool& pool) const;
+  /** @returns whether there are too few connections for each VM to have what it
+               needs */
+  bool AreConnectionsScarce(const EndpointPool& pool) const;
   uint32_t CountSharers(const EndpointPool& pool) const;
   size_t CountDirectConnections(const EndpointPool& pool);
   uint32_t GetConnectionShare(const EndpointPool& pool) const;
@@ -424,11 +552,23 @@
   LogRateLimiter served_log_limiter_;
   HedgeBudget hedge_budget_;
   TrafficCounters counters_;
+  AllowanceBook<TrafficCore> allowances_;
+  /** Sessions whose statements wait for a permit, by statement. */
+  std::unordered_map<uint64_t, uint64_t> sessions_awaiting_permit_;
+  /** Time of the next call of AllowanceBook::HandleWake(), if one is due. */
+  std::optional<TimePoint> permit_wake_at_;
+  HeldBytes held_text_;
+  HeldBytes statement_text_;
+  ProcessRandom placement_random_;
+  /** Endpoints that are compared for a read; kept to save allocations. */
+  std::vector<PlacementCandidate> candidates_;
+  std::vector<EndpointPool*> candidate_pools_;
 };
 
 }  // namespace magnoliareel
 
 // Definitions of the methods, by topic.
+#include "relay/core/traffic_core_allowances.h"       // IWYU pragma: export
 #include "relay/core/traffic_core_bounds.h"           // IWYU pragma: export
 #include "relay/core/traffic_core_connections.h"      // IWYU pragma: export
 #include "relay/core/traffic_core_control.h"          // IWYU pragma: export
@@ -436,6 +576,7 @@
 #include "relay/core/traffic_core_errors.h"           // IWYU pragma: export
 #include "relay/core/traffic_core_forwarding.h"       // IWYU pragma: export
 #include "relay/core/traffic_core_holds.h"            // IWYU pragma: export
+#include "relay/core/traffic_core_placement.h"        // IWYU pragma: export
 #include "relay/core/traffic_core_pool_sizes.h"       // IWYU pragma: export
 #include "relay/core/traffic_core_primaries.h"        // IWYU pragma: export
 #include "relay/core/traffic_core_reads.h"            // IWYU pragma: export
@@ -443,6 +584,7 @@
 #include "relay/core/traffic_core_sessions.h"         // IWYU pragma: export
 #include "relay/core/traffic_core_slow_statements.h"  // IWYU pragma: export
 #include "relay/core/traffic_core_statements.h"       // IWYU pragma: export
+#include "relay/core/traffic_core_teams.h"            // IWYU pragma: export
 #include "relay/core/traffic_core_timers.h"           // IWYU pragma: export
 
 #endif  // MAGNOLIAREEL_RELAY_CORE_TRAFFIC_CORE_H_
--- a/libs/relay/core/traffic_core_bounds.h
+++ b/libs/relay/core/traffic_core_bounds.h
@@ -20,7 +20,7 @@
   if (pool == nullptr) {
     return;
   }
-  if (GetConnectionsPerVm(*pool) >= 1) {
+  if (!AreConnectionsScarce(*pool)) {
     RequestPrimaryBound(pool->entry.service);
     return;
   }
@@ -63,7 +63,7 @@
       pool->CanOpenConnection(n + 1, now)) {
     service.primary_bound_requested_at = now;
     pool->RecordUse(now);
-    OpenConnection(*pool, nullptr);
+    OpenConnection(*pool, nullptr, TeamId{});
   }
 }
 
--- a/libs/relay/core/traffic_core_control.h
+++ b/libs/relay/core/traffic_core_control.h
@@ -101,6 +101,9 @@
   }
   if (new_routes) {
     RenewUnusedTransactions();
+    RefreshTeams();
+    allowances_.ApplyLimits(view_->routes->teams.get(),
+                            options_.allowance_window, now);
   }
   if (view_->routes->version == 0) {
     return;
@@ -124,7 +127,9 @@
     }
   }
   for (const uint64_t it : begun) {
-    ReturnToPool(*FindConnection(it));
+    if (PooledConnection* connection = FindConnection(it)) {
+      ReturnToPool(*connection);
+    }
   }
 }
 
--- a/libs/relay/core/traffic_core_dispatch.h
+++ b/libs/relay/core/traffic_core_dispatch.h
@@ -5,9 +5,12 @@
 // traffic_core.h.
 
 #include <algorithm>
+#include <cstddef>
+#include <deque>
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "relay/core/traffic_core.h"
 #include "relay/core/traffic_limits.h"
@@ -24,6 +27,11 @@
     SendInTransaction(session);
     return;
   }
+  // An attempt under a later configuration than the first one.
+  if (statement.config_version != view_->routes->version &&
+      !RefreshTeam(session)) {
+    return;
+  }
   if (session.is_forwarded) {
     DispatchForwarded(session);
     return;
@@ -63,8 +71,9 @@
 void TrafficCore<D, N>::EnqueueStatement(EndpointPool& pool,
                                          CallerSession& session) {
   session.statement.queued_endpoint = pool.entry.id;
+  pool.serves_teams = pool.serves_teams || !session.team.IsEmpty();
   pool.Enqueue({session.id, session.statement.id, session.statement.priority,
-                session.statement.deadline});
+                session.statement.deadline, HashTeam(session.team)});
   StartQueued(pool);
 }
 
@@ -120,56 +129,276 @@
 
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::StartQueued(EndpointPool& pool) {
-  while (!pool.queue.empty() && pool.running < pool.GetConcurrencyLimit()) {
-    const QueuedStatement next = pool.queue.front();
+  // A statement whose team has no connection does not hold up those behind it.
+  std::vector<uint64_t> passed_over;
+  size_t at = 0;
+  QueuedStatement unconnected = FindUnconnected(pool);
+  while (at < pool.queue.size() && pool.running < pool.GetConcurrencyLimit()) {
+    const QueuedStatement next = pool.queue[at];
+    if (std::find(passed_over.begin(), passed_over.end(), next.team_hash) !=
+        passed_over.end()) {
+      ++at;
+      continue;
+    }
+    const auto position = pool.queue.begin() + static_cast<std::ptrdiff_t>(at);
     if (!IsInProgress(next.session, next.statement_id)) {
-      pool.queue.pop_front();
+      pool.queue.erase(position);
       continue;
     }
     CallerSession& session = *FindSession(next.session);
     PooledConnection* connection = PickIdleConnection(pool, session);
     if (connection == nullptr) {
-      OpenConnections(pool);
-      return;
+      if (!HasIdleConnection(pool)) {
+        break;
+      }
+      passed_over.push_back(next.team_hash);
+      ++at;
+      continue;
+    }
+    if (IsOwedToOtherTeam(pool, *connection, unconnected)) {
+      if (CountTeamConnections(pool, connection->team) == 1) {
+        pool.rotated_at = net_.Now();
+      }
+      unconnected = {};
+      ++counters_.connections_evicted;
+      CloseEndpointConnection(connection->id);
+      continue;
     }
-    pool.queue.pop_front();
+    pool.queue.erase(position);
     session.statement.queued_endpoint = {};
-    StartStatement(*connection, session);
+    if (RenewPermit(session)) {
+      StartStatement(*connection, session);
+    }
+  }
+  if (!pool.queue.empty() && pool.running < pool.GetConcurrencyLimit()) {
+    OpenConnections(pool);
+  }
+}
+
+template <ForwardingDialect D, class N>
+bool TrafficCore<D, N>::HasIdleConnection(const EndpointPool& pool) {
+  return std::any_of(pool.connections.begin(), pool.connections.end(),
+                     [this](uint64_t it) {
+                       const PooledConnection* connection = FindConnection(it);
+                       return connection != nullptr &&
+                              connection->state == ConnectionState::kIdle;
+                     });
+}
+
+template <ForwardingDialect D, class N>
+std::vector<uint64_t> TrafficCore<D, N>::ListConnectedTeams(
+    const EndpointPool& pool) {
+  std::vector<uint64_t> teams;
+  for (const uint64_t it : pool.connections) {
+    const PooledConnection* connection = FindConnection(it);
+    if (connection != nullptr && !connection->IsForwarded()) {
+      teams.push_back(HashTeam(connection->team));
+    }
   }
+  std::sort(teams.begin(), teams.end());
+  return teams;
+}
+
+template <ForwardingDialect D, class N>
+QueuedStatement TrafficCore<D, N>::FindUnconnected(const EndpointPool& pool) {
+  if (!UsesTeams(pool) || pool.queue.empty()) {
+    return {};
+  }
+  const size_t n = pool.connections.size();
+  const bool is_full = pool.IsForwarding() ? CountDirectConnections(pool) >=
+                                                 kMaxScarceConnections
+                                           : n >= GetMaxConnections(pool);
+  if (!is_full ||
+      !pool.CanOpenConnection(static_cast<uint32_t>(n) + 1, net_.Now()) ||
+      CountOpening(pool) >= GetMaxOpening(pool) ||
+      ChooseHolder(pool, TeamId{}) != nullptr) {
+    return {};
+  }
+  const std::vector<uint64_t> connected = ListConnectedTeams(pool);
+  const auto it = std::find_if(
+      pool.queue.begin(), pool.queue.end(), [&](const QueuedStatement& it) {
+        return !std::binary_search(connected.begin(), connected.end(),
+                                   it.team_hash) &&
+               IsInProgress(it.session, it.statement_id);
+      });
+  return it == pool.queue.end() ? QueuedStatement{} : *it;
+}
+
+template <ForwardingDialect D, class N>
+bool TrafficCore<D, N>::IsOwedToOtherTeam(const EndpointPool& pool,
+                                          const PooledConnection& connection,
+                                          const QueuedStatement& unconnected) {
+  // Busy teams would otherwise keep all connections.
+  if (unconnected.statement_id == 0 || connection.IsForwarded() ||
+      HashTeam(connection.team) == unconnected.team_hash) {
+    return false;
+  }
+  if (CountTeamConnections(pool, connection.team) > 1) {
+    return true;
+  }
+  const CallerSession* session = FindSession(unconnected.session);
+  const TimePoint now = net_.Now();
+  return session != nullptr &&
+         now - session->statement.received_at >= kMaxWaitForOtherTeams &&
+         now - pool.rotated_at >= kMinRotationInterval;
+}
+
+template <ForwardingDialect D, class N>
+size_t TrafficCore<D, N>::CountOpening(const EndpointPool& pool) {
+  return static_cast<size_t>(std::count_if(
+      pool.connections.begin(), pool.connections.end(), [this](uint64_t it) {
+        const PooledConnection* connection = FindConnection(it);
+        return connection != nullptr &&
+               connection->state == ConnectionState::kOpening;
+      }));
+}
+
+template <ForwardingDialect D, class N>
+size_t TrafficCore<D, N>::GetMaxOpening(const EndpointPool& pool) const {
+  if (!UsesTeams(pool) || pool.IsForwarding() || pool.running == 0) {
+    return kMaxOpeningConnections;
+  }
+  // One slot is left to the statements that have connections, whatever all
+  // VMs that share the endpoint open.
+  const uint32_t slots = std::max(1U, pool.entry.slots) - 1;
+  return std::clamp<size_t>(slots / std::max(1U, CountSharers(pool)), 1,
+                            kMaxOpeningConnections);
+}
+
+template <ForwardingDialect D, class N>
+size_t TrafficCore<D, N>::CountTeamConnections(const EndpointPool& pool,
+                                               const TeamId& team) {
+  return static_cast<size_t>(std::count_if(
+      pool.connections.begin(), pool.connections.end(), [&](uint64_t it) {
+        const PooledConnection* connection = FindConnection(it);
+        return connection != nullptr && !connection->IsForwarded() &&
+               connection->team == team;
+      }));
+}
+
+template <ForwardingDialect D, class N>
+bool TrafficCore<D, N>::CloseForOpening(EndpointPool& pool,
+                                        const EndpointHolder* holder,
+                                        const TeamId& team,
+                                        bool only_direct) {
+  const VmId needed_holder = holder == nullptr ? VmId{} : holder->vm;
+  const bool has_connection =
+      holder == nullptr && CountTeamConnections(pool, team) > 0;
+  const PooledConnection* oldest = nullptr;
+  for (const uint64_t it : pool.connections) {
+    const PooledConnection* connection = FindConnection(it);
+    if (connection == nullptr || connection->state != ConnectionState::kIdle ||
+        (only_direct && connection->IsForwarded()) ||
+        (connection->holder == needed_holder &&
+         (holder != nullptr || connection->team == team))) {
+      continue;
+    }
+    if (oldest == nullptr || connection->last_used_at < oldest->last_used_at) {
+      oldest = connection;
+    }
+  }
+  if (oldest == nullptr ||
+      (has_connection &&
+       net_.Now() - oldest->last_used_at < kMinIdleBeforeEviction)) {
+    return false;
+  }
+  ++counters_.connections_evicted;
+  CloseEndpointConnection(oldest->id);
+  return true;
 }
 
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::OpenConnections(EndpointPool& pool) {
   const TimePoint now = net_.Now();
-  size_t opening = 0;
+  const bool has_teams = UsesTeams(pool);
+  size_t opening_count = 0;
+  // Connections that a queued statement will find idle in a moment.
+  std::vector<const PooledConnection*> opening;
   for (const uint64_t it : pool.connections) {
     const PooledConnection* connection = FindConnection(it);
-    if (connection != nullptr &&
-        connection->state == ConnectionState::kOpening) {
-      ++opening;
+    if (connection == nullptr) {
+      continue;
+    }
+    const bool is_opening = connection->state == ConnectionState::kOpening;
+    opening_count += is_opening ? 1 : 0;
+    // One that has just been opened first begins its transaction.
+    if (is_opening ||
+        (has_teams && connection->state == ConnectionState::kReturning)) {
+      opening.push_back(connection);
     }
   }
+  const size_t max_opening = GetMaxOpening(pool);
   const uint32_t share = GetMaxConnections(pool);
-  while (opening < std::min(pool.queue.size(), kMaxOpeningConnections) &&
-         pool.CanOpenConnection(share, now)) {
-    const EndpointHolder* holder = ChooseHolder(pool);
-    if (holder == nullptr && pool.IsForwarding() &&
-        CountDirectConnections(pool) >= kMaxScarceConnections) {
-      return;
+  const bool is_direct = ChooseHolder(pool, TeamId{}) == nullptr;
+  std::vector<uint64_t> connected;
+  if (has_teams && is_direct) {
+    connected = ListConnectedTeams(pool);
+  }
+  // Teams without a connection come first.
+  for (const bool for_new_teams : {true, false}) {
+    if (for_new_teams && !(has_teams && is_direct)) {
+      continue;
+    }
+    for (const QueuedStatement& it : pool.queue) {
+      if (opening_count >= max_opening) {
+        return;
+      }
+      const bool is_new =
+          has_teams && is_direct &&
+          !std::binary_search(connected.begin(), connected.end(), it.team_hash);
+      if (is_new != for_new_teams ||
+          (has_teams && !IsInProgress(it.session, it.statement_id))) {
+        continue;
+      }
+      const CallerSession* session = FindSession(it.session);
+      const TeamId team = session == nullptr ? TeamId{} : session->team;
+      const EndpointHolder* holder = ChooseHolder(pool, team);
+      const TeamId owner = holder == nullptr ? team : TeamId{};
+      const auto served = std::find_if(
+          opening.begin(), opening.end(), [&](const PooledConnection* found) {
+            return !has_teams ||
+                   (found->team == owner &&
+                    found->holder == (holder == nullptr ? VmId{} : holder->vm));
+          });
+      if (served != opening.end()) {
+        opening.erase(served);
+        continue;
+      }
+      if (holder == nullptr && pool.IsForwarding() &&
+          CountDirectConnections(pool) >= kMaxScarceConnections &&
+          !(has_teams && CloseForOpening(pool, holder, owner, true))) {
+        return;
+      }
+      if (has_teams && pool.connections.size() >= share &&
+          pool.CanOpenConnection(share + 1, now)) {
+        CloseForOpening(pool, holder, owner);
+      }
+      if (!pool.CanOpenConnection(share, now)) {
+        return;
+      }
+      OpenConnection(pool, holder, owner);
+      ++opening_count;
+      if (is_new) {
+        // The second pass does not open another one for the same statement.
+        opening.push_back(FindConnection(pool.connections.back()));
+        connected.insert(
+            std::upper_bound(connected.begin(), connected.end(), it.team_hash),
+            it.team_hash);
+      }
     }
-    OpenConnection(pool, holder);
-    ++opening;
   }
 }
 
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::OpenConnection(EndpointPool& pool,
-                                       const EndpointHolder* holder) {
+                                       const EndpointHolder* holder,
+                                       const TeamId& team) {
   const TimePoint now = net_.Now();
   const uint64_t id = next_id_++;
   PooledConnection& connection = connections_[id];
   connection.id = id;
   connection.endpoint = pool.entry.id;
+  connection.team = team;
   connection.last_used_at = now;
   pool.connections.push_back(id);
   ScheduleTimer({now + kConnectTimeout, TimerKind::kConnectTimeout, id, 0, {}});
@@ -186,6 +415,8 @@
 PooledConnection* TrafficCore<D, N>::PickIdleConnection(
     EndpointPool& pool,
     const CallerSession& session) {
+  const EndpointHolder* holder =
+      session.team.IsEmpty() ? nullptr : ChooseHolder(pool, session.team);
   PooledConnection* best = nullptr;
   for (const uint64_t it : pool.connections) {
     PooledConnection* connection = FindConnection(it);
@@ -193,6 +424,13 @@
         (connection->IsForwarded() && IsHolderBackedOff(connection->holder))) {
       continue;
     }
+    if (!connection->IsForwarded() && connection->team != session.team) {
+      continue;
+    }
+    if (connection->IsForwarded() && holder != nullptr &&
+        connection->holder != holder->vm) {
+      continue;
+    }
     // A connection on which the session's values are set needs no preparation.
     if (connection->values == session.values) {
       return connection;
@@ -271,6 +509,11 @@
       HandleBeginError(connection);
       return;
     }
+    if (!MayUse(connection, session)) {
+      connection.begin_error = StatementError::kBusy;
+      HandleBeginError(connection);
+      return;
+    }
     if (IsHeldBack(session, connection.endpoint)) {
       connection.begin_error = StatementError::kNotPrimary;
       HandleBeginError(connection);
@@ -319,12 +562,13 @@
   statement.holder_pinged_at = {};
   connection.state = ConnectionState::kRunning;
   connection.session = session.id;
-  connection.rows.clear();
+  EmptyBuffer(connection.rows);
   if (std::find(statement.connections.begin(), statement.connections.end(),
                 connection.id) == statement.connections.end()) {
     statement.connections.push_back(connection.id);
   }
   if (EndpointPool* pool = FindPool(connection.endpoint)) {
+    pool->record.RecordSent(pool->running, now);
     ++pool->running;
   }
   statement.sent_at = now;
--- a/libs/relay/core/traffic_core_replies.h
+++ b/libs/relay/core/traffic_core_replies.h
@@ -311,8 +311,12 @@
   const std::optional<EndpointRefusal> refusal =
       std::exchange(connection.refusal, std::nullopt);
   CallerSession* session = FindSession(connection.session);
-  if (session == nullptr || session->statement.id != reply.statement_id ||
-      connection.state == ConnectionState::kAbandoned) {
+  const bool is_current =
+      session != nullptr && session->statement.id == reply.statement_id;
+  RecordPlacementReply(
+      *pool, reply,
+      !IsPrimary(*pool) || (is_current && !session->statement.writes));
+  if (!is_current || connection.state == ConnectionState::kAbandoned) {
     ReturnToPool(connection);
     return;
   }
@@ -464,8 +468,13 @@
 
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::FinishStatement(CallerSession& session) {
+  CancelPermit(session);
   RemoveFromQueues(session);
   const std::vector<uint64_t> others = std::move(session.statement.connections);
+  statement_text_.Release(session.statement.charged_bytes);
+  // Moving an empty string into one keeps its memory.
+  EmptyBuffer(session.statement.text);
+  EmptyBuffer(session.statement.arguments);
   session.statement = {};
   session.last_active = net_.Now();
   for (const uint64_t it : others) {
--- a/libs/relay/core/traffic_core_statements.h
+++ b/libs/relay/core/traffic_core_statements.h
@@ -35,6 +35,11 @@
       !RefreshRoute(session)) {
     return;
   }
+  // Nothing of a deferred transaction has run under the former team.
+  if (session.transaction == TransactionPhase::kDeferred &&
+      !RefreshTeam(session)) {
+    return;
+  }
   if (statement.writes && session.transaction_reads_only &&
       session.transaction != TransactionPhase::kNone) {
     ReplyError(session, StatementError::kNotPrimary,
@@ -125,13 +130,24 @@
   }
   statement.deadline = now + timeout;
   statement.requirement = statement.base_requirement;
+  const size_t text_bytes = statement.text.size() + statement.arguments.size();
   session.statement = std::move(statement);
+  if (text_bytes > kShortLineBytes) {
+    if (!statement_text_.Replace(0, text_bytes)) {
+      FailStatement(session, StatementError::kBusy,
+                    "no memory for the statement");
+      return;
+    }
+    session.statement.charged_bytes = text_bytes;
+  }
   ScheduleTimer({session.statement.deadline,
                  TimerKind::kStatementDeadline,
                  session.id,
                  session.statement.id,
                  {}});
-  Dispatch(session);
+  if (ChargeOperation(session)) {
+    Dispatch(session);
+  }
 }
 
 }  // namespace magnoliareel
--- a/libs/relay/core/traffic_core_timers.h
+++ b/libs/relay/core/traffic_core_timers.h
@@ -68,6 +68,8 @@
     case TimerKind::kCommitHoldEnd:
     case TimerKind::kDrain:
       return false;
+    case TimerKind::kPermitWake:
+      return permit_wake_at_ != timer.at;
   }
   return false;
 }
@@ -157,6 +159,12 @@
     case TimerKind::kDrain:
       HandleDrain();
       return;
+    case TimerKind::kPermitWake:
+      if (permit_wake_at_ == timer.at) {
+        permit_wake_at_.reset();
+        allowances_.HandleWake(net_.Now());
+      }
+      return;
   }
 }
 
@@ -194,8 +202,15 @@
   bool sent = false;
   for (const uint64_t it : statement.connections) {
     const PooledConnection* connection = FindConnection(it);
-    sent = sent || (connection != nullptr &&
-                    connection->state == ConnectionState::kRunning);
+    if (connection == nullptr ||
+        connection->state != ConnectionState::kRunning) {
+      continue;
+    }
+    sent = true;
+    // One that was sent shortly before its deadline waited here.
+    if (net_.Now() - statement.sent_at >= kSlowStatementThreshold) {
+      RecordPlacementFailure(connection->endpoint);
+    }
   }
   if (!sent && statement.requirement == EndpointRequirement::kOpenTransaction &&
       !statement.connections.empty()) {
--- a/libs/relay/core/traffic_limits.h
+++ b/libs/relay/core/traffic_limits.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 #include "core/core.h"
@@ -59,6 +60,24 @@
     for the VMs that restart. */
 inline constexpr Duration kIdleConnectionTimeout =
     std::chrono::milliseconds(1500);
+/** The same where connections belong to teams: most teams come back within this
+    time, and a new connection occupies a slot. An idle one is closed earlier if
+    another team needs its place. */
+inline constexpr Duration kIdleTeamConnectionTimeout = std::chrono::seconds(10);
+/** A team that has a connection takes the place of another team's idle one only
+    if that was not used for this long. Its own connections come back sooner,
+   and teams that take each other's places spend the slots on handshakes. */
+inline constexpr Duration kMinIdleBeforeEviction = std::chrono::seconds(1);
+/** Part of an endpoint's connections that holders use for teams. The rest is
+    for VMs that restart, whose old connections the endpoint keeps for 3 s. */
+inline constexpr double kTeamConnectionsFraction = 0.75;
+/** A statement whose team has no connection takes the only one of another team
+    after this time, an eighth of a usual objective. */
+inline constexpr Duration kMaxWaitForOtherTeams =
+    std::chrono::milliseconds(100);
+/** Shortest time between two such changes at an endpoint: with handshakes of
+    12 ms, the 4 holders together occupy one slot with them. */
+inline constexpr Duration kMinRotationInterval = std::chrono::milliseconds(50);
 /** Maximum connections to an endpoint while VMs outnumber its connections. The
     second one serves statements while the first one is reserved by a
     transaction, and is closed when idle. */
@@ -130,6 +149,23 @@
   return kSessionEntryBytes + name.size() + text.size();
 }
 
+/** A session that holds at most this much in values and prepared statements is
+    never refused for the sake of others. */
+inline constexpr size_t kReservedSessionTextBytes = 16 * 1024;
+/** A caller that has sent more than this ahead of its answers is not read until
+    they were handled. Several ordinary messages. */
+inline constexpr size_t kMaxBacklogBytes = 4 * 1024;
+/** Buffers that are larger are freed when they are empty. Smaller ones are
+   kept, so that ordinary statements allocate no memory. */
+inline constexpr size_t kMaxRetainedBytes = 4 * 1024;
+/** Empties a buffer, and frees it if it is large. */
+inline void EmptyBuffer(std::string& buffer) {
+  buffer.clear();
+  if (buffer.capacity() > kMaxRetainedBytes) {
+    buffer.shrink_to_fit();
+  }
+}
+
 /** More than an encoding adds to the texts in a message, in bytes. */
 inline constexpr size_t kMaxEncodingBytes = 1024;
 /** Interval at which idle sessions are closed during a drain. */
@@ -142,6 +178,10 @@
     covers the delay of the directory and statements that are under way. */
 inline constexpr Duration kDrainingUseMargin = std::chrono::seconds(2);
 
+/** An operation waits for a permit for this part of its route's objective at
+    most, so that a caller that is refused can still try again in time. */
+inline constexpr int kPermitWaitDivisor = 4;
+
 /** @param drain_period  time for which an endpoint serves after it has reported
                         that it is draining
     @returns            the part of it in which a primary without a successor
--- a/libs/relay/core/traffic_net.h
+++ b/libs/relay/core/traffic_net.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 
+#include "allowance/allowance.h"
 #include "core/core.h"
 #include "directory/directory.h"
 #include "relay/freshness/freshness_bound.h"
@@ -15,13 +16,14 @@
 
 /** Network and timer operations that the core needs.
 
-
+    - Now: returns the time of a clock that counts suspensions of the VM.
     - GetCallerBuffer, GetEndpointBuffer: return output buffers, which are sent
       when the current event has been handled.
     - OpenEndpoint: connects; the core is called on success or failure later.
     - CloseCaller, CloseEndpoint: close a connection after sending its buffer.
     - HasUnread: returns whether a caller has sent bytes that were not handled
       yet.
+    - PauseCaller, ResumeCaller: stop to read from a caller, and read again.
     - Wake: calls TrafficCore::HandleWake() at the given time, or earlier.
     - Report: passes an endpoint's condition to the control thread.
     - Observe: records the outcome and latency of a finished statement.
@@ -30,6 +32,7 @@
     - RequestPeerBound: queries another VM for a freshness bound, or calls
       TrafficCore::RequestPrimaryBound() if this VM queries the primary for its
       region.
+    - SendPermitRequest: asks another VM for permits of a team; may be lost.
 */
 template <class N>
 concept TrafficNet = requires(N& net,
@@ -40,7 +43,9 @@
                               const EndpointId& endpoint,
                               Term term,
                               const StatementSample& sample,
-                              const FreshnessBoundQuery& query) {
+                              const FreshnessBoundQuery& query,
+                              const VmId& owner,
+                              const PermitRequest& request) {
   { net.Now() } -> std::same_as<TimePoint>;
   { net.GetCallerBuffer(id) } -> std::same_as<std::string&>;
   { net.GetEndpointBuffer(id) } -> std::same_as<std::string&>;
@@ -48,11 +53,14 @@
   net.CloseEndpoint(id);
   net.CloseCaller(id);
   { net.HasUnread(id) } -> std::same_as<bool>;
+  net.PauseCaller(id);
+  net.ResumeCaller(id);
   net.Wake(moment);
   net.Report(report);
   net.OnPrimaryConfirmed(endpoint, term);
   net.Observe(sample);
   net.RequestPeerBound(query);
+  net.SendPermitRequest(owner, request);
 };
 
 }  // namespace magnoliareel
--- a/libs/relay/core/traffic_options.h
+++ b/libs/relay/core/traffic_options.h
@@ -1,13 +1,16 @@
 #ifndef MAGNOLIAREEL_RELAY_CORE_TRAFFIC_OPTIONS_H_
 #define MAGNOLIAREEL_RELAY_CORE_TRAFFIC_OPTIONS_H_
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
 
+#include "budget/budget.h"
 #include "core/core.h"
 #include "directory/directory.h"
+#include "placement/placement.h"
 
 namespace magnoliareel {
 
@@ -24,6 +27,15 @@
   /** Longest time for which a draining primary that has no successor gets new
       statements. @see GetMaxDrainingUse */
   Duration max_draining_use = std::chrono::seconds(5);
+  /** How the operators count the operations of a team that has a limit. */
+  AllowanceWindow allowance_window = {};
+  /** Number of the first request for permits; larger than those of earlier
+      processes of this VM. */
+  uint64_t first_permit_sequence = 1;
+  /** Parts of the memory that sessions and statements may use. */
+  MemoryShares memory;
+  /** Chooses endpoints for reads by measured cost. @see ReadPlacement */
+  bool has_adaptive_placement = false;
 };
 
 /** What the tables of prepared statements hold. */
@@ -62,6 +74,15 @@
   /** Executions that an endpoint refused because it did not know a name that it
       had prepared. */
   uint64_t unknown_names = 0;
+  /** Sessions that were refused or ended because no team has their key. */
+  uint64_t callers_unauthorized = 0;
+  /** Idle connections that were closed so that one could be opened for another
+      team. */
+  uint64_t connections_evicted = 0;
+  /** Statements refused because their team is over its limit. */
+  uint64_t refused_over_limit = 0;
+  /** Reads for which an endpoint of a level was chosen, nearest first. */
+  std::array<uint64_t, kPlacementLevelCount> reads_placed{};
 };
 
 }  // namespace magnoliareel
--- a/libs/relay/relay.h
+++ b/libs/relay/relay.h
@@ -6,8 +6,8 @@
     to endpoints. Decides to which endpoint each statement is sent, when it is
     sent and how often it is retried.
 
-    Depends on core, directory and telemetry. The message encoding and the
-    sockets are template parameters.
+    Depends on allowance, budget, core, directory, placement and telemetry. The
+    message encoding and the sockets are template parameters.
 
     Topics: messages/ (decoded messages of callers and endpoints), sessions/
     (state of a caller's session), connections/ (connection pools and their
@@ -18,6 +18,7 @@
 #include "relay/connections/endpoint_pool.h"
 #include "relay/connections/pooled_connection.h"
 #include "relay/connections/prepared_names.h"
+#include "relay/connections/team_rank.h"
 #include "relay/core/traffic_core.h"
 #include "relay/freshness/freshness_bound.h"
 #include "relay/freshness/freshness_bound_history.h"
--- a/libs/relay/sessions/caller_session.h
+++ b/libs/relay/sessions/caller_session.h
@@ -37,6 +37,8 @@
   /** Unique in this process; 0 if no statement is in progress. */
   uint64_t id = 0;
   std::string request_id;
+  /** What its texts count in the memory of all statements. */
+  size_t charged_bytes = 0;
   /** The statement as the caller wrote it. */
   std::string text;
   StatementKind kind = StatementKind::kRead;
@@ -79,6 +81,10 @@
   /** True if it was sent to a second endpoint because the first one was
       slow. */
   bool hedged = false;
+  /** True while it waits for a permit of its team and must not be sent. */
+  bool awaits_permit = false;
+  /** End of its permit's lifetime, if it has not been sent by then. */
+  TimePoint permit_expires_at = TimePoint::max();
   /** True if it has waited for a freshness bound. */
   bool waited_for_bound = false;
   /** True if it was counted as one that waits for a primary's successor. */
@@ -120,8 +126,14 @@
   uint64_t id = 0;
   bool opened = false;
   bool closing = false;
+  /** Name that the caller gave, for logs; empty while it is not known whether
+      it is a key, or if it is one. */
   std::string caller;
   std::string database;
+  /** Digest of that name, which is a key where the configuration has teams. */
+  KeyDigest key;
+  /** The caller's team; empty without teams, and for callers without a key. */
+  TeamId team;
   /** True if another VM forwards statements in it. */
   bool is_forwarded = false;
   /** Endpoint to which that VM forwards them; empty before it was named. */
@@ -147,6 +159,8 @@
   /** True if a statement of the open transaction has succeeded. */
   bool transaction_used = false;
   bool transaction_wrote = false;
+  /** True if the deferred transaction has taken a permit of its team. */
+  bool transaction_charged = false;
   TimePoint transaction_began_at;
   /** Connection that holds the open transaction; 0 if none. */
   uint64_t connection = 0;
@@ -155,6 +169,12 @@
   uint64_t last_statement_id = 0;
   /** Messages that arrived while a statement was in progress. */
   std::deque<std::string> backlog;
+  /** Length of these messages. */
+  size_t backlog_bytes = 0;
+  /** True while they are being handled. */
+  bool runs_backlog = false;
+  /** True while it is not read, because they are too long. */
+  bool is_paused = false;
   TimePoint last_active;
 
   /** @returns true while a statement is in progress */
--- a/libs/telemetry/events/event.cc
+++ b/libs/telemetry/events/event.cc
@@ -62,6 +62,10 @@
      "A caller sent an invalid protocol message. caller, reason"},
     {kDatabaseUnknown, kWarning, "caller.database_unknown",
      "A caller named a database that has no route. database, caller, config"},
+    {kCallerUnauthorized, kWarning, "caller.unauthorized",
+     "A caller was refused, or its session was ended, because no team has its "
+     "key in the configuration in force. database, team (that had the key "
+     "before, if any), config"},
     {kStatementServed, kInfo, "statement.served",
      "A statement succeeded; logged for a sample and for every statement that "
      "needed more than one attempt. request, database, need, endpoint, "
@@ -229,6 +233,35 @@
      "start. findings"},
     {kDrainProgress, kInfo, "process.drain_progress",
      "The process exits and disconnects the remaining sessions. sessions"},
+    {kLimitsApplied, kWarning, "limits.applied",
+     "Connections were closed or refused to stay within the limits of memory "
+     "and descriptors, at most once a second. lines_stalled, lines_refused, "
+     "answers_unread, mute_closed, callers_refused, lines_waiting, "
+     "held_bytes"},
+    {kAllowanceExceeded, kWarning, "allowance.exceeded",
+     "An operation of a team was refused; logged once a second for each team. "
+     "team, reason (empty: no bucket that was asked holds a permit; "
+     "unreachable: no owner of a slot can be asked; waiting: no permit came in "
+     "time; queued: the permit expired in an endpoint's queue), own_slots, "
+     "owners (VMs that can be asked)"},
+    {kSlotsChanged, kInfo, "slots.changed",
+     "A new assignment of the slots that issue permits is known. version, "
+     "slots, own"},
+    {kSlotsWritten, kInfo, "slots.written",
+     "This VM wrote the assignment of slots. reason (created, given, kept, "
+     "taken, marked, reclaimed), result"},
+    {kSlotRowRejected, kError, "slots.row_rejected",
+     "The row of the slots could not be decoded; this VM issues no permits "
+     "until it can. version"},
+    {kEndpointEjected, kWarning, "endpoint.ejected",
+     "Reads no longer go to an endpoint, except one probe each second, because "
+     "its real outcomes differ from those of the others. endpoint, service, "
+     "failed and succeeded (lately, half of the weight after 2 s), run_us "
+     "(expected), others_us (mean of the others of its level; 0: none), "
+     "eject_ms"},
+    {kEndpointReturned, kInfo, "endpoint.returned",
+     "Reads go to an ejected endpoint again. endpoint, service, ejected_ms "
+     "(time of the last ejection)"},
     {kLinesDropped, kWarning, "log.lines_dropped",
      "Log lines were dropped, because the reader of the log was too slow. "
      "lines"},
--- a/libs/telemetry/events/event.h
+++ b/libs/telemetry/events/event.h
@@ -35,6 +35,7 @@
   kBadKeyRefused = 4002,
   kCallerRejected = 5001,
   kDatabaseUnknown = 5002,
+  kCallerUnauthorized = 5003,
   kStatementServed = 5101,
   kStatementRefused = 5102,
   kStatementUnknown = 5103,
@@ -80,6 +81,13 @@
   kReadinessChanged = 5601,
   kSettingsReloaded = 5602,
   kDrainProgress = 5603,
+  kLimitsApplied = 5610,
+  kAllowanceExceeded = 5701,
+  kSlotsChanged = 5702,
+  kSlotsWritten = 5703,
+  kSlotRowRejected = 5704,
+  kEndpointEjected = 5801,
+  kEndpointReturned = 5802,
   kLinesDropped = 5901,
 };
 
--- a/tests/traffic/scripted_node.h
+++ b/tests/traffic/scripted_node.h
@@ -1,11 +1,13 @@
 #ifndef MAGNOLIAREEL_TESTS_TRAFFIC_SCRIPTED_NODE_H_
 #define MAGNOLIAREEL_TESTS_TRAFFIC_SCRIPTED_NODE_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,6 +29,11 @@
   std::string text;
   /** Kind and shape of the prepared statement, if it was an execution. */
   std::string shape;
+  /** Name under which the connection was opened; for a forwarded statement, the
+      team that its header names. */
+  std::string opened_by;
+  /** Port to which the connection leads. */
+  uint16_t port = 0;
   std::map<std::string, std::string> values;
   bool in_transaction = false;
 };
@@ -43,13 +50,31 @@
   using Script = std::function<std::optional<std::string>(std::string_view text,
                                                           char& status)>;
 
-  /** @param has_replica  whether the primary has a replica */
-  explicit ScriptedNode(bool has_replica = false);
+  /** @param has_replica  whether the primary has a replica
+      @param memory       what sessions and statements may use */
+  explicit ScriptedNode(bool has_replica = false, MemoryShares memory = {});
 
   void SetScript(Script script) { script_ = std::move(script); }
   /** @param database  "entries", which is read at the primary, or "lookups"
       @returns         the session of a new caller */
-  uint64_t OpenCaller(std::string_view database = "entries");
+  uint64_t OpenCaller(std::string_view database = "entries",
+                      std::string_view name = "caller");
+  /** Puts a configuration with these teams in force.
+
+      @param teams            null for none
+      @param max_connections  connections that a database accepts
+      @param public_database  database that needs no key; empty for none
+  */
+  void ApplyTeams(std::shared_ptr<const TeamTable> teams,
+                  uint32_t max_connections = 32,
+                  std::string_view public_database = {});
+  /** Lets other VMs hold the connections of the first database.
+
+      @param holders  their names; number n listens on port 7000 + n
+  */
+  void ApplyHolders(const std::vector<std::string>& holders);
+  /** Lets connections to a port fail, or succeed again. */
+  void SetRefused(uint16_t port, bool refused);
   /** Sends a text with an id of its own, and waits for the answer.
 
       @param session  the session
@@ -63,6 +88,8 @@
                   Duration timeout = std::chrono::seconds(2));
   /** @returns what a session was answered since its last Ask() */
   const std::string& GetAnswer(uint64_t session) { return answers_[session]; }
+  /** Forgets what a session was answered. */
+  void ClearAnswer(uint64_t session) { answers_[session].clear(); }
   /** Ends all connections to the databases. */
   void DropConnections();
   /** @returns the time that the last Ask() took */
@@ -71,6 +98,8 @@
   void Run(Duration time);
 
   Core& GetCore() { return *core_; }
+  /** @returns whether a caller is not read */
+  bool IsPaused(uint64_t session) const { return paused_.contains(session); }
   const std::vector<ScriptedRun>& GetRuns() const { return runs_; }
   /** @returns the texts that the databases have received */
   const std::vector<std::string>& GetTexts() const { return texts_; }
@@ -80,6 +109,12 @@
   size_t CountPrepared() const;
   /** @returns the length of the longest line received, without CR LF */
   size_t GetLongestLine() const { return longest_line_; }
+  bool IsClosed(uint64_t session) const {
+    return std::find(closed_.begin(), closed_.end(), session) != closed_.end();
+  }
+  size_t CountOpenConnections() const { return connections_.size(); }
+  /** @returns the open connections to a port */
+  size_t CountOpenConnections(uint16_t port) const;
   size_t CountOpenedConnections() const { return opened_connection_count_; }
 
   // TrafficNet.
@@ -90,20 +125,34 @@
   void CloseEndpoint(uint64_t id);
   void CloseCaller(uint64_t id) { closed_.push_back(id); }
   bool HasUnread(uint64_t) const { return false; }
+  void PauseCaller(uint64_t id) { paused_.insert(id); }
+  void ResumeCaller(uint64_t id) { paused_.erase(id); }
   void Wake(TimePoint moment);
   void Report(const ConditionReport&) {}
   void Observe(const StatementSample&) {}
   void OnPrimaryConfirmed(const EndpointId&, Term) {}
   void RequestPeerBound(const FreshnessBoundQuery& query);
+  void SendPermitRequest(const VmId& to, const PermitRequest& request) {
+    permit_requests_.emplace_back(to, request);
+  }
+  /** @returns the requests for permits, in their order */
+  const std::vector<std::pair<VmId, PermitRequest>>& GetPermitRequests() const {
+    return permit_requests_;
+  }
 
  private:
+  std::vector<std::pair<VmId, PermitRequest>> permit_requests_;
   struct Connection {
     bool is_primary = false;
+    uint16_t port = 0;
+    std::string opened_by;
     char status = 'I';
     std::map<std::string, std::string> values;
     std::map<std::string, std::string> prepared;
   };
 
+  std::set<uint64_t> paused_;
+
   void Step();
   /** @returns the answer */
   std::string HandleLine(uint64_t id, std::string_view line);
@@ -121,6 +170,7 @@
   std::map<uint64_t, Connection> connections_;
   std::vector<uint64_t> opening_;
   std::vector<uint64_t> closed_;
+  std::set<uint16_t> refused_ports_;
   std::vector<ServiceId> bound_requests_;
   std::vector<ScriptedRun> runs_;
   std::vector<std::string> texts_;
@@ -131,6 +181,7 @@
   uint64_t log_position_ = 1;
   uint64_t next_session_ = 1'000'000;
   uint64_t request_count_ = 0;
+  std::shared_ptr<const FleetView> view_;
   std::unique_ptr<Core> core_;
 };
 
--- a/tests/traffic/traffic_simulation.h
+++ b/tests/traffic/traffic_simulation.h
@@ -45,11 +45,15 @@
   void CloseEndpoint(uint64_t id);
   void CloseCaller(uint64_t id) { closed_callers_.insert(id); }
   bool HasUnread(uint64_t) const { return false; }
+  void PauseCaller(uint64_t) {}
+  void ResumeCaller(uint64_t) {}
   void Wake(TimePoint moment);
   void Report(const ConditionReport& report);
   void OnPrimaryConfirmed(const EndpointId& endpoint, Term term);
   void Observe(const StatementSample&) {}
   void RequestPeerBound(const FreshnessBoundQuery& query);
+  // The simulation has no teams with a limit.
+  void SendPermitRequest(const VmId&, const PermitRequest&) {}
 
   /** Sends the bytes that the core has buffered. */
   void Flush();
@@ -122,7 +126,13 @@
   using CallerOutput =
       std::function<void(size_t vm, uint64_t session, std::string_view line)>;
 
-  TrafficSimulation(size_t vms, GroupOptions options);
+  /** @param vms                    number of VMs
+      @param options                the group of databases
+      @param has_adaptive_placement  @see TrafficOptions
+  */
+  TrafficSimulation(size_t vms,
+                    GroupOptions options,
+                    bool has_adaptive_placement = false);
 
   /** @returns the event queue, to schedule events of the test */
   EventQueue& GetQueue() { return queue_; }
@@ -139,6 +149,12 @@
   void Send(size_t vm, uint64_t session, const std::string& line);
   void CloseCaller(size_t vm, uint64_t session);
 
+  /** Puts a configuration with these teams in force. */
+  void SetTeams(std::shared_ptr<const TeamTable> teams) {
+    teams_ = std::move(teams);
+    ++config_version_;
+    Publish();
+  }
   /** Publishes routes and endpoints to every VM. */
   void Publish();
   /** Starts or ends a network partition between a VM and a member: bytes are
@@ -264,6 +280,8 @@
 
   EventQueue queue_;
   GroupOptions options_;
+  std::shared_ptr<const TeamTable> teams_;
+  uint64_t config_version_ = 1;
   GroupModel group_;
   std::vector<Vm> vms_;
   CallerOutput output_;
