--- a/libs/allowance/book/allowance_book.h
+++ b/libs/allowance/book/allowance_book.h
@@ -146,8 +146,8 @@
       }
       return true;
     });
-    static const std::map<TeamId, Team> kNoTeams;
-    for (const auto& [id, team] : teams == nullptr ? kNoTeams : teams->List()) {
+    static const std::map<TeamId, Team> no_teams;
+    for (const auto& [id, team] : teams == nullptr ? no_teams : teams->List()) {
       if (!team.limit) {
         continue;
       }
--- a/libs/placement/choice/read_placement.cc
+++ b/libs/placement/choice/read_placement.cc
@@ -127,7 +127,11 @@
   const auto it = std::find_if(
       shares_.begin(), shares_.end(),
       [objective](const RouteShares& it) { return it.objective == objective; });
-  return it != shares_.end() ? *it : shares_.emplace_back(objective);
+  if (it != shares_.end()) {
+    return *it;
+  }
+  shares_.push_back({objective, {}});
+  return shares_.back();
 }
 
 Duration ReadPlacement::GetExpected(const PlacementCandidate& candidate,
