Allowances: a statement whose key moves asks for a permit of the new team; refusals say what is known

A statement that waited for a permit when its key moved stayed in the former team's queue: it was refused, or took that team's permit (AKeyThatMovesTakesItsWaitingStatementToTheNewTeam, red with the former rule). The text of a refusal claimed that the team was over its limit also where no owner of a slot could be asked. Outcomes of endpoints are recorded only where placement is active.

--- a/libs/relay/core/traffic_core.h
+++ b/libs/relay/core/traffic_core.h
@@ -271,6 +271,8 @@
   /** Finds the teams of the sessions that wait for an endpoint, and ends those
       whose keys the configuration in force does not hold. */
   void RefreshTeams();
+  /** Does so for a session whose statement was not sent to an endpoint. */
+  void RefreshWaiting(CallerSession& session);
   /** @returns whether a statement that has not been sent yet may be sent on a
                connection that was chosen under another configuration */
   bool MayUse(const PooledConnection& connection,
@@ -304,7 +306,7 @@
   bool RenewPermit(CallerSession& session);
   /** Ends the statement's wait for a permit, if it waits for one. */
   void CancelPermit(CallerSession& session);
-  void RefuseOverLimit(CallerSession& session);
+  void RefuseWithoutPermit(CallerSession& session);
 
   // traffic_core_dispatch.h and traffic_core_reads.h: routing of statements.
   void Dispatch(CallerSession& session);
--- a/libs/relay/core/traffic_core_allowances.h
+++ b/libs/relay/core/traffic_core_allowances.h
@@ -40,7 +40,7 @@
       sessions_awaiting_permit_.emplace(statement.id, session.id);
       return false;
     case PermitResult::kRefused:
-      RefuseOverLimit(session);
+      RefuseWithoutPermit(session);
       return false;
   }
   return false;
@@ -55,7 +55,7 @@
   }
   const PermitDecision decision = allowances_.TakeAgain(session.team, now);
   if (decision.result != PermitResult::kGranted) {
-    RefuseOverLimit(session);
+    RefuseWithoutPermit(session);
     return false;
   }
   statement.permit_expires_at = decision.expires_at;
@@ -72,9 +72,9 @@
 }
 
 template <ForwardingDialect D, class N>
-void TrafficCore<D, N>::RefuseOverLimit(CallerSession& session) {
-  ++counters_.refused_over_limit;
-  FailStatement(session, StatementError::kBusy, "the team is over its limit");
+void TrafficCore<D, N>::RefuseWithoutPermit(CallerSession& session) {
+  ++counters_.refused_without_permit;
+  FailStatement(session, StatementError::kBusy, "no permit for the team");
 }
 
 template <ForwardingDialect D, class N>
@@ -98,7 +98,7 @@
   }
   CallerSession& session = *FindSession(row.mapped());
   session.statement.awaits_permit = false;
-  RefuseOverLimit(session);
+  RefuseWithoutPermit(session);
 }
 
 template <ForwardingDialect D, class N>
--- a/libs/relay/core/traffic_core_connections.h
+++ b/libs/relay/core/traffic_core_connections.h
@@ -215,7 +215,7 @@
                                               EndpointCondition condition) {
   const TimePoint now = net_.Now();
   pool.RecordFailure(now);
-  pool.record.RecordFailed(now);
+  RecordPlacementFailure(pool.entry.id);
   LogEvent(Event::kEndpointFailureObserved,
            {{"endpoint", pool.entry.id.value},
             {"service", pool.entry.service.value},
--- a/libs/relay/core/traffic_core_control.h
+++ b/libs/relay/core/traffic_core_control.h
@@ -101,9 +101,9 @@
   }
   if (new_routes) {
     RenewUnusedTransactions();
-    RefreshTeams();
     allowances_.ApplyLimits(view_->routes->teams.get(),
                             options_.allowance_window, now);
+    RefreshTeams();
   }
   if (view_->routes->version == 0) {
     return;
--- a/libs/relay/core/traffic_core_dispatch.h
+++ b/libs/relay/core/traffic_core_dispatch.h
@@ -568,7 +568,9 @@
     statement.connections.push_back(connection.id);
   }
   if (EndpointPool* pool = FindPool(connection.endpoint)) {
-    pool->record.RecordSent(pool->running, now);
+    if (options_.has_adaptive_placement) {
+      pool->record.RecordSent(pool->running, now);
+    }
     ++pool->running;
   }
   statement.sent_at = now;
--- a/libs/relay/core/traffic_core_placement.h
+++ b/libs/relay/core/traffic_core_placement.h
@@ -85,6 +85,9 @@
 void TrafficCore<D, N>::RecordPlacementReply(EndpointPool& pool,
                                              const PendingReply& reply,
                                              bool is_read) {
+  if (!options_.has_adaptive_placement) {
+    return;
+  }
   const TimePoint now = net_.Now();
   if (!reply.error && is_read) {
     pool.record.RecordAnswered(now - reply.sent_at, now);
@@ -103,7 +106,8 @@
 
 template <ForwardingDialect D, class N>
 void TrafficCore<D, N>::RecordPlacementFailure(const EndpointId& endpoint) {
-  if (EndpointPool* pool = FindPool(endpoint)) {
+  if (EndpointPool* pool = FindPool(endpoint);
+      pool != nullptr && options_.has_adaptive_placement) {
     pool->record.RecordFailed(net_.Now());
   }
 }
--- a/libs/relay/core/traffic_core_teams.h
+++ b/libs/relay/core/traffic_core_teams.h
@@ -81,7 +81,7 @@
       continue;
     }
     if (session->transaction != TransactionPhase::kOpen) {
-      RefreshTeam(*session);
+      RefreshWaiting(*session);
     } else if (!IsAuthorized(*session)) {
       EndUnauthorized(*session);
     }
@@ -95,6 +95,20 @@
   }
 }
 
+template <ForwardingDialect D, class N>
+void TrafficCore<D, N>::RefreshWaiting(CallerSession& session) {
+  // A permit that is awaited is one of the former team.
+  const bool awaits_permit = session.statement.awaits_permit;
+  CancelPermit(session);
+  if (!RefreshTeam(session) || !awaits_permit) {
+    return;
+  }
+  session.transaction_charged = false;
+  if (ChargeOperation(session)) {
+    Dispatch(session);
+  }
+}
+
 template <ForwardingDialect D, class N>
 bool TrafficCore<D, N>::MayUse(const PooledConnection& connection,
                                const CallerSession& session) const {
--- a/libs/relay/core/traffic_options.h
+++ b/libs/relay/core/traffic_options.h
@@ -29,8 +29,8 @@
   Duration max_draining_use = std::chrono::seconds(5);
   /** How the operators count the operations of a team that has a limit. */
   AllowanceWindow allowance_window = {};
-  /** Number of the first request for permits; larger than those of earlier
-      processes of this VM. */
+  /** Number of the first request for permits, which no earlier process of this
+      VM is likely to have used. */
   uint64_t first_permit_sequence = 1;
   /** Parts of the memory that sessions and statements may use. */
   MemoryShares memory;
@@ -79,8 +79,8 @@
   /** Idle connections that were closed so that one could be opened for another
       team. */
   uint64_t connections_evicted = 0;
-  /** Statements refused because their team is over its limit. */
-  uint64_t refused_over_limit = 0;
+  /** Statements refused because there was no permit for their team. */
+  uint64_t refused_without_permit = 0;
   /** Reads for which an endpoint of a level was chosen, nearest first. */
   std::array<uint64_t, kPlacementLevelCount> reads_placed{};
 };
