Allowances: buckets, borrowed permits and owners of a team have a class of their own

AllowanceBook held them beside waiting operations and requests. The first number of permit requests is random, since the time of day may jump back.

--- a/apps/node/node_process.cc
+++ b/apps/node/node_process.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <random>
 #include <utility>
 
 #include "apps/node/read_settings.h"
@@ -24,13 +25,11 @@
 // start, each of them learns all others one by one.
 constexpr Duration kPeerReviewDelay = std::chrono::milliseconds(50);
 
-// Processes of a VM start at different times, so that an answer to a former one
-// is not taken for an answer to this one.
-uint64_t GetFirstPermitSequence() {
-  return static_cast<uint64_t>(
-      std::chrono::duration_cast<std::chrono::microseconds>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count());
+// An answer to a former process of this VM must not be taken for one to this
+// process. The time of day may jump back, so it is not used.
+uint64_t MakeFirstPermitSequence() {
+  std::random_device random;
+  return uint64_t{random()} << 32 | random();
 }
 
 /** @returns descriptors that the process may use: the lower one of the limits
@@ -72,7 +71,7 @@
            .max_draining_use =
                GetMaxDrainingUse(settings_.endpoint_drain_period),
            .allowance_window = settings_.allowance_window,
-           .first_permit_sequence = GetFirstPermitSequence(),
+           .first_permit_sequence = MakeFirstPermitSequence(),
            .memory = DivideMemory(settings_.memory_limit_bytes),
            .has_adaptive_placement = settings_.has_adaptive_placement},
           [this](const TrafficNotice& notice) { notices_.Post(notice); },
@@ -236,68 +235,6 @@
   peers_.SendDatagram(to, EncodeForwardedCommandResponse(response));
 }
 
-void NodeProcess::ApplySlots(const SlotAssignment* assignment,
-                             TimePoint valid_until) {
-  traffic_.ApplySlots(
-      assignment == nullptr ? std::nullopt : std::optional(*assignment),
-      valid_until);
-}
-
-void NodeProcess::RequestSlot(const VmId& owner) {
-  SendToVm(owner, EncodeSlotRequest({settings_.vm}));
-}
-
-void NodeProcess::SendPermitRequest(const VmId& to,
-                                    const PermitRequest& request) {
-  SendToVm(to, EncodePermitRequest({settings_.peer_address, request}));
-}
-
-void NodeProcess::SendToVm(const VmId& vm, std::string_view bytes) {
-  for (const PeerGroup::Peer* it : peers_.GetPeers().ListLive()) {
-    if (it->last.vm == vm) {
-      peers_.SendDatagram(it->last.address, bytes);
-      return;
-    }
-  }
-}
-
-void NodeProcess::ReviewAllowances() {
-  if (!uses_allowances_) {
-    return;
-  }
-  std::vector<VmId> live{settings_.vm};
-  std::vector<PermitLender> lenders;
-  for (const PeerGroup::Peer* it : peers_.GetPeers().ListLive()) {
-    live.push_back(it->last.vm);
-    lenders.push_back({it->last.vm, settings_.MeasureDistance(it->last.site)});
-  }
-  std::sort(live.begin(), live.end());
-  slots_.SetLiveVms(live);
-  traffic_.ApplyLenders(std::move(lenders));
-}
-
-bool NodeProcess::HandleAllowanceDatagram(std::string_view bytes) {
-  if (PermitRequestDatagram datagram; DecodePermitRequest(bytes, datagram)) {
-    traffic_.HandlePermitRequest(
-        datagram.request,
-        [this, to = datagram.reply_to](const PermitGrant& grant) {
-          mailbox_.Post([this, to, grant] {
-            peers_.SendDatagram(to, EncodePermitGrant({settings_.vm, grant}));
-          });
-        });
-    return true;
-  }
-  if (PermitGrantDatagram datagram; DecodePermitGrant(bytes, datagram)) {
-    traffic_.HandlePermitGrant(datagram.vm, datagram.grant);
-    return true;
-  }
-  if (SlotRequestDatagram datagram; DecodeSlotRequest(bytes, datagram)) {
-    slots_.HandleSlotRequest(datagram.vm);
-    return true;
-  }
-  return false;
-}
-
 void NodeProcess::HandleOtherDatagram(std::string_view bytes) {
   if (ForwardedCommand command; DecodeForwardedCommand(bytes, command)) {
     failover_.HandleForwardedCommand(command);
--- a/libs/allowance/allowance.h
+++ b/libs/allowance/allowance.h
@@ -13,6 +13,7 @@
 */
 #include "allowance/book/allowance_book.h"
 #include "allowance/book/permit_messages.h"
+#include "allowance/book/team_permits.h"
 #include "allowance/budget/team_budget.h"
 #include "allowance/budget/token_bucket.h"
 #include "allowance/slots/slot_assignment.h"
--- a/libs/allowance/book/allowance_book.h
+++ b/libs/allowance/book/allowance_book.h
@@ -14,10 +14,9 @@
 #include <vector>
 
 #include "allowance/book/permit_messages.h"
+#include "allowance/book/team_permits.h"
 #include "allowance/budget/team_budget.h"
-#include "allowance/budget/token_bucket.h"
 #include "allowance/slots/slot_assignment.h"
-#include "allowance/slots/slot_rank.h"
 #include "core/core.h"
 #include "directory/directory.h"
 #include "telemetry/telemetry.h"
@@ -28,11 +27,6 @@
     time of a busy VM. */
 inline constexpr Duration kPermitRequestTimeout =
     std::chrono::milliseconds(120);
-/** Backoff of an owner that had no permits, and of one that did not answer. */
-inline constexpr Duration kEmptyOwnerBackoff = std::chrono::milliseconds(200);
-inline constexpr Duration kMaxEmptyOwnerBackoff =
-    std::chrono::milliseconds(800);
-inline constexpr Duration kSilentOwnerBackoff = std::chrono::seconds(1);
 /** Permits are requested for the operations that are expected within this time,
     beside those that wait. */
 inline constexpr Duration kPermitLookahead = std::chrono::milliseconds(100);
@@ -58,14 +52,6 @@
   TimePoint expires_at = TimePoint::max();
 };
 
-/** A VM that may lend permits. */
-struct PermitLender {
-  VmId vm;
-  Distance distance = Distance::kRemote;
-
-  bool operator==(const PermitLender&) const = default;
-};
-
 /** Counters since the start of the process. */
 struct AllowanceCounters {
   /** Operations that ran on permits of this VM's slots, and of other VMs'. */
@@ -153,11 +139,7 @@
       }
       const BucketRules budget = ComputeTeamBudget(*team.limit, window);
       const auto [it, added] = teams_.try_emplace(id, id, budget, now);
-      if (!added && !(it->second.budget == budget)) {
-        it->second.budget = budget;
-        it->second.limited_since = now;
-        it->second.is_placed = false;
-      }
+      it->second.permits.SetBudget(budget, now);
     }
     for (const uint64_t it : unlimited) {
       delegate_.OnPermitGranted(it, TimePoint::max());
@@ -174,48 +156,40 @@
                   TimePoint now) {
     if (now >= valid_until_) {
       // Other VMs may have owned the slots meanwhile, so they start empty.
-      owned_since_.clear();
-      for (auto& [id, state] : teams_) {
-        state.own.clear();
-      }
-      assignment_ = {};
-      InvalidatePlacement();
+      sources_.owned_since.clear();
+      sources_.assignment = {};
+      HandleSourcesChanged();
     }
     valid_until_ = valid_until;
     if (assignment == nullptr) {
       return;
     }
-    if (assignment_ == *assignment) {
+    if (sources_.assignment == *assignment) {
       return;
     }
     std::map<uint32_t, TimePoint> owned;
     for (uint32_t slot = 0; slot < assignment->owners.size(); ++slot) {
       if (assignment->owners[slot].vm == self_) {
-        const auto it = owned_since_.find(slot);
-        owned.emplace(slot, it == owned_since_.end() ? now : it->second);
+        const auto it = sources_.owned_since.find(slot);
+        owned.emplace(slot,
+                      it == sources_.owned_since.end() ? now : it->second);
       }
     }
-    for (auto& [id, state] : teams_) {
-      // Another VM may have issued permits from a slot since it was lost here.
-      std::erase_if(state.own, [&owned](const auto& row) {
-        return !owned.contains(row.first);
-      });
-    }
-    owned_since_ = std::move(owned);
-    assignment_ = *assignment;
-    InvalidatePlacement();
+    sources_.owned_since = std::move(owned);
+    sources_.assignment = *assignment;
+    HandleSourcesChanged();
   }
 
   /** Replaces the VMs that can be asked for permits.
 
       @param lenders  the other live VMs */
   void ApplyLenders(std::span<const PermitLender> lenders) {
-    if (std::equal(lenders.begin(), lenders.end(), lenders_.begin(),
-                   lenders_.end())) {
+    if (std::equal(lenders.begin(), lenders.end(), sources_.lenders.begin(),
+                   sources_.lenders.end())) {
       return;
     }
-    lenders_.assign(lenders.begin(), lenders.end());
-    InvalidatePlacement();
+    sources_.lenders.assign(lenders.begin(), lenders.end());
+    HandleSourcesChanged();
   }
 
   /** Takes a permit for an operation, or has it wait for one.
@@ -234,13 +208,13 @@
       return {PermitResult::kGranted, TimePoint::max()};
     }
     TeamState& state = it->second;
-    Place(state, now);
+    state.permits.Place(sources_, self_, now);
     if (state.waiting.empty()) {
       if (const auto expires_at = TakeOne(state, now)) {
         return {PermitResult::kGranted, *expires_at};
       }
     } else {
-      RecordDemand(state, now);
+      state.permits.RecordDemand(now);
     }
     state.waiting.push_back({operation, deadline});
     if (!state.request && !SendRequest(state, now)) {
@@ -264,7 +238,7 @@
       return {PermitResult::kGranted, TimePoint::max()};
     }
     TeamState& state = it->second;
-    Place(state, now);
+    state.permits.Place(sources_, self_, now);
     if (const auto expires_at = TakeOne(state, now)) {
       return {PermitResult::kGranted, *expires_at};
     }
@@ -290,7 +264,7 @@
   PermitGrant HandleRequest(const PermitRequest& request, TimePoint now) {
     PermitGrant grant{request.team, 0, request.sequence};
     if (const auto it = teams_.find(request.team); it != teams_.end()) {
-      Place(it->second, now);
+      it->second.permits.Place(sources_, self_, now);
       grant.count = TakeOwn(it->second,
                             std::min(request.count, kMaxRequestedPermits), now);
       counters_.lent += grant.count;
@@ -316,15 +290,14 @@
     }
     const Request request = *std::exchange(state.request, std::nullopt);
     const uint32_t count = std::min(grant.count, request.count);
-    Backoff& backoff = state.backoffs[from];
     if (count == 0) {
-      BackOff(backoff, now);
+      state.permits.BackOffEmpty(from, now);
     } else {
-      backoff = {};
+      state.permits.EndBackoff(from);
     }
     const TimePoint expires_at = request.sent_at + kPermitLifetime;
     if (count > 0 && now < expires_at) {
-      state.borrowed.push_back({count, expires_at});
+      state.permits.AddBorrowed(count, expires_at);
     }
     ServeWaiting(state, now);
   }
@@ -348,7 +321,7 @@
   /** @returns the counters */
   const AllowanceCounters& GetCounters() const { return counters_; }
   /** @returns the number of this VM's slots */
-  size_t CountOwnSlots() const { return owned_since_.size(); }
+  size_t CountOwnSlots() const { return sources_.owned_since.size(); }
 
  private:
   struct Waiting {
@@ -361,113 +334,26 @@
     uint64_t sequence = 0;
     TimePoint sent_at;
   };
-  struct Borrowed {
-    uint32_t count = 0;
-    TimePoint expires_at;
-  };
-  struct Backoff {
-    TimePoint until;
-    Duration length{};
-  };
   struct TeamState {
-    TeamState(TeamId team_id, const BucketRules& team_budget, TimePoint now)
-        : id(std::move(team_id)), budget(team_budget), limited_since(now) {}
+    TeamState(const TeamId& team, const BucketRules& budget, TimePoint now)
+        : id(team), permits(team, budget, now) {}
 
     TeamId id;
-    BucketRules budget;
-    /** Time at which the budget was set. */
-    TimePoint limited_since;
-    /** Buckets of this VM's slots, and owners of the others, are up to date. */
-    bool is_placed = false;
-    std::map<uint32_t, TokenBucket> own;
-    /** Other VMs that have slots of the team, nearest first. */
-    std::vector<VmId> owners;
-    std::deque<Borrowed> borrowed;
+    TeamPermits permits;
     std::deque<Waiting> waiting;
     std::optional<Request> request;
-    std::map<VmId, Backoff> backoffs;
-    /** Mean number of operations in a second for which this VM has no permit of
-        its own. */
-    double demand_per_s = 0;
-    TimePoint demand_at;
     TimePoint refusal_logged_at;
   };
 
-  void InvalidatePlacement() {
+  void HandleSourcesChanged() {
     for (auto& [id, state] : teams_) {
-      state.is_placed = false;
+      state.permits.DropLost(sources_.owned_since);
+      state.permits.Invalidate();
     }
   }
 
-  // Finds the team's slots. Done at its next use, because a change of the VMs
-  // concerns all teams.
-  void Place(TeamState& state, TimePoint now) {
-    if (std::exchange(state.is_placed, true)) {
-      return;
-    }
-    const auto slot_count = static_cast<uint32_t>(assignment_.owners.size());
-    const uint32_t parts = CountParts(state.budget, slot_count);
-    const BucketRules part{state.budget.rate_per_s / parts,
-                           state.budget.depth / parts};
-    std::map<uint32_t, TokenBucket> own;
-    std::vector<VmId> others;
-    for (const uint32_t slot : RankSlots(state.id, slot_count, parts)) {
-      const auto owned = owned_since_.find(slot);
-      if (owned == owned_since_.end()) {
-        others.push_back(assignment_.owners[slot].vm);
-        continue;
-      }
-      if (const auto it = state.own.find(slot); it != state.own.end()) {
-        it->second.SetRules(part, now);
-        own.insert(*it);
-      } else {
-        // It starts empty when this VM gets the slot, or when a change of the
-        // limit makes the slot one of the team's.
-        const TimePoint since = std::max(owned->second, state.limited_since);
-        own.emplace(slot, TokenBucket(part, since));
-      }
-    }
-    state.own = std::move(own);
-    ListOwners(state, others);
-  }
-
-  void ListOwners(TeamState& state, std::span<const VmId> others) {
-    state.owners.clear();
-    for (const PermitLender& it : lenders_) {
-      if (std::find(others.begin(), others.end(), it.vm) != others.end()) {
-        state.owners.push_back(it.vm);
-      }
-    }
-    const auto distance_of = [this](const VmId& vm) {
-      const auto it = std::find_if(
-          lenders_.begin(), lenders_.end(),
-          [&](const PermitLender& lender) { return lender.vm == vm; });
-      return it->distance;
-    };
-    // VMs begin with different owners of the same distance.
-    std::sort(state.owners.begin(), state.owners.end(),
-              [&](const VmId& a, const VmId& b) {
-                return std::pair(distance_of(a), RankOwner(a)) <
-                       std::pair(distance_of(b), RankOwner(b));
-              });
-  }
-
-  size_t RankOwner(const VmId& vm) const {
-    return std::hash<std::string>{}(self_.value + "/" + vm.value);
-  }
-
   uint32_t TakeOwn(TeamState& state, uint32_t n, TimePoint now) {
-    if (now >= valid_until_) {
-      return 0;
-    }
-    uint32_t taken = 0;
-    for (auto& [slot, bucket] : state.own) {
-      if (taken == n) {
-        break;
-      }
-      taken += bucket.Take(n - taken, now);
-    }
-    return taken;
+    return now < valid_until_ ? state.permits.TakeOwn(n, now) : 0;
   }
 
   // Returns the end of the permit's lifetime, or none if there is no permit.
@@ -476,75 +362,42 @@
       ++counters_.granted;
       return now + kPermitLifetime;
     }
-    RecordDemand(state, now);
-    if (const auto expires_at = TakeBorrowed(state, now)) {
+    state.permits.RecordDemand(now);
+    if (const auto expires_at = state.permits.TakeBorrowed(now)) {
       ++counters_.borrowed;
       return expires_at;
     }
     return std::nullopt;
   }
 
-  std::optional<TimePoint> TakeBorrowed(TeamState& state, TimePoint now) {
-    while (!state.borrowed.empty() &&
-           (state.borrowed.front().count == 0 ||
-            now >= state.borrowed.front().expires_at)) {
-      state.borrowed.pop_front();
-    }
-    if (state.borrowed.empty()) {
-      return std::nullopt;
-    }
-    --state.borrowed.front().count;
-    return state.borrowed.front().expires_at;
-  }
-
-  void RecordDemand(TeamState& state, TimePoint now) {
-    // A second without demand counts as much as one with it.
-    const double seconds =
-        std::chrono::duration<double>(now - state.demand_at).count();
-    state.demand_per_s = state.demand_per_s / (1 + seconds) + 1 / (1 + seconds);
-    state.demand_at = now;
-  }
-
   // Returns false if there is no owner to ask.
   bool SendRequest(TeamState& state, TimePoint now) {
-    const auto it = std::find_if(state.owners.begin(), state.owners.end(),
-                                 [&](const VmId& vm) {
-                                   const auto backoff = state.backoffs.find(vm);
-                                   return backoff == state.backoffs.end() ||
-                                          now >= backoff->second.until;
-                                 });
-    if (it == state.owners.end()) {
+    const VmId* owner = state.permits.FindOwner(now);
+    if (owner == nullptr) {
       return false;
     }
     const double expected =
-        state.demand_per_s *
+        state.permits.GetDemandPerSecond() *
         std::chrono::duration<double>(kPermitLookahead).count();
     const auto count = static_cast<uint32_t>(
         std::min<double>(kMaxRequestedPermits,
                          static_cast<double>(state.waiting.size()) + expected));
-    state.request = Request{*it, std::max(1U, count), next_sequence_++, now};
+    state.request = Request{*owner, std::max(1U, count), next_sequence_++, now};
     delegate_.SendPermitRequest(
-        *it, {state.id, state.request->count, state.request->sequence});
+        *owner, {state.id, state.request->count, state.request->sequence});
     delegate_.WakeForPermits(now + kPermitRequestTimeout);
     return true;
   }
 
-  static void BackOff(Backoff& backoff, TimePoint now) {
-    backoff.length = backoff.length == Duration(0)
-                         ? kEmptyOwnerBackoff
-                         : std::min(2 * backoff.length, kMaxEmptyOwnerBackoff);
-    backoff.until = now + backoff.length;
-  }
-
   void ServeWaiting(TeamState& state, TimePoint now) {
-    Place(state, now);
+    state.permits.Place(sources_, self_, now);
     std::vector<std::pair<uint64_t, TimePoint>> granted;
     while (!state.waiting.empty()) {
       std::optional<TimePoint> expires_at;
       if (TakeOwn(state, 1, now) == 1) {
         ++counters_.granted;
         expires_at = now + kPermitLifetime;
-      } else if ((expires_at = TakeBorrowed(state, now))) {
+      } else if ((expires_at = state.permits.TakeBorrowed(now))) {
         ++counters_.borrowed;
       } else {
         break;
@@ -571,7 +424,7 @@
   void HandleWake(TeamState& state, TimePoint now) {
     if (state.request &&
         now - state.request->sent_at >= kPermitRequestTimeout) {
-      state.backoffs[state.request->to].until = now + kSilentOwnerBackoff;
+      state.permits.BackOffSilent(state.request->to, now);
       state.request.reset();
     }
     std::vector<uint64_t> over;
@@ -604,16 +457,9 @@
   }
 
   void CountRefusal(TeamState& state, TimePoint now) {
-    const bool is_empty = std::any_of(
-        state.backoffs.begin(), state.backoffs.end(),
-        [](const auto& row) { return row.second.length > Duration(0); });
-    if (is_empty || !state.own.empty()) {
-      ++counters_.refused_empty;
-    } else {
-      ++counters_.refused_unreachable;
-    }
-    LogRefusal(state, is_empty || !state.own.empty() ? "empty" : "unreachable",
-               now);
+    const bool is_empty = state.permits.HasFoundEmptyBucket();
+    ++(is_empty ? counters_.refused_empty : counters_.refused_unreachable);
+    LogRefusal(state, is_empty ? "empty" : "unreachable", now);
   }
 
   void LogRefusal(TeamState& state, std::string_view reason, TimePoint now) {
@@ -625,18 +471,16 @@
     LogEvent(Event::kAllowanceExceeded,
              {{"team", state.id.value},
               {"reason", std::string(reason)},
-              {"own_slots", std::to_string(state.own.size())},
-              {"owners", std::to_string(state.owners.size())}});
+              {"own_slots", std::to_string(state.permits.CountOwnSlots())},
+              {"owners", std::to_string(state.permits.CountOwners())}});
   }
 
   D& delegate_;
   const VmId self_;
   uint64_t next_sequence_;
   std::map<TeamId, TeamState> teams_;
-  SlotAssignment assignment_;
-  std::map<uint32_t, TimePoint> owned_since_;
+  PermitSources sources_;
   TimePoint valid_until_;
-  std::vector<PermitLender> lenders_;
   AllowanceCounters counters_;
 };
 
--- a/libs/allowance/tests/property_test.cc
+++ b/libs/allowance/tests/property_test.cc
@@ -16,14 +16,18 @@
   return {std::chrono::seconds(5), 0.1, 20};
 }
 
-}  // namespace
-
-TEST_GROUP(AllowanceProperty){void setup() override{
+class PropertyTestGroup : public QuietTestGroup {
+ public:
+  void setup() override {
+    QuietTestGroup::setup();
     // Fixed, so that a failure can be repeated. RC_PARAMS selects other cases.
     setenv("RC_PARAMS", "seed=20261207 max_success=60", 0);
-}  // namespace magnoliareel
-}
-;
+  }
+};
+
+}  // namespace
+
+TEST_GROUP_BASE(AllowanceProperty, PropertyTestGroup){};
 
 TEST(AllowanceProperty, NoWindowHoldsMoreThanTheBound) {
   // Guards against schedules of messages, losses and restarts that issue more
--- a/libs/allowance/tests/registry_test.cc
+++ b/libs/allowance/tests/registry_test.cc
@@ -33,10 +33,7 @@
 
 }  // namespace
 
-TEST_GROUP(SlotRegistry){void setup() override{DiscardLog();
-}  // namespace magnoliareel
-}
-;
+TEST_GROUP_BASE(SlotRegistry, QuietTestGroup){};
 
 TEST(SlotRegistry, TheFirstVmCreatesTheRowOnceTheVmsHaveSettled) {
   // Guards against several first rows, and against a row for few of the VMs.
--- a/libs/allowance/tests/search_test.cc
+++ b/libs/allowance/tests/search_test.cc
@@ -122,10 +122,7 @@
 
 }  // namespace
 
-TEST_GROUP(AllowanceSearch){void setup() override{DiscardLog();
-}  // namespace magnoliareel
-}
-;
+TEST_GROUP_BASE(AllowanceSearch, QuietTestGroup){};
 
 TEST(AllowanceSearch, NoPathOfTwoVmsExceedsTheBound) {
   // Guards against permits that are issued twice after a restart, a lost,
--- a/libs/allowance/tests/simulated_vms.h
+++ b/libs/allowance/tests/simulated_vms.h
@@ -17,6 +17,8 @@
 #include "core/core.h"
 #include "telemetry/telemetry.h"
 
+#include <CppUTest/TestHarness.h>
+
 namespace magnoliareel {
 
 /** Keeps events out of the output of the tests. */
@@ -29,6 +31,12 @@
   static_cast<void>(kStarted);
 }
 
+/** Tests whose events are not printed. */
+class QuietTestGroup : public Utest {
+ public:
+  void setup() override { DiscardLog(); }
+};
+
 /** Row codec of the tests. @see SlotRowCodec */
 struct PlainSlotCodec {
   static std::string Encode(const SlotAssignment& assignment) {
--- a/libs/budget/lines/line_budget.cc
+++ b/libs/budget/lines/line_budget.cc
@@ -5,6 +5,7 @@
 
 namespace magnoliareel {
 
+// Half of the memory for medium lines is for connections that wait for a place.
 LineBudget::LineBudget(size_t medium_bytes, size_t long_bytes)
     : max_medium_(std::max<size_t>(1, medium_bytes / kMediumLineBytes / 2)),
       max_long_(std::max<size_t>(1, long_bytes / kLongLineBytes)) {}
--- a/libs/net/streams/stream_listener.cc
+++ b/libs/net/streams/stream_listener.cc
@@ -7,7 +7,7 @@
 namespace magnoliareel {
 namespace {
 
-// Large enough for all callers of a zone to reconnect simultaneously after the
+// Large enough for all callers of a site to reconnect simultaneously after the
 // loss of another VM.
 constexpr int kListenBacklog = 1024;
 
--- a/libs/placement/choice/read_placement.cc
+++ b/libs/placement/choice/read_placement.cc
@@ -8,8 +8,7 @@
 
 // Interval of the comparison of endpoints: short compared with an ejection.
 constexpr Duration kReviewInterval = std::chrono::milliseconds(100);
-// Round trips that are assumed until one was measured: the longer one of two
-// deployments.
+// Round trips that are assumed before the first handshake with an endpoint.
 constexpr std::array<Duration, kPlacementLevelCount> kAssumedRoundTrips = {
     std::chrono::microseconds(500), std::chrono::milliseconds(7),
     std::chrono::milliseconds(40)};
--- a/libs/placement/estimates/response_estimate.h
+++ b/libs/placement/estimates/response_estimate.h
@@ -8,8 +8,8 @@
 
 namespace magnoliareel {
 
-/** Half-life of estimates and outcomes: what was measured of an endpoint that
-    gets no more statements loses its weight. */
+/** Half-life of estimates and outcomes, so that an endpoint that gets no
+    statements is tried again. */
 inline constexpr Duration kEstimateHalfLife = std::chrono::seconds(2);
 
 /** @param age  time since a measurement
