--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the cases 6 to 10, after the build of the deploy file.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+cmake -S . -B target -DCMAKE_BUILD_TYPE=Release >/dev/null
+cmake --build target -j8 --target magnoliareel-node standin-site >/dev/null
+# shellcheck disable=SC2046
+g++ -std=c++20 -O2 -Wall -Wextra -o target/value-callers review/client/value_callers.cc \
+  -pthread $(pkg-config --cflags --libs jsoncpp)
