--- a/review/8/run.sh
+++ b/review/9/run.sh
@@ -5,7 +5,7 @@
 # TROUBLE=0: the node is not restarted.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
-case_dir=review/8
+case_dir=review/9
 work=$(mktemp -d)
 pids=()
 stop_all() {
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,5 +5,7 @@
 cmake -S . -B target -DCMAKE_BUILD_TYPE=Release >/dev/null
 cmake --build target -j8 --target magnoliareel-node standin-site >/dev/null
 # shellcheck disable=SC2046
-g++ -std=c++20 -O2 -Wall -Wextra -o target/value-callers review/client/value_callers.cc \
-  -pthread $(pkg-config --cflags --libs jsoncpp)
+for it in value_callers drain_writer; do
+  g++ -std=c++20 -O2 -Wall -Wextra -o "target/${it//_/-}" "review/client/$it.cc" \
+    -pthread $(pkg-config --cflags --libs jsoncpp)
+done
