--- a/review/client/drain_writer.cc
+++ b/review/client/drain_writer.cc
@@ -1,14 +1,16 @@
 // The operator, the platform's promotion call and a caller of case 9.
 //
-// Usage: drain_writer SITE_PORT PROMOTION_PORT FRONTEND_PORT IP DRAIN_MS TOUCH_MS STARTED
+// Usage: drain_writer SITE_PORT PROMOTION_PORT FRONTEND_PORT IP DRAIN_MS
+// TOUCH_MS STARTED
 //
-// Refuses every promotion with 503. Has the primary report that it is draining, waits
-// until the store holds the report, prints the time and writes through the node at IP.
-// STARTED is the file that holds the start time of the node's process. Exit code: 0 if no write
-// reached the primary later than DRAIN_MS after the report, sent when the node's process
-// had run for TOUCH_MS; 1 if one did; 2 if it is not known.
+// Refuses every promotion with 503. Has the primary report that it is draining,
+// waits until the store holds the report, prints the time and writes through
+// the node at IP. STARTED is the file that holds the start time of the node's
+// process. Exit code: 0 if no write reached the primary later than DRAIN_MS
+// after the report, sent when the node's process had run for TOUCH_MS; 1 if one
+// did; 2 if it is not known.
 #include <arpa/inet.h>
-#include <json/json.h>
+#include <jsoncpp/json/json.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
--- a/review/client/value_callers.cc
+++ b/review/client/value_callers.cc
@@ -1,12 +1,13 @@
-// Callers of the nodes in case 7: ordinary ones that have set session values, and,
-// with --crowd, callers that prepare many long statements.
+// Callers of the nodes in case 7: ordinary ones that have set session values,
+// and, with --crowd, callers that prepare many long statements.
 //
 // Usage: value_callers SITE_PORT FRONTEND_PORT crowd|none IP...
 //
-// Prints what was sent, answered and run. Exit code: 0 if each statement ran with the
-// values that were acknowledged to its caller, 1 if one did not, 2 if it is not known.
+// Prints what was sent, answered and run. Exit code: 0 if each statement ran
+// with the values that were acknowledged to its caller, 1 if one did not, 2 if
+// it is not known.
 #include <arpa/inet.h>
-#include <json/json.h>
+#include <jsoncpp/json/json.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -37,11 +38,11 @@
 /** Callers of each node that have set a value. */
 constexpr int kCallers = 4;
 
-const Clock::time_point start = Clock::now();
+const Clock::time_point kStart = Clock::now();
 
 void Print(const std::string& line) {
   const double at =
-      std::chrono::duration<double>(Clock::now() - start).count();
+      std::chrono::duration<double>(Clock::now() - kStart).count();
   std::printf("%7.3f %s\n", at, line.c_str());
   std::fflush(stdout);
 }
@@ -146,7 +147,8 @@
   return body == std::string::npos ? "" : answer.substr(body + 4);
 }
 
-/** Callers that prepare statements, shorter ones when longer ones are refused. */
+/** Callers that prepare statements, shorter ones when longer ones are refused.
+ */
 void RunCrowd(const std::string& ip,
               int port,
               std::vector<std::unique_ptr<Session>>& sessions) {
@@ -203,7 +205,8 @@
       Print("no session with " + ip);
       return 2;
     }
-    const std::string answer = session->Run("set-" + name, "SET profile " + value);
+    const std::string answer =
+        session->Run("set-" + name, "SET profile " + value);
     Print("caller " + name + ": SET profile <20000 bytes> -> " + answer);
     if (answer.rfind("COMPLETE", 0) != 0) {
       return 2;
@@ -226,11 +229,11 @@
   // Callers without values, which write all the while.
   std::atomic<bool> has_ended = false;
   std::vector<std::thread> writers;
+  writers.reserve(ips.size());
   for (const std::string& ip : ips) {
     writers.emplace_back([&, ip] {
       Session session;
-      if (!session.Connect(ip, port) ||
-          !session.Send("STARTUP entries crew") ||
+      if (!session.Connect(ip, port) || !session.Send("STARTUP entries crew") ||
           session.ReadAnswer().rfind("READY", 0) != 0) {
         return;
       }
