Notice changes that a long poll does not deliver

Cause: a question for changes waits 29 s and its answer another 1.5 s. Where the answer is lost, the connection stays open and delivers nothing more. All nodes ask again right after a change, so their questions were lost together, and no peer knew more.

Change: the nodes check at intervals of 1.5 to 2.5 s that no change is missing, with a question that is answered at once and has a connection of its own. They share the checks: whoever asks tells the others, which then need not ask; delays are drawn so that few ask at the same time, whatever their number, and everybody asks who hears nothing (the one that would ask is frozen, parted or turned away). A check that finds changes replaces the long poll, one without an answer counts as a loss of the store, and a node that hears of a newer version than it knows asks again at once on a new connection. Answers to replaced questions are ignored. A change that did not arrive promptly is dated to the latest time at which none was missing; before, it was dated to its arrival as long as no loss was noticed. New: event E5308, known_ms in E5305, the metric store_knowledge_age_seconds, and the fault "mute" of the stand-in site.

Weighed: a shorter wait for all nodes costs calls that grow with their number; other failing calls as a sign are free, but a quiet node makes none.

A test is replaced: DrainCountsFromTheStartOfTheOutageInWhichItBecameKnown took the moment at which the loss was noticed for the earliest time of a change. It now takes the latest confirmed question, which is not later.

--- a/apps/node/node_process.cc
+++ b/apps/node/node_process.cc
@@ -166,6 +166,14 @@
   traffic_.Publish(std::move(view));
 }
 
+void NodeProcess::SendFeedConfirmation(FeedConfirmation confirmation) {
+  confirmation.address = settings_.peer_address;
+  const std::string bytes = EncodeFeedConfirmation(confirmation);
+  for (const PeerGroup::Peer* it : peers_.GetPeers().ListLive()) {
+    peers_.SendDatagram(it->last.address, bytes);
+  }
+}
+
 void NodeProcess::AnnouncePrimary(const ServiceId& service,
                                   const EndpointId& endpoint) {
   traffic_.AnnouncePrimary(service, endpoint);
@@ -254,6 +262,13 @@
     failover_.HandleAnsweredCommitResponse(response);
     return;
   }
+  if (FeedConfirmation confirmation;
+      DecodeFeedConfirmation(bytes, confirmation)) {
+    fleet_.RecordConfirmation(confirmation);
+    peers_.HandleVersions(confirmation.address, confirmation.config_version,
+                          confirmation.endpoints_version);
+    return;
+  }
   if (HandleAllowanceDatagram(bytes)) {
     return;
   }
@@ -272,9 +287,9 @@
     failover_.FillHeartbeat(heartbeat);
   };
   callbacks.is_newer = [this](uint64_t config, uint64_t endpoints) {
-    return config > fleet_.GetRoutes()->version ||
-           endpoints > fleet_.GetEndpointsVersion();
+    return fleet_.IsBehind(config, endpoints);
   };
+  callbacks.renew_feeds = [this] { return fleet_.RenewFeeds(); };
   callbacks.on_heartbeat = [this](const Heartbeat& heartbeat) {
     failover_.HandleHeartbeat(heartbeat);
   };
@@ -428,6 +443,12 @@
                  static_cast<double>(fleet_.GetEndpointsVersion()));
       gauges.Add("store_connected", "1 while the platform's store answers.", {},
                  fleet_.IsStoreConnected() ? 1 : 0);
+      if (const auto at = fleet_.GetConfirmedAt()) {
+        gauges.Add("store_knowledge_age_seconds",
+                   "Time before which no change of the configuration or the "
+                   "directory is missing, ago.",
+                   {}, std::chrono::duration<double>(Now() - *at).count());
+      }
       gauges.Add("live_vms", "VMs that are heard, this one included.", {},
                  peers_.GetPeers().CountLive());
       for (const auto& [service, token] : failover_.ListDuties()) {
--- a/apps/node/node_process.h
+++ b/apps/node/node_process.h
@@ -40,6 +40,8 @@
   void After(Duration pause, std::function<void()> task);
   /** @see FleetDelegate */
   void Publish(std::shared_ptr<const FleetView> view);
+  /** @see FleetDelegate */
+  void SendFeedConfirmation(FeedConfirmation confirmation);
   /** @see FailoverDelegate */
   void AnnouncePrimary(const ServiceId& service, const EndpointId& endpoint);
   /** @see FailoverDelegate */
--- a/apps/node/peer_exchange.cc
+++ b/apps/node/peer_exchange.cc
@@ -12,8 +12,9 @@
 
 // Changes within this time are sent in one heartbeat.
 constexpr Duration kHeartbeatCoalescingDelay = std::chrono::milliseconds(15);
-// Delay before a newer state is fetched from a peer. The store usually delivers
-// the same state in the meantime.
+// Delay before the store is asked for a newer state that a peer has, and again
+// before it is fetched from the peer. The store usually delivers the same state
+// in the meantime.
 constexpr Duration kFetchDelay = std::chrono::milliseconds(400);
 // Sufficient for several hundred kilobytes of state between regions.
 constexpr Duration kFetchTimeout = std::chrono::milliseconds(1500);
@@ -142,7 +143,8 @@
     callbacks_.on_peers_changed();
   }
   callbacks_.on_heartbeat(heartbeat);
-  ScheduleFetch(heartbeat);
+  HandleVersions(heartbeat.address, heartbeat.config_version,
+                 heartbeat.endpoints_version);
 }
 
 void PeerExchange::Welcome(const SocketAddress& address) {
@@ -204,16 +206,31 @@
   }
 }
 
-void PeerExchange::ScheduleFetch(const Heartbeat& heartbeat) {
+void PeerExchange::HandleVersions(const SocketAddress& address,
+                                  uint64_t config_version,
+                                  uint64_t endpoints_version) {
   if (fetching_ || pending_fetch_ ||
-      !callbacks_.is_newer(heartbeat.config_version,
-                           heartbeat.endpoints_version)) {
+      !callbacks_.is_newer(config_version, endpoints_version)) {
     return;
   }
-  pending_fetch_ = [this, address = heartbeat.address,
-                    config = heartbeat.config_version,
-                    endpoints = heartbeat.endpoints_version] {
-    FetchState(address, config, endpoints);
+  pending_fetch_ = [this, address, config_version, endpoints_version] {
+    RenewOrFetchState(address, config_version, endpoints_version);
+  };
+  fetch_timer_.StartOnce(kFetchDelay);
+}
+
+void PeerExchange::RenewOrFetchState(const SocketAddress& address,
+                                     uint64_t config_version,
+                                     uint64_t endpoints_version) {
+  if (!callbacks_.is_newer(config_version, endpoints_version)) {
+    return;
+  }
+  if (!callbacks_.renew_feeds()) {
+    FetchState(address, config_version, endpoints_version);
+    return;
+  }
+  pending_fetch_ = [this, address, config_version, endpoints_version] {
+    FetchState(address, config_version, endpoints_version);
   };
   fetch_timer_.StartOnce(kFetchDelay);
 }
--- a/apps/node/peer_exchange.h
+++ b/apps/node/peer_exchange.h
@@ -28,6 +28,9 @@
     std::function<void(Heartbeat&)> fill_heartbeat;
     /** Returns true if either version is newer than this VM's. */
     std::function<bool(uint64_t config, uint64_t endpoints)> is_newer;
+    /** Asks the store for the changes that a peer knows of. Returns false if
+        that is not possible or has been done. */
+    std::function<bool()> renew_feeds;
     /** Returns the notices to send along with heartbeats. */
     std::function<std::vector<DepartureNotice>()> list_departures;
     /** Handles the notices of a peer. */
@@ -64,6 +67,17 @@
   /** Adds addresses of possible peers and schedules a heartbeat to those that
       are new. */
   void AddPeers(std::span<const SocketAddress> addresses);
+  /** Obtains the state of a peer unless this VM learns it otherwise: a moment
+      later, asks the store on new connections; if that does not help, fetches
+      it from the peer.
+
+      @param address         the peer
+      @param config_version  version of the configuration that the peer knows
+      @param endpoints_version  newest row of the directory that it knows
+  */
+  void HandleVersions(const SocketAddress& address,
+                      uint64_t config_version,
+                      uint64_t endpoints_version);
   /** Schedules a heartbeat to all peers ahead of the regular interval. Calls
       within a short time result in one heartbeat. */
   void ScheduleHeartbeat();
@@ -80,7 +94,9 @@
   void HandleHeartbeatTimer();
   Heartbeat MakeHeartbeat() const;
   void Send(std::span<const SocketAddress> targets, const Heartbeat& heartbeat);
-  void ScheduleFetch(const Heartbeat& heartbeat);
+  void RenewOrFetchState(const SocketAddress& address,
+                         uint64_t config_version,
+                         uint64_t endpoints_version);
   void FetchState(const SocketAddress& address,
                   uint64_t config_version,
                   uint64_t endpoints_version);
--- a/libs/allowance/tests/simulated_vms.h
+++ b/libs/allowance/tests/simulated_vms.h
@@ -102,6 +102,7 @@
 
     void List(std::string_view, std::string_view, RowsCompletion) {}
     void Follow(std::string_view, uint64_t, Duration, RowsCompletion) {}
+    void Poll(std::string_view, uint64_t, RowsCompletion) {}
     void Put(std::string_view,
              std::string_view,
              std::string_view,
--- a/libs/control/fleet/fleet_control.h
+++ b/libs/control/fleet/fleet_control.h
@@ -5,12 +5,14 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
+#include "control/peers/feed_confirmation.h"
 #include "coordination/coordination.h"
 #include "core/core.h"
 #include "directory/directory.h"
@@ -38,6 +40,7 @@
 template <class D>
 concept FleetDelegate = requires(D& delegate,
                                  std::shared_ptr<const FleetView> view,
+                                 const FeedConfirmation& confirmation,
                                  Duration pause,
                                  std::function<void()> task) {
   { delegate.Now() } -> std::same_as<TimePoint>;
@@ -45,11 +48,19 @@
   delegate.After(pause, task);
   /** Passes a new view to the traffic threads. */
   delegate.Publish(view);
+  /** Sends a confirmation, whose address the node fills in, to all live VMs. */
+  delegate.SendFeedConfirmation(confirmation);
 };
 
 /** Follows the configuration and the directory, and publishes the state in
     force as a FleetView.
 
+    Checks at intervals that no change of them is missing. The VMs share these
+    checks: one of them asks the store and tells the others, so the number of
+    calls does not grow with that of the VMs. Whoever hears nothing asks itself,
+    for example because the others are frozen, can't reach the store or are cut
+    off.
+
     @tparam S  @see RowStore
     @tparam C  @see FleetRowCodec
     @tparam D  @see FleetDelegate
@@ -70,11 +81,13 @@
   FleetControl(S& store, D& delegate, VmId self)
       : store_(store),
         delegate_(delegate),
+        random_(std::hash<std::string>{}(self.value)),
         holders_(std::move(self)),
         config_watch_(store, *this, C::GetConfigTable()),
         endpoint_watch_(store, *this, C::GetEndpointTable()),
-        lost_at_(delegate.Now()),
-        regained_at_(lost_at_) {
+        started_at_(delegate.Now()),
+        lost_at_(started_at_),
+        regained_at_(started_at_) {
     // Checked here because D is incomplete where it declares its FleetControl
     // member.
     static_assert(FleetDelegate<D>);
@@ -84,6 +97,7 @@
   void Start() {
     config_watch_.Start();
     endpoint_watch_.Start();
+    ReviewFeeds();
   }
 
   /** @returns true if a configuration is in force and an endpoint is known */
@@ -140,7 +154,8 @@
         store_, C::GetEndpointTable(),
         [this, finish](std::error_code ec, const StoredRows& listing) {
           if (!ec) {
-            HandleEndpointListing(listing.rows, listing.version, "store");
+            HandleEndpointListing(listing.rows, listing.version, "store",
+                                  {endpoint_watch_.GetConfirmedAt(), false});
           }
           const bool is_settled =
               !store_lost_ &&
@@ -158,10 +173,52 @@
   void SetLiveVms(uint32_t live, std::span<const HolderCandidate> candidates) {
     const bool changed = holders_.SetCandidates(candidates);
     if (live != std::exchange(live_vms_, live) || changed) {
+      ChooseNextFeedCheck();
       Publish();
     }
   }
 
+  /** @param config     a version of the configuration
+      @param endpoints  newest version of any row of the directory
+      @returns          true if this VM does not know one of them */
+  bool IsBehind(uint64_t config, uint64_t endpoints) const {
+    return config > routes_.Get()->version ||
+           endpoints >
+               std::max(endpoints_version_, endpoint_watch_.GetVersion());
+  }
+
+  /** Records that another VM has asked the store; does nothing if that VM knows
+      more than this one.
+
+      @param confirmation  what the other VM knows */
+  void RecordConfirmation(const FeedConfirmation& confirmation) {
+    if (IsBehind(confirmation.config_version, confirmation.endpoints_version)) {
+      return;
+    }
+    const TimePoint asked_at = delegate_.Now() - confirmation.age;
+    config_watch_.RecordConfirmed(asked_at, confirmation.store_version);
+    endpoint_watch_.RecordConfirmed(asked_at, confirmation.store_version);
+    ChooseNextFeedCheck();
+  }
+
+  /** Asks the store for changes on new connections, because another VM knows
+      of changes that this one has not received.
+
+      @returns false if the store is lost or being asked already */
+  bool RenewFeeds() {
+    const bool renews_config = config_watch_.Renew();
+    return endpoint_watch_.Renew() || renews_config;
+  }
+
+  /** @returns the time before which no change of either table is missing; none
+               before both were listed */
+  std::optional<TimePoint> GetConfirmedAt() const {
+    const auto config = config_watch_.GetConfirmedAt();
+    const auto endpoints = endpoint_watch_.GetConfirmedAt();
+    return config && endpoints ? std::optional(std::min(*config, *endpoints))
+                               : std::nullopt;
+  }
+
   /** Applies rows that a peer has sent, if they are newer.
 
       @param config     the peer's configuration row, or null
@@ -175,25 +232,30 @@
       ApplyConfig(*config, "peer");
     }
     if (version > endpoints_version_) {
-      HandleEndpointListing(endpoints, version, "peer");
+      HandleEndpointListing(endpoints, version, "peer",
+                            {endpoint_watch_.GetConfirmedAt(), false});
+      // The newest row may be one that was removed.
+      endpoints_version_ = std::max(endpoints_version_, version);
     }
   }
 
   /** @see TableWatchDelegate */
   void HandleListing(std::string_view table,
                      std::span<const StoredRow> rows,
-                     uint64_t version) {
+                     uint64_t version,
+                     ChangeTime changed) {
     if (table == C::GetConfigTable()) {
-      HandleChanges(table, rows, version);
+      HandleChanges(table, rows, version, changed);
       return;
     }
-    HandleEndpointListing(rows, version, "store");
+    HandleEndpointListing(rows, version, "store", changed);
   }
 
   /** @see TableWatchDelegate */
   void HandleChanges(std::string_view table,
                      std::span<const StoredRow> rows,
-                     uint64_t) {
+                     uint64_t,
+                     ChangeTime changed_at) {
     if (table == C::GetConfigTable()) {
       for (const StoredRow& it : rows) {
         if (it.key == C::GetConfigKey() && !it.removed) {
@@ -204,19 +266,26 @@
     }
     bool changed = false;
     for (const StoredRow& it : rows) {
-      changed = ApplyEndpointRow(it, "store") || changed;
+      changed = ApplyEndpointRow(it, "store", changed_at) || changed;
     }
     if (changed) {
       PublishEndpoints();
     }
   }
 
+  /** @see TableWatchDelegate */
+  void HandleFeedStalled(std::string_view table, ChangeTime changed) {
+    LogEvent(Event::kFeedStalled, {{"table", std::string(table)},
+                                   {"known_ms", FormatAge(changed.earliest)}});
+  }
+
   /** @see TableWatchDelegate */
   void HandleStoreLost(std::string_view table, std::error_code ec) {
     if (!std::exchange(store_lost_, true)) {
       lost_at_ = delegate_.Now();
-      LogEvent(Event::kStoreLost,
-               {{"call", std::string(table)}, {"error", ec.message()}});
+      LogEvent(Event::kStoreLost, {{"call", std::string(table)},
+                                   {"error", ec.message()},
+                                   {"known_ms", FormatAge(GetConfirmedAt())}});
     }
   }
 
@@ -241,6 +310,47 @@
   }
 
  private:
+  /** @returns the time since then in milliseconds, or "none" */
+  std::string FormatAge(std::optional<TimePoint> at) const {
+    return at ? std::to_string((delegate_.Now() - *at).count() / 1000)
+              : std::string("none");
+  }
+
+  /** Checks the tables if that is due, and schedules the next review. */
+  void ReviewFeeds() {
+    const TimePoint now = delegate_.Now();
+    const TimePoint confirmed_at = GetConfirmedAt().value_or(now);
+    Duration delay = confirmed_at + feed_check_delay_ - now;
+    if (delay <= Duration(0)) {
+      CheckFeeds();
+      ChooseNextFeedCheck();
+      delay = feed_check_delay_;
+    }
+    delegate_.After(delay, [this] { ReviewFeeds(); });
+  }
+
+  // Chosen anew for each check of any VM: otherwise the VMs that were not the
+  // first would all check together at last.
+  void ChooseNextFeedCheck() {
+    feed_check_delay_ = ChooseFeedCheckDelay(live_vms_, random_);
+  }
+
+  void CheckFeeds() {
+    const auto unconfirmed = std::make_shared<int>(2);
+    const auto confirm = [this, unconfirmed] {
+      if (--*unconfirmed == 0) {
+        delegate_.SendFeedConfirmation(
+            {{},
+             routes_.Get()->version,
+             endpoints_version_,
+             std::min(config_watch_.GetVersion(), endpoint_watch_.GetVersion()),
+             delegate_.Now() - *GetConfirmedAt()});
+      }
+    };
+    config_watch_.Check(confirm);
+    endpoint_watch_.Check(confirm);
+  }
+
   void ApplyConfig(const StoredRow& row, std::string_view source) {
     RouteTable table;
     Findings findings;
@@ -264,7 +374,9 @@
     Publish();
   }
 
-  bool ApplyEndpointRow(const StoredRow& row, std::string_view source) {
+  bool ApplyEndpointRow(const StoredRow& row,
+                        std::string_view source,
+                        ChangeTime changed) {
     const EndpointId id{row.key};
     endpoints_version_ = std::max(endpoints_version_, row.version);
     if (row.removed) {
@@ -295,7 +407,7 @@
       return false;
     }
     endpoint_rows_[row.key] = row;
-    if (!endpoints_.Put(versioned, FindEarliestChangeTime())) {
+    if (!endpoints_.Put(versioned, changed.earliest.value_or(started_at_))) {
       return false;
     }
     const EndpointEntry& entry = versioned.entry;
@@ -308,21 +420,14 @@
     return true;
   }
 
-  // A change that becomes known during an outage of the store, through a peer,
-  // or just after it, may have been made at any time in the outage.
-  TimePoint FindEarliestChangeTime() const {
-    const TimePoint now = delegate_.Now();
-    return store_lost_ || now - regained_at_ < kStoreSettlePeriod ? lost_at_
-                                                                  : now;
-  }
-
   void HandleEndpointListing(std::span<const StoredRow> rows,
                              uint64_t version,
-                             std::string_view source) {
+                             std::string_view source,
+                             ChangeTime changed_at) {
     std::map<std::string, StoredRow> known = endpoint_rows_;
     bool changed = false;
     for (const StoredRow& it : rows) {
-      changed = ApplyEndpointRow(it, source) || changed;
+      changed = ApplyEndpointRow(it, source, changed_at) || changed;
       known.erase(it.key);
     }
     for (auto& [key, row] : known) {
@@ -332,7 +437,7 @@
       }
       row.removed = true;
       row.version = std::max(row.version, version);
-      ApplyEndpointRow(row, source);
+      ApplyEndpointRow(row, source, changed_at);
     }
     if (changed) {
       PublishEndpoints();
@@ -383,6 +488,7 @@
 
   S& store_;
   D& delegate_;
+  ProcessRandom random_;
   HolderTable holders_;
   ActiveRouteTable routes_;
   EndpointRegistry endpoints_;
@@ -393,6 +499,9 @@
   uint32_t live_vms_ = 1;
   TableWatch<S, FleetControl> config_watch_;
   TableWatch<S, FleetControl> endpoint_watch_;
+  /** Time since the latest confirmed question at which this VM asks. */
+  Duration feed_check_delay_ = kFeedCheckInterval;
+  const TimePoint started_at_;
   bool store_lost_ = false;
   /** Start of the latest outage of the store; at first, the start of this
       process. */
--- a/libs/control/tests/fake_deployment.h
+++ b/libs/control/tests/fake_deployment.h
@@ -51,6 +51,7 @@
     done({}, rows);
   }
   void Follow(std::string_view, uint64_t, Duration, const RowsCompletion&) {}
+  void Poll(std::string_view, uint64_t, const RowsCompletion&) {}
   void WriteIf(std::string_view,
                std::string_view,
                std::string_view value,
--- a/libs/control/tests/fleet_control_test.cc
+++ b/libs/control/tests/fleet_control_test.cc
@@ -17,6 +17,10 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// The shortest time that a configuration may take until it is in force on all
+// VMs (config-apply-ms of the users' sites).
+constexpr Duration kMaxUnseenChangePeriod = seconds(4);
+
 /** Rows are written as text: a configuration is its version, an endpoint the
     number of its report and its state. */
 struct TextRowCodec {
@@ -41,7 +45,9 @@
   }
 };
 
-/** Keeps the latest call to each table until the test answers it. */
+/** Keeps the latest call to each table until the test answers it. Polls on
+    connections of their own are answered at once: without changes, or with
+   those that the test has set. */
 class PendingStore {
  public:
   void List(std::string_view table, std::string_view, RowsCompletion done) {
@@ -51,6 +57,19 @@
   void Follow(std::string_view table, uint64_t, Duration, RowsCompletion done) {
     polls[std::string(table)] = std::move(done);
   }
+  void Poll(std::string_view table,
+            uint64_t version,
+            const RowsCompletion& done) {
+    const std::string name(table);
+    ++checks[name];
+    if (check_error) {
+      done(check_error, {});
+      return;
+    }
+    const auto it = unseen_changes.find(name);
+    done({}, it == unseen_changes.end() ? StoredRows{{}, version, false}
+                                        : it->second);
+  }
   void WriteIf(std::string_view,
                std::string_view,
                std::string_view,
@@ -63,6 +82,12 @@
 
   std::map<std::string, RowsCompletion> listings;
   std::map<std::string, RowsCompletion> polls;
+  /** Number of polls on a connection of their own, by table. */
+  std::map<std::string, int> checks;
+  /** Changes that only those polls deliver. */
+  std::map<std::string, StoredRows> unseen_changes;
+  /** If set, the error of those polls. */
+  std::error_code check_error;
 };
 
 /** A node whose clock and store the test controls. */
@@ -82,6 +107,9 @@
     tasks_.emplace(now_ + delay, std::move(task));
   }
   void Publish(std::shared_ptr<const FleetView> view) { view_ = view; }
+  void SendFeedConfirmation(const FeedConfirmation& confirmation) {
+    confirmations.push_back(confirmation);
+  }
 
   /** Passes time and runs the tasks that are due. */
   void Advance(Duration duration) {
@@ -118,8 +146,10 @@
   std::shared_ptr<const FleetView> view_;
 
  public:
-  // Declared last, because its construction reads the clock.
+  /** What this VM has told the others. */
+  std::vector<FeedConfirmation> confirmations;
   PendingStore store;
+  // Declared last, because its construction reads the clock.
   FleetControl<PendingStore, TextRowCodec, TestNode> fleet{store, *this,
                                                            VmId{"vm-1"}};
 };
@@ -227,12 +257,16 @@
   // Guards against a VM that was cut off from the store and uses a leaving
   // primary for longer than the others (DRAIN).
   TestNode node;
-  const TimePoint lost_at = node.Now();
+  // It can have been made since the latest answer of the store.
+  const TimePoint lost_at = *node.fleet.GetConfirmedAt();
+  CHECK(lost_at <= node.Now());
+  node.store.check_error = Error::kUnreachable;
   TestNode::Answer(node.store.polls, "endpoints", Error::kUnreachable, {});
   node.Advance(seconds(3));
   const StoredRow leaving{"db-1", "1 draining", 5, false};
   node.fleet.ApplyPeerState(nullptr, std::span(&leaving, 1), 5);
   CHECK(node.GetEndpoint("db-1").draining_since == lost_at);
+  node.store.check_error = {};
   TestNode::Answer(node.store.polls, "endpoints", {},
                    MakeRows(6, {{"db-2", "1 draining", 6, false}}));
   CHECK(node.GetEndpoint("db-2").draining_since == lost_at);
@@ -242,6 +276,57 @@
   CHECK(node.GetEndpoint("db-3").draining_since == node.Now());
 }
 
+TEST(Fleet, AChangeIsAppliedThoughThePendingCallIsNeverAnswered) {
+  // Guards against a VM that keeps an old configuration and directory for the
+  // time of a long poll, because the answer to it was lost and its connection
+  // stayed open (CONFIG and DRAIN in review/8).
+  TestNode node;
+  node.store.unseen_changes["config"] =
+      MakeRows(5, {{"routes", "8", 5, false}});
+  node.store.unseen_changes["endpoints"] =
+      MakeRows(5, {{"db-1", "1 draining", 4, false}});
+  node.Advance(kMaxUnseenChangePeriod);
+  LONGS_EQUAL(8, node.fleet.GetRoutes()->version);
+  CHECK(node.GetEndpoint("db-1").draining);
+}
+
+TEST(Fleet, AVmThatHearsOfAnothersQuestionDoesNotAskItself) {
+  // Guards against store calls that grow with the number of VMs.
+  TestNode node;
+  node.fleet.RecordConfirmation({{}, 0, 0, 10, milliseconds(20)});
+  const int checks = node.store.checks["config"];
+  for (int n = 0; n < 20; ++n) {
+    node.Advance(milliseconds(1400));
+    node.fleet.RecordConfirmation({{}, 0, 0, 10, milliseconds(20)});
+  }
+  LONGS_EQUAL(checks, node.store.checks["config"]);
+  // One that knows more confirms nothing.
+  node.fleet.RecordConfirmation({{}, 3, 0, 10, milliseconds(20)});
+  node.Advance(seconds(3));
+  CHECK(node.store.checks["config"] > checks);
+  CHECK(!node.confirmations.empty());
+}
+
+TEST(Fleet, AVmWhoseDirectoryIsAsNewAsTheStoreIsNotBehind) {
+  // Guards against a VM that asks again and again because a peer has seen the
+  // removal of a row, which a later listing does not show.
+  TestNode node;
+  CHECK(node.fleet.IsBehind(0, 5));
+  TestNode::Answer(node.store.polls, "endpoints", Error::kHistoryLost, {});
+  TestNode::Answer(node.store.listings, "endpoints", {}, MakeRows(7, {}));
+  CHECK(!node.fleet.IsBehind(0, 5));
+  CHECK(node.fleet.IsBehind(0, 8));
+  node.fleet.ApplyPeerState(nullptr, {}, 8);
+  CHECK(!node.fleet.IsBehind(0, 8));
+}
+
+TEST(Fleet, ALossOfTheStoreIsNoticedThoughThePendingCallIsNotAnswered) {
+  TestNode node;
+  node.store.check_error = Error::kAnswerLost;
+  node.Advance(kMaxUnseenChangePeriod);
+  CHECK(!node.fleet.IsStoreConnected());
+}
+
 TEST(Fleet, ADrainIsNotUndoneByAnEntryOfARestoredStore) {
   // Guards against a leaving database that is used again because the store was
   // restored from a copy which shows it as ready (DRAIN).
--- a/libs/coordination/rows/row_store.h
+++ b/libs/coordination/rows/row_store.h
@@ -48,7 +48,11 @@
     - List: returns the rows of a table after a key, in key order.
     - Get: returns the row of a key, if it exists.
     - Follow: returns rows that changed after a version. Answers as soon as a
-      row has changed, or without rows after the wait.
+      row has changed, or without rows after the wait. A call replaces the
+      pending one of the same table, whose completion is not called: it may wait
+      for an answer that was lost.
+    - Poll: returns rows that changed after a version, at once. Uses a new
+      connection, since one on which an answer was lost delivers nothing more.
     - WriteIf: writes a row if its version is unchanged (0: if it does not
       exist). The version in the answer is the row's new version.
     - Put: writes a row unconditionally.
@@ -64,6 +68,7 @@
   store.List(text, text, done);
   store.Get(text, text, done);
   store.Follow(text, version, wait, done);
+  store.Poll(text, version, done);
   store.WriteIf(text, text, text, version, done);
   store.Put(text, text, text, done);
 };
--- a/libs/coordination/tests/coordination_test.cc
+++ b/libs/coordination/tests/coordination_test.cc
@@ -1,5 +1,6 @@
 #include "coordination/coordination.h"
 
+#include <algorithm>
 #include <functional>
 #include <span>
 #include <string>
@@ -26,8 +27,13 @@
               Duration wait,
               RowsCompletion done) {
     last_wait = wait;
+    abandoned_ = std::move(open_);
     Ask("follow " + std::to_string(version), std::move(done));
   }
+  void Poll(std::string_view, uint64_t version, RowsCompletion done) {
+    last_poll = "poll " + std::to_string(version);
+    poll_ = std::move(done);
+  }
   void WriteIf(std::string_view,
                std::string_view key,
                std::string_view value,
@@ -49,7 +55,18 @@
     done(ec, std::move(rows));
   }
 
+  /** Answers the pending poll on a connection of its own. */
+  void AnswerPoll(std::error_code ec, StoredRows rows) {
+    std::exchange(poll_, nullptr)(ec, std::move(rows));
+  }
+  /** Answers the call that the latest Follow() has replaced. */
+  void AnswerAbandoned(StoredRows rows) {
+    std::exchange(abandoned_, nullptr)({}, std::move(rows));
+  }
+
   std::string last;
+  // The latest poll on a connection of its own.
+  std::string last_poll;
   // Value of the latest write.
   std::string last_value;
   // Long-poll timeout of the latest request for changes.
@@ -62,19 +79,26 @@
   }
 
   RowsCompletion open_;
+  RowsCompletion abandoned_;
+  RowsCompletion poll_;
 };
 
 struct FakeDelegate {
   void HandleListing(std::string_view,
                      std::span<const StoredRow> rows,
-                     uint64_t) {
+                     uint64_t,
+                     ChangeTime changed) {
     seen += "listing " + std::to_string(rows.size()) + ";";
+    last_changed = changed;
   }
   void HandleChanges(std::string_view,
                      std::span<const StoredRow> rows,
-                     uint64_t) {
+                     uint64_t,
+                     ChangeTime changed) {
     seen += "changes " + std::to_string(rows.size()) + ";";
+    last_changed = changed;
   }
+  void HandleFeedStalled(std::string_view, ChangeTime) { seen += "stalled;"; }
   void HandleStoreLost(std::string_view, std::error_code) { seen += "lost;"; }
   void HandleStoreRegained(std::string_view) { seen += "regained;"; }
   TimePoint Now() const { return now; }
@@ -84,6 +108,7 @@
   }
 
   std::string seen;
+  ChangeTime last_changed;
   TimePoint now{std::chrono::seconds(100)};
   Duration pause{};
   std::function<void()> next;
@@ -196,6 +221,149 @@
   CHECK(store.last_wait == kTableFollowTimeout);
 }
 
+TEST(Watch, ACheckFindsWhatTheLongPollDoesNotDeliver) {
+  // Guards against a change that is missed for the time of a long poll, because
+  // the answer was lost on a connection that stays open (review/8).
+  watch.Start();
+  store.Answer({}, Rows({"a"}, 10));
+  const TimePoint listed_at = delegate.now;
+  delegate.now += std::chrono::seconds(1);
+  delegate.seen.clear();
+  int confirmed = 0;
+  watch.Check([&] { ++confirmed; });
+  STRCMP_EQUAL("poll 10", store.last_poll.c_str());
+  store.AnswerPoll({}, Rows({"b"}, 12));
+  STRCMP_EQUAL("stalled;changes 1;", delegate.seen.c_str());
+  LONGS_EQUAL(1, confirmed);
+  // It may have been made at any time since the previous question.
+  CHECK(delegate.last_changed.earliest == listed_at);
+  CHECK(!delegate.last_changed.is_prompt);
+  STRCMP_EQUAL("follow 12", store.last.c_str());
+}
+
+TEST(Watch, AnAnswerToAReplacedQuestionIsIgnored) {
+  watch.Start();
+  store.Answer({}, Rows({"a"}, 10));
+  watch.Check([] {});
+  store.AnswerPoll({}, Rows({"b"}, 12));
+  delegate.seen.clear();
+  store.AnswerAbandoned(Rows({"b"}, 11));
+  STRCMP_EQUAL("", delegate.seen.c_str());
+  STRCMP_EQUAL("follow 12", store.last.c_str());
+}
+
+TEST(Watch, ACheckThatIsNotAnsweredShowsThatTheStoreIsLost) {
+  watch.Start();
+  store.Answer({}, Rows({"a"}, 10));
+  delegate.seen.clear();
+  watch.Check([] { FAIL("nothing was confirmed"); });
+  store.AnswerPoll(Error::kAnswerLost, {});
+  STRCMP_EQUAL("lost;", delegate.seen.c_str());
+  CHECK(!watch.IsConnected());
+  delegate.next();
+  STRCMP_EQUAL("follow 10", store.last.c_str());
+  CHECK(store.last_wait == kTableProbeTimeout);
+}
+
+TEST(Watch, ACheckWithoutChangesKeepsTheLongPoll) {
+  watch.Start();
+  store.Answer({}, Rows({"a"}, 10));
+  delegate.now += std::chrono::seconds(2);
+  int confirmed = 0;
+  watch.Check([&] { ++confirmed; });
+  // No second check is sent beside it.
+  watch.Check([] { FAIL("the check was sent twice"); });
+  const TimePoint asked_at = delegate.now;
+  delegate.now += std::chrono::milliseconds(300);
+  store.AnswerPoll({}, Rows({}, 14));
+  LONGS_EQUAL(1, confirmed);
+  CHECK(watch.GetConfirmedAt() == asked_at);
+  // The store may discard its history; the next question continues from here.
+  LONGS_EQUAL(14, watch.GetVersion());
+  STRCMP_EQUAL("follow 10", store.last.c_str());
+  store.Answer({}, Rows({"b"}, 15));
+  CHECK(delegate.last_changed.is_prompt);
+  CHECK(delegate.last_changed.earliest == delegate.now);
+}
+
+TEST(Watch, ACheckBetweenTwoQuestionsReplacesNone) {
+  watch.Start();
+  store.Answer({}, Rows({"a"}, 10));
+  store.Answer({}, Rows({"b"}, 12));
+  delegate.seen.clear();
+  int confirmed = 0;
+  watch.Check([&] { ++confirmed; });
+  store.AnswerPoll({}, Rows({"c"}, 13));
+  LONGS_EQUAL(1, confirmed);
+  STRCMP_EQUAL("changes 1;", delegate.seen.c_str());
+  STRCMP_EQUAL("follow 10", store.last.c_str());
+  delegate.next();
+  STRCMP_EQUAL("follow 13", store.last.c_str());
+}
+
+TEST(Watch, ACheckBesideAnAnsweredQuestionDecidesNothing) {
+  watch.Start();
+  store.Answer({}, Rows({"a"}, 10));
+  watch.Check([] { FAIL("nothing was confirmed"); });
+  store.Answer({}, Rows({"b"}, 12));
+  delegate.seen.clear();
+  store.AnswerPoll(Error::kAnswerLost, {});
+  STRCMP_EQUAL("", delegate.seen.c_str());
+  CHECK(watch.IsConnected());
+}
+
+TEST(Watch, AChangeAfterASilenceIsNotTakenForANewOne) {
+  // Guards against a drain that is dated to the arrival of an answer which had
+  // been held up (DRAIN).
+  watch.Start();
+  store.Answer({}, Rows({"a"}, 10));
+  const TimePoint listed_at = delegate.now;
+  delegate.now += std::chrono::seconds(8);
+  store.Answer({}, Rows({"b"}, 12));
+  CHECK(delegate.last_changed.earliest == listed_at);
+  CHECK(!delegate.last_changed.is_prompt);
+}
+
+TEST(Watch, AsksAgainIfAnotherVmKnowsMore) {
+  watch.Start();
+  store.Answer({}, Rows({"a"}, 10));
+  CHECK(watch.Renew());
+  STRCMP_EQUAL("follow 10", store.last.c_str());
+  CHECK(store.last_wait == kTableProbeTimeout);
+  // The question is not replaced again before it is answered.
+  CHECK(!watch.Renew());
+  store.Answer({}, Rows({"b"}, 12));
+  CHECK(!delegate.last_changed.is_prompt);
+  delegate.next();
+  STRCMP_EQUAL("follow 12", store.last.c_str());
+}
+
+TEST_GROUP(FeedCheckDelay){};
+
+TEST(FeedCheckDelay, FewVmsAskHoweverManyThereAre) {
+  // Guards against store calls that grow with the number of VMs. The first VM
+  // that asks tells the others within 100 ms.
+  for (const uint32_t vms : {1U, 6U, 80U, 295U, 1500U}) {
+    ProcessRandom random(vms);
+    constexpr int kRounds = 200;
+    int asked = 0;
+    for (int round = 0; round < kRounds; ++round) {
+      std::vector<Duration> delays;
+      for (uint32_t it = 0; it < vms; ++it) {
+        delays.push_back(ChooseFeedCheckDelay(vms, random));
+      }
+      const Duration first = *std::min_element(delays.begin(), delays.end());
+      CHECK(first >= kFeedCheckInterval);
+      CHECK(first <= kFeedCheckInterval + kFeedCheckSpread);
+      asked += static_cast<int>(
+          std::count_if(delays.begin(), delays.end(), [&](Duration it) {
+            return it < first + std::chrono::milliseconds(100);
+          }));
+    }
+    CHECK(asked <= 4 * kRounds);
+  }
+}
+
 TEST_GROUP(Duties) {
   FakeStore store;
   DutyClaims<FakeStore, FakeDutyRowCodec> claims{store, VmId{"vm-1"}};
--- a/libs/core/core.h
+++ b/libs/core/core.h
@@ -8,9 +8,9 @@
     Depends on the standard library only.
 
     Topics: ids/ (identifiers, terms, log positions), errors/ (error codes,
-    findings), outcomes/ (outcomes of a request), time/ (clocks), random/
-    (random sources), text/ (fields of messages, parts of URLs), concurrency/
-    (control loop, executors, snapshots).
+    findings), outcomes/ (outcomes of a request), time/ (clocks, times of
+   changes), random/ (random sources), text/ (fields of messages, parts of
+   URLs), concurrency/ (control loop, executors, snapshots).
 */
 #include "core/concurrency/control_loop.h"
 #include "core/concurrency/executor.h"
@@ -29,6 +29,7 @@
 #include "core/text/text_fields.h"
 #include "core/text/word.h"
 #include "core/time/boot_clock.h"
+#include "core/time/change_time.h"
 #include "core/time/clock.h"
 #include "core/time/steady_clock.h"
 #include "core/time/virtual_clock.h"
--- a/libs/gossip/gossip.h
+++ b/libs/gossip/gossip.h
@@ -8,7 +8,8 @@
     Depends on allowance, codec (JSON texts), control, coordination, core, relay
    and jsoncpp.
 
-    Topics: heartbeats/, departures/, commands/ and bounds/ (datagrams),
+    Topics: heartbeats/, departures/, confirmations/, commands/ and bounds/
+    (datagrams),
     allowance/ (datagrams and a row), duties/ (rows that VMs leave in the store
     for each other), state/ (configuration and
    directory for a VM that cannot reach the store, and the status of a node).
@@ -18,6 +19,7 @@
 #include "gossip/bounds/bound_codec.h"
 #include "gossip/commands/answered_commit_codec.h"
 #include "gossip/commands/forwarded_command_codec.h"
+#include "gossip/confirmations/feed_confirmation_codec.h"
 #include "gossip/departures/departure_codec.h"
 #include "gossip/duties/duty_row_codec.h"
 #include "gossip/heartbeats/heartbeat_codec.h"
--- a/libs/net/http/http_connection.h
+++ b/libs/net/http/http_connection.h
@@ -42,6 +42,9 @@
       @param done     called exactly once, on the loop's thread
   */
   void Call(Request request, Duration timeout, Completion done);
+  /** @returns true if no call is queued or awaits its reply. A connection that
+               is destroyed before does not complete its calls. */
+  bool IsIdle() const { return calls_.empty(); }
 
   /** @see StreamHandler */
   void HandleOpened();
--- a/libs/telemetry/events/event.cc
+++ b/libs/telemetry/events/event.cc
@@ -144,12 +144,17 @@
      "A directory entry could not be decoded and is ignored. entry, findings"},
     {kStoreLost, kWarning, "store.lost",
      "The platform's store does not answer; the current state is kept. call, "
-     "error"},
+     "error, known_ms (time before which no change is missing, ago)"},
     {kStoreRegained, kInfo, "store.regained",
      "The platform's store answers again. away_ms"},
     {kStoreRestored, kWarning, "store.restored",
      "The platform's store was restored from a copy; both tables are listed "
      "and this VM registers again. era"},
+    {kFeedStalled, kWarning, "store.feed_stalled",
+     "A check found changes that the pending question for changes had not "
+     "delivered; they are applied, and the table is followed on a new "
+     "connection. table, known_ms (time before which no change was missing, "
+     "ago)"},
     {kPeerLost, kWarning, "peer.lost",
      "No heartbeat of another VM arrived within the peer timeout. vm, "
      "silent_ms"},
--- a/libs/telemetry/events/event.h
+++ b/libs/telemetry/events/event.h
@@ -59,6 +59,7 @@
   kStoreLost = 5305,
   kStoreRegained = 5306,
   kStoreRestored = 5307,
+  kFeedStalled = 5308,
   kPeerLost = 5401,
   kPeerRegained = 5402,
   kDutyClaimed = 5501,
--- a/standins/site/site_server.cc
+++ b/standins/site/site_server.cc
@@ -128,6 +128,11 @@
   const uint64_t poll =
       store_.Handle(request.method, request.target, request.body,
                     [this, answer](int status, const std::string& body) {
+                      if (is_store_mute_) {
+                        // The listener handles no further request of a
+                        // connection before it has sent this answer.
+                        return;
+                      }
                       const std::string era = std::to_string(store_.GetEra());
                       answer({status, body, {{"Store-Era", era}}});
                     });
@@ -214,6 +219,8 @@
   group_.SetNow(loop_.Now());
   if (name == "down" || name == "up") {
     store_.SetDown(name == "down");
+  } else if (name == "mute" || name == "speak") {
+    is_store_mute_ = name == "mute";
   } else if (name == "crash" || name == "dark") {
     StopMember(member, name == "dark");
   } else if (name == "restart") {
--- a/standins/site/site_server.h
+++ b/standins/site/site_server.h
@@ -44,6 +44,8 @@
     POST /fault/NAME injects a fault or ends it. N is the index of a database:
 
     - down, up: the store answers every request with 503, or serves again
+    - mute, speak: the store executes requests and loses its answers, or answers
+      again; a connection on which an answer was lost delivers nothing more
     - crash-N, dark-N: a database stops, and closes its connections and refuses
       new ones, or leaves them open without an answer; its entry expires
     - restart-N: a stopped database starts again
@@ -137,6 +139,7 @@
   std::map<size_t, std::string> published_endpoints_;
   uint64_t report_count_ = 0;
   std::map<size_t, bool> draining_;
+  bool is_store_mute_ = false;
   /** When the members that have crashed stopped. */
   std::map<size_t, TimePoint> stopped_at_;
   std::function<Duration(const PromotionCall&)> promotion_observer_ =
--- a/tests/fuzz/decoder_fuzz_test.cc
+++ b/tests/fuzz/decoder_fuzz_test.cc
@@ -53,6 +53,15 @@
   return true;
 }
 
+bool ReencodeFeedConfirmation(std::string_view bytes, std::string& out) {
+  FeedConfirmation confirmation;
+  if (!DecodeFeedConfirmation(bytes, confirmation)) {
+    return false;
+  }
+  out = EncodeFeedConfirmation(confirmation);
+  return true;
+}
+
 bool ReencodeBoundRequest(std::string_view bytes, std::string& out) {
   FreshnessBoundRequest request;
   if (!DecodeFreshnessBoundRequest(bytes, request)) {
@@ -202,6 +211,7 @@
      }},
     {"heartbeats", SurvivesEncoding<ReencodeHeartbeat>},
     {"departures", SurvivesEncoding<ReencodeDepartures>},
+    {"feed_confirmations", SurvivesEncoding<ReencodeFeedConfirmation>},
     {"bound_requests", SurvivesEncoding<ReencodeBoundRequest>},
     {"bound_responses", SurvivesEncoding<ReencodeBoundResponse>},
     {"forwarded_commands", SurvivesEncoding<ReencodeForwardedCommand>},
--- a/tests/round_trip/gossip_round_trip_test.cc
+++ b/tests/round_trip/gossip_round_trip_test.cc
@@ -94,6 +94,16 @@
   });
 }
 
+TEST(GossipRoundTrip, FeedConfirmations) {
+  CheckProperty("feed confirmations", [] {
+    const FeedConfirmation sent{*GenAddress(), *GenNumber(), *GenNumber(),
+                                *GenNumber(), *GenDuration()};
+    FeedConfirmation read;
+    RC_ASSERT(DecodeFeedConfirmation(EncodeFeedConfirmation(sent), read));
+    RC_ASSERT(read == sent);
+  });
+}
+
 TEST(GossipRoundTrip, ForwardedCommands) {
   CheckProperty("forwarded commands", [] {
     ForwardedCommand sent;
--- a/tests/standins/site_server_test.cc
+++ b/tests/standins/site_server_test.cc
@@ -103,6 +103,24 @@
   LONGS_EQUAL(1, site_.GetGroup().GetPromotions().size());
 }
 
+TEST(SiteServer, AConnectionOnWhichAnAnswerWasLostDeliversNothingMore) {
+  const std::string request =
+      "GET /v1/rows-get?table=op&part= HTTP/1.1\r\nHost: site\r\n\r\n";
+  caller_.stream.Connect(loop_, {"127.0.0.1", kPort}, caller_);
+  RunFor(milliseconds(50));
+  CHECK_TRUE(site_.InjectFault("mute"));
+  caller_.stream.Append(request);
+  caller_.stream.Flush();
+  RunFor(milliseconds(100));
+  CHECK_TRUE(site_.InjectFault("speak"));
+  caller_.stream.Append(request);
+  caller_.stream.Flush();
+  RunFor(milliseconds(100));
+  CHECK_TRUE(caller_.stream.IsOpen());
+  STRCMP_EQUAL("", caller_.answer.c_str());
+  STRCMP_CONTAINS("HTTP/1.1 200", Exchange(kPort, request).c_str());
+}
+
 TEST(SiteServer, ListsTheShapesThatItsDatabasesRan) {
   Exchange(kPort + 1,
            "STARTUP groyne-logs tester\r\nQUERY a SET zone north\r\n"
--- a/tests/traffic/simulated_control.h
+++ b/tests/traffic/simulated_control.h
@@ -36,6 +36,7 @@
   void List(std::string_view, std::string_view, const RowsCompletion&) {}
   void Get(std::string_view table, std::string_view key, RowsCompletion done);
   void Follow(std::string_view, uint64_t, Duration, const RowsCompletion&) {}
+  void Poll(std::string_view, uint64_t, const RowsCompletion&) {}
   void WriteIf(std::string_view table,
                std::string_view key,
                std::string_view value,
