Do not date a drain to the start of the process that lists it

Cause: an entry says that an endpoint drains, not since when. A process dated the first listing to its own start, so that the two thirds of the drain period in which a primary without a successor may be used began anew.

Change: the age of a drain is unknown to a process that lists it first, and counts as the whole period. Nodes that received the report as it was made tell its age beside their heartbeats, in a datagram of its own, as long as the endpoint drains; whoever hears of an age passes it on, so that nodes may restart in turn. The earliest time counts if there are several. A bound that was not seen by anybody (a change found late) is used by the node itself and not passed on, and gives way to a time that a node has seen. New: event E5309, and drain_ms in E5303.

Weighed: a row of the store for each drain, dated by the store's clock, also outlasts a loss of all nodes. It would help in one case only, all nodes lost within a drain for which no successor can be promoted, for the rest of that drain; then writes are refused and replicas serve reads. It costs a write for each drain, and may be late or restored from a copy.

--- a/apps/node/node_process.cc
+++ b/apps/node/node_process.cc
@@ -299,6 +299,10 @@
   callbacks.on_departures = [this](std::span<const DepartureNotice> notices) {
     failover_.HandleDepartureNotices(notices);
   };
+  callbacks.list_drains = [this] { return fleet_.ListDrains(); };
+  callbacks.on_drains = [this](std::span<const DrainNotice> notices) {
+    fleet_.HandleDrainNotices(notices);
+  };
   callbacks.get_state = [this] {
     FleetState state;
     if (fleet_.GetRoutes()->version > 0) {
--- a/apps/node/peer_exchange.cc
+++ b/apps/node/peer_exchange.cc
@@ -23,6 +23,19 @@
 constexpr std::string_view kStatePath = "/state";
 constexpr std::string_view kStatusPath = "/status";
 
+/** Encodes notices as datagrams of at most `max` notices each. */
+template <class T>
+void AppendDatagrams(std::span<const T> notices,
+                     size_t max,
+                     std::string (*encode)(std::span<const T>),
+                     std::vector<std::string>& out) {
+  while (!notices.empty()) {
+    const size_t n = std::min(notices.size(), max);
+    out.push_back(encode(notices.first(n)));
+    notices = notices.subspan(n);
+  }
+}
+
 }  // namespace
 
 PeerExchange::PeerExchange(EventLoop& loop,
@@ -109,6 +122,10 @@
     callbacks_.on_departures(notices);
     return;
   }
+  if (std::vector<DrainNotice> notices; DecodeDrainNotices(bytes, notices)) {
+    callbacks_.on_drains(notices);
+    return;
+  }
   Heartbeat heartbeat;
   if (!DecodeHeartbeat(bytes, heartbeat)) {
     callbacks_.handle_other_datagram(bytes);
@@ -189,18 +206,16 @@
   introduction.config_version = 0;
   const std::string first = EncodeHeartbeat(introduction);
   const std::string repeated = EncodeHeartbeat(heartbeat);
-  std::vector<std::string> departures;
-  const std::vector<DepartureNotice> notices = callbacks_.list_departures();
-  std::span<const DepartureNotice> rest = notices;
-  while (!rest.empty()) {
-    const size_t n = std::min(rest.size(), kMaxDepartureNotices);
-    departures.push_back(EncodeDepartureNotices(rest.first(n)));
-    rest = rest.subspan(n);
-  }
+  std::vector<std::string> notices;
+  AppendDatagrams<DepartureNotice>(callbacks_.list_departures(),
+                                   kMaxDepartureNotices, EncodeDepartureNotices,
+                                   notices);
+  AppendDatagrams<DrainNotice>(callbacks_.list_drains(), kMaxDrainNotices,
+                               EncodeDrainNotices, notices);
   for (const SocketAddress& it : targets) {
     socket_.Send(it,
                  peers_.TakeIntroduction(it, loop_.Now()) ? first : repeated);
-    for (const std::string& datagram : departures) {
+    for (const std::string& datagram : notices) {
       socket_.Send(it, datagram);
     }
   }
--- a/apps/node/peer_exchange.h
+++ b/apps/node/peer_exchange.h
@@ -35,6 +35,10 @@
     std::function<std::vector<DepartureNotice>()> list_departures;
     /** Handles the notices of a peer. */
     std::function<void(std::span<const DepartureNotice>)> on_departures;
+    /** Returns the drains to tell of along with heartbeats. */
+    std::function<std::vector<DrainNotice>()> list_drains;
+    /** Handles the drains that a peer tells of. */
+    std::function<void(std::span<const DrainNotice>)> on_drains;
     /** Handles a heartbeat received from a peer. */
     std::function<void(const Heartbeat&)> on_heartbeat;
     /** Returns the configuration and directory to send to a peer. */
--- a/libs/control/control.h
+++ b/libs/control/control.h
@@ -28,6 +28,7 @@
 #include "control/fleet/fleet_control.h"
 #include "control/fleet/shutdown_sequence.h"
 #include "control/peers/departure_notice.h"
+#include "control/peers/drain_notice.h"
 #include "control/peers/feed_confirmation.h"
 #include "control/peers/heartbeat.h"
 #include "control/peers/peer_group.h"
--- a/libs/control/fleet/fleet_control.h
+++ b/libs/control/fleet/fleet_control.h
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "control/peers/drain_notice.h"
 #include "control/peers/feed_confirmation.h"
 #include "coordination/coordination.h"
 #include "core/core.h"
@@ -85,9 +86,8 @@
         holders_(std::move(self)),
         config_watch_(store, *this, C::GetConfigTable()),
         endpoint_watch_(store, *this, C::GetEndpointTable()),
-        started_at_(delegate.Now()),
-        lost_at_(started_at_),
-        regained_at_(started_at_) {
+        lost_at_(delegate.Now()),
+        regained_at_(lost_at_) {
     // Checked here because D is incomplete where it declares its FleetControl
     // member.
     static_assert(FleetDelegate<D>);
@@ -201,6 +201,38 @@
     ChooseNextFeedCheck();
   }
 
+  /** @returns for each draining endpoint whose report a VM received as soon as
+               it was made, how long ago that was; for the other VMs */
+  std::vector<DrainNotice> ListDrains() const {
+    std::vector<DrainNotice> drains;
+    for (const EndpointEntry& it : endpoints_.List()) {
+      if (it.is_drain_time_exact) {
+        drains.push_back({it.id, static_cast<uint64_t>(it.started_at_ms),
+                          delegate_.Now() - *it.draining_since});
+      }
+    }
+    return drains;
+  }
+
+  /** Records how long endpoints have been draining.
+
+      @param notices  from another VM; those on endpoints that this VM has not
+                      listed yet are kept until the first listing */
+  void HandleDrainNotices(std::span<const DrainNotice> notices) {
+    bool changed = false;
+    for (const DrainNotice& it : notices) {
+      const TimePoint since = delegate_.Now() - it.age;
+      if (endpoints_version_ == 0) {
+        early_drains_[it.endpoint] = {it.started_at_ms, since};
+      } else {
+        changed = RecordDrain(it.endpoint, it.started_at_ms, since) || changed;
+      }
+    }
+    if (changed) {
+      PublishEndpoints();
+    }
+  }
+
   /** Asks the store for changes on new connections, because another VM knows
       of changes that this one has not received.
 
@@ -389,7 +421,8 @@
                                           {"service", entry->service.value},
                                           {"state", "vanished"},
                                           {"role", ""},
-                                          {"source", std::string(source)}});
+                                          {"source", std::string(source)},
+                                          {"drain_ms", "none"}});
       endpoints_.MarkRemoved(id, row.version, delegate_.Now());
       ScheduleSweep();
       return false;
@@ -407,16 +440,26 @@
       return false;
     }
     endpoint_rows_[row.key] = row;
-    if (!endpoints_.Put(versioned, changed.earliest.value_or(started_at_))) {
+    if (!endpoints_.Put(versioned, changed)) {
       return false;
     }
-    const EndpointEntry& entry = versioned.entry;
+    const EndpointEntry& entry = *endpoints_.Find(id);
     LogEvent(Event::kDirectoryChanged,
              {{"endpoint", entry.id.value},
               {"service", entry.service.value},
               {"state", entry.draining ? "draining" : "ready"},
               {"role", entry.claims_primary ? "primary" : "replica"},
-              {"source", std::string(source)}});
+              {"source", std::string(source)},
+              {"drain_ms", FormatAge(entry.draining_since)}});
+    return true;
+  }
+
+  bool RecordDrain(const EndpointId& id, uint64_t started_at_ms, TimePoint at) {
+    if (!endpoints_.RecordDrain(id, static_cast<int64_t>(started_at_ms), at)) {
+      return false;
+    }
+    LogEvent(Event::kDrainDated,
+             {{"endpoint", id.value}, {"drain_ms", FormatAge(at)}});
     return true;
   }
 
@@ -439,6 +482,9 @@
       row.version = std::max(row.version, version);
       ApplyEndpointRow(row, source, changed_at);
     }
+    for (const auto& [id, drain] : std::exchange(early_drains_, {})) {
+      changed = RecordDrain(id, drain.started_at_ms, drain.since) || changed;
+    }
     if (changed) {
       PublishEndpoints();
     }
@@ -486,6 +532,12 @@
     delegate_.Publish(std::move(view));
   }
 
+  /** When another VM received the report that an endpoint is draining. */
+  struct ReportedDrain {
+    uint64_t started_at_ms = 0;
+    TimePoint since;
+  };
+
   S& store_;
   D& delegate_;
   ProcessRandom random_;
@@ -494,6 +546,8 @@
   EndpointRegistry endpoints_;
   StoredRow config_row_;
   std::map<std::string, StoredRow> endpoint_rows_;
+  /** Drains that other VMs told of before the first listing. */
+  std::map<EndpointId, ReportedDrain> early_drains_;
   uint64_t endpoints_version_ = 0;
   TimePoint endpoints_changed_at_;
   uint32_t live_vms_ = 1;
@@ -501,7 +555,6 @@
   TableWatch<S, FleetControl> endpoint_watch_;
   /** Time since the latest confirmed question at which this VM asks. */
   Duration feed_check_delay_ = kFeedCheckInterval;
-  const TimePoint started_at_;
   bool store_lost_ = false;
   /** Start of the latest outage of the store; at first, the start of this
       process. */
--- a/libs/control/tests/fleet_control_test.cc
+++ b/libs/control/tests/fleet_control_test.cc
@@ -93,13 +93,21 @@
 /** A node whose clock and store the test controls. */
 class TestNode {
  public:
-  TestNode() {
+  /** @param is_listed  both tables are listed, and empty */
+  explicit TestNode(bool is_listed = true) {
     static LogBuffer log_buffer(0);
     StartBufferedLog(log_buffer, "test");
     fleet.Start();
+    if (is_listed) {
+      ListTables({});
+      Advance(seconds(10));
+    }
+  }
+
+  /** Answers the first listings of both tables. */
+  void ListTables(StoredRows endpoints) {
     Answer(store.listings, "config", {}, {});
-    Answer(store.listings, "endpoints", {}, {});
-    Advance(seconds(10));
+    Answer(store.listings, "endpoints", {}, std::move(endpoints));
   }
 
   TimePoint Now() const { return now_; }
@@ -327,6 +335,46 @@
   CHECK(!node.fleet.IsStoreConnected());
 }
 
+TEST(Fleet, AProcessThatStartsAmidADrainDoesNotTakeItForANewOne) {
+  // Guards against a VM that starts while a primary without a successor drains,
+  // and uses it for longer than the others, counted from its own start (DRAIN
+  // in review/9). A VM that knows no age must not assume the youngest.
+  TestNode other;
+  TestNode::Answer(other.store.polls, "endpoints", {},
+                   MakeRows(5, {{"db-1", "1 draining", 5, false}}));
+  other.Advance(seconds(4));
+  const std::vector<DrainNotice> notices = other.fleet.ListDrains();
+  LONGS_EQUAL(1, notices.size());
+  for (const bool is_early : {false, true}) {
+    TestNode node(false);
+    if (is_early) {
+      node.fleet.HandleDrainNotices(notices);
+    }
+    node.ListTables(MakeRows(5, {{"db-1", "1 draining", 5, false}}));
+    if (!is_early) {
+      CHECK(node.GetEndpoint("db-1").draining);
+      CHECK(!node.GetEndpoint("db-1").draining_since);
+      // It tells nothing that it does not know.
+      LONGS_EQUAL(0, node.fleet.ListDrains().size());
+      node.fleet.HandleDrainNotices(notices);
+    }
+    CHECK(node.GetEndpoint("db-1").draining_since == node.Now() - seconds(4));
+    // The VM passes it on, if the others start in turn.
+    node.Advance(seconds(2));
+    LONGS_EQUAL(1, node.fleet.ListDrains().size());
+    CHECK(node.fleet.ListDrains().front().age == seconds(6));
+  }
+}
+
+TEST(Fleet, ADrainThatBecameKnownLateIsNotPassedOnAsASeenOne) {
+  TestNode node;
+  node.store.unseen_changes["endpoints"] =
+      MakeRows(5, {{"db-1", "1 draining", 5, false}});
+  node.Advance(kMaxUnseenChangePeriod);
+  CHECK(node.GetEndpoint("db-1").draining_since.has_value());
+  LONGS_EQUAL(0, node.fleet.ListDrains().size());
+}
+
 TEST(Fleet, ADrainIsNotUndoneByAnEntryOfARestoredStore) {
   // Guards against a leaving database that is used again because the store was
   // restored from a copy which shows it as ready (DRAIN).
--- a/libs/directory/endpoints/endpoint_registry.cc
+++ b/libs/directory/endpoints/endpoint_registry.cc
@@ -5,16 +5,15 @@
 
 namespace magnoliareel {
 
-bool EndpointRegistry::Put(const VersionedEntry& entry,
-                           TimePoint changed_since) {
+bool EndpointRegistry::Put(const VersionedEntry& entry, ChangeTime changed_at) {
   if (IsOlderVersion(entry)) {
     return false;
   }
-  const std::optional<TimePoint> draining_since =
-      FindDrainingSince(entry.entry, changed_since);
+  const ChangeTime drain = FindDrainTime(entry.entry, changed_at);
   State& state = entries_[entry.entry.id];
   VersionedEntry next = entry;
-  next.entry.draining_since = draining_since;
+  next.entry.draining_since = drain.earliest;
+  next.entry.is_drain_time_exact = drain.is_prompt;
   const bool changed =
       state.versioned.entry != next.entry || state.remove_at.has_value();
   state.versioned = std::move(next);
@@ -55,19 +54,36 @@
              : nullptr;
 }
 
-std::optional<TimePoint> EndpointRegistry::FindDrainingSince(
-    const EndpointEntry& entry,
-    TimePoint changed_since) const {
+ChangeTime EndpointRegistry::FindDrainTime(const EndpointEntry& entry,
+                                           ChangeTime changed) const {
   if (!entry.draining) {
-    return std::nullopt;
+    return {};
   }
   // An endpoint whose entry expired is still as far into its drain when it is
   // listed again.
   if (const EndpointEntry* latest = FindLatest(entry);
-      latest != nullptr && latest->draining_since) {
-    return latest->draining_since;
+      latest != nullptr && latest->draining) {
+    return {latest->draining_since, latest->is_drain_time_exact};
   }
-  return changed_since;
+  return changed;
+}
+
+bool EndpointRegistry::RecordDrain(const EndpointId& id,
+                                   int64_t started_at_ms,
+                                   TimePoint since) {
+  const auto it = entries_.find(id);
+  if (it == entries_.end()) {
+    return false;
+  }
+  EndpointEntry& entry = it->second.versioned.entry;
+  if (!entry.draining || entry.started_at_ms != started_at_ms ||
+      (entry.is_drain_time_exact &&
+       since > *entry.draining_since - kDrainTimeTolerance)) {
+    return false;
+  }
+  entry.draining_since = since;
+  entry.is_drain_time_exact = true;
+  return true;
 }
 
 void EndpointRegistry::MarkRemoved(const EndpointId& id,
@@ -91,7 +107,7 @@
   std::set<EndpointId> listed;
   for (const VersionedEntry& it : listing) {
     listed.insert(it.entry.id);
-    changed = Put(it, now) || changed;
+    changed = Put(it, {now, false}) || changed;
   }
   for (const auto& [id, state] : entries_) {
     if (!listed.contains(id)) {
--- a/libs/directory/endpoints/endpoint_registry.h
+++ b/libs/directory/endpoints/endpoint_registry.h
@@ -33,14 +33,31 @@
       documentation); half a second covers delivery. */
   static constexpr Duration kRemovalGracePeriod =
       std::chrono::milliseconds(2500);
+  /** VMs receive a report, and each other's notices of it, within this time.
+      A drain time that differs by less is not changed. */
+  static constexpr Duration kDrainTimeTolerance =
+      std::chrono::milliseconds(100);
 
   /** Adds or changes an entry, unless a newer version is known.
 
-      @param entry          an entry from the store or from a peer
-      @param changed_since  earliest time at which it can have been written
+      @param entry    an entry from the store or from a peer
+      @param changed  when it can have been written
+      @returns        true if the listed entries changed
+  */
+  bool Put(const VersionedEntry& entry, ChangeTime changed);
+
+  /** Records when another VM has received the report that an endpoint is
+      draining. The earliest one counts if there are several, since a report
+      can't be known before it is made.
+
+      @param id             the endpoint
+      @param started_at_ms  start of the endpoint that reported
+      @param since          when the report was received
       @returns              true if the listed entries changed
   */
-  bool Put(const VersionedEntry& entry, TimePoint changed_since);
+  bool RecordDrain(const EndpointId& id,
+                   int64_t started_at_ms,
+                   TimePoint since);
 
   /** Returns whether something newer is known than an entry says. It then comes
       from a peer that lags behind, or from a store that was restored from a
@@ -112,8 +129,10 @@
   /** @returns the latest known entry of the same start of an endpoint, also if
                it was removed; null if there is none */
   const EndpointEntry* FindLatest(const EndpointEntry& entry) const;
-  std::optional<TimePoint> FindDrainingSince(const EndpointEntry& entry,
-                                             TimePoint changed_since) const;
+  /** @returns when the endpoint can have reported that it is draining; nothing
+               if it is not */
+  ChangeTime FindDrainTime(const EndpointEntry& entry,
+                           ChangeTime changed) const;
 
   std::map<EndpointId, State> entries_;
   std::map<EndpointId, Removed> removed_;
--- a/libs/directory/model/endpoint_entry.h
+++ b/libs/directory/model/endpoint_entry.h
@@ -21,8 +21,11 @@
   /** The endpoint will stop soon and takes no new work. */
   bool draining = false;
   /** Earliest time at which the endpoint can have reported that it is draining;
-      set by EndpointRegistry. */
+      none while nothing bounds it, as in a process that has started since. Set
+      by EndpointRegistry. */
   std::optional<TimePoint> draining_since;
+  /** A VM received the report as soon as it was made, at draining_since. */
+  bool is_drain_time_exact = false;
   /** The endpoint reports that it is its service's primary. */
   bool claims_primary = false;
   /** Start time in Unix milliseconds; distinguishes restarts of one endpoint.
--- a/libs/gossip/gossip.h
+++ b/libs/gossip/gossip.h
@@ -8,8 +8,8 @@
     Depends on allowance, codec (JSON texts), control, coordination, core, relay
    and jsoncpp.
 
-    Topics: heartbeats/, departures/, confirmations/, commands/ and bounds/
-    (datagrams),
+    Topics: heartbeats/, departures/, drains/, confirmations/, commands/ and
+    bounds/ (datagrams),
     allowance/ (datagrams and a row), duties/ (rows that VMs leave in the store
     for each other), state/ (configuration and
    directory for a VM that cannot reach the store, and the status of a node).
@@ -21,6 +21,7 @@
 #include "gossip/commands/forwarded_command_codec.h"
 #include "gossip/confirmations/feed_confirmation_codec.h"
 #include "gossip/departures/departure_codec.h"
+#include "gossip/drains/drain_codec.h"
 #include "gossip/duties/duty_row_codec.h"
 #include "gossip/heartbeats/heartbeat_codec.h"
 #include "gossip/state/fleet_state_codec.h"
--- a/libs/relay/connections/endpoint_pool.h
+++ b/libs/relay/connections/endpoint_pool.h
@@ -98,13 +98,14 @@
 
   /** @returns the end of the applied log that the endpoint last reported */
   LogPoint GetAppliedPoint() const { return applied_; }
-  /** @returns true if the endpoint has been draining for some time
+  /** @returns true if the endpoint may have been draining for some time
 
       @param limit  the time
       @param now    the current time
   */
   bool HasDrained(Duration limit, TimePoint now) const {
-    return entry.draining_since && now - *entry.draining_since >= limit;
+    return entry.draining &&
+           (!entry.draining_since || now - *entry.draining_since >= limit);
   }
   /** @returns true during the backoff after a failure */
   bool IsBackedOff(TimePoint now) const { return now < backoff_until_; }
--- a/libs/relay/core/traffic_core_control.h
+++ b/libs/relay/core/traffic_core_control.h
@@ -49,11 +49,12 @@
       }
     }
     const bool resized = pool.entry.slots != it.slots;
-    const bool begins_to_drain =
-        it.draining_since && (added || !pool.entry.draining_since);
+    const bool has_new_drain_time =
+        it.draining_since &&
+        (added || pool.entry.draining_since != it.draining_since);
     pool.removed = false;
     pool.entry = it;
-    if (begins_to_drain) {
+    if (has_new_drain_time) {
       ScheduleTimer({*it.draining_since + options_.max_draining_use,
                      TimerKind::kDrainingUseLimit, 0, 0, it.id});
     }
--- a/libs/telemetry/events/event.cc
+++ b/libs/telemetry/events/event.cc
@@ -139,7 +139,8 @@
      "A configuration could not be decoded and is not used. findings"},
     {kDirectoryChanged, kInfo, "directory.changed",
      "An endpoint was added, changed or removed. endpoint, service, state, "
-     "role, source"},
+     "role, source, drain_ms (since it can have reported that it is draining; "
+     "none: it does not drain, or nothing bounds that time)"},
     {kDirectoryEntryRejected, kWarning, "directory.entry_rejected",
      "A directory entry could not be decoded and is ignored. entry, findings"},
     {kStoreLost, kWarning, "store.lost",
@@ -155,6 +156,9 @@
      "delivered; they are applied, and the table is followed on a new "
      "connection. table, known_ms (time before which no change was missing, "
      "ago)"},
+    {kDrainDated, kInfo, "directory.drain_dated",
+     "Another VM told how long ago an endpoint reported that it is draining. "
+     "endpoint, drain_ms"},
     {kPeerLost, kWarning, "peer.lost",
      "No heartbeat of another VM arrived within the peer timeout. vm, "
      "silent_ms"},
--- a/libs/telemetry/events/event.h
+++ b/libs/telemetry/events/event.h
@@ -60,6 +60,7 @@
   kStoreRegained = 5306,
   kStoreRestored = 5307,
   kFeedStalled = 5308,
+  kDrainDated = 5309,
   kPeerLost = 5401,
   kPeerRegained = 5402,
   kDutyClaimed = 5501,
--- a/tests/fuzz/decoder_fuzz_test.cc
+++ b/tests/fuzz/decoder_fuzz_test.cc
@@ -53,6 +53,15 @@
   return true;
 }
 
+bool ReencodeDrains(std::string_view bytes, std::string& out) {
+  std::vector<DrainNotice> notices;
+  if (!DecodeDrainNotices(bytes, notices)) {
+    return false;
+  }
+  out = EncodeDrainNotices(notices);
+  return true;
+}
+
 bool ReencodeFeedConfirmation(std::string_view bytes, std::string& out) {
   FeedConfirmation confirmation;
   if (!DecodeFeedConfirmation(bytes, confirmation)) {
@@ -211,6 +220,7 @@
      }},
     {"heartbeats", SurvivesEncoding<ReencodeHeartbeat>},
     {"departures", SurvivesEncoding<ReencodeDepartures>},
+    {"drains", SurvivesEncoding<ReencodeDrains>},
     {"feed_confirmations", SurvivesEncoding<ReencodeFeedConfirmation>},
     {"bound_requests", SurvivesEncoding<ReencodeBoundRequest>},
     {"bound_responses", SurvivesEncoding<ReencodeBoundResponse>},
--- a/tests/round_trip/gossip_round_trip_test.cc
+++ b/tests/round_trip/gossip_round_trip_test.cc
@@ -94,6 +94,18 @@
   });
 }
 
+TEST(GossipRoundTrip, DrainNotices) {
+  CheckProperty("drain notices", [] {
+    std::vector<DrainNotice> sent;
+    for (const EndpointId& it : GenList(GenEndpoint())) {
+      sent.push_back({it, *GenNumber(), *GenDuration()});
+    }
+    std::vector<DrainNotice> read;
+    RC_ASSERT(DecodeDrainNotices(EncodeDrainNotices(sent), read));
+    RC_ASSERT(read == sent);
+  });
+}
+
 TEST(GossipRoundTrip, FeedConfirmations) {
   CheckProperty("feed confirmations", [] {
     const FeedConfirmation sent{*GenAddress(), *GenNumber(), *GenNumber(),
