--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -32,6 +32,8 @@
                   1000, settings.membership_fault_count);
   flags.AddNumber("promotions", "number of series of faults around a promotion",
                   0, 1000, settings.promotion_fault_count);
+  flags.AddNumber("silences", "number of silences of the store", 0, 1000,
+                  settings.silence_count);
   flags.AddNumber("faults-s", "length of the period with faults, in seconds", 1,
                   3600, settings.fault_period_s);
   std::string orders;
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -23,6 +23,8 @@
 // Within this time, a node that has ended is started again if it is to run.
 constexpr Duration kSupervisionInterval = std::chrono::milliseconds(100);
 constexpr int64_t kProxyCount = 4;
+// Keeps the choices apart from those of other faults with the same seed.
+constexpr uint64_t kSilenceSeed = 0x6d757465;
 // With faults of the membership or around orders a promotion takes 300 to
 // 1000 ms.
 constexpr int64_t kMinPromotionDelayMs = 300;
@@ -199,6 +201,7 @@
     promotion_faults_.Schedule(settings_.promotion_fault_count,
                                std::chrono::milliseconds(duration));
   }
+  ScheduleSilences(std::chrono::milliseconds(duration));
   order_faults_.Begin();
   RunLater(loop_, std::chrono::milliseconds(duration), [this] { EndFaults(); });
 }
@@ -296,6 +299,29 @@
   }
 }
 
+// A generator of its own, so that the other choices don't depend on silences.
+void SoakRun::ScheduleSilences(Duration period) {
+  std::mt19937_64 random(static_cast<uint64_t>(settings_.seed) + kSilenceSeed);
+  for (int64_t n = 0; n < settings_.silence_count; ++n) {
+    const Duration delay = period * (random() % 1000) / 1000;
+    const size_t member = random() % 3;
+    const Duration duration = std::chrono::milliseconds(500 + random() % 4000);
+    RunLater(loop_, delay,
+             [this, member, duration] { BeginSilence(member, duration); });
+  }
+}
+
+void SoakRun::BeginSilence(size_t draining_member, Duration duration) {
+  if (have_faults_ended_) {
+    return;
+  }
+  RequestSiteFault("mute", 0);
+  RequestSiteFault("config", 0);
+  RequestSiteFault("drain", draining_member);
+  ScheduleSiteFault(duration, "speak", 0);
+  ScheduleSiteFault(2 * duration, "stay", draining_member);
+}
+
 void SoakRun::InjectNodeFault(size_t node, Duration duration) {
   switch (random_() % 4) {
     case 0:
@@ -345,7 +371,7 @@
   membership_faults_.End();
   promotion_faults_.End();
   order_faults_.End();
-  for (const char* it : {"up", "keep", "quick"}) {
+  for (const char* it : {"up", "speak", "keep", "quick"}) {
     RequestSiteFault(it, 0);
   }
   for (size_t it = 0; it < 3; ++it) {
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -40,6 +40,10 @@
   /** Number of series of faults around a promotion in the same period; see
       PromotionFaults. The other faults don't depend on it. */
   int64_t promotion_fault_count = 0;
+  /** Number of silences of the store in the same period, each followed by
+      changes of the configuration and the directory whose answers are lost. The
+      other faults don't depend on it. */
+  int64_t silence_count = 0;
   /** Faults around the orders of promotions. The other faults don't depend on
       them. */
   OrderFaultKinds order_faults;
@@ -86,6 +90,8 @@
   void InjectDatabaseFault(size_t member, Duration duration);
   void InjectLinkFault(LinkProxy& proxy, Duration duration);
   void InjectStoreFault(Duration duration);
+  void ScheduleSilences(Duration period);
+  void BeginSilence(size_t draining_member, Duration duration);
   void InjectNodeFault(size_t node, Duration duration);
   void RequestSiteFault(std::string_view fault, size_t member);
   void ScheduleSiteFault(Duration pause, std::string fault, size_t member);
