Keep the earliest of the drain times that arrive before the first listing

What callers may see: a notice that lay unread replaces an older age, so that a process that starts uses a leaving primary for longer than the others until their next heartbeat. Cause: before the first listing the latest notice counted, afterwards the earliest one.

--- a/libs/control/fleet/fleet_control.h
+++ b/libs/control/fleet/fleet_control.h
@@ -223,7 +223,10 @@
     for (const DrainNotice& it : notices) {
       const TimePoint since = delegate_.Now() - it.age;
       if (endpoints_version_ == 0) {
-        early_drains_[it.endpoint] = {it.started_at_ms, since};
+        ReportedDrain& early = early_drains_[it.endpoint];
+        if (early.started_at_ms != it.started_at_ms || since < early.since) {
+          early = {it.started_at_ms, since};
+        }
       } else {
         changed = RecordDrain(it.endpoint, it.started_at_ms, since) || changed;
       }
@@ -535,7 +538,7 @@
   /** When another VM received the report that an endpoint is draining. */
   struct ReportedDrain {
     uint64_t started_at_ms = 0;
-    TimePoint since;
+    TimePoint since = TimePoint::max();
   };
 
   S& store_;
--- a/libs/control/tests/fleet_control_test.cc
+++ b/libs/control/tests/fleet_control_test.cc
@@ -366,6 +366,18 @@
   }
 }
 
+TEST(Fleet, OfTheDrainTimesBeforeTheFirstListingTheEarliestCounts) {
+  // Guards against a notice that lay unread for a while and makes a drain seem
+  // younger than the other VMs know it to be (DRAIN).
+  TestNode node(false);
+  for (const Duration age : {seconds(4), seconds(1)}) {
+    const DrainNotice notice{EndpointId{"db-1"}, 1, age};
+    node.fleet.HandleDrainNotices(std::span(&notice, 1));
+  }
+  node.ListTables(MakeRows(5, {{"db-1", "1 draining", 5, false}}));
+  CHECK(node.GetEndpoint("db-1").draining_since == node.Now() - seconds(4));
+}
+
 TEST(Fleet, ADrainThatBecameKnownLateIsNotPassedOnAsASeenOne) {
   TestNode node;
   node.store.unseen_changes["endpoints"] =
