--- a/libs/control/fleet/fleet_control.h
+++ b/libs/control/fleet/fleet_control.h
@@ -58,9 +58,9 @@
 
     Checks at intervals that no change of them is missing. The VMs share these
     checks: one of them asks the store and tells the others, so the number of
-    calls does not grow with that of the VMs. Whoever hears nothing asks itself,
-    for example because the others are frozen, can't reach the store or are cut
-    off.
+    calls does not grow with that of the VMs, except while they start. A VM that
+    hears nothing asks itself, for example because the others are frozen, can't
+    reach the store or are cut off.
 
     @tparam S  @see RowStore
     @tparam C  @see FleetRowCodec
--- a/libs/control/tests/fleet_control_test.cc
+++ b/libs/control/tests/fleet_control_test.cc
@@ -18,7 +18,7 @@
 using std::chrono::seconds;
 
 // The shortest time that a configuration may take until it is in force on all
-// VMs (config-apply-ms of the users' sites).
+// VMs.
 constexpr Duration kMaxUnseenChangePeriod = seconds(4);
 
 /** Rows are written as text: a configuration is its version, an endpoint the
--- a/libs/coordination/watches/feed_check_delay.h
+++ b/libs/coordination/watches/feed_check_delay.h
@@ -22,8 +22,10 @@
 
 /** Chooses when a VM checks its tables unless another VM does so before. Of all
     VMs, about one chooses the beginning of the spread, whatever their number:
-    the density of the delay grows exponentially towards the end (J.
-   Nonnenmacher and E. Biersack, "Scalable feedback for large groups", 1999).
+    the density of the delay grows exponentially towards the end.
+
+    Source: Nonnenmacher and Biersack, "Scalable Feedback for Large Groups",
+    IEEE/ACM Transactions on Networking, 1999.
 
     @tparam R      @see RandomSource
     @param vms     number of live VMs, at least 1
--- a/libs/core/core.h
+++ b/libs/core/core.h
@@ -9,8 +9,8 @@
 
     Topics: ids/ (identifiers, terms, log positions), errors/ (error codes,
     findings), outcomes/ (outcomes of a request), time/ (clocks, times of
-   changes), random/ (random sources), text/ (fields of messages, parts of
-   URLs), concurrency/ (control loop, executors, snapshots).
+    changes), random/ (random sources), text/ (fields of messages, parts of
+    URLs), concurrency/ (control loop, executors, snapshots).
 */
 #include "core/concurrency/control_loop.h"
 #include "core/concurrency/executor.h"
