--- a/review/standin-3/site.cc
+++ b/review/standin-3/site.cc
@@ -1,18 +1,21 @@
-// A small site for the scripts of the review: the platform's store, its promotion call
-// and services of three databases, on consecutive ports of a loopback address.
+// A small site for the scripts of the review: the platform's store, its
+// promotion call and services of three databases, on consecutive ports of a
+// loopback address.
 //
 // Usage: site HOST PORT [--work-ms N] [--slots N] [--max-conns N] [--rows N]
 //             [--row-bytes N] [--row-gap-ms N] [--services N]
 //
-// HTTP is served at PORT, the databases at the ports behind it, three for each service
-// groyne-logs-1, groyne-logs-2 and so on. The first one of a service is its primary.
-// Service N has the routes entries-N (primary), lookups-N (bounded) and timesheets-N
-// (read_your_writes). A read, a write or a commit takes a slot for N ms (--work-ms). A read of an
-// item whose name begins with "long" is answered with --rows rows of --row-bytes bytes,
-// one each --row-gap-ms ms. Replicas receive and apply commits at once.
+// HTTP is served at PORT, the databases at the ports behind it, three for each
+// service groyne-logs-1, groyne-logs-2 and so on. The first one of a service is
+// its primary. Service N has the routes entries-N (primary), lookups-N
+// (bounded) and timesheets-N (read_your_writes). A read, a write or a commit
+// takes a slot for N ms (--work-ms). A read of an item whose name begins with
+// "long" is answered with --rows rows of --row-bytes bytes, one each
+// --row-gap-ms ms. Replicas receive and apply commits at once.
 //
-// What reaches a database is written to standard output, one line each: milliseconds
-// since the Unix epoch, "arrived", "ran" or "closed", database, connection, id, text.
+// What reaches a database is written to standard output, one line each:
+// milliseconds since the Unix epoch, "arrived", "ran" or "closed", database,
+// connection, id, text.
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -114,13 +117,14 @@
 std::vector<Waiter> waiters;
 
 std::string Encode(const std::string& text) {
-  static const char* kDigits =
+  constexpr const char* kDigits =
       "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
   std::string out;
   for (size_t it = 0; it < text.size(); it += 3) {
     uint32_t n = 0;
     for (size_t k = 0; k < 3; ++k) {
-      n = n << 8 | (it + k < text.size() ? static_cast<uint8_t>(text[it + k]) : 0);
+      n = n << 8 |
+          (it + k < text.size() ? static_cast<uint8_t>(text[it + k]) : 0);
     }
     for (size_t k = 0; k < 4; ++k) {
       out += it + k <= text.size() ? kDigits[n >> (18 - 6 * k) & 63] : '=';
@@ -167,6 +171,7 @@
     }
   }
   std::vector<std::pair<uint64_t, std::string>> ordered;
+  ordered.reserve(latest.size());
   for (const auto& [key, ver] : latest) {
     ordered.emplace_back(ver, key);
   }
@@ -199,7 +204,9 @@
   waiters = left;
 }
 
-void Put(const std::string& table, const std::string& key, const std::string& value) {
+void Put(const std::string& table,
+         const std::string& key,
+         const std::string& value) {
   tables[table][key] = {value, version};
   changes.push_back({version, table, key});
 }
@@ -214,9 +221,11 @@
     rest = end == std::string::npos ? "" : rest.substr(end + 1);
     const size_t eq = field.find('=');
     std::string value;
-    for (size_t it = eq + 1; eq != std::string::npos && it < field.size(); ++it) {
+    for (size_t it = eq + 1; eq != std::string::npos && it < field.size();
+         ++it) {
       if (field[it] == '%') {
-        value += static_cast<char>(std::stoi(field.substr(it + 1, 2), nullptr, 16));
+        value +=
+            static_cast<char>(std::stoi(field.substr(it + 1, 2), nullptr, 16));
         it += 2;
       } else {
         value += field[it];
@@ -261,7 +270,8 @@
     Answer(peer, 200, reply);
   } else if (path == "/v1/rows-feed") {
     const int64_t wait = std::atoll(get("wait-ms").c_str());
-    waiters.push_back({peer.id, get("table"), std::strtoull(get("after").c_str(), nullptr, 10),
+    waiters.push_back({peer.id, get("table"),
+                       std::strtoull(get("after").c_str(), nullptr, 10),
                        NowMs() + wait});
     After(wait, WakeWaiters);
     WakeWaiters();
@@ -270,18 +280,22 @@
     reply["rows"] = Json::Value(Json::arrayValue);
     bool holds = true;
     for (const Json::Value& it : body["precondition"]) {
-      const Json::Value row = MakeRow(it["table"].asString(), it["key"].asString());
-      holds = holds && (row.isMember("ver") ? row["ver"].asUInt64() : 0) == it["ver"].asUInt64();
+      const Json::Value row =
+          MakeRow(it["table"].asString(), it["key"].asString());
+      holds = holds && (row.isMember("ver") ? row["ver"].asUInt64() : 0) ==
+                           it["ver"].asUInt64();
       reply["rows"].append(row);
     }
     if (holds) {
       ++version;
       for (const Json::Value& it : body["puts"]) {
-        Put(it["table"].asString(), it["key"].asString(), it["value"].asString());
+        Put(it["table"].asString(), it["key"].asString(),
+            it["value"].asString());
       }
       for (const Json::Value& it : body["deletes"]) {
         tables[it["table"].asString()].erase(it["key"].asString());
-        changes.push_back({version, it["table"].asString(), it["key"].asString()});
+        changes.push_back(
+            {version, it["table"].asString(), it["key"].asString()});
       }
       reply["rows"] = Json::Value(Json::arrayValue);
     }
@@ -297,7 +311,9 @@
     const auto token = headers.find("fencing-token");
     Answer(peer,
            Promote(body["id"].asString(),
-                   token == headers.end() ? 0 : std::strtoull(token->second.c_str(), nullptr, 10)),
+                   token == headers.end()
+                       ? 0
+                       : std::strtoull(token->second.c_str(), nullptr, 10)),
            Json::Value(Json::objectValue));
   } else {
     Answer(peer, 404, {});
@@ -323,16 +339,18 @@
       headers[name] = value == std::string::npos ? "" : line.substr(value);
       at = line_end + 2;
     }
-    const size_t length = headers.contains("content-length")
-                              ? std::strtoull(headers["content-length"].c_str(), nullptr, 10)
-                              : 0;
+    const size_t length =
+        headers.contains("content-length")
+            ? std::strtoull(headers["content-length"].c_str(), nullptr, 10)
+            : 0;
     if (peer.in.size() < end + 4 + length) {
       return;
     }
     const std::string first = peer.in.substr(0, peer.in.find("\r\n"));
     const size_t blank = first.find(' ');
     const std::string method = first.substr(0, blank);
-    const std::string target = first.substr(blank + 1, first.rfind(' ') - blank - 1);
+    const std::string target =
+        first.substr(blank + 1, first.rfind(' ') - blank - 1);
     const std::string body = peer.in.substr(end + 4, length);
     peer.in.erase(0, end + 4 + length);
     HandleHttp(peer, method, target, headers, body);
@@ -362,16 +380,21 @@
   return services[static_cast<size_t>(database) / 3];
 }
 
-void Record(const char* what, const Peer& peer, const std::string& id, const std::string& text) {
-  std::printf("%lld %s %s %llu %s %.80s\n", static_cast<long long>(UnixMs()), what,
-              databases[peer.database].id.c_str(), static_cast<unsigned long long>(peer.id),
-              id.c_str(), text.c_str());
+void Record(const char* what,
+            const Peer& peer,
+            const std::string& id,
+            const std::string& text) {
+  std::printf("%lld %s %s %llu %s %.80s\n", static_cast<long long>(UnixMs()),
+              what, databases[peer.database].id.c_str(),
+              static_cast<unsigned long long>(peer.id), id.c_str(),
+              text.c_str());
 }
 
 void PublishDatabase(int index) {
   Json::Value entry;
   entry["service"] = ServiceOf(index).name;
-  entry["address"] = options.host + ":" + std::to_string(options.port + 1 + index);
+  entry["address"] =
+      options.host + ":" + std::to_string(options.port + 1 + index);
   entry["zone"] = "site-" + std::to_string(index % 3 + 1);
   entry["version"] = "v1";
   entry["capacity"] = Json::Int64{options.slots};
@@ -417,7 +440,8 @@
 }
 
 void Ready(Peer& peer) {
-  peer.out += std::string("READY ") + peer.state + " " + Position(peer) + "\r\n";
+  peer.out +=
+      std::string("READY ") + peer.state + " " + Position(peer) + "\r\n";
 }
 void Fail(Peer& peer, const std::string& code) {
   peer.out += "ERROR " + code + " -\r\n";
@@ -465,8 +489,11 @@
     ReadDatabase(*peer);
     return;
   }
-  peer->out += "ROW " + std::string(static_cast<size_t>(options.row_bytes), 'r') + "\r\n";
-  After(options.row_gap_ms, [id, request, left] { SendRows(id, request, left - 1); });
+  peer->out += "ROW " +
+               std::string(static_cast<size_t>(options.row_bytes), 'r') +
+               "\r\n";
+  After(options.row_gap_ms,
+        [id, request, left] { SendRows(id, request, left - 1); });
 }
 
 void Run(Peer& peer, const std::string& request, const std::string& text) {
@@ -474,7 +501,8 @@
   const uint64_t term = ServiceOf(peer.database).term;
   const size_t blank = text.find(' ');
   const std::string verb = text.substr(0, blank);
-  const std::string rest = blank == std::string::npos ? "" : text.substr(blank + 1);
+  const std::string rest =
+      blank == std::string::npos ? "" : text.substr(blank + 1);
   if (verb == "BEGIN") {
     if (rest.empty() && !database.is_primary) {
       Fail(peer, "READONLY");
@@ -498,12 +526,14 @@
     const size_t name_end = rest.find(' ');
     const size_t kind_end = rest.find(' ', name_end + 1);
     peer.prepared[rest.substr(0, name_end)] = {
-        rest.substr(name_end + 1, kind_end - name_end - 1) == "WRITE", rest.substr(kind_end + 1)};
+        rest.substr(name_end + 1, kind_end - name_end - 1) == "WRITE",
+        rest.substr(kind_end + 1)};
     Complete(peer, "-");
   } else if (verb == "DEALLOC") {
     peer.prepared.erase(rest);
     Complete(peer, "-");
-  } else if (verb == "STATUS" || verb == "PAUSE" || verb == "RESUME" || verb == "DEMOTE") {
+  } else if (verb == "STATUS" || verb == "PAUSE" || verb == "RESUME" ||
+             verb == "DEMOTE") {
     const uint64_t given = std::strtoull(rest.c_str(), nullptr, 10);
     if (verb == "PAUSE" && given > term && !database.is_primary) {
       database.paused_at = given;
@@ -512,15 +542,18 @@
     } else if (verb == "DEMOTE" && given > term) {
       database.is_primary = false;
     }
-    peer.out += std::string("ROW ") + (database.is_primary ? "primary " : "replica ") +
+    peer.out += std::string("ROW ") +
+                (database.is_primary ? "primary " : "replica ") +
                 std::to_string(term) + " " + Position(peer) + " " +
-                std::to_string(database.paused_at) + " 0 " + std::to_string(database.running) +
-                " 1\r\n";
+                std::to_string(database.paused_at) + " 0 " +
+                std::to_string(database.running) + " 1\r\n";
     Complete(peer, "-");
   } else {
     std::string kind = verb;
     std::string item = rest.substr(0, rest.find(' '));
-    std::string value = rest.find(' ') == std::string::npos ? "" : rest.substr(rest.find(' ') + 1);
+    std::string value = rest.find(' ') == std::string::npos
+                            ? ""
+                            : rest.substr(rest.find(' ') + 1);
     if (verb == "EXECUTE") {
       const auto it = peer.prepared.find(item);
       if (it == peer.prepared.end()) {
@@ -529,10 +562,13 @@
       }
       kind = it->second.first ? "WRITE" : "READ";
       item = value.substr(0, value.find(' '));
-      value = value.find(' ') == std::string::npos ? "" : value.substr(value.find(' ') + 1);
+      value = value.find(' ') == std::string::npos
+                  ? ""
+                  : value.substr(value.find(' ') + 1);
     }
     Record("arrived", peer, request, text);
-    const bool needs_lead = kind == "WRITE" || (kind == "COMMIT" && !peer.writes.empty());
+    const bool needs_lead =
+        kind == "WRITE" || (kind == "COMMIT" && !peer.writes.empty());
     if (needs_lead && !database.is_primary) {
       Fail(peer, "READONLY");
       return;
@@ -552,7 +588,8 @@
              it->busy = false;
              Service& service = ServiceOf(it->database);
              if (kind == "READ") {
-               if (const auto found = service.data.find(item); found != service.data.end()) {
+               if (const auto found = service.data.find(item);
+                   found != service.data.end()) {
                  it->out += "ROW " + found->second + "\r\n";
                }
              } else if (kind == "WRITE") {
@@ -588,9 +625,10 @@
         fields.push_back(rest.substr(0, blank));
         rest = blank == std::string::npos ? "" : rest.substr(blank + 1);
       }
-      const int64_t connections = std::count_if(peers.begin(), peers.end(), [&](const auto& row) {
-        return row.second->database == peer.database && row.second->open;
-      });
+      const int64_t connections =
+          std::count_if(peers.begin(), peers.end(), [&](const auto& row) {
+            return row.second->database == peer.database && row.second->open;
+          });
       if (fields.empty() || fields[0] != ServiceOf(peer.database).name ||
           (fields.size() > 2 && fields[2] != databases[peer.database].id)) {
         peer.out += "ERROR MISROUTED -\r\n";
@@ -682,7 +720,9 @@
     const std::string number = "-" + std::to_string(it);
     services.emplace_back().name = "groyne-logs" + number;
     for (const auto& [name, kind] : std::map<std::string, std::string>{
-             {"entries", "primary"}, {"lookups", "bounded"}, {"timesheets", "read_your_writes"}}) {
+             {"entries", "primary"},
+             {"lookups", "bounded"},
+             {"timesheets", "read_your_writes"}}) {
       Json::Value route;
       route["name"] = name + number;
       route["host"] = name + number;
@@ -714,20 +754,26 @@
   }
   for (;;) {
     std::vector<pollfd> fds;
+    fds.reserve(listeners.size() + peers.size());
     for (const int it : listeners) {
       fds.push_back({it, POLLIN, 0});
     }
     std::vector<uint64_t> ids;
     for (const auto& [id, it] : peers) {
       ids.push_back(id);
-      fds.push_back({it->fd, static_cast<short>(POLLIN | (it->out.empty() ? 0 : POLLOUT)), 0});
+      fds.push_back(
+          {it->fd, static_cast<short>(POLLIN | (it->out.empty() ? 0 : POLLOUT)),
+           0});
     }
     const int64_t wait =
-        timers.empty() ? 1000 : std::clamp<int64_t>(timers.begin()->first - NowMs(), 0, 1000);
+        timers.empty()
+            ? 1000
+            : std::clamp<int64_t>(timers.begin()->first - NowMs(), 0, 1000);
     poll(fds.data(), fds.size(), static_cast<int>(wait));
     for (size_t it = 0; it < listeners.size(); ++it) {
       while ((fds[it].revents & POLLIN) != 0) {
-        const int fd = accept4(listeners[it], nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        const int fd = accept4(listeners[it], nullptr, nullptr,
+                               SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd < 0) {
           break;
         }
